Lay down the workspace, the model and the peer schema

Cause: nothing stood yet, and several parts are to be built side by side. Ruled out: actix's own registry for services, since it is one a thread and by type, not by name. Conclusion: the crates' borders can be worked on apart.

--- /dev/null
+++ b/crates/authority/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry's state: one authority per submission, without I/O.
--- /dev/null
+++ b/crates/cairnctl/src/main.rs
@@ -0,0 +1,3 @@
+//! cairnctl.
+
+fn main() {}
--- /dev/null
+++ b/crates/cairnpaddle/src/main.rs
@@ -0,0 +1,3 @@
+//! cairnpaddle.
+
+fn main() {}
--- /dev/null
+++ b/crates/caller-api/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP/JSON for callers and operators.
--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,1 @@
+//! Policy without I/O: admit, queue, refuse, place, shift, retry.
--- /dev/null
+++ b/crates/dispatcher/src/lib.rs
@@ -0,0 +1,1 @@
+//! The dispatcher process: owns endpoints, their slots and connections.
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,12 @@
+//! Services by name, the life cycle of a process, and the clock interface.
+//!
+//! The kernel knows no service of the product. A part registers its actor's address under a name; other parts find
+//! it by that name and the message type they want to send.
+
+mod clock;
+mod directory;
+
+pub use crate::{
+    clock::{ClockSource, ManualClock, SystemClock},
+    directory::{KernelError, ServiceDirectory, ServiceName},
+};
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! The dispatcher's state: slots, reservations and attempts, without I/O.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Live dispatchers, ownership by rendezvous hashing, and leased grants, without I/O.
--- /dev/null
+++ b/crates/model/src/bytes.rs
@@ -0,0 +1,88 @@
+//! Sizes in bytes and payloads.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use base64::{engine::general_purpose::STANDARD, Engine as _};
+use schemars::JsonSchema;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// The largest payload or answer of one task, in bytes.
+pub const MAX_PAYLOAD_BYTES: ByteSize = ByteSize(64 * 1024);
+
+/// A size in bytes.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    JsonSchema,
+)]
+#[serde(transparent)]
+pub struct ByteSize(pub u64);
+
+impl fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} B", self.0)
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        s.strip_suffix(" B").unwrap_or(s).parse().map(Self)
+    }
+}
+
+/// The opaque bytes of a task or its answer. In JSON it is a base64 string.
+#[derive(Clone, PartialEq, Eq, Hash, Default)]
+pub struct Payload(pub Arc<[u8]>);
+
+impl Payload {
+    /// The number of bytes.
+    pub fn size(&self) -> ByteSize {
+        ByteSize(self.0.len() as u64)
+    }
+}
+
+impl From<&[u8]> for Payload {
+    fn from(bytes: &[u8]) -> Self {
+        Self(bytes.into())
+    }
+}
+
+impl From<Vec<u8>> for Payload {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self(bytes.into())
+    }
+}
+
+impl fmt::Debug for Payload {
+    // Payloads carry people's data, so logs and test output show only the size.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Payload({})", self.size())
+    }
+}
+
+impl Serialize for Payload {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(&self.0))
+    }
+}
+
+impl<'de> Deserialize<'de> for Payload {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        STANDARD
+            .decode(text)
+            .map(Self::from)
+            .map_err(|e| serde::de::Error::custom(format!("not base64: {e}")))
+    }
+}
--- /dev/null
+++ b/crates/model/src/ids.rs
@@ -0,0 +1,256 @@
+//! Ids. Each has one text form, checked where it enters the system.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use thiserror::Error;
+
+/// The longest name, in bytes: ids travel in every message and label metrics, so they stay short.
+const MAX_NAME_BYTES: usize = 64;
+
+/// A text that is not an id of the kind asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("not a valid {kind}: {text:?}")]
+pub struct WrongId {
+    /// The kind of id expected.
+    pub kind: &'static str,
+    /// The text as it came, cut to [`MAX_NAME_BYTES`].
+    pub text: String,
+}
+
+impl WrongId {
+    fn new(kind: &'static str, text: &str) -> Self {
+        Self {
+            kind,
+            text: text.chars().take(MAX_NAME_BYTES).collect(),
+        }
+    }
+}
+
+macro_rules! name_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, JsonSchema)]
+        #[schemars(transparent)]
+        pub struct $name(#[schemars(with = "String")] Arc<str>);
+
+        impl $name {
+            /// The text form.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = WrongId;
+
+            fn from_str(s: &str) -> Result<Self, WrongId> {
+                let plain = s.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.:".contains(&b));
+                if s.is_empty() || s.len() > MAX_NAME_BYTES || !plain {
+                    return Err(WrongId::new($kind, s));
+                }
+                Ok(Self(s.into()))
+            }
+        }
+
+        serde_as_text!($name);
+    };
+}
+
+macro_rules! serde_as_text {
+    ($name:ident) => {
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.collect_str(self)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                String::deserialize(deserializer)?
+                    .parse()
+                    .map_err(serde::de::Error::custom)
+            }
+        }
+    };
+}
+
+name_id!(
+    /// A customer: whose work a contract covers.
+    CustomerId, "customer id"
+);
+name_id!(
+    /// A data centre, for example `rajkot-east`.
+    DataCentreId, "data centre id"
+);
+name_id!(
+    /// An endpoint: one executor process that runs tasks in slots.
+    EndpointId, "endpoint id"
+);
+name_id!(
+    /// A VM of the system, or one that carries an endpoint.
+    VmId, "VM id"
+);
+name_id!(
+    /// The kind of a task. Run times are learned per customer and kind.
+    TaskKind, "task kind"
+);
+name_id!(
+    /// An idempotency key that a caller chose.
+    IdempotencyKey, "idempotency key"
+);
+
+/// One life of a process. A restarted process has another incarnation, so state that died with the old one is
+/// never mistaken for state of the new one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct IncarnationId(pub u64);
+
+impl fmt::Display for IncarnationId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for IncarnationId {
+    type Err = WrongId;
+
+    fn from_str(s: &str) -> Result<Self, WrongId> {
+        hex(s)
+            .filter(|_| s.len() == 16)
+            .map(Self)
+            .ok_or_else(|| WrongId::new("incarnation id", s))
+    }
+}
+
+serde_as_text!(IncarnationId);
+
+/// A submission: a job or a request. It names the incarnation of the entry that has authority over it, so that
+/// any entry can find that one or say that it is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SubmissionId {
+    /// The entry that owns the submission.
+    pub incarnation: IncarnationId,
+    /// Counts the submissions of that incarnation.
+    pub serial: u64,
+}
+
+impl fmt::Display for SubmissionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:x}", self.incarnation, self.serial)
+    }
+}
+
+impl FromStr for SubmissionId {
+    type Err = WrongId;
+
+    fn from_str(s: &str) -> Result<Self, WrongId> {
+        let wrong = || WrongId::new("submission id", s);
+        let (incarnation, serial) = s.split_once('-').ok_or_else(wrong)?;
+        let incarnation = incarnation.parse().map_err(|_| wrong())?;
+        Ok(Self {
+            incarnation,
+            serial: hex(serial).ok_or_else(wrong)?,
+        })
+    }
+}
+
+serde_as_text!(SubmissionId);
+
+/// The place of a task in its job, from 0.
+pub type TaskIndex = u32;
+
+/// One try to start a task. It travels with the task to the endpoint and comes back in the answer; an answer that
+/// echoes another id is never delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The submission that the task belongs to.
+    pub submission: SubmissionId,
+    /// The task within it.
+    pub task: TaskIndex,
+    /// Counts the tries of this task, from 0. Only a definite not-run leads to another.
+    pub attempt: u32,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:x}.{:x}", self.submission, self.task, self.attempt)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = WrongId;
+
+    fn from_str(s: &str) -> Result<Self, WrongId> {
+        let wrong = || WrongId::new("attempt id", s);
+        let mut parts = s.split('.');
+        let submission = parts
+            .next()
+            .unwrap_or_default()
+            .parse()
+            .map_err(|_| wrong())?;
+        let mut number = || {
+            parts
+                .next()
+                .and_then(hex)
+                .and_then(|n| u32::try_from(n).ok())
+                .ok_or_else(wrong)
+        };
+        let (task, attempt) = (number()?, number()?);
+        match parts.next() {
+            None => Ok(Self {
+                submission,
+                task,
+                attempt,
+            }),
+            Some(_) => Err(wrong()),
+        }
+    }
+}
+
+serde_as_text!(AttemptId);
+
+/// A ticket: the right to run one request at the incarnation that issued it, once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TicketId(
+    /// The submission that the ticket is for; its serial is set aside when the ticket is issued.
+    pub SubmissionId,
+);
+
+impl fmt::Display for TicketId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "t{}", self.0)
+    }
+}
+
+impl FromStr for TicketId {
+    type Err = WrongId;
+
+    fn from_str(s: &str) -> Result<Self, WrongId> {
+        let rest = s
+            .strip_prefix('t')
+            .ok_or_else(|| WrongId::new("ticket", s))?;
+        rest.parse()
+            .map(Self)
+            .map_err(|_| WrongId::new("ticket", s))
+    }
+}
+
+serde_as_text!(TicketId);
+
+/// Reads lower-case hexadecimal digits without a sign, which `from_str_radix` would let pass.
+fn hex(s: &str) -> Option<u64> {
+    let plain = s
+        .bytes()
+        .all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
+    if !plain {
+        return None;
+    }
+    u64::from_str_radix(s, 16).ok()
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,34 @@
+//! Plain data that every crate shares: ids, sizes, rates, contracts, submissions, outcomes.
+//!
+//! Nothing here does I/O or reads a clock. Every closed set is an enum with a stable text form, which callers,
+//! metrics and logs all use.
+
+mod bytes;
+mod contract;
+mod endpoint;
+mod ids;
+mod outcome;
+mod reason;
+mod submission;
+
+pub use crate::{
+    bytes::{ByteSize, Payload, MAX_PAYLOAD_BYTES},
+    contract::{
+        Contract, ContractState, ContractVersion, CustomerShare, RefusableWork, WrongContract,
+        MAX_TASKS_PER_JOB,
+    },
+    endpoint::{EndpointAddress, EndpointState, VmEntry, VmRole},
+    ids::{
+        AttemptId, CustomerId, DataCentreId, EndpointId, IdempotencyKey, IncarnationId,
+        SubmissionId, TaskIndex, TaskKind, TicketId, VmId, WrongId,
+    },
+    outcome::{AttemptEnd, SubmissionOutcome, TaskResult},
+    reason::{FailureReason, RefusalReason, RetryReason, UnknownReason, WrongReason},
+    submission::{KeyedRun, SubmissionBody, SubmissionKind, TaskBody, TaskOffer},
+};
+
+/// Hash map with a fast hasher. Keys come from ids, never straight from a caller's bytes without a length limit.
+pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
+
+/// Hash set with the hasher of [`FastMap`].
+pub type FastSet<K> = rustc_hash::FxHashSet<K>;
--- /dev/null
+++ b/crates/peer/schema/peer.capnp
@@ -0,0 +1,108 @@
+@0xc0f3a1d27be49615;
+# The protocol between entries and dispatchers.
+#
+# An entry opens a session to a dispatcher and hands over its own port. On one session calls arrive in order, so a
+# withdrawal is seen after the offer that it withdraws. A new session of the same entry ends the older one: what
+# is still in its socket is then turned away.
+
+struct Attempt {
+  incarnation @0 :UInt64;
+  serial @1 :UInt64;
+  task @2 :UInt32;
+  attempt @3 :UInt32;
+}
+
+struct Offer {
+  attempt @0 :Attempt;
+  customer @1 :Text;
+  kind @2 :Text;
+  share @3 :UInt32;
+  timeLeftMicros @4 :UInt64;
+  expectedMicros @5 :UInt64;
+  payload @6 :Data;
+  jobTasksLeft @7 :UInt32;
+}
+
+struct Slots {
+  # What an entry needs to know to place its next task.
+  limit @0 :UInt32;
+  running @1 :UInt32;
+  queued @2 :UInt32;
+}
+
+struct Verdict {
+  union {
+    started @0 :Void;
+    queued @1 :Void;
+    notRun @2 :Text;
+  }
+}
+
+struct AttemptEnd {
+  attempt @0 :Attempt;
+  union {
+    done @1 :Data;
+    failed @2 :Void;
+    notRun @3 :Text;
+    unknown @4 :Text;
+  }
+  ranMicros @5 :UInt64;
+}
+
+struct Withdrawal {
+  union {
+    notRun @0 :Void;
+    # The attempt was not started and never will be.
+    running @1 :Void;
+    # It runs or ran; its end is on the way on this session.
+  }
+}
+
+struct ClaimAnswer {
+  union {
+    body @0 :Data;
+    gone @1 :Void;
+  }
+}
+
+struct KeyRecord {
+  # The owner of an idempotency key, as the platform's table keeps it.
+  serial @0 :UInt64;
+  incarnation @1 :UInt64;
+  bodyDigest @2 :UInt64;
+}
+
+interface EntryPort {
+  claim @0 (attempt :Attempt) -> (answer :ClaimAnswer);
+  # A slot is free for a queued attempt. A body may be sent once only.
+  ended @1 (ends :List(AttemptEnd), slots :Slots) -> ();
+  slots @2 (slots :Slots) -> ();
+  # Sent when the picture changed much since the last message.
+  outcome @3 (serial :UInt64) -> (json :Data, found :Bool);
+  # The caller-facing answer of a submission of this entry, waiting until there is one or the entry gives up on it.
+  runTicket @4 (serial :UInt64, json :Data) -> (json :Data, status :UInt16);
+  # Runs a request under a ticket that this entry issued.
+}
+
+interface DispatcherPort {
+  open @0 (entry :EntryPort, incarnation :UInt64, session :UInt64) -> (session :SessionPort, dispatcher :UInt64, slots :Slots);
+  find @1 (incarnation :UInt64) -> (entry :EntryPort, found :Bool);
+  # Finds the entry of another VM, so that entries need no connections to each other.
+  beat @2 (from :UInt64, address :Text, dataCentre :Text, stopping :Bool, head :UInt64) -> (incarnation :UInt64, stopping :Bool, head :UInt64);
+  # The heartbeat among dispatchers. `head` is the newest contract version counter that the sender holds.
+  contracts @3 (since :UInt64) -> (head :UInt64, rows :List(ContractRow));
+  grant @4 (customer :Text, incarnation :UInt64, want :UInt32, inUse :UInt32) -> (granted :UInt32, termMicros :UInt64);
+  # Leases a part of the customer's concurrency in this data centre. Only the customer's home dispatcher grants.
+}
+
+struct ContractRow {
+  customer @0 :Text;
+  version @1 :UInt64;
+  head @2 :UInt64;
+  json @3 :Data;
+}
+
+interface SessionPort {
+  offer @0 (offers :List(Offer)) -> (verdicts :List(Verdict), slots :Slots);
+  withdraw @1 (attempts :List(Attempt)) -> (withdrawals :List(Withdrawal), slots :Slots);
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's table service, object store and VM list.
--- /dev/null
+++ b/crates/scenario/src/lib.rs
@@ -0,0 +1,1 @@
+//! A small test language for failure scenarios, run against real processes.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked JSON settings.
--- /dev/null
+++ b/crates/stand-ins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the platform, endpoints and the network, for tests and the demo.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and the explain history.
