--- /dev/null
+++ b/crates/authority/src/authority.rs
@@ -0,0 +1,322 @@
+//! The authority: submissions in, offers and answers out.
+
+mod giving_up;
+mod placing;
+mod replies;
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Instant,
+};
+
+use model::{
+    Contract, ContractState, ContractVersion, CustomerId, DataCentreId, FastMap, IncarnationId,
+    RefusalReason, SubmissionBody, SubmissionId, SubmissionKind, SubmissionOutcome, TaskIndex,
+    TicketId,
+};
+
+use crate::{
+    action::{AuthorityAction, AuthorityEvent},
+    flight::FlightTable,
+    record::{RecordState, SubmissionRecord, SubmissionShape, TaskPhase, TaskRecord},
+    session::SessionTable,
+    settings::AuthoritySettings,
+    ticket::{TicketTable, TicketUse},
+    waiting::{WaitingTable, WaitingTask},
+};
+
+/// A submission that was accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmittedSubmission {
+    /// Its id.
+    pub id: SubmissionId,
+    /// When its answer is due.
+    pub due: Instant,
+}
+
+/// What a cancellation did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelReply {
+    /// The submission has its answer: cancelled.
+    Cancelled,
+    /// A request that may have started runs on to its own answer.
+    TooLate,
+    /// There is no such open submission.
+    NotOpen,
+}
+
+/// The authority over all submissions of one entry.
+pub struct TaskAuthority {
+    settings: AuthoritySettings,
+    data_centre: DataCentreId,
+    incarnation: IncarnationId,
+    next_serial: u64,
+    records: FastMap<u64, SubmissionRecord>,
+    open: usize,
+    due: BTreeSet<(Instant, u64)>,
+    kept: VecDeque<(Instant, u64)>,
+    tickets: TicketTable,
+    flights: FlightTable,
+    waiting: WaitingTable,
+    sessions: SessionTable,
+    rng: fastrand::Rng,
+    actions: Vec<AuthorityAction>,
+}
+
+impl TaskAuthority {
+    /// An empty authority. The seed decides between equally good dispatchers.
+    pub fn new(
+        settings: AuthoritySettings,
+        data_centre: DataCentreId,
+        incarnation: IncarnationId,
+        seed: u64,
+    ) -> Self {
+        Self {
+            settings,
+            data_centre,
+            incarnation,
+            next_serial: 1,
+            records: FastMap::default(),
+            open: 0,
+            due: BTreeSet::new(),
+            kept: VecDeque::new(),
+            tickets: TicketTable::default(),
+            flights: FlightTable::default(),
+            waiting: WaitingTable::default(),
+            sessions: SessionTable::default(),
+            rng: fastrand::Rng::with_seed(seed),
+            actions: Vec::new(),
+        }
+    }
+
+    /// This entry's incarnation.
+    pub fn incarnation(&self) -> IncarnationId {
+        self.incarnation
+    }
+
+    /// Takes what has to be done, in order.
+    pub fn take_actions(&mut self) -> Vec<AuthorityAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Accepts a submission or refuses it. `digest` identifies its body; `serial` is that of a ticket or of a
+    /// recorded key, set aside before.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, when nothing of the submission will run.
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        body: SubmissionBody,
+        digest: u64,
+        contract: Option<(&Contract, ContractVersion)>,
+        serial: Option<u64>,
+    ) -> Result<AdmittedSubmission, RefusalReason> {
+        let customer = body.customer.clone();
+        let (contract, version) = match self.check(&body, contract) {
+            Ok(terms) => terms,
+            Err(reason) => {
+                self.note(AuthorityEvent::Refused { customer, reason });
+                return Err(reason);
+            }
+        };
+        let serial = serial.unwrap_or_else(|| self.reserve_serial());
+        self.tickets.take(serial);
+        let id = self.id(serial);
+        let due = now + body.deadline.unwrap_or_else(|| contract.answer_within());
+        let mut record = new_record(body, digest, due);
+        record.take_terms(contract, version);
+        let tasks = record.tasks.len() as u32;
+        self.note(AuthorityEvent::Admitted {
+            id,
+            customer: customer.clone(),
+            tasks,
+        });
+        for task in 0..tasks {
+            self.waiting
+                .push(&customer, WaitingTask { due, serial, task });
+        }
+        self.records.insert(serial, record);
+        self.open += 1;
+        self.due.insert((due, serial));
+        self.place(now);
+        Ok(AdmittedSubmission { id, due })
+    }
+
+    /// Sets a serial aside, for a key that has to be recorded before its request may start.
+    pub fn reserve_serial(&mut self) -> u64 {
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        serial
+    }
+
+    /// Issues a ticket.
+    ///
+    /// # Errors
+    ///
+    /// Overloaded, when too many tickets are out.
+    pub fn issue_ticket(
+        &mut self,
+        now: Instant,
+        customer: &CustomerId,
+    ) -> Result<TicketId, RefusalReason> {
+        self.tickets.expire(now, self.settings.ticket_term);
+        if self.tickets.len() >= self.settings.max_tickets {
+            return Err(RefusalReason::Overloaded);
+        }
+        let serial = self.reserve_serial();
+        self.tickets.issue(now, serial, customer.clone());
+        Ok(TicketId(self.id(serial)))
+    }
+
+    /// Says what a ticket of this incarnation is good for now.
+    pub fn look_at_ticket(
+        &mut self,
+        now: Instant,
+        serial: u64,
+        customer: &CustomerId,
+    ) -> TicketUse {
+        if self.records.contains_key(&serial) {
+            return TicketUse::Used;
+        }
+        self.tickets.expire(now, self.settings.ticket_term);
+        match self.tickets.customer(serial) {
+            Some(owner) if owner == customer => TicketUse::Fresh,
+            Some(_) => TicketUse::WrongCustomer,
+            None => TicketUse::Forgotten,
+        }
+    }
+
+    /// The answer of a submission: `None` when it is not known here, `Some(None)` while it is open.
+    pub fn outcome(&self, serial: u64) -> Option<Option<Arc<SubmissionOutcome>>> {
+        match &self.records.get(&serial)?.state {
+            RecordState::Open => Some(None),
+            RecordState::Answered { outcome } => Some(Some(outcome.clone())),
+        }
+    }
+
+    /// The digest of a submission's body, to tell a second arrival from another request under the same name.
+    pub fn digest(&self, serial: u64) -> Option<u64> {
+        self.records.get(&serial).map(|record| record.digest)
+    }
+
+    /// The contract version under which a submission was accepted.
+    pub fn version(&self, serial: u64) -> Option<ContractVersion> {
+        self.records.get(&serial).map(|record| record.version)
+    }
+
+    /// Sets how many tasks of a customer this entry may have at dispatchers at once.
+    pub fn set_limit(&mut self, now: Instant, customer: &CustomerId, limit: u32) {
+        self.waiting.set_limit(customer, limit);
+        self.place(now);
+    }
+
+    /// Attempts at dispatchers and tasks waiting here, of one customer.
+    pub fn usage(&self, customer: &CustomerId) -> (u32, usize) {
+        self.waiting.usage(customer)
+    }
+
+    /// Customers that this entry has seen.
+    pub fn customers(&self) -> impl Iterator<Item = &CustomerId> {
+        self.waiting.customers()
+    }
+
+    /// Submissions without an answer.
+    pub fn open_submissions(&self) -> usize {
+        self.open
+    }
+
+    /// Attempts that dispatchers may hold, with those of answered submissions.
+    pub fn attempts_in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// When [`Self::tick`] has something to do next.
+    pub fn next_tick(&self) -> Option<Instant> {
+        let due = self.due.first().map(|(due, _)| *due);
+        let wake = self.waiting.next_wake();
+        due.into_iter().chain(wake).min()
+    }
+
+    fn id(&self, serial: u64) -> SubmissionId {
+        SubmissionId {
+            incarnation: self.incarnation,
+            serial,
+        }
+    }
+
+    fn note(&mut self, event: AuthorityEvent) {
+        self.actions.push(AuthorityAction::Note(event));
+    }
+
+    /// What can be told without looking at load: whether the contract covers the submission at all, and whether
+    /// this process has room for it.
+    fn check<'a>(
+        &self,
+        body: &SubmissionBody,
+        contract: Option<(&'a Contract, ContractVersion)>,
+    ) -> Result<(&'a Contract, ContractVersion), RefusalReason> {
+        let (contract, version) = contract.ok_or(RefusalReason::UnknownCustomer)?;
+        if contract.state == ContractState::Retired {
+            return Err(RefusalReason::RetiredCustomer);
+        }
+        if body.tasks.len() > contract.max_tasks as usize {
+            return Err(RefusalReason::TooManyTasks);
+        }
+        for task in &body.tasks {
+            if task.payload.size() > contract.max_payload_bytes {
+                return Err(RefusalReason::PayloadTooLarge);
+            }
+        }
+        let deadline = body.deadline.unwrap_or_else(|| contract.answer_within());
+        if deadline.is_zero() || deadline > contract.answer_within() {
+            return Err(RefusalReason::WrongDeadline);
+        }
+        // Each open submission costs memory until its answer, so a flood has to end somewhere; refusing is cheap
+        // and honest, and the callers know when to come back.
+        if self.open >= self.settings.max_open {
+            return Err(RefusalReason::Overloaded);
+        }
+        if !self.has_capacity() {
+            return Err(RefusalReason::NoCapacity);
+        }
+        Ok((contract, version))
+    }
+}
+
+fn new_record(body: SubmissionBody, digest: u64, due: Instant) -> SubmissionRecord {
+    let shape = match body.kind {
+        SubmissionKind::Job => SubmissionShape::Job,
+        SubmissionKind::Request(_) => SubmissionShape::Request,
+    };
+    let mut tasks = Vec::with_capacity(body.tasks.len());
+    for body in body.tasks {
+        tasks.push(TaskRecord {
+            body,
+            attempts: 0,
+            phase: TaskPhase::Waiting,
+        });
+    }
+    SubmissionRecord {
+        customer: body.customer,
+        shape,
+        version: ContractVersion::default(),
+        share: model::CustomerShare::default(),
+        retry_percent: 0,
+        digest,
+        due,
+        tasks,
+        done: 0,
+        state: RecordState::Open,
+    }
+}
+
+fn waiting_task(record: &SubmissionRecord, serial: u64, task: TaskIndex) -> WaitingTask {
+    WaitingTask {
+        due: record.due,
+        serial,
+        task,
+    }
+}
--- /dev/null
+++ b/crates/authority/src/authority/giving_up.rs
@@ -0,0 +1,408 @@
+//! Deadlines, cancellations, lost dispatchers: how submissions end without all their results.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use model::{
+    AttemptId, DataCentreId, FailureReason, IncarnationId, RefusalReason, RetryReason, SessionId,
+    SlotCounts, SubmissionOutcome, UnknownReason,
+};
+
+use crate::{
+    action::{AuthorityAction, AuthorityEvent},
+    authority::{waiting_task, CancelReply, TaskAuthority},
+    flight::FlightPhase,
+    record::{RecordState, SubmissionShape, TaskPhase},
+    session::{DispatcherKey, DispatcherSession, SessionState},
+};
+
+/// When to come back after the deadline passed in a queue: long enough for a queue of usual tasks to move.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+impl TaskAuthority {
+    /// Answers what is due, wakes paused tasks, gives up dispatchers that stayed away, forgets old answers.
+    pub fn tick(&mut self, now: Instant) {
+        while let Some((due, serial)) = self.due.first().copied() {
+            if due > now {
+                break;
+            }
+            self.give_up(now, serial, GiveUpCause::Deadline);
+        }
+        self.give_up_lost(now);
+        for (customer, serial, task) in self.waiting.wake(now) {
+            let Some(record) = self.records.get(&serial).filter(|record| record.is_open()) else {
+                continue;
+            };
+            let waiting = waiting_task(record, serial, task);
+            self.waiting.push(&customer, waiting);
+        }
+        self.forget_old(now);
+        self.place(now);
+    }
+
+    /// A caller takes a submission back.
+    pub fn cancel(&mut self, now: Instant, serial: u64) -> CancelReply {
+        let Some(record) = self.records.get(&serial).filter(|record| record.is_open()) else {
+            return CancelReply::NotOpen;
+        };
+        if record.shape == SubmissionShape::Request && self.may_have_started(serial) {
+            return CancelReply::TooLate;
+        }
+        self.give_up(now, serial, GiveUpCause::Cancelled);
+        self.place(now);
+        CancelReply::Cancelled
+    }
+
+    /// A session to a dispatcher stands.
+    pub fn on_session_opened(
+        &mut self,
+        now: Instant,
+        dispatcher: DispatcherKey,
+        data_centre: DataCentreId,
+        incarnation: IncarnationId,
+        session: SessionId,
+        slots: SlotCounts,
+    ) {
+        let before = self
+            .sessions
+            .get(&dispatcher)
+            .map(|session| session.incarnation);
+        if before.is_some_and(|before| before != incarnation) {
+            // The process that may have started them is gone, and its memory with it.
+            self.give_up_dispatcher(now, dispatcher, UnknownReason::DispatcherGone);
+        }
+        let state = SessionState::Open { session, batch: 0 };
+        let opened = DispatcherSession {
+            data_centre,
+            incarnation,
+            state,
+            stopping: false,
+            slots,
+            sent_since: 0,
+        };
+        self.sessions.insert(dispatcher, opened);
+        let attempts = self.flights.at(dispatcher);
+        for attempt in &attempts {
+            if let Some(flight) = self.flights.get_mut(attempt) {
+                flight.session = session;
+            }
+        }
+        self.send_withdraw(dispatcher, session, 0, attempts);
+        self.waiting.mark_all();
+        self.place(now);
+    }
+
+    /// The connection of a session broke or stayed silent.
+    pub fn on_session_lost(&mut self, now: Instant, dispatcher: DispatcherKey, session: SessionId) {
+        let until = now + self.settings.reconnect_wait;
+        let Some(lost) = self.sessions.get_mut(&dispatcher) else {
+            return;
+        };
+        if lost.open().is_none_or(|(open, _)| open != session) {
+            return;
+        }
+        lost.state = SessionState::Lost { until };
+        for attempt in self.flights.at(dispatcher) {
+            let queued = self
+                .flights
+                .get(&attempt)
+                .is_some_and(|flight| !flight.phase.may_have_started());
+            if !queued {
+                continue;
+            }
+            self.land(attempt);
+            self.on_not_run(now, attempt, RetryReason::DispatcherLost, dispatcher);
+        }
+        self.place(now);
+    }
+
+    /// A dispatcher's process is known to be gone.
+    pub fn on_dispatcher_gone(&mut self, now: Instant, dispatcher: DispatcherKey) {
+        self.give_up_dispatcher(now, dispatcher, UnknownReason::DispatcherGone);
+        self.sessions.remove(&dispatcher);
+        self.place(now);
+    }
+
+    /// A dispatcher is stopping: it finishes what runs and takes nothing new.
+    pub fn on_dispatcher_stopping(&mut self, dispatcher: DispatcherKey) {
+        if let Some(session) = self.sessions.get_mut(&dispatcher) {
+            session.stopping = true;
+        }
+    }
+
+    /// This process ends now: everything open is answered as it stands.
+    pub fn stop(&mut self, now: Instant) {
+        while let Some((_, serial)) = self.due.first().copied() {
+            self.give_up(now, serial, GiveUpCause::Stopped);
+        }
+    }
+
+    /// Whether any task of the submission has run or may have started.
+    fn may_have_started(&self, serial: u64) -> bool {
+        let Some(record) = self.records.get(&serial) else {
+            return true;
+        };
+        for (index, task) in record.tasks.iter().enumerate() {
+            let started = match &task.phase {
+                TaskPhase::Waiting => false,
+                TaskPhase::Done(_) => true,
+                TaskPhase::InFlight => {
+                    self.flight_may_have_started(serial, index as u32, task.attempts)
+                }
+            };
+            if started {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn flight_may_have_started(&self, serial: u64, task: u32, attempts: u32) -> bool {
+        let attempt = AttemptId {
+            submission: self.id(serial),
+            task,
+            attempt: attempts.saturating_sub(1),
+        };
+        self.flights
+            .get(&attempt)
+            .is_none_or(|flight| flight.phase.may_have_started())
+    }
+
+    fn give_up(&mut self, now: Instant, serial: u64, cause: GiveUpCause) {
+        let started = self.may_have_started(serial);
+        let Some(record) = self.records.get(&serial) else {
+            return;
+        };
+        let outcome = match (started, record.shape) {
+            (false, _) => cause.refusal(),
+            (true, SubmissionShape::Job) => SubmissionOutcome::Failed(cause.failure()),
+            (true, SubmissionShape::Request) => SubmissionOutcome::Unknown(cause.unknown()),
+        };
+        self.finish(now, serial, outcome);
+    }
+
+    /// A task could not be placed: refused when nothing of the submission started, failed otherwise.
+    pub(super) fn finish_not_placed(&mut self, now: Instant, serial: u64, reason: RefusalReason) {
+        let outcome = if self.may_have_started(serial) {
+            SubmissionOutcome::Failed(FailureReason::TaskNotPlaced)
+        } else {
+            SubmissionOutcome::Refused {
+                reason,
+                retry_after: Some(COME_BACK),
+            }
+        };
+        self.finish(now, serial, outcome);
+    }
+
+    /// Gives a submission its one answer and takes back what has not started.
+    pub(super) fn finish(&mut self, now: Instant, serial: u64, outcome: SubmissionOutcome) {
+        let id = self.id(serial);
+        let Some(record) = self
+            .records
+            .get_mut(&serial)
+            .filter(|record| record.is_open())
+        else {
+            return;
+        };
+        let outcome = Arc::new(outcome);
+        record.state = RecordState::Answered {
+            outcome: outcome.clone(),
+        };
+        self.due.remove(&(record.due, serial));
+        self.open -= 1;
+        self.kept.push_back((now, serial));
+        self.actions.push(AuthorityAction::Answer { id, outcome });
+        self.note(AuthorityEvent::Answered(id));
+        self.take_back(serial);
+    }
+
+    /// An attempt whose submission was answered before the verdict came.
+    pub(super) fn withdraw_if_answered(&mut self, attempt: AttemptId) {
+        let open = self
+            .records
+            .get(&attempt.submission.serial)
+            .is_some_and(|record| record.is_open());
+        if open {
+            return;
+        }
+        let Some(flight) = self.flights.get(&attempt) else {
+            return;
+        };
+        if flight.phase != FlightPhase::Queued {
+            return;
+        }
+        let dispatcher = flight.dispatcher;
+        self.land(attempt);
+        if let Some((session, batch)) = self
+            .sessions
+            .get(&dispatcher)
+            .and_then(|session| session.open())
+        {
+            self.send_withdraw(dispatcher, session, batch, vec![attempt]);
+        }
+    }
+
+    /// Load: cancellation waves and jobs that fail early. Harm: reservations of the dead hold up the living. Each
+    /// dispatcher gets one message with all of a submission's attempts, so the cost is what is taken back.
+    fn take_back(&mut self, serial: u64) {
+        let id = self.id(serial);
+        let Some(record) = self.records.get_mut(&serial) else {
+            return;
+        };
+        let tasks = std::mem::take(&mut record.tasks);
+        let (customer, due) = (record.customer.clone(), record.due);
+        let mut withdrawals: BTreeMap<DispatcherKey, Vec<AttemptId>> = BTreeMap::new();
+        for (index, task) in tasks.iter().enumerate() {
+            let index = index as u32;
+            match task.phase {
+                TaskPhase::Waiting => {
+                    let waiting = crate::waiting::WaitingTask {
+                        due,
+                        serial,
+                        task: index,
+                    };
+                    self.waiting.remove(&customer, waiting);
+                }
+                TaskPhase::InFlight => {
+                    let attempt = AttemptId {
+                        submission: id,
+                        task: index,
+                        attempt: task.attempts.saturating_sub(1),
+                    };
+                    if let Some(dispatcher) = self.take_back_attempt(attempt) {
+                        withdrawals.entry(dispatcher).or_default().push(attempt);
+                    }
+                }
+                TaskPhase::Done(_) => {}
+            }
+        }
+        for (dispatcher, attempts) in withdrawals {
+            if let Some((session, batch)) = self
+                .sessions
+                .get(&dispatcher)
+                .and_then(|session| session.open())
+            {
+                self.send_withdraw(dispatcher, session, batch, attempts);
+            }
+        }
+    }
+
+    /// Says where an attempt has to be withdrawn. One that has certainly not started gives its concurrency back at
+    /// once, since its ask will be turned away; one that may run keeps it until the dispatcher has said more.
+    fn take_back_attempt(&mut self, attempt: AttemptId) -> Option<DispatcherKey> {
+        let flight = self.flights.get(&attempt)?;
+        let (dispatcher, phase) = (flight.dispatcher, flight.phase);
+        match phase {
+            FlightPhase::Running => None,
+            FlightPhase::Queued => {
+                self.land(attempt);
+                Some(dispatcher)
+            }
+            FlightPhase::Offered | FlightPhase::Claimed => Some(dispatcher),
+        }
+    }
+
+    fn send_withdraw(
+        &mut self,
+        dispatcher: DispatcherKey,
+        session: SessionId,
+        after_batch: u64,
+        attempts: Vec<AttemptId>,
+    ) {
+        if !attempts.is_empty() {
+            self.actions.push(AuthorityAction::Withdraw {
+                dispatcher,
+                session,
+                after_batch,
+                attempts,
+            });
+        }
+    }
+
+    fn give_up_lost(&mut self, now: Instant) {
+        let mut gone = Vec::new();
+        for (key, session) in &self.sessions {
+            match session.state {
+                SessionState::Lost { until } if until <= now => gone.push(*key),
+                SessionState::Lost { .. } | SessionState::Open { .. } => {}
+            }
+        }
+        gone.sort_unstable();
+        for key in gone {
+            self.on_dispatcher_gone(now, key);
+        }
+    }
+
+    fn give_up_dispatcher(
+        &mut self,
+        now: Instant,
+        dispatcher: DispatcherKey,
+        reason: UnknownReason,
+    ) {
+        for attempt in self.flights.at(dispatcher) {
+            let started = self
+                .flights
+                .get(&attempt)
+                .is_some_and(|flight| flight.phase.may_have_started());
+            if started {
+                self.give_up_attempt(now, attempt, reason);
+                continue;
+            }
+            if self.land(attempt).is_some() {
+                self.on_not_run(now, attempt, RetryReason::DispatcherLost, dispatcher);
+            }
+        }
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        while let Some((at, serial)) = self.kept.front().copied() {
+            let old = at + self.settings.keep_outcome <= now;
+            if !old && self.kept.len() <= self.settings.max_kept {
+                break;
+            }
+            self.kept.pop_front();
+            self.records.remove(&serial);
+        }
+    }
+}
+
+/// Why a submission is given up.
+#[derive(Clone, Copy, Debug)]
+enum GiveUpCause {
+    Deadline,
+    Cancelled,
+    Stopped,
+}
+
+impl GiveUpCause {
+    fn refusal(self) -> SubmissionOutcome {
+        let (reason, retry_after) = match self {
+            Self::Deadline => (RefusalReason::DeadlinePassed, Some(COME_BACK)),
+            Self::Cancelled => (RefusalReason::Cancelled, None),
+            // Another VM takes it at once.
+            Self::Stopped => (RefusalReason::Stopping, Some(Duration::ZERO)),
+        };
+        SubmissionOutcome::Refused {
+            reason,
+            retry_after,
+        }
+    }
+
+    fn failure(self) -> FailureReason {
+        match self {
+            Self::Deadline => FailureReason::DeadlinePassed,
+            Self::Cancelled => FailureReason::Cancelled,
+            Self::Stopped => FailureReason::TaskUnknown,
+        }
+    }
+
+    fn unknown(self) -> UnknownReason {
+        match self {
+            Self::Deadline => UnknownReason::DeadlinePassed,
+            Self::Cancelled | Self::Stopped => UnknownReason::Stopped,
+        }
+    }
+}
--- /dev/null
+++ b/crates/authority/src/authority/replies.rs
@@ -0,0 +1,246 @@
+//! What dispatchers say: verdicts, asks for bodies, ends, confirmed withdrawals.
+
+use std::time::{Duration, Instant};
+
+use model::{
+    AttemptEnd, AttemptId, FailureReason, Payload, RefusalReason, RetryReason, SessionId,
+    SlotCounts, SubmissionOutcome, TaskResult, TaskVerdict, UnknownReason, WithdrawalVerdict,
+};
+
+use crate::{
+    action::AuthorityEvent,
+    authority::{waiting_task, TaskAuthority},
+    flight::{FlightPhase, FlightRecord},
+    record::{SubmissionShape, TaskPhase},
+    session::DispatcherKey,
+};
+
+/// Tries of one task after refusals that tell of load, before it is given up. A task that eight dispatchers have
+/// turned away, with growing pauses between, meets an overload that another try would only feed.
+const MAX_LOAD_RETRIES: u32 = 8;
+
+impl TaskAuthority {
+    /// A dispatcher has answered an offer.
+    pub fn on_verdicts(&mut self, now: Instant, verdicts: &[(AttemptId, TaskVerdict)]) {
+        for (attempt, verdict) in verdicts {
+            self.on_verdict(now, *attempt, *verdict);
+        }
+        self.place(now);
+    }
+
+    /// A dispatcher has a slot for a queued attempt and asks for the body. `None` means that the attempt is gone
+    /// and must not start.
+    pub fn on_claim(&mut self, session: SessionId, attempt: AttemptId) -> Option<Payload> {
+        let flight = self.flights.get_mut(&attempt)?;
+        // An ask of an older session comes from a reservation that was given up when that session was lost; the
+        // body goes out once only, so an ask in any later phase is turned away too. `Offered` is let pass because
+        // the ask may overtake the verdict; only a dispatcher that keeps no body asks.
+        let waits = matches!(flight.phase, FlightPhase::Queued | FlightPhase::Offered);
+        if flight.session != session || !waits {
+            return None;
+        }
+        let record = self
+            .records
+            .get_mut(&attempt.submission.serial)
+            .filter(|record| record.is_open())?;
+        let payload = record.task_mut(attempt.task)?.body.payload.clone();
+        flight.phase = FlightPhase::Claimed;
+        self.note(AuthorityEvent::Claimed(attempt));
+        Some(payload)
+    }
+
+    /// An attempt has ended.
+    pub fn on_ended(&mut self, now: Instant, attempt: AttemptId, end: AttemptEnd) {
+        let Some(flight) = self.land(attempt) else {
+            // Nobody waits for it: the attempt was given up as unknown before, and stays so.
+            return;
+        };
+        match end {
+            AttemptEnd::Done(result) => self.on_done(now, attempt, result),
+            AttemptEnd::Failed => {
+                self.note(AuthorityEvent::Ended(attempt));
+                self.finish_failed(now, attempt, FailureReason::TaskFailed);
+            }
+            AttemptEnd::NotRun(reason) => self.on_not_run(now, attempt, reason, flight.dispatcher),
+            AttemptEnd::Unknown(reason) => self.on_unknown(now, attempt, reason),
+        }
+        self.place(now);
+    }
+
+    /// A dispatcher has said what became of withdrawn attempts.
+    pub fn on_withdrawn(&mut self, now: Instant, replies: &[(AttemptId, WithdrawalVerdict)]) {
+        for (attempt, reply) in replies {
+            match reply {
+                WithdrawalVerdict::NotRun => {
+                    if let Some(flight) = self.land(*attempt) {
+                        self.on_not_run(now, *attempt, RetryReason::Withdrawn, flight.dispatcher);
+                    }
+                }
+                WithdrawalVerdict::Running => {
+                    if let Some(flight) = self.flights.get_mut(attempt) {
+                        flight.phase = FlightPhase::Running;
+                    }
+                }
+            }
+        }
+        self.place(now);
+    }
+
+    /// A dispatcher has said how its slots stand.
+    pub fn on_slots(&mut self, dispatcher: DispatcherKey, slots: SlotCounts) {
+        if let Some(session) = self.sessions.get_mut(&dispatcher) {
+            session.slots = slots;
+            session.sent_since = 0;
+        }
+    }
+
+    fn on_verdict(&mut self, now: Instant, attempt: AttemptId, verdict: TaskVerdict) {
+        let phase = match verdict {
+            TaskVerdict::Started => FlightPhase::Running,
+            TaskVerdict::Queued => FlightPhase::Queued,
+            TaskVerdict::NotRun(reason) => {
+                if let Some(flight) = self.land(attempt) {
+                    self.on_not_run(now, attempt, reason, flight.dispatcher);
+                }
+                return;
+            }
+        };
+        let Some(flight) = self.flights.get_mut(&attempt) else {
+            return;
+        };
+        // A verdict that was overtaken by the ask or the end says nothing new.
+        if flight.phase != FlightPhase::Offered {
+            return;
+        }
+        flight.phase = phase;
+        match phase {
+            FlightPhase::Queued => self.note(AuthorityEvent::Queued(attempt)),
+            _ => self.note(AuthorityEvent::Started(attempt)),
+        }
+        self.withdraw_if_answered(attempt);
+    }
+
+    /// Takes an attempt out of the air and gives its part of the concurrency back.
+    pub(super) fn land(&mut self, attempt: AttemptId) -> Option<FlightRecord> {
+        let flight = self.flights.remove(&attempt)?;
+        self.waiting.release(&flight.customer);
+        Some(flight)
+    }
+
+    fn on_done(&mut self, now: Instant, attempt: AttemptId, result: TaskResult) {
+        self.note(AuthorityEvent::Ended(attempt));
+        let serial = attempt.submission.serial;
+        let Some(record) = self
+            .records
+            .get_mut(&serial)
+            .filter(|record| record.is_open())
+        else {
+            return;
+        };
+        let Some(task) = record.task_mut(attempt.task) else {
+            return;
+        };
+        task.phase = TaskPhase::Done(result);
+        record.done += 1;
+        if record.done as usize == record.tasks.len() {
+            let results = record.results();
+            self.finish(now, serial, SubmissionOutcome::Complete(results));
+        }
+    }
+
+    /// The one place where a task becomes ready for another attempt: each way here is a definite not-run.
+    pub(super) fn on_not_run(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        reason: RetryReason,
+        dispatcher: DispatcherKey,
+    ) {
+        let serial = attempt.submission.serial;
+        let Some(record) = self
+            .records
+            .get_mut(&serial)
+            .filter(|record| record.is_open())
+        else {
+            return;
+        };
+        let (customer, waiting) = (
+            record.customer.clone(),
+            waiting_task(record, serial, attempt.task),
+        );
+        let Some(task) = record.task_mut(attempt.task) else {
+            return;
+        };
+        task.phase = TaskPhase::Waiting;
+        let attempts = task.attempts;
+        self.note(AuthorityEvent::Retried(attempt, reason));
+        self.waiting.avoid(serial, attempt.task, dispatcher);
+        if !tells_of_load(reason) {
+            self.waiting.push(&customer, waiting);
+            return;
+        }
+        if attempts >= MAX_LOAD_RETRIES {
+            self.finish_not_placed(now, serial, RefusalReason::RetryBudgetSpent);
+            return;
+        }
+        let pause = self.pause(attempts);
+        self.waiting.pause(&customer, now + pause, waiting);
+    }
+
+    fn on_unknown(&mut self, now: Instant, attempt: AttemptId, reason: UnknownReason) {
+        let serial = attempt.submission.serial;
+        let Some(record) = self.records.get(&serial).filter(|record| record.is_open()) else {
+            return;
+        };
+        let outcome = match record.shape {
+            SubmissionShape::Job => SubmissionOutcome::Failed(FailureReason::TaskUnknown),
+            SubmissionShape::Request => SubmissionOutcome::Unknown(reason),
+        };
+        self.finish(now, serial, outcome);
+    }
+
+    pub(super) fn give_up_attempt(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        reason: UnknownReason,
+    ) {
+        if self.land(attempt).is_some() {
+            self.on_unknown(now, attempt, reason);
+        }
+    }
+
+    fn finish_failed(&mut self, now: Instant, attempt: AttemptId, reason: FailureReason) {
+        let serial = attempt.submission.serial;
+        if self
+            .records
+            .get(&serial)
+            .is_some_and(|record| record.is_open())
+        {
+            self.finish(now, serial, SubmissionOutcome::Failed(reason));
+        }
+    }
+
+    /// Doubles with each attempt, with a random part so that tasks refused together do not come back together.
+    fn pause(&mut self, attempts: u32) -> Duration {
+        let doubled = self.settings.retry_pause * 2u32.saturating_pow(attempts.min(10));
+        let longest = doubled.min(self.settings.max_retry_pause);
+        longest.mul_f64(0.5 + self.rng.f64() / 2.0)
+    }
+}
+
+/// Whether a refusal comes from load, so that trying again adds to it. The others come from a change in the
+/// system, and the task goes elsewhere at once.
+fn tells_of_load(reason: RetryReason) -> bool {
+    match reason {
+        RetryReason::EndpointBusy
+        | RetryReason::EndpointUnreachable
+        | RetryReason::NoEndpoint
+        | RetryReason::ClaimLate
+        | RetryReason::QueueFull => true,
+        RetryReason::EndpointLeaving
+        | RetryReason::DispatcherStopping
+        | RetryReason::DispatcherLost
+        | RetryReason::Withdrawn => false,
+    }
+}
--- /dev/null
+++ b/crates/authority/src/record.rs
@@ -0,0 +1,79 @@
+//! Submissions and their tasks.
+
+use std::{sync::Arc, time::Instant};
+
+use model::{
+    Contract, ContractVersion, CustomerId, CustomerShare, SubmissionOutcome, TaskBody, TaskIndex,
+    TaskResult,
+};
+
+#[derive(Clone, Debug)]
+pub(crate) enum TaskPhase {
+    /// Waits here for room in the customer's concurrency, or for a pause to pass.
+    Waiting,
+    /// Attempt number `attempt - 1` of the task is in the flight table.
+    InFlight,
+    Done(TaskResult),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct TaskRecord {
+    pub(crate) body: TaskBody,
+    /// Attempts made so far.
+    pub(crate) attempts: u32,
+    pub(crate) phase: TaskPhase,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SubmissionShape {
+    Job,
+    Request,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum RecordState {
+    Open,
+    Answered { outcome: Arc<SubmissionOutcome> },
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct SubmissionRecord {
+    pub(crate) customer: CustomerId,
+    pub(crate) shape: SubmissionShape,
+    pub(crate) version: ContractVersion,
+    pub(crate) share: CustomerShare,
+    pub(crate) retry_percent: u32,
+    pub(crate) digest: u64,
+    pub(crate) due: Instant,
+    pub(crate) tasks: Vec<TaskRecord>,
+    pub(crate) done: u32,
+    pub(crate) state: RecordState,
+}
+
+impl SubmissionRecord {
+    pub(crate) fn is_open(&self) -> bool {
+        matches!(self.state, RecordState::Open)
+    }
+
+    pub(crate) fn task_mut(&mut self, index: TaskIndex) -> Option<&mut TaskRecord> {
+        self.tasks.get_mut(usize::try_from(index).ok()?)
+    }
+
+    pub(crate) fn results(&self) -> Vec<TaskResult> {
+        let mut results = Vec::with_capacity(self.tasks.len());
+        for task in &self.tasks {
+            if let TaskPhase::Done(result) = &task.phase {
+                results.push(result.clone());
+            }
+        }
+        results
+    }
+
+    /// The terms of the contract that the submission runs under from acceptance to answer, also when the contract
+    /// changes in between.
+    pub(crate) fn take_terms(&mut self, contract: &Contract, version: ContractVersion) {
+        self.version = version;
+        self.share = contract.share;
+        self.retry_percent = contract.retry_percent;
+    }
+}
--- /dev/null
+++ b/crates/authority/src/settings.rs
@@ -0,0 +1,39 @@
+//! Limits of the entry's state.
+
+use std::time::Duration;
+
+/// Limits of the entry's state. Every table is bounded, so that a flood of submissions costs refusals, not memory.
+#[derive(Clone, Debug)]
+pub struct AuthoritySettings {
+    /// Submissions without an answer at once. One more is refused as overloaded.
+    pub max_open: usize,
+    /// Answered submissions kept so that a second arrival gets the first answer.
+    pub max_kept: usize,
+    /// How long an answer is kept.
+    pub keep_outcome: Duration,
+    /// How long an unused ticket is good.
+    pub ticket_term: Duration,
+    /// Unused tickets at once.
+    pub max_tickets: usize,
+    /// The first pause before a task is placed again after a refusal that tells of load.
+    pub retry_pause: Duration,
+    /// The longest such pause.
+    pub max_retry_pause: Duration,
+    /// The time that a lost dispatcher has to come back before what may have started there is given up.
+    pub reconnect_wait: Duration,
+}
+
+impl Default for AuthoritySettings {
+    fn default() -> Self {
+        Self {
+            max_open: 20_000,
+            max_kept: 50_000,
+            keep_outcome: Duration::from_secs(120),
+            ticket_term: Duration::from_secs(600),
+            max_tickets: 50_000,
+            retry_pause: Duration::from_millis(5),
+            max_retry_pause: Duration::from_millis(200),
+            reconnect_wait: Duration::from_secs(5),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/endpoint.rs
@@ -0,0 +1,104 @@
+//! The endpoints that this dispatcher owns, or owned while something still runs there.
+
+use std::collections::BTreeMap;
+
+use model::{EndpointAddress, EndpointId, EndpointState, FastMap, FastSet};
+
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointRecord {
+    pub(crate) address: EndpointAddress,
+    pub(crate) running: u32,
+    pub(crate) state: EndpointState,
+    pub(crate) owned: bool,
+    /// The limit that the endpoint's health allows now; at most its slots.
+    pub(crate) limit: u32,
+}
+
+impl EndpointRecord {
+    pub(crate) fn room(&self) -> u32 {
+        if !self.owned || self.state == EndpointState::Leaving {
+            return 0;
+        }
+        self.limit.saturating_sub(self.running)
+    }
+}
+
+/// Endpoints with an index by free slots, so that finding the emptiest one does not cost more with more endpoints.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EndpointTable {
+    endpoints: FastMap<EndpointId, EndpointRecord>,
+    by_room: BTreeMap<u32, FastSet<EndpointId>>,
+    limit: u32,
+    running: u32,
+}
+
+impl EndpointTable {
+    pub(crate) fn get(&self, id: &EndpointId) -> Option<&EndpointRecord> {
+        self.endpoints.get(id)
+    }
+
+    pub(crate) fn ids(&self) -> Vec<EndpointId> {
+        self.endpoints.keys().cloned().collect()
+    }
+
+    /// Slots that may be used now, and tasks that run, over all endpoints.
+    pub(crate) fn totals(&self) -> (u32, u32) {
+        (self.limit, self.running)
+    }
+
+    /// Puts an endpoint in place or changes it, and keeps the index and totals in step.
+    pub(crate) fn update(&mut self, id: &EndpointId, change: impl FnOnce(&mut EndpointRecord)) {
+        let Some(record) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        let (room, limit, running) = (record.room(), usable(record), record.running);
+        change(record);
+        self.limit = self.limit - limit + usable(record);
+        self.running = self.running - running + record.running;
+        let (after, gone) = (record.room(), !record.owned && record.running == 0);
+        self.move_room(id, room, after);
+        if gone {
+            self.endpoints.remove(id);
+        }
+    }
+
+    pub(crate) fn insert(&mut self, record: EndpointRecord) {
+        let id = record.address.id.clone();
+        if self.endpoints.contains_key(&id) {
+            return;
+        }
+        let room = record.room();
+        self.limit += usable(&record);
+        self.running += record.running;
+        self.endpoints.insert(id.clone(), record);
+        self.move_room(&id, 0, room);
+    }
+
+    /// The endpoint with the most room, the first by id among equals.
+    pub(crate) fn roomiest(&self) -> Option<EndpointId> {
+        let (_, ids) = self.by_room.last_key_value()?;
+        ids.iter().min().cloned()
+    }
+
+    fn move_room(&mut self, id: &EndpointId, before: u32, after: u32) {
+        if before == after {
+            return;
+        }
+        if let Some(ids) = self.by_room.get_mut(&before) {
+            ids.remove(id);
+            if ids.is_empty() {
+                self.by_room.remove(&before);
+            }
+        }
+        if after > 0 {
+            self.by_room.entry(after).or_default().insert(id.clone());
+        }
+    }
+}
+
+fn usable(record: &EndpointRecord) -> u32 {
+    if !record.owned || record.state == EndpointState::Leaving {
+        return 0;
+    }
+    record.limit
+}
--- /dev/null
+++ b/crates/ledger/src/ledger.rs
@@ -0,0 +1,132 @@
+//! The ledger: offers and withdrawals in, starts, asks and reports out.
+
+mod queueing;
+mod running;
+mod sessions;
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Instant,
+};
+
+use decisions::FairQueue;
+use model::{AttemptId, EndpointId, FastMap, IncarnationId, SessionId, SlotCounts, TaskOffer};
+
+use crate::{
+    action::LedgerAction, endpoint::EndpointTable, entry_link::LinkTable, settings::LedgerSettings,
+};
+
+/// Counts the asks of one dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClaimNumber(pub u64);
+
+/// A task that waits without its body.
+#[derive(Clone, Debug)]
+struct Reservation {
+    entry: IncarnationId,
+    session: SessionId,
+    /// The offer with an empty payload.
+    offer: TaskOffer,
+}
+
+/// A slot held for a body that was asked for.
+#[derive(Clone, Debug)]
+struct PendingClaim {
+    number: ClaimNumber,
+    endpoint: EndpointId,
+    reservation: Reservation,
+}
+
+/// A task that runs.
+#[derive(Clone, Debug)]
+struct RunningTask {
+    entry: IncarnationId,
+    endpoint: EndpointId,
+    started: Instant,
+    customer: model::CustomerId,
+    expected: std::time::Duration,
+}
+
+/// The slots of one dispatcher and everything that waits for them or runs in them.
+pub struct SlotLedger {
+    settings: LedgerSettings,
+    endpoints: EndpointTable,
+    queue: FairQueue,
+    reservations: FastMap<AttemptId, Reservation>,
+    claims: FastMap<AttemptId, PendingClaim>,
+    claim_limits: BTreeSet<(Instant, ClaimNumber, AttemptId)>,
+    next_claim: u64,
+    running: FastMap<AttemptId, RunningTask>,
+    links: LinkTable,
+    stopping: bool,
+    actions: Vec<LedgerAction>,
+    old_ends: VecDeque<(Instant, IncarnationId, AttemptId)>,
+}
+
+impl SlotLedger {
+    /// An empty ledger without endpoints.
+    pub fn new(settings: LedgerSettings) -> Self {
+        let queue = queueing::new_queue(&settings);
+        Self {
+            settings,
+            endpoints: EndpointTable::default(),
+            queue,
+            reservations: FastMap::default(),
+            claims: FastMap::default(),
+            claim_limits: BTreeSet::new(),
+            next_claim: 1,
+            running: FastMap::default(),
+            links: LinkTable::default(),
+            stopping: false,
+            actions: Vec::new(),
+            old_ends: VecDeque::new(),
+        }
+    }
+
+    /// Takes what has to be done, in order.
+    pub fn take_actions(&mut self) -> Vec<LedgerAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The slots of all owned endpoints together.
+    pub fn slots(&self) -> SlotCounts {
+        let (limit, running) = self.endpoints.totals();
+        let limit = if self.stopping { 0 } else { limit };
+        SlotCounts {
+            limit,
+            running,
+            queued: self.reservations.len() as u32,
+        }
+    }
+
+    /// Takes nothing new from now on: what waits is handed back as not run, what runs is waited for.
+    pub fn stop(&mut self, now: Instant) {
+        self.stopping = true;
+        self.hand_back_all(now);
+    }
+
+    /// Whether nothing runs and every end has been confirmed.
+    pub fn is_drained(&self) -> bool {
+        let confirmed = self
+            .links
+            .values()
+            .all(|link| !link.connected || link.unconfirmed.is_empty());
+        self.running.is_empty()
+            && self.claims.is_empty()
+            && self.reservations.is_empty()
+            && confirmed
+    }
+
+    /// Tasks that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Ends asks that stayed without an answer, hands back what is overdue, forgets old ends.
+    pub fn tick(&mut self, now: Instant) {
+        self.end_late_claims(now);
+        self.drop_overdue(now);
+        self.forget_ends(now);
+        self.fill_slots(now);
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/ledger/sessions.rs
@@ -0,0 +1,188 @@
+//! Sessions with entries, and reports that are repeated until they are confirmed.
+
+use std::time::{Duration, Instant};
+
+use model::{AttemptEnd, AttemptId, IncarnationId, RetryReason, SessionId};
+
+use crate::{
+    action::LedgerAction,
+    entry_link::{EntryLink, StaleSession, UnconfirmedEnd},
+    ledger::SlotLedger,
+};
+
+impl SlotLedger {
+    /// An entry opens a session, which ends its older ones. What waited for the older one is dropped without a
+    /// word: the entry counts it as not run. What ran goes on, and ends that were not confirmed are repeated.
+    ///
+    /// # Errors
+    ///
+    /// The session is older than one already open, as when a frozen entry's old connection is read late.
+    pub fn open_session(
+        &mut self,
+        now: Instant,
+        entry: IncarnationId,
+        session: SessionId,
+    ) -> Result<(), StaleSession> {
+        if self
+            .links
+            .get(&entry)
+            .is_some_and(|link| link.session >= session)
+        {
+            return Err(StaleSession(session));
+        }
+        self.drop_waiting_of(now, entry);
+        let link = self.links.entry(entry).or_insert_with(|| EntryLink {
+            session,
+            connected: true,
+            batch: 0,
+            unconfirmed: Default::default(),
+        });
+        link.session = session;
+        link.connected = true;
+        link.batch = 0;
+        let mut ends: Vec<_> = link
+            .unconfirmed
+            .iter()
+            .map(|(id, end)| (*id, end.end.clone(), end.ran))
+            .collect();
+        ends.sort_unstable_by_key(|(attempt, ..)| *attempt);
+        for (attempt, end, ran) in ends {
+            self.actions.push(LedgerAction::Report {
+                entry,
+                session,
+                attempt,
+                end,
+                ran,
+            });
+        }
+        Ok(())
+    }
+
+    /// The connection of a session broke.
+    pub fn on_session_lost(&mut self, now: Instant, entry: IncarnationId, session: SessionId) {
+        let Some(link) = self.links.get_mut(&entry) else {
+            return;
+        };
+        if link.session != session {
+            return;
+        }
+        link.connected = false;
+        self.drop_waiting_of(now, entry);
+    }
+
+    /// An entry has confirmed the report of an end.
+    pub fn on_confirmed(&mut self, entry: IncarnationId, attempt: AttemptId) {
+        if let Some(link) = self.links.get_mut(&entry) {
+            link.unconfirmed.remove(&attempt);
+        }
+    }
+
+    /// Notes a batch of offers. `false` means that the session is over.
+    pub(super) fn see_batch(
+        &mut self,
+        entry: IncarnationId,
+        session: SessionId,
+        batch: u64,
+    ) -> bool {
+        let Some(link) = self.links.get_mut(&entry) else {
+            return false;
+        };
+        if link.session != session || !link.connected {
+            return false;
+        }
+        link.batch = link.batch.max(batch);
+        true
+    }
+
+    /// Whether every batch up to this one has been seen, so that an attempt not found here is certainly not run.
+    pub(super) fn has_seen(&self, entry: IncarnationId, session: SessionId, batch: u64) -> bool {
+        self.links
+            .get(&entry)
+            .is_some_and(|link| link.session == session && link.batch >= batch)
+    }
+
+    pub(super) fn report_not_run(&mut self, now: Instant, attempt: AttemptId, reason: RetryReason) {
+        let entry = attempt.submission.incarnation;
+        self.report(
+            now,
+            entry,
+            attempt,
+            AttemptEnd::NotRun(reason),
+            Duration::ZERO,
+        );
+    }
+
+    pub(super) fn report(
+        &mut self,
+        now: Instant,
+        entry: IncarnationId,
+        attempt: AttemptId,
+        end: AttemptEnd,
+        ran: Duration,
+    ) {
+        let Some(link) = self.links.get_mut(&entry) else {
+            return;
+        };
+        link.unconfirmed.insert(
+            attempt,
+            UnconfirmedEnd {
+                end: end.clone(),
+                ran,
+                at: now,
+            },
+        );
+        self.old_ends.push_back((now, entry, attempt));
+        if link.connected {
+            let session = link.session;
+            self.actions.push(LedgerAction::Report {
+                entry,
+                session,
+                attempt,
+                end,
+                ran,
+            });
+        }
+    }
+
+    /// An entry out of reach for so long has given its submissions up; keeping more would only cost memory.
+    pub(super) fn forget_ends(&mut self, now: Instant) {
+        while let Some((at, entry, attempt)) = self.old_ends.front().copied() {
+            if at + self.settings.keep_ends > now {
+                return;
+            }
+            self.old_ends.pop_front();
+            let Some(link) = self.links.get_mut(&entry) else {
+                continue;
+            };
+            let old = link
+                .unconfirmed
+                .get(&attempt)
+                .is_some_and(|end| end.at == at);
+            if old {
+                link.unconfirmed.remove(&attempt);
+            }
+        }
+    }
+
+    fn drop_waiting_of(&mut self, now: Instant, entry: IncarnationId) {
+        let mut waiting = Vec::new();
+        for (attempt, reservation) in &self.reservations {
+            if reservation.entry == entry {
+                waiting.push(*attempt);
+            }
+        }
+        for attempt in waiting {
+            self.drop_reservation(&attempt);
+        }
+        let mut asked = Vec::new();
+        for (attempt, pending) in &self.claims {
+            if pending.reservation.entry == entry {
+                asked.push((*attempt, pending.number));
+            }
+        }
+        asked.sort_unstable();
+        for (attempt, number) in asked {
+            self.on_claim_failed(now, attempt, number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/settings.rs
@@ -0,0 +1,25 @@
+//! Limits of the dispatcher's state.
+
+use std::time::Duration;
+
+/// Limits of the dispatcher's state.
+#[derive(Clone, Debug)]
+pub struct LedgerSettings {
+    /// Reservations at once. One more is turned away as not run, so that memory and waits stay bounded.
+    pub max_queue: usize,
+    /// How long an entry has to answer an ask before the slot goes to the next in line. An entry answers within a
+    /// round trip; one that does not is frozen or cut off, and must not hold a slot meanwhile.
+    pub claim_limit: Duration,
+    /// How long the end of an attempt is kept for an entry that is out of reach.
+    pub keep_ends: Duration,
+}
+
+impl Default for LedgerSettings {
+    fn default() -> Self {
+        Self {
+            max_queue: 20_000,
+            claim_limit: Duration::from_millis(200),
+            keep_ends: Duration::from_secs(60),
+        }
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod bytes;
 mod contract;
+mod dispatch;
 mod endpoint;
 mod ids;
 mod outcome;
@@ -17,6 +18,7 @@
         Contract, ContractState, ContractVersion, CustomerShare, RefusableWork, WrongContract,
         MAX_TASKS_PER_JOB,
     },
+    dispatch::{SessionId, SlotCounts, TaskVerdict, WithdrawalVerdict},
     endpoint::{EndpointAddress, EndpointState, VmEntry, VmRole},
     ids::{
         AttemptId, CustomerId, DataCentreId, EndpointId, IdempotencyKey, IncarnationId,
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -103,6 +103,8 @@
 }
 
 interface SessionPort {
-  offer @0 (offers :List(Offer)) -> (verdicts :List(Verdict), slots :Slots);
-  withdraw @1 (attempts :List(Attempt)) -> (withdrawals :List(Withdrawal), slots :Slots);
+  offer @0 (batch :UInt64, offers :List(Offer)) -> (verdicts :List(Verdict), slots :Slots);
+  # Batches of one session are numbered from 1.
+  withdraw @1 (afterBatch :UInt64, attempts :List(Attempt)) -> (withdrawals :List(Withdrawal), slots :Slots);
+  # `afterBatch` is the last batch sent before. A dispatcher that has not seen it confirms nothing.
 }
--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,383 @@
+//! The calling side of the ports. Each call is sent when the method is called, not when its future is first polled,
+//! so calls leave in the order in which they were made.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use model::{
+    AttemptEnd, AttemptId, CustomerId, DataCentreId, IncarnationId, Payload, SessionId, SlotCounts,
+    TaskOffer, TaskVerdict, WithdrawalVerdict,
+};
+
+use crate::{
+    convert::{
+        read_slots, read_verdict, read_withdrawal, write_attempt, write_attempts, write_end,
+        write_offers, write_slots,
+    },
+    peer_capnp::{claim_answer, dispatcher_port, entry_port, session_port},
+    service::{read_contract_page, ContractPage, ForwardedAnswer, GrantTerm},
+    PeerError,
+};
+
+/// An open session.
+pub struct OpenedSession {
+    /// Where offers go.
+    pub session: SessionClient,
+    /// The dispatcher's incarnation.
+    pub dispatcher: IncarnationId,
+    /// Its slots.
+    pub slots: SlotCounts,
+}
+
+/// What a dispatcher says to a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BeatAnswer {
+    /// Its incarnation.
+    pub incarnation: IncarnationId,
+    /// Whether it takes nothing new.
+    pub stopping: bool,
+    /// The newest contract head that it holds.
+    pub head: u64,
+}
+
+/// A dispatcher at the other end of a connection.
+#[derive(Clone)]
+pub struct DispatcherClient {
+    port: dispatcher_port::Client,
+}
+
+impl DispatcherClient {
+    pub(crate) fn new(port: dispatcher_port::Client) -> Self {
+        Self { port }
+    }
+
+    /// Opens a session and hands over this entry's own port.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, or the session is older than one already open.
+    pub fn open(
+        &self,
+        entry: entry_port::Client,
+        incarnation: IncarnationId,
+        session: SessionId,
+    ) -> impl Future<Output = Result<OpenedSession, PeerError>> + 'static {
+        let mut request = self.port.open_request();
+        let mut params = request.get();
+        params.set_entry(entry);
+        params.set_incarnation(incarnation.0);
+        params.set_session(session.0);
+        let reply = request.send().promise;
+        async move {
+            let reply = reply.await?;
+            let reply = reply.get()?;
+            Ok(OpenedSession {
+                session: SessionClient {
+                    port: reply.get_session()?,
+                },
+                dispatcher: IncarnationId(reply.get_dispatcher()),
+                slots: read_slots(reply.get_slots()?),
+            })
+        }
+    }
+
+    /// Finds the port of an entry that has a session with this dispatcher.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn find(
+        &self,
+        incarnation: IncarnationId,
+    ) -> impl Future<Output = Result<Option<EntryClient>, PeerError>> + 'static {
+        let mut request = self.port.find_request();
+        request.get().set_incarnation(incarnation.0);
+        let reply = request.send().promise;
+        async move {
+            let reply = reply.await?;
+            let reply = reply.get()?;
+            if !reply.get_found() {
+                return Ok(None);
+            }
+            Ok(Some(EntryClient {
+                port: reply.get_entry()?,
+            }))
+        }
+    }
+
+    /// A heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn beat(
+        &self,
+        from: IncarnationId,
+        address: Option<SocketAddr>,
+        data_centre: &DataCentreId,
+        stopping: bool,
+        head: u64,
+    ) -> impl Future<Output = Result<BeatAnswer, PeerError>> + 'static {
+        let mut request = self.port.beat_request();
+        let mut params = request.get();
+        params.set_from(from.0);
+        params.set_address(
+            address
+                .map(|address| address.to_string())
+                .unwrap_or_default()
+                .as_str(),
+        );
+        params.set_data_centre(data_centre.as_str());
+        params.set_stopping(stopping);
+        params.set_head(head);
+        let reply = request.send().promise;
+        async move {
+            let reply = reply.await?;
+            let reply = reply.get()?;
+            Ok(BeatAnswer {
+                incarnation: IncarnationId(reply.get_incarnation()),
+                stopping: reply.get_stopping(),
+                head: reply.get_head(),
+            })
+        }
+    }
+
+    /// Contract rows changed after a head number.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke or a row is not readable.
+    pub fn contracts(
+        &self,
+        since: u64,
+    ) -> impl Future<Output = Result<ContractPage, PeerError>> + 'static {
+        let mut request = self.port.contracts_request();
+        request.get().set_since(since);
+        let reply = request.send().promise;
+        async move {
+            let reply = reply.await?;
+            read_contract_page(reply.get()?)
+        }
+    }
+
+    /// Asks the customer's home dispatcher for a part of its concurrency.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, or the dispatcher is not the customer's home.
+    pub fn grant(
+        &self,
+        customer: &CustomerId,
+        incarnation: IncarnationId,
+        want: u32,
+        in_use: u32,
+    ) -> impl Future<Output = Result<GrantTerm, PeerError>> + 'static {
+        let mut request = self.port.grant_request();
+        let mut params = request.get();
+        params.set_customer(customer.as_str());
+        params.set_incarnation(incarnation.0);
+        params.set_want(want);
+        params.set_in_use(in_use);
+        let reply = request.send().promise;
+        async move {
+            let reply = reply.await?;
+            let reply = reply.get()?;
+            let term = Duration::from_micros(reply.get_term_micros());
+            Ok(GrantTerm {
+                granted: reply.get_granted(),
+                term,
+            })
+        }
+    }
+}
+
+/// A session with a dispatcher.
+#[derive(Clone)]
+pub struct SessionClient {
+    port: session_port::Client,
+}
+
+impl SessionClient {
+    /// Offers tasks with their bodies.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke: each task may or may not have started.
+    pub fn offer(
+        &self,
+        batch: u64,
+        offers: &[TaskOffer],
+    ) -> impl Future<Output = Result<(Vec<TaskVerdict>, SlotCounts), PeerError>> + 'static {
+        let mut request = self.port.offer_request();
+        let mut params = request.get();
+        params.set_batch(batch);
+        write_offers(params.init_offers(offers.len() as u32), offers);
+        let reply = request.send().promise;
+        async move {
+            let reply = reply.await?;
+            let reply = reply.get()?;
+            let mut verdicts = Vec::new();
+            for verdict in reply.get_verdicts()? {
+                verdicts.push(read_verdict(verdict)?);
+            }
+            Ok((verdicts, read_slots(reply.get_slots()?)))
+        }
+    }
+
+    /// Takes attempts back.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke: nothing is confirmed.
+    pub fn withdraw(
+        &self,
+        after_batch: u64,
+        attempts: &[AttemptId],
+    ) -> impl Future<Output = Result<(Vec<WithdrawalVerdict>, SlotCounts), PeerError>> + 'static
+    {
+        let mut request = self.port.withdraw_request();
+        let mut params = request.get();
+        params.set_after_batch(after_batch);
+        write_attempts(params.init_attempts(attempts.len() as u32), attempts);
+        let reply = request.send().promise;
+        async move {
+            let reply = reply.await?;
+            let reply = reply.get()?;
+            let mut verdicts = Vec::new();
+            for verdict in reply.get_withdrawals()? {
+                verdicts.push(read_withdrawal(verdict)?);
+            }
+            Ok((verdicts, read_slots(reply.get_slots()?)))
+        }
+    }
+}
+
+/// An entry that has a session with a dispatcher.
+#[derive(Clone)]
+pub struct EntryClient {
+    port: entry_port::Client,
+}
+
+impl EntryClient {
+    pub(crate) fn new(port: entry_port::Client) -> Self {
+        Self { port }
+    }
+
+    pub(crate) fn into_port(self) -> entry_port::Client {
+        self.port
+    }
+
+    /// Asks for the body of a queued attempt; `None` when the attempt is gone.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn claim(
+        &self,
+        attempt: AttemptId,
+    ) -> impl Future<Output = Result<Option<Payload>, PeerError>> + 'static {
+        let mut request = self.port.claim_request();
+        write_attempt(request.get().init_attempt(), attempt);
+        let reply = request.send().promise;
+        async move {
+            let reply = reply.await?;
+            match reply
+                .get()?
+                .get_answer()?
+                .which()
+                .map_err(crate::convert::bad)?
+            {
+                claim_answer::Body(body) => Ok(Some(Payload::from(body?))),
+                claim_answer::Gone(()) => Ok(None),
+            }
+        }
+    }
+
+    /// Reports ends. When the future is done, the entry has taken them in.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke: nothing is confirmed.
+    pub fn ended(
+        &self,
+        ends: &[(AttemptId, AttemptEnd, Duration)],
+        slots: SlotCounts,
+    ) -> impl Future<Output = Result<(), PeerError>> + 'static {
+        let mut request = self.port.ended_request();
+        let mut params = request.get();
+        write_slots(params.reborrow().init_slots(), slots);
+        let mut builder = params.init_ends(ends.len() as u32);
+        for (index, (attempt, end, ran)) in ends.iter().enumerate() {
+            write_end(builder.reborrow().get(index as u32), *attempt, end, *ran);
+        }
+        let reply = request.send().promise;
+        async move {
+            reply.await?;
+            Ok(())
+        }
+    }
+
+    /// Tells the entry how the slots stand.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn slots(
+        &self,
+        slots: SlotCounts,
+    ) -> impl Future<Output = Result<(), PeerError>> + 'static {
+        let mut request = self.port.slots_request();
+        write_slots(request.get().init_slots(), slots);
+        let reply = request.send().promise;
+        async move {
+            reply.await?;
+            Ok(())
+        }
+    }
+
+    /// The caller-facing answer of a submission of this entry; `None` when it does not know the submission.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke on either side.
+    pub fn outcome(
+        &self,
+        serial: u64,
+    ) -> impl Future<Output = Result<Option<Vec<u8>>, PeerError>> + 'static {
+        let mut request = self.port.outcome_request();
+        request.get().set_serial(serial);
+        let reply = request.send().promise;
+        async move {
+            let reply = reply.await?;
+            let reply = reply.get()?;
+            if !reply.get_found() {
+                return Ok(None);
+            }
+            Ok(Some(reply.get_json()?.to_vec()))
+        }
+    }
+
+    /// Runs a request under a ticket of this entry.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke on either side: the outcome is unknown.
+    pub fn run_ticket(
+        &self,
+        serial: u64,
+        json: &[u8],
+    ) -> impl Future<Output = Result<ForwardedAnswer, PeerError>> + 'static {
+        let mut request = self.port.run_ticket_request();
+        let mut params = request.get();
+        params.set_serial(serial);
+        params.set_json(json);
+        let reply = request.send().promise;
+        async move {
+            let reply = reply.await?;
+            let reply = reply.get()?;
+            Ok(ForwardedAnswer {
+                status: reply.get_status(),
+                json: reply.get_json()?.to_vec(),
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,118 @@
+//! Connections: one TCP connection is one two-party capnp-rpc network.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use capnp_rpc::{rpc_twoparty_capnp::Side, twoparty::VatNetwork, RpcSystem};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::timeout,
+};
+use tokio_util::compat::{TokioAsyncReadCompatExt as _, TokioAsyncWriteCompatExt as _};
+
+use crate::{client::DispatcherClient, peer_capnp, PeerError};
+
+/// How long a connect may take. Within a region a connect takes milliseconds; more means that the path is cut.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// How long to wait after a failed accept, which comes from a lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// An open connection to a dispatcher. It is closed when this is dropped.
+pub struct PeerLink {
+    client: DispatcherClient,
+    task: JoinHandle<()>,
+}
+
+impl PeerLink {
+    /// The dispatcher at the other end.
+    pub fn client(&self) -> &DispatcherClient {
+        &self.client
+    }
+}
+
+impl Drop for PeerLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Connects to a dispatcher. `on_closed` is called once when the connection breaks by itself.
+///
+/// # Errors
+///
+/// Refused when nobody listens, otherwise lost or timed out.
+pub async fn connect(
+    address: SocketAddr,
+    on_closed: impl FnOnce() + 'static,
+) -> Result<PeerLink, PeerError> {
+    let stream = match timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
+        Err(_) => return Err(PeerError::TimedOut),
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            return Err(PeerError::Refused)
+        }
+        Ok(Err(error)) => return Err(PeerError::Lost(error.to_string())),
+        Ok(Ok(stream)) => stream,
+    };
+    let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
+    let port: peer_capnp::dispatcher_port::Client = system.bootstrap(Side::Server);
+    let task = actix_rt::spawn(async move {
+        let _ended = system.await;
+        on_closed();
+    });
+    Ok(PeerLink {
+        client: DispatcherClient::new(port),
+        task,
+    })
+}
+
+/// Accepts connections for as long as the future is polled. `make` gives each one its port.
+pub async fn serve(listener: TcpListener, make: impl Fn() -> peer_capnp::dispatcher_port::Client) {
+    let connections = Rc::new(ConnectionTasks::default());
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let port = make();
+        let system = RpcSystem::new(Box::new(network(stream, Side::Server)), Some(port.client));
+        connections.add(actix_rt::spawn(async move {
+            let _ended = system.await;
+        }));
+    }
+}
+
+/// Ends the accepted connections when the server ends, so that a stopped dispatcher in a test or demo does not go
+/// on answering.
+#[derive(Default)]
+struct ConnectionTasks {
+    tasks: std::cell::RefCell<Vec<JoinHandle<()>>>,
+}
+
+impl ConnectionTasks {
+    fn add(&self, task: JoinHandle<()>) {
+        let mut tasks = self.tasks.borrow_mut();
+        tasks.retain(|task| !task.is_finished());
+        tasks.push(task);
+    }
+}
+
+impl Drop for ConnectionTasks {
+    fn drop(&mut self) {
+        for task in self.tasks.borrow().iter() {
+            task.abort();
+        }
+    }
+}
+
+type StreamNetwork =
+    VatNetwork<futures::io::BufReader<tokio_util::compat::Compat<tokio::net::tcp::OwnedReadHalf>>>;
+
+fn network(stream: TcpStream, side: Side) -> StreamNetwork {
+    // Messages are small and answers are waited for; without this the kernel holds them back for up to 40 ms.
+    let _best_effort = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let reader = futures::io::BufReader::new(reader.compat());
+    let writer = futures::io::BufWriter::new(writer.compat_write());
+    VatNetwork::new(reader, writer, side, capnp::message::ReaderOptions::new())
+}
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -7835,6 +7835,10 @@
                 self.reader.total_size()
             }
             #[inline]
+            pub fn get_batch(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
             pub fn get_offers(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::offer::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -7846,7 +7850,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7897,6 +7901,14 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
+            pub fn get_batch(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_batch(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
             pub fn get_offers(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::offer::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -7923,17 +7935,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(53, 32, 53, 225, 233, 241, 206, 133),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -7941,14 +7953,29 @@
                 ::capnp::word(111, 110, 80, 111, 114, 116, 46, 111),
                 ::capnp::word(102, 102, 101, 114, 36, 80, 97, 114),
                 ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 97, 116, 99, 104, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(111, 102, 102, 101, 114, 115, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7964,7 +7991,8 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::offer::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::peer_capnp::offer::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7978,9 +8006,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0x85ce_f1e9_e135_2035;
         }
     }
@@ -8303,6 +8331,10 @@
                 self.reader.total_size()
             }
             #[inline]
+            pub fn get_after_batch(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
             pub fn get_attempts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::attempt::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -8314,7 +8346,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8365,6 +8397,14 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
+            pub fn get_after_batch(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_after_batch(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
             pub fn get_attempts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::attempt::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -8391,17 +8431,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 54] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(92, 226, 114, 167, 70, 209, 248, 222),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -8409,14 +8449,30 @@
                 ::capnp::word(111, 110, 80, 111, 114, 116, 46, 119),
                 ::capnp::word(105, 116, 104, 100, 114, 97, 119, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(49, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 102, 116, 101, 114, 66, 97, 116),
+                ::capnp::word(99, 104, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(40, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 116, 116, 101, 109, 112, 116, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -8433,7 +8489,8 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::attempt::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::peer_capnp::attempt::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8447,9 +8504,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xdef8_d146_a772_e25c;
         }
     }
--- /dev/null
+++ b/crates/peer/src/service.rs
@@ -0,0 +1,463 @@
+//! The answering side of the ports: traits that a process implements, and the glue to the generated code.
+//!
+//! Each trait method runs as soon as its message is read and returns a future for the answer. What it does before
+//! it returns therefore happens in the order in which the messages of a connection came.
+
+use std::{future::Future, net::SocketAddr, rc::Rc, time::Duration};
+
+use futures::future::LocalBoxFuture;
+use model::{
+    AttemptEnd, AttemptId, ContractVersion, CustomerId, DataCentreId, IncarnationId, Payload,
+    SessionId, SlotCounts, TaskOffer, TaskVerdict, WithdrawalVerdict,
+};
+
+use crate::{
+    client::{BeatAnswer, EntryClient},
+    convert::{
+        bad, micros, read_attempt, read_end, read_offers, read_slots, text, write_slots,
+        write_verdict, write_withdrawal,
+    },
+    peer_capnp::{
+        dispatcher_port as dispatcher_capnp, entry_port as entry_capnp,
+        session_port as session_capnp,
+    },
+    PeerError,
+};
+
+/// A heartbeat as it comes in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BeatCall {
+    /// The sender.
+    pub from: IncarnationId,
+    /// Its peer address; an entry has none.
+    pub address: Option<SocketAddr>,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Whether it takes nothing new.
+    pub stopping: bool,
+    /// The newest contract head that it holds.
+    pub head: u64,
+}
+
+/// A contract row as processes pass it on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ContractRecord {
+    /// Whose.
+    pub customer: CustomerId,
+    /// Its version.
+    pub version: ContractVersion,
+    /// The head number of the change that wrote it.
+    pub head: u64,
+    /// The contract as JSON.
+    pub json: Vec<u8>,
+}
+
+/// Contract rows changed after some head number.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ContractPage {
+    /// The newest head number that the sender holds.
+    pub head: u64,
+    /// The rows.
+    pub rows: Vec<ContractRecord>,
+}
+
+/// An ask for a part of a customer's concurrency.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GrantCall {
+    /// Whose.
+    pub customer: CustomerId,
+    /// The entry that asks.
+    pub entry: IncarnationId,
+    /// How much it wants.
+    pub want: u32,
+    /// How much of it is in use.
+    pub in_use: u32,
+}
+
+/// A part of a customer's concurrency, leased.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GrantTerm {
+    /// How many tasks at once.
+    pub granted: u32,
+    /// For how long, counted by the holder from before it asked.
+    pub term: Duration,
+}
+
+/// A caller-facing answer passed on by another entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForwardedAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The body.
+    pub json: Vec<u8>,
+}
+
+/// An answer on its way.
+pub type ReplyFuture<T> = LocalBoxFuture<'static, Result<T, PeerError>>;
+
+/// What a dispatcher offers to entries and other dispatchers. One object a connection.
+pub trait DispatcherService: 'static {
+    /// The session type.
+    type Session: SessionService;
+
+    /// Opens a session.
+    fn open(
+        &self,
+        entry: EntryClient,
+        incarnation: IncarnationId,
+        session: SessionId,
+    ) -> ReplyFuture<(Self::Session, IncarnationId, SlotCounts)>;
+
+    /// Finds an entry that has a session here.
+    fn find(&self, incarnation: IncarnationId) -> ReplyFuture<Option<EntryClient>>;
+
+    /// Takes a heartbeat.
+    fn beat(&self, call: BeatCall) -> ReplyFuture<BeatAnswer>;
+
+    /// Gives contract rows changed after a head number.
+    fn contracts(&self, since: u64) -> ReplyFuture<ContractPage>;
+
+    /// Grants a part of a customer's concurrency.
+    fn grant(&self, call: GrantCall) -> ReplyFuture<GrantTerm>;
+}
+
+/// A session of a dispatcher with an entry. It is over when the object is dropped.
+pub trait SessionService: 'static {
+    /// Takes offers.
+    fn offer(
+        &self,
+        batch: u64,
+        offers: Vec<TaskOffer>,
+    ) -> ReplyFuture<(Vec<TaskVerdict>, SlotCounts)>;
+
+    /// Takes attempts back.
+    fn withdraw(
+        &self,
+        after_batch: u64,
+        attempts: Vec<AttemptId>,
+    ) -> ReplyFuture<(Vec<WithdrawalVerdict>, SlotCounts)>;
+}
+
+/// What an entry offers to a dispatcher that it has a session with.
+pub trait EntryService: 'static {
+    /// Gives the body of a queued attempt, once.
+    fn claim(&self, attempt: AttemptId) -> ReplyFuture<Option<Payload>>;
+
+    /// Takes ends in.
+    fn ended(
+        &self,
+        ends: Vec<(AttemptId, AttemptEnd, Duration)>,
+        slots: SlotCounts,
+    ) -> ReplyFuture<()>;
+
+    /// Takes a word on slots.
+    fn slots(&self, slots: SlotCounts) -> ReplyFuture<()>;
+
+    /// Gives the caller-facing answer of a submission.
+    fn outcome(&self, serial: u64) -> ReplyFuture<Option<Vec<u8>>>;
+
+    /// Runs a request under a ticket.
+    fn run_ticket(&self, serial: u64, json: Vec<u8>) -> ReplyFuture<ForwardedAnswer>;
+}
+
+/// Makes a port of a dispatcher's service.
+pub fn dispatcher_port<S: DispatcherService>(service: S) -> dispatcher_capnp::Client {
+    capnp_rpc::new_client(DispatcherGlue(service))
+}
+
+/// Makes a port of an entry's service.
+pub fn entry_port<S: EntryService>(service: S) -> entry_capnp::Client {
+    capnp_rpc::new_client(EntryGlue(service))
+}
+
+pub(crate) fn read_contract_page(
+    reader: dispatcher_capnp::contracts_results::Reader<'_>,
+) -> Result<ContractPage, PeerError> {
+    let mut rows = Vec::new();
+    for row in reader.get_rows()? {
+        rows.push(ContractRecord {
+            customer: text(row.get_customer())?.parse().map_err(bad)?,
+            version: ContractVersion(row.get_version()),
+            head: row.get_head(),
+            json: row.get_json()?.to_vec(),
+        });
+    }
+    Ok(ContractPage {
+        head: reader.get_head(),
+        rows,
+    })
+}
+
+struct DispatcherGlue<S>(S);
+struct SessionGlue<S>(S);
+struct EntryGlue<S>(S);
+
+type CallResult = Result<(), capnp::Error>;
+
+/// Waits for an answer that could be asked for, or gives the error of a message that could not be read.
+async fn settle<T>(answer: Result<ReplyFuture<T>, PeerError>) -> Result<T, PeerError> {
+    answer?.await
+}
+
+impl<S: DispatcherService> dispatcher_capnp::Server for DispatcherGlue<S> {
+    fn open(
+        self: Rc<Self>,
+        params: dispatcher_capnp::OpenParams,
+        mut results: dispatcher_capnp::OpenResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = params.get().and_then(|params| {
+            let entry = EntryClient::new(params.get_entry()?);
+            Ok(self.0.open(
+                entry,
+                IncarnationId(params.get_incarnation()),
+                SessionId(params.get_session()),
+            ))
+        });
+        async move {
+            let (session, incarnation, slots) = settle(answer.map_err(PeerError::from)).await?;
+            let mut results = results.get();
+            results.set_session(capnp_rpc::new_client(SessionGlue(session)));
+            results.set_dispatcher(incarnation.0);
+            write_slots(results.init_slots(), slots);
+            Ok(())
+        }
+    }
+
+    fn find(
+        self: Rc<Self>,
+        params: dispatcher_capnp::FindParams,
+        mut results: dispatcher_capnp::FindResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = params
+            .get()
+            .map(|params| self.0.find(IncarnationId(params.get_incarnation())));
+        async move {
+            if let Some(entry) = settle(answer.map_err(PeerError::from)).await? {
+                let mut results = results.get();
+                results.set_entry(entry.into_port());
+                results.set_found(true);
+            }
+            Ok(())
+        }
+    }
+
+    fn beat(
+        self: Rc<Self>,
+        params: dispatcher_capnp::BeatParams,
+        mut results: dispatcher_capnp::BeatResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = read_beat(&params).map(|call| self.0.beat(call));
+        async move {
+            let answer = settle(answer).await?;
+            let mut results = results.get();
+            results.set_incarnation(answer.incarnation.0);
+            results.set_stopping(answer.stopping);
+            results.set_head(answer.head);
+            Ok(())
+        }
+    }
+
+    fn contracts(
+        self: Rc<Self>,
+        params: dispatcher_capnp::ContractsParams,
+        mut results: dispatcher_capnp::ContractsResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = params
+            .get()
+            .map(|params| self.0.contracts(params.get_since()));
+        async move {
+            let page = settle(answer.map_err(PeerError::from)).await?;
+            let mut results = results.get();
+            results.set_head(page.head);
+            let mut rows = results.init_rows(page.rows.len() as u32);
+            for (index, row) in page.rows.iter().enumerate() {
+                let mut builder = rows.reborrow().get(index as u32);
+                builder.set_customer(row.customer.as_str());
+                builder.set_version(row.version.0);
+                builder.set_head(row.head);
+                builder.set_json(&row.json);
+            }
+            Ok(())
+        }
+    }
+
+    fn grant(
+        self: Rc<Self>,
+        params: dispatcher_capnp::GrantParams,
+        mut results: dispatcher_capnp::GrantResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = read_grant(&params).map(|call| self.0.grant(call));
+        async move {
+            let term = settle(answer).await?;
+            let mut results = results.get();
+            results.set_granted(term.granted);
+            results.set_term_micros(micros(term.term));
+            Ok(())
+        }
+    }
+}
+
+impl<S: SessionService> session_capnp::Server for SessionGlue<S> {
+    fn offer(
+        self: Rc<Self>,
+        params: session_capnp::OfferParams,
+        mut results: session_capnp::OfferResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = read_offer_batch(&params).map(|(batch, offers)| self.0.offer(batch, offers));
+        async move {
+            let (verdicts, slots) = settle(answer).await?;
+            let mut results = results.get();
+            write_slots(results.reborrow().init_slots(), slots);
+            let mut builder = results.init_verdicts(verdicts.len() as u32);
+            for (index, verdict) in verdicts.iter().enumerate() {
+                write_verdict(builder.reborrow().get(index as u32), *verdict);
+            }
+            Ok(())
+        }
+    }
+
+    fn withdraw(
+        self: Rc<Self>,
+        params: session_capnp::WithdrawParams,
+        mut results: session_capnp::WithdrawResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = params.get().and_then(|params| {
+            let mut attempts = Vec::new();
+            for attempt in params.get_attempts()? {
+                attempts.push(read_attempt(attempt));
+            }
+            Ok(self.0.withdraw(params.get_after_batch(), attempts))
+        });
+        async move {
+            let (verdicts, slots) = settle(answer.map_err(PeerError::from)).await?;
+            let mut results = results.get();
+            write_slots(results.reborrow().init_slots(), slots);
+            let mut builder = results.init_withdrawals(verdicts.len() as u32);
+            for (index, verdict) in verdicts.iter().enumerate() {
+                write_withdrawal(builder.reborrow().get(index as u32), *verdict);
+            }
+            Ok(())
+        }
+    }
+}
+
+impl<S: EntryService> entry_capnp::Server for EntryGlue<S> {
+    fn claim(
+        self: Rc<Self>,
+        params: entry_capnp::ClaimParams,
+        mut results: entry_capnp::ClaimResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = params
+            .get()
+            .and_then(|params| Ok(self.0.claim(read_attempt(params.get_attempt()?))));
+        async move {
+            let body = settle(answer.map_err(PeerError::from)).await?;
+            let mut answer = results.get().init_answer();
+            match body {
+                Some(payload) => answer.set_body(&payload.0),
+                None => answer.set_gone(()),
+            }
+            Ok(())
+        }
+    }
+
+    fn ended(
+        self: Rc<Self>,
+        params: entry_capnp::EndedParams,
+        _results: entry_capnp::EndedResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = read_ends(&params).map(|(ends, slots)| self.0.ended(ends, slots));
+        async move { Ok(settle(answer).await?) }
+    }
+
+    fn slots(
+        self: Rc<Self>,
+        params: entry_capnp::SlotsParams,
+        _results: entry_capnp::SlotsResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = params
+            .get()
+            .and_then(|params| Ok(self.0.slots(read_slots(params.get_slots()?))));
+        async move { Ok(settle(answer.map_err(PeerError::from)).await?) }
+    }
+
+    fn outcome(
+        self: Rc<Self>,
+        params: entry_capnp::OutcomeParams,
+        mut results: entry_capnp::OutcomeResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = params
+            .get()
+            .map(|params| self.0.outcome(params.get_serial()));
+        async move {
+            if let Some(json) = settle(answer.map_err(PeerError::from)).await? {
+                let mut results = results.get();
+                results.set_json(&json);
+                results.set_found(true);
+            }
+            Ok(())
+        }
+    }
+
+    fn run_ticket(
+        self: Rc<Self>,
+        params: entry_capnp::RunTicketParams,
+        mut results: entry_capnp::RunTicketResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = params.get().and_then(|params| {
+            Ok(self
+                .0
+                .run_ticket(params.get_serial(), params.get_json()?.to_vec()))
+        });
+        async move {
+            let answer = settle(answer.map_err(PeerError::from)).await?;
+            let mut results = results.get();
+            results.set_status(answer.status);
+            results.set_json(&answer.json);
+            Ok(())
+        }
+    }
+}
+
+fn read_beat(params: &dispatcher_capnp::BeatParams) -> Result<BeatCall, PeerError> {
+    let params = params.get()?;
+    let address = match text(params.get_address())? {
+        "" => None,
+        address => Some(address.parse().map_err(bad)?),
+    };
+    Ok(BeatCall {
+        from: IncarnationId(params.get_from()),
+        address,
+        data_centre: text(params.get_data_centre())?.parse().map_err(bad)?,
+        stopping: params.get_stopping(),
+        head: params.get_head(),
+    })
+}
+
+fn read_grant(params: &dispatcher_capnp::GrantParams) -> Result<GrantCall, PeerError> {
+    let params = params.get()?;
+    Ok(GrantCall {
+        customer: text(params.get_customer())?.parse().map_err(bad)?,
+        entry: IncarnationId(params.get_incarnation()),
+        want: params.get_want(),
+        in_use: params.get_in_use(),
+    })
+}
+
+fn read_offer_batch(
+    params: &session_capnp::OfferParams,
+) -> Result<(u64, Vec<TaskOffer>), PeerError> {
+    let params = params.get()?;
+    Ok((params.get_batch(), read_offers(params.get_offers()?)?))
+}
+
+type ReportedEnds = (Vec<(AttemptId, AttemptEnd, Duration)>, SlotCounts);
+
+fn read_ends(params: &entry_capnp::EndedParams) -> Result<ReportedEnds, PeerError> {
+    let params = params.get()?;
+    let mut ends = Vec::new();
+    for end in params.get_ends()? {
+        ends.push(read_end(end)?);
+    }
+    Ok((ends, read_slots(params.get_slots()?)))
+}
