--- /dev/null
+++ b/crates/stand-ins/src/platform/mod.rs
@@ -0,0 +1,164 @@
+//! Stand-in for the platform's HTTP service: tables, objects and the VM list, all in memory, with faults that a test
+//! switches on and off.
+//!
+//! The borders are those of `docs/design/0001-interfaces.md`. Faults are set in process or by `PUT /control/faults`;
+//! calls under `/control/` are never slowed, cut or counted.
+
+mod answer;
+mod control;
+mod faults;
+mod routes;
+mod state;
+mod table;
+mod timing;
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpStream as StdTcpStream},
+    os::fd::AsFd,
+    sync::Arc,
+};
+
+use actix_web::{
+    dev::{Extensions, ServerHandle},
+    rt::net::TcpStream,
+    web, App, HttpServer,
+};
+use model::VmEntry;
+
+use self::{answer::ConnectionHandle, state::PlatformState};
+
+pub use self::{
+    faults::{AnswerLoss, DownMode, FaultSettings, LossTime, RacingWrite},
+    state::PlatformStats,
+    table::{ExpectedVersion, RowConflict, TableRow, WriteRequest},
+    timing::ServiceTimes,
+};
+
+/// The largest request body, in bytes. A group commit of keys is the largest that the system sends.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// How a stand-in starts.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// Where to listen. Port 0 lets the system choose.
+    pub address: SocketAddr,
+    /// How long reads and writes take.
+    pub times: ServiceTimes,
+    /// The VM list at the start.
+    pub vms: Vec<VmEntry>,
+    /// The faults at the start.
+    pub faults: FaultSettings,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            times: ServiceTimes::default(),
+            vms: Vec::new(),
+            faults: FaultSettings::default(),
+        }
+    }
+}
+
+/// A running stand-in. Dropping it leaves it running until the actix system ends; [`Self::stop`] ends it.
+pub struct PlatformStandIn {
+    address: SocketAddr,
+    handle: ServerHandle,
+    state: Arc<PlatformState>,
+}
+
+impl PlatformStandIn {
+    /// Starts a stand-in within the running actix system.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn start(settings: PlatformSettings) -> io::Result<Self> {
+        let address = settings.address;
+        let state = Arc::new(PlatformState::new(settings));
+        Self::serve(address, state)
+    }
+
+    /// Starts again after [`Self::stop`], at the same address and with the same rows, like a store that was down.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn start_again(&self) -> io::Result<Self> {
+        Self::serve(self.address, Arc::clone(&self.state))
+    }
+
+    fn serve(address: SocketAddr, state: Arc<PlatformState>) -> io::Result<Self> {
+        let shared = web::Data::from(Arc::clone(&state));
+        let server = HttpServer::new(move || {
+            App::new()
+                .app_data(shared.clone())
+                .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
+                .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+                .configure(routes::configure)
+                .configure(control::configure)
+        })
+        .on_connect(remember_connection)
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(1)
+        .bind(address)?;
+        let address = server.addrs()[0];
+        let server = server.run();
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        Ok(Self {
+            address,
+            handle,
+            state,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops listening and closes every connection at once. Later connections are refused.
+    pub async fn stop(&self) {
+        self.handle.stop(false).await;
+    }
+
+    /// Replaces every fault.
+    pub fn set_faults(&self, faults: FaultSettings) {
+        self.state.set_faults(faults);
+    }
+
+    /// Replaces the VM list.
+    pub fn set_vms(&self, vms: Vec<VmEntry>) {
+        self.state.set_vms(vms);
+    }
+
+    /// Counts since the start.
+    pub fn stats(&self) -> PlatformStats {
+        self.state.stats()
+    }
+
+    /// A row as it stands, past every fault.
+    pub fn row(&self, table: &str, key: &str) -> Option<TableRow> {
+        self.state.peek(table, key)
+    }
+
+    /// Writes rows past every fault and wait, like another writer would.
+    pub fn write_now(&self, writes: Vec<WriteRequest>) -> Result<Vec<u64>, Vec<RowConflict>> {
+        self.state.write_now(&writes)
+    }
+}
+
+/// Keeps a second handle on each connection, by which a fault can close it without an answer.
+fn remember_connection(connection: &dyn std::any::Any, extensions: &mut Extensions) {
+    let Some(stream) = connection.downcast_ref::<TcpStream>() else {
+        return;
+    };
+    let Ok(fd) = stream.as_fd().try_clone_to_owned() else {
+        return;
+    };
+    extensions.insert(ConnectionHandle(StdTcpStream::from(fd)));
+}
--- /dev/null
+++ b/crates/stand-ins/src/platform/state.rs
@@ -0,0 +1,198 @@
+//! The state behind the HTTP routes.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use actix_web::web::Bytes;
+use model::VmEntry;
+use serde::{Deserialize, Serialize};
+
+use super::{
+    faults::{AnswerFate, DownMode, FaultPlan, FaultSettings},
+    table::{ExpectedVersion, RowConflict, TableRow, TableStore, WriteRequest},
+    timing::TurnQueue,
+    PlatformSettings,
+};
+
+/// Old VM lists kept for a stale answer.
+const MAX_OLD_LISTS: usize = 1000;
+
+/// Counts since the start. Calls turned away by a fault are not counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformStats {
+    /// Reads of rows, lists, objects and the VM list.
+    pub reads: u64,
+    /// Rows given by reads of rows and lists.
+    pub rows_read: u64,
+    /// Transactions that took effect.
+    pub transactions: u64,
+    /// Transactions that met a conflict.
+    pub conflicts: u64,
+    /// Rows written by transactions.
+    pub rows_written: u64,
+}
+
+/// Everything behind one lock: each use is short and none waits.
+pub(super) struct PlatformState {
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    tables: TableStore,
+    objects: BTreeMap<String, Bytes>,
+    /// VM lists with the time since which each held, newest last.
+    vm_lists: VecDeque<(Instant, Vec<VmEntry>)>,
+    faults: FaultPlan,
+    turns: TurnQueue,
+    stats: PlatformStats,
+}
+
+impl PlatformState {
+    pub(super) fn new(settings: PlatformSettings) -> Self {
+        let now = Instant::now();
+        Self {
+            inner: Mutex::new(Inner {
+                tables: TableStore::default(),
+                objects: BTreeMap::new(),
+                vm_lists: VecDeque::from([(now, settings.vms)]),
+                faults: FaultPlan::new(settings.faults),
+                turns: TurnQueue::new(settings.times, now),
+                stats: PlatformStats::default(),
+            }),
+        }
+    }
+
+    pub(super) fn set_faults(&self, settings: FaultSettings) {
+        self.lock().faults = FaultPlan::new(settings);
+    }
+
+    pub(super) fn faults(&self) -> FaultSettings {
+        self.lock().faults.settings.clone()
+    }
+
+    pub(super) fn down(&self) -> DownMode {
+        self.lock().faults.settings.down
+    }
+
+    pub(super) fn slowness(&self) -> Duration {
+        Duration::from_millis(self.lock().faults.settings.slow_ms)
+    }
+
+    pub(super) fn answer_fate(&self) -> AnswerFate {
+        self.lock().faults.answer_fate()
+    }
+
+    pub(super) fn set_vms(&self, vms: Vec<VmEntry>) {
+        let lists = &mut self.lock().vm_lists;
+        lists.push_back((Instant::now(), vms));
+        if lists.len() > MAX_OLD_LISTS {
+            lists.pop_front();
+        }
+    }
+
+    pub(super) fn stats(&self) -> PlatformStats {
+        self.lock().stats
+    }
+
+    pub(super) fn peek(&self, table: &str, key: &str) -> Option<TableRow> {
+        self.lock().tables.get(table, key).cloned()
+    }
+
+    pub(super) fn write_now(&self, writes: &[WriteRequest]) -> Result<Vec<u64>, Vec<RowConflict>> {
+        self.lock().tables.commit(writes)
+    }
+
+    /// When a read that came now gets its answer.
+    pub(super) fn read_end(&self, rows: usize) -> Instant {
+        self.lock().turns.read_end(Instant::now(), rows)
+    }
+
+    /// When a transaction that came now takes effect.
+    pub(super) fn write_end(&self, rows: usize) -> Instant {
+        self.lock().turns.write_end(Instant::now(), rows)
+    }
+
+    pub(super) fn row(&self, table: &str, key: &str) -> Option<TableRow> {
+        let mut inner = self.lock();
+        let row = inner.tables.get(table, key).cloned();
+        inner.stats.reads += 1;
+        inner.stats.rows_read += u64::from(row.is_some());
+        row
+    }
+
+    pub(super) fn list(&self, table: &str, after: &str, limit: usize) -> Vec<(String, TableRow)> {
+        let mut inner = self.lock();
+        let mut rows = Vec::new();
+        for (key, row) in inner.tables.list(table, after, limit) {
+            rows.push((key.to_owned(), row.clone()));
+        }
+        inner.stats.reads += 1;
+        inner.stats.rows_read += rows.len() as u64;
+        rows
+    }
+
+    /// Lets racing writers go first, then commits.
+    pub(super) fn commit(&self, writes: &[WriteRequest]) -> Result<Vec<u64>, Vec<RowConflict>> {
+        let mut inner = self.lock();
+        inner.run_races(writes);
+        let result = inner.tables.commit(writes);
+        match &result {
+            Ok(_) => {
+                inner.stats.transactions += 1;
+                inner.stats.rows_written += writes.len() as u64;
+            }
+            Err(_) => inner.stats.conflicts += 1,
+        }
+        result
+    }
+
+    pub(super) fn put_object(&self, name: String, bytes: Bytes) {
+        self.lock().objects.insert(name, bytes);
+    }
+
+    pub(super) fn object(&self, name: &str) -> Option<Bytes> {
+        let mut inner = self.lock();
+        inner.stats.reads += 1;
+        inner.objects.get(name).cloned()
+    }
+
+    /// The VM list, as old as the fault says.
+    pub(super) fn vms(&self) -> Vec<VmEntry> {
+        let mut inner = self.lock();
+        inner.stats.reads += 1;
+        let age = Duration::from_millis(inner.faults.settings.stale_vms_ms);
+        let now = Instant::now();
+        for (since, vms) in inner.vm_lists.iter().rev() {
+            if now.duration_since(*since) < age {
+                continue;
+            }
+            return vms.clone();
+        }
+        let oldest = inner.vm_lists.front();
+        oldest.map(|(_, vms)| vms.clone()).unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn run_races(&mut self, writes: &[WriteRequest]) {
+        for race in self.faults.take_races(writes) {
+            if race.writes.is_empty() {
+                self.tables.bump(&race.table, &race.key);
+                continue;
+            }
+            for mut write in race.writes {
+                write.expect = ExpectedVersion::Any;
+                let single = std::slice::from_ref(&write);
+                // A write that expects nothing cannot conflict.
+                let _ = self.tables.commit(single);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/platform/table.rs
@@ -0,0 +1,131 @@
+//! Rows with versions, and transactions that take effect as a whole or not at all.
+
+use std::{collections::BTreeMap, ops::Bound};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// A row as reads give it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TableRow {
+    /// Counts the writes of the row, from 1.
+    pub version: u64,
+    /// The content.
+    pub value: Value,
+}
+
+/// What a write expects to find.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ExpectedVersion {
+    /// No row.
+    Absent,
+    /// Whatever is there.
+    #[default]
+    Any,
+    /// A row of just this version.
+    Version(u64),
+}
+
+/// One write of a transaction.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WriteRequest {
+    /// The table.
+    pub table: String,
+    /// The row's key.
+    pub key: String,
+    /// What the write expects to find.
+    pub expect: ExpectedVersion,
+    /// The new content.
+    pub value: Value,
+}
+
+/// A write that found something else than it expected.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowConflict {
+    /// The table.
+    pub table: String,
+    /// The row's key.
+    pub key: String,
+    /// The version that is there, or nothing for no row.
+    pub version: Option<u64>,
+}
+
+/// Every table of the service.
+#[derive(Debug, Default)]
+pub(super) struct TableStore {
+    rows: BTreeMap<(String, String), TableRow>,
+}
+
+impl TableStore {
+    pub(super) fn get(&self, table: &str, key: &str) -> Option<&TableRow> {
+        self.rows.get(&(table.to_owned(), key.to_owned()))
+    }
+
+    /// Rows of a table in key order, from the first key greater than `after`.
+    pub(super) fn list(&self, table: &str, after: &str, limit: usize) -> Vec<(&str, &TableRow)> {
+        let start = Bound::Excluded((table.to_owned(), after.to_owned()));
+        self.rows
+            .range((start, Bound::Unbounded))
+            .take_while(|((t, _), _)| t == table)
+            .take(limit)
+            .map(|((_, key), row)| (key.as_str(), row))
+            .collect()
+    }
+
+    /// Takes effect as a whole, or gives every conflict and changes nothing.
+    pub(super) fn commit(&mut self, writes: &[WriteRequest]) -> Result<Vec<u64>, Vec<RowConflict>> {
+        let conflicts = self.conflicts(writes);
+        if !conflicts.is_empty() {
+            return Err(conflicts);
+        }
+        Ok(writes.iter().map(|w| self.put(w)).collect())
+    }
+
+    /// Writes a row again with the content that it has, or an empty one, so that only its version changes.
+    pub(super) fn bump(&mut self, table: &str, key: &str) {
+        let row = self
+            .rows
+            .entry((table.to_owned(), key.to_owned()))
+            .or_insert_with(|| TableRow {
+                version: 0,
+                value: Value::Object(serde_json::Map::new()),
+            });
+        row.version += 1;
+    }
+
+    fn conflicts(&self, writes: &[WriteRequest]) -> Vec<RowConflict> {
+        let mut conflicts = Vec::new();
+        for write in writes {
+            let version = self.get(&write.table, &write.key).map(|row| row.version);
+            let met = match write.expect {
+                ExpectedVersion::Absent => version.is_none(),
+                ExpectedVersion::Any => true,
+                ExpectedVersion::Version(v) => version == Some(v),
+            };
+            if met {
+                continue;
+            }
+            conflicts.push(RowConflict {
+                table: write.table.clone(),
+                key: write.key.clone(),
+                version,
+            });
+        }
+        conflicts
+    }
+
+    fn put(&mut self, write: &WriteRequest) -> u64 {
+        let row = self
+            .rows
+            .entry((write.table.clone(), write.key.clone()))
+            .or_insert_with(|| TableRow {
+                version: 0,
+                value: Value::Null,
+            });
+        row.version += 1;
+        row.value = write.value.clone();
+        row.version
+    }
+}
