Add the client of the platform

Callers need to know after each write whether it had no effect, took effect or cannot be told. The client sorts failures by whether a byte may have left this process. The HTTP library reports a peer that closes after the request was written as a failed connect (ConnectError::Disconnected), so only the errors of the connect phase proper count as not sent.

It also keeps this process to its share of the platform's rates; a call turned away there had certainly no effect.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,20 @@
 //! Client of the platform's table service, object store and VM list.
+//!
+//! Each call ends in one of three ways: an answer, a definite "had no effect", or "nobody can say". The borders are
+//! those of `docs/design/0001-interfaces.md`.
+
+mod client;
+mod error;
+mod rate;
+mod rows;
+mod wire;
+
+pub use crate::{
+    client::{ClientSettings, PlatformClient},
+    error::{CallFailure, CommitError, ReadError},
+    rate::{CallRate, RatePacer, WrongRate},
+    rows::{
+        ExpectedVersion, KeyedRow, RowConflict, RowVersion, RowWrite, StoreKey, TableName,
+        TableRow, WrongKey, WrongTable,
+    },
+};
--- /dev/null
+++ b/crates/platform/src/rows.rs
@@ -0,0 +1,215 @@
+//! Tables, keys and rows.
+
+use std::{fmt, str::FromStr};
+
+use model::{CustomerId, IdempotencyKey};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use thiserror::Error;
+
+/// The longest key, in bytes: a customer, a slash and an idempotency key fit twice.
+const MAX_KEY_BYTES: usize = 256;
+
+/// A table that the system keeps in the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TableName {
+    /// The contract in force, by customer.
+    Contracts,
+    /// One row: the number of the newest change of any contract.
+    ContractHead,
+    /// Every version of every contract, by customer and version.
+    ContractHistory,
+    /// Every change of any contract, by its number.
+    ContractLog,
+    /// Idempotency keys, by customer and key.
+    RequestKeys,
+}
+
+/// A text that names no table.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("not a table: {0:?}")]
+pub struct WrongTable(pub String);
+
+impl TableName {
+    /// Every table.
+    pub const ALL: &'static [Self] = &[
+        Self::Contracts,
+        Self::ContractHead,
+        Self::ContractHistory,
+        Self::ContractLog,
+        Self::RequestKeys,
+    ];
+
+    /// The name in the platform.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Contracts => "contracts",
+            Self::ContractHead => "contract-head",
+            Self::ContractHistory => "contract-history",
+            Self::ContractLog => "contract-log",
+            Self::RequestKeys => "request-keys",
+        }
+    }
+}
+
+impl fmt::Display for TableName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for TableName {
+    type Err = WrongTable;
+
+    fn from_str(s: &str) -> Result<Self, WrongTable> {
+        for table in Self::ALL {
+            if table.as_str() == s {
+                return Ok(*table);
+            }
+        }
+        Err(WrongTable(s.to_owned()))
+    }
+}
+
+/// The key of a row or the name of an object. Its characters need no escaping in a URL.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(transparent)]
+pub struct StoreKey(String);
+
+/// A text that is no key.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("not a key of the platform's store: {0:?}")]
+pub struct WrongKey(pub String);
+
+impl StoreKey {
+    /// The key of a customer's one row.
+    pub fn of_customer(customer: &CustomerId) -> Self {
+        Self(customer.to_string())
+    }
+
+    /// The key of a customer's row for a number. Padded, so that rows lie in the order of their numbers.
+    pub fn of_version(customer: &CustomerId, number: u64) -> Self {
+        Self(format!("{customer}/{number:020}"))
+    }
+
+    /// The key of a row for a number alone.
+    pub fn of_number(number: u64) -> Self {
+        Self(format!("{number:020}"))
+    }
+
+    /// The key of a customer's idempotency key.
+    pub fn of_request(customer: &CustomerId, key: &IdempotencyKey) -> Self {
+        Self(format!("{customer}/{key}"))
+    }
+
+    /// The text form.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for StoreKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for StoreKey {
+    type Err = WrongKey;
+
+    fn from_str(s: &str) -> Result<Self, WrongKey> {
+        let plain = s
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b"-_.:/".contains(&b));
+        if s.is_empty() || s.len() > MAX_KEY_BYTES || !plain {
+            return Err(WrongKey(s.chars().take(MAX_KEY_BYTES).collect()));
+        }
+        Ok(Self(s.to_owned()))
+    }
+}
+
+impl<'de> Deserialize<'de> for StoreKey {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        String::deserialize(deserializer)?
+            .parse()
+            .map_err(serde::de::Error::custom)
+    }
+}
+
+/// Counts the writes of one row, from 1.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct RowVersion(pub u64);
+
+impl fmt::Display for RowVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for RowVersion {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        s.parse().map(Self)
+    }
+}
+
+/// A row as the platform gives it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TableRow {
+    /// The row's version.
+    pub version: RowVersion,
+    /// The content.
+    pub value: Value,
+}
+
+/// A row of a list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KeyedRow {
+    /// The row's key.
+    pub key: StoreKey,
+    /// The row's version.
+    pub version: RowVersion,
+    /// The content.
+    pub value: Value,
+}
+
+/// What a write expects to find; otherwise the whole transaction has no effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ExpectedVersion {
+    /// No row.
+    Absent,
+    /// Whatever is there.
+    Any,
+    /// A row of just this version.
+    Version(RowVersion),
+}
+
+/// One write of a transaction.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RowWrite {
+    /// The table.
+    pub table: TableName,
+    /// The row's key.
+    pub key: StoreKey,
+    /// What the write expects to find.
+    pub expect: ExpectedVersion,
+    /// The new content.
+    pub value: Value,
+}
+
+/// A row that was not as a write expected.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowConflict {
+    /// The table.
+    pub table: TableName,
+    /// The row's key.
+    pub key: StoreKey,
+    /// The version that is there; nothing for no row.
+    pub version: Option<RowVersion>,
+}
