Add the endpoint client and the endpoint stand-in

The dispatcher needs one classification of what an endpoint answered, and tests need an endpoint that counts every start.

--- /dev/null
+++ b/crates/endpoint-client/src/read.rs
@@ -0,0 +1,106 @@
+//! Reads an answer and checks that it is whole and belongs to the attempt.
+
+use awc::{
+    error::PayloadError,
+    http::{
+        header::{HeaderName, CONTENT_LENGTH, TRANSFER_ENCODING},
+        StatusCode,
+    },
+    ClientResponse,
+};
+use futures::{Stream, StreamExt as _};
+use model::{AttemptEnd, AttemptId, Payload, RetryReason, TaskResult, MAX_PAYLOAD_BYTES};
+
+use crate::classify::CallError;
+
+pub(crate) const ATTEMPT_ID: HeaderName = HeaderName::from_static("attempt-id");
+const TASK_STATUS: HeaderName = HeaderName::from_static("task-status");
+
+/// What the head of an answer says.
+enum AnswerHead {
+    Done,
+    Failed,
+    NotRun(RetryReason),
+}
+
+/// Reads the answer to `attempt`.
+pub(crate) async fn read_answer<S, E>(
+    response: ClientResponse<S>,
+    attempt: AttemptId,
+) -> Result<AttemptEnd, CallError>
+where
+    S: Stream<Item = Result<E, PayloadError>> + Unpin,
+    ClientResponse<S>: Stream<Item = Result<E, PayloadError>> + Unpin,
+    E: AsRef<[u8]>,
+{
+    match read_head(&response, attempt)? {
+        AnswerHead::Done => {
+            let size = read_size(&response)?;
+            let payload = Payload::from(read_body(response, size).await?);
+            Ok(AttemptEnd::Done(TaskResult { payload }))
+        }
+        AnswerHead::Failed => Ok(AttemptEnd::Failed),
+        AnswerHead::NotRun(reason) => Ok(AttemptEnd::NotRun(reason)),
+    }
+}
+
+fn read_head<S>(response: &ClientResponse<S>, attempt: AttemptId) -> Result<AnswerHead, CallError> {
+    let text = |name| response.headers().get(name)?.to_str().ok();
+    let echoed = text(ATTEMPT_ID).and_then(|text| text.parse().ok());
+    // An answer that belongs to another attempt says nothing about this one, not even "busy".
+    if echoed != Some(attempt) {
+        return Err(CallError::BrokenAnswer("another attempt"));
+    }
+    match (response.status(), text(TASK_STATUS)) {
+        (StatusCode::OK, Some("done")) => Ok(AnswerHead::Done),
+        (StatusCode::OK, Some("failed")) => Ok(AnswerHead::Failed),
+        (StatusCode::SERVICE_UNAVAILABLE, Some("busy")) => {
+            Ok(AnswerHead::NotRun(RetryReason::EndpointBusy))
+        }
+        (StatusCode::SERVICE_UNAVAILABLE, Some("leaving")) => {
+            Ok(AnswerHead::NotRun(RetryReason::EndpointLeaving))
+        }
+        _ => Err(CallError::BrokenAnswer("unknown status")),
+    }
+}
+
+/// The size that the answer names. Without one a cut answer could not be told from a whole one, because the HTTP
+/// library ends a body quietly when its connection closes, so an answer must name its size.
+fn read_size<S>(response: &ClientResponse<S>) -> Result<usize, CallError> {
+    if response.headers().contains_key(TRANSFER_ENCODING) {
+        return Err(CallError::BrokenAnswer("size not named"));
+    }
+    let size = response
+        .headers()
+        .get(CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse::<u64>().ok())
+        .ok_or(CallError::BrokenAnswer("size not named"))?;
+    if size > MAX_PAYLOAD_BYTES.0 {
+        return Err(CallError::BrokenAnswer("too large"));
+    }
+    usize::try_from(size).map_err(|_| CallError::BrokenAnswer("too large"))
+}
+
+async fn read_body<S, E>(mut response: S, size: usize) -> Result<Vec<u8>, CallError>
+where
+    S: Stream<Item = Result<E, PayloadError>> + Unpin,
+    E: AsRef<[u8]>,
+{
+    let mut body = Vec::with_capacity(size);
+    while let Some(chunk) = response.next().await {
+        match chunk {
+            Ok(chunk) => body.extend_from_slice(chunk.as_ref()),
+            Err(PayloadError::Io(error)) => {
+                return Err(CallError::ConnectionLost(error.to_string()))
+            }
+            Err(_) => return Err(CallError::BrokenAnswer("cut short")),
+        }
+    }
+    // The library ends the body without an error when the connection closes early; the bytes that came would pass
+    // for the whole answer.
+    if body.len() != size {
+        return Err(CallError::BrokenAnswer("cut short"));
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/crates/stand-ins/src/endpoint/server.rs
@@ -0,0 +1,170 @@
+//! HTTP side of the endpoint stand-in.
+
+use std::{
+    any::Any,
+    io,
+    net::{Shutdown, SocketAddr, TcpStream},
+    os::fd::AsFd,
+    sync::Arc,
+    time::Duration,
+};
+
+use actix_web::{
+    dev::{Extensions, ServerHandle},
+    web::{self, Bytes, Data, Json, PayloadConfig},
+    App, HttpRequest, HttpResponse, HttpServer,
+};
+use model::MAX_PAYLOAD_BYTES;
+
+use crate::endpoint::{
+    answer::{self, TaskAnswer},
+    fault::{Fault, FaultOrder},
+    record::{EndpointRecord, RunEnd},
+    state::{ArrivedTask, EndpointState, StartedRun},
+    task::TaskScript,
+};
+
+/// A connection, kept so that a fault can close it under the library's hands.
+#[derive(Clone)]
+struct OpenConnection(Arc<TcpStream>);
+
+/// Binds, serves on a thread of its own, and gives the address and the handle to stop it.
+pub(super) fn serve(state: Arc<EndpointState>) -> io::Result<(SocketAddr, ServerHandle)> {
+    let data = Data::from(Arc::clone(&state));
+    let settings = state.settings().clone();
+    let limit = usize::try_from(MAX_PAYLOAD_BYTES.0).unwrap_or(usize::MAX);
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(PayloadConfig::new(limit))
+            .route("/v1/tasks", web::post().to(run_task))
+            .route("/control/starts", web::get().to(show_record))
+            .route("/control/faults", web::post().to(order_fault))
+    })
+    .on_connect(move |connection, extensions| keep_connection(&state, connection, extensions))
+    .workers(1)
+    .keep_alive(settings.keep_alive)
+    .disable_signals()
+    .bind(settings.address)?;
+    let address = server.addrs()[0];
+    let server = server.run();
+    let handle = server.handle();
+    actix_rt::spawn(async move {
+        if let Err(error) = server.await {
+            log::warn!("endpoint stand-in: server ended: {error}");
+        }
+    });
+    Ok((address, handle))
+}
+
+fn keep_connection(state: &EndpointState, connection: &dyn Any, extensions: &mut Extensions) {
+    let Some(connection) = connection.downcast_ref::<actix_rt::net::TcpStream>() else {
+        return;
+    };
+    match connection.as_fd().try_clone_to_owned() {
+        Ok(fd) => {
+            let connection = Arc::new(TcpStream::from(fd));
+            state.add_connection(&connection);
+            extensions.insert(OpenConnection(connection));
+        }
+        Err(error) => log::warn!("endpoint stand-in: connection not kept: {error}"),
+    }
+}
+
+async fn show_record(state: Data<EndpointState>) -> Json<EndpointRecord> {
+    Json(state.record())
+}
+
+async fn order_fault(state: Data<EndpointState>, order: Json<FaultOrder>) -> HttpResponse {
+    state.order_fault(order.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+async fn run_task(state: Data<EndpointState>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let Some(arrived) = read_task(&request, &body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let Some(connection) = request.conn_data::<OpenConnection>().cloned() else {
+        return HttpResponse::InternalServerError().finish();
+    };
+    let attempt = arrived.attempt;
+    let started = match state.admit(&arrived) {
+        Ok(started) => started,
+        Err(cause) => return answer::turned_away(attempt, cause),
+    };
+    let fault = started.fault;
+    // A task of its own: the library drops this handler when the caller goes away, but a run that started goes on.
+    let run = actix_rt::spawn(run_to_end(Arc::clone(&state), arrived, started));
+    if fault == Fault::CloseAtStart {
+        return close_silently(&connection).await;
+    }
+    match run.await {
+        Ok(answer) => answer_under(&state, answer, fault, &connection).await,
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
+
+async fn run_to_end(
+    state: Arc<EndpointState>,
+    arrived: ArrivedTask,
+    started: StartedRun,
+) -> TaskAnswer {
+    let script = TaskScript::read(&arrived.payload);
+    let factor = match started.fault {
+        Fault::Slow { factor } => factor,
+        _ => 1.0,
+    };
+    let run_time = script.run_time(state.settings().run_time);
+    actix_rt::time::sleep(run_time.mul_f64(factor)).await;
+    let end = if script.fail || started.fault == Fault::FailAll {
+        RunEnd::Failed
+    } else {
+        RunEnd::Done
+    };
+    state.finish(started.order, end);
+    TaskAnswer {
+        attempt: arrived.attempt,
+        end,
+        body: script.result(&arrived.payload),
+    }
+}
+
+async fn answer_under(
+    state: &EndpointState,
+    answer: TaskAnswer,
+    fault: Fault,
+    connection: &OpenConnection,
+) -> HttpResponse {
+    match fault {
+        Fault::CloseAfterStart => close_silently(connection).await,
+        Fault::Silent { ms } => {
+            actix_rt::time::sleep(Duration::from_millis(ms)).await;
+            close_silently(connection).await
+        }
+        Fault::Late { ms } => {
+            actix_rt::time::sleep(Duration::from_millis(ms)).await;
+            answer.whole()
+        }
+        Fault::Crossed { ms } => {
+            let answer = state.cross(answer, Duration::from_millis(ms)).await;
+            answer.whole()
+        }
+        other => answer.broken(other, &connection.0),
+    }
+}
+
+/// Closes the connection; the answer given back then has nowhere to go.
+async fn close_silently(connection: &OpenConnection) -> HttpResponse {
+    let _ = connection.0.shutdown(Shutdown::Both);
+    HttpResponse::InternalServerError().finish()
+}
+
+fn read_task(request: &HttpRequest, body: &Bytes) -> Option<ArrivedTask> {
+    let text = |name: &str| request.headers().get(name)?.to_str().ok();
+    Some(ArrivedTask {
+        attempt: text(answer::ATTEMPT_ID.as_str())?.parse().ok()?,
+        customer: text("customer")?.parse().ok()?,
+        kind: text("task-kind")?.parse().ok()?,
+        payload: body.to_vec(),
+    })
+}
--- /dev/null
+++ b/crates/stand-ins/src/endpoint/state.rs
@@ -0,0 +1,242 @@
+//! State of the endpoint stand-in: slots, the fault on show, the record, open connections.
+
+use std::{
+    net::{Shutdown, TcpStream},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+    },
+    time::{Duration, Instant},
+};
+
+use futures::channel::oneshot;
+use model::{AttemptId, CustomerId, TaskKind};
+
+use crate::endpoint::{
+    answer::TaskAnswer,
+    fault::{Fault, FaultOrder},
+    record::{EndpointRecord, RefusalRecord, RunEnd, StartRecord, TurnedAway},
+    task, EndpointSettings,
+};
+
+/// The longest payload that the record keeps as text, in bytes.
+const MAX_TEXT_BYTES: usize = 1024;
+
+/// A task as it arrived.
+#[derive(Clone, Debug)]
+pub(super) struct ArrivedTask {
+    pub(super) attempt: AttemptId,
+    pub(super) customer: CustomerId,
+    pub(super) kind: TaskKind,
+    pub(super) payload: Vec<u8>,
+}
+
+/// A task that started: its place in the record and the fault to show for it.
+pub(super) struct StartedRun {
+    pub(super) order: usize,
+    pub(super) fault: Fault,
+}
+
+/// An answer that waits to be swapped with another.
+struct CrossingAnswer {
+    id: u64,
+    own: TaskAnswer,
+    other: oneshot::Sender<TaskAnswer>,
+}
+
+struct MutableState {
+    order: FaultOrder,
+    leaving_since: Option<Instant>,
+    refuses_when_leaving: bool,
+    running: u32,
+    most_running: u32,
+    starts: Vec<StartRecord>,
+    refusals: Vec<RefusalRecord>,
+    crossing: Option<CrossingAnswer>,
+    connections: Vec<Weak<TcpStream>>,
+}
+
+pub(super) struct EndpointState {
+    settings: EndpointSettings,
+    born: Instant,
+    next_crossing: AtomicU64,
+    mutable: Mutex<MutableState>,
+}
+
+impl EndpointState {
+    pub(super) fn new(settings: EndpointSettings) -> Self {
+        Self {
+            settings,
+            born: Instant::now(),
+            next_crossing: AtomicU64::new(0),
+            mutable: Mutex::new(MutableState {
+                order: FaultOrder::default(),
+                leaving_since: None,
+                refuses_when_leaving: false,
+                running: 0,
+                most_running: 0,
+                starts: Vec::new(),
+                refusals: Vec::new(),
+                crossing: None,
+                connections: Vec::new(),
+            }),
+        }
+    }
+
+    pub(super) fn settings(&self) -> &EndpointSettings {
+        &self.settings
+    }
+
+    pub(super) fn record(&self) -> EndpointRecord {
+        let mutable = self.lock();
+        EndpointRecord {
+            id: self.settings.id.clone(),
+            slots: self.settings.slots,
+            most_running: mutable.most_running,
+            running: mutable.running,
+            leaving: mutable.leaving_since.is_some(),
+            starts: mutable.starts.clone(),
+            refusals: mutable.refusals.clone(),
+        }
+    }
+
+    pub(super) fn order_fault(&self, order: FaultOrder) {
+        let mut mutable = self.lock();
+        match order.fault {
+            Fault::Leaving | Fault::LeavingSilently => {
+                mutable.leaving_since.get_or_insert_with(Instant::now);
+                mutable.refuses_when_leaving = order.fault == Fault::Leaving;
+                return;
+            }
+            Fault::Healthy => mutable.leaving_since = None,
+            _ => {}
+        }
+        mutable.order = order;
+    }
+
+    /// Takes a slot and records the start, or says why not.
+    pub(super) fn admit(&self, arrived: &ArrivedTask) -> Result<StartedRun, TurnedAway> {
+        let mut mutable = self.lock();
+        let leaving_for = mutable.leaving_since.map(|since| since.elapsed());
+        let fault = mutable.take_fault();
+        let cause = if leaving_for.is_some() && mutable.refuses_when_leaving {
+            Some(TurnedAway::Leaving)
+        } else if fault == Fault::Busy || mutable.running >= self.settings.slots {
+            Some(TurnedAway::Busy)
+        } else {
+            None
+        };
+        if let Some(cause) = cause {
+            mutable.refusals.push(RefusalRecord {
+                attempt: arrived.attempt,
+                cause,
+                came_ms: millis(self.born.elapsed()),
+                leaving_for_ms: leaving_for.map(millis),
+            });
+            return Err(cause);
+        }
+        mutable.running += 1;
+        mutable.most_running = mutable.most_running.max(mutable.running);
+        let order = mutable.starts.len();
+        mutable
+            .starts
+            .push(self.start_record(order, arrived, leaving_for));
+        Ok(StartedRun { order, fault })
+    }
+
+    /// Frees the slot of a run and records its end.
+    pub(super) fn finish(&self, order: usize, end: RunEnd) {
+        let mut mutable = self.lock();
+        mutable.running -= 1;
+        mutable.starts[order].end = Some(end);
+    }
+
+    /// Swaps an answer with one that waits, or waits for the next for at most `limit`.
+    pub(super) async fn cross(&self, own: TaskAnswer, limit: Duration) -> TaskAnswer {
+        let id = self.next_crossing.fetch_add(1, Ordering::Relaxed);
+        let receiver = {
+            let mut mutable = self.lock();
+            if let Some(waiting) = mutable.crossing.take() {
+                return match waiting.other.send(own) {
+                    Ok(()) => waiting.own,
+                    Err(own) => own,
+                };
+            }
+            let (sender, receiver) = oneshot::channel();
+            mutable.crossing = Some(CrossingAnswer {
+                id,
+                own: own.clone(),
+                other: sender,
+            });
+            receiver
+        };
+        match actix_rt::time::timeout(limit, receiver).await {
+            Ok(Ok(other)) => other,
+            _ => {
+                let mut mutable = self.lock();
+                mutable.crossing.take_if(|waiting| waiting.id == id);
+                own
+            }
+        }
+    }
+
+    pub(super) fn add_connection(&self, connection: &Arc<TcpStream>) {
+        let mut mutable = self.lock();
+        mutable.connections.retain(|weak| weak.strong_count() > 0);
+        mutable.connections.push(Arc::downgrade(connection));
+    }
+
+    pub(super) fn cut_connections(&self) {
+        for weak in self.lock().connections.drain(..) {
+            let Some(connection) = weak.upgrade() else {
+                continue;
+            };
+            // It fails only where the other side has closed already.
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn start_record(
+        &self,
+        order: usize,
+        arrived: &ArrivedTask,
+        leaving_for: Option<Duration>,
+    ) -> StartRecord {
+        let text = std::str::from_utf8(&arrived.payload)
+            .ok()
+            .filter(|text| text.len() <= MAX_TEXT_BYTES);
+        StartRecord {
+            order: order as u64,
+            attempt: arrived.attempt,
+            customer: arrived.customer.clone(),
+            kind: arrived.kind.clone(),
+            digest: task::digest(&arrived.payload),
+            payload: text.map(str::to_owned),
+            started_ms: millis(self.born.elapsed()),
+            leaving_for_ms: leaving_for.map(millis),
+            end: None,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MutableState> {
+        self.mutable.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl MutableState {
+    /// The fault for this task; a counted order is used up by one.
+    fn take_fault(&mut self) -> Fault {
+        let fault = self.order.fault;
+        if let Some(times) = &mut self.order.times {
+            if *times == 0 {
+                return Fault::Healthy;
+            }
+            *times -= 1;
+        }
+        fault
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,1 +1,3 @@
 //! Small stand-ins of the platform, endpoints and the network, for tests and the demo.
+
+pub mod endpoint;
