Read and check the JSON settings of both roles

Both processes learn their addresses and limits from a file, and a wrong unit or a misspelt field there shows only under load. So the reader refuses unknown fields, names the field with line and column, and takes times as whole milliseconds whose unit stands in the field's name.

A VM name and data centre have no usable default: two VMs under one default name would be one VM to their peers. They start as `unset`, which a file may not leave.

Ruled out: reading numbers with deserialize_u64, since serde_json then refuses "5s" before the visitor can say what is wanted; and taking a top-level list, which serde reads as a file of defaults.

--- /dev/null
+++ b/crates/settings/src/dispatcher.rs
@@ -0,0 +1,136 @@
+//! Settings of a dispatcher.
+
+use std::net::SocketAddr;
+
+use model::{DataCentreId, VmId};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    error::FieldRule,
+    number::bounded,
+    shared::{check_identity, loopback, unset_data_centre, unset_vm},
+    DispatcherPeer, DrainSettings, DurationMs, LogSettings,
+};
+
+/// How endpoints are called.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct EndpointCallSettings {
+    /// How long a connection may take to come about. Past it the task is a definite not-run. Default 250.
+    #[serde(deserialize_with = "bounded::<_, _, 1, 60_000>")]
+    #[schemars(range(min = 1, max = 60_000))]
+    pub connect_timeout_ms: DurationMs,
+    /// The most connections to one endpoint. An executor takes about 60, and only its owner connects. Default 60.
+    #[serde(deserialize_with = "bounded::<_, _, 1, 10_000>")]
+    #[schemars(range(min = 1, max = 10_000))]
+    pub connections: usize,
+}
+
+impl Default for EndpointCallSettings {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: DurationMs(250),
+            connections: 60,
+        }
+    }
+}
+
+/// Settings of a dispatcher.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct DispatcherSettings {
+    /// The VM that the process runs on. A file must name it.
+    pub vm: VmId,
+    /// The data centre that the VM is in. A file must name it.
+    pub data_centre: DataCentreId,
+    /// Where entries and other dispatchers connect, as IP and port. Default `127.0.0.1:9080`.
+    pub peer_listen: SocketAddr,
+    /// Where metrics, status and readiness are served, as IP and port. Default `127.0.0.1:9081`.
+    pub admin_listen: SocketAddr,
+    /// The platform's address, as IP and port. Default `127.0.0.1:8070`.
+    pub platform: SocketAddr,
+    /// Dispatchers known before the VM list is read. Default empty.
+    pub peers: Vec<DispatcherPeer>,
+    /// Threads that call endpoints. Default 2.
+    #[serde(deserialize_with = "bounded::<_, _, 1, 256>")]
+    #[schemars(range(min = 1, max = 256))]
+    pub traffic_threads: usize,
+    /// How long a freed slot waits for the body that it asked an entry for. A body after that is turned away as not
+    /// run. Default 200.
+    #[serde(deserialize_with = "bounded::<_, _, 1, 60_000>")]
+    #[schemars(range(min = 1, max = 60_000))]
+    pub claim_limit_ms: DurationMs,
+    /// The most tasks that wait at once. Above it, offers are turned away as not run. Default 20000.
+    #[serde(deserialize_with = "bounded::<_, _, 1, 10_000_000>")]
+    #[schemars(range(min = 1, max = 10_000_000))]
+    pub queue_limit: usize,
+    /// The time between heartbeats to peers. Default 100.
+    #[serde(deserialize_with = "bounded::<_, _, 10, 60_000>")]
+    #[schemars(range(min = 10, max = 60_000))]
+    pub heartbeat_ms: DurationMs,
+    /// Silence after which a peer counts as gone and its endpoints get another owner. Default 1000; at least twice
+    /// the heartbeat.
+    #[serde(deserialize_with = "bounded::<_, _, 20, 600_000>")]
+    #[schemars(range(min = 20, max = 600_000))]
+    pub suspect_ms: DurationMs,
+    /// The time between reads of the VM list. Default 1000.
+    #[serde(deserialize_with = "bounded::<_, _, 10, 60_000>")]
+    #[schemars(range(min = 10, max = 60_000))]
+    pub vm_list_ms: DurationMs,
+    /// The time between looks at the contracts' head row. Default 1000.
+    #[serde(deserialize_with = "bounded::<_, _, 10, 60_000>")]
+    #[schemars(range(min = 10, max = 60_000))]
+    pub refresh_ms: DurationMs,
+    /// How long a grant of a customer's concurrency lasts. Default 2000; at least twice the heartbeat.
+    #[serde(deserialize_with = "bounded::<_, _, 20, 600_000>")]
+    #[schemars(range(min = 20, max = 600_000))]
+    pub grant_term_ms: DurationMs,
+    /// How the process leaves.
+    pub drain: DrainSettings,
+    /// How endpoints are called.
+    pub endpoint: EndpointCallSettings,
+    /// What is logged.
+    pub log: LogSettings,
+}
+
+impl Default for DispatcherSettings {
+    fn default() -> Self {
+        Self {
+            vm: unset_vm(),
+            data_centre: unset_data_centre(),
+            peer_listen: loopback(9080),
+            admin_listen: loopback(9081),
+            platform: loopback(8070),
+            peers: Vec::new(),
+            traffic_threads: 2,
+            claim_limit_ms: DurationMs(200),
+            queue_limit: 20_000,
+            heartbeat_ms: DurationMs(100),
+            suspect_ms: DurationMs(1_000),
+            vm_list_ms: DurationMs(1_000),
+            refresh_ms: DurationMs(1_000),
+            grant_term_ms: DurationMs(2_000),
+            drain: DrainSettings::default(),
+            endpoint: EndpointCallSettings::default(),
+            log: LogSettings::default(),
+        }
+    }
+}
+
+impl DispatcherSettings {
+    pub(crate) fn check(&self) -> Result<(), FieldRule> {
+        check_identity(&self.vm, &self.data_centre)?;
+        let wrong = |path, rule| Err(FieldRule { path, rule });
+        if self.suspect_ms.0 < 2 * self.heartbeat_ms.0 {
+            return wrong("suspect_ms", "must be at least twice heartbeat_ms");
+        }
+        if self.grant_term_ms.0 < 2 * self.heartbeat_ms.0 {
+            return wrong("grant_term_ms", "must be at least twice heartbeat_ms");
+        }
+        if self.peer_listen == self.admin_listen {
+            return wrong("admin_listen", "must differ from peer_listen");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/settings/src/entry.rs
@@ -0,0 +1,134 @@
+//! Settings of an entry.
+
+use std::net::SocketAddr;
+
+use model::{ByteSize, DataCentreId, VmId};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    error::FieldRule,
+    number::{bounded, bounded_size},
+    shared::{check_identity, loopback, unset_data_centre, unset_vm},
+    DispatcherPeer, DrainSettings, DurationMs, LogSettings,
+};
+
+/// How an entry chooses the dispatcher of a task. Deployments leave the default; the others are there to be
+/// measured against it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum PlacementPolicy {
+    /// By the free slots last heard of, less what was sent since.
+    #[default]
+    FreeSlots,
+    /// Any dispatcher of the data centre. For experiments only.
+    RandomOwner,
+    /// The less loaded of two random ones. For experiments only.
+    TwoChoices,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct EntrySettings {
+    /// The VM that the process runs on. A file must name it.
+    pub vm: VmId,
+    /// The data centre that the VM is in. A file must name it.
+    pub data_centre: DataCentreId,
+    /// Where callers and operators connect, as IP and port. Default `127.0.0.1:8080`.
+    pub caller_listen: SocketAddr,
+    /// The platform's address, as IP and port. Default `127.0.0.1:8070`.
+    pub platform: SocketAddr,
+    /// Dispatchers known before the VM list is read. Default empty.
+    pub dispatchers: Vec<DispatcherPeer>,
+    /// Threads that serve callers. Default 2.
+    #[serde(deserialize_with = "bounded::<_, _, 1, 256>")]
+    #[schemars(range(min = 1, max = 256))]
+    pub caller_threads: usize,
+    /// How long before its deadline a submission is given up, so that withdrawals can still be confirmed and "not
+    /// run" be said truly. Default 100.
+    #[serde(deserialize_with = "bounded::<_, _, 1, 60_000>")]
+    #[schemars(range(min = 1, max = 60_000))]
+    pub give_up_margin_ms: DurationMs,
+    /// How long before its deadline the answer leaves, whatever is still unconfirmed then. Default 20.
+    #[serde(deserialize_with = "bounded::<_, _, 0, 60_000>")]
+    #[schemars(range(min = 0, max = 60_000))]
+    pub answer_margin_ms: DurationMs,
+    /// The largest request body, in bytes. The default, 33554432, holds a job of 370 tasks of 64 KiB in base64.
+    #[serde(deserialize_with = "bounded_size::<_, 1_024, 1_073_741_824>")]
+    #[schemars(with = "u64", range(min = 1_024, max = 1_073_741_824))]
+    pub max_body_bytes: ByteSize,
+    /// The most submissions in work at once, which bounds memory. Above it, new ones are refused. Default 20000.
+    #[serde(deserialize_with = "bounded::<_, _, 1, 10_000_000>")]
+    #[schemars(range(min = 1, max = 10_000_000))]
+    pub max_submissions: usize,
+    /// How long an outcome is kept for a second arrival of the same request. Default 300000.
+    #[serde(deserialize_with = "bounded::<_, _, 1_000, 86_400_000>")]
+    #[schemars(range(min = 1_000, max = 86_400_000))]
+    pub outcome_keep_ms: DurationMs,
+    /// How the process leaves.
+    pub drain: DrainSettings,
+    /// The time between heartbeats to dispatchers. Default 100.
+    #[serde(deserialize_with = "bounded::<_, _, 10, 60_000>")]
+    #[schemars(range(min = 10, max = 60_000))]
+    pub heartbeat_ms: DurationMs,
+    /// Silence after which the session with a dispatcher counts as lost. Default 1000; at least twice the heartbeat.
+    #[serde(deserialize_with = "bounded::<_, _, 20, 600_000>")]
+    #[schemars(range(min = 20, max = 600_000))]
+    pub session_timeout_ms: DurationMs,
+    /// The time between looks at the contracts' head row. Default 1000.
+    #[serde(deserialize_with = "bounded::<_, _, 10, 60_000>")]
+    #[schemars(range(min = 10, max = 60_000))]
+    pub refresh_ms: DurationMs,
+    /// The age of the contracts from which answers are marked as given under old contracts. Default 10000; longer
+    /// than `refresh_ms`.
+    #[serde(deserialize_with = "bounded::<_, _, 20, 600_000>")]
+    #[schemars(range(min = 20, max = 600_000))]
+    pub freshness_ms: DurationMs,
+    /// How dispatchers are chosen. Default `free_slots`; the others are for experiments.
+    pub placement: PlacementPolicy,
+    /// What is logged.
+    pub log: LogSettings,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self {
+            vm: unset_vm(),
+            data_centre: unset_data_centre(),
+            caller_listen: loopback(8080),
+            platform: loopback(8070),
+            dispatchers: Vec::new(),
+            caller_threads: 2,
+            give_up_margin_ms: DurationMs(100),
+            answer_margin_ms: DurationMs(20),
+            max_body_bytes: ByteSize(32 * 1024 * 1024),
+            max_submissions: 20_000,
+            outcome_keep_ms: DurationMs(300_000),
+            drain: DrainSettings::default(),
+            heartbeat_ms: DurationMs(100),
+            session_timeout_ms: DurationMs(1_000),
+            refresh_ms: DurationMs(1_000),
+            freshness_ms: DurationMs(10_000),
+            placement: PlacementPolicy::default(),
+            log: LogSettings::default(),
+        }
+    }
+}
+
+impl EntrySettings {
+    pub(crate) fn check(&self) -> Result<(), FieldRule> {
+        check_identity(&self.vm, &self.data_centre)?;
+        let wrong = |path, rule| Err(FieldRule { path, rule });
+        if self.answer_margin_ms >= self.give_up_margin_ms {
+            return wrong("answer_margin_ms", "must be less than give_up_margin_ms");
+        }
+        if self.session_timeout_ms.0 < 2 * self.heartbeat_ms.0 {
+            return wrong("session_timeout_ms", "must be at least twice heartbeat_ms");
+        }
+        if self.freshness_ms <= self.refresh_ms {
+            return wrong("freshness_ms", "must be more than refresh_ms");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/settings/src/error.rs
@@ -0,0 +1,86 @@
+//! What can be wrong with settings.
+
+use std::{fmt, io, path::PathBuf};
+
+use thiserror::Error;
+
+/// Settings that cannot be used.
+#[derive(Debug, Error)]
+pub struct SettingsError {
+    /// The file, if the settings came from one.
+    pub file: Option<PathBuf>,
+    /// What is wrong.
+    #[source]
+    pub fault: SettingsFault,
+}
+
+/// What is wrong with settings.
+#[derive(Debug, Error)]
+pub enum SettingsFault {
+    /// The file cannot be read.
+    #[error("cannot be read: {0}")]
+    Unreadable(io::Error),
+    /// The text is not JSON.
+    #[error("not JSON: {reason}")]
+    NotJson {
+        /// The line, from 1.
+        line: usize,
+        /// The column, from 1.
+        column: usize,
+        /// What the parser says.
+        reason: String,
+    },
+    /// The text is a JSON list.
+    #[error("must be a JSON object, not a list")]
+    NotAnObject,
+    /// A field is unknown, of the wrong kind or out of range.
+    #[error("{path}: {reason}")]
+    WrongField {
+        /// The field, for example `drain.notice_ms`.
+        path: String,
+        /// The line, from 1.
+        line: usize,
+        /// The column, from 1.
+        column: usize,
+        /// What is wrong.
+        reason: String,
+    },
+    /// A field does not go with the others, or had to be there.
+    #[error("{path}: {rule}")]
+    WrongRule {
+        /// The field.
+        path: &'static str,
+        /// What it must be.
+        rule: &'static str,
+    },
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.file {
+            Some(file) => write!(f, "{}", file.display())?,
+            None => f.write_str("settings")?,
+        }
+        match &self.fault {
+            SettingsFault::NotJson { line, column, .. }
+            | SettingsFault::WrongField { line, column, .. } => write!(f, ":{line}:{column}")?,
+            SettingsFault::Unreadable(_)
+            | SettingsFault::NotAnObject
+            | SettingsFault::WrongRule { .. } => {}
+        }
+        write!(f, ": {}", self.fault)
+    }
+}
+
+/// A field that breaks a rule between fields.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct FieldRule {
+    pub(crate) path: &'static str,
+    pub(crate) rule: &'static str,
+}
+
+impl From<FieldRule> for SettingsFault {
+    fn from(FieldRule { path, rule }: FieldRule) -> Self {
+        Self::WrongRule { path, rule }
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,26 @@
-//! Checked JSON settings.
+//! Checked JSON settings of the two roles.
+//!
+//! Every field has a default, given in its doc comment. Only `vm` and `data_centre` have to be named in a file: two
+//! VMs that run under one default identity would look like one VM to their peers. Unknown fields are refused, and
+//! times are whole milliseconds with the unit in the field's name.
+
+mod dispatcher;
+mod duration;
+mod entry;
+mod error;
+mod log;
+mod number;
+mod parse;
+mod shared;
+
+pub use crate::{
+    dispatcher::{DispatcherSettings, EndpointCallSettings},
+    duration::{DurationMs, WrongDuration},
+    entry::{EntrySettings, PlacementPolicy},
+    error::{SettingsError, SettingsFault},
+    log::{LogLevel, LogPart, LogSettings, WrongLogName},
+    parse::{
+        dispatcher_schema, entry_schema, load_dispatcher, load_entry, parse_dispatcher, parse_entry,
+    },
+    shared::{DispatcherPeer, DrainSettings, UNSET_NAME},
+};
--- /dev/null
+++ b/crates/settings/src/parse.rs
@@ -0,0 +1,122 @@
+//! Reading settings from text and files, and their JSON schemas.
+
+use std::{fs, path::Path};
+
+use serde::de::DeserializeOwned;
+use serde_json::{error::Category, Value};
+
+use crate::{error::FieldRule, DispatcherSettings, EntrySettings, SettingsError, SettingsFault};
+
+/// Reads and checks the settings of an entry.
+///
+/// # Errors
+///
+/// Names the file, the field with line and column, and what is wrong.
+pub fn load_entry(path: &Path) -> Result<EntrySettings, SettingsError> {
+    load(path, EntrySettings::check)
+}
+
+/// Reads and checks the settings of a dispatcher.
+///
+/// # Errors
+///
+/// As [`load_entry`].
+pub fn load_dispatcher(path: &Path) -> Result<DispatcherSettings, SettingsError> {
+    load(path, DispatcherSettings::check)
+}
+
+/// Checks the text of an entry's settings.
+///
+/// # Errors
+///
+/// As [`load_entry`], without a file.
+pub fn parse_entry(text: &str) -> Result<EntrySettings, SettingsError> {
+    parse(text, EntrySettings::check).map_err(|fault| SettingsError { file: None, fault })
+}
+
+/// Checks the text of a dispatcher's settings.
+///
+/// # Errors
+///
+/// As [`load_entry`], without a file.
+pub fn parse_dispatcher(text: &str) -> Result<DispatcherSettings, SettingsError> {
+    parse(text, DispatcherSettings::check).map_err(|fault| SettingsError { file: None, fault })
+}
+
+/// The JSON schema of an entry's settings.
+pub fn entry_schema() -> Value {
+    schemars::schema_for!(EntrySettings).to_value()
+}
+
+/// The JSON schema of a dispatcher's settings.
+pub fn dispatcher_schema() -> Value {
+    schemars::schema_for!(DispatcherSettings).to_value()
+}
+
+fn load<T: DeserializeOwned>(
+    path: &Path,
+    check: fn(&T) -> Result<(), FieldRule>,
+) -> Result<T, SettingsError> {
+    let in_file = |fault| SettingsError {
+        file: Some(path.to_owned()),
+        fault,
+    };
+    let text = fs::read_to_string(path).map_err(|e| in_file(SettingsFault::Unreadable(e)))?;
+    parse(&text, check).map_err(in_file)
+}
+
+fn parse<T: DeserializeOwned>(
+    text: &str,
+    check: fn(&T) -> Result<(), FieldRule>,
+) -> Result<T, SettingsFault> {
+    // serde takes a list for a struct, field by field: `[]` would be a file of defaults.
+    if text.trim_start().starts_with('[') {
+        return Err(SettingsFault::NotAnObject);
+    }
+    let mut deserializer = serde_json::Deserializer::from_str(text);
+    let settings = serde_path_to_error::deserialize(&mut deserializer)
+        .map_err(|e| fault_at(&e.path().to_string(), e.inner()))?;
+    deserializer.end().map_err(|e| fault_at(".", &e))?;
+    check(&settings)?;
+    Ok(settings)
+}
+
+fn fault_at(path: &str, error: &serde_json::Error) -> SettingsFault {
+    let (line, column) = (error.line(), error.column());
+    let reason = reason_of(error);
+    match error.classify() {
+        Category::Data => SettingsFault::WrongField {
+            path: path.to_owned(),
+            line,
+            column,
+            reason,
+        },
+        Category::Io | Category::Syntax | Category::Eof => SettingsFault::NotJson {
+            line,
+            column,
+            reason,
+        },
+    }
+}
+
+/// The parser's message without its place, which stands in front of the whole message.
+fn reason_of(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    let place = format!(" at line {} column {}", error.line(), error.column());
+    let reason = text.strip_suffix(&place).unwrap_or(&text);
+    match unit_hint(reason) {
+        Some(field) => format!("{reason}; times are in milliseconds: `{field}`"),
+        None => reason.to_owned(),
+    }
+}
+
+/// For an unknown field such as `heartbeat` or `heartbeat_s`, the field that carries the right unit.
+fn unit_hint(reason: &str) -> Option<String> {
+    let (name, _) = reason.strip_prefix("unknown field `")?.split_once('`')?;
+    let stem = ["_s", "_sec", "_secs", "_seconds", "_us", "_min", "_millis"]
+        .iter()
+        .find_map(|unit| name.strip_suffix(unit))
+        .unwrap_or(name);
+    let field = format!("{stem}_ms");
+    reason.contains(&format!("`{field}`")).then_some(field)
+}
