membership: lease a customer's concurrency to entries, and hand over counts

Cause: a contract's concurrency holds over all entries, and no store or consensus group may stand between an entry and its next task.

Base shares over the listed VMs serve an entry without a reachable home.

--- /dev/null
+++ b/crates/membership/src/grant/holder.rs
@@ -0,0 +1,424 @@
+//! The entry's side of grants.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use model::{CustomerId, FastMap, IncarnationId};
+use thiserror::Error;
+
+use super::{base_share, AskBatch, GrantAsk, GrantReply, GrantSettings, GrantVerdict, ReplyBatch};
+use crate::mix::rendezvous;
+
+/// Why a task may not start now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum StartRefusal {
+    /// The customer has no share in this data centre that this entry knows of.
+    #[error("the customer has no share here")]
+    NoShare,
+    /// As many tasks run as the grant allows, or there is no grant in force. An ask is on its way or due.
+    #[error("the customer's grant is used up or not in force")]
+    NoGrant,
+}
+
+/// What one entry holds of each customer's share, and what it needs.
+///
+/// A customer without work, tasks or grant costs no message. All of an entry's customers at one home share a message.
+#[derive(Clone, Debug)]
+pub struct GrantHolder {
+    own: SocketAddr,
+    incarnation: IncarnationId,
+    settings: GrantSettings,
+    live: Vec<SocketAddr>,
+    listed: Vec<SocketAddr>,
+    holdings: FastMap<CustomerId, Holding>,
+    serial: u64,
+    /// The time up to which the budget of batches is spent.
+    spent_until: Option<Instant>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Holding {
+    share: u32,
+    home: Option<SocketAddr>,
+    grant: Option<Grant>,
+    in_use: u32,
+    waiting: u32,
+    /// The highest demand since the last ask.
+    peak: u32,
+    /// Since when the grant is larger than needed.
+    excess_since: Option<Instant>,
+    asked: Option<Asked>,
+    /// The first ask that no home answered.
+    silent_since: Option<Instant>,
+    due: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Grant {
+    count: u32,
+    /// The share that the home went by.
+    share: u32,
+    until: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    serial: u64,
+    at: Instant,
+    held: u32,
+}
+
+impl GrantHolder {
+    /// A holder without grants. `own` is the peer address of the dispatcher on the same VM.
+    pub fn new(own: SocketAddr, incarnation: IncarnationId, settings: GrantSettings) -> Self {
+        Self {
+            own,
+            incarnation,
+            settings,
+            live: Vec::new(),
+            listed: Vec::new(),
+            holdings: FastMap::default(),
+            serial: 0,
+            spent_until: None,
+        }
+    }
+
+    /// Takes a new view: the addresses of [`crate::MemberTable::owners`], and [`crate::MemberTable::listed`]. A
+    /// customer with another home now is asked for there at the next tick; an answer of the old home is ignored.
+    pub fn set_view(&mut self, now: Instant, live: Vec<SocketAddr>, listed: Vec<SocketAddr>) {
+        self.live = live;
+        self.listed = listed;
+        for (customer, holding) in &mut self.holdings {
+            let home = rendezvous(customer, self.live.iter().copied());
+            if home == holding.home {
+                continue;
+            }
+            holding.home = home;
+            holding.asked = None;
+            if holding.is_active(now) {
+                holding.due = Some(now);
+            }
+        }
+    }
+
+    /// Sets the customer's share in this data centre; 0 when the contract is retired. A lower one binds at once.
+    pub fn set_share(&mut self, customer: &CustomerId, share: u32) {
+        if let Some(holding) = self.holdings.get_mut(customer) {
+            holding.share = share;
+            return;
+        }
+        let holding = Holding {
+            share,
+            home: rendezvous(customer, self.live.iter().copied()),
+            ..Holding::default()
+        };
+        self.holdings.insert(customer.clone(), holding);
+    }
+
+    /// Counts a task that starts now.
+    ///
+    /// # Errors
+    ///
+    /// Says why it may not. The term is checked here, at each start: a process that was paused finds a lapsed grant
+    /// lapsed, whatever lies in its queues.
+    pub fn start(&mut self, now: Instant, customer: &CustomerId) -> Result<(), StartRefusal> {
+        let limit = self.limit(now, customer);
+        let retry_every = self.settings.retry_every;
+        let holding = self
+            .holdings
+            .get_mut(customer)
+            .ok_or(StartRefusal::NoShare)?;
+        if holding.share == 0 {
+            return Err(StartRefusal::NoShare);
+        }
+        if holding.in_use >= limit {
+            holding.peak = holding.peak.max(holding.in_use + holding.waiting.max(1));
+            holding.ask_soon(now, retry_every);
+            return Err(StartRefusal::NoGrant);
+        }
+        holding.in_use += 1;
+        holding.note_demand();
+        Ok(())
+    }
+
+    /// Counts a task that ended, or that certainly did not start.
+    pub fn finish(&mut self, customer: &CustomerId) {
+        if let Some(holding) = self.holdings.get_mut(customer) {
+            holding.in_use = holding.in_use.saturating_sub(1);
+        }
+    }
+
+    /// Sets how many tasks of the customer wait for a grant at this entry.
+    pub fn set_waiting(&mut self, now: Instant, customer: &CustomerId, waiting: u32) {
+        let limit = self.limit(now, customer);
+        let retry_every = self.settings.retry_every;
+        let Some(holding) = self.holdings.get_mut(customer) else {
+            return;
+        };
+        holding.waiting = waiting;
+        holding.note_demand();
+        if holding.demand() > limit {
+            holding.ask_soon(now, retry_every);
+        }
+    }
+
+    /// How many tasks of the customer may be in use at once now.
+    pub fn limit(&self, now: Instant, customer: &CustomerId) -> u32 {
+        let Some(holding) = self.holdings.get(customer) else {
+            return 0;
+        };
+        if let Some(count) = holding.granted(now) {
+            return count;
+        }
+        if holding.home_is_silent(now, self.settings.base_after) {
+            return base_share(holding.share, customer, self.own, &self.listed);
+        }
+        0
+    }
+
+    /// The tasks of the customer that run or may run.
+    pub fn in_use(&self, customer: &CustomerId) -> u32 {
+        self.holdings.get(customer).map_or(0, |h| h.in_use)
+    }
+
+    /// Lets time pass and returns the batches to send now, those due first first.
+    ///
+    /// `now` must be read before anything is sent: the holder's terms count from it.
+    pub fn tick(&mut self, now: Instant) -> Vec<AskBatch> {
+        let mut batches = Vec::new();
+        for home in self.homes_due(now) {
+            if !self.take_budget(now) {
+                break;
+            }
+            let batch = self.batch_for(now, home);
+            batches.push(batch);
+        }
+        batches
+    }
+
+    /// A home answered. An answer to any but the latest ask about a customer is ignored: the home reckons with that.
+    pub fn on_reply(&mut self, now: Instant, batch: &ReplyBatch) {
+        for reply in &batch.replies {
+            let Some(holding) = self.holdings.get_mut(&reply.customer) else {
+                continue;
+            };
+            let Some(asked) = holding.asked.filter(|asked| asked.serial == batch.serial) else {
+                continue;
+            };
+            holding.asked = None;
+            holding.obey(now, asked, reply, batch.term, &self.settings);
+        }
+    }
+
+    /// The homes with a customer whose ask is due, the longest due first.
+    fn homes_due(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let mut due: BTreeMap<SocketAddr, Instant> = BTreeMap::new();
+        for holding in self.holdings.values_mut() {
+            holding.note_excess(now, &self.settings);
+            let Some(at) = holding.due.filter(|at| *at <= now) else {
+                continue;
+            };
+            if holding.awaits_reply(now, &self.settings) {
+                continue;
+            }
+            if !holding.is_active(now) {
+                holding.rest();
+                continue;
+            }
+            let Some(home) = holding.home else {
+                holding.silent_since.get_or_insert(now);
+                continue;
+            };
+            let earliest = due.entry(home).or_insert(at);
+            *earliest = at.min(*earliest);
+        }
+        let mut homes: Vec<(Instant, SocketAddr)> =
+            due.into_iter().map(|(home, at)| (at, home)).collect();
+        homes.sort_unstable();
+        homes.into_iter().map(|(_, home)| home).collect()
+    }
+
+    /// A token bucket that holds two seconds' worth, so that the renewals of a whole view change go out at once.
+    fn take_budget(&mut self, now: Instant) -> bool {
+        let spent = self.spent_until.map_or(now, |at| at.max(now));
+        if spent > now + Duration::from_secs(2) {
+            return false;
+        }
+        let step = Duration::from_secs(1) / self.settings.batches_per_second.max(1);
+        self.spent_until = Some(spent + step);
+        true
+    }
+
+    /// One batch with every active customer of the home, due or not: one more costs some bytes, a message of its own
+    /// later several times that. Left out are those whose answer may be on its way, as it would be ignored.
+    fn batch_for(&mut self, now: Instant, home: SocketAddr) -> AskBatch {
+        self.serial += 1;
+        let mut asks = Vec::new();
+        for (customer, holding) in &mut self.holdings {
+            if holding.home != Some(home) || !holding.is_active(now) {
+                continue;
+            }
+            if holding.awaits_reply(now, &self.settings) {
+                continue;
+            }
+            let base = base_share(holding.share, customer, self.own, &self.listed);
+            let (want, held) = holding.ask(now, self.serial, base, &self.settings);
+            asks.push(GrantAsk {
+                customer: customer.clone(),
+                want,
+                held,
+                in_use: holding.in_use,
+            });
+        }
+        asks.sort_unstable_by(|a, b| a.customer.cmp(&b.customer));
+        AskBatch {
+            home,
+            holder: self.incarnation,
+            holder_address: self.own,
+            serial: self.serial,
+            asks,
+        }
+    }
+}
+
+impl Holding {
+    fn demand(&self) -> u32 {
+        self.in_use.saturating_add(self.waiting)
+    }
+
+    fn is_active(&self, now: Instant) -> bool {
+        self.demand() > 0 || self.peak > 0 || self.granted(now).is_some_and(|count| count > 0)
+    }
+
+    fn awaits_reply(&self, now: Instant, settings: &GrantSettings) -> bool {
+        let limit = settings.retry_every;
+        self.asked.is_some_and(|asked| now < asked.at + limit)
+    }
+
+    /// The grant in force, scaled down where the share has fallen since: the sum over all holders falls with it.
+    fn granted(&self, now: Instant) -> Option<u32> {
+        let grant = self.grant.filter(|grant| now < grant.until)?;
+        if self.share >= grant.share {
+            return Some(grant.count);
+        }
+        let scaled = u64::from(grant.count) * u64::from(self.share) / u64::from(grant.share);
+        Some(scaled as u32)
+    }
+
+    fn home_is_silent(&self, now: Instant, base_after: Duration) -> bool {
+        self.silent_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= base_after)
+    }
+
+    fn note_demand(&mut self) {
+        let demand = self.demand();
+        self.peak = self.peak.max(demand);
+        let grant = self.grant.map_or(0, |grant| grant.count);
+        if demand.saturating_mul(2) >= grant {
+            self.excess_since = None;
+        }
+    }
+
+    /// A grant of which less than half is used goes back after a while, so that others need not wait for its renewal.
+    /// Half leaves room for the ups and downs of short tasks without a message for each.
+    fn note_excess(&mut self, now: Instant, settings: &GrantSettings) {
+        let granted = self.granted(now).unwrap_or_default();
+        if self.demand().saturating_mul(2) >= granted {
+            self.excess_since = None;
+            return;
+        }
+        let since = *self.excess_since.get_or_insert(now);
+        if now.saturating_duration_since(since) >= settings.return_after {
+            self.peak = self.demand();
+            self.due = Some(self.due.map_or(now, |due| due.min(now)));
+        }
+    }
+
+    /// Makes an ask due now, or when the last one has had its time.
+    fn ask_soon(&mut self, now: Instant, retry_every: Duration) {
+        let soonest = match self.asked {
+            Some(asked) => now.max(asked.at + retry_every),
+            // The answer to the last one set the time of the next.
+            None if self.due.is_some_and(|due| due <= now + retry_every) => return,
+            None => now,
+        };
+        self.due = Some(self.due.map_or(soonest, |due| due.min(soonest)));
+    }
+
+    /// Gives up what is not needed, then says what it wants and holds.
+    fn ask(
+        &mut self,
+        now: Instant,
+        serial: u64,
+        base: u32,
+        settings: &GrantSettings,
+    ) -> (u32, u32) {
+        let want = with_headroom(self.peak.max(self.demand()), settings.headroom_percent);
+        let held = match self.granted(now) {
+            Some(granted) => granted.min(want),
+            None if self.home_is_silent(now, settings.base_after) => base,
+            None => 0,
+        };
+        if let Some(grant) = self.grant.as_mut().filter(|grant| now < grant.until) {
+            grant.count = held;
+            grant.share = grant.share.min(self.share);
+        }
+        self.peak = self.demand();
+        self.excess_since = None;
+        self.asked = Some(Asked {
+            serial,
+            at: now,
+            held,
+        });
+        self.silent_since.get_or_insert(now);
+        self.due = Some(now + settings.retry_every);
+        (want, held)
+    }
+
+    fn obey(
+        &mut self,
+        now: Instant,
+        asked: Asked,
+        reply: &GrantReply,
+        term: Duration,
+        settings: &GrantSettings,
+    ) {
+        let GrantVerdict::Granted { count, share } = reply.verdict else {
+            return;
+        };
+        self.silent_since = None;
+        self.grant = Some(Grant {
+            count,
+            share,
+            until: asked.at + term,
+        });
+        let next = if count < asked.held {
+            // The home frees what it took back only when an ask shows that it is given up, and others wait for it.
+            now
+        } else if self.demand() > count || (count == 0 && self.peak > 0) {
+            now + settings.retry_every
+        } else {
+            asked.at + settings.renew_every
+        };
+        self.due = Some(next);
+    }
+
+    fn rest(&mut self) {
+        self.due = None;
+        self.asked = None;
+        self.silent_since = None;
+        self.grant = None;
+    }
+}
+
+/// The demand and some more, so that the next task finds room; nothing for no demand.
+fn with_headroom(demand: u32, percent: u32) -> u32 {
+    if demand == 0 {
+        return 0;
+    }
+    let more = (u64::from(demand) * u64::from(percent) / 100).max(1);
+    demand.saturating_add(more as u32)
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,13 +8,21 @@
 //! - [`GrantLedger`] and [`GrantHolder`]: the two sides of a lease on a part of a customer's concurrency.
 //! - [`HandoverReport`]: what a leaving owner tells the new ones.
 
+mod grant;
+mod handover;
 mod member;
 mod mix;
 mod ownership;
 
 pub use crate::{
+    grant::{
+        base_share, fair_target, split_shares, AskBatch, GrantAsk, GrantHolder, GrantLedger,
+        GrantReply, GrantSettings, GrantVerdict, ReplyBatch, StartRefusal,
+    },
+    handover::{HandoverCount, HandoverLedger, HandoverReport},
     member::{
-        BeatMessage, BeatReply, MemberAction, MemberSettings, MemberTable, MemberView, OwnMember,
+        BeatMessage, BeatReply, LiveOwner, MemberAction, MemberSettings, MemberTable, MemberView,
+        OwnMember,
     },
     mix::{rendezvous, StableHash},
     ownership::{OwnershipMap, OwnershipMove},
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -12,7 +12,7 @@
 
 use model::{DataCentreId, EndpointState, FastMap, VmEntry, VmRole};
 
-pub use message::{BeatMessage, BeatReply, MemberAction, MemberView, OwnMember};
+pub use message::{BeatMessage, BeatReply, LiveOwner, MemberAction, MemberView, OwnMember};
 pub use settings::MemberSettings;
 
 use crate::mix::{score, StableHash};
@@ -183,17 +183,18 @@
     }
 
     /// The dispatchers of this data centre that may own endpoints or be a customer's home: live and not stopping,
-    /// this process among them unless it stops.
-    pub fn owners(&self) -> Vec<SocketAddr> {
+    /// this process among them unless it stops. In the order of addresses.
+    pub fn owners(&self) -> Vec<LiveOwner> {
+        let own = self.own_view();
         let mut owners = Vec::new();
-        if !self.own.stopping {
-            owners.push(self.own.address);
-        }
-        for view in self.live() {
+        for view in self.live().chain([&own]) {
             if view.data_centre != self.own.data_centre || view.stopping {
                 continue;
             }
-            owners.push(view.address);
+            owners.push(LiveOwner {
+                address: view.address,
+                incarnation: view.incarnation,
+            });
         }
         owners.sort_unstable();
         owners
--- a/crates/membership/src/member/message.rs
+++ b/crates/membership/src/member/message.rs
@@ -43,6 +43,15 @@
     }
 }
 
+/// A dispatcher that may own endpoints or be a customer's home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LiveOwner {
+    /// Its peer address, by which ownership is reckoned: a restarted process keeps its endpoints.
+    pub address: SocketAddr,
+    /// The life of the process.
+    pub incarnation: IncarnationId,
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BeatMessage {
