--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -152,6 +152,28 @@
         serial
     }
 
+    /// Gives a serial that was set aside the answer "refused", and keeps it like any other: a second arrival, or a
+    /// key's row that reaches the store late, finds out here that nothing ran and nothing will.
+    pub fn refuse_reserved(
+        &mut self,
+        now: Instant,
+        serial: u64,
+        body: SubmissionBody,
+        digest: u64,
+        refusal: SubmissionOutcome,
+    ) {
+        if self.records.contains_key(&serial) {
+            return;
+        }
+        let mut record = new_record(body, digest, now);
+        record.tasks.clear();
+        record.state = RecordState::Answered {
+            outcome: Arc::new(refusal),
+        };
+        self.records.insert(serial, record);
+        self.kept.push_back((now, serial));
+    }
+
     /// Issues a ticket.
     ///
     /// # Errors
@@ -197,6 +219,13 @@
         }
     }
 
+    /// Whether a submission is a job.
+    pub fn is_job(&self, serial: u64) -> bool {
+        self.records
+            .get(&serial)
+            .is_some_and(|record| record.shape == SubmissionShape::Job)
+    }
+
     /// The digest of a submission's body, to tell a second arrival from another request under the same name.
     pub fn digest(&self, serial: u64) -> Option<u64> {
         self.records.get(&serial).map(|record| record.digest)
--- /dev/null
+++ b/crates/caller-api/src/callers.rs
@@ -0,0 +1,267 @@
+//! The routes of callers.
+
+use std::sync::{
+    atomic::{AtomicBool, Ordering},
+    Arc,
+};
+
+use actix::{dev::ToEnvelope, Actor, Addr, Handler};
+use actix_web::{http::StatusCode, web, HttpRequest, HttpResponse, HttpResponseBuilder};
+use model::{RefusalReason, SubmissionId};
+use serde_json::json;
+
+use crate::{
+    answer::{refusal_status, render_answer, RenderedAnswer},
+    input::{read_job, read_request, read_ticket_ask, InputError},
+    CallerAnswer, CancelCommand, CancelResult, OutcomeCommand, SubmitCommand, TicketCommand,
+};
+
+/// The header with a key that the caller chose.
+const KEY_HEADER: &str = "Idempotency-Key";
+
+/// What the routes need of the process around them.
+pub struct CallerApi<A: Actor> {
+    /// The control actor.
+    pub control: Addr<A>,
+    /// Whether the process is ready for new work.
+    pub ready: Arc<AtomicBool>,
+    /// Whether the process is leaving: connections are then closed after each answer, so that no caller sends on a
+    /// connection that is about to go.
+    pub leaving: Arc<AtomicBool>,
+}
+
+impl<A: Actor> Clone for CallerApi<A> {
+    fn clone(&self) -> Self {
+        Self {
+            control: self.control.clone(),
+            ready: self.ready.clone(),
+            leaving: self.leaving.clone(),
+        }
+    }
+}
+
+/// Adds the routes of callers. `max_body` bounds a body's bytes.
+pub fn caller_routes<A>(config: &mut web::ServiceConfig, api: CallerApi<A>, max_body: usize)
+where
+    A: Actor
+        + Handler<SubmitCommand>
+        + Handler<TicketCommand>
+        + Handler<OutcomeCommand>
+        + Handler<CancelCommand>,
+    A::Context: ToEnvelope<A, SubmitCommand>
+        + ToEnvelope<A, TicketCommand>
+        + ToEnvelope<A, OutcomeCommand>
+        + ToEnvelope<A, CancelCommand>,
+{
+    config
+        .app_data(web::Data::new(api))
+        .app_data(web::PayloadConfig::new(max_body))
+        .route("/live", web::get().to(HttpResponse::NoContent))
+        .route("/ready", web::get().to(answer_ready::<A>))
+        .route("/v1/jobs", web::post().to(submit_job::<A>))
+        .route("/v1/requests", web::post().to(submit_request::<A>))
+        .route("/v1/tickets", web::post().to(issue_ticket::<A>));
+    for kind in ["jobs", "requests"] {
+        let path = format!("/v1/{kind}/{{id}}");
+        config
+            .route(&path, web::get().to(show_outcome::<A>))
+            .route(&path, web::delete().to(cancel::<A>));
+    }
+}
+
+type Api<A> = web::Data<CallerApi<A>>;
+
+/// A body as far as it could be read. A body over the limit is an error of the extractor, answered like any other.
+type Body = Result<web::Bytes, actix_web::Error>;
+
+async fn answer_ready<A: Actor>(api: Api<A>) -> HttpResponse {
+    if api.ready.load(Ordering::Relaxed) {
+        return HttpResponse::Ok().body("ready\n");
+    }
+    HttpResponse::ServiceUnavailable().body("not ready\n")
+}
+
+async fn submit_job<A>(api: Api<A>, body: Body) -> HttpResponse
+where
+    A: Actor + Handler<SubmitCommand>,
+    A::Context: ToEnvelope<A, SubmitCommand>,
+{
+    let raw = match check_body(&api, body) {
+        Ok(raw) => raw,
+        Err(answer) => return *answer,
+    };
+    match read_job(&raw) {
+        Ok((body, digest)) => {
+            submit(
+                &api,
+                SubmitCommand {
+                    body,
+                    digest,
+                    raw: Vec::new(),
+                },
+            )
+            .await
+        }
+        Err(error) => bad_input(&api, &error),
+    }
+}
+
+async fn submit_request<A>(api: Api<A>, request: HttpRequest, body: Body) -> HttpResponse
+where
+    A: Actor + Handler<SubmitCommand>,
+    A::Context: ToEnvelope<A, SubmitCommand>,
+{
+    let raw = match check_body(&api, body) {
+        Ok(raw) => raw,
+        Err(answer) => return *answer,
+    };
+    let key = match request.headers().get(KEY_HEADER).map(|key| key.to_str()) {
+        None => None,
+        Some(Ok(key)) => Some(key),
+        Some(Err(_)) => {
+            return bad_input(&api, &InputError::new(KEY_HEADER, "must be plain ASCII"))
+        }
+    };
+    match read_request(&raw, key) {
+        Ok((body, digest)) => {
+            submit(
+                &api,
+                SubmitCommand {
+                    body,
+                    digest,
+                    raw: raw.to_vec(),
+                },
+            )
+            .await
+        }
+        Err(error) => bad_input(&api, &error),
+    }
+}
+
+async fn submit<A>(api: &CallerApi<A>, command: SubmitCommand) -> HttpResponse
+where
+    A: Actor + Handler<SubmitCommand>,
+    A::Context: ToEnvelope<A, SubmitCommand>,
+{
+    match api.control.send(command).await {
+        Ok(answer) => respond(api, render_answer(&answer)),
+        Err(_) => unknown_at_end(api),
+    }
+}
+
+async fn issue_ticket<A>(api: Api<A>, body: Body) -> HttpResponse
+where
+    A: Actor + Handler<TicketCommand>,
+    A::Context: ToEnvelope<A, TicketCommand>,
+{
+    let raw = match check_body(&api, body) {
+        Ok(raw) => raw,
+        Err(answer) => return *answer,
+    };
+    let customer = match read_ticket_ask(&raw) {
+        Ok(customer) => customer,
+        Err(error) => return bad_input(&api, &error),
+    };
+    match api.control.send(TicketCommand { customer }).await {
+        Ok(Ok(ticket)) => build(&api, 201).json(json!({ "ticket": ticket })),
+        Ok(Err(reason)) => refuse(&api, reason),
+        Err(_) => refuse(&api, RefusalReason::Stopping),
+    }
+}
+
+async fn show_outcome<A>(api: Api<A>, id: web::Path<String>) -> HttpResponse
+where
+    A: Actor + Handler<OutcomeCommand>,
+    A::Context: ToEnvelope<A, OutcomeCommand>,
+{
+    let id = match read_id(&id) {
+        Ok(id) => id,
+        Err(error) => return bad_input(&api, &error),
+    };
+    match api.control.send(OutcomeCommand { id }).await {
+        Ok(answer) => respond(&api, render_answer(&answer)),
+        Err(_) => unknown_at_end(&api),
+    }
+}
+
+async fn cancel<A>(api: Api<A>, id: web::Path<String>) -> HttpResponse
+where
+    A: Actor + Handler<CancelCommand>,
+    A::Context: ToEnvelope<A, CancelCommand>,
+{
+    let id = match read_id(&id) {
+        Ok(id) => id,
+        Err(error) => return bad_input(&api, &error),
+    };
+    let (status, text) = match api.control.send(CancelCommand { id }).await {
+        Ok(CancelResult::Cancelled) => (200, "cancelled"),
+        Ok(CancelResult::TooLate) => (409, "too_late"),
+        Ok(CancelResult::NotOpen) => (404, "not_open"),
+        Err(_) => return unknown_at_end(&api),
+    };
+    build(&api, status).json(json!({ "id": id, "cancel": text }))
+}
+
+fn read_id(text: &str) -> Result<SubmissionId, InputError> {
+    text.parse()
+        .map_err(|error: model::WrongId| InputError::new("id", error.to_string()))
+}
+
+fn check_body<A: Actor>(api: &CallerApi<A>, body: Body) -> Result<web::Bytes, Box<HttpResponse>> {
+    body.map_err(|error| {
+        let status = error.as_response_error().status_code().as_u16();
+        let field = if status == 413 { "body" } else { "request" };
+        let body = input_body(&InputError::new(field, error.to_string()));
+        Box::new(build(api, status.clamp(400, 499)).json(body))
+    })
+}
+
+fn bad_input<A: Actor>(api: &CallerApi<A>, error: &InputError) -> HttpResponse {
+    build(api, 400).json(input_body(error))
+}
+
+fn input_body(error: &InputError) -> serde_json::Value {
+    json!({
+        "status": "refused",
+        "reason": RefusalReason::BadInput.as_str(),
+        "field": error.field,
+        "message": format!("{error}; nothing ran"),
+    })
+}
+
+fn refuse<A: Actor>(api: &CallerApi<A>, reason: RefusalReason) -> HttpResponse {
+    build(api, refusal_status(reason))
+        .json(json!({ "status": "refused", "reason": reason.as_str() }))
+}
+
+/// The control actor went while the answer was waited for: nothing true can be said but that.
+fn unknown_at_end<A: Actor>(api: &CallerApi<A>) -> HttpResponse {
+    let answer = CallerAnswer::Own(crate::SubmissionAnswer {
+        id: None,
+        job: false,
+        outcome: Arc::new(model::SubmissionOutcome::Unknown(
+            model::UnknownReason::Stopped,
+        )),
+        version: None,
+        stale: false,
+    });
+    respond(api, render_answer(&answer))
+}
+
+fn respond<A: Actor>(api: &CallerApi<A>, answer: RenderedAnswer) -> HttpResponse {
+    let mut builder = build(api, answer.status);
+    if let Some(wait) = answer.retry_after {
+        // The header counts whole seconds; the body has the exact time.
+        builder.insert_header(("retry-after", wait.as_millis().div_ceil(1000).to_string()));
+    }
+    builder.content_type("application/json").body(answer.json)
+}
+
+fn build<A: Actor>(api: &CallerApi<A>, status: u16) -> HttpResponseBuilder {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut builder = HttpResponse::build(status);
+    if api.leaving.load(Ordering::Relaxed) {
+        builder.force_close();
+    }
+    builder
+}
--- /dev/null
+++ b/crates/dispatcher/src/admin.rs
@@ -0,0 +1,46 @@
+//! Readiness, liveness and metrics of the dispatcher, for the balancer and operators.
+
+use std::{
+    net::TcpListener,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+};
+
+use actix_web::{dev::ServerHandle, web, App, HttpResponse, HttpServer};
+
+use crate::DispatcherError;
+
+/// Starts the admin server on a thread of its own.
+pub(crate) fn start(
+    listener: TcpListener,
+    ready: Arc<AtomicBool>,
+) -> Result<ServerHandle, DispatcherError> {
+    let state = web::Data::from(ready);
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(state.clone())
+            .route("/ready", web::get().to(answer_ready))
+            .route("/live", web::get().to(HttpResponse::NoContent))
+    })
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(1)
+    .listen(listener)?
+    .run();
+    let handle = server.handle();
+    actix_rt::spawn(async move {
+        if let Err(error) = server.await {
+            log::error!("dispatcher: admin server failed: {error}");
+        }
+    });
+    Ok(handle)
+}
+
+async fn answer_ready(ready: web::Data<AtomicBool>) -> HttpResponse {
+    if ready.load(Ordering::Relaxed) {
+        return HttpResponse::Ok().body("ready\n");
+    }
+    HttpResponse::ServiceUnavailable().body("not ready\n")
+}
--- /dev/null
+++ b/crates/dispatcher/src/control.rs
@@ -0,0 +1,222 @@
+//! The control state of a dispatcher.
+
+mod contracts;
+mod membership;
+mod messages;
+mod sessions;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+use ::membership::{MemberSettings, MemberTable, OwnMember, OwnershipMap};
+use actix::{Actor, Addr, AsyncContext as _, Context, Handler};
+use kernel::ClockSource;
+use ledger::{LedgerAction, LedgerSettings, SlotLedger};
+use model::{FastMap, IncarnationId, VmEntry};
+use peer::PeerLink;
+use platform::PlatformClient;
+use settings::DispatcherSettings;
+
+use crate::{
+    entry_directory::EntryDirectory,
+    traffic::{EndpointTraffic, RunTask, TaskRan},
+};
+
+pub(crate) use messages::{
+    BeatTaken, ContractsAsked, OffersMade, PingTaken, SessionEnded, SessionOpened, StopBegun,
+    StopState, WithdrawalsMade,
+};
+
+/// The time between two looks at what has become due. It bounds how late a slot goes on after an ask stayed
+/// unanswered, and is small against the shortest tasks of 50 ms.
+const TICK: Duration = Duration::from_millis(20);
+
+/// The control state of a dispatcher: slots, members, sessions. It lives on the control thread.
+pub struct DispatcherControl {
+    settings: DispatcherSettings,
+    clock: Arc<dyn ClockSource>,
+    incarnation: IncarnationId,
+    own_address: SocketAddr,
+    ledger: SlotLedger,
+    members: MemberTable,
+    ownership: OwnershipMap,
+    vms: Vec<VmEntry>,
+    peers: FastMap<SocketAddr, PeerSlot>,
+    entries: EntryDirectory,
+    traffic: Vec<Addr<EndpointTraffic>>,
+    next_traffic: usize,
+    platform: PlatformClient,
+    ready: Arc<AtomicBool>,
+    stopping: bool,
+}
+
+/// A connection to another dispatcher.
+enum PeerSlot {
+    Connecting,
+    Open(PeerLink),
+}
+
+/// What a control actor is made from.
+pub(crate) struct ControlParts {
+    pub(crate) settings: DispatcherSettings,
+    pub(crate) clock: Arc<dyn ClockSource>,
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) own_address: SocketAddr,
+    pub(crate) traffic: Vec<Addr<EndpointTraffic>>,
+    pub(crate) platform: PlatformClient,
+    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) entries: EntryDirectory,
+}
+
+impl DispatcherControl {
+    pub(crate) fn new(parts: ControlParts) -> Self {
+        let settings = parts.settings;
+        let own = OwnMember {
+            address: parts.own_address,
+            data_centre: settings.data_centre.clone(),
+            incarnation: parts.incarnation,
+            stopping: false,
+            head: 0,
+        };
+        let member_settings = MemberSettings {
+            beat_every: settings.heartbeat_ms.duration(),
+            suspect_after: settings.suspect_ms.duration(),
+            ..MemberSettings::default()
+        };
+        let seeds = settings
+            .peers
+            .iter()
+            .map(|peer| (peer.address, peer.data_centre.clone()));
+        let members = MemberTable::new(own, member_settings, seeds.collect::<Vec<_>>());
+        let ledger = SlotLedger::new(LedgerSettings {
+            max_queue: settings.queue_limit,
+            claim_limit: settings.claim_limit_ms.duration(),
+            ..LedgerSettings::default()
+        });
+        Self {
+            clock: parts.clock,
+            incarnation: parts.incarnation,
+            own_address: parts.own_address,
+            ledger,
+            members,
+            ownership: OwnershipMap::default(),
+            vms: Vec::new(),
+            peers: FastMap::default(),
+            entries: parts.entries,
+            traffic: parts.traffic,
+            next_traffic: 0,
+            platform: parts.platform,
+            ready: parts.ready,
+            stopping: false,
+            settings,
+        }
+    }
+
+    /// Carries out what the ledger wants done. To be called at the end of each input.
+    fn flush(&mut self, ctx: &mut Context<Self>) {
+        let mut reports = FastMap::default();
+        for action in self.ledger.take_actions() {
+            match action {
+                LedgerAction::Start { endpoint, offer } => self.start_task(ctx, endpoint, offer),
+                LedgerAction::Claim {
+                    entry,
+                    session,
+                    attempt,
+                    claim,
+                } => {
+                    self.ask_for_body(ctx, entry, session, attempt, claim);
+                }
+                LedgerAction::Report {
+                    entry,
+                    session,
+                    attempt,
+                    end,
+                    ran,
+                } => {
+                    let batch: &mut Vec<_> = reports.entry((entry, session)).or_default();
+                    batch.push((attempt, end, ran));
+                }
+            }
+        }
+        for ((entry, session), ends) in reports {
+            self.report_ends(ctx, entry, session, ends);
+        }
+    }
+
+    fn start_task(
+        &mut self,
+        ctx: &mut Context<Self>,
+        endpoint: model::EndpointAddress,
+        offer: model::TaskOffer,
+    ) {
+        self.next_traffic = (self.next_traffic + 1) % self.traffic.len();
+        let traffic = &self.traffic[self.next_traffic];
+        traffic.do_send(RunTask {
+            endpoint,
+            offer,
+            control: ctx.address(),
+        });
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        self.tick_members(ctx);
+        self.ledger.tick(self.clock.now());
+        self.flush(ctx);
+    }
+
+    fn begin_stop(&mut self, ctx: &mut Context<Self>) {
+        if self.stopping {
+            return;
+        }
+        self.stopping = true;
+        self.ready.store(false, Ordering::Relaxed);
+        self.members.set_stopping();
+        self.ledger.stop(self.clock.now());
+        self.tick(ctx);
+        log::info!("dispatcher: stopping, {} tasks run", self.ledger.running());
+    }
+}
+
+impl Actor for DispatcherControl {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        ctx.run_interval(TICK, Self::tick);
+        self.read_vm_list(ctx);
+        ctx.run_interval(self.settings.vm_list_ms.duration(), Self::read_vm_list);
+    }
+}
+
+impl Handler<TaskRan> for DispatcherControl {
+    type Result = ();
+
+    fn handle(&mut self, ran: TaskRan, ctx: &mut Context<Self>) {
+        self.ledger.on_ran(self.clock.now(), ran.attempt, ran.end);
+        self.flush(ctx);
+    }
+}
+
+impl Handler<StopBegun> for DispatcherControl {
+    type Result = ();
+
+    fn handle(&mut self, _: StopBegun, ctx: &mut Context<Self>) {
+        self.begin_stop(ctx);
+    }
+}
+
+impl Handler<StopState> for DispatcherControl {
+    type Result = usize;
+
+    fn handle(&mut self, _: StopState, _: &mut Context<Self>) -> usize {
+        if self.ledger.is_drained() {
+            return 0;
+        }
+        self.ledger.running().max(1)
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/control/membership.rs
@@ -0,0 +1,148 @@
+//! Heartbeats, the VM list, and which endpoints this dispatcher owns.
+
+use std::net::SocketAddr;
+
+use actix::{ActorFutureExt as _, AsyncContext as _, Context, Handler, WrapFuture as _};
+use membership::{BeatReply, MemberAction};
+use model::{EndpointAddress, EndpointId, EndpointState, VmEntry, VmRole};
+use peer::PeerError;
+
+use super::{BeatTaken, DispatcherControl, PeerSlot, PingTaken};
+
+impl DispatcherControl {
+    pub(super) fn tick_members(&mut self, ctx: &mut Context<Self>) {
+        let mut changed = false;
+        for action in self.members.tick(self.clock.now()) {
+            match action {
+                MemberAction::Beat { address } => self.beat(ctx, address),
+                MemberAction::ViewChanged => changed = true,
+            }
+        }
+        if changed {
+            self.update_ownership();
+        }
+    }
+
+    pub(super) fn read_vm_list(&mut self, ctx: &mut Context<Self>) {
+        let platform = self.platform.clone();
+        let list = async move { platform.vm_list().await }.into_actor(self);
+        ctx.spawn(list.map(|list, control, ctx| match list {
+            Ok(vms) => control.take_vm_list(ctx, vms),
+            // What is known goes on: endpoints and peers speak for themselves meanwhile.
+            Err(error) => log::debug!("dispatcher: VM list not read: {error}"),
+        }));
+    }
+
+    fn take_vm_list(&mut self, ctx: &mut Context<Self>, vms: Vec<VmEntry>) {
+        self.members.on_vm_list(&vms);
+        self.vms = vms;
+        self.update_ownership();
+        self.flush(ctx);
+    }
+
+    /// Load: dispatchers come and go, endpoints come and go. Harm: an endpoint without an owner stands idle. Two
+    /// owners for a moment only overfill it, which its busy answer makes a definite not-run.
+    fn update_ownership(&mut self) {
+        let owners = self.members.owners();
+        let mut endpoints = Vec::new();
+        for vm in &self.vms {
+            if vm.role != VmRole::Endpoint || vm.data_centre != self.settings.data_centre {
+                continue;
+            }
+            let Ok(id) = vm.id.as_str().parse::<EndpointId>() else {
+                continue;
+            };
+            let address = EndpointAddress {
+                id,
+                address: vm.address,
+                slots: vm.slots,
+            };
+            endpoints.push((address, vm.state));
+        }
+        let addresses = owners.iter().map(|owner| owner.address);
+        let ids = endpoints.iter().map(|(address, _)| address.id.clone());
+        let moves = self
+            .ownership
+            .update(addresses.collect::<Vec<_>>(), ids.collect::<Vec<_>>());
+        if !moves.is_empty() {
+            log::info!(
+                "dispatcher: {} endpoints changed owner, {} dispatchers live",
+                moves.len(),
+                owners.len()
+            );
+        }
+        let owned: Vec<(EndpointAddress, EndpointState)> = endpoints
+            .into_iter()
+            .filter(|(address, _)| self.ownership.owner(&address.id) == Some(self.own_address))
+            .collect();
+        self.ledger.set_endpoints(self.clock.now(), &owned);
+    }
+
+    fn beat(&mut self, ctx: &mut Context<Self>, address: SocketAddr) {
+        match self.peers.get(&address) {
+            Some(PeerSlot::Connecting) => {}
+            Some(PeerSlot::Open(link)) => {
+                let reply = link
+                    .client()
+                    .beat(&self.members.beat_message())
+                    .into_actor(self);
+                ctx.spawn(
+                    reply
+                        .map(move |reply, control, ctx| control.on_beat_reply(ctx, address, reply)),
+                );
+            }
+            None => self.connect_peer(ctx, address),
+        }
+    }
+
+    fn connect_peer(&mut self, ctx: &mut Context<Self>, address: SocketAddr) {
+        self.peers.insert(address, PeerSlot::Connecting);
+        let link = peer::connect(address, || {}).into_actor(self);
+        ctx.spawn(link.map(move |link, control, ctx| match link {
+            Ok(link) => {
+                control.peers.insert(address, PeerSlot::Open(link));
+                control.beat(ctx, address);
+            }
+            Err(error) => control.on_beat_reply(ctx, address, Err(error)),
+        }));
+    }
+
+    fn on_beat_reply(
+        &mut self,
+        ctx: &mut Context<Self>,
+        address: SocketAddr,
+        reply: Result<BeatReply, PeerError>,
+    ) {
+        let now = self.clock.now();
+        match reply {
+            Ok(reply) => self.members.on_reply(now, reply),
+            Err(error) => {
+                self.peers.remove(&address);
+                if error == PeerError::Refused {
+                    self.members.on_refused(now, address);
+                }
+            }
+        }
+        self.tick_members(ctx);
+        self.flush(ctx);
+    }
+}
+
+impl Handler<BeatTaken> for DispatcherControl {
+    type Result = ();
+
+    fn handle(&mut self, taken: BeatTaken, ctx: &mut Context<Self>) {
+        let reply = self.members.on_beat(self.clock.now(), taken.message);
+        let _gone = taken.reply.send(Ok(reply));
+        self.tick_members(ctx);
+        self.flush(ctx);
+    }
+}
+
+impl Handler<PingTaken> for DispatcherControl {
+    type Result = ();
+
+    fn handle(&mut self, taken: PingTaken, _: &mut Context<Self>) {
+        let _gone = taken.reply.send(Ok(self.members.beat_message().view));
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/control/messages.rs
@@ -0,0 +1,85 @@
+//! Messages to the control actor from the peer port and from the process around it.
+//!
+//! The port sends them with `do_send`, which keeps their order, and waits for the answer on a channel inside.
+
+use actix::Message;
+use membership::{BeatMessage, BeatReply, MemberView};
+use model::{
+    AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, WithdrawalVerdict,
+};
+use peer::{ContractPage, PeerError};
+use tokio::sync::oneshot;
+
+pub(crate) type ReplyTo<T> = oneshot::Sender<Result<T, PeerError>>;
+
+/// An entry opens a session.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct SessionOpened {
+    pub(crate) entry: IncarnationId,
+    pub(crate) session: SessionId,
+    pub(crate) reply: ReplyTo<(IncarnationId, SlotCounts)>,
+}
+
+/// The connection of a session broke.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct SessionEnded {
+    pub(crate) entry: IncarnationId,
+    pub(crate) session: SessionId,
+}
+
+/// An entry offers tasks.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct OffersMade {
+    pub(crate) entry: IncarnationId,
+    pub(crate) session: SessionId,
+    pub(crate) batch: u64,
+    pub(crate) offers: Vec<TaskOffer>,
+    pub(crate) reply: ReplyTo<(Vec<TaskVerdict>, SlotCounts)>,
+}
+
+/// An entry takes attempts back.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct WithdrawalsMade {
+    pub(crate) entry: IncarnationId,
+    pub(crate) session: SessionId,
+    pub(crate) after_batch: u64,
+    pub(crate) attempts: Vec<AttemptId>,
+    pub(crate) reply: ReplyTo<(Vec<WithdrawalVerdict>, SlotCounts)>,
+}
+
+/// A heartbeat of another dispatcher.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct BeatTaken {
+    pub(crate) message: BeatMessage,
+    pub(crate) reply: ReplyTo<BeatReply>,
+}
+
+/// An entry asks whether this dispatcher is alive.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct PingTaken {
+    pub(crate) reply: ReplyTo<MemberView>,
+}
+
+/// Somebody asks for contract rows.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct ContractsAsked {
+    pub(crate) since: u64,
+    pub(crate) reply: ReplyTo<ContractPage>,
+}
+
+/// The process begins to stop.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct StopBegun;
+
+/// What still holds the process: 0 when it may end.
+#[derive(Message)]
+#[rtype(result = "usize")]
+pub(crate) struct StopState;
--- /dev/null
+++ b/crates/dispatcher/src/entry_directory.rs
@@ -0,0 +1,62 @@
+//! The ports of the entries that have a session here.
+//!
+//! A port cannot leave the control thread, and actor messages must be able to, so the ports are kept beside the
+//! control actor: the peer port puts them in, the actor takes them out.
+
+use std::{cell::RefCell, rc::Rc};
+
+use model::{FastMap, IncarnationId, SessionId};
+use peer::EntryClient;
+
+/// Entry ports by incarnation. Clones share the same table.
+#[derive(Clone, Default)]
+pub(crate) struct EntryDirectory {
+    entries: Rc<RefCell<FastMap<IncarnationId, EntrySlot>>>,
+}
+
+struct EntrySlot {
+    session: SessionId,
+    client: EntryClient,
+}
+
+impl EntryDirectory {
+    /// Puts a port in, unless a later session of the same entry is there.
+    pub(crate) fn put(&self, entry: IncarnationId, session: SessionId, client: EntryClient) {
+        let mut entries = self.entries.borrow_mut();
+        if entries
+            .get(&entry)
+            .is_some_and(|slot| slot.session >= session)
+        {
+            return;
+        }
+        entries.insert(entry, EntrySlot { session, client });
+    }
+
+    /// The port of an entry's session, unless the session is over.
+    pub(crate) fn get(&self, entry: IncarnationId, session: SessionId) -> Option<EntryClient> {
+        let entries = self.entries.borrow();
+        entries
+            .get(&entry)
+            .filter(|slot| slot.session == session)
+            .map(|slot| slot.client.clone())
+    }
+
+    /// The port of an entry, whatever its session.
+    pub(crate) fn find(&self, entry: IncarnationId) -> Option<EntryClient> {
+        self.entries
+            .borrow()
+            .get(&entry)
+            .map(|slot| slot.client.clone())
+    }
+
+    /// Forgets a session that is over.
+    pub(crate) fn remove(&self, entry: IncarnationId, session: SessionId) {
+        let mut entries = self.entries.borrow_mut();
+        if entries
+            .get(&entry)
+            .is_some_and(|slot| slot.session == session)
+        {
+            entries.remove(&entry);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/error.rs
@@ -0,0 +1,21 @@
+//! What can end or hinder a dispatcher.
+
+use std::{io, net::SocketAddr};
+
+use thiserror::Error;
+
+/// What can end or hinder a dispatcher.
+#[derive(Debug, Error)]
+pub enum DispatcherError {
+    /// An address could not be listened on.
+    #[error("cannot listen on {address}: {cause}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        cause: io::Error,
+    },
+    /// A thread or signal handler could not be set up.
+    #[error("cannot set up the process: {0}")]
+    SetUp(#[from] io::Error),
+}
--- /dev/null
+++ b/crates/dispatcher/src/port.rs
@@ -0,0 +1,149 @@
+//! The peer port: turns calls of entries and dispatchers into messages to the control actor.
+
+use std::{cell::RefCell, rc::Rc};
+
+use actix::{Addr, Handler};
+use membership::{BeatMessage, BeatReply, MemberView};
+use model::{
+    AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, WithdrawalVerdict,
+};
+use peer::{ContractPage, DispatcherService, EntryClient, PeerError, ReplyFuture, SessionService};
+use tokio::sync::oneshot;
+
+use crate::{
+    control::{
+        BeatTaken, ContractsAsked, OffersMade, PingTaken, SessionEnded, SessionOpened,
+        WithdrawalsMade,
+    },
+    entry_directory::EntryDirectory,
+    DispatcherControl,
+};
+
+/// The port of one connection. When the connection ends, the object goes, and its sessions with it.
+pub(crate) struct ConnectionPort {
+    control: Addr<DispatcherControl>,
+    entries: EntryDirectory,
+    sessions: Rc<RefCell<Vec<(IncarnationId, SessionId)>>>,
+}
+
+impl ConnectionPort {
+    pub(crate) fn new(control: Addr<DispatcherControl>, entries: EntryDirectory) -> Self {
+        Self {
+            control,
+            entries,
+            sessions: Rc::default(),
+        }
+    }
+}
+
+impl Drop for ConnectionPort {
+    fn drop(&mut self) {
+        for (entry, session) in self.sessions.borrow().iter().copied() {
+            self.control.do_send(SessionEnded { entry, session });
+        }
+    }
+}
+
+/// A session of one connection.
+pub(crate) struct SessionPort {
+    control: Addr<DispatcherControl>,
+    entry: IncarnationId,
+    session: SessionId,
+}
+
+impl DispatcherService for ConnectionPort {
+    type Session = SessionPort;
+
+    fn open(
+        &self,
+        client: EntryClient,
+        entry: IncarnationId,
+        session: SessionId,
+    ) -> ReplyFuture<(SessionPort, IncarnationId, SlotCounts)> {
+        let control = self.control.clone();
+        self.sessions.borrow_mut().push((entry, session));
+        self.entries.put(entry, session, client);
+        let answer = ask(&control, |reply| SessionOpened {
+            entry,
+            session,
+            reply,
+        });
+        Box::pin(async move {
+            let (dispatcher, slots) = answer.await?;
+            Ok((
+                SessionPort {
+                    control,
+                    entry,
+                    session,
+                },
+                dispatcher,
+                slots,
+            ))
+        })
+    }
+
+    fn find(&self, entry: IncarnationId) -> ReplyFuture<Option<EntryClient>> {
+        let client = self.entries.find(entry);
+        Box::pin(std::future::ready(Ok(client)))
+    }
+
+    fn beat(&self, message: BeatMessage) -> ReplyFuture<BeatReply> {
+        ask(&self.control, |reply| BeatTaken { message, reply })
+    }
+
+    fn ping(&self) -> ReplyFuture<MemberView> {
+        ask(&self.control, |reply| PingTaken { reply })
+    }
+
+    fn contracts(&self, since: u64) -> ReplyFuture<ContractPage> {
+        ask(&self.control, |reply| ContractsAsked { since, reply })
+    }
+}
+
+impl SessionService for SessionPort {
+    fn offer(
+        &self,
+        batch: u64,
+        offers: Vec<TaskOffer>,
+    ) -> ReplyFuture<(Vec<TaskVerdict>, SlotCounts)> {
+        let (entry, session) = (self.entry, self.session);
+        ask(&self.control, |reply| OffersMade {
+            entry,
+            session,
+            batch,
+            offers,
+            reply,
+        })
+    }
+
+    fn withdraw(
+        &self,
+        after_batch: u64,
+        attempts: Vec<AttemptId>,
+    ) -> ReplyFuture<(Vec<WithdrawalVerdict>, SlotCounts)> {
+        let (entry, session) = (self.entry, self.session);
+        ask(&self.control, |reply| WithdrawalsMade {
+            entry,
+            session,
+            after_batch,
+            attempts,
+            reply,
+        })
+    }
+}
+
+/// Sends a message now and gives a future of its answer. `do_send` and not `send`: a full mailbox would otherwise
+/// put the message behind later ones, and a withdrawal could be handled before the offer it withdraws.
+fn ask<M, T>(
+    control: &Addr<DispatcherControl>,
+    make: impl FnOnce(oneshot::Sender<Result<T, PeerError>>) -> M,
+) -> ReplyFuture<T>
+where
+    M: actix::Message<Result = ()> + Send + 'static,
+    DispatcherControl: Handler<M>,
+    T: 'static,
+{
+    let (reply, answer) = oneshot::channel();
+    control.do_send(make(reply));
+    Box::pin(async move { answer.await.unwrap_or(Err(PeerError::TimedOut)) })
+}
--- /dev/null
+++ b/crates/dispatcher/src/process.rs
@@ -0,0 +1,174 @@
+//! Starts and stops a dispatcher.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{atomic::AtomicBool, Arc},
+    time::{Duration, Instant},
+};
+
+use actix::{Actor as _, Addr, Arbiter};
+use actix_web::dev::ServerHandle;
+use endpoint_client::ClientSettings;
+use kernel::{ClockSource, SystemClock};
+use model::IncarnationId;
+use platform::PlatformClient;
+use settings::DispatcherSettings;
+use tokio::task::JoinHandle;
+
+use crate::{
+    admin,
+    control::{ControlParts, DispatcherControl, StopBegun, StopState},
+    entry_directory::EntryDirectory,
+    port::ConnectionPort,
+    traffic::EndpointTraffic,
+    DispatcherError,
+};
+
+/// The time between two looks at whether a stopping process may end.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// A running dispatcher.
+pub struct DispatcherProcess {
+    control: Addr<DispatcherControl>,
+    peer_address: SocketAddr,
+    admin_address: SocketAddr,
+    admin: ServerHandle,
+    port: JoinHandle<()>,
+    arbiters: Vec<Arbiter>,
+    drain: settings::DrainSettings,
+}
+
+impl DispatcherProcess {
+    /// Where entries and dispatchers connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Where readiness and metrics are.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Leaves: takes nothing new, hands back what waits, waits for what runs, at most for the drain limit.
+    /// Returns how many tasks were cut.
+    pub async fn stop(self) -> usize {
+        self.control.do_send(StopBegun);
+        let limit = Instant::now() + self.drain.limit_ms.duration();
+        let mut left = usize::MAX;
+        while left > 0 && Instant::now() < limit {
+            actix_rt::time::sleep(DRAIN_LOOK).await;
+            left = self.control.send(StopState).await.unwrap_or(0);
+        }
+        if left > 0 {
+            log::warn!("dispatcher: stop limit reached, {left} tasks cut");
+        }
+        self.end().await;
+        left
+    }
+
+    /// Ends at once, as a killed process would.
+    pub async fn end(self) {
+        self.port.abort();
+        self.admin.stop(false).await;
+        for arbiter in self.arbiters {
+            arbiter.stop();
+        }
+    }
+}
+
+/// Starts a dispatcher within the running actix system. Port 0 takes any free port.
+///
+/// # Errors
+///
+/// An address cannot be listened on.
+pub fn start(
+    settings: DispatcherSettings,
+    clock: Arc<dyn ClockSource>,
+) -> Result<DispatcherProcess, DispatcherError> {
+    let peer_listener = listen(settings.peer_listen)?;
+    let admin_listener = listen(settings.admin_listen)?;
+    let own_address = peer_listener.local_addr()?;
+    let admin_address = admin_listener.local_addr()?;
+    let ready = Arc::new(AtomicBool::new(true));
+    let (arbiters, traffic) = start_traffic(&settings);
+    let platform_settings = platform::ClientSettings {
+        address: settings.platform,
+        ..platform::ClientSettings::default()
+    };
+    let drain = settings.drain.clone();
+    let entries = EntryDirectory::default();
+    let control = DispatcherControl::new(ControlParts {
+        platform: PlatformClient::new(platform_settings, clock.clone()),
+        settings,
+        clock,
+        incarnation: IncarnationId(fastrand::u64(..)),
+        own_address,
+        traffic,
+        ready: ready.clone(),
+        entries: entries.clone(),
+    })
+    .start();
+    let admin = admin::start(admin_listener, ready)?;
+    peer_listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(peer_listener)?;
+    let port_control = control.clone();
+    let port = actix_rt::spawn(async move {
+        peer::serve(listener, move || {
+            peer::dispatcher_port(ConnectionPort::new(port_control.clone(), entries.clone()))
+        })
+        .await;
+    });
+    log::info!("dispatcher: listening for peers on {own_address}, admin on {admin_address}");
+    Ok(DispatcherProcess {
+        control,
+        peer_address: own_address,
+        admin_address,
+        admin,
+        port,
+        arbiters,
+        drain,
+    })
+}
+
+/// Runs a dispatcher until a signal ends it.
+///
+/// # Errors
+///
+/// The process could not be set up.
+pub fn run(settings: DispatcherSettings) -> eyre::Result<()> {
+    actix::System::new().block_on(async move {
+        let process = start(settings, Arc::new(SystemClock))?;
+        kernel::wait_for_stop().await?;
+        let stop = process.stop();
+        let cut = kernel::stop_or_second_signal(stop).await?;
+        match cut {
+            Some(0) => log::info!("dispatcher: stopped, nothing cut"),
+            Some(cut) => log::warn!("dispatcher: stopped, {cut} tasks cut"),
+            None => log::warn!("dispatcher: second signal, stopped at once"),
+        }
+        Ok(())
+    })
+}
+
+fn start_traffic(settings: &DispatcherSettings) -> (Vec<Arbiter>, Vec<Addr<EndpointTraffic>>) {
+    let client = ClientSettings {
+        connect_timeout: settings.endpoint.connect_timeout_ms.duration(),
+        ..ClientSettings::default()
+    };
+    let mut arbiters = Vec::new();
+    let mut traffic = Vec::new();
+    for _ in 0..settings.traffic_threads {
+        let arbiter = Arbiter::new();
+        let client = client.clone();
+        traffic.push(EndpointTraffic::start_in_arbiter(
+            &arbiter.handle(),
+            move |_| EndpointTraffic::new(client),
+        ));
+        arbiters.push(arbiter);
+    }
+    (arbiters, traffic)
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, DispatcherError> {
+    TcpListener::bind(address).map_err(|cause| DispatcherError::Listen { address, cause })
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod clock;
 mod directory;
+mod signals;
 
 pub use crate::{
     clock::{ClockSource, ManualClock, SystemClock},
     directory::{KernelError, ServiceDirectory, ServiceName},
+    signals::{stop_or_second_signal, wait_for_stop},
 };
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -78,8 +78,9 @@
   ended @1 (ends :List(AttemptEnd), slots :Slots) -> ();
   slots @2 (slots :Slots) -> ();
   # Sent when the picture changed much since the last message.
-  outcome @3 (serial :UInt64) -> (json :Data, found :Bool);
-  # The caller-facing answer of a submission of this entry, waiting until there is one or the entry gives up on it.
+  outcome @3 (serial :UInt64, digest :UInt64, wait :Bool) -> (found :Bool, status :UInt16, json :Data);
+  # The caller-facing answer of a submission of this entry. With `wait` it comes when there is one, and only if the
+  # body's digest is the same.
   runTicket @4 (serial :UInt64, json :Data) -> (json :Data, status :UInt16);
   # Runs a request under a ticket that this entry issued.
 }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -15,7 +15,7 @@
         write_end, write_offers, write_slots, write_view,
     },
     peer_capnp::{claim_answer, dispatcher_port, entry_port, session_port},
-    service::{read_contract_page, ContractPage, ForwardedAnswer},
+    service::{read_contract_page, ContractPage, ForwardedAnswer, OutcomeAsk},
     PeerError,
 };
 
@@ -297,10 +297,13 @@
     /// The connection broke on either side.
     pub fn outcome(
         &self,
-        serial: u64,
-    ) -> impl Future<Output = Result<Option<Vec<u8>>, PeerError>> + 'static {
+        ask: OutcomeAsk,
+    ) -> impl Future<Output = Result<Option<ForwardedAnswer>, PeerError>> + 'static {
         let mut request = self.port.outcome_request();
-        request.get().set_serial(serial);
+        let mut params = request.get();
+        params.set_serial(ask.serial);
+        params.set_digest(ask.digest.unwrap_or_default());
+        params.set_wait(ask.digest.is_some());
         let reply = request.send().promise;
         async move {
             let reply = reply.await?;
@@ -308,7 +311,10 @@
             if !reply.get_found() {
                 return Ok(None);
             }
-            Ok(Some(reply.get_json()?.to_vec()))
+            Ok(Some(ForwardedAnswer {
+                status: reply.get_status(),
+                json: reply.get_json()?.to_vec(),
+            }))
         }
     }
 
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -3877,11 +3877,19 @@
             pub fn get_serial(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
+            #[inline]
+            pub fn get_digest(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_wait(self) -> bool {
+                self.reader.get_bool_field(128)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3939,6 +3947,22 @@
             pub fn set_serial(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
+            #[inline]
+            pub fn get_digest(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_digest(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_wait(self) -> bool {
+                self.builder.get_bool_field(128)
+            }
+            #[inline]
+            pub fn set_wait(&mut self, value: bool)  {
+                self.builder.set_bool_field(128, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3950,17 +3974,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(216, 14, 250, 251, 133, 55, 160, 238),
-                ::capnp::word(21, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -3968,14 +3992,28 @@
                 ::capnp::word(80, 111, 114, 116, 46, 111, 117, 116),
                 ::capnp::word(99, 111, 109, 101, 36, 80, 97, 114),
                 ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 101, 114, 105, 97, 108, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3984,10 +4022,28 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4001,9 +4057,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
             pub(crate) const TYPE_ID: u64 = 0xeea0_3785_fbfa_0ed8;
         }
     }
@@ -4070,6 +4126,14 @@
                 self.reader.total_size()
             }
             #[inline]
+            pub fn get_found(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
+            pub fn get_status(self) -> u16 {
+                self.reader.get_data_field::<u16>(1)
+            }
+            #[inline]
             pub fn get_json(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -4077,10 +4141,6 @@
             pub fn has_json(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_found(self) -> bool {
-                self.reader.get_bool_field(0)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4136,6 +4196,22 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
+            pub fn get_found(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_found(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_status(self) -> u16 {
+                self.builder.get_data_field::<u16>(1)
+            }
+            #[inline]
+            pub fn set_status(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(1, value);
+            }
+            #[inline]
             pub fn get_json(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -4151,14 +4227,6 @@
             pub fn has_json(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_found(self) -> bool {
-                self.builder.get_bool_field(0)
-            }
-            #[inline]
-            pub fn set_found(&mut self, value: bool)  {
-                self.builder.set_bool_field(0, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4170,7 +4238,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(67, 152, 122, 208, 91, 93, 23, 163),
                 ::capnp::word(21, 0, 0, 0, 1, 0, 1, 0),
@@ -4180,7 +4248,7 @@
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -4188,42 +4256,58 @@
                 ::capnp::word(80, 111, 114, 116, 46, 111, 117, 116),
                 ::capnp::word(99, 111, 109, 101, 36, 82, 101, 115),
                 ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(102, 111, 117, 110, 100, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(102, 111, 117, 110, 100, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 116, 117, 115, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4237,9 +4321,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
             pub(crate) const TYPE_ID: u64 = 0xa317_5d5b_d07a_9843;
         }
     }
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -47,6 +47,16 @@
     pub rows: Vec<ContractRecord>,
 }
 
+/// Asks for the caller-facing answer of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OutcomeAsk {
+    /// The submission's serial at its entry.
+    pub serial: u64,
+    /// The digest of the body that came a second time: the answer is waited for, and given only for the same body.
+    /// `None` asks how things stand now.
+    pub digest: Option<u64>,
+}
+
 /// A caller-facing answer passed on by another entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ForwardedAnswer {
@@ -118,7 +128,7 @@
     fn slots(&self, slots: SlotCounts) -> ReplyFuture<()>;
 
     /// Gives the caller-facing answer of a submission.
-    fn outcome(&self, serial: u64) -> ReplyFuture<Option<Vec<u8>>>;
+    fn outcome(&self, ask: OutcomeAsk) -> ReplyFuture<Option<ForwardedAnswer>>;
 
     /// Runs a request under a ticket.
     fn run_ticket(&self, serial: u64, json: Vec<u8>) -> ReplyFuture<ForwardedAnswer>;
@@ -347,11 +357,12 @@
     ) -> impl Future<Output = CallResult> + 'static {
         let answer = params
             .get()
-            .map(|params| self.0.outcome(params.get_serial()));
+            .map(|params| self.0.outcome(read_outcome_ask(params)));
         async move {
-            if let Some(json) = settle(answer.map_err(PeerError::from)).await? {
+            if let Some(answer) = settle(answer.map_err(PeerError::from)).await? {
                 let mut results = results.get();
-                results.set_json(&json);
+                results.set_status(answer.status);
+                results.set_json(&answer.json);
                 results.set_found(true);
             }
             Ok(())
@@ -378,6 +389,14 @@
     }
 }
 
+fn read_outcome_ask(params: entry_capnp::outcome_params::Reader<'_>) -> OutcomeAsk {
+    let digest = params.get_wait().then(|| params.get_digest());
+    OutcomeAsk {
+        serial: params.get_serial(),
+        digest,
+    }
+}
+
 fn read_beat(params: &dispatcher_capnp::BeatParams) -> Result<BeatMessage, PeerError> {
     Ok(BeatMessage {
         view: read_view(params.get()?.get_view()?)?,
