--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -72,7 +72,8 @@
     }
 }
 
-/// The key of a row or the name of an object. Its characters need no escaping in a URL.
+/// The key of a row or the name of an object. Its characters need no escaping in a URL. The default is the empty
+/// key, which no row has and after which a list starts at its first row.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(transparent)]
 pub struct StoreKey(String);
