Add the network stand-in

Partition tests need a network that goes silent rather than one that closes connections: a reset tells a process at once what a partition hides.

Links forward TCP on loopback. A cut holds bytes and closes until the heal; a new connect then hangs in the kernel, because the link listens with a full queue, or is refused. One way, delay and reset are modes too. Accepting and keeping silent was ruled out for new connects: the caller would take the connection for one that came about, and the endpoint client has to tell the two apart, which its new test does.

--- a/crates/endpoint-client/tests/contract.rs
+++ b/crates/endpoint-client/tests/contract.rs
@@ -6,7 +6,10 @@
 
 use endpoint_client::{ClientSettings, EndpointClient};
 use model::{AttemptEnd, Payload, RetryReason, TaskResult, UnknownReason, MAX_PAYLOAD_BYTES};
-use stand_ins::endpoint::{EndpointSettings, EndpointStandIn, Fault, FaultOrder, RunEnd};
+use stand_ins::{
+    endpoint::{EndpointSettings, EndpointStandIn, Fault, FaultOrder, RunEnd},
+    forwarder::{CutConnect, LinkMode, LinkOrder, NetForwarder},
+};
 
 use crate::support::{endpoint_at, offer, RawAnswer, RawEndpoint};
 
@@ -355,3 +358,45 @@
         stand_ins::endpoint::digest(payload.as_bytes())
     );
 }
+
+// What the caller sees: a task for an endpoint that is cut off before it is connected to is a not-run; one that was
+// sent before the cut is unknown once its time is over, also when the answer would come after the heal.
+// Order: a task runs over an open connection, the link is cut, the time of the task passes; a second task needs a new
+// connection, which hangs; the link heals and a third task is served.
+// Why: only the second one's bytes certainly stayed here.
+#[actix_rt::test]
+async fn cut_link_is_not_run_before_and_unknown_after_sending() {
+    let stand_in = stand_in(8);
+    let forwarder = NetForwarder::start().unwrap();
+    let endpoint = endpoint_at(forwarder.add_link("d-e", stand_in.address()).unwrap());
+    let client = EndpointClient::new(ClientSettings {
+        connect_timeout: Duration::from_millis(200),
+        ..ClientSettings::default()
+    });
+    let mut first = offer(1, r#"{"run_ms":100}"#);
+    first.time_left = Duration::from_millis(500);
+    let cut = async {
+        wait_until("the start", || stand_in.record().running == 1).await;
+        order(
+            &forwarder,
+            LinkMode::Cut {
+                connects: CutConnect::Hang,
+            },
+        )
+        .await;
+        client.run(&endpoint, &offer(2, QUICK), || ()).await
+    };
+    let (first, second) = futures::join!(client.run(&endpoint, &first, || ()), cut);
+    assert_eq!(first, AttemptEnd::Unknown(UnknownReason::DeadlinePassed));
+    assert_eq!(second, AttemptEnd::NotRun(RetryReason::EndpointUnreachable));
+    order(&forwarder, LinkMode::Pass).await;
+    let third = client.run(&endpoint, &offer(3, QUICK), || ()).await;
+    assert_eq!(third, done("kept"));
+    let record = stand_in.record();
+    assert_eq!(record.starts.len(), 2);
+}
+
+async fn order(forwarder: &NetForwarder, mode: LinkMode) {
+    let order = LinkOrder { link: None, mode };
+    forwarder.order(order).await.unwrap();
+}
--- /dev/null
+++ b/crates/stand-ins/src/forwarder/link.rs
@@ -0,0 +1,154 @@
+//! One link: its listener, its connections, its mode.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, oneshot, watch},
+};
+
+use crate::forwarder::{listen::LinkListener, pump, CutConnect, LinkMode, OpenWay};
+
+/// A change of mode; `done` is told when it is in force.
+pub(super) struct LinkCommand {
+    pub(super) mode: LinkMode,
+    pub(super) done: oneshot::Sender<()>,
+}
+
+/// What a link counts.
+#[derive(Default)]
+pub(super) struct LinkCounters {
+    pub(super) open: AtomicU64,
+    pub(super) forward_bytes: AtomicU64,
+    pub(super) back_bytes: AtomicU64,
+}
+
+impl LinkCounters {
+    /// Open connections, bytes forward, bytes back.
+    pub(super) fn read(&self) -> (u64, u64, u64) {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        (
+            read(&self.open),
+            read(&self.forward_bytes),
+            read(&self.back_bytes),
+        )
+    }
+}
+
+/// What the connections of a link see of its mode.
+#[derive(Clone, Copy, Default)]
+pub(super) struct FlowState {
+    pub(super) forward_silent: bool,
+    pub(super) back_silent: bool,
+    pub(super) delay: Duration,
+    /// Counts the resets; a connection ends when it changes.
+    pub(super) resets: u64,
+}
+
+/// A link before its task runs.
+pub(super) struct LinkTask {
+    pub(super) listener: std::net::TcpListener,
+    pub(super) address: SocketAddr,
+    pub(super) target: SocketAddr,
+    pub(super) counters: Arc<LinkCounters>,
+    pub(super) commands: mpsc::UnboundedReceiver<LinkCommand>,
+}
+
+impl LinkTask {
+    /// Serves until the link's handle is dropped; its connections end then too.
+    pub(super) async fn run(self) {
+        let address = self.address;
+        if let Err(error) = self.serve().await {
+            log::warn!("net forwarder: link at {address} ended: {error}");
+        }
+    }
+
+    async fn serve(self) -> io::Result<()> {
+        let (flow, _) = watch::channel(FlowState::default());
+        let Self {
+            listener,
+            address,
+            target,
+            counters,
+            mut commands,
+        } = self;
+        let mut listener = LinkListener::Open(TcpListener::from_std(listener)?);
+        loop {
+            tokio::select! {
+                command = commands.recv() => {
+                    let Some(command) = command else {
+                        return Ok(());
+                    };
+                    flow.send_modify(|state| change_flow(state, command.mode));
+                    // The port is free only once the socket before is closed.
+                    drop(listener);
+                    listener = listen_as(command.mode, address).await?;
+                    let _ = command.done.send(());
+                }
+                accepted = listener.accept() => match accepted {
+                    Ok(stream) => spawn_forward(stream, target, flow.subscribe(), Arc::clone(&counters)),
+                    Err(error) => log::warn!("net forwarder: accept failed: {error}"),
+                },
+            }
+        }
+    }
+}
+
+fn spawn_forward(
+    near: TcpStream,
+    target: SocketAddr,
+    flow: watch::Receiver<FlowState>,
+    counters: Arc<LinkCounters>,
+) {
+    tokio::spawn(async move {
+        counters.open.fetch_add(1, Ordering::Relaxed);
+        if let Err(error) = pump::forward(near, target, flow, &counters).await {
+            log::debug!("net forwarder: connection to {target} ended: {error}");
+        }
+        counters.open.fetch_sub(1, Ordering::Relaxed);
+    });
+}
+
+fn change_flow(state: &mut FlowState, mode: LinkMode) {
+    let resets = state.resets;
+    *state = match mode {
+        LinkMode::Pass => FlowState::default(),
+        LinkMode::Cut { .. } => FlowState {
+            forward_silent: true,
+            back_silent: true,
+            ..FlowState::default()
+        },
+        LinkMode::OneWay { open } => FlowState {
+            forward_silent: open != OpenWay::Forward,
+            back_silent: open != OpenWay::Back,
+            ..FlowState::default()
+        },
+        LinkMode::Reset => FlowState::default(),
+        LinkMode::Delay { ms } => FlowState {
+            delay: Duration::from_millis(ms),
+            ..FlowState::default()
+        },
+    };
+    state.resets = resets + u64::from(mode == LinkMode::Reset);
+}
+
+async fn listen_as(mode: LinkMode, address: SocketAddr) -> io::Result<LinkListener> {
+    match mode {
+        LinkMode::Pass | LinkMode::Reset | LinkMode::Delay { .. } => LinkListener::open(address),
+        LinkMode::Cut {
+            connects: CutConnect::Refuse,
+        } => LinkListener::refusing(address),
+        LinkMode::Cut {
+            connects: CutConnect::Hang,
+        }
+        | LinkMode::OneWay { .. } => LinkListener::hanging(address).await,
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/forwarder/mod.rs
@@ -0,0 +1,291 @@
+//! Stand-in of the network: forwards TCP on loopback over named links that can be cut, slowed and reset.
+//!
+//! A process under test is told a link's address in place of its peer's. A cut does what a network partition does:
+//! open connections go silent, with bytes neither delivered nor reset, and what was written comes through when the
+//! link heals. The control calls are `GET /control/links` and `POST /control/links` with a [`LinkOrder`].
+
+mod control;
+mod link;
+mod listen;
+mod pump;
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+};
+
+use actix_web::dev::ServerHandle;
+use model::FastMap;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::forwarder::link::{LinkCommand, LinkCounters, LinkTask};
+
+/// What happens to a new connection on a cut link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CutConnect {
+    /// It hangs, as when packets are dropped.
+    #[default]
+    Hang,
+    /// It is refused, as when a router rejects packets.
+    Refuse,
+}
+
+/// The way in which bytes still pass on a link cut one way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OpenWay {
+    /// From the side that connects to the target.
+    Forward,
+    /// From the target to the side that connects.
+    Back,
+}
+
+/// What a link does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "mode", rename_all = "snake_case")]
+pub enum LinkMode {
+    /// Forwards.
+    #[default]
+    Pass,
+    /// Nothing passes; open connections are silent.
+    Cut {
+        /// New connections.
+        #[serde(default)]
+        connects: CutConnect,
+    },
+    /// Open connections pass bytes one way only. New ones hang, since a handshake needs both ways.
+    OneWay {
+        /// The way that is open.
+        open: OpenWay,
+    },
+    /// Resets every open connection, then forwards.
+    Reset,
+    /// Forwards each byte this much later, both ways.
+    Delay {
+        /// Milliseconds one way.
+        ms: u64,
+    },
+}
+
+/// A change of one link, or of all.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkOrder {
+    /// The link; every one where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub link: Option<String>,
+    /// What it does from now on.
+    #[serde(flatten)]
+    pub mode: LinkMode,
+}
+
+/// What a link is doing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkStatus {
+    /// Its name.
+    pub link: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it forwards to.
+    pub target: SocketAddr,
+    /// What it does.
+    #[serde(flatten)]
+    pub mode: LinkMode,
+    /// Connections open now.
+    pub open: u64,
+    /// Bytes delivered to the target.
+    pub forward_bytes: u64,
+    /// Bytes delivered back.
+    pub back_bytes: u64,
+}
+
+/// An order that names no link.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("no link {0:?}")]
+pub struct UnknownLink(pub String);
+
+/// A running forwarder with a thread of its own. Dropping it closes every link.
+pub struct NetForwarder {
+    shared: Arc<SharedLinks>,
+    control: Option<(SocketAddr, ServerHandle)>,
+}
+
+/// The links, shared with the control server.
+struct SharedLinks {
+    links: Mutex<FastMap<String, LinkHandle>>,
+    tasks: mpsc::UnboundedSender<LinkTask>,
+}
+
+struct LinkHandle {
+    address: SocketAddr,
+    target: SocketAddr,
+    mode: LinkMode,
+    counters: Arc<LinkCounters>,
+    commands: mpsc::UnboundedSender<LinkCommand>,
+}
+
+impl NetForwarder {
+    /// Starts without links.
+    ///
+    /// # Errors
+    ///
+    /// The thread or its runtime cannot be made.
+    pub fn start() -> io::Result<Self> {
+        let (tasks, receiver) = mpsc::unbounded_channel();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        thread::Builder::new()
+            .name("net-forwarder".to_owned())
+            .spawn(move || runtime.block_on(run_links(receiver)))?;
+        let links = Mutex::default();
+        Ok(Self {
+            shared: Arc::new(SharedLinks { links, tasks }),
+            control: None,
+        })
+    }
+
+    /// Serves the control calls, for forwarders that are driven from another process. Call it inside an actix
+    /// `System`.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub fn serve_control(&mut self, address: SocketAddr) -> io::Result<SocketAddr> {
+        let (address, handle) = control::serve(Arc::clone(&self.shared), address)?;
+        self.control = Some((address, handle));
+        Ok(address)
+    }
+
+    /// Adds a link to `target` and gives the address that stands for it. The target need not listen yet. A link of
+    /// the same name is replaced and closed.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub fn add_link(&self, name: &str, target: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind((target.ip(), 0))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let counters = Arc::<LinkCounters>::default();
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let task = LinkTask {
+            listener,
+            address,
+            target,
+            counters: Arc::clone(&counters),
+            commands: receiver,
+        };
+        self.shared
+            .tasks
+            .send(task)
+            .map_err(|_| io::Error::other("the forwarder's thread has ended"))?;
+        let handle = LinkHandle {
+            address,
+            target,
+            mode: LinkMode::Pass,
+            counters,
+            commands,
+        };
+        self.shared.lock().insert(name.to_owned(), handle);
+        Ok(address)
+    }
+
+    /// Changes a link, or all, and waits until the change is in force.
+    ///
+    /// # Errors
+    ///
+    /// The order names no link.
+    pub async fn order(&self, order: LinkOrder) -> Result<(), UnknownLink> {
+        self.shared.order(order).await
+    }
+
+    /// What the links are doing, by name.
+    pub fn status(&self) -> Vec<LinkStatus> {
+        self.shared.status()
+    }
+}
+
+impl Drop for NetForwarder {
+    fn drop(&mut self) {
+        // The control server may outlive this by a moment, so the links are closed here: a link ends when its
+        // command channel does.
+        self.shared.lock().clear();
+        if let Some((_, handle)) = &self.control {
+            drop(handle.stop(false));
+        }
+    }
+}
+
+impl SharedLinks {
+    async fn order(&self, order: LinkOrder) -> Result<(), UnknownLink> {
+        for done in self.send(&order)? {
+            // An error says that the link was closed meanwhile: nothing is left to change.
+            let _ = done.await;
+        }
+        Ok(())
+    }
+
+    fn send(&self, order: &LinkOrder) -> Result<Vec<oneshot::Receiver<()>>, UnknownLink> {
+        let mut links = self.lock();
+        if let Some(name) = &order.link {
+            let link = links
+                .get_mut(name)
+                .ok_or_else(|| UnknownLink(name.clone()))?;
+            return Ok(vec![link.send(order.mode)]);
+        }
+        let mut receivers = Vec::with_capacity(links.len());
+        for link in links.values_mut() {
+            receivers.push(link.send(order.mode));
+        }
+        Ok(receivers)
+    }
+
+    fn status(&self) -> Vec<LinkStatus> {
+        let links = self.lock();
+        let mut list: Vec<_> = links.iter().map(|(name, link)| link.status(name)).collect();
+        list.sort_by(|a, b| a.link.cmp(&b.link));
+        list
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FastMap<String, LinkHandle>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl LinkHandle {
+    fn send(&mut self, mode: LinkMode) -> oneshot::Receiver<()> {
+        self.mode = match mode {
+            LinkMode::Reset => LinkMode::Pass,
+            other => other,
+        };
+        let (done, receiver) = oneshot::channel();
+        // The link's task ends only after this handle is dropped.
+        let _ = self.commands.send(LinkCommand { mode, done });
+        receiver
+    }
+
+    fn status(&self, name: &str) -> LinkStatus {
+        let (open, forward_bytes, back_bytes) = self.counters.read();
+        LinkStatus {
+            link: name.to_owned(),
+            address: self.address,
+            target: self.target,
+            mode: self.mode,
+            open,
+            forward_bytes,
+            back_bytes,
+        }
+    }
+}
+
+async fn run_links(mut tasks: mpsc::UnboundedReceiver<LinkTask>) {
+    // The runtime, and with it every link, ends when the forwarder and its control server are gone.
+    while let Some(task) = tasks.recv().await {
+        tokio::spawn(task.run());
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/forwarder/pump.rs
@@ -0,0 +1,142 @@
+//! Moves the bytes of one connection, each way through a bounded delay line.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{
+        tcp::{ReadHalf, WriteHalf},
+        TcpStream,
+    },
+    sync::{mpsc, watch},
+    time::{sleep_until, Instant},
+};
+
+use crate::forwarder::link::{FlowState, LinkCounters};
+
+/// The most bytes read at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+/// The most chunks of one direction on their way. Beyond it the sender feels back pressure, as on a full network.
+const MAX_CHUNKS: usize = 64;
+
+/// Bytes on their way, with the time they may arrive.
+struct DelayedChunk {
+    due: Instant,
+    bytes: Vec<u8>,
+}
+
+#[derive(Clone, Copy)]
+enum FlowWay {
+    Forward,
+    Back,
+}
+
+impl FlowWay {
+    fn silent(self, state: &FlowState) -> bool {
+        match self {
+            Self::Forward => state.forward_silent,
+            Self::Back => state.back_silent,
+        }
+    }
+}
+
+/// Forwards one connection to `target` until it ends, is reset, or the link closes.
+pub(super) async fn forward(
+    mut near: TcpStream,
+    target: SocketAddr,
+    mut flow: watch::Receiver<FlowState>,
+    counters: &LinkCounters,
+) -> io::Result<()> {
+    near.set_nodelay(true)?;
+    let mut far = TcpStream::connect(target).await?;
+    far.set_nodelay(true)?;
+    let resets = flow.borrow_and_update().resets;
+    let ended = {
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
+        let there = one_way(
+            near_read,
+            far_write,
+            FlowWay::Forward,
+            flow.clone(),
+            &counters.forward_bytes,
+        );
+        let back = one_way(
+            far_read,
+            near_write,
+            FlowWay::Back,
+            flow.clone(),
+            &counters.back_bytes,
+        );
+        tokio::select! {
+            ended = async { tokio::try_join!(there, back).map(|_| ()) } => ended,
+            () = reset(&mut flow, resets) => Err(io::ErrorKind::ConnectionReset.into()),
+        }
+    };
+    if ended.is_err() {
+        near.set_zero_linger()?;
+        far.set_zero_linger()?;
+    }
+    ended
+}
+
+/// Ends when the connection is to be reset, or the link closes.
+async fn reset(flow: &mut watch::Receiver<FlowState>, resets: u64) {
+    let _ = flow.wait_for(|state| state.resets != resets).await;
+}
+
+/// Moves bytes one way until the sender's end, and passes that end on.
+async fn one_way(
+    from: ReadHalf<'_>,
+    to: WriteHalf<'_>,
+    way: FlowWay,
+    flow: watch::Receiver<FlowState>,
+    delivered: &AtomicU64,
+) -> io::Result<()> {
+    let (sender, receiver) = mpsc::channel(MAX_CHUNKS);
+    let reader = read_chunks(from, sender, flow.clone());
+    let writer = write_chunks(to, receiver, way, flow, delivered);
+    tokio::try_join!(reader, writer).map(|_| ())
+}
+
+async fn read_chunks(
+    mut from: ReadHalf<'_>,
+    sender: mpsc::Sender<DelayedChunk>,
+    flow: watch::Receiver<FlowState>,
+) -> io::Result<()> {
+    loop {
+        let mut bytes = vec![0; CHUNK_BYTES];
+        let count = from.read(&mut bytes).await?;
+        bytes.truncate(count);
+        let due = Instant::now() + flow.borrow().delay;
+        // An empty chunk stands for the end, so that it too waits for a cut link to heal.
+        if sender.send(DelayedChunk { due, bytes }).await.is_err() || count == 0 {
+            return Ok(());
+        }
+    }
+}
+
+async fn write_chunks(
+    mut to: WriteHalf<'_>,
+    mut receiver: mpsc::Receiver<DelayedChunk>,
+    way: FlowWay,
+    mut flow: watch::Receiver<FlowState>,
+    delivered: &AtomicU64,
+) -> io::Result<()> {
+    while let Some(chunk) = receiver.recv().await {
+        sleep_until(chunk.due).await;
+        if flow.wait_for(|state| !way.silent(state)).await.is_err() {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        if chunk.bytes.is_empty() {
+            return to.shutdown().await;
+        }
+        to.write_all(&chunk.bytes).await?;
+        delivered.fetch_add(chunk.bytes.len() as u64, Ordering::Relaxed);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/stand-ins/tests/forwarder.rs
@@ -0,0 +1,265 @@
+//! The network stand-in: what each link mode does to open and to new connections.
+
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use stand_ins::forwarder::{CutConnect, LinkMode, LinkOrder, NetForwarder, OpenWay, UnknownLink};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+
+/// Long enough for bytes to pass on loopback, and the time for which silence is watched.
+const WATCH: Duration = Duration::from_millis(150);
+const LONG: Duration = Duration::from_secs(5);
+
+/// A target that answers each byte by the same byte.
+async fn echo_target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            actix_rt::spawn(async move {
+                let (mut from, mut to) = stream.split();
+                let _ = tokio::io::copy(&mut from, &mut to).await;
+            });
+        }
+    });
+    address
+}
+
+/// A target that hands out the connections it accepts.
+async fn open_pair(forwarder: &NetForwarder) -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link = forwarder
+        .add_link("pair", listener.local_addr().unwrap())
+        .unwrap();
+    let near = TcpStream::connect(link).await.unwrap();
+    let (far, _) = listener.accept().await.unwrap();
+    (near, far)
+}
+
+async fn order(forwarder: &NetForwarder, mode: LinkMode) {
+    let order = LinkOrder { link: None, mode };
+    forwarder.order(order).await.unwrap();
+}
+
+async fn echoed(stream: &mut TcpStream, text: &str) -> io::Result<String> {
+    stream.write_all(text.as_bytes()).await?;
+    let mut bytes = vec![0; text.len()];
+    timeout(LONG, stream.read_exact(&mut bytes)).await??;
+    Ok(String::from_utf8(bytes).unwrap())
+}
+
+async fn is_silent(stream: &mut TcpStream) -> bool {
+    timeout(WATCH, stream.read(&mut [0; 1])).await.is_err()
+}
+
+#[actix_rt::test]
+async fn passes_bytes_and_the_end() {
+    let forwarder = NetForwarder::start().unwrap();
+    let link = forwarder.add_link("a-b", echo_target().await).unwrap();
+    let mut stream = TcpStream::connect(link).await.unwrap();
+    let text = "x".repeat(3_000_000);
+    let (mut from, mut to) = stream.split();
+    let send = async {
+        to.write_all(text.as_bytes()).await.unwrap();
+        to.shutdown().await.unwrap();
+    };
+    let mut back = Vec::new();
+    let ((), read) = futures::join!(send, from.read_to_end(&mut back));
+    assert_eq!(read.unwrap(), text.len());
+    let status = &forwarder.status()[0];
+    assert_eq!(status.forward_bytes, text.len() as u64);
+    assert_eq!(status.back_bytes, text.len() as u64);
+}
+
+// What both sides see: silence, no error; after the heal, everything that was written, in order.
+// Order: an open connection, the cut, writes on both sides, the heal.
+// Why: a partition drops packets; it sends no resets, and TCP sends again after it.
+#[actix_rt::test]
+async fn cut_holds_bytes_until_the_heal() {
+    let forwarder = NetForwarder::start().unwrap();
+    let (mut near, mut far) = open_pair(&forwarder).await;
+    order(
+        &forwarder,
+        LinkMode::Cut {
+            connects: CutConnect::Hang,
+        },
+    )
+    .await;
+    near.write_all(b"there").await.unwrap();
+    far.write_all(b"back").await.unwrap();
+    assert!(is_silent(&mut far).await);
+    assert!(is_silent(&mut near).await);
+    order(&forwarder, LinkMode::Pass).await;
+    let (mut there, mut back) = ([0; 5], [0; 4]);
+    timeout(LONG, far.read_exact(&mut there))
+        .await
+        .unwrap()
+        .unwrap();
+    timeout(LONG, near.read_exact(&mut back))
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!((&there, &back), (b"there", b"back"));
+}
+
+// What the far side sees: nothing of the near side's close until the heal.
+// Order: the cut, the near side closes, the heal.
+// Why: the close is a packet too.
+#[actix_rt::test]
+async fn cut_holds_a_close_back() {
+    let forwarder = NetForwarder::start().unwrap();
+    let (near, mut far) = open_pair(&forwarder).await;
+    order(
+        &forwarder,
+        LinkMode::Cut {
+            connects: CutConnect::Hang,
+        },
+    )
+    .await;
+    drop(near);
+    assert!(is_silent(&mut far).await);
+    order(&forwarder, LinkMode::Pass).await;
+    let count = timeout(LONG, far.read(&mut [0; 1])).await.unwrap().unwrap();
+    assert_eq!(count, 0);
+}
+
+#[actix_rt::test]
+async fn one_way_passes_only_that_way() {
+    for open in [OpenWay::Forward, OpenWay::Back] {
+        let forwarder = NetForwarder::start().unwrap();
+        let (mut near, mut far) = open_pair(&forwarder).await;
+        order(&forwarder, LinkMode::OneWay { open }).await;
+        near.write_all(b"n").await.unwrap();
+        far.write_all(b"f").await.unwrap();
+        let (passing, silent) = match open {
+            OpenWay::Forward => (&mut far, &mut near),
+            OpenWay::Back => (&mut near, &mut far),
+        };
+        let count = timeout(LONG, passing.read(&mut [0; 1]))
+            .await
+            .unwrap()
+            .unwrap();
+        assert_eq!(count, 1, "{open:?}");
+        assert!(is_silent(silent).await, "{open:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn new_connection_on_a_cut_link_hangs_or_is_refused() {
+    let cases = [
+        (
+            LinkMode::Cut {
+                connects: CutConnect::Hang,
+            },
+            None,
+        ),
+        (
+            LinkMode::OneWay {
+                open: OpenWay::Forward,
+            },
+            None,
+        ),
+        (
+            LinkMode::OneWay {
+                open: OpenWay::Back,
+            },
+            None,
+        ),
+        (
+            LinkMode::Cut {
+                connects: CutConnect::Refuse,
+            },
+            Some(io::ErrorKind::ConnectionRefused),
+        ),
+    ];
+    for (mode, expect) in cases {
+        let forwarder = NetForwarder::start().unwrap();
+        let link = forwarder.add_link("a-b", echo_target().await).unwrap();
+        order(&forwarder, mode).await;
+        // The second must hang like the first: the first may not have taken the last place of a queue.
+        for _ in 0..2 {
+            let connected = timeout(WATCH, TcpStream::connect(link)).await;
+            let error = connected.ok().map(|result| result.unwrap_err().kind());
+            assert_eq!(error, expect, "{mode:?}");
+        }
+        order(&forwarder, LinkMode::Pass).await;
+        let mut stream = TcpStream::connect(link).await.unwrap();
+        assert_eq!(
+            echoed(&mut stream, "again").await.unwrap(),
+            "again",
+            "{mode:?}"
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn reset_ends_open_connections_and_takes_new_ones() {
+    let forwarder = NetForwarder::start().unwrap();
+    let (mut near, mut far) = open_pair(&forwarder).await;
+    order(&forwarder, LinkMode::Reset).await;
+    for stream in [&mut near, &mut far] {
+        let read = timeout(LONG, stream.read(&mut [0; 1])).await.unwrap();
+        assert_eq!(read.unwrap_err().kind(), io::ErrorKind::ConnectionReset);
+    }
+    let link = forwarder.add_link("other", echo_target().await).unwrap();
+    let mut stream = TcpStream::connect(link).await.unwrap();
+    assert_eq!(echoed(&mut stream, "new").await.unwrap(), "new");
+}
+
+#[actix_rt::test]
+async fn delay_counts_each_way_and_does_not_add_up() {
+    let forwarder = NetForwarder::start().unwrap();
+    let link = forwarder.add_link("a-b", echo_target().await).unwrap();
+    order(&forwarder, LinkMode::Delay { ms: 100 }).await;
+    let mut stream = TcpStream::connect(link).await.unwrap();
+    let start = Instant::now();
+    // Many chunks: on their way together, so all take one delay and not one each.
+    let text = "x".repeat(200_000);
+    assert_eq!(echoed(&mut stream, &text).await.unwrap().len(), text.len());
+    let took = start.elapsed();
+    assert!(took >= Duration::from_millis(200), "{took:?}");
+    assert!(took < Duration::from_millis(1000), "{took:?}");
+}
+
+#[actix_rt::test]
+async fn control_calls_drive_one_link_by_name() {
+    let mut forwarder = NetForwarder::start().unwrap();
+    let cut = forwarder.add_link("a-b", echo_target().await).unwrap();
+    let open = forwarder.add_link("a-c", echo_target().await).unwrap();
+    let control = forwarder
+        .serve_control(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .unwrap();
+    let url = format!("http://{control}/control/links");
+    let client = awc::Client::default();
+    let body = r#"{"link":"a-b","mode":"cut","connects":"refuse"}"#;
+    let answer = client
+        .post(&url)
+        .insert_header(("content-type", "application/json"))
+        .send_body(body)
+        .await
+        .unwrap();
+    assert_eq!(answer.status().as_u16(), 204);
+    let error = TcpStream::connect(cut).await.unwrap_err();
+    assert_eq!(error.kind(), io::ErrorKind::ConnectionRefused);
+    let mut stream = TcpStream::connect(open).await.unwrap();
+    assert_eq!(echoed(&mut stream, "open").await.unwrap(), "open");
+    let shown = client.get(&url).send().await.unwrap().body().await.unwrap();
+    let shown = String::from_utf8(shown.to_vec()).unwrap();
+    assert!(
+        shown.contains(r#""link":"a-b""#) && shown.contains(r#""mode":"cut""#),
+        "{shown}"
+    );
+    let unknown = LinkOrder {
+        link: Some("a-x".to_owned()),
+        mode: LinkMode::Pass,
+    };
+    let error = forwarder.order(unknown).await.unwrap_err();
+    assert_eq!(error, UnknownLink("a-x".to_owned()));
+}
