--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod endpoint;
 pub mod forwarder;
+pub mod platform;
