Give libraries a log part of their own

actix and awc log through the same logger as the product. Without a part they would share the product's level, and their start messages would stand among its own. The part `library` writes warnings and errors unless it is named in the settings.

--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log.rs
@@ -97,6 +97,8 @@
         Ctl => "ctl",
         /// Stand-ins of the platform and of endpoints.
         StandIn => "stand_in",
+        /// Libraries. They log warnings and errors only, unless this part's level says otherwise.
+        Library => "library",
     }
 }
 
@@ -131,7 +133,13 @@
 impl LogSettings {
     /// The level of one part.
     pub fn level_of(&self, part: LogPart) -> LogLevel {
-        self.parts.get(&part).copied().unwrap_or(self.level)
+        if let Some(level) = self.parts.get(&part) {
+            return *level;
+        }
+        match part {
+            LogPart::Library => self.level.min(LogLevel::Warn),
+            _ => self.level,
+        }
     }
 }
 
