Add logs, metrics and the explain history

Logs: flexi_logger to standard error, text or JSON lines. A message belongs to the part of its crate, by the first name of its target. Each place in the code may write so many lines a second; the rest is counted and the count follows, so that a cut or an overload cannot fill the log pipe. A second start returns the running logger; a logger set by other code is an error. A reader of standard error that goes away does not take the process with it (seen to fail without the option for it).

Metrics: opentelemetry instruments, written as Prometheus text. One catalogue gives names, units and meanings; the instruments are built from it and a test holds docs/METRICS.md to it. Customers as labels are bounded to 64 and `other`.

Explain: a ring bounded in bytes, oldest out first, at most 2048 events a submission plus its answer. The test of the bound first failed on an underflow: an answer shrinks the record. That is mended here.

Ruled out: a limit on all lines together, since frequent messages would then push out the rare ones that tell the cause; and opentelemetry's own cardinality limit, which would fold reasons and customers alike.

--- /dev/null
+++ b/crates/telemetry/src/error.rs
@@ -0,0 +1,19 @@
+//! What can go wrong in telemetry.
+
+use flexi_logger::FlexiLoggerError;
+use opentelemetry_sdk::error::OTelSdkError;
+use thiserror::Error;
+
+/// What can go wrong while telemetry is set up or read.
+#[derive(Debug, Error)]
+pub enum TelemetryError {
+    /// Logging could not start, for example because other code of the process has set a logger.
+    #[error("logging cannot start: {0}")]
+    Logs(#[from] FlexiLoggerError),
+    /// The exporter of metrics could not be built.
+    #[error("metrics cannot start: {0}")]
+    Exporter(#[from] OTelSdkError),
+    /// The metrics could not be written as text.
+    #[error("metrics cannot be written: {0}")]
+    Text(#[from] prometheus::Error),
+}
--- /dev/null
+++ b/crates/telemetry/src/logs/control.rs
@@ -0,0 +1,188 @@
+//! Starting logging and changing levels while the process runs.
+
+use std::{
+    io,
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+};
+
+use flexi_logger::{
+    filter::{LogLineFilter, LogLineWriter},
+    DeferredNow, ErrorChannel, LogSpecification, Logger, LoggerHandle,
+};
+use kernel::{ClockSource, SystemClock};
+use log::{LevelFilter, Record};
+use settings::{LogLevel, LogPart, LogSettings};
+
+use super::{
+    format::{write_json, write_text},
+    limiter::{LogLimiter, LogPlace, LogVerdict, SuppressedCount},
+    part::CRATES,
+};
+use crate::TelemetryError;
+
+/// The running logger of the process.
+pub struct LogControl {
+    handle: LoggerHandle,
+    settings: Mutex<LogSettings>,
+    limiter: Arc<Mutex<LogLimiter>>,
+}
+
+/// Starts logging. A process has one logger: a later call, as when a demo runs several roles in one process, returns
+/// the first one's control and changes nothing.
+///
+/// # Errors
+///
+/// Fails when other code has set a logger that is not this one.
+pub fn init_logs(settings: &LogSettings) -> Result<&'static LogControl, TelemetryError> {
+    static CONTROL: Mutex<Option<&'static LogControl>> = Mutex::new(None);
+    static STORE: OnceLock<LogControl> = OnceLock::new();
+    let mut control = lock(&CONTROL);
+    if let Some(control) = *control {
+        return Ok(control);
+    }
+    let started = LogControl::start(settings)?;
+    let started = STORE.get_or_init(|| started);
+    *control = Some(started);
+    Ok(started)
+}
+
+impl LogControl {
+    /// Changes the level of one part.
+    pub fn set_level(&self, part: LogPart, level: LogLevel) {
+        let mut settings = lock(&self.settings);
+        settings.parts.insert(part, level);
+        self.handle.set_new_spec(specification(&settings));
+    }
+
+    /// The level of one part.
+    pub fn level_of(&self, part: LogPart) -> LogLevel {
+        lock(&self.settings).level_of(part)
+    }
+
+    /// The messages left out since the start because their place wrote too many.
+    pub fn suppressed_total(&self) -> u64 {
+        lock(&self.limiter).suppressed_total()
+    }
+
+    /// Writes the counts of left-out messages that are still open. Called before the process ends.
+    pub fn flush(&self) {
+        let counts = lock(&self.limiter).all_counts();
+        for count in counts {
+            log::warn!(target: LogPart::Process.as_str(), "{}", suppressed_line(count));
+        }
+        self.handle.flush();
+    }
+
+    fn start(settings: &LogSettings) -> Result<Self, TelemetryError> {
+        let limiter = Arc::new(Mutex::new(LogLimiter::new(settings.per_kind_per_second)));
+        let filter = LimitFilter {
+            limiter: Arc::clone(&limiter),
+            clock: SystemClock,
+        };
+        let format = if settings.json {
+            write_json
+        } else {
+            write_text
+        };
+        // A reader of standard error that goes away must not take the process with it.
+        let handle = Logger::with(specification(settings))
+            .log_to_stderr()
+            .format(format)
+            .filter(Box::new(filter))
+            .error_channel(ErrorChannel::DevNull)
+            .panic_if_error_channel_is_broken(false)
+            .start()?;
+        Ok(Self {
+            handle,
+            settings: Mutex::new(settings.clone()),
+            limiter,
+        })
+    }
+}
+
+struct LimitFilter {
+    limiter: Arc<Mutex<LogLimiter>>,
+    clock: SystemClock,
+}
+
+impl LogLineFilter for LimitFilter {
+    fn write(
+        &self,
+        now: &mut DeferredNow,
+        record: &Record<'_>,
+        writer: &dyn LogLineWriter,
+    ) -> io::Result<()> {
+        let (verdict, counts) = {
+            let mut limiter = lock(&self.limiter);
+            let time = self.clock.now();
+            let counts = limiter.due_counts(time);
+            (limiter.admit(place_of(record), time), counts)
+        };
+        for count in counts {
+            write_count(now, count, writer)?;
+        }
+        match verdict {
+            LogVerdict::Write => writer.write(now, record),
+            LogVerdict::Suppress => Ok(()),
+        }
+    }
+}
+
+fn write_count(
+    now: &mut DeferredNow,
+    count: SuppressedCount,
+    writer: &dyn LogLineWriter,
+) -> io::Result<()> {
+    writer.write(
+        now,
+        &Record::builder()
+            .level(log::Level::Warn)
+            .target(LogPart::Process.as_str())
+            .args(format_args!("{}", suppressed_line(count)))
+            .build(),
+    )
+}
+
+fn suppressed_line(count: SuppressedCount) -> String {
+    let SuppressedCount { place, messages } = count;
+    format!(
+        "{messages} messages of {}:{} left out",
+        place.file, place.line
+    )
+}
+
+fn place_of(record: &Record<'_>) -> LogPlace {
+    LogPlace {
+        file: record.file_static().unwrap_or_default(),
+        line: record.line().unwrap_or_default(),
+    }
+}
+
+/// The levels by module, as flexi_logger wants them. It matches a target by the longest prefix.
+fn specification(settings: &LogSettings) -> LogSpecification {
+    let mut builder = LogSpecification::builder();
+    builder.default(level_filter(settings.level_of(LogPart::Library)));
+    for part in LogPart::ALL {
+        builder.module(part.as_str(), level_filter(settings.level_of(*part)));
+    }
+    for (name, part) in CRATES {
+        builder.module(name, level_filter(settings.level_of(*part)));
+    }
+    builder.build()
+}
+
+fn level_filter(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Off => LevelFilter::Off,
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+        LogLevel::Trace => LevelFilter::Trace,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // Each use leaves the value whole, so a panic elsewhere while the lock is held does no harm.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/telemetry/src/logs/part.rs
@@ -0,0 +1,35 @@
+//! Which part a message belongs to.
+
+use settings::LogPart;
+
+/// The crates of the workspace, by the name that stands first in a message's target, and their parts.
+pub(super) const CRATES: &[(&str, LogPart)] = &[
+    ("authority", LogPart::Entry),
+    ("cairnctl", LogPart::Ctl),
+    ("cairnpaddle", LogPart::Process),
+    ("caller_api", LogPart::Caller),
+    ("contracts", LogPart::Contracts),
+    ("decisions", LogPart::Entry),
+    ("dispatcher", LogPart::Dispatcher),
+    ("endpoint_client", LogPart::Endpoint),
+    ("entry", LogPart::Entry),
+    ("kernel", LogPart::Process),
+    ("ledger", LogPart::Ledger),
+    ("membership", LogPart::Membership),
+    ("peer", LogPart::Peer),
+    ("platform", LogPart::Platform),
+    ("settings", LogPart::Process),
+    ("stand_ins", LogPart::StandIn),
+    ("telemetry", LogPart::Process),
+];
+
+/// The part of a message by its target: the path of a module, or the name of a part that a message gives itself.
+pub fn part_of(target: &str) -> LogPart {
+    let first = target.split("::").next().unwrap_or(target);
+    for (name, part) in CRATES {
+        if *name == first {
+            return *part;
+        }
+    }
+    first.parse().unwrap_or(LogPart::Library)
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -0,0 +1,11 @@
+//! Metrics: instruments of opentelemetry, written as Prometheus text.
+
+mod catalogue;
+mod customers;
+mod set;
+
+pub use self::{
+    catalogue::{metric_page, CounterKind, GaugeKind, MetricLine, MetricType, TimeKind, CATALOGUE},
+    customers::{CustomerLabels, MAX_CUSTOMER_LABELS, OTHER_CUSTOMERS},
+    set::MetricSet,
+};
--- /dev/null
+++ b/crates/telemetry/src/metrics/set.rs
@@ -0,0 +1,204 @@
+//! The instruments of one process.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use model::{
+    CustomerId, FailureReason, RefusalReason, RetryReason, SubmissionOutcome, UnknownReason,
+};
+use opentelemetry::{
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _},
+    KeyValue,
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use super::{
+    catalogue::{ANSWERS, CATALOGUE, FAILURES, REFUSALS, RETRIES, SUBMISSIONS, UNKNOWNS},
+    CounterKind, CustomerLabels, GaugeKind, MetricLine, TimeKind,
+};
+use crate::TelemetryError;
+
+/// Upper bounds of the histograms' buckets, in seconds: dense around the 50 ms to 1 s that most tasks take.
+const TIME_BUCKETS: [f64; 16] = [
+    0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 2.5, 5.0, 10.0, 60.0,
+];
+
+/// The metrics of one process, safe to record from any thread.
+///
+/// Every reason's series is there from the start with 0, so that a rate over it is right from its first count.
+pub struct MetricSet {
+    registry: Registry,
+    // The instruments report to the provider, so it lives as long as they do.
+    _provider: SdkMeterProvider,
+    customers: Mutex<CustomerLabels>,
+    submissions: Counter<u64>,
+    answers: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    failures: Counter<u64>,
+    unknowns: Counter<u64>,
+    counters: Vec<Counter<u64>>,
+    times: Vec<Histogram<f64>>,
+    gauges: Vec<Gauge<f64>>,
+}
+
+impl MetricSet {
+    /// Builds the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exporter cannot be registered.
+    pub fn new() -> Result<Self, TelemetryError> {
+        let registry = Registry::new();
+        // The catalogue gives the names as they appear, so the exporter adds nothing to them.
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_units()
+            .without_counter_suffixes()
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("cairnpaddle");
+        let set = Self {
+            registry,
+            _provider: provider,
+            customers: Mutex::default(),
+            submissions: named_counter(&meter, SUBMISSIONS),
+            answers: named_counter(&meter, ANSWERS),
+            refusals: named_counter(&meter, REFUSALS),
+            retries: named_counter(&meter, RETRIES),
+            failures: named_counter(&meter, FAILURES),
+            unknowns: named_counter(&meter, UNKNOWNS),
+            counters: build(CounterKind::ALL, |kind| counter(&meter, &kind.line())),
+            times: build(TimeKind::ALL, |kind| histogram(&meter, &kind.line())),
+            gauges: build(GaugeKind::ALL, |kind| gauge(&meter, &kind.line())),
+        };
+        set.start_at_zero();
+        Ok(set)
+    }
+
+    /// A submission of a customer that has a contract was taken in.
+    pub fn submitted(&self, customer: &CustomerId) {
+        let label = self
+            .customers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .label_of(customer);
+        self.submissions.add(1, &[KeyValue::new("customer", label)]);
+    }
+
+    /// An answer was given. Counts the outcome and its reason.
+    pub fn answered(&self, outcome: &SubmissionOutcome) {
+        let name = match outcome {
+            SubmissionOutcome::Complete(_) => "complete",
+            SubmissionOutcome::Failed(reason) => {
+                add(&self.failures, 1, "reason", reason.as_str());
+                "failed"
+            }
+            SubmissionOutcome::Refused { reason, .. } => {
+                add(&self.refusals, 1, "reason", reason.as_str());
+                "refused"
+            }
+            SubmissionOutcome::Unknown(reason) => {
+                add(&self.unknowns, 1, "reason", reason.as_str());
+                "unknown"
+            }
+        };
+        add(&self.answers, 1, "outcome", name);
+    }
+
+    /// A task is placed again after a definite not-run.
+    pub fn retried(&self, reason: RetryReason) {
+        add(&self.retries, 1, "reason", reason.as_str());
+    }
+
+    /// Adds to a counter without a label.
+    pub fn count(&self, kind: CounterKind, by: u64) {
+        self.counters[kind as usize].add(by, &[]);
+    }
+
+    /// Records a time.
+    pub fn time(&self, kind: TimeKind, span: Duration) {
+        self.times[kind as usize].record(span.as_secs_f64(), &[]);
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, kind: GaugeKind, value: f64) {
+        self.gauges[kind as usize].record(value, &[]);
+    }
+
+    /// The metrics as Prometheus text.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a metric cannot be written as text.
+    pub fn render(&self) -> Result<String, TelemetryError> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+
+    fn start_at_zero(&self) {
+        for outcome in ["complete", "failed", "refused", "unknown"] {
+            add(&self.answers, 0, "outcome", outcome);
+        }
+        for reason in RefusalReason::ALL {
+            add(&self.refusals, 0, "reason", reason.as_str());
+        }
+        for reason in RetryReason::ALL {
+            add(&self.retries, 0, "reason", reason.as_str());
+        }
+        for reason in FailureReason::ALL {
+            add(&self.failures, 0, "reason", reason.as_str());
+        }
+        for reason in UnknownReason::ALL {
+            add(&self.unknowns, 0, "reason", reason.as_str());
+        }
+        for kind in CounterKind::ALL {
+            self.count(*kind, 0);
+        }
+    }
+}
+
+fn add(counter: &Counter<u64>, by: u64, label: &'static str, value: &'static str) {
+    counter.add(by, &[KeyValue::new(label, value)]);
+}
+
+fn build<K: Copy, I>(kinds: &[K], make: impl Fn(K) -> I) -> Vec<I> {
+    kinds.iter().map(|kind| make(*kind)).collect()
+}
+
+fn named_counter(meter: &Meter, name: &str) -> Counter<u64> {
+    let line = CATALOGUE
+        .iter()
+        .find(|line| line.name == name)
+        .expect("the catalogue has every labelled counter");
+    counter(meter, line)
+}
+
+fn counter(meter: &Meter, line: &MetricLine) -> Counter<u64> {
+    meter
+        .u64_counter(line.name)
+        .with_description(line.meaning)
+        .with_unit(line.unit)
+        .build()
+}
+
+fn histogram(meter: &Meter, line: &MetricLine) -> Histogram<f64> {
+    meter
+        .f64_histogram(line.name)
+        .with_description(line.meaning)
+        .with_unit(line.unit)
+        .with_boundaries(TIME_BUCKETS.to_vec())
+        .build()
+}
+
+fn gauge(meter: &Meter, line: &MetricLine) -> Gauge<f64> {
+    meter
+        .f64_gauge(line.name)
+        .with_description(line.meaning)
+        .with_unit(line.unit)
+        .build()
+}
--- /dev/null
+++ b/crates/telemetry/tests/explain.rs
@@ -0,0 +1,147 @@
+//! The explain history keeps its bound, loses the oldest first, and tells the truth about what it left out.
+
+use std::time::{Duration, Instant};
+
+use insta::assert_snapshot;
+use model::{
+    AttemptEnd, ByteSize, ContractVersion, IncarnationId, RefusalReason, RetryReason, SubmissionId,
+    SubmissionOutcome, UnknownReason,
+};
+use telemetry::{
+    explain::{AttemptNote, OutcomeNote, MAX_EVENTS},
+    ExplainEvent, ExplainHistory, SubmissionNote,
+};
+
+fn id(serial: u64) -> SubmissionId {
+    SubmissionId {
+        incarnation: IncarnationId(7),
+        serial,
+    }
+}
+
+fn note() -> SubmissionNote {
+    SubmissionNote {
+        customer: "trust".parse().unwrap(),
+        contract: Some(ContractVersion(3)),
+        tasks: 2,
+    }
+}
+
+fn answered(outcome: &SubmissionOutcome) -> ExplainEvent {
+    ExplainEvent::Answered {
+        outcome: OutcomeNote::from(outcome),
+    }
+}
+
+#[test]
+fn a_report_tells_the_whole_life() {
+    let mut history = ExplainHistory::new(ByteSize(1 << 20));
+    let start = Instant::now();
+    let dispatcher = "vm2".parse().unwrap();
+    let end = AttemptNote::from(&AttemptEnd::NotRun(RetryReason::EndpointBusy));
+    let outcome = SubmissionOutcome::Unknown(UnknownReason::ConnectionLost);
+    let events = [
+        (0, ExplainEvent::Admitted),
+        (
+            1,
+            ExplainEvent::Offered {
+                task: 0,
+                dispatcher,
+            },
+        ),
+        (2, ExplainEvent::Queued { task: 0 }),
+        (40, ExplainEvent::Claimed { task: 0 }),
+        (
+            41,
+            ExplainEvent::Started {
+                task: 0,
+                attempt: 0,
+            },
+        ),
+        (
+            43,
+            ExplainEvent::Ended {
+                task: 0,
+                attempt: 0,
+                end,
+            },
+        ),
+        (90, answered(&outcome)),
+    ];
+    history.accept(id(1), note(), start);
+    for (ms, event) in events {
+        history.note(id(1), event, start + Duration::from_millis(ms));
+    }
+    let report = history.explain(id(1)).unwrap();
+    assert_snapshot!(serde_json::to_string_pretty(&report).unwrap());
+}
+
+/// A burst of refused submissions, then the memory bound: the newest can be explained, the oldest not, and the bytes
+/// never go beyond the limit.
+#[test]
+fn memory_is_bounded_and_the_oldest_goes_first() {
+    let limit = ByteSize(100_000);
+    let mut history = ExplainHistory::new(limit);
+    let now = Instant::now();
+    for serial in 0..10_000 {
+        history.accept(id(serial), note(), now);
+        let reason = RefusalReason::Overloaded;
+        history.note(id(serial), ExplainEvent::Refused { reason }, now);
+        let outcome = SubmissionOutcome::Refused {
+            reason,
+            retry_after: None,
+        };
+        history.note(id(serial), answered(&outcome), now);
+        assert!(history.used() <= limit, "{} at {serial}", history.used());
+    }
+    assert!(history.len() > 100, "{}", history.len());
+    assert!(history.explain(id(0)).is_none());
+    let oldest = 10_000 - history.len() as u64;
+    assert!(history.explain(id(oldest)).is_some());
+    assert!(history.explain(id(oldest - 1)).is_none());
+}
+
+#[test]
+fn one_submission_cannot_take_everything() {
+    let mut history = ExplainHistory::new(ByteSize(10 << 20));
+    let now = Instant::now();
+    history.accept(id(1), note(), now);
+    for task in 0..100_000 {
+        history.note(id(1), ExplainEvent::Queued { task }, now);
+    }
+    history.note(
+        id(1),
+        answered(&SubmissionOutcome::Complete(Vec::new())),
+        now,
+    );
+    let report = history.explain(id(1)).unwrap();
+    assert_eq!(report.events.len(), MAX_EVENTS + 1);
+    assert_eq!(report.events_left_out as usize, 100_000 - MAX_EVENTS);
+    let last = &report.events.last().unwrap().event;
+    assert!(matches!(last, ExplainEvent::Answered { .. }));
+}
+
+#[test]
+fn what_is_unknown_or_gone_is_not_explained() {
+    let mut history = ExplainHistory::new(ByteSize(1));
+    let now = Instant::now();
+    history.note(id(1), ExplainEvent::Admitted, now);
+    assert!(history.explain(id(1)).is_none());
+    history.accept(id(1), note(), now);
+    assert!(history.is_empty());
+    assert_eq!(history.used(), ByteSize(0));
+    history.note(id(1), ExplainEvent::Cancelled, now);
+    assert_eq!(history.used(), ByteSize(0));
+}
+
+#[test]
+fn a_second_start_keeps_the_first_record() {
+    let mut history = ExplainHistory::new(ByteSize(1 << 20));
+    let now = Instant::now();
+    history.accept(id(1), note(), now);
+    history.note(id(1), ExplainEvent::Admitted, now);
+    let used = history.used();
+    history.accept(id(1), note(), now);
+    assert_eq!(history.used(), used);
+    assert_eq!(history.explain(id(1)).unwrap().events.len(), 1);
+}
--- /dev/null
+++ b/crates/telemetry/tests/logs.rs
@@ -0,0 +1,179 @@
+//! Log lines as a reader of standard error sees them. The program runs itself again as a child for each case, since
+//! a process has one logger.
+
+use std::{
+    env,
+    process::{Command, Stdio},
+};
+
+use telemetry::{init_logs, LogLevel, LogPart, LogSettings};
+
+const CHILD_CASE: &str = "LOG_CASE";
+
+fn main() {
+    if let Ok(case) = env::var(CHILD_CASE) {
+        return log_case(&case);
+    }
+    text_lines_carry_the_prefix_of_their_part();
+    json_lines_carry_the_part();
+    levels_follow_the_part_and_change();
+    repeats_are_counted();
+    a_second_start_changes_nothing();
+    another_logger_is_an_error();
+    a_reader_that_leaves_does_no_harm();
+    println!("logs: 7 cases passed");
+}
+
+/// What the child does.
+fn log_case(case: &str) {
+    let mut settings = LogSettings {
+        per_kind_per_second: 3,
+        ..LogSettings::default()
+    };
+    match case {
+        "text" => {
+            init_logs(&settings).unwrap();
+            log::info!(target: "entry::core", "Contract 3 in force");
+            log::warn!(target: "endpoint_client", "Endpoint e1 is slow");
+            log::info!(target: "actix_server", "a library's chatter");
+            log::error!(target: "actix_server", "a library's error");
+            log::info!(target: "entry", "two\nlines");
+        }
+        "json" => {
+            settings.json = true;
+            init_logs(&settings).unwrap();
+            log::warn!(target: "peer", "Session \"a\" lost\nat once");
+        }
+        "levels" => {
+            settings.parts.insert(LogPart::Peer, LogLevel::Error);
+            let control = init_logs(&settings).unwrap();
+            log::warn!(target: "peer::session", "left out");
+            log::debug!(target: "ledger", "left out");
+            control.set_level(LogPart::Ledger, LogLevel::Debug);
+            log::debug!(target: "ledger", "now written");
+            control.set_level(LogPart::Library, LogLevel::Off);
+            log::error!(target: "awc", "left out");
+        }
+        "repeats" => {
+            let control = init_logs(&settings).unwrap();
+            for n in 0..1000 {
+                log::warn!(target: "dispatcher", "Endpoint refused task {n}");
+            }
+            log::info!(target: "dispatcher", "something else");
+            assert_eq!(control.suppressed_total(), 997);
+            control.flush();
+        }
+        "twice" => {
+            init_logs(&settings).unwrap();
+            settings.level = LogLevel::Off;
+            init_logs(&settings).unwrap();
+            log::info!(target: "entry", "still written");
+        }
+        "taken" => {
+            log::set_logger(&OtherLogger).unwrap();
+            assert!(init_logs(&settings).is_err());
+            assert!(init_logs(&settings).is_err());
+        }
+        "reader_gone" => {
+            settings.per_kind_per_second = 100_000;
+            init_logs(&settings).unwrap();
+            for n in 0..20_000 {
+                log::info!(target: "entry", "line {n} of a log that nobody reads any more");
+            }
+            println!("alive");
+        }
+        other => panic!("no case {other}"),
+    }
+}
+
+/// A logger that other code has set.
+struct OtherLogger;
+
+impl log::Log for OtherLogger {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        false
+    }
+
+    fn log(&self, _: &log::Record<'_>) {}
+
+    fn flush(&self) {}
+}
+
+fn lines_of(case: &str) -> Vec<String> {
+    let output = child(case).output().unwrap();
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(output.status.success(), "{case}: {text}");
+    text.lines().map(without_time).collect()
+}
+
+fn child(case: &str) -> Command {
+    let mut command = Command::new(env::current_exe().unwrap());
+    command.env(CHILD_CASE, case).env("RUST_BACKTRACE", "0");
+    command
+}
+
+/// Checks the form of the time, which stands first, and cuts it off.
+fn without_time(line: &str) -> String {
+    let start = line.find("20").expect("a line has a time");
+    let time = &line[start..start + 24];
+    assert!(time.ends_with('Z') && time.as_bytes()[10] == b'T', "{line}");
+    line.replace(time, "").trim_start().to_owned()
+}
+
+fn text_lines_carry_the_prefix_of_their_part() {
+    assert_eq!(
+        lines_of("text"),
+        [
+            "INFO entry: Contract 3 in force",
+            "WARN endpoint: Endpoint e1 is slow",
+            "ERROR library: a library's error",
+            "INFO entry: two\\nlines",
+        ]
+    );
+}
+
+fn json_lines_carry_the_part() {
+    assert_eq!(
+        lines_of("json"),
+        [r#"{"time":"","level":"WARN","part":"peer","message":"Session \"a\" lost\nat once"}"#]
+    );
+}
+
+fn levels_follow_the_part_and_change() {
+    assert_eq!(lines_of("levels"), ["DEBUG ledger: now written"]);
+}
+
+fn repeats_are_counted() {
+    let lines = lines_of("repeats");
+    assert_eq!(lines.len(), 5, "{lines:#?}");
+    assert_eq!(lines[2], "WARN dispatcher: Endpoint refused task 2");
+    assert_eq!(lines[3], "INFO dispatcher: something else");
+    assert!(
+        lines[4].starts_with("WARN process: 997 messages of "),
+        "{}",
+        lines[4]
+    );
+    assert!(lines[4].ends_with(" left out"), "{}", lines[4]);
+}
+
+fn a_second_start_changes_nothing() {
+    assert_eq!(lines_of("twice"), ["INFO entry: still written"]);
+}
+
+fn another_logger_is_an_error() {
+    assert!(lines_of("taken").is_empty());
+}
+
+/// The caller of the log sees nothing of it when the reader of standard error goes away: the lines are lost, the
+/// process goes on.
+fn a_reader_that_leaves_does_no_harm() {
+    let mut running = child("reader_gone")
+        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(running.stderr.take());
+    let output = running.wait_with_output().unwrap();
+    assert_eq!(String::from_utf8_lossy(&output.stdout), "alive\n");
+    assert!(output.status.success());
+}
