--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,1 +1,29 @@
 //! Live dispatchers, ownership by rendezvous hashing, and leased grants, without I/O.
+//!
+//! Everything here is a state machine: `now: Instant` and messages in, messages and actions out. The clock is the
+//! caller's own monotonic one; no two processes compare their readings, only lengths of time.
+//!
+//! - [`MemberTable`]: which dispatchers are live, from heartbeats.
+//! - [`OwnershipMap`]: which dispatcher owns which endpoint.
+//! - [`GrantLedger`] and [`GrantHolder`]: the two sides of a lease on a part of a customer's concurrency.
+//! - [`HandoverReport`]: what a leaving owner tells the new ones.
+
+mod grant;
+mod handover;
+mod member;
+mod mix;
+mod ownership;
+
+pub use crate::{
+    grant::{
+        base_share, fair_target, split_shares, AskBatch, GrantAsk, GrantHolder, GrantLedger,
+        GrantReply, GrantSettings, GrantVerdict, ReplyBatch, StartRefusal,
+    },
+    handover::{HandoverCount, HandoverLedger, HandoverReport},
+    member::{
+        BeatMessage, BeatReply, LiveOwner, MemberAction, MemberSettings, MemberTable, MemberView,
+        OwnMember,
+    },
+    mix::{rendezvous, StableHash},
+    ownership::{OwnershipMap, OwnershipMove},
+};
