Add the entry process

Cause: the path needs its caller side. Change: a control actor holds submissions, sessions with dispatchers and the contract view; contracts reach an entry from its dispatchers, of which one a data centre reads the platform often. Ruled out: each entry polling the platform, which at the target's VM count would take the platform's reads for itself.

--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -16,6 +16,7 @@
 
 use ::membership::{MemberSettings, MemberTable, OwnMember, OwnershipMap};
 use actix::{Actor, Addr, AsyncContext as _, Context, Handler};
+use ::contracts::ContractView;
 use kernel::ClockSource;
 use ledger::{LedgerAction, LedgerSettings, SlotLedger};
 use model::{FastMap, IncarnationId, VmEntry};
@@ -52,6 +53,9 @@
     traffic: Vec<Addr<EndpointTraffic>>,
     next_traffic: usize,
     platform: PlatformClient,
+    view: ContractView,
+    polls: u32,
+    polling: bool,
     ready: Arc<AtomicBool>,
     stopping: bool,
 }
@@ -114,6 +118,9 @@
             platform: parts.platform,
             ready: parts.ready,
             stopping: false,
+            view: ContractView::default(),
+            polls: 0,
+            polling: false,
             settings,
         }
     }
@@ -190,6 +197,8 @@
         ctx.run_interval(TICK, Self::tick);
         self.read_vm_list(ctx);
         ctx.run_interval(self.settings.vm_list_ms.duration(), Self::read_vm_list);
+        self.poll_contracts(ctx);
+        ctx.run_interval(self.settings.refresh_ms.duration(), Self::poll_contracts);
     }
 }
 
--- a/crates/dispatcher/src/control/contracts.rs
+++ b/crates/dispatcher/src/control/contracts.rs
@@ -1,15 +1,115 @@
-//! Contracts as this dispatcher passes them on to entries and other dispatchers.
+//! Contracts: one dispatcher of a data centre reads them often, the others hear of changes in heartbeats.
 
-use actix::{Context, Handler};
-use peer::ContractPage;
+use std::net::SocketAddr;
 
-use super::{ContractsAsked, DispatcherControl};
+use actix::{ActorFutureExt as _, AsyncContext as _, Context, Handler, WrapFuture as _};
+use ::contracts::{ContractReader, ContractRow, ContractUpdate, HeadNumber, PollError};
+use membership::rendezvous;
+use peer::{ContractPage, ContractRecord};
+
+use super::{ContractsAsked, DispatcherControl, PeerSlot};
+
+/// What the reader of a data centre is chosen by, as endpoints choose owners.
+const READER_KEY: &str = "contract-reader";
+
+/// How many poll intervals pass between two polls of a dispatcher that is not its data centre's reader. It covers a
+/// reader that is cut off from the platform alone; at 720 VMs, a poll each 5 s is 144 reads a second.
+const STANDBY_POLLS: u32 = 5;
+
+impl DispatcherControl {
+    /// Called once each poll interval.
+    pub(super) fn poll_contracts(&mut self, ctx: &mut Context<Self>) {
+        self.polls = self.polls.wrapping_add(1);
+        let due = self.is_reader() || self.view.loaded_head().is_none() || self.polls % STANDBY_POLLS == 0;
+        if !due || self.polling {
+            return;
+        }
+        self.polling = true;
+        let reader = ContractReader::new(self.platform.clone());
+        let known = self.view.loaded_head();
+        let update = async move { reader.poll(known).await }.into_actor(self);
+        ctx.spawn(update.map(|update, control, ctx| control.on_polled(ctx, update)));
+    }
+
+    /// A peer has named its head: a newer one is a reason to ask it for the rows.
+    pub(super) fn hear_head(&mut self, ctx: &mut Context<Self>, address: SocketAddr, head: u64) {
+        let head = HeadNumber(head);
+        self.view.note_peer_head(head);
+        if self.view.loaded_head().is_some_and(|known| known >= head) || head == HeadNumber::default() {
+            return;
+        }
+        let Some(PeerSlot::Open(link)) = self.peers.get(&address) else {
+            return;
+        };
+        let since = self.view.loaded_head().unwrap_or_default();
+        let page = link.client().contracts(since.0).into_actor(self);
+        ctx.spawn(page.map(move |page, control, _| match page {
+            Ok(page) if page.loaded => match read_page(since, page) {
+                Ok(update) => control.apply(update),
+                Err(error) => log::error!("dispatcher: contracts of {address} cannot be read: {error}"),
+            },
+            Ok(_) => {}
+            Err(error) => log::debug!("dispatcher: contracts not read from {address}: {error}"),
+        }));
+    }
+
+    fn is_reader(&self) -> bool {
+        let owners = self.members.owners();
+        let addresses: Vec<SocketAddr> = owners.iter().map(|owner| owner.address).collect();
+        rendezvous(READER_KEY, &addresses) == Some(self.own_address)
+    }
+
+    fn on_polled(&mut self, ctx: &mut Context<Self>, update: Result<Option<ContractUpdate>, PollError>) {
+        self.polling = false;
+        match update {
+            Ok(Some(update)) => {
+                self.apply(update);
+                // Only the reader tells at once; whoever hears of it from a peer leaves it at the usual beats.
+                self.members.announce();
+                self.tick_members(ctx);
+            }
+            Ok(None) => {}
+            Err(error) => log::debug!("dispatcher: contracts not polled: {error}"),
+        }
+    }
+
+    fn apply(&mut self, update: ContractUpdate) {
+        let changed = self.view.apply(update);
+        if !changed.is_empty() {
+            log::info!("dispatcher: {} contracts changed, head {}", changed.len(), self.view.head());
+        }
+        self.members.set_head(self.view.head().0);
+    }
+}
 
 impl Handler<ContractsAsked> for DispatcherControl {
     type Result = ();
 
     fn handle(&mut self, asked: ContractsAsked, _: &mut Context<Self>) {
-        log::trace!("dispatcher: contracts since {} asked for", asked.since);
-        let _gone = asked.reply.send(Ok(ContractPage::default()));
+        let update = self.view.newer_than(HeadNumber(asked.since));
+        let mut rows = Vec::with_capacity(update.rows.len());
+        for row in update.rows {
+            rows.push(ContractRecord {
+                customer: row.customer,
+                version: row.version,
+                head: row.head.0,
+                json: serde_json::to_vec(&row.contract).unwrap_or_default(),
+            });
+        }
+        let page = ContractPage { loaded: self.view.is_ready(), head: update.head.0, rows };
+        let _gone = asked.reply.send(Ok(page));
+    }
+}
+
+fn read_page(since: HeadNumber, page: ContractPage) -> Result<ContractUpdate, serde_json::Error> {
+    let mut rows = Vec::with_capacity(page.rows.len());
+    for record in page.rows {
+        rows.push(ContractRow {
+            customer: record.customer,
+            version: record.version,
+            head: HeadNumber(record.head),
+            contract: serde_json::from_slice(&record.json)?,
+        });
     }
+    Ok(ContractUpdate { since, head: HeadNumber(page.head), rows })
 }
--- a/crates/dispatcher/src/control/membership.rs
+++ b/crates/dispatcher/src/control/membership.rs
@@ -115,7 +115,11 @@
     ) {
         let now = self.clock.now();
         match reply {
-            Ok(reply) => self.members.on_reply(now, reply),
+            Ok(reply) => {
+                let head = reply.view.head;
+                self.members.on_reply(now, reply);
+                self.hear_head(ctx, address, head);
+            }
             Err(error) => {
                 self.peers.remove(&address);
                 if error == PeerError::Refused {
@@ -132,7 +136,9 @@
     type Result = ();
 
     fn handle(&mut self, taken: BeatTaken, ctx: &mut Context<Self>) {
+        let (address, head) = (taken.message.view.address, taken.message.view.head);
         let reply = self.members.on_beat(self.clock.now(), taken.message);
+        self.hear_head(ctx, address, head);
         let _gone = taken.reply.send(Ok(reply));
         self.tick_members(ctx);
         self.flush(ctx);
--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,199 @@
+//! The control state of an entry.
+
+mod callers;
+mod contract_news;
+mod forwarding;
+mod messages;
+mod sessions;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    time::{Duration, Instant},
+};
+
+use actix::{Actor, AsyncContext as _, Context, Handler};
+use authority::{AuthorityAction, AuthoritySettings, DispatcherKey, TaskAuthority};
+use caller_api::SubmissionAnswer;
+use contracts::ContractView;
+use kernel::ClockSource;
+use model::{DataCentreId, FastMap, IncarnationId, SessionId, SubmissionId, SubmissionOutcome};
+use peer::{PeerLink, SessionClient};
+use platform::PlatformClient;
+use settings::EntrySettings;
+use tokio::sync::oneshot;
+
+pub(crate) use messages::{BodyClaimed, EndsReported, OutcomeAsked, SlotsTold, StopBegun, StopState, TicketRun};
+
+/// The time between two looks at what has become due. It bounds how late an answer leaves after its deadline.
+const TICK: Duration = Duration::from_millis(5);
+
+/// The control state of an entry: submissions, sessions, contracts. It lives on the control thread.
+pub struct EntryControl {
+    settings: EntrySettings,
+    clock: Arc<dyn ClockSource>,
+    authority: TaskAuthority,
+    contracts: ContractView,
+    contracts_heard: Option<Instant>,
+    dispatchers: FastMap<DispatcherKey, DispatcherSlot>,
+    keys: FastMap<SocketAddr, DispatcherKey>,
+    next_key: u64,
+    next_session: u64,
+    last_tick: Instant,
+    waiters: FastMap<u64, Vec<oneshot::Sender<SubmissionAnswer>>>,
+    platform: PlatformClient,
+    ready: Arc<AtomicBool>,
+    leaving: Arc<AtomicBool>,
+}
+
+/// A dispatcher that this entry knows of.
+struct DispatcherSlot {
+    address: SocketAddr,
+    data_centre: DataCentreId,
+    link: LinkState,
+}
+
+/// How the connection to a dispatcher stands.
+enum LinkState {
+    /// Not connected; the next try is due at the time.
+    Idle(Instant),
+    Connecting,
+    Open(OpenLink),
+}
+
+struct OpenLink {
+    link: PeerLink,
+    client: SessionClient,
+    session: SessionId,
+    heard: Instant,
+    pinged: bool,
+}
+
+/// What a control actor is made from.
+pub(crate) struct ControlParts {
+    pub(crate) settings: EntrySettings,
+    pub(crate) clock: Arc<dyn ClockSource>,
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) platform: PlatformClient,
+    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) leaving: Arc<AtomicBool>,
+}
+
+impl EntryControl {
+    pub(crate) fn new(parts: ControlParts) -> Self {
+        let settings = parts.settings;
+        let authority_settings = AuthoritySettings {
+            max_open: settings.max_submissions,
+            keep_outcome: settings.outcome_keep_ms.duration(),
+            ..AuthoritySettings::default()
+        };
+        let data_centre = settings.data_centre.clone();
+        let seed = parts.incarnation.0;
+        let now = parts.clock.now();
+        let mut control = Self {
+            authority: TaskAuthority::new(authority_settings, data_centre, parts.incarnation, seed),
+            contracts: ContractView::default(),
+            contracts_heard: None,
+            dispatchers: FastMap::default(),
+            keys: FastMap::default(),
+            next_key: 1,
+            next_session: 1,
+            last_tick: now,
+            waiters: FastMap::default(),
+            platform: parts.platform,
+            ready: parts.ready,
+            leaving: parts.leaving,
+            clock: parts.clock,
+            settings,
+        };
+        for peer in control.settings.dispatchers.clone() {
+            control.know_dispatcher(peer.address, peer.data_centre);
+        }
+        control
+    }
+
+    /// Carries out what the authority wants done. To be called at the end of each input.
+    fn flush(&mut self, ctx: &mut Context<Self>) {
+        for action in self.authority.take_actions() {
+            match action {
+                AuthorityAction::Offer { dispatcher, session, batch, offers } => {
+                    self.send_offers(ctx, dispatcher, session, batch, offers);
+                }
+                AuthorityAction::Withdraw { dispatcher, session, after_batch, attempts } => {
+                    self.send_withdrawal(ctx, dispatcher, session, after_batch, attempts);
+                }
+                AuthorityAction::Answer { id, outcome } => self.answer(id, outcome),
+                AuthorityAction::Note(event) => log::debug!("entry: {event:?}"),
+            }
+        }
+    }
+
+    fn answer(&mut self, id: SubmissionId, outcome: Arc<SubmissionOutcome>) {
+        let answer = self.own_answer(id, outcome);
+        for waiter in self.waiters.remove(&id.serial).into_iter().flatten() {
+            let _gone = waiter.send(answer.clone());
+        }
+    }
+
+    fn own_answer(&self, id: SubmissionId, outcome: Arc<SubmissionOutcome>) -> SubmissionAnswer {
+        SubmissionAnswer {
+            id: Some(id),
+            job: self.authority.is_job(id.serial),
+            outcome,
+            version: self.authority.version(id.serial),
+            stale: self.is_stale(),
+        }
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        self.note_own_pause(now);
+        self.tend_sessions(ctx, now);
+        self.authority.tick(now);
+        self.flush(ctx);
+        let ready = !self.leaving.load(Ordering::Relaxed) && self.contracts.is_ready();
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+
+    fn begin_stop(&mut self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.ready.store(false, Ordering::Relaxed);
+        log::info!("entry: stopping, {} submissions open", self.authority.open_submissions());
+    }
+}
+
+impl Actor for EntryControl {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        ctx.run_interval(TICK, Self::tick);
+        self.read_vm_list(ctx);
+        // New VMs come and old ones go within minutes; a second is soon enough, and one read a second an entry is
+        // little for the platform.
+        ctx.run_interval(Duration::from_secs(1), Self::read_vm_list);
+    }
+}
+
+impl Handler<StopBegun> for EntryControl {
+    type Result = ();
+
+    fn handle(&mut self, _: StopBegun, _: &mut Context<Self>) {
+        self.begin_stop();
+    }
+}
+
+impl Handler<StopState> for EntryControl {
+    type Result = usize;
+
+    fn handle(&mut self, state: StopState, ctx: &mut Context<Self>) -> usize {
+        let open = self.authority.open_submissions();
+        if state.cut && open > 0 {
+            self.authority.stop(self.clock.now());
+            self.flush(ctx);
+        }
+        open
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/callers.rs
@@ -0,0 +1,210 @@
+//! Commands of callers.
+
+use std::{sync::Arc, time::Duration};
+
+use actix::{Context, Handler, ResponseFuture};
+use authority::{CancelReply, TicketUse};
+use caller_api::{
+    CallerAnswer, CancelCommand, CancelResult, OutcomeCommand, SubmissionAnswer, SubmitCommand, TicketCommand,
+};
+use futures::future::LocalBoxFuture;
+use model::{
+    CustomerId, KeyedRun, RefusalReason, SubmissionBody, SubmissionId, SubmissionKind, SubmissionOutcome, TicketId,
+    UnknownReason,
+};
+use tokio::sync::oneshot;
+
+use super::EntryControl;
+
+/// When to come back after a refusal whose end cannot be told better: long enough for a VM to be found gone and for
+/// its endpoints to have another owner.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// An answer on its way.
+pub(super) type AnswerFuture = LocalBoxFuture<'static, CallerAnswer>;
+
+impl EntryControl {
+    /// Accepts or refuses a submission and waits for its answer. The caller of this flushes.
+    pub(super) fn run(&mut self, body: SubmissionBody, digest: u64, serial: Option<u64>) -> AnswerFuture {
+        match self.accept(body, digest, serial) {
+            Ok(id) => self.wait_for(id.serial),
+            Err(reason) => ready(refusal(reason)),
+        }
+    }
+
+    fn accept(
+        &mut self,
+        mut body: SubmissionBody,
+        digest: u64,
+        serial: Option<u64>,
+    ) -> Result<SubmissionId, RefusalReason> {
+        if !self.contracts.is_ready() {
+            return Err(RefusalReason::ConfigNotReady);
+        }
+        let contract = self.contracts.get(&body.customer).map(|(version, contract)| (contract, version));
+        if let Some((contract, _)) = contract {
+            // The answer has to be with the caller by the deadline, so it leaves a little earlier.
+            let deadline = body.deadline.unwrap_or_else(|| contract.answer_within());
+            if deadline <= contract.answer_within() && !deadline.is_zero() {
+                let margin = self.settings.answer_margin_ms.duration().min(deadline / 2);
+                body.deadline = Some(deadline - margin);
+            }
+        }
+        let admitted = self.authority.submit(self.clock.now(), body, digest, contract, serial)?;
+        Ok(admitted.id)
+    }
+
+    /// Waits for the answer of a submission of this entry.
+    pub(super) fn wait_for(&mut self, serial: u64) -> AnswerFuture {
+        let id = SubmissionId { incarnation: self.authority.incarnation(), serial };
+        match self.authority.outcome(serial) {
+            None => ready(unknown(Some(id))),
+            Some(Some(outcome)) => ready(CallerAnswer::Own(self.own_answer(id, outcome))),
+            Some(None) => {
+                let (waiter, answer) = oneshot::channel();
+                self.waiters.entry(serial).or_default().push(waiter);
+                Box::pin(async move {
+                    match answer.await {
+                        Ok(answer) => CallerAnswer::Own(answer),
+                        Err(_) => unknown(Some(id)),
+                    }
+                })
+            }
+        }
+    }
+
+    /// Runs a request under a ticket of this entry, or gives a second arrival the first one's answer.
+    pub(super) fn run_ticket(&mut self, ticket: TicketId, body: SubmissionBody, digest: u64) -> AnswerFuture {
+        let serial = ticket.0.serial;
+        match self.authority.look_at_ticket(self.clock.now(), serial, &body.customer) {
+            TicketUse::Fresh => self.run(body, digest, Some(serial)),
+            TicketUse::Used => self.wait_for_same(serial, digest),
+            TicketUse::WrongCustomer => ready(refusal(RefusalReason::KeyReused)),
+            TicketUse::Forgotten => ready(unknown(Some(ticket.0))),
+        }
+    }
+
+    /// The answer of an earlier arrival, if this one has the same body.
+    pub(super) fn wait_for_same(&mut self, serial: u64, digest: u64) -> AnswerFuture {
+        if self.authority.digest(serial).is_some_and(|first| first != digest) {
+            return ready(refusal(RefusalReason::KeyReused));
+        }
+        self.wait_for(serial)
+    }
+
+    /// Sets how many tasks of a customer this entry may have at dispatchers at once.
+    pub(super) fn set_limit(&mut self, customer: &CustomerId) {
+        let limit = self.contracts.get(customer).map_or(0, |(_, contract)| contract.concurrency);
+        self.authority.set_limit(self.clock.now(), customer, limit);
+    }
+}
+
+impl Handler<SubmitCommand> for EntryControl {
+    type Result = ResponseFuture<CallerAnswer>;
+
+    fn handle(&mut self, command: SubmitCommand, ctx: &mut Context<Self>) -> Self::Result {
+        let SubmitCommand { body, digest, raw } = command;
+        let own = self.authority.incarnation();
+        let run = match &body.kind {
+            SubmissionKind::Job => KeyedRun::PerSubmission,
+            SubmissionKind::Request(run) => run.clone(),
+        };
+        let answer = match run {
+            KeyedRun::PerSubmission => self.run(body, digest, None),
+            KeyedRun::Ticket(ticket) if ticket.0.incarnation == own => self.run_ticket(ticket, body, digest),
+            KeyedRun::Ticket(ticket) => self.forward_ticket(ticket, raw),
+            KeyedRun::Key(_) => ready(refusal(RefusalReason::KeyNotRecorded)),
+        };
+        self.flush(ctx);
+        answer
+    }
+}
+
+impl Handler<TicketCommand> for EntryControl {
+    type Result = Result<TicketId, RefusalReason>;
+
+    fn handle(&mut self, command: TicketCommand, _: &mut Context<Self>) -> Self::Result {
+        if !self.contracts.is_ready() {
+            return Err(RefusalReason::ConfigNotReady);
+        }
+        if self.contracts.get(&command.customer).is_none() {
+            return Err(RefusalReason::UnknownCustomer);
+        }
+        self.authority.issue_ticket(self.clock.now(), &command.customer)
+    }
+}
+
+impl Handler<OutcomeCommand> for EntryControl {
+    type Result = ResponseFuture<CallerAnswer>;
+
+    fn handle(&mut self, command: OutcomeCommand, _: &mut Context<Self>) -> Self::Result {
+        let id = command.id;
+        if id.incarnation != self.authority.incarnation() {
+            return self.forward_outcome(id, None);
+        }
+        ready(self.outcome_now(id.serial))
+    }
+}
+
+impl EntryControl {
+    /// How a submission of this entry stands now.
+    pub(super) fn outcome_now(&self, serial: u64) -> CallerAnswer {
+        let id = SubmissionId { incarnation: self.authority.incarnation(), serial };
+        match self.authority.outcome(serial) {
+            None => unknown(Some(id)),
+            Some(None) => CallerAnswer::Pending(id),
+            Some(Some(outcome)) => CallerAnswer::Own(self.own_answer(id, outcome)),
+        }
+    }
+}
+
+impl Handler<CancelCommand> for EntryControl {
+    type Result = CancelResult;
+
+    fn handle(&mut self, command: CancelCommand, ctx: &mut Context<Self>) -> CancelResult {
+        if command.id.incarnation != self.authority.incarnation() {
+            return CancelResult::NotOpen;
+        }
+        let reply = self.authority.cancel(self.clock.now(), command.id.serial);
+        self.flush(ctx);
+        match reply {
+            CancelReply::Cancelled => CancelResult::Cancelled,
+            CancelReply::TooLate => CancelResult::TooLate,
+            CancelReply::NotOpen => CancelResult::NotOpen,
+        }
+    }
+}
+
+pub(super) fn ready(answer: CallerAnswer) -> AnswerFuture {
+    Box::pin(std::future::ready(answer))
+}
+
+/// A refusal before there was a submission. Nothing ran.
+pub(super) fn refusal(reason: RefusalReason) -> CallerAnswer {
+    let retry_after = match reason {
+        RefusalReason::Stopping => Some(Duration::ZERO),
+        RefusalReason::Overloaded
+        | RefusalReason::NoCapacity
+        | RefusalReason::KeyNotRecorded
+        | RefusalReason::ConfigNotReady => Some(COME_BACK),
+        _ => None,
+    };
+    CallerAnswer::Own(SubmissionAnswer {
+        id: None,
+        job: false,
+        outcome: Arc::new(SubmissionOutcome::Refused { reason, retry_after }),
+        version: None,
+        stale: false,
+    })
+}
+
+/// The entry that could tell is gone, or has forgotten.
+pub(super) fn unknown(id: Option<SubmissionId>) -> CallerAnswer {
+    CallerAnswer::Own(SubmissionAnswer {
+        id,
+        job: false,
+        outcome: Arc::new(SubmissionOutcome::Unknown(UnknownReason::EntryGone)),
+        version: None,
+        stale: false,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/control/sessions.rs
@@ -0,0 +1,352 @@
+//! Sessions with dispatchers: finding, opening, watching and using them.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use actix::{ActorFutureExt as _, AsyncContext as _, Context, Handler, WrapFuture as _};
+use authority::DispatcherKey;
+use membership::MemberView;
+use model::{AttemptId, DataCentreId, EndpointState, SessionId, TaskOffer, VmEntry, VmRole};
+use peer::{OpenedSession, PeerError, PeerLink};
+
+use super::{
+    messages::LinkBroken, BodyClaimed, DispatcherSlot, EndsReported, EntryControl, LinkState, OpenLink, SlotsTold,
+};
+use crate::port::EntryPort;
+
+/// The time between two tries to connect to a dispatcher that did not answer.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+
+impl EntryControl {
+    /// Notes a dispatcher; a known one stays as it is.
+    pub(super) fn know_dispatcher(&mut self, address: SocketAddr, data_centre: DataCentreId) {
+        if self.keys.contains_key(&address) {
+            return;
+        }
+        let key = DispatcherKey(self.next_key);
+        self.next_key += 1;
+        self.keys.insert(address, key);
+        let link = LinkState::Idle(self.clock.now());
+        self.dispatchers.insert(key, DispatcherSlot { address, data_centre, link });
+    }
+
+    pub(super) fn read_vm_list(&mut self, ctx: &mut Context<Self>) {
+        let platform = self.platform.clone();
+        let list = async move { platform.vm_list().await }.into_actor(self);
+        ctx.spawn(list.map(|list, control, _| match list {
+            Ok(vms) => control.take_vm_list(&vms),
+            // What is known goes on: sessions speak for themselves meanwhile.
+            Err(error) => log::debug!("entry: VM list not read: {error}"),
+        }));
+    }
+
+    fn take_vm_list(&mut self, vms: &[VmEntry]) {
+        for vm in vms {
+            if vm.role == VmRole::System && vm.state == EndpointState::Live {
+                self.know_dispatcher(vm.address, vm.data_centre.clone());
+            }
+        }
+        self.forget_unlisted(vms);
+    }
+
+    /// VMs are replaced all the time, so an address that no list names and that does not answer is forgotten.
+    fn forget_unlisted(&mut self, vms: &[VmEntry]) {
+        let mut gone = Vec::new();
+        for (key, slot) in &self.dispatchers {
+            let listed = vms.iter().any(|vm| vm.address == slot.address);
+            let seed = self.settings.dispatchers.iter().any(|peer| peer.address == slot.address);
+            if !listed && !seed && matches!(slot.link, LinkState::Idle(_)) {
+                gone.push((*key, slot.address));
+            }
+        }
+        for (key, address) in gone {
+            self.dispatchers.remove(&key);
+            self.keys.remove(&address);
+        }
+    }
+
+    /// Failure: this process was frozen while answers lay unread in its sockets. Symptom without this: on thawing it
+    /// takes every dispatcher for silent and gives up sessions that are fine. A gap in its own ticks shows that it
+    /// was the one away, so every session gets its full time again.
+    pub(super) fn note_own_pause(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.last_tick);
+        self.last_tick = now;
+        if gap * 2 < self.settings.session_timeout_ms.duration() {
+            return;
+        }
+        log::warn!("entry: paused for {} ms", gap.as_millis());
+        for slot in self.dispatchers.values_mut() {
+            if let LinkState::Open(open) = &mut slot.link {
+                open.heard = now;
+            }
+        }
+    }
+
+    /// Connects what is not connected, pings what is, and gives up what stays silent.
+    pub(super) fn tend_sessions(&mut self, ctx: &mut Context<Self>, now: Instant) {
+        let timeout = self.settings.session_timeout_ms.duration();
+        let beat = self.settings.heartbeat_ms.duration();
+        let (mut connect, mut ping, mut lost) = (Vec::new(), Vec::new(), Vec::new());
+        for (key, slot) in &self.dispatchers {
+            match &slot.link {
+                LinkState::Idle(due) if *due <= now => connect.push(*key),
+                LinkState::Idle(_) | LinkState::Connecting => {}
+                LinkState::Open(open) => {
+                    let silent = now.saturating_duration_since(open.heard);
+                    if silent >= timeout {
+                        lost.push((*key, open.session));
+                    } else if silent >= beat && !open.pinged {
+                        ping.push(*key);
+                    }
+                }
+            }
+        }
+        for key in connect {
+            self.connect(ctx, key);
+        }
+        for key in ping {
+            self.ping(ctx, key);
+        }
+        for (key, session) in lost {
+            log::warn!("entry: dispatcher {key} silent, session {session} given up");
+            self.lose_session(now, key, session);
+        }
+    }
+
+    pub(super) fn send_offers(
+        &mut self,
+        ctx: &mut Context<Self>,
+        dispatcher: DispatcherKey,
+        session: SessionId,
+        batch: u64,
+        offers: Vec<TaskOffer>,
+    ) {
+        let Some(open) = self.open_link(dispatcher, session) else {
+            return;
+        };
+        let reply = open.client.offer(batch, &offers);
+        let attempts: Vec<AttemptId> = offers.iter().map(|offer| offer.attempt).collect();
+        ctx.spawn(reply.into_actor(self).map(move |reply, control, ctx| match reply {
+            Ok((verdicts, slots)) => {
+                control.hear(dispatcher, session);
+                let verdicts: Vec<_> = attempts.into_iter().zip(verdicts).collect();
+                control.authority.on_slots(dispatcher, slots);
+                control.authority.on_verdicts(control.clock.now(), &verdicts);
+                control.flush(ctx);
+            }
+            Err(error) => control.on_call_failed(ctx, dispatcher, session, &error),
+        }));
+    }
+
+    pub(super) fn send_withdrawal(
+        &mut self,
+        ctx: &mut Context<Self>,
+        dispatcher: DispatcherKey,
+        session: SessionId,
+        after_batch: u64,
+        attempts: Vec<AttemptId>,
+    ) {
+        let Some(open) = self.open_link(dispatcher, session) else {
+            return;
+        };
+        let reply = open.client.withdraw(after_batch, &attempts);
+        ctx.spawn(reply.into_actor(self).map(move |reply, control, ctx| match reply {
+            Ok((verdicts, slots)) => {
+                control.hear(dispatcher, session);
+                let verdicts: Vec<_> = attempts.into_iter().zip(verdicts).collect();
+                control.authority.on_slots(dispatcher, slots);
+                control.authority.on_withdrawn(control.clock.now(), &verdicts);
+                control.flush(ctx);
+            }
+            Err(error) => control.on_call_failed(ctx, dispatcher, session, &error),
+        }));
+    }
+
+    fn open_link(&self, dispatcher: DispatcherKey, session: SessionId) -> Option<&OpenLink> {
+        match &self.dispatchers.get(&dispatcher)?.link {
+            LinkState::Open(open) if open.session == session => Some(open),
+            _ => None,
+        }
+    }
+
+    fn hear(&mut self, dispatcher: DispatcherKey, session: SessionId) {
+        let now = self.clock.now();
+        let Some(slot) = self.dispatchers.get_mut(&dispatcher) else {
+            return;
+        };
+        if let LinkState::Open(open) = &mut slot.link {
+            if open.session == session {
+                open.heard = now;
+            }
+        }
+    }
+
+    /// A call that failed on a connection that stands would leave its tasks without a verdict for ever. Ending the
+    /// session is enough: the next one asks what became of them.
+    fn on_call_failed(
+        &mut self,
+        ctx: &mut Context<Self>,
+        dispatcher: DispatcherKey,
+        session: SessionId,
+        error: &PeerError,
+    ) {
+        log::debug!("entry: call to dispatcher {dispatcher} failed: {error}");
+        self.lose_session(self.clock.now(), dispatcher, session);
+        self.flush(ctx);
+    }
+
+    fn connect(&mut self, ctx: &mut Context<Self>, key: DispatcherKey) {
+        let Some(slot) = self.dispatchers.get_mut(&key) else {
+            return;
+        };
+        slot.link = LinkState::Connecting;
+        let address = slot.address;
+        let session = SessionId(self.next_session);
+        self.next_session += 1;
+        let control = ctx.address();
+        let incarnation = self.authority.incarnation();
+        let port = peer::entry_port(EntryPort::new(control.clone(), key, session));
+        let limit = self.settings.session_timeout_ms.duration();
+        let opened = async move {
+            let link = peer::connect(address, move || {
+                control.do_send(LinkBroken { dispatcher: key, session });
+            })
+            .await?;
+            let opened = link.client().open(port, incarnation, session);
+            let opened = tokio::time::timeout(limit, opened).await.map_err(|_| PeerError::TimedOut)??;
+            Ok((link, opened))
+        };
+        ctx.spawn(opened.into_actor(self).map(move |opened, control, ctx| {
+            control.on_connected(key, session, opened);
+            control.flush(ctx);
+        }));
+    }
+
+    fn on_connected(
+        &mut self,
+        key: DispatcherKey,
+        session: SessionId,
+        opened: Result<(PeerLink, OpenedSession), PeerError>,
+    ) {
+        let now = self.clock.now();
+        let Some(slot) = self.dispatchers.get_mut(&key) else {
+            return;
+        };
+        match opened {
+            Ok((link, opened)) => {
+                log::info!("entry: session {session} with dispatcher {key} at {} open", slot.address);
+                let client = opened.session;
+                slot.link = LinkState::Open(OpenLink { link, client, session, heard: now, pinged: false });
+                let data_centre = slot.data_centre.clone();
+                self.authority.on_session_opened(
+                    now,
+                    key,
+                    data_centre,
+                    opened.dispatcher,
+                    session,
+                    opened.slots,
+                );
+            }
+            Err(error) => {
+                slot.link = LinkState::Idle(now + RECONNECT_PAUSE);
+                if error == PeerError::Refused {
+                    // Its VM's own system says that nothing listens there: the process is gone, and what it may
+                    // have started is answered as unknown now rather than at the deadline.
+                    self.authority.on_dispatcher_gone(now, key);
+                }
+            }
+        }
+    }
+
+    fn lose_session(&mut self, now: Instant, key: DispatcherKey, session: SessionId) {
+        let Some(slot) = self.dispatchers.get_mut(&key) else {
+            return;
+        };
+        match &slot.link {
+            LinkState::Open(open) if open.session == session => {}
+            _ => return,
+        }
+        slot.link = LinkState::Idle(now);
+        self.authority.on_session_lost(now, key, session);
+    }
+
+    fn ping(&mut self, ctx: &mut Context<Self>, key: DispatcherKey) {
+        let Some(slot) = self.dispatchers.get_mut(&key) else {
+            return;
+        };
+        let LinkState::Open(open) = &mut slot.link else {
+            return;
+        };
+        open.pinged = true;
+        let session = open.session;
+        let reply = open.link.client().ping();
+        ctx.spawn(reply.into_actor(self).map(move |reply, control, ctx| match reply {
+            Ok(view) => control.on_ping_reply(ctx, key, session, &view),
+            Err(error) => control.on_call_failed(ctx, key, session, &error),
+        }));
+    }
+
+    fn on_ping_reply(
+        &mut self,
+        ctx: &mut Context<Self>,
+        key: DispatcherKey,
+        session: SessionId,
+        view: &MemberView,
+    ) {
+        self.hear(key, session);
+        if let Some(slot) = self.dispatchers.get_mut(&key) {
+            if let LinkState::Open(open) = &mut slot.link {
+                open.pinged = false;
+            }
+        }
+        if view.stopping {
+            self.authority.on_dispatcher_stopping(key);
+        }
+        self.hear_head(ctx, key, view.head);
+        self.flush(ctx);
+    }
+}
+
+impl Handler<LinkBroken> for EntryControl {
+    type Result = ();
+
+    fn handle(&mut self, broken: LinkBroken, ctx: &mut Context<Self>) {
+        self.lose_session(self.clock.now(), broken.dispatcher, broken.session);
+        self.flush(ctx);
+    }
+}
+
+impl Handler<BodyClaimed> for EntryControl {
+    type Result = ();
+
+    fn handle(&mut self, claimed: BodyClaimed, ctx: &mut Context<Self>) {
+        let body = self.authority.on_claim(claimed.session, claimed.attempt);
+        let _gone = claimed.reply.send(Ok(body));
+        self.flush(ctx);
+    }
+}
+
+impl Handler<EndsReported> for EntryControl {
+    type Result = ();
+
+    fn handle(&mut self, reported: EndsReported, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        self.authority.on_slots(reported.dispatcher, reported.slots);
+        for (attempt, end, _) in reported.ends {
+            self.authority.on_ended(now, attempt, end);
+        }
+        let _gone = reported.reply.send(Ok(()));
+        self.flush(ctx);
+    }
+}
+
+impl Handler<SlotsTold> for EntryControl {
+    type Result = ();
+
+    fn handle(&mut self, told: SlotsTold, ctx: &mut Context<Self>) {
+        self.authority.on_slots(told.dispatcher, told.slots);
+        self.flush(ctx);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,15 @@
 //! The entry process: callers and operators on one side, dispatchers on the other.
+//!
+//! One thread holds the control state (the [`control::EntryControl`] actor and the sessions with dispatchers); other
+//! threads serve HTTP.
+
+mod control;
+mod error;
+mod port;
+mod process;
+
+pub use crate::{
+    control::EntryControl,
+    error::EntryError,
+    process::{run, start, EntryProcess},
+};
--- /dev/null
+++ b/crates/entry/src/port.rs
@@ -0,0 +1,68 @@
+//! The port that this entry hands to a dispatcher: turns calls into messages to the control actor.
+
+use std::time::Duration;
+
+use actix::{Addr, Handler};
+use authority::DispatcherKey;
+use model::{AttemptEnd, AttemptId, Payload, SessionId, SlotCounts};
+use peer::{EntryService, ForwardedAnswer, OutcomeAsk, PeerError, ReplyFuture};
+use tokio::sync::oneshot;
+
+use crate::{
+    control::{BodyClaimed, EndsReported, OutcomeAsked, SlotsTold, TicketRun},
+    EntryControl,
+};
+
+/// The port of one session with one dispatcher.
+pub(crate) struct EntryPort {
+    control: Addr<EntryControl>,
+    dispatcher: DispatcherKey,
+    session: SessionId,
+}
+
+impl EntryPort {
+    pub(crate) fn new(control: Addr<EntryControl>, dispatcher: DispatcherKey, session: SessionId) -> Self {
+        Self { control, dispatcher, session }
+    }
+}
+
+impl EntryService for EntryPort {
+    fn claim(&self, attempt: AttemptId) -> ReplyFuture<Option<Payload>> {
+        let session = self.session;
+        ask(&self.control, |reply| BodyClaimed { session, attempt, reply })
+    }
+
+    fn ended(&self, ends: Vec<(AttemptId, AttemptEnd, Duration)>, slots: SlotCounts) -> ReplyFuture<()> {
+        let dispatcher = self.dispatcher;
+        ask(&self.control, |reply| EndsReported { dispatcher, ends, slots, reply })
+    }
+
+    fn slots(&self, slots: SlotCounts) -> ReplyFuture<()> {
+        self.control.do_send(SlotsTold { dispatcher: self.dispatcher, slots });
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn outcome(&self, outcome: OutcomeAsk) -> ReplyFuture<Option<ForwardedAnswer>> {
+        ask(&self.control, |reply| OutcomeAsked { ask: outcome, reply })
+    }
+
+    fn run_ticket(&self, serial: u64, json: Vec<u8>) -> ReplyFuture<ForwardedAnswer> {
+        ask(&self.control, |reply| TicketRun { serial, json, reply })
+    }
+}
+
+/// Sends a message now and gives a future of its answer. `do_send` and not `send`: a full mailbox would otherwise
+/// put the message behind later ones.
+fn ask<M, T>(
+    control: &Addr<EntryControl>,
+    make: impl FnOnce(oneshot::Sender<Result<T, PeerError>>) -> M,
+) -> ReplyFuture<T>
+where
+    M: actix::Message<Result = ()> + Send + 'static,
+    EntryControl: Handler<M>,
+    T: 'static,
+{
+    let (reply, answer) = oneshot::channel();
+    control.do_send(make(reply));
+    Box::pin(async move { answer.await.unwrap_or(Err(PeerError::TimedOut)) })
+}
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -91,7 +91,8 @@
   # Finds the entry of another VM, so that entries need no connections to each other.
   beat @2 (view :MemberView) -> (view :MemberView);
   # The heartbeat among dispatchers; the answer counts as one the other way.
-  contracts @3 (since :UInt64) -> (head :UInt64, rows :List(ContractRow));
+  contracts @3 (since :UInt64) -> (loaded :Bool, head :UInt64, rows :List(ContractRow));
+  # `loaded` is false while the sender holds no complete set that is as new as its peers'.
   grant @4 (batch :AskBatch) -> (answered :Bool, batch :ReplyBatch);
   # Leases parts of customers' concurrency in this data centre, from the customers' home dispatcher.
   ping @5 () -> (view :MemberView);
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -6597,8 +6597,12 @@
                 self.reader.total_size()
             }
             #[inline]
+            pub fn get_loaded(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
             pub fn get_head(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+                self.reader.get_data_field::<u64>(1)
             }
             #[inline]
             pub fn get_rows(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::contract_row::Owned>> {
@@ -6612,7 +6616,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6663,12 +6667,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
+            pub fn get_loaded(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_loaded(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
             pub fn get_head(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+                self.builder.get_data_field::<u64>(1)
             }
             #[inline]
             pub fn set_head(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+                self.builder.set_data_field::<u64>(1, value);
             }
             #[inline]
             pub fn get_rows(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::contract_row::Owned>> {
@@ -6697,17 +6709,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 68] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(7, 74, 103, 37, 60, 245, 14, 230),
-                ::capnp::word(26, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(26, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 98, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -6716,21 +6728,36 @@
                 ::capnp::word(116, 46, 99, 111, 110, 116, 114, 97),
                 ::capnp::word(99, 116, 115, 36, 82, 101, 115, 117),
                 ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 111, 97, 100, 101, 100, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(104, 101, 97, 100, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6754,8 +6781,9 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::struct_list::Owned<crate::peer_capnp::contract_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::peer_capnp::contract_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6769,9 +6797,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
             pub(crate) const TYPE_ID: u64 = 0xe60e_f53c_2567_4a07;
         }
     }
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -41,6 +41,8 @@
 /// Contract rows changed after some head number.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ContractPage {
+    /// Whether the sender holds a complete set that is as new as its peers'. The rest says nothing otherwise.
+    pub loaded: bool,
     /// The newest head number that the sender holds.
     pub head: u64,
     /// The rows.
@@ -156,10 +158,7 @@
             json: row.get_json()?.to_vec(),
         });
     }
-    Ok(ContractPage {
-        head: reader.get_head(),
-        rows,
-    })
+    Ok(ContractPage { loaded: reader.get_loaded(), head: reader.get_head(), rows })
 }
 
 struct DispatcherGlue<S>(S);
@@ -252,6 +251,7 @@
         async move {
             let page = settle(answer.map_err(PeerError::from)).await?;
             let mut results = results.get();
+            results.set_loaded(page.loaded);
             results.set_head(page.head);
             let mut rows = results.init_rows(page.rows.len() as u32);
             for (index, row) in page.rows.iter().enumerate() {
