Fit dispatcher and entry to the contracts crate

Cause: both were written before the contracts crate was merged. Change: the reader of a data centre is chosen by rendezvous over a fixed key; cancel results can be actor replies. Conclusion: the workspace builds as a whole.

--- a/crates/caller-api/src/command.rs
+++ b/crates/caller-api/src/command.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use actix::Message;
+use actix::{Message, MessageResponse};
 use model::{
     ContractVersion, CustomerId, RefusalReason, SubmissionBody, SubmissionId, SubmissionOutcome,
     TicketId,
@@ -45,7 +45,7 @@
 }
 
 /// What a cancellation did.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, MessageResponse)]
 pub enum CancelResult {
     /// The submission's answer is now that it was cancelled.
     Cancelled,
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -14,9 +14,9 @@
     time::Duration,
 };
 
+use ::contracts::ContractView;
 use ::membership::{MemberSettings, MemberTable, OwnMember, OwnershipMap};
 use actix::{Actor, Addr, AsyncContext as _, Context, Handler};
-use ::contracts::ContractView;
 use kernel::ClockSource;
 use ledger::{LedgerAction, LedgerSettings, SlotLedger};
 use model::{FastMap, IncarnationId, VmEntry};
--- a/crates/dispatcher/src/control/contracts.rs
+++ b/crates/dispatcher/src/control/contracts.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use actix::{ActorFutureExt as _, AsyncContext as _, Context, Handler, WrapFuture as _};
 use ::contracts::{ContractReader, ContractRow, ContractUpdate, HeadNumber, PollError};
+use actix::{ActorFutureExt as _, AsyncContext as _, Context, Handler, WrapFuture as _};
 use membership::rendezvous;
 use peer::{ContractPage, ContractRecord};
 
@@ -20,7 +20,9 @@
     /// Called once each poll interval.
     pub(super) fn poll_contracts(&mut self, ctx: &mut Context<Self>) {
         self.polls = self.polls.wrapping_add(1);
-        let due = self.is_reader() || self.view.loaded_head().is_none() || self.polls % STANDBY_POLLS == 0;
+        let due = self.is_reader()
+            || self.view.loaded_head().is_none()
+            || self.polls.is_multiple_of(STANDBY_POLLS);
         if !due || self.polling {
             return;
         }
@@ -35,7 +37,9 @@
     pub(super) fn hear_head(&mut self, ctx: &mut Context<Self>, address: SocketAddr, head: u64) {
         let head = HeadNumber(head);
         self.view.note_peer_head(head);
-        if self.view.loaded_head().is_some_and(|known| known >= head) || head == HeadNumber::default() {
+        if self.view.loaded_head().is_some_and(|known| known >= head)
+            || head == HeadNumber::default()
+        {
             return;
         }
         let Some(PeerSlot::Open(link)) = self.peers.get(&address) else {
@@ -46,7 +50,9 @@
         ctx.spawn(page.map(move |page, control, _| match page {
             Ok(page) if page.loaded => match read_page(since, page) {
                 Ok(update) => control.apply(update),
-                Err(error) => log::error!("dispatcher: contracts of {address} cannot be read: {error}"),
+                Err(error) => {
+                    log::error!("dispatcher: contracts of {address} cannot be read: {error}")
+                }
             },
             Ok(_) => {}
             Err(error) => log::debug!("dispatcher: contracts not read from {address}: {error}"),
@@ -56,10 +62,14 @@
     fn is_reader(&self) -> bool {
         let owners = self.members.owners();
         let addresses: Vec<SocketAddr> = owners.iter().map(|owner| owner.address).collect();
-        rendezvous(READER_KEY, &addresses) == Some(self.own_address)
+        rendezvous(&READER_KEY, addresses) == Some(self.own_address)
     }
 
-    fn on_polled(&mut self, ctx: &mut Context<Self>, update: Result<Option<ContractUpdate>, PollError>) {
+    fn on_polled(
+        &mut self,
+        ctx: &mut Context<Self>,
+        update: Result<Option<ContractUpdate>, PollError>,
+    ) {
         self.polling = false;
         match update {
             Ok(Some(update)) => {
@@ -76,7 +86,11 @@
     fn apply(&mut self, update: ContractUpdate) {
         let changed = self.view.apply(update);
         if !changed.is_empty() {
-            log::info!("dispatcher: {} contracts changed, head {}", changed.len(), self.view.head());
+            log::info!(
+                "dispatcher: {} contracts changed, head {}",
+                changed.len(),
+                self.view.head()
+            );
         }
         self.members.set_head(self.view.head().0);
     }
@@ -96,7 +110,11 @@
                 json: serde_json::to_vec(&row.contract).unwrap_or_default(),
             });
         }
-        let page = ContractPage { loaded: self.view.is_ready(), head: update.head.0, rows };
+        let page = ContractPage {
+            loaded: self.view.is_ready(),
+            head: update.head.0,
+            rows,
+        };
         let _gone = asked.reply.send(Ok(page));
     }
 }
@@ -111,5 +129,9 @@
             contract: serde_json::from_slice(&record.json)?,
         });
     }
-    Ok(ContractUpdate { since, head: HeadNumber(page.head), rows })
+    Ok(ContractUpdate {
+        since,
+        head: HeadNumber(page.head),
+        rows,
+    })
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -26,7 +26,9 @@
 use settings::EntrySettings;
 use tokio::sync::oneshot;
 
-pub(crate) use messages::{BodyClaimed, EndsReported, OutcomeAsked, SlotsTold, StopBegun, StopState, TicketRun};
+pub(crate) use messages::{
+    BodyClaimed, EndsReported, OutcomeAsked, SlotsTold, StopBegun, StopState, TicketRun,
+};
 
 /// The time between two looks at what has become due. It bounds how late an answer leaves after its deadline.
 const TICK: Duration = Duration::from_millis(5);
@@ -119,10 +121,20 @@
     fn flush(&mut self, ctx: &mut Context<Self>) {
         for action in self.authority.take_actions() {
             match action {
-                AuthorityAction::Offer { dispatcher, session, batch, offers } => {
+                AuthorityAction::Offer {
+                    dispatcher,
+                    session,
+                    batch,
+                    offers,
+                } => {
                     self.send_offers(ctx, dispatcher, session, batch, offers);
                 }
-                AuthorityAction::Withdraw { dispatcher, session, after_batch, attempts } => {
+                AuthorityAction::Withdraw {
+                    dispatcher,
+                    session,
+                    after_batch,
+                    attempts,
+                } => {
                     self.send_withdrawal(ctx, dispatcher, session, after_batch, attempts);
                 }
                 AuthorityAction::Answer { id, outcome } => self.answer(id, outcome),
@@ -161,7 +173,10 @@
     fn begin_stop(&mut self) {
         self.leaving.store(true, Ordering::Relaxed);
         self.ready.store(false, Ordering::Relaxed);
-        log::info!("entry: stopping, {} submissions open", self.authority.open_submissions());
+        log::info!(
+            "entry: stopping, {} submissions open",
+            self.authority.open_submissions()
+        );
     }
 }
 
--- a/crates/entry/src/control/callers.rs
+++ b/crates/entry/src/control/callers.rs
@@ -5,12 +5,13 @@
 use actix::{Context, Handler, ResponseFuture};
 use authority::{CancelReply, TicketUse};
 use caller_api::{
-    CallerAnswer, CancelCommand, CancelResult, OutcomeCommand, SubmissionAnswer, SubmitCommand, TicketCommand,
+    CallerAnswer, CancelCommand, CancelResult, OutcomeCommand, SubmissionAnswer, SubmitCommand,
+    TicketCommand,
 };
 use futures::future::LocalBoxFuture;
 use model::{
-    CustomerId, KeyedRun, RefusalReason, SubmissionBody, SubmissionId, SubmissionKind, SubmissionOutcome, TicketId,
-    UnknownReason,
+    CustomerId, KeyedRun, RefusalReason, SubmissionBody, SubmissionId, SubmissionKind,
+    SubmissionOutcome, TicketId, UnknownReason,
 };
 use tokio::sync::oneshot;
 
@@ -25,7 +26,12 @@
 
 impl EntryControl {
     /// Accepts or refuses a submission and waits for its answer. The caller of this flushes.
-    pub(super) fn run(&mut self, body: SubmissionBody, digest: u64, serial: Option<u64>) -> AnswerFuture {
+    pub(super) fn run(
+        &mut self,
+        body: SubmissionBody,
+        digest: u64,
+        serial: Option<u64>,
+    ) -> AnswerFuture {
         match self.accept(body, digest, serial) {
             Ok(id) => self.wait_for(id.serial),
             Err(reason) => ready(refusal(reason)),
@@ -41,7 +47,10 @@
         if !self.contracts.is_ready() {
             return Err(RefusalReason::ConfigNotReady);
         }
-        let contract = self.contracts.get(&body.customer).map(|(version, contract)| (contract, version));
+        let contract = self
+            .contracts
+            .get(&body.customer)
+            .map(|(version, contract)| (contract, version));
         if let Some((contract, _)) = contract {
             // The answer has to be with the caller by the deadline, so it leaves a little earlier.
             let deadline = body.deadline.unwrap_or_else(|| contract.answer_within());
@@ -50,13 +59,18 @@
                 body.deadline = Some(deadline - margin);
             }
         }
-        let admitted = self.authority.submit(self.clock.now(), body, digest, contract, serial)?;
+        let admitted = self
+            .authority
+            .submit(self.clock.now(), body, digest, contract, serial)?;
         Ok(admitted.id)
     }
 
     /// Waits for the answer of a submission of this entry.
     pub(super) fn wait_for(&mut self, serial: u64) -> AnswerFuture {
-        let id = SubmissionId { incarnation: self.authority.incarnation(), serial };
+        let id = SubmissionId {
+            incarnation: self.authority.incarnation(),
+            serial,
+        };
         match self.authority.outcome(serial) {
             None => ready(unknown(Some(id))),
             Some(Some(outcome)) => ready(CallerAnswer::Own(self.own_answer(id, outcome))),
@@ -74,9 +88,17 @@
     }
 
     /// Runs a request under a ticket of this entry, or gives a second arrival the first one's answer.
-    pub(super) fn run_ticket(&mut self, ticket: TicketId, body: SubmissionBody, digest: u64) -> AnswerFuture {
+    pub(super) fn run_ticket(
+        &mut self,
+        ticket: TicketId,
+        body: SubmissionBody,
+        digest: u64,
+    ) -> AnswerFuture {
         let serial = ticket.0.serial;
-        match self.authority.look_at_ticket(self.clock.now(), serial, &body.customer) {
+        match self
+            .authority
+            .look_at_ticket(self.clock.now(), serial, &body.customer)
+        {
             TicketUse::Fresh => self.run(body, digest, Some(serial)),
             TicketUse::Used => self.wait_for_same(serial, digest),
             TicketUse::WrongCustomer => ready(refusal(RefusalReason::KeyReused)),
@@ -86,7 +108,11 @@
 
     /// The answer of an earlier arrival, if this one has the same body.
     pub(super) fn wait_for_same(&mut self, serial: u64, digest: u64) -> AnswerFuture {
-        if self.authority.digest(serial).is_some_and(|first| first != digest) {
+        if self
+            .authority
+            .digest(serial)
+            .is_some_and(|first| first != digest)
+        {
             return ready(refusal(RefusalReason::KeyReused));
         }
         self.wait_for(serial)
@@ -94,7 +120,10 @@
 
     /// Sets how many tasks of a customer this entry may have at dispatchers at once.
     pub(super) fn set_limit(&mut self, customer: &CustomerId) {
-        let limit = self.contracts.get(customer).map_or(0, |(_, contract)| contract.concurrency);
+        let limit = self
+            .contracts
+            .get(customer)
+            .map_or(0, |(_, contract)| contract.concurrency);
         self.authority.set_limit(self.clock.now(), customer, limit);
     }
 }
@@ -111,7 +140,9 @@
         };
         let answer = match run {
             KeyedRun::PerSubmission => self.run(body, digest, None),
-            KeyedRun::Ticket(ticket) if ticket.0.incarnation == own => self.run_ticket(ticket, body, digest),
+            KeyedRun::Ticket(ticket) if ticket.0.incarnation == own => {
+                self.run_ticket(ticket, body, digest)
+            }
             KeyedRun::Ticket(ticket) => self.forward_ticket(ticket, raw),
             KeyedRun::Key(_) => ready(refusal(RefusalReason::KeyNotRecorded)),
         };
@@ -130,7 +161,8 @@
         if self.contracts.get(&command.customer).is_none() {
             return Err(RefusalReason::UnknownCustomer);
         }
-        self.authority.issue_ticket(self.clock.now(), &command.customer)
+        self.authority
+            .issue_ticket(self.clock.now(), &command.customer)
     }
 }
 
@@ -149,7 +181,10 @@
 impl EntryControl {
     /// How a submission of this entry stands now.
     pub(super) fn outcome_now(&self, serial: u64) -> CallerAnswer {
-        let id = SubmissionId { incarnation: self.authority.incarnation(), serial };
+        let id = SubmissionId {
+            incarnation: self.authority.incarnation(),
+            serial,
+        };
         match self.authority.outcome(serial) {
             None => unknown(Some(id)),
             Some(None) => CallerAnswer::Pending(id),
@@ -192,7 +227,10 @@
     CallerAnswer::Own(SubmissionAnswer {
         id: None,
         job: false,
-        outcome: Arc::new(SubmissionOutcome::Refused { reason, retry_after }),
+        outcome: Arc::new(SubmissionOutcome::Refused {
+            reason,
+            retry_after,
+        }),
         version: None,
         stale: false,
     })
--- a/crates/entry/src/control/contract_news.rs
+++ b/crates/entry/src/control/contract_news.rs
@@ -12,7 +12,11 @@
     pub(super) fn hear_head(&mut self, ctx: &mut Context<Self>, key: DispatcherKey, head: u64) {
         let head = HeadNumber(head);
         self.contracts.note_peer_head(head);
-        if self.contracts.loaded_head().is_some_and(|known| known >= head) {
+        if self
+            .contracts
+            .loaded_head()
+            .is_some_and(|known| known >= head)
+        {
             self.contracts_heard = Some(self.clock.now());
             return;
         }
@@ -21,7 +25,9 @@
 
     /// Whether nothing has been heard of the contracts for longer than the freshness bound.
     pub(super) fn is_stale(&self) -> bool {
-        let age = self.contracts_heard.map(|heard| self.clock.now().saturating_duration_since(heard));
+        let age = self
+            .contracts_heard
+            .map(|heard| self.clock.now().saturating_duration_since(heard));
         age.is_none_or(|age| age > self.settings.freshness_ms.duration())
     }
 
@@ -31,10 +37,13 @@
         };
         let since = self.contracts.loaded_head().unwrap_or_default();
         let page = open.link.client().contracts(since.0);
-        ctx.spawn(page.into_actor(self).map(move |page, control, ctx| match page {
-            Ok(page) => control.take_contracts(ctx, since, page),
-            Err(error) => log::debug!("entry: contracts not read from {key}: {error}"),
-        }));
+        ctx.spawn(
+            page.into_actor(self)
+                .map(move |page, control, ctx| match page {
+                    Ok(page) => control.take_contracts(ctx, since, page),
+                    Err(error) => log::debug!("entry: contracts not read from {key}: {error}"),
+                }),
+        );
     }
 
     fn take_contracts(&mut self, ctx: &mut Context<Self>, since: HeadNumber, page: ContractPage) {
@@ -48,9 +57,18 @@
                 return;
             };
             let head = HeadNumber(record.head);
-            rows.push(ContractRow { customer: record.customer, version: record.version, head, contract });
+            rows.push(ContractRow {
+                customer: record.customer,
+                version: record.version,
+                head,
+                contract,
+            });
         }
-        let update = ContractUpdate { since, head: HeadNumber(page.head), rows };
+        let update = ContractUpdate {
+            since,
+            head: HeadNumber(page.head),
+            rows,
+        };
         self.contracts_heard = Some(self.clock.now());
         for customer in self.contracts.apply(update) {
             self.set_limit(&customer);
--- a/crates/entry/src/control/forwarding.rs
+++ b/crates/entry/src/control/forwarding.rs
@@ -33,7 +33,13 @@
             let Some(entry) = find_entry(&dispatchers, id.incarnation).await else {
                 return unknown(Some(id));
             };
-            match entry.outcome(OutcomeAsk { serial: id.serial, digest }).await {
+            match entry
+                .outcome(OutcomeAsk {
+                    serial: id.serial,
+                    digest,
+                })
+                .await
+            {
                 Ok(Some(answer)) => forwarded(answer),
                 Ok(None) | Err(_) => unknown(Some(id)),
             }
@@ -74,7 +80,11 @@
     type Result = ();
 
     fn handle(&mut self, run: TicketRun, ctx: &mut Context<Self>) {
-        let TicketRun { serial, json, reply } = run;
+        let TicketRun {
+            serial,
+            json,
+            reply,
+        } = run;
         let (body, digest) = match read_request(&json, None) {
             Ok(read) => read,
             Err(error) => {
@@ -82,7 +92,10 @@
                 return;
             }
         };
-        let id = SubmissionId { incarnation: self.authority.incarnation(), serial };
+        let id = SubmissionId {
+            incarnation: self.authority.incarnation(),
+            serial,
+        };
         let ticket = TicketId(id);
         if body.kind != SubmissionKind::Request(KeyedRun::Ticket(ticket)) {
             let _gone = reply.send(Err(PeerError::BadMessage("another ticket".to_owned())));
@@ -98,7 +111,10 @@
 
 /// Asks the dispatchers one after another. Each has sessions with all entries of its data centre, so the first one
 /// of the right data centre knows.
-async fn find_entry(dispatchers: &[DispatcherClient], incarnation: IncarnationId) -> Option<EntryClient> {
+async fn find_entry(
+    dispatchers: &[DispatcherClient],
+    incarnation: IncarnationId,
+) -> Option<EntryClient> {
     for dispatcher in dispatchers {
         if let Ok(Some(entry)) = dispatcher.find(incarnation).await {
             return Some(entry);
@@ -108,10 +124,16 @@
 }
 
 fn forwarded(answer: ForwardedAnswer) -> CallerAnswer {
-    CallerAnswer::Forwarded { status: answer.status, json: answer.json }
+    CallerAnswer::Forwarded {
+        status: answer.status,
+        json: answer.json,
+    }
 }
 
 fn to_forward(answer: &CallerAnswer) -> ForwardedAnswer {
     let rendered = render_answer(answer);
-    ForwardedAnswer { status: rendered.status, json: rendered.json }
+    ForwardedAnswer {
+        status: rendered.status,
+        json: rendered.json,
+    }
 }
--- a/crates/entry/src/control/sessions.rs
+++ b/crates/entry/src/control/sessions.rs
@@ -12,7 +12,8 @@
 use peer::{OpenedSession, PeerError, PeerLink};
 
 use super::{
-    messages::LinkBroken, BodyClaimed, DispatcherSlot, EndsReported, EntryControl, LinkState, OpenLink, SlotsTold,
+    messages::LinkBroken, BodyClaimed, DispatcherSlot, EndsReported, EntryControl, LinkState,
+    OpenLink, SlotsTold,
 };
 use crate::port::EntryPort;
 
@@ -29,7 +30,14 @@
         self.next_key += 1;
         self.keys.insert(address, key);
         let link = LinkState::Idle(self.clock.now());
-        self.dispatchers.insert(key, DispatcherSlot { address, data_centre, link });
+        self.dispatchers.insert(
+            key,
+            DispatcherSlot {
+                address,
+                data_centre,
+                link,
+            },
+        );
     }
 
     pub(super) fn read_vm_list(&mut self, ctx: &mut Context<Self>) {
@@ -56,7 +64,11 @@
         let mut gone = Vec::new();
         for (key, slot) in &self.dispatchers {
             let listed = vms.iter().any(|vm| vm.address == slot.address);
-            let seed = self.settings.dispatchers.iter().any(|peer| peer.address == slot.address);
+            let seed = self
+                .settings
+                .dispatchers
+                .iter()
+                .any(|peer| peer.address == slot.address);
             if !listed && !seed && matches!(slot.link, LinkState::Idle(_)) {
                 gone.push((*key, slot.address));
             }
@@ -128,16 +140,22 @@
         };
         let reply = open.client.offer(batch, &offers);
         let attempts: Vec<AttemptId> = offers.iter().map(|offer| offer.attempt).collect();
-        ctx.spawn(reply.into_actor(self).map(move |reply, control, ctx| match reply {
-            Ok((verdicts, slots)) => {
-                control.hear(dispatcher, session);
-                let verdicts: Vec<_> = attempts.into_iter().zip(verdicts).collect();
-                control.authority.on_slots(dispatcher, slots);
-                control.authority.on_verdicts(control.clock.now(), &verdicts);
-                control.flush(ctx);
-            }
-            Err(error) => control.on_call_failed(ctx, dispatcher, session, &error),
-        }));
+        ctx.spawn(
+            reply
+                .into_actor(self)
+                .map(move |reply, control, ctx| match reply {
+                    Ok((verdicts, slots)) => {
+                        control.hear(dispatcher, session);
+                        let verdicts: Vec<_> = attempts.into_iter().zip(verdicts).collect();
+                        control.authority.on_slots(dispatcher, slots);
+                        control
+                            .authority
+                            .on_verdicts(control.clock.now(), &verdicts);
+                        control.flush(ctx);
+                    }
+                    Err(error) => control.on_call_failed(ctx, dispatcher, session, &error),
+                }),
+        );
     }
 
     pub(super) fn send_withdrawal(
@@ -152,16 +170,22 @@
             return;
         };
         let reply = open.client.withdraw(after_batch, &attempts);
-        ctx.spawn(reply.into_actor(self).map(move |reply, control, ctx| match reply {
-            Ok((verdicts, slots)) => {
-                control.hear(dispatcher, session);
-                let verdicts: Vec<_> = attempts.into_iter().zip(verdicts).collect();
-                control.authority.on_slots(dispatcher, slots);
-                control.authority.on_withdrawn(control.clock.now(), &verdicts);
-                control.flush(ctx);
-            }
-            Err(error) => control.on_call_failed(ctx, dispatcher, session, &error),
-        }));
+        ctx.spawn(
+            reply
+                .into_actor(self)
+                .map(move |reply, control, ctx| match reply {
+                    Ok((verdicts, slots)) => {
+                        control.hear(dispatcher, session);
+                        let verdicts: Vec<_> = attempts.into_iter().zip(verdicts).collect();
+                        control.authority.on_slots(dispatcher, slots);
+                        control
+                            .authority
+                            .on_withdrawn(control.clock.now(), &verdicts);
+                        control.flush(ctx);
+                    }
+                    Err(error) => control.on_call_failed(ctx, dispatcher, session, &error),
+                }),
+        );
     }
 
     fn open_link(&self, dispatcher: DispatcherKey, session: SessionId) -> Option<&OpenLink> {
@@ -211,11 +235,16 @@
         let limit = self.settings.session_timeout_ms.duration();
         let opened = async move {
             let link = peer::connect(address, move || {
-                control.do_send(LinkBroken { dispatcher: key, session });
+                control.do_send(LinkBroken {
+                    dispatcher: key,
+                    session,
+                });
             })
             .await?;
             let opened = link.client().open(port, incarnation, session);
-            let opened = tokio::time::timeout(limit, opened).await.map_err(|_| PeerError::TimedOut)??;
+            let opened = tokio::time::timeout(limit, opened)
+                .await
+                .map_err(|_| PeerError::TimedOut)??;
             Ok((link, opened))
         };
         ctx.spawn(opened.into_actor(self).map(move |opened, control, ctx| {
@@ -236,9 +265,18 @@
         };
         match opened {
             Ok((link, opened)) => {
-                log::info!("entry: session {session} with dispatcher {key} at {} open", slot.address);
+                log::info!(
+                    "entry: session {session} with dispatcher {key} at {} open",
+                    slot.address
+                );
                 let client = opened.session;
-                slot.link = LinkState::Open(OpenLink { link, client, session, heard: now, pinged: false });
+                slot.link = LinkState::Open(OpenLink {
+                    link,
+                    client,
+                    session,
+                    heard: now,
+                    pinged: false,
+                });
                 let data_centre = slot.data_centre.clone();
                 self.authority.on_session_opened(
                     now,
@@ -282,10 +320,14 @@
         open.pinged = true;
         let session = open.session;
         let reply = open.link.client().ping();
-        ctx.spawn(reply.into_actor(self).map(move |reply, control, ctx| match reply {
-            Ok(view) => control.on_ping_reply(ctx, key, session, &view),
-            Err(error) => control.on_call_failed(ctx, key, session, &error),
-        }));
+        ctx.spawn(
+            reply
+                .into_actor(self)
+                .map(move |reply, control, ctx| match reply {
+                    Ok(view) => control.on_ping_reply(ctx, key, session, &view),
+                    Err(error) => control.on_call_failed(ctx, key, session, &error),
+                }),
+        );
     }
 
     fn on_ping_reply(
--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -21,33 +21,64 @@
 }
 
 impl EntryPort {
-    pub(crate) fn new(control: Addr<EntryControl>, dispatcher: DispatcherKey, session: SessionId) -> Self {
-        Self { control, dispatcher, session }
+    pub(crate) fn new(
+        control: Addr<EntryControl>,
+        dispatcher: DispatcherKey,
+        session: SessionId,
+    ) -> Self {
+        Self {
+            control,
+            dispatcher,
+            session,
+        }
     }
 }
 
 impl EntryService for EntryPort {
     fn claim(&self, attempt: AttemptId) -> ReplyFuture<Option<Payload>> {
         let session = self.session;
-        ask(&self.control, |reply| BodyClaimed { session, attempt, reply })
+        ask(&self.control, |reply| BodyClaimed {
+            session,
+            attempt,
+            reply,
+        })
     }
 
-    fn ended(&self, ends: Vec<(AttemptId, AttemptEnd, Duration)>, slots: SlotCounts) -> ReplyFuture<()> {
+    fn ended(
+        &self,
+        ends: Vec<(AttemptId, AttemptEnd, Duration)>,
+        slots: SlotCounts,
+    ) -> ReplyFuture<()> {
         let dispatcher = self.dispatcher;
-        ask(&self.control, |reply| EndsReported { dispatcher, ends, slots, reply })
+        ask(&self.control, |reply| EndsReported {
+            dispatcher,
+            ends,
+            slots,
+            reply,
+        })
     }
 
     fn slots(&self, slots: SlotCounts) -> ReplyFuture<()> {
-        self.control.do_send(SlotsTold { dispatcher: self.dispatcher, slots });
+        self.control.do_send(SlotsTold {
+            dispatcher: self.dispatcher,
+            slots,
+        });
         Box::pin(std::future::ready(Ok(())))
     }
 
     fn outcome(&self, outcome: OutcomeAsk) -> ReplyFuture<Option<ForwardedAnswer>> {
-        ask(&self.control, |reply| OutcomeAsked { ask: outcome, reply })
+        ask(&self.control, |reply| OutcomeAsked {
+            ask: outcome,
+            reply,
+        })
     }
 
     fn run_ticket(&self, serial: u64, json: Vec<u8>) -> ReplyFuture<ForwardedAnswer> {
-        ask(&self.control, |reply| TicketRun { serial, json, reply })
+        ask(&self.control, |reply| TicketRun {
+            serial,
+            json,
+            reply,
+        })
     }
 }
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -48,7 +48,11 @@
         let limit = Instant::now() + self.drain.limit_ms.duration();
         let mut open = usize::MAX;
         while open > 0 && Instant::now() < limit {
-            open = self.control.send(StopState { cut: false }).await.unwrap_or(0);
+            open = self
+                .control
+                .send(StopState { cut: false })
+                .await
+                .unwrap_or(0);
             if open > 0 {
                 actix_rt::time::sleep(DRAIN_LOOK).await;
             }
@@ -72,14 +76,20 @@
 /// # Errors
 ///
 /// The address cannot be listened on.
-pub fn start(settings: EntrySettings, clock: Arc<dyn ClockSource>) -> Result<EntryProcess, EntryError> {
+pub fn start(
+    settings: EntrySettings,
+    clock: Arc<dyn ClockSource>,
+) -> Result<EntryProcess, EntryError> {
     let address = settings.caller_listen;
-    let listener = TcpListener::bind(address).map_err(|cause| EntryError::Listen { address, cause })?;
+    let listener =
+        TcpListener::bind(address).map_err(|cause| EntryError::Listen { address, cause })?;
     let caller_address = listener.local_addr()?;
     let ready = Arc::new(AtomicBool::new(false));
     let leaving = Arc::new(AtomicBool::new(false));
-    let platform_settings =
-        platform::ClientSettings { address: settings.platform, ..platform::ClientSettings::default() };
+    let platform_settings = platform::ClientSettings {
+        address: settings.platform,
+        ..platform::ClientSettings::default()
+    };
     let drain = settings.drain.clone();
     let threads = settings.caller_threads;
     let max_body = usize::try_from(settings.max_body_bytes.0).unwrap_or(usize::MAX);
@@ -93,7 +103,11 @@
         leaving: leaving.clone(),
     })
     .start();
-    let api = CallerApi { control: control.clone(), ready, leaving };
+    let api = CallerApi {
+        control: control.clone(),
+        ready,
+        leaving,
+    };
     let server = HttpServer::new(move || {
         let api = api.clone();
         App::new().configure(move |config| caller_routes(config, api, max_body))
@@ -110,7 +124,12 @@
         }
     });
     log::info!("entry: incarnation {incarnation} listening for callers on {caller_address}");
-    Ok(EntryProcess { control, caller_address, server: handle, drain })
+    Ok(EntryProcess {
+        control,
+        caller_address,
+        server: handle,
+        drain,
+    })
 }
 
 /// Runs an entry until a signal ends it.
--- a/crates/membership/src/mix.rs
+++ b/crates/membership/src/mix.rs
@@ -22,6 +22,12 @@
     }
 }
 
+impl StableHash for &str {
+    fn stable_hash(&self) -> u64 {
+        hash_bytes(self.as_bytes())
+    }
+}
+
 impl StableHash for CustomerId {
     fn stable_hash(&self) -> u64 {
         hash_bytes(self.as_str().as_bytes())
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -158,7 +158,11 @@
             json: row.get_json()?.to_vec(),
         });
     }
-    Ok(ContractPage { loaded: reader.get_loaded(), head: reader.get_head(), rows })
+    Ok(ContractPage {
+        loaded: reader.get_loaded(),
+        head: reader.get_head(),
+        rows,
+    })
 }
 
 struct DispatcherGlue<S>(S);
