--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -19,7 +19,7 @@
 
 impl TaskAuthority {
     /// Whether any reachable dispatcher takes work.
-    pub(super) fn has_capacity(&self) -> bool {
+    pub fn has_capacity(&self) -> bool {
         self.sessions
             .values()
             .any(|session| session.open().is_some() && takes_work(session))
--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -87,10 +87,16 @@
     }
 
     /// A dispatcher has said how its slots stand.
-    pub fn on_slots(&mut self, dispatcher: DispatcherKey, slots: SlotCounts) {
-        if let Some(session) = self.sessions.get_mut(&dispatcher) {
-            session.slots = slots;
-            session.sent_since = 0;
+    pub fn on_slots(&mut self, now: Instant, dispatcher: DispatcherKey, slots: SlotCounts) {
+        let Some(session) = self.sessions.get_mut(&dispatcher) else {
+            return;
+        };
+        let gained = session.slots.limit == 0 && slots.limit > 0;
+        session.slots = slots;
+        session.sent_since = 0;
+        if gained {
+            self.waiting.mark_all();
+            self.place(now);
         }
     }
 
--- a/crates/dispatcher/src/control/membership.rs
+++ b/crates/dispatcher/src/control/membership.rs
@@ -149,6 +149,8 @@
     type Result = ();
 
     fn handle(&mut self, taken: PingTaken, _: &mut Context<Self>) {
-        let _gone = taken.reply.send(Ok(self.members.beat_message().view));
+        let _gone = taken
+            .reply
+            .send(Ok((self.members.beat_message().view, self.ledger.slots())));
     }
 }
--- a/crates/dispatcher/src/control/messages.rs
+++ b/crates/dispatcher/src/control/messages.rs
@@ -63,7 +63,7 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct PingTaken {
-    pub(crate) reply: ReplyTo<MemberView>,
+    pub(crate) reply: ReplyTo<(MemberView, SlotCounts)>,
 }
 
 /// Somebody asks for contract rows.
--- a/crates/dispatcher/src/port.rs
+++ b/crates/dispatcher/src/port.rs
@@ -91,7 +91,7 @@
         ask(&self.control, |reply| BeatTaken { message, reply })
     }
 
-    fn ping(&self) -> ReplyFuture<MemberView> {
+    fn ping(&self) -> ReplyFuture<(MemberView, SlotCounts)> {
         ask(&self.control, |reply| PingTaken { reply })
     }
 
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -166,8 +166,16 @@
         self.tend_sessions(ctx, now);
         self.authority.tick(now);
         self.flush(ctx);
-        let ready = !self.leaving.load(Ordering::Relaxed) && self.contracts.is_ready();
-        self.ready.store(ready, Ordering::Relaxed);
+        self.become_ready();
+    }
+
+    /// Ready once contracts and slots are known, until the stop begins. Losing every slot later does not take the
+    /// entry out of the balancer: its callers get a refusal with when to come back, and not no answer at all.
+    fn become_ready(&mut self) {
+        let known = self.contracts.is_ready() && self.authority.has_capacity();
+        if known && !self.leaving.load(Ordering::Relaxed) {
+            self.ready.store(true, Ordering::Relaxed);
+        }
     }
 
     fn begin_stop(&mut self) {
--- a/crates/entry/src/control/sessions.rs
+++ b/crates/entry/src/control/sessions.rs
@@ -147,7 +147,9 @@
                     Ok((verdicts, slots)) => {
                         control.hear(dispatcher, session);
                         let verdicts: Vec<_> = attempts.into_iter().zip(verdicts).collect();
-                        control.authority.on_slots(dispatcher, slots);
+                        control
+                            .authority
+                            .on_slots(control.clock.now(), dispatcher, slots);
                         control
                             .authority
                             .on_verdicts(control.clock.now(), &verdicts);
@@ -177,7 +179,9 @@
                     Ok((verdicts, slots)) => {
                         control.hear(dispatcher, session);
                         let verdicts: Vec<_> = attempts.into_iter().zip(verdicts).collect();
-                        control.authority.on_slots(dispatcher, slots);
+                        control
+                            .authority
+                            .on_slots(control.clock.now(), dispatcher, slots);
                         control
                             .authority
                             .on_withdrawn(control.clock.now(), &verdicts);
@@ -324,7 +328,10 @@
             reply
                 .into_actor(self)
                 .map(move |reply, control, ctx| match reply {
-                    Ok(view) => control.on_ping_reply(ctx, key, session, &view),
+                    Ok((view, slots)) => {
+                        control.authority.on_slots(control.clock.now(), key, slots);
+                        control.on_ping_reply(ctx, key, session, &view);
+                    }
                     Err(error) => control.on_call_failed(ctx, key, session, &error),
                 }),
         );
@@ -375,7 +382,8 @@
 
     fn handle(&mut self, reported: EndsReported, ctx: &mut Context<Self>) {
         let now = self.clock.now();
-        self.authority.on_slots(reported.dispatcher, reported.slots);
+        self.authority
+            .on_slots(now, reported.dispatcher, reported.slots);
         for (attempt, end, _) in reported.ends {
             self.authority.on_ended(now, attempt, end);
         }
@@ -388,7 +396,8 @@
     type Result = ();
 
     fn handle(&mut self, told: SlotsTold, ctx: &mut Context<Self>) {
-        self.authority.on_slots(told.dispatcher, told.slots);
+        self.authority
+            .on_slots(self.clock.now(), told.dispatcher, told.slots);
         self.flush(ctx);
     }
 }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -95,7 +95,7 @@
   # `loaded` is false while the sender holds no complete set that is as new as its peers'.
   grant @4 (batch :AskBatch) -> (answered :Bool, batch :ReplyBatch);
   # Leases parts of customers' concurrency in this data centre, from the customers' home dispatcher.
-  ping @5 () -> (view :MemberView);
+  ping @5 () -> (view :MemberView, slots :Slots);
   # What an entry asks to know that the dispatcher is alive.
   handover @6 (report :HandoverReport) -> ();
   # What a leaving owner of endpoints still has running there.
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -114,16 +114,22 @@
         }
     }
 
-    /// Asks whether the dispatcher is alive, and how it sees itself.
+    /// Asks whether the dispatcher is alive, how it sees itself and how its slots stand.
     ///
     /// # Errors
     ///
     /// The connection broke.
-    pub fn ping(&self) -> impl Future<Output = Result<MemberView, PeerError>> + 'static {
+    pub fn ping(
+        &self,
+    ) -> impl Future<Output = Result<(MemberView, SlotCounts), PeerError>> + 'static {
         let reply = self.port.ping_request().send().promise;
         async move {
             let reply = reply.await?;
-            read_view(reply.get()?.get_view()?)
+            let reply = reply.get()?;
+            Ok((
+                read_view(reply.get_view()?)?,
+                read_slots(reply.get_slots()?),
+            ))
         }
     }
 
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -7489,11 +7489,19 @@
             pub fn has_view(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_slots(self) -> ::capnp::Result<crate::peer_capnp::slots::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_slots(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7559,6 +7567,22 @@
             pub fn has_view(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_slots(self) -> ::capnp::Result<crate::peer_capnp::slots::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_slots(&mut self, value: crate::peer_capnp::slots::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_slots(self, ) -> crate::peer_capnp::slots::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_slots(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7571,19 +7595,22 @@
             pub fn get_view(&self) -> crate::peer_capnp::member_view::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
+            pub fn get_slots(&self) -> crate::peer_capnp::slots::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(208, 188, 41, 74, 186, 47, 136, 231),
                 ::capnp::word(26, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -7591,14 +7618,21 @@
                 ::capnp::word(116, 99, 104, 101, 114, 80, 111, 114),
                 ::capnp::word(116, 46, 112, 105, 110, 103, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(118, 105, 101, 119, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 7, 171, 132, 241, 183, 52, 224),
@@ -7607,10 +7641,19 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 108, 111, 116, 115, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(213, 38, 246, 81, 210, 47, 105, 251),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::member_view::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::peer_capnp::slots::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7624,9 +7667,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0xe788_2fba_4a29_bcd0;
         }
     }
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -90,8 +90,8 @@
     /// Takes a heartbeat.
     fn beat(&self, message: BeatMessage) -> ReplyFuture<BeatReply>;
 
-    /// Says that this process is alive, and how it sees itself.
-    fn ping(&self) -> ReplyFuture<MemberView>;
+    /// Says that this process is alive, how it sees itself and how its slots stand.
+    fn ping(&self) -> ReplyFuture<(MemberView, SlotCounts)>;
 
     /// Gives contract rows changed after a head number.
     fn contracts(&self, since: u64) -> ReplyFuture<ContractPage>;
@@ -238,8 +238,10 @@
     ) -> impl Future<Output = CallResult> + 'static {
         let answer = self.0.ping();
         async move {
-            let view = answer.await?;
-            write_view(results.get().init_view(), &view);
+            let (view, slots) = answer.await?;
+            let mut results = results.get();
+            write_slots(results.reborrow().init_slots(), slots);
+            write_view(results.init_view(), &view);
             Ok(())
         }
     }
