Add contracts: editor, reader and view

Operators race each other, the store's answers get lost, and a process must learn of a change without reading all contracts.

A change writes four rows in one transaction: contract, head, history and log. It keeps its id and version through every attempt, so an attempt in doubt is resolved by reading back and, where nothing is there yet, by sending it again: whichever lands second finds the first one's rows. The log row, keyed by the padded head number, lets a reader fetch just what changed.

Measured against the stand-in: a poll costs 1 read when nothing changed and 2 reads for 1 or 3 changes, the same with 10, 200 and 1,200 contracts.

--- /dev/null
+++ b/crates/contracts/tests/editing.rs
@@ -0,0 +1,539 @@
+//! Contract tests of changes and reads against the platform's stand-in over loopback.
+
+use std::{sync::Arc, time::Duration};
+
+use contracts::{
+    ContractEditor, ContractReader, ContractView, EditError, EditorSettings, HeadNumber,
+};
+use fastrand::Rng;
+use kernel::SystemClock;
+use model::{Contract, ContractState, ContractVersion, CustomerId};
+use platform::{CallRate, ClientSettings, PlatformClient};
+use serde_json::json;
+use stand_ins::platform::{
+    AnswerLoss, DownMode, ExpectedVersion, FaultSettings, LossTime, PlatformSettings,
+    PlatformStandIn, RacingWrite, WriteRequest,
+};
+
+const V1: ContractVersion = ContractVersion(1);
+
+struct Bench {
+    stand_in: PlatformStandIn,
+    client: PlatformClient,
+}
+
+impl Bench {
+    fn start() -> Self {
+        let stand_in = PlatformStandIn::start(PlatformSettings::default()).unwrap();
+        let settings = ClientSettings {
+            address: stand_in.address(),
+            timeout: Duration::from_millis(300),
+            read_rate: CallRate::per_second(100_000),
+            write_rate: CallRate::per_second(100_000),
+            ..ClientSettings::default()
+        };
+        let client = PlatformClient::new(settings, Arc::new(SystemClock));
+        Self { stand_in, client }
+    }
+
+    fn editor(&self) -> ContractEditor {
+        let settings = EditorSettings {
+            time_limit: Duration::from_secs(1),
+            max_head_losses: 200,
+            ..EditorSettings::default()
+        };
+        ContractEditor::new(self.client.clone(), settings, Rng::new())
+    }
+
+    fn reader(&self) -> ContractReader {
+        ContractReader::new(self.client.clone())
+    }
+
+    fn lose(&self, next: u32, when: LossTime) {
+        self.stand_in.set_faults(FaultSettings {
+            answer_loss: AnswerLoss {
+                next,
+                when,
+                ..AnswerLoss::default()
+            },
+            ..FaultSettings::default()
+        });
+    }
+
+    fn down(&self, down: DownMode) {
+        self.stand_in.set_faults(FaultSettings {
+            down,
+            ..FaultSettings::default()
+        });
+    }
+}
+
+fn customer(name: &str) -> CustomerId {
+    name.parse().unwrap()
+}
+
+fn with_concurrency(concurrency: u32) -> Contract {
+    Contract {
+        concurrency,
+        ..Contract::default()
+    }
+}
+
+async fn poll(reader: &ContractReader, view: &mut ContractView) {
+    if let Some(update) = reader.poll(view.loaded_head()).await.unwrap() {
+        view.apply(update);
+    }
+}
+
+fn concurrency_of(view: &ContractView, name: &str) -> Option<u32> {
+    view.get(&customer(name))
+        .map(|(_, contract)| contract.concurrency)
+}
+
+#[actix_rt::test]
+async fn a_contract_lives_through_create_change_and_retire() {
+    let bench = Bench::start();
+    let editor = bench.editor();
+    let trust = customer("trust");
+    assert_eq!(editor.show(&trust).await, Ok(None));
+    let made = editor.create(&trust, with_concurrency(5)).await.unwrap();
+    assert_eq!((made.version, made.head), (V1, HeadNumber(1)));
+    editor
+        .create(&customer("trust-2"), with_concurrency(1))
+        .await
+        .unwrap();
+    let changed = editor
+        .change(&trust, V1, with_concurrency(7))
+        .await
+        .unwrap();
+    assert_eq!(
+        (changed.version, changed.head),
+        (ContractVersion(2), HeadNumber(3))
+    );
+    let retired = editor.retire(&trust, ContractVersion(2)).await.unwrap();
+    assert_eq!(retired.contract.state, ContractState::Retired);
+    assert_eq!(retired.contract.concurrency, 7);
+
+    assert_eq!(editor.show(&trust).await, Ok(Some(retired.clone())));
+    let listed = editor.list(None, 10).await.unwrap();
+    let names: Vec<_> = listed.iter().map(|row| row.customer.as_str()).collect();
+    assert_eq!(names, ["trust", "trust-2"]);
+    assert_eq!(editor.list(Some(&trust), 10).await.unwrap().len(), 1);
+    let history = editor
+        .history(&trust, ContractVersion(0), 10)
+        .await
+        .unwrap();
+    let versions: Vec<_> = history.iter().map(|(_, row)| row.version.0).collect();
+    assert_eq!(versions, [1, 2, 3]);
+    assert_eq!(
+        editor
+            .history(&trust, ContractVersion(2), 10)
+            .await
+            .unwrap()
+            .len(),
+        1
+    );
+}
+
+#[actix_rt::test]
+async fn a_change_that_cannot_be_is_turned_away_and_writes_nothing() {
+    let bench = Bench::start();
+    let editor = bench.editor();
+    let trust = customer("trust");
+    let made = editor.create(&trust, with_concurrency(5)).await.unwrap();
+    let conflict = Err(EditError::Conflict(Box::new(made)));
+
+    let wrong = editor.create(&customer("x"), with_concurrency(0)).await;
+    assert!(matches!(wrong, Err(EditError::Wrong(_))), "{wrong:?}");
+    assert_eq!(editor.create(&trust, with_concurrency(6)).await, conflict);
+    let older = editor
+        .change(&trust, ContractVersion(0), with_concurrency(6))
+        .await;
+    assert_eq!(older, conflict);
+    let newer = editor
+        .change(&trust, ContractVersion(2), with_concurrency(6))
+        .await;
+    assert_eq!(newer, conflict);
+    assert_eq!(editor.retire(&trust, ContractVersion(2)).await, conflict);
+    let absent = editor.change(&customer("x"), V1, with_concurrency(6)).await;
+    assert_eq!(absent, Err(EditError::NotFound));
+    assert_eq!(
+        editor.retire(&customer("x"), V1).await,
+        Err(EditError::NotFound)
+    );
+    assert_eq!(bench.stand_in.stats().transactions, 1);
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_is_resolved_and_the_change_is_made_once() {
+    // The operator sees one confirmed change, although the platform's answer was lost: after the write took effect,
+    // before it, or with the write landing only after the editor looked. Reading back the change id tells an own
+    // write from another's; an attempt that comes second finds the first one's rows and has no effect.
+    let cases = [
+        ("after the write", 1, LossTime::AfterWrite),
+        ("before the write", 1, LossTime::BeforeWrite),
+        ("before the write, three times", 3, LossTime::BeforeWrite),
+        ("lands at once", 1, LossTime::LandsLater(0)),
+        ("lands while read back", 1, LossTime::LandsLater(8)),
+        ("lands late, three times", 3, LossTime::LandsLater(60)),
+    ];
+    for (name, next, when) in cases {
+        for create in [true, false] {
+            let bench = Bench::start();
+            let editor = bench.editor();
+            let trust = customer("trust");
+            let mut version = 1;
+            if !create {
+                editor.create(&trust, with_concurrency(5)).await.unwrap();
+                version = 2;
+            }
+            bench.lose(next, when);
+            let made = match create {
+                true => editor.create(&trust, with_concurrency(9)).await,
+                false => editor.change(&trust, V1, with_concurrency(9)).await,
+            };
+            let made = made.unwrap_or_else(|e| panic!("{name}: {e}"));
+            assert_eq!(made.version, ContractVersion(version), "{name}");
+            // Long enough for every late write to have come, had it been able to take effect.
+            actix_rt::time::sleep(Duration::from_millis(120)).await;
+            assert_eq!(editor.show(&trust).await, Ok(Some(made)), "{name}");
+            let history = editor
+                .history(&trust, ContractVersion(0), 10)
+                .await
+                .unwrap();
+            assert_eq!(history.len() as u64, version, "{name}");
+            assert_eq!(bench.stand_in.stats().transactions, version, "{name}");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn an_own_change_is_known_again_after_another_came_on_top() {
+    // The answer to change 2 is lost after it took effect, and before the editor reads back, another operator makes
+    // change 3. The newest row is then another's; only the history still shows that change 2 was made. A conflict
+    // here would have the first operator make the change again, over the second one's.
+    let bench = Bench::start();
+    let patient = EditorSettings {
+        longest_pause: Duration::from_millis(800),
+        ..EditorSettings::default()
+    };
+    let editor = ContractEditor::new(bench.client.clone(), patient, Rng::new());
+    let trust = customer("trust");
+    editor.create(&trust, with_concurrency(5)).await.unwrap();
+    let other = bench.editor();
+    bench.lose(1, LossTime::AfterWrite);
+    let change = editor.change(&trust, V1, with_concurrency(9));
+    let race = async {
+        while bench.stand_in.row("contracts", "trust").unwrap().version < 2 {
+            actix_rt::time::sleep(Duration::from_micros(200)).await;
+        }
+        other
+            .change(&trust, ContractVersion(2), with_concurrency(1))
+            .await
+    };
+    // The first one pauses for at least 400 ms before it reads back; the other needs about 10.
+    let (first, second) = futures::future::join(change, race).await;
+    assert_eq!(first.unwrap().version, ContractVersion(2));
+    assert_eq!(second.unwrap().version, ContractVersion(3));
+    let newest = editor.show(&trust).await.unwrap().unwrap();
+    assert_eq!(newest.contract.concurrency, 1);
+}
+
+#[actix_rt::test]
+async fn of_racing_operators_one_wins_and_the_losers_lose_nothing() {
+    // Eight operators change version 1 at once, half of them with lost answers in between. One sees its change
+    // made; each other sees a conflict that names the winner's version, and the winner's contract stands.
+    for seed in 0..5 {
+        let bench = Bench::start();
+        let trust = customer("trust");
+        bench
+            .editor()
+            .create(&trust, with_concurrency(100))
+            .await
+            .unwrap();
+        bench.stand_in.set_faults(FaultSettings {
+            answer_loss: AnswerLoss {
+                fraction: 0.5,
+                seed,
+                ..AnswerLoss::default()
+            },
+            ..FaultSettings::default()
+        });
+        let changes = (1..=8).map(|operator| {
+            let (editor, trust) = (bench.editor(), trust.clone());
+            async move { editor.change(&trust, V1, with_concurrency(operator)).await }
+        });
+        let ends = futures::future::join_all(changes).await;
+        let winners: Vec<_> = ends.iter().filter_map(|end| end.as_ref().ok()).collect();
+        assert_eq!(winners.len(), 1, "seed {seed}: {ends:?}");
+        for end in &ends {
+            match end {
+                Ok(_) => {}
+                Err(EditError::Conflict(row)) => assert_eq!(&**row, winners[0], "seed {seed}"),
+                other => panic!("seed {seed}: {other:?}"),
+            }
+        }
+        let standing = bench.editor().show(&trust).await.unwrap();
+        assert_eq!(standing.as_ref(), Some(winners[0]), "seed {seed}");
+    }
+}
+
+#[actix_rt::test]
+async fn changes_of_other_contracts_do_not_make_a_conflict() {
+    // Eight operators create eight contracts at once. All go through the one head row, so most attempts lose it; each
+    // is tried again, and no operator sees anything of the others. No number of the head is used twice.
+    let bench = Bench::start();
+    let changes = (0..8).map(|n| {
+        let editor = bench.editor();
+        async move {
+            editor
+                .create(&customer(&format!("c{n}")), with_concurrency(1))
+                .await
+        }
+    });
+    let mut heads = Vec::new();
+    for end in futures::future::join_all(changes).await {
+        heads.push(end.unwrap().head.0);
+    }
+    heads.sort_unstable();
+    assert_eq!(heads, [1, 2, 3, 4, 5, 6, 7, 8]);
+    println!("8 creates at once: {:?}", bench.stand_in.stats());
+}
+
+#[actix_rt::test]
+async fn a_head_that_always_moves_ends_in_contended_and_writes_nothing() {
+    // Something bumps the head row before every transaction. The operator hears within the bound that others came
+    // first each time, and not that its change may have been made.
+    let bench = Bench::start();
+    bench.stand_in.set_faults(FaultSettings {
+        racing_writes: vec![RacingWrite {
+            table: "contract-head".into(),
+            key: "head".into(),
+            times: u32::MAX,
+            writes: vec![WriteRequest {
+                table: "contract-head".into(),
+                key: "head".into(),
+                expect: ExpectedVersion::Any,
+                value: json!({"head": 4}),
+            }],
+        }],
+        ..FaultSettings::default()
+    });
+    let settings = EditorSettings {
+        max_head_losses: 3,
+        ..EditorSettings::default()
+    };
+    let editor = ContractEditor::new(bench.client.clone(), settings, Rng::new());
+    let end = editor.create(&customer("x"), with_concurrency(1)).await;
+    assert_eq!(end, Err(EditError::Contended));
+    assert_eq!(bench.stand_in.stats().conflicts, 4);
+    assert_eq!(bench.stand_in.row("contracts", "x"), None);
+}
+
+#[actix_rt::test]
+async fn a_store_that_is_down_gives_an_answer_that_is_true() {
+    // The operator changes a contract while the store does not answer. Where nothing can have been written it hears
+    // so at once; where a write went out and nobody can say, it hears which version and change to look for.
+    #[derive(Debug, PartialEq, Eq)]
+    enum Heard {
+        Unavailable,
+        Uncertain,
+    }
+    let cases = [
+        (DownMode::Unavailable, Heard::Unavailable),
+        (DownMode::Closed, Heard::Unavailable),
+        (DownMode::WritesUnavailable, Heard::Uncertain),
+    ];
+    for (mode, expected) in cases {
+        let bench = Bench::start();
+        let editor = bench.editor();
+        let trust = customer("trust");
+        editor.create(&trust, with_concurrency(5)).await.unwrap();
+        bench.down(mode);
+        let heard = match editor.change(&trust, V1, with_concurrency(6)).await {
+            Err(EditError::Unavailable(_)) => Heard::Unavailable,
+            Err(EditError::Uncertain { version, .. }) => {
+                assert_eq!(version, ContractVersion(2));
+                Heard::Uncertain
+            }
+            other => panic!("{mode:?}: {other:?}"),
+        };
+        assert_eq!(heard, expected, "{mode:?}");
+        bench.down(DownMode::Up);
+        let made = editor.change(&trust, V1, with_concurrency(6)).await;
+        assert_eq!(made.unwrap().version, ContractVersion(2), "{mode:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_view_follows_changes_at_a_cost_that_does_not_grow_with_contracts() {
+    // A process with 10, 200 or 1,200 contracts polls: nothing changed, one changed, three changed. Each poll costs
+    // the same reads and rows whatever the number of contracts, or the head poll of every data centre would eat the
+    // store's reads as customers come.
+    let mut costs = Vec::new();
+    for contracts in [10, 200, 1200] {
+        let bench = Bench::start();
+        fill(&bench.stand_in, contracts);
+        let (reader, editor) = (bench.reader(), bench.editor());
+        let mut view = ContractView::default();
+        poll(&reader, &mut view).await;
+        assert_eq!(view.rows().count() as u64, contracts);
+        assert!(view.is_ready());
+
+        let mut cost = Vec::new();
+        for changes in [0, 1, 3] {
+            for n in 0..changes {
+                let name = customer(&format!("c{n:04}"));
+                let version = editor.show(&name).await.unwrap().unwrap().version;
+                editor
+                    .change(&name, version, with_concurrency(77))
+                    .await
+                    .unwrap();
+            }
+            let before = bench.stand_in.stats();
+            poll(&reader, &mut view).await;
+            let after = bench.stand_in.stats();
+            cost.push((
+                after.reads - before.reads,
+                after.rows_read - before.rows_read,
+            ));
+        }
+        assert_eq!(concurrency_of(&view, "c0002"), Some(77));
+        assert_eq!(view.head(), HeadNumber(contracts + 4));
+        println!("{contracts} contracts: (reads, rows) for 0, 1, 3 changes: {cost:?}");
+        costs.push(cost);
+    }
+    assert_eq!(costs[0], [(1, 1), (2, 2), (2, 4)]);
+    assert_eq!(costs[0], costs[1]);
+    assert_eq!(costs[0], costs[2]);
+}
+
+/// Fills the store with contracts as an editor would have, without the waits.
+fn fill(stand_in: &PlatformStandIn, contracts: u64) {
+    let mut writes = Vec::new();
+    for n in 0..contracts {
+        let (name, head) = (format!("c{n:04}"), n + 1);
+        let value = json!({
+            "customer": name, "version": 1, "head": head, "contract": {}, "change": "1",
+        });
+        let rows = [
+            ("contracts", name.clone()),
+            ("contract-history", format!("{name}/{:020}", 1)),
+            ("contract-log", format!("{head:020}")),
+        ];
+        for (table, key) in rows {
+            writes.push(WriteRequest {
+                table: table.into(),
+                key,
+                expect: ExpectedVersion::Absent,
+                value: value.clone(),
+            });
+        }
+    }
+    writes.push(WriteRequest {
+        table: "contract-head".into(),
+        key: "head".into(),
+        expect: ExpectedVersion::Absent,
+        value: json!({"head": contracts}),
+    });
+    stand_in.write_now(writes).unwrap();
+}
+
+#[actix_rt::test]
+async fn a_view_far_behind_or_with_a_gap_in_the_log_reads_everything() {
+    // A process was cut off for more than 2,000 changes, or a row of the log is missing. Taking the log's rows as complete would
+    // leave a contract old for good; the view reads all contracts instead and ends at the head.
+    let bench = Bench::start();
+    fill(&bench.stand_in, 600);
+    let reader = bench.reader();
+    let far_behind = reader.poll(Some(HeadNumber(0))).await.unwrap().unwrap();
+    assert_eq!((far_behind.since.0, far_behind.head.0), (0, 600));
+    assert_eq!(far_behind.rows.len(), 600, "by the log");
+
+    // The head moves on without a row in the log.
+    let value = json!({"head": 602});
+    let head = WriteRequest {
+        table: "contract-head".into(),
+        key: "head".into(),
+        expect: ExpectedVersion::Any,
+        value,
+    };
+    bench.stand_in.write_now(vec![head.clone()]).unwrap();
+    let gap = reader.poll(Some(HeadNumber(590))).await.unwrap().unwrap();
+    assert_eq!((gap.since.0, gap.head.0, gap.rows.len()), (0, 602, 600));
+
+    // A later row of the log is there, but two in between are not.
+    let later = WriteRequest {
+        table: "contract-log".into(),
+        key: format!("{:020}", 603),
+        expect: ExpectedVersion::Absent,
+        value: json!({
+            "customer": "c0000", "version": 2, "head": 603, "contract": {}, "change": "2",
+        }),
+    };
+    let value = json!({"head": 603});
+    let moved = WriteRequest {
+        value,
+        ..head.clone()
+    };
+    bench.stand_in.write_now(vec![later, moved]).unwrap();
+    let gap = reader.poll(Some(HeadNumber(590))).await.unwrap().unwrap();
+    assert_eq!((gap.since.0, gap.head.0, gap.rows.len()), (0, 603, 600));
+
+    let value = json!({"head": 3000});
+    bench
+        .stand_in
+        .write_now(vec![WriteRequest { value, ..head }])
+        .unwrap();
+    let far = reader.poll(Some(HeadNumber(590))).await.unwrap().unwrap();
+    assert_eq!((far.since.0, far.head.0, far.rows.len()), (0, 3000, 600));
+}
+
+#[actix_rt::test]
+async fn polls_of_a_failing_store_change_nothing() {
+    // The store goes down, comes back with an older head, or holds a row that cannot be read. The view keeps what it
+    // has, and its head never passes a contract that it does not know.
+    let bench = Bench::start();
+    let (reader, editor) = (bench.reader(), bench.editor());
+    editor
+        .create(&customer("a"), with_concurrency(1))
+        .await
+        .unwrap();
+    editor
+        .create(&customer("b"), with_concurrency(2))
+        .await
+        .unwrap();
+    let mut view = ContractView::default();
+    poll(&reader, &mut view).await;
+
+    for mode in [DownMode::Unavailable, DownMode::Closed] {
+        bench.down(mode);
+        assert!(reader.poll(view.loaded_head()).await.is_err());
+    }
+    bench.down(DownMode::Up);
+
+    let head = |n: u64| WriteRequest {
+        table: "contract-head".into(),
+        key: "head".into(),
+        expect: ExpectedVersion::Any,
+        value: json!({ "head": n }),
+    };
+    bench.stand_in.write_now(vec![head(1)]).unwrap();
+    assert_eq!(reader.poll(view.loaded_head()).await, Ok(None));
+
+    let broken = WriteRequest {
+        table: "contract-log".into(),
+        key: format!("{:020}", 3),
+        expect: ExpectedVersion::Absent,
+        value: json!({"customer": "a", "version": 2}),
+    };
+    bench.stand_in.write_now(vec![broken, head(3)]).unwrap();
+    let error = reader.poll(view.loaded_head()).await.unwrap_err();
+    let text = error.to_string();
+    assert!(
+        text.contains("00000000000000000003 of contract-log"),
+        "{text}"
+    );
+    assert_eq!(view.head(), HeadNumber(2));
+    assert_eq!(concurrency_of(&view, "b"), Some(2));
+}
--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -84,6 +84,15 @@
 pub struct WrongKey(pub String);
 
 impl StoreKey {
+    /// A key that the code names itself.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the name is no key, which a test of the naming code would show.
+    pub fn of_name(name: &'static str) -> Self {
+        name.parse().expect("a fixed name is a valid key")
+    }
+
     /// The key of a customer's one row.
     pub fn of_customer(customer: &CustomerId) -> Self {
         Self(customer.to_string())
