--- /dev/null
+++ b/crates/scenario/src/promises.rs
@@ -0,0 +1,475 @@
+//! The promises that hold in every scenario, checked on what a run left behind.
+//!
+//! The endpoints' own records are the ground truth of what started; the answers are what callers were told.
+
+use std::{fmt, time::Duration};
+
+use model::{AttemptId, ContractVersion, CustomerId, FastMap, SubmissionId, TaskIndex};
+use stand_ins::endpoint::{digest, StartRecord, TaskScript};
+
+use crate::{
+    record::{ExitCause, RunRecord, SubmissionRecord},
+    script::{AnswerStatus, Label},
+};
+
+/// How long after it left an endpoint may still get a task that was on its way.
+const LEAVING_LIMIT_MS: u64 = 2000;
+
+/// What the checks allow for.
+#[derive(Clone, Copy, Debug)]
+pub struct PromiseLimits {
+    /// The time after its deadline by which a submission must have its answer: the way to the caller and a busy test
+    /// machine.
+    pub answer_margin: Duration,
+}
+
+impl Default for PromiseLimits {
+    fn default() -> Self {
+        Self {
+            answer_margin: Duration::from_millis(1000),
+        }
+    }
+}
+
+/// A promise that did not hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BrokenPromise {
+    /// A task of a submission started more than once.
+    TaskStartedTwice {
+        /// The submission.
+        submission: SubmissionId,
+        /// The task.
+        task: TaskIndex,
+        /// The attempts that started.
+        attempts: Vec<AttemptId>,
+    },
+    /// A non-idempotent request ran more than once, over all submissions with its key or ticket.
+    RequestRanTwice {
+        /// The request.
+        label: Label,
+        /// The attempts that started.
+        attempts: Vec<AttemptId>,
+    },
+    /// A complete answer does not have each task's own result.
+    WrongResults {
+        /// The submission.
+        name: Label,
+        /// What is wrong.
+        what: String,
+    },
+    /// An answer that is not complete has results.
+    PartialResults {
+        /// The submission.
+        name: Label,
+        /// How many results.
+        results: usize,
+    },
+    /// A complete answer though a task did not run to its end.
+    CompleteWithoutRun {
+        /// The submission.
+        name: Label,
+        /// The task.
+        task: usize,
+    },
+    /// A refused submission had started.
+    RefusedButStarted {
+        /// The submission.
+        name: Label,
+        /// The reason that it was refused for.
+        reason: String,
+        /// An attempt that started.
+        attempt: AttemptId,
+    },
+    /// No answer within the deadline and the margin.
+    LateAnswer {
+        /// The submission.
+        name: Label,
+        /// Its deadline.
+        deadline: Duration,
+        /// The time that the answer took, or for which it has been out.
+        took: Duration,
+        /// Whether it came at all.
+        answered: bool,
+    },
+    /// The connection to the caller broke though nothing was done to the entry.
+    LostAnswer {
+        /// The submission.
+        name: Label,
+        /// What the caller saw.
+        reason: String,
+    },
+    /// An endpoint got a new task long after it left.
+    StartWhileLeaving {
+        /// The attempt.
+        attempt: AttemptId,
+        /// How long it had been leaving.
+        leaving_for_ms: u64,
+    },
+    /// An entry showed an older contract than before.
+    VersionWentBack {
+        /// The VM of the entry.
+        vm: Label,
+        /// Whose contract.
+        customer: CustomerId,
+        /// The version seen before.
+        before: ContractVersion,
+        /// The older one seen after it.
+        after: ContractVersion,
+    },
+    /// A terminated process did not exit with 0, or one ended that nobody ended.
+    WrongExit {
+        /// The process.
+        process: String,
+        /// Why it ended.
+        cause: ExitCause,
+        /// The exit code.
+        code: Option<i32>,
+    },
+}
+
+impl fmt::Display for BrokenPromise {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TaskStartedTwice {
+                submission,
+                task,
+                attempts,
+            } => write!(
+                f,
+                "task {task} of {submission} started {} times: {}",
+                attempts.len(),
+                list(attempts)
+            ),
+            Self::RequestRanTwice { label, attempts } => write!(
+                f,
+                "request {label} ran {} times: {}",
+                attempts.len(),
+                list(attempts)
+            ),
+            Self::WrongResults { name, what } => write!(f, "{name} is complete, but {what}"),
+            Self::PartialResults { name, results } => {
+                write!(f, "{name} is not complete, but gives {results} results")
+            }
+            Self::CompleteWithoutRun { name, task } => {
+                write!(
+                    f,
+                    "{name} is complete, but task {task} never ran to its end"
+                )
+            }
+            Self::RefusedButStarted {
+                name,
+                reason,
+                attempt,
+            } => write!(f, "{name} was refused ({reason}), but {attempt} started"),
+            Self::LateAnswer {
+                name,
+                deadline,
+                took,
+                answered,
+            } => {
+                let what = if *answered {
+                    "was answered after"
+                } else {
+                    "has no answer after"
+                };
+                write!(f, "{name}, due in {deadline:?}, {what} {took:?}")
+            }
+            Self::LostAnswer { name, reason } => {
+                write!(f, "{name} lost its answer without cause: {reason}")
+            }
+            Self::StartWhileLeaving {
+                attempt,
+                leaving_for_ms,
+            } => write!(
+                f,
+                "{attempt} started on an endpoint that had been leaving for {leaving_for_ms} ms"
+            ),
+            Self::VersionWentBack {
+                vm,
+                customer,
+                before,
+                after,
+            } => write!(
+                f,
+                "{vm} showed version {after} of {customer}'s contract after version {before}"
+            ),
+            Self::WrongExit {
+                process,
+                cause,
+                code,
+            } => write!(f, "{process} ended with code {code:?} ({cause:?})"),
+        }
+    }
+}
+
+/// Checks every promise and gives each one that did not hold.
+pub fn check_promises(record: &RunRecord, limits: &PromiseLimits) -> Vec<BrokenPromise> {
+    let starts = StartIndex::new(record);
+    let mut broken = Vec::new();
+    check_tasks(&starts, &mut broken);
+    check_requests(record, &starts, &mut broken);
+    for submission in &record.submissions {
+        check_time(submission, limits, &mut broken);
+        check_answer(record, submission, &starts, &mut broken);
+    }
+    check_leaving(&starts, &mut broken);
+    check_versions(record, &mut broken);
+    check_exits(record, &mut broken);
+    broken
+}
+
+/// Every start, by what the checks ask for.
+struct StartIndex<'a> {
+    all: Vec<&'a StartRecord>,
+    by_task: FastMap<(SubmissionId, TaskIndex), Vec<&'a StartRecord>>,
+    by_label: FastMap<String, Vec<&'a StartRecord>>,
+    by_digest: FastMap<&'a str, Vec<&'a StartRecord>>,
+}
+
+impl<'a> StartIndex<'a> {
+    fn new(record: &'a RunRecord) -> Self {
+        let mut index = Self {
+            all: Vec::new(),
+            by_task: FastMap::default(),
+            by_label: FastMap::default(),
+            by_digest: FastMap::default(),
+        };
+        for start in record.endpoints.iter().flat_map(|e| &e.starts) {
+            index.add(start);
+        }
+        index
+    }
+
+    fn add(&mut self, start: &'a StartRecord) {
+        self.all.push(start);
+        let task = (start.attempt.submission, start.attempt.task);
+        self.by_task.entry(task).or_default().push(start);
+        self.by_digest.entry(&start.digest).or_default().push(start);
+        if let Some(label) = run_label(start) {
+            self.by_label.entry(label).or_default().push(start);
+        }
+    }
+
+    fn with_payload(&self, payload: &[u8]) -> &[&'a StartRecord] {
+        let starts = self.by_digest.get(digest(payload).as_str());
+        starts.map_or(&[], Vec::as_slice)
+    }
+}
+
+/// The run label of a start: the label in its payload without the task's number.
+fn run_label(start: &StartRecord) -> Option<String> {
+    let script = TaskScript::read(start.payload.as_deref()?.as_bytes());
+    let label = script.label?;
+    Some(label.split('#').next().unwrap_or_default().to_owned())
+}
+
+fn check_tasks(starts: &StartIndex<'_>, broken: &mut Vec<BrokenPromise>) {
+    for ((submission, task), list) in &starts.by_task {
+        if list.len() < 2 {
+            continue;
+        }
+        broken.push(BrokenPromise::TaskStartedTwice {
+            submission: *submission,
+            task: *task,
+            attempts: attempts(list),
+        });
+    }
+}
+
+fn check_requests(record: &RunRecord, starts: &StartIndex<'_>, broken: &mut Vec<BrokenPromise>) {
+    let mut labels = Vec::new();
+    for submission in &record.submissions {
+        if submission.request && !labels.contains(&&submission.run_label) {
+            labels.push(&submission.run_label);
+        }
+    }
+    for label in labels {
+        let Some(list) = starts.by_label.get(label) else {
+            continue;
+        };
+        if list.len() < 2 {
+            continue;
+        }
+        broken.push(BrokenPromise::RequestRanTwice {
+            label: label.clone(),
+            attempts: attempts(list),
+        });
+    }
+}
+
+fn check_time(
+    submission: &SubmissionRecord,
+    limits: &PromiseLimits,
+    broken: &mut Vec<BrokenPromise>,
+) {
+    let in_time = submission.took <= submission.deadline + limits.answer_margin;
+    if submission.disturbed || (in_time && submission.answer.is_some()) {
+        return;
+    }
+    broken.push(BrokenPromise::LateAnswer {
+        name: submission.name.clone(),
+        deadline: submission.deadline,
+        took: submission.took,
+        answered: submission.answer.is_some(),
+    });
+}
+
+fn check_answer(
+    record: &RunRecord,
+    submission: &SubmissionRecord,
+    starts: &StartIndex<'_>,
+    broken: &mut Vec<BrokenPromise>,
+) {
+    let Some(answer) = &submission.answer else {
+        return;
+    };
+    let name = submission.name.clone();
+    if answer.status != AnswerStatus::Complete && !answer.results.is_empty() {
+        broken.push(BrokenPromise::PartialResults {
+            name: name.clone(),
+            results: answer.results.len(),
+        });
+    }
+    match answer.status {
+        AnswerStatus::Complete => check_results(submission, &answer.results, starts, broken),
+        AnswerStatus::Refused => {
+            let Some(start) = own_start(record, submission, answer.id, starts) else {
+                return;
+            };
+            broken.push(BrokenPromise::RefusedButStarted {
+                name,
+                reason: answer.reason.clone(),
+                attempt: start.attempt,
+            });
+        }
+        AnswerStatus::Lost if !submission.disturbed => broken.push(BrokenPromise::LostAnswer {
+            name,
+            reason: answer.reason.clone(),
+        }),
+        AnswerStatus::Lost | AnswerStatus::Failed | AnswerStatus::Unknown => {}
+    }
+}
+
+fn check_results(
+    submission: &SubmissionRecord,
+    results: &[Vec<u8>],
+    starts: &StartIndex<'_>,
+    broken: &mut Vec<BrokenPromise>,
+) {
+    let wrong = |what| BrokenPromise::WrongResults {
+        name: submission.name.clone(),
+        what,
+    };
+    if results.len() != submission.payloads.len() {
+        let what = format!(
+            "gives {} results for {} tasks",
+            results.len(),
+            submission.payloads.len()
+        );
+        broken.push(wrong(what));
+        return;
+    }
+    for (task, (result, payload)) in results.iter().zip(&submission.payloads).enumerate() {
+        if result != payload {
+            broken.push(wrong(format!("result {task} is not its task's")));
+            continue;
+        }
+        let ran = starts
+            .with_payload(payload)
+            .iter()
+            .any(|start| start.end.is_some());
+        if !ran {
+            broken.push(BrokenPromise::CompleteWithoutRun {
+                name: submission.name.clone(),
+                task,
+            });
+        }
+    }
+}
+
+/// A start that certainly belongs to the submission: by the id in its answer, or by a payload that no other
+/// submission shares.
+fn own_start<'a>(
+    record: &RunRecord,
+    submission: &SubmissionRecord,
+    id: Option<SubmissionId>,
+    starts: &StartIndex<'a>,
+) -> Option<&'a StartRecord> {
+    for start in &starts.all {
+        if Some(start.attempt.submission) == id {
+            return Some(start);
+        }
+    }
+    for payload in &submission.payloads {
+        let shared = record
+            .submissions
+            .iter()
+            .any(|other| other.name != submission.name && other.payloads.contains(payload));
+        if shared {
+            continue;
+        }
+        if let Some(start) = starts.with_payload(payload).first() {
+            return Some(start);
+        }
+    }
+    None
+}
+
+fn check_leaving(starts: &StartIndex<'_>, broken: &mut Vec<BrokenPromise>) {
+    for start in &starts.all {
+        match start.leaving_for_ms {
+            Some(leaving_for_ms) if leaving_for_ms > LEAVING_LIMIT_MS => {
+                broken.push(BrokenPromise::StartWhileLeaving {
+                    attempt: start.attempt,
+                    leaving_for_ms,
+                });
+            }
+            _ => {}
+        }
+    }
+}
+
+fn check_versions(record: &RunRecord, broken: &mut Vec<BrokenPromise>) {
+    let mut newest = FastMap::default();
+    for sighting in &record.sightings {
+        let key = (&sighting.vm, &sighting.customer);
+        let before = *newest.entry(key).or_insert(sighting.version);
+        if sighting.version < before {
+            broken.push(BrokenPromise::VersionWentBack {
+                vm: sighting.vm.clone(),
+                customer: sighting.customer.clone(),
+                before,
+                after: sighting.version,
+            });
+            continue;
+        }
+        newest.insert(key, sighting.version);
+    }
+}
+
+fn check_exits(record: &RunRecord, broken: &mut Vec<BrokenPromise>) {
+    for exit in &record.exits {
+        let right = match exit.cause {
+            ExitCause::Terminated => exit.code == Some(0),
+            ExitCause::Killed => true,
+            ExitCause::Itself => false,
+        };
+        if right {
+            continue;
+        }
+        broken.push(BrokenPromise::WrongExit {
+            process: exit.process.clone(),
+            cause: exit.cause,
+            code: exit.code,
+        });
+    }
+}
+
+fn attempts(starts: &[&StartRecord]) -> Vec<AttemptId> {
+    starts.iter().map(|start| start.attempt).collect()
+}
+
+fn list(attempts: &[AttemptId]) -> String {
+    let texts: Vec<_> = attempts.iter().map(ToString::to_string).collect();
+    texts.join(", ")
+}
