--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -78,8 +78,9 @@
   ended @1 (ends :List(AttemptEnd), slots :Slots) -> ();
   slots @2 (slots :Slots) -> ();
   # Sent when the picture changed much since the last message.
-  outcome @3 (serial :UInt64) -> (json :Data, found :Bool);
-  # The caller-facing answer of a submission of this entry, waiting until there is one or the entry gives up on it.
+  outcome @3 (serial :UInt64, digest :UInt64, wait :Bool) -> (found :Bool, status :UInt16, json :Data);
+  # The caller-facing answer of a submission of this entry. With `wait` it comes when there is one, and only if the
+  # body's digest is the same.
   runTicket @4 (serial :UInt64, json :Data) -> (json :Data, status :UInt16);
   # Runs a request under a ticket that this entry issued.
 }
@@ -90,7 +91,8 @@
   # Finds the entry of another VM, so that entries need no connections to each other.
   beat @2 (view :MemberView) -> (view :MemberView);
   # The heartbeat among dispatchers; the answer counts as one the other way.
-  contracts @3 (since :UInt64) -> (head :UInt64, rows :List(ContractRow));
+  contracts @3 (since :UInt64) -> (loaded :Bool, head :UInt64, rows :List(ContractRow));
+  # `loaded` is false while the sender holds no complete set that is as new as its peers'.
   grant @4 (batch :AskBatch) -> (answered :Bool, batch :ReplyBatch);
   # Leases parts of customers' concurrency in this data centre, from the customers' home dispatcher.
   ping @5 () -> (view :MemberView);
--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -72,7 +72,8 @@
     }
 }
 
-/// The key of a row or the name of an object. Its characters need no escaping in a URL.
+/// The key of a row or the name of an object. Its characters need no escaping in a URL. The default is the empty
+/// key, which no row has and after which a list starts at its first row.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(transparent)]
 pub struct StoreKey(String);
@@ -83,6 +84,15 @@
 pub struct WrongKey(pub String);
 
 impl StoreKey {
+    /// A key that the code names itself.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the name is no key, which a test of the naming code would show.
+    pub fn of_name(name: &'static str) -> Self {
+        name.parse().expect("a fixed name is a valid key")
+    }
+
     /// The key of a customer's one row.
     pub fn of_customer(customer: &CustomerId) -> Self {
         Self(customer.to_string())
