Check authority and ledger under random interleavings

Cause: a withdrawal that reaches the dispatcher before its offer is answered 'not confirmed'. The authority then took the attempt for running and turned the later ask away, but kept the attempt, and its part of the customer's concurrency, for ever. Ruled out: a loss in the ledger (it forgets the attempt on the refused ask, rightly); the reorder itself, which the batch number already makes safe. Change: an ask on the current session is good in every phase but 'claimed', and a refused ask ends the attempt. The test runs one authority and two ledgers over an unreliable network: messages late, swapped, read from old connections, dispatchers dying, endpoints busy or lost, cancellations, deadlines.

--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -32,18 +32,24 @@
     /// and must not start.
     pub fn on_claim(&mut self, session: SessionId, attempt: AttemptId) -> Option<Payload> {
         let flight = self.flights.get_mut(&attempt)?;
-        // An ask of an older session comes from a reservation that was given up when that session was lost; the
-        // body goes out once only, so an ask in any later phase is turned away too. `Offered` is let pass because
-        // the ask may overtake the verdict; only a dispatcher that keeps no body asks.
-        let waits = matches!(flight.phase, FlightPhase::Queued | FlightPhase::Offered);
-        if flight.session != session || !waits {
+        // An ask of an older session comes from a reservation that was given up when that session was lost, and the
+        // body goes out once only. In any other phase the ask is good, whatever was heard before: it may overtake the
+        // verdict, or follow a withdrawal that the dispatcher could not confirm, and only a dispatcher that keeps no
+        // body asks.
+        if flight.session != session || flight.phase == FlightPhase::Claimed {
             return None;
         }
         let record = self
             .records
             .get_mut(&attempt.submission.serial)
-            .filter(|record| record.is_open())?;
-        let payload = record.task_mut(attempt.task)?.body.payload.clone();
+            .filter(|record| record.is_open());
+        let Some(task) = record.and_then(|record| record.task_mut(attempt.task)) else {
+            // Its submission has its answer. The dispatcher forgets the attempt on hearing so, and its part of the
+            // concurrency is free.
+            self.land(attempt);
+            return None;
+        };
+        let payload = task.body.payload.clone();
         flight.phase = FlightPhase::Claimed;
         self.note(AuthorityEvent::Claimed(attempt));
         Some(payload)
--- /dev/null
+++ b/crates/ledger/tests/at_most_once/main.rs
@@ -0,0 +1,53 @@
+//! One authority and two ledgers with an unreliable network between them, under random interleavings.
+//!
+//! What a caller sees: a task that ran twice books two learners into one car; a "not run" of a task that ran leaves
+//! one at the roadside. What happens, in any order: messages are late or change places with the next one,
+//! connections break while bytes of the old one are still read, dispatchers die or freeze, endpoints answer busy or
+//! not at all, callers cancel, deadlines pass. Nothing here may start a task twice or tell an untrue answer.
+
+mod world;
+
+use proptest::prelude::{any, prop, prop_assert, proptest, ProptestConfig, Strategy};
+use proptest::{prop_oneof, strategy::Just};
+
+use crate::world::{TaskFate, World, WorldStep};
+
+fn step() -> impl Strategy<Value = WorldStep> {
+    prop_oneof![
+        4 => (1u32..4).prop_map(WorldStep::SubmitJob),
+        4 => Just(WorldStep::SubmitRequest),
+        30 => (0usize..2, any::<bool>()).prop_map(|(to, second)| WorldStep::ToDispatcher { to, second }),
+        30 => (0usize..2, any::<bool>()).prop_map(|(from, second)| WorldStep::ToEntry { from, second }),
+        4 => (0usize..4).prop_map(WorldStep::OldBytes),
+        16 => (0usize..8, fate()).prop_map(|(task, fate)| WorldStep::EndTask { task, fate }),
+        6 => (1u64..400).prop_map(WorldStep::Pass),
+        4 => (0usize..2).prop_map(WorldStep::LoseConnection),
+        3 => (0usize..2).prop_map(WorldStep::DispatcherNotices),
+        6 => (0usize..2).prop_map(WorldStep::Connect),
+        1 => (0usize..2).prop_map(WorldStep::Kill),
+        2 => (0u64..6).prop_map(WorldStep::Cancel),
+    ]
+}
+
+fn fate() -> impl Strategy<Value = TaskFate> {
+    prop_oneof![
+        6 => Just(TaskFate::Done),
+        1 => Just(TaskFate::Failed),
+        2 => Just(TaskFate::Busy),
+        1 => Just(TaskFate::Unknown),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 3000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_interleaving_starts_twice_or_lies(steps in prop::collection::vec(step(), 1..160)) {
+        let mut world = World::new();
+        for step in steps {
+            world.take(step);
+        }
+        world.settle();
+        prop_assert!(world.faults().is_empty(), "{:#?}", world.faults());
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/at_most_once/world.rs
@@ -0,0 +1,614 @@
+//! The network and the endpoints around one authority and two ledgers.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use authority::{AuthorityAction, AuthoritySettings, DispatcherKey, TaskAuthority};
+use ledger::{ClaimNumber, LedgerAction, LedgerSettings, SlotLedger};
+use model::{
+    AttemptEnd, AttemptId, Contract, ContractVersion, CustomerId, EndpointAddress, EndpointState,
+    FailureReason, IncarnationId, KeyedRun, Payload, RetryReason, SessionId, SubmissionBody,
+    SubmissionKind, SubmissionOutcome, TaskBody, TaskOffer, TaskResult, TaskVerdict, UnknownReason,
+    WithdrawalVerdict,
+};
+
+/// Something that happens.
+#[derive(Clone, Debug)]
+pub(crate) enum WorldStep {
+    SubmitJob(u32),
+    SubmitRequest,
+    /// The next message on the way to a dispatcher arrives, or the one behind it first.
+    ToDispatcher {
+        to: usize,
+        second: bool,
+    },
+    ToEntry {
+        from: usize,
+        second: bool,
+    },
+    /// A message that was on a broken connection is read all the same.
+    OldBytes(usize),
+    EndTask {
+        task: usize,
+        fate: TaskFate,
+    },
+    Pass(u64),
+    LoseConnection(usize),
+    DispatcherNotices(usize),
+    Connect(usize),
+    Kill(usize),
+    Cancel(u64),
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum TaskFate {
+    Done,
+    Failed,
+    Busy,
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+enum ToDispatcher {
+    Offer {
+        session: SessionId,
+        batch: u64,
+        offers: Vec<TaskOffer>,
+    },
+    Withdraw {
+        session: SessionId,
+        after_batch: u64,
+        attempts: Vec<AttemptId>,
+    },
+    Body {
+        attempt: AttemptId,
+        claim: ClaimNumber,
+        body: Option<Payload>,
+    },
+    Confirmed(AttemptId),
+}
+
+#[derive(Clone, Debug)]
+enum ToEntry {
+    Verdicts(Vec<(AttemptId, TaskVerdict)>),
+    Withdrawn(Vec<(AttemptId, WithdrawalVerdict)>),
+    Claim {
+        session: SessionId,
+        attempt: AttemptId,
+        claim: ClaimNumber,
+    },
+    Ended(AttemptId, AttemptEnd),
+}
+
+struct Dispatcher {
+    ledger: SlotLedger,
+    incarnation: IncarnationId,
+    session: Option<SessionId>,
+    to_dispatcher: VecDeque<ToDispatcher>,
+    to_entry: VecDeque<ToEntry>,
+    unnoticed: Option<SessionId>,
+}
+
+/// What runs on an endpoint, and for which dispatcher's life.
+struct RunningTask {
+    dispatcher: usize,
+    incarnation: IncarnationId,
+    attempt: AttemptId,
+}
+
+pub(crate) struct World {
+    now: Instant,
+    authority: TaskAuthority,
+    dispatchers: Vec<Dispatcher>,
+    old_bytes: VecDeque<(usize, IncarnationId, ToDispatcher)>,
+    running: Vec<RunningTask>,
+    /// Starts by (serial, task); one that the endpoint turned away as busy is taken out again.
+    started: BTreeMap<(u64, u32), u32>,
+    answers: BTreeMap<u64, SubmissionOutcome>,
+    sizes: BTreeMap<u64, (bool, u32)>,
+    next_session: u64,
+    next_incarnation: u64,
+    faults: Vec<String>,
+}
+
+const ENTRY: IncarnationId = IncarnationId(1);
+
+fn customer() -> CustomerId {
+    "school".parse().expect("a customer id")
+}
+
+fn new_ledger(now: Instant, number: usize) -> SlotLedger {
+    let mut ledger = SlotLedger::new(LedgerSettings::default());
+    let address = EndpointAddress {
+        id: format!("endpoint-{number}")
+            .parse()
+            .expect("an endpoint id"),
+        address: ([127, 0, 0, 1], 1000 + number as u16).into(),
+        slots: 2,
+    };
+    ledger.set_endpoints(now, &[(address, EndpointState::Live)]);
+    ledger
+}
+
+impl World {
+    pub(crate) fn new() -> Self {
+        let now = Instant::now();
+        let settings = AuthoritySettings {
+            reconnect_wait: Duration::from_secs(2),
+            ..Default::default()
+        };
+        let mut authority = TaskAuthority::new(settings, "hall".parse().expect("an id"), ENTRY, 7);
+        authority.set_limit(now, &customer(), 6);
+        let mut world = Self {
+            now,
+            authority,
+            dispatchers: Vec::new(),
+            old_bytes: VecDeque::new(),
+            running: Vec::new(),
+            started: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            sizes: BTreeMap::new(),
+            next_session: 1,
+            next_incarnation: 100,
+            faults: Vec::new(),
+        };
+        for number in 0..2 {
+            let dispatcher = world.new_dispatcher(number);
+            world.dispatchers.push(dispatcher);
+            world.connect(number);
+        }
+        world
+    }
+
+    pub(crate) fn faults(&self) -> &[String] {
+        &self.faults
+    }
+
+    pub(crate) fn take(&mut self, step: WorldStep) {
+        match step {
+            WorldStep::SubmitJob(tasks) => self.submit(true, tasks),
+            WorldStep::SubmitRequest => self.submit(false, 1),
+            WorldStep::ToDispatcher { to, second } => self.deliver_to_dispatcher(to, second),
+            WorldStep::ToEntry { from, second } => self.deliver_to_entry(from, second),
+            WorldStep::OldBytes(index) => self.deliver_old(index),
+            WorldStep::EndTask { task, fate } => self.end_task(task, fate),
+            WorldStep::Pass(millis) => self.pass(Duration::from_millis(millis)),
+            WorldStep::LoseConnection(number) => self.lose(number),
+            WorldStep::DispatcherNotices(number) => self.notice(number),
+            WorldStep::Connect(number) => self.connect(number),
+            WorldStep::Kill(number) => self.kill(number),
+            WorldStep::Cancel(serial) => {
+                self.authority.cancel(self.now, serial);
+            }
+        }
+        self.flush();
+    }
+
+    /// Lets everything come to rest, so that every submission has its answer.
+    pub(crate) fn settle(&mut self) {
+        for _ in 0..400 {
+            for number in 0..2 {
+                if self.dispatchers[number].session.is_none() {
+                    self.take(WorldStep::Connect(number));
+                }
+                self.take(WorldStep::ToDispatcher {
+                    to: number,
+                    second: false,
+                });
+                self.take(WorldStep::ToEntry {
+                    from: number,
+                    second: false,
+                });
+            }
+            self.take(WorldStep::EndTask {
+                task: 0,
+                fate: TaskFate::Done,
+            });
+            self.take(WorldStep::OldBytes(0));
+            self.take(WorldStep::Pass(25));
+        }
+        let open: Vec<u64> = self
+            .sizes
+            .keys()
+            .filter(|serial| !self.answers.contains_key(serial))
+            .copied()
+            .collect();
+        for serial in open {
+            self.faults
+                .push(format!("submission {serial} has no answer"));
+        }
+        for (serial, outcome) in self.answers.clone() {
+            self.check_answer(serial, &outcome);
+        }
+        if self.authority.attempts_in_flight() > 0 {
+            self.faults.push(format!(
+                "{} attempts hold concurrency for ever",
+                self.authority.attempts_in_flight()
+            ));
+        }
+    }
+
+    fn check_answer(&mut self, serial: u64, outcome: &SubmissionOutcome) {
+        let (_, tasks) = self.sizes[&serial];
+        let starts = |task| {
+            self.started
+                .get(&(serial, task))
+                .copied()
+                .unwrap_or_default()
+        };
+        match outcome {
+            SubmissionOutcome::Refused { .. } => {
+                let ran = (0..tasks).any(|task| starts(task) > 0);
+                if ran {
+                    self.faults
+                        .push(format!("submission {serial} was told not run and ran"));
+                }
+            }
+            SubmissionOutcome::Complete(results) => {
+                let want: Vec<TaskResult> =
+                    (0..tasks).map(|task| result_of(serial, task)).collect();
+                if *results != want {
+                    self.faults
+                        .push(format!("submission {serial} got another answer"));
+                }
+            }
+            SubmissionOutcome::Failed(FailureReason::TaskFailed | FailureReason::TaskUnknown)
+            | SubmissionOutcome::Failed(_)
+            | SubmissionOutcome::Unknown(_) => {}
+        }
+    }
+
+    fn new_dispatcher(&mut self, number: usize) -> Dispatcher {
+        self.next_incarnation += 1;
+        Dispatcher {
+            ledger: new_ledger(self.now, number),
+            incarnation: IncarnationId(self.next_incarnation),
+            session: None,
+            to_dispatcher: VecDeque::new(),
+            to_entry: VecDeque::new(),
+            unnoticed: None,
+        }
+    }
+
+    fn submit(&mut self, job: bool, tasks: u32) {
+        let kind = if job {
+            SubmissionKind::Job
+        } else {
+            SubmissionKind::Request(KeyedRun::PerSubmission)
+        };
+        let serial = self.authority.reserve_serial();
+        let mut bodies = Vec::new();
+        for task in 0..tasks {
+            let payload = result_of(serial, task).payload;
+            bodies.push(TaskBody {
+                kind: "hold".parse().expect("a kind"),
+                payload,
+                declared_run_time: None,
+            });
+        }
+        let body = SubmissionBody {
+            customer: customer(),
+            kind,
+            deadline: Some(Duration::from_millis(1500)),
+            tasks: bodies,
+        };
+        let contract = Contract::default();
+        let terms = Some((&contract, ContractVersion(1)));
+        if self
+            .authority
+            .submit(self.now, body, 0, terms, Some(serial))
+            .is_ok()
+        {
+            self.sizes.insert(serial, (job, tasks));
+        }
+    }
+
+    fn flush(&mut self) {
+        for action in self.authority.take_actions() {
+            match action {
+                AuthorityAction::Offer {
+                    dispatcher,
+                    session,
+                    batch,
+                    offers,
+                } => {
+                    self.send(
+                        dispatcher,
+                        session,
+                        ToDispatcher::Offer {
+                            session,
+                            batch,
+                            offers,
+                        },
+                    );
+                }
+                AuthorityAction::Withdraw {
+                    dispatcher,
+                    session,
+                    after_batch,
+                    attempts,
+                } => {
+                    self.send(
+                        dispatcher,
+                        session,
+                        ToDispatcher::Withdraw {
+                            session,
+                            after_batch,
+                            attempts,
+                        },
+                    );
+                }
+                AuthorityAction::Answer { id, outcome } => {
+                    if self
+                        .answers
+                        .insert(id.serial, outcome.as_ref().clone())
+                        .is_some()
+                    {
+                        self.faults
+                            .push(format!("submission {} was answered twice", id.serial));
+                    }
+                }
+                AuthorityAction::Note(_) => {}
+            }
+        }
+        for number in 0..self.dispatchers.len() {
+            self.flush_ledger(number);
+        }
+    }
+
+    fn send(&mut self, dispatcher: DispatcherKey, session: SessionId, message: ToDispatcher) {
+        let dispatcher = &mut self.dispatchers[dispatcher.0 as usize];
+        if dispatcher.session == Some(session) {
+            dispatcher.to_dispatcher.push_back(message);
+        }
+    }
+
+    fn flush_ledger(&mut self, number: usize) {
+        for action in self.dispatchers[number].ledger.take_actions() {
+            let dispatcher = &mut self.dispatchers[number];
+            match action {
+                LedgerAction::Start { offer, .. } => {
+                    let incarnation = dispatcher.incarnation;
+                    self.start(number, incarnation, &offer);
+                }
+                LedgerAction::Claim {
+                    session,
+                    attempt,
+                    claim,
+                    ..
+                } => {
+                    if dispatcher.session == Some(session) {
+                        dispatcher.to_entry.push_back(ToEntry::Claim {
+                            session,
+                            attempt,
+                            claim,
+                        });
+                    } else {
+                        dispatcher.ledger.on_claim_failed(self.now, attempt, claim);
+                    }
+                }
+                LedgerAction::Report {
+                    session,
+                    attempt,
+                    end,
+                    ..
+                } => {
+                    if dispatcher.session == Some(session) {
+                        dispatcher.to_entry.push_back(ToEntry::Ended(attempt, end));
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, dispatcher: usize, incarnation: IncarnationId, offer: &TaskOffer) {
+        let attempt = offer.attempt;
+        if offer.payload != result_of(attempt.submission.serial, attempt.task).payload {
+            self.faults
+                .push(format!("{attempt} started with another body"));
+        }
+        let starts = self
+            .started
+            .entry((attempt.submission.serial, attempt.task))
+            .or_default();
+        *starts += 1;
+        if *starts > 1 {
+            self.faults.push(format!("{attempt} is a second start"));
+        }
+        self.running.push(RunningTask {
+            dispatcher,
+            incarnation,
+            attempt,
+        });
+    }
+
+    fn end_task(&mut self, index: usize, fate: TaskFate) {
+        if self.running.is_empty() {
+            return;
+        }
+        let task = self.running.remove(index % self.running.len());
+        let key = (task.attempt.submission.serial, task.attempt.task);
+        let end = match fate {
+            TaskFate::Done => AttemptEnd::Done(result_of(key.0, key.1)),
+            TaskFate::Failed => AttemptEnd::Failed,
+            TaskFate::Unknown => AttemptEnd::Unknown(UnknownReason::ConnectionLost),
+            TaskFate::Busy => {
+                *self.started.entry(key).or_default() -= 1;
+                AttemptEnd::NotRun(RetryReason::EndpointBusy)
+            }
+        };
+        let dispatcher = &mut self.dispatchers[task.dispatcher];
+        if dispatcher.incarnation == task.incarnation {
+            dispatcher.ledger.on_ran(self.now, task.attempt, end);
+        }
+    }
+
+    fn deliver_to_dispatcher(&mut self, number: usize, second: bool) {
+        let queue = &mut self.dispatchers[number].to_dispatcher;
+        if let Some(message) = take_one(queue, second) {
+            self.handle_at_dispatcher(number, message);
+        }
+    }
+
+    fn handle_at_dispatcher(&mut self, number: usize, message: ToDispatcher) {
+        let now = self.now;
+        let dispatcher = &mut self.dispatchers[number];
+        let answer = match message {
+            ToDispatcher::Offer {
+                session,
+                batch,
+                offers,
+            } => {
+                let attempts: Vec<_> = offers.iter().map(|offer| offer.attempt).collect();
+                let verdicts = dispatcher.ledger.offer(now, ENTRY, session, batch, offers);
+                let verdicts = attempts.into_iter().zip(verdicts).collect();
+                (dispatcher.session == Some(session)).then_some(ToEntry::Verdicts(verdicts))
+            }
+            ToDispatcher::Withdraw {
+                session,
+                after_batch,
+                attempts,
+            } => {
+                let verdicts =
+                    dispatcher
+                        .ledger
+                        .withdraw(now, ENTRY, session, after_batch, &attempts);
+                let verdicts = attempts.into_iter().zip(verdicts).collect();
+                (dispatcher.session == Some(session)).then_some(ToEntry::Withdrawn(verdicts))
+            }
+            ToDispatcher::Body {
+                attempt,
+                claim,
+                body,
+            } => {
+                dispatcher.ledger.on_claimed(now, attempt, claim, body);
+                None
+            }
+            ToDispatcher::Confirmed(attempt) => {
+                dispatcher.ledger.on_confirmed(ENTRY, attempt);
+                None
+            }
+        };
+        dispatcher.to_entry.extend(answer);
+    }
+
+    fn deliver_to_entry(&mut self, number: usize, second: bool) {
+        let Some(message) = take_one(&mut self.dispatchers[number].to_entry, second) else {
+            return;
+        };
+        match message {
+            ToEntry::Verdicts(verdicts) => self.authority.on_verdicts(self.now, &verdicts),
+            ToEntry::Withdrawn(verdicts) => self.authority.on_withdrawn(self.now, &verdicts),
+            ToEntry::Claim {
+                session,
+                attempt,
+                claim,
+            } => {
+                let body = self.authority.on_claim(session, attempt);
+                let queue = &mut self.dispatchers[number].to_dispatcher;
+                queue.push_back(ToDispatcher::Body {
+                    attempt,
+                    claim,
+                    body,
+                });
+            }
+            ToEntry::Ended(attempt, end) => {
+                self.authority.on_ended(self.now, attempt, end);
+                self.dispatchers[number]
+                    .to_dispatcher
+                    .push_back(ToDispatcher::Confirmed(attempt));
+            }
+        }
+    }
+
+    fn deliver_old(&mut self, index: usize) {
+        if self.old_bytes.is_empty() {
+            return;
+        }
+        let index = index % self.old_bytes.len();
+        let Some((number, incarnation, message)) = self.old_bytes.remove(index) else {
+            return;
+        };
+        // A confirmation or a body is the answer to a call, and goes with the connection of that call.
+        let call = matches!(
+            message,
+            ToDispatcher::Offer { .. } | ToDispatcher::Withdraw { .. }
+        );
+        if call && self.dispatchers[number].incarnation == incarnation {
+            self.handle_at_dispatcher(number, message);
+        }
+    }
+
+    fn pass(&mut self, by: Duration) {
+        self.now += by;
+        self.authority.tick(self.now);
+        for dispatcher in &mut self.dispatchers {
+            dispatcher.ledger.tick(self.now);
+        }
+    }
+
+    fn lose(&mut self, number: usize) {
+        let dispatcher = &mut self.dispatchers[number];
+        let Some(session) = dispatcher.session.take() else {
+            return;
+        };
+        let incarnation = dispatcher.incarnation;
+        dispatcher.unnoticed = Some(session);
+        dispatcher.to_entry.clear();
+        for message in std::mem::take(&mut dispatcher.to_dispatcher) {
+            if let ToDispatcher::Body { attempt, claim, .. } = &message {
+                dispatcher
+                    .ledger
+                    .on_claim_failed(self.now, *attempt, *claim);
+            }
+            self.old_bytes.push_back((number, incarnation, message));
+        }
+        self.authority
+            .on_session_lost(self.now, DispatcherKey(number as u64), session);
+    }
+
+    fn notice(&mut self, number: usize) {
+        let dispatcher = &mut self.dispatchers[number];
+        if let Some(session) = dispatcher.unnoticed.take() {
+            dispatcher.ledger.on_session_lost(self.now, ENTRY, session);
+        }
+    }
+
+    fn connect(&mut self, number: usize) {
+        let session = SessionId(self.next_session);
+        let dispatcher = &mut self.dispatchers[number];
+        if dispatcher.session.is_some() {
+            return;
+        }
+        self.next_session += 1;
+        dispatcher
+            .ledger
+            .open_session(self.now, ENTRY, session)
+            .expect("sessions only go up");
+        dispatcher.session = Some(session);
+        let slots = dispatcher.ledger.slots();
+        let incarnation = dispatcher.incarnation;
+        let data_centre = "hall".parse().expect("an id");
+        let key = DispatcherKey(number as u64);
+        self.authority
+            .on_session_opened(self.now, key, data_centre, incarnation, session, slots);
+    }
+
+    fn kill(&mut self, number: usize) {
+        self.lose(number);
+        self.dispatchers[number] = self.new_dispatcher(number);
+    }
+}
+
+fn result_of(serial: u64, task: u32) -> TaskResult {
+    TaskResult {
+        payload: Payload::from(format!("{serial}/{task}").as_bytes()),
+    }
+}
+
+fn take_one<T>(queue: &mut VecDeque<T>, second: bool) -> Option<T> {
+    let index = usize::from(second && queue.len() > 1);
+    queue.remove(index)
+}
