--- a/crates/ledger/tests/at_most_once/main.rs
+++ b/crates/ledger/tests/at_most_once/main.rs
@@ -19,6 +19,7 @@
         30 => (0usize..2, any::<bool>()).prop_map(|(to, second)| WorldStep::ToDispatcher { to, second }),
         30 => (0usize..2, any::<bool>()).prop_map(|(from, second)| WorldStep::ToEntry { from, second }),
         4 => (0usize..4).prop_map(WorldStep::OldBytes),
+        4 => (0usize..4).prop_map(WorldStep::OldMail),
         16 => (0usize..8, fate()).prop_map(|(task, fate)| WorldStep::EndTask { task, fate }),
         6 => (1u64..400).prop_map(WorldStep::Pass),
         4 => (0usize..2).prop_map(WorldStep::LoseConnection),
--- a/crates/ledger/tests/at_most_once/world.rs
+++ b/crates/ledger/tests/at_most_once/world.rs
@@ -1,7 +1,7 @@
 //! The network and the endpoints around one authority and two ledgers.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -30,6 +30,7 @@
     },
     /// A message that was on a broken connection is read all the same.
     OldBytes(usize),
+    OldMail(usize),
     EndTask {
         task: usize,
         fate: TaskFate,
@@ -103,6 +104,10 @@
     authority: TaskAuthority,
     dispatchers: Vec<Dispatcher>,
     old_bytes: VecDeque<(usize, IncarnationId, ToDispatcher)>,
+    /// What the entry had taken off a connection before it gave the session up, and handles after.
+    old_mail: VecDeque<(usize, ToEntry)>,
+    /// Attempts that a dispatcher has promised not to start.
+    promised: BTreeSet<AttemptId>,
     running: Vec<RunningTask>,
     /// Starts by (serial, task); one that the endpoint turned away as busy is taken out again.
     started: BTreeMap<(u64, u32), u32>,
@@ -146,6 +151,8 @@
             authority,
             dispatchers: Vec::new(),
             old_bytes: VecDeque::new(),
+            old_mail: VecDeque::new(),
+            promised: BTreeSet::new(),
             running: Vec::new(),
             started: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -173,6 +180,7 @@
             WorldStep::ToDispatcher { to, second } => self.deliver_to_dispatcher(to, second),
             WorldStep::ToEntry { from, second } => self.deliver_to_entry(from, second),
             WorldStep::OldBytes(index) => self.deliver_old(index),
+            WorldStep::OldMail(index) => self.deliver_old_mail(index),
             WorldStep::EndTask { task, fate } => self.end_task(task, fate),
             WorldStep::Pass(millis) => self.pass(Duration::from_millis(millis)),
             WorldStep::LoseConnection(number) => self.lose(number),
@@ -475,7 +483,12 @@
                     dispatcher
                         .ledger
                         .withdraw(now, ENTRY, session, after_batch, &attempts);
-                let verdicts = attempts.into_iter().zip(verdicts).collect();
+                let verdicts: Vec<_> = attempts.into_iter().zip(verdicts).collect();
+                for (attempt, verdict) in &verdicts {
+                    if *verdict == WithdrawalVerdict::NotRun {
+                        self.promised.insert(*attempt);
+                    }
+                }
                 (dispatcher.session == Some(session)).then_some(ToEntry::Withdrawn(verdicts))
             }
             ToDispatcher::Body {
@@ -495,34 +508,53 @@
     }
 
     fn deliver_to_entry(&mut self, number: usize, second: bool) {
-        let Some(message) = take_one(&mut self.dispatchers[number].to_entry, second) else {
-            return;
-        };
+        if let Some(message) = take_one(&mut self.dispatchers[number].to_entry, second) {
+            if let Some(answer) = self.handle_at_entry(message) {
+                self.dispatchers[number].to_dispatcher.push_back(answer);
+            }
+        }
+    }
+
+    /// Gives what goes back on the connection, which for old mail is gone.
+    fn handle_at_entry(&mut self, message: ToEntry) -> Option<ToDispatcher> {
         match message {
-            ToEntry::Verdicts(verdicts) => self.authority.on_verdicts(self.now, &verdicts),
-            ToEntry::Withdrawn(verdicts) => self.authority.on_withdrawn(self.now, &verdicts),
+            ToEntry::Verdicts(verdicts) => {
+                self.authority.on_verdicts(self.now, &verdicts);
+                None
+            }
+            ToEntry::Withdrawn(verdicts) => {
+                self.authority.on_withdrawn(self.now, &verdicts);
+                None
+            }
             ToEntry::Claim {
                 session,
                 attempt,
                 claim,
             } => {
                 let body = self.authority.on_claim(session, attempt);
-                let queue = &mut self.dispatchers[number].to_dispatcher;
-                queue.push_back(ToDispatcher::Body {
+                Some(ToDispatcher::Body {
                     attempt,
                     claim,
                     body,
-                });
+                })
             }
             ToEntry::Ended(attempt, end) => {
                 self.authority.on_ended(self.now, attempt, end);
-                self.dispatchers[number]
-                    .to_dispatcher
-                    .push_back(ToDispatcher::Confirmed(attempt));
+                Some(ToDispatcher::Confirmed(attempt))
             }
         }
     }
 
+    fn deliver_old_mail(&mut self, index: usize) {
+        if self.old_mail.is_empty() {
+            return;
+        }
+        let index = index % self.old_mail.len();
+        if let Some((_, message)) = self.old_mail.remove(index) {
+            let _connection_gone = self.handle_at_entry(message);
+        }
+    }
+
     fn deliver_old(&mut self, index: usize) {
         if self.old_bytes.is_empty() {
             return;
@@ -556,10 +588,12 @@
         };
         let incarnation = dispatcher.incarnation;
         dispatcher.unnoticed = Some(session);
-        dispatcher.to_entry.clear();
-        for message in std::mem::take(&mut dispatcher.to_dispatcher) {
+        let mail = std::mem::take(&mut dispatcher.to_entry);
+        self.old_mail
+            .extend(mail.into_iter().map(|message| (number, message)));
+        for message in std::mem::take(&mut self.dispatchers[number].to_dispatcher) {
             if let ToDispatcher::Body { attempt, claim, .. } = &message {
-                dispatcher
+                self.dispatchers[number]
                     .ledger
                     .on_claim_failed(self.now, *attempt, *claim);
             }
