Add the retry budget of a customer

Cause: an overload answers busy, each busy answer causes a placement, and the overload feeds itself. Ruled out: a fixed number of tries a task, which multiplies all traffic by it just when slots are short. Change: a token bucket a customer, filled by the contract's percentage of first placements and a small floor. Conclusion: placements stay within the percentage and the floor.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,9 +5,11 @@
 
 mod bounded;
 pub mod queue;
+pub mod retry;
 pub mod run_time;
 
 pub use crate::{
     queue::{FairQueue, PushError, QueueEntry, QueueSettings},
+    retry::{RetryBudget, RetrySettings},
     run_time::{EstimateSource, FailureShare, RunTimeEstimate, RunTimeSettings, RunTimeTable},
 };
--- /dev/null
+++ b/crates/decisions/src/retry.rs
@@ -0,0 +1,110 @@
+//! The budget of each customer for placing tasks again.
+
+use std::time::{Duration, Instant};
+
+use model::CustomerId;
+
+use crate::bounded::BoundedMap;
+
+/// The limits of a [`RetryBudget`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetrySettings {
+    /// Retries a second that each customer has whatever it submits.
+    ///
+    /// Load: a customer with a request now and then. Harm: a percentage of so few placements is no retry at all,
+    /// and one busy endpoint fails the request. Reason: one a second and customer is noise beside the traffic.
+    pub floor_per_second: f64,
+    /// The most retries saved up.
+    ///
+    /// Load: hours without trouble, then an endpoint with many tasks dies. Harm: savings without a limit are a
+    /// storm of retries when everything is short. Reason: 40 are the tasks that one customer has running by
+    /// default, so each of them may be placed once more.
+    pub max_saved: f64,
+    /// Customers remembered. One that was forgotten starts with the floor.
+    pub max_customers: usize,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            floor_per_second: 1.0,
+            max_saved: 40.0,
+            max_customers: 4096,
+        }
+    }
+}
+
+/// Token buckets: first placements fill them by the contract's percentage, each retry takes one token.
+///
+/// Load: endpoints that are full or gone answer "not run" to everything. Harm: each such answer causes another
+/// placement, so the fewer slots are left the more messages ask for them, and the overload feeds itself. With the
+/// budget, placements are at most the first ones plus the contract's percentage and a small floor.
+#[derive(Debug)]
+pub struct RetryBudget {
+    settings: RetrySettings,
+    customers: BoundedMap<CustomerId, TokenBucket>,
+}
+
+impl RetryBudget {
+    /// A budget in which no customer has saved anything.
+    pub fn new(settings: RetrySettings) -> Self {
+        Self {
+            customers: BoundedMap::new(settings.max_customers),
+            settings,
+        }
+    }
+
+    /// Notes `placements` first placements under a contract that allows `retry_percent`.
+    pub fn on_placed(
+        &mut self,
+        now: Instant,
+        customer: &CustomerId,
+        placements: u32,
+        retry_percent: u32,
+    ) {
+        let earned = f64::from(placements) * f64::from(retry_percent) / 100.0;
+        let max_saved = self.settings.max_saved;
+        let bucket = self.refilled(now, customer);
+        bucket.tokens = (bucket.tokens + earned).min(max_saved);
+    }
+
+    /// Takes one retry out of the budget. `false` means that the budget is spent and the task must not be placed
+    /// again.
+    pub fn try_retry(&mut self, now: Instant, customer: &CustomerId) -> bool {
+        let bucket = self.refilled(now, customer);
+        if bucket.tokens < 1.0 {
+            return false;
+        }
+        bucket.tokens -= 1.0;
+        true
+    }
+
+    /// The number of customers remembered.
+    pub fn customers(&self) -> usize {
+        self.customers.len()
+    }
+
+    fn refilled(&mut self, now: Instant, customer: &CustomerId) -> &mut TokenBucket {
+        let per_second = self.settings.floor_per_second;
+        // A retry takes a whole token, so a smaller rate saves up for longer than a second.
+        let floor = per_second.max(1.0);
+        let bucket = self.customers.use_or_insert(customer, || TokenBucket {
+            tokens: floor,
+            filled_at: now,
+        });
+        let since: Duration = now.saturating_duration_since(bucket.filled_at);
+        bucket.filled_at = bucket.filled_at.max(now);
+        // Time alone saves up no more than the floor, or an idle customer would come back with the whole bucket.
+        let refill = since.as_secs_f64() * per_second;
+        if bucket.tokens < floor {
+            bucket.tokens = (bucket.tokens + refill).min(floor);
+        }
+        bucket
+    }
+}
+
+#[derive(Debug)]
+struct TokenBucket {
+    tokens: f64,
+    filled_at: Instant,
+}
--- /dev/null
+++ b/crates/decisions/tests/retry.rs
@@ -0,0 +1,61 @@
+//! The retry budget: what is granted after which placements.
+
+use std::time::{Duration, Instant};
+
+use decisions::{RetryBudget, RetrySettings};
+use model::CustomerId;
+
+/// Per step: placements made at the time in milliseconds, then retries asked for and granted.
+fn check(percent: u32, steps: &[(u64, u32, u32, u32)]) {
+    let start = Instant::now();
+    let customer: CustomerId = "trust".parse().unwrap();
+    let mut budget = RetryBudget::new(RetrySettings::default());
+    for (n, (at, placed, asked, expect)) in steps.iter().enumerate() {
+        let now = start + Duration::from_millis(*at);
+        budget.on_placed(now, &customer, *placed, percent);
+        let mut granted = 0;
+        for _ in 0..*asked {
+            granted += u32::from(budget.try_retry(now, &customer));
+        }
+        assert_eq!(granted, *expect, "step {n}");
+    }
+}
+
+#[test]
+fn retries_follow_first_placements() {
+    check(20, &[(0, 100, 100, 21), (0, 4, 100, 0), (0, 1, 100, 1)]);
+}
+
+#[test]
+fn a_rare_caller_has_the_floor() {
+    check(
+        20,
+        &[
+            (0, 1, 5, 1),
+            (500, 0, 5, 0),
+            (1000, 0, 5, 1),
+            (60_000, 0, 5, 1),
+        ],
+    );
+    check(0, &[(0, 1000, 5, 1), (2000, 1000, 5, 1)]);
+}
+
+#[test]
+fn savings_are_limited() {
+    check(20, &[(0, 100_000, 1000, 40), (60_000, 0, 1000, 1)]);
+}
+
+#[test]
+fn customers_have_budgets_of_their_own_in_bounded_memory() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(RetrySettings {
+        max_customers: 2,
+        ..RetrySettings::default()
+    });
+    for n in 0..10 {
+        let customer = format!("c{n}").parse().unwrap();
+        assert!(budget.try_retry(now, &customer));
+        assert!(!budget.try_retry(now, &customer));
+    }
+    assert_eq!(budget.customers(), 2);
+}
