Add the health of an endpoint

Cause: an endpoint that fails everything has free slots all the time and draws everyone's tasks; a slow one makes most jobs late. Ruled out: counting failures without regard to the kind, by which one customer with broken tasks closes all endpoints; latency against learned run times alone, by which a rush that slows all endpoints halves all limits. Change: limits by busy answers, latency against the fleet and failures in a row, quarantine with single probes that go farther apart, slots given back one by one. Conclusion: by the tests an endpoint that fails everything costs four tasks, then single probes, at last two a minute.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,11 +4,13 @@
 //! decision can be tested under load in virtual time.
 
 mod bounded;
+pub mod health;
 pub mod queue;
 pub mod retry;
 pub mod run_time;
 
 pub use crate::{
+    health::{EndKind, EndReport, EndpointHealth, FleetLatency, HealthSettings, HealthState},
     queue::{FairQueue, PushError, QueueEntry, QueueSettings},
     retry::{RetryBudget, RetrySettings},
     run_time::{EstimateSource, FailureShare, RunTimeEstimate, RunTimeSettings, RunTimeTable},
