Add the choice of a dispatcher

Cause: a task that queues at one dispatcher while another has a free slot makes its whole job late. Ruled out: always the freest one, which all entries that heard the same would take at once; a scan over all dispatchers, which grows with their number. Change: two draws by free slots less what was sent and not counted yet, silent dispatchers passed over, a shift to another data centre only for gain, with spare known and a reserve kept; random and two-choices rules to compare with.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,12 +5,17 @@
 
 mod bounded;
 pub mod health;
+pub mod placement;
 pub mod queue;
 pub mod retry;
 pub mod run_time;
+mod weight_tree;
 
 pub use crate::{
     health::{EndKind, EndReport, EndpointHealth, FleetLatency, HealthSettings, HealthState},
+    placement::{
+        DispatcherKey, PlacementQuery, PlacementRule, PlacementSettings, PlacementTable, SlotsHint,
+    },
     queue::{FairQueue, PushError, QueueEntry, QueueSettings},
     retry::{RetryBudget, RetrySettings},
     run_time::{EstimateSource, FailureShare, RunTimeEstimate, RunTimeSettings, RunTimeTable},
--- /dev/null
+++ b/crates/decisions/src/placement.rs
@@ -0,0 +1,468 @@
+//! The choice of a dispatcher for each task of an entry.
+
+use std::{
+    collections::BTreeSet,
+    fmt,
+    num::ParseIntError,
+    str::FromStr,
+    time::{Duration, Instant},
+};
+
+use model::{DataCentreId, FastMap};
+
+use crate::weight_tree::WeightTree;
+
+/// A dispatcher as its entry numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct DispatcherKey(pub u64);
+
+impl fmt::Display for DispatcherKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for DispatcherKey {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        s.parse().map(Self)
+    }
+}
+
+/// How a dispatcher is chosen. All but the first are there to be measured against.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlacementRule {
+    /// By the free slots last heard of, less what was sent since.
+    #[default]
+    FreeSlots,
+    /// Any dispatcher of the data centre.
+    RandomOwner,
+    /// Of two at random the one with less outstanding from this entry.
+    TwoChoices,
+}
+
+/// The limits of a [`PlacementTable`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacementSettings {
+    /// The rule.
+    pub rule: PlacementRule,
+    /// How many dispatchers are drawn, by their free slots, to take the best of them.
+    ///
+    /// Load: many entries that have heard the same. Harm: if each took the best of all, they would all take the
+    /// same one and fill its queue until the next hint. Reason: two draws spread them and still avoid a full one.
+    pub draws: u32,
+    /// How long a dispatcher may leave a sent task without any word until it gets no more.
+    ///
+    /// Load: a frozen process whose last hint showed free slots. Harm: it would draw tasks until its connection is
+    /// given up. Reason: it answers an offer at once, and 250 ms are a hundred round trips between data centres.
+    pub silent_after: Duration,
+    /// How long the spare slots of another data centre count as known. Reason: within that time a burst may have
+    /// taken them, and a task that queues there has paid the way for nothing.
+    pub spare_known_for: Duration,
+    /// How many round trips a shift must gain. Reason: the offer, the claim and the answer each cross the border.
+    pub gain_round_trips: u32,
+    /// The percentage of another data centre's slots that must stay free for its own callers.
+    ///
+    /// Load: one data centre overloaded, several entries that shift at once. Harm: the overload moves to the next
+    /// data centre and both shift back and forth. Reason: a fifth covers what all entries together send before
+    /// they hear of each other's tasks.
+    pub reserve_percent: u32,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        Self {
+            rule: PlacementRule::default(),
+            draws: 2,
+            silent_after: Duration::from_millis(250),
+            spare_known_for: Duration::from_secs(2),
+            gain_round_trips: 2,
+            reserve_percent: 20,
+        }
+    }
+}
+
+/// What a dispatcher last said of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SlotsHint {
+    /// Tasks that it may run at once.
+    pub limit: u32,
+    /// Tasks that run.
+    pub running: u32,
+    /// Tasks that wait there.
+    pub queued: u32,
+}
+
+/// What a choice needs to know of the task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlacementQuery {
+    /// The mean run time of tasks lately, by which queued tasks are turned into a wait.
+    pub mean_run_time: Duration,
+}
+
+/// The dispatchers that an entry may choose from.
+///
+/// Load: bursts of jobs from several entries onto the same slots. Harm: a task that queues at one dispatcher while
+/// another has a free slot makes its whole job late. A choice costs O(log n) in the dispatchers of a data centre
+/// and one step for each data centre; adding and removing a dispatcher costs O(n).
+#[derive(Debug)]
+pub struct PlacementTable {
+    settings: PlacementSettings,
+    /// The data centre of this entry comes first.
+    sites: Vec<DataCentreSite>,
+    places: FastMap<DispatcherKey, (usize, usize)>,
+    rng: fastrand::Rng,
+}
+
+impl PlacementTable {
+    /// A table without dispatchers for an entry in the data centre `local`.
+    pub fn new(settings: PlacementSettings, local: DataCentreId, rng: fastrand::Rng) -> Self {
+        Self {
+            settings,
+            sites: vec![DataCentreSite::new(local, Duration::ZERO)],
+            places: FastMap::default(),
+            rng,
+        }
+    }
+
+    /// Makes another data centre known and how long a message to it and back takes.
+    pub fn set_data_centre(&mut self, data_centre: &DataCentreId, round_trip: Duration) {
+        let site = self.site_index(data_centre);
+        self.sites[site].round_trip = round_trip;
+    }
+
+    /// Says whether a data centre can be reached. Into one that is cut off nothing is placed.
+    pub fn set_reachable(&mut self, data_centre: &DataCentreId, reachable: bool) {
+        let site = self.site_index(data_centre);
+        self.sites[site].reachable = reachable;
+    }
+
+    /// Adds a dispatcher. It is not chosen before its first hint.
+    pub fn add_dispatcher(&mut self, key: DispatcherKey, data_centre: &DataCentreId) {
+        if self.places.contains_key(&key) {
+            return;
+        }
+        let site = self.site_index(data_centre);
+        self.sites[site].places.push(DispatcherPlace::new(key));
+        self.reindex(site);
+    }
+
+    /// Removes a dispatcher that stops or is gone.
+    pub fn remove_dispatcher(&mut self, key: DispatcherKey) {
+        let Some((site, index)) = self.places.remove(&key) else {
+            return;
+        };
+        self.sites[site].places.swap_remove(index);
+        self.reindex(site);
+    }
+
+    /// Notes what a dispatcher said of itself. `unanswered` are the offers of this entry that it has not answered
+    /// yet: those it cannot have counted.
+    pub fn on_hint(&mut self, now: Instant, key: DispatcherKey, hint: SlotsHint, unanswered: u32) {
+        let Some((site, index)) = self.places.get(&key).copied() else {
+            return;
+        };
+        let site = &mut self.sites[site];
+        site.heard_at = Some(now);
+        site.change(index, |place| place.hear(now, hint, unanswered));
+    }
+
+    /// Notes that a chosen task ended, or was not sent after all.
+    pub fn on_end(&mut self, key: DispatcherKey) {
+        let Some((site, index)) = self.places.get(&key).copied() else {
+            return;
+        };
+        let place = &mut self.sites[site].places[index];
+        place.outstanding = place.outstanding.saturating_sub(1);
+    }
+
+    /// Chooses a dispatcher and counts the task as sent there. `None` when no reachable dispatcher has a slot.
+    pub fn choose(&mut self, now: Instant, query: PlacementQuery) -> Option<DispatcherKey> {
+        for site in &mut self.sites {
+            site.suspect_silent(now, self.settings.silent_after);
+        }
+        let (site, index) = match self.settings.rule {
+            PlacementRule::FreeSlots => self.by_free_slots(now, query)?,
+            PlacementRule::RandomOwner => (0, self.sites[0].any(&mut self.rng)?),
+            PlacementRule::TwoChoices => (0, self.less_outstanding()?),
+        };
+        let site = &mut self.sites[site];
+        site.change(index, |place| place.send(now));
+        Some(site.places[index].key)
+    }
+
+    /// The local data centre while it has a free slot, then another where that gains time, then the local queue.
+    fn by_free_slots(&mut self, now: Instant, query: PlacementQuery) -> Option<(usize, usize)> {
+        let draws = self.settings.draws;
+        if let Some(index) = self.sites[0].freest(draws, &mut self.rng) {
+            return Some((0, index));
+        }
+        let local_wait = self.sites[0].wait(query.mean_run_time);
+        if let Some(site) = self.site_to_shift_to(now, local_wait) {
+            let index = self.sites[site].freest(draws, &mut self.rng)?;
+            return Some((site, index));
+        }
+        let site = self.site_to_queue_at(now, query.mean_run_time)?;
+        let index = self.sites[site].least_queued(draws, &mut self.rng)?;
+        Some((site, index))
+    }
+
+    /// The data centre with the most spare slots of those where a shift gains more than its way costs. Without any
+    /// local dispatcher the local wait has no end and any gain is enough.
+    fn site_to_shift_to(&self, now: Instant, local_wait: Duration) -> Option<usize> {
+        let mut best = None;
+        let mut most = 0;
+        for (n, site) in self.sites.iter().enumerate().skip(1) {
+            if !site.reachable || !site.known(now, self.settings.spare_known_for) {
+                continue;
+            }
+            if local_wait <= site.round_trip * self.settings.gain_round_trips {
+                continue;
+            }
+            let spare = site.spare(self.settings.reserve_percent);
+            if spare > most {
+                most = spare;
+                best = Some(n);
+            }
+        }
+        best
+    }
+
+    /// The local data centre if it has any slot, otherwise the reachable one with the shortest wait.
+    fn site_to_queue_at(&self, now: Instant, mean_run_time: Duration) -> Option<usize> {
+        if self.sites[0].limits.total() > 0 {
+            return Some(0);
+        }
+        let mut best = None;
+        let mut shortest = Duration::MAX;
+        for (n, site) in self.sites.iter().enumerate().skip(1) {
+            if !site.reachable || !site.known(now, self.settings.spare_known_for) {
+                continue;
+            }
+            let wait = site.wait(mean_run_time);
+            if wait < shortest {
+                shortest = wait;
+                best = Some(n);
+            }
+        }
+        best
+    }
+
+    fn less_outstanding(&mut self) -> Option<usize> {
+        let site = &self.sites[0];
+        let (first, second) = (site.any(&mut self.rng)?, site.any(&mut self.rng)?);
+        let outstanding = |index: usize| site.places[index].outstanding;
+        match outstanding(second) < outstanding(first) {
+            true => Some(second),
+            false => Some(first),
+        }
+    }
+
+    fn site_index(&mut self, data_centre: &DataCentreId) -> usize {
+        for (n, site) in self.sites.iter().enumerate() {
+            if site.data_centre == *data_centre {
+                return n;
+            }
+        }
+        // Of one whose way is not known the first message may take as long as clients' do.
+        let round_trip = Duration::from_millis(10);
+        self.sites
+            .push(DataCentreSite::new(data_centre.clone(), round_trip));
+        self.sites.len() - 1
+    }
+
+    fn reindex(&mut self, site: usize) {
+        self.sites[site].rebuild();
+        for (index, place) in self.sites[site].places.iter().enumerate() {
+            self.places.insert(place.key, (site, index));
+        }
+    }
+}
+
+/// The dispatchers of one data centre.
+#[derive(Debug)]
+struct DataCentreSite {
+    data_centre: DataCentreId,
+    round_trip: Duration,
+    reachable: bool,
+    heard_at: Option<Instant>,
+    places: Vec<DispatcherPlace>,
+    free: WeightTree,
+    limits: WeightTree,
+    backlog: u64,
+    /// Dispatchers with a task sent and no word since, by when it was sent.
+    unanswered: BTreeSet<(Instant, usize)>,
+}
+
+impl DataCentreSite {
+    fn new(data_centre: DataCentreId, round_trip: Duration) -> Self {
+        Self {
+            data_centre,
+            round_trip,
+            reachable: true,
+            heard_at: None,
+            places: Vec::new(),
+            free: WeightTree::default(),
+            limits: WeightTree::default(),
+            backlog: 0,
+            unanswered: BTreeSet::new(),
+        }
+    }
+
+    fn change(&mut self, index: usize, change: impl FnOnce(&mut DispatcherPlace)) {
+        let place = &mut self.places[index];
+        self.backlog -= place.backlog();
+        if let Some(sent_at) = place.sent_at {
+            self.unanswered.remove(&(sent_at, index));
+        }
+        change(place);
+        self.index(index);
+    }
+
+    fn index(&mut self, index: usize) {
+        let place = &self.places[index];
+        self.backlog += place.backlog();
+        self.free.set(index, place.free());
+        self.limits.set(index, place.usable_limit());
+        if let Some(sent_at) = place.sent_at {
+            self.unanswered.insert((sent_at, index));
+        }
+    }
+
+    fn rebuild(&mut self) {
+        self.free = WeightTree::new(self.places.len());
+        self.limits = WeightTree::new(self.places.len());
+        self.backlog = 0;
+        self.unanswered.clear();
+        for index in 0..self.places.len() {
+            self.index(index);
+        }
+    }
+
+    fn suspect_silent(&mut self, now: Instant, silent_after: Duration) {
+        while let Some((sent_at, index)) = self.unanswered.first().copied() {
+            if now.saturating_duration_since(sent_at) < silent_after {
+                break;
+            }
+            self.change(index, DispatcherPlace::suspect);
+        }
+    }
+
+    /// The one with the most free slots of a few drawn by their free slots.
+    fn freest(&self, draws: u32, rng: &mut fastrand::Rng) -> Option<usize> {
+        let mut best = self.free.draw(rng)?;
+        for _ in 1..draws {
+            let other = self.free.draw(rng)?;
+            if self.places[other].free() > self.places[best].free() {
+                best = other;
+            }
+        }
+        Some(best)
+    }
+
+    /// The one with the shortest queue for its slots of a few drawn by their slots.
+    fn least_queued(&self, draws: u32, rng: &mut fastrand::Rng) -> Option<usize> {
+        let mut best = self.limits.draw(rng)?;
+        for _ in 1..draws {
+            let other = self.limits.draw(rng)?;
+            let (a, b) = (&self.places[other], &self.places[best]);
+            // a.backlog / a.limit < b.backlog / b.limit, without a division.
+            if a.backlog() * u64::from(b.hint.limit) < b.backlog() * u64::from(a.hint.limit) {
+                best = other;
+            }
+        }
+        Some(best)
+    }
+
+    fn any(&self, rng: &mut fastrand::Rng) -> Option<usize> {
+        match self.places.len() {
+            0 => None,
+            len => Some(rng.usize(..len)),
+        }
+    }
+
+    /// How long one more task would wait here.
+    fn wait(&self, mean_run_time: Duration) -> Duration {
+        match self.limits.total() {
+            0 => Duration::MAX,
+            limit => mean_run_time.mul_f64((self.backlog + 1) as f64 / limit as f64),
+        }
+    }
+
+    fn known(&self, now: Instant, known_for: Duration) -> bool {
+        self.heard_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= known_for)
+    }
+
+    fn spare(&self, reserve_percent: u32) -> u64 {
+        let reserve = self.limits.total() * u64::from(reserve_percent) / 100;
+        self.free.total().saturating_sub(reserve)
+    }
+}
+
+#[derive(Debug)]
+struct DispatcherPlace {
+    key: DispatcherKey,
+    hint: SlotsHint,
+    /// Sent and not counted in the hint.
+    sent: u32,
+    /// When the first of those was sent.
+    sent_at: Option<Instant>,
+    /// Sent and not ended.
+    outstanding: u32,
+    suspect: bool,
+}
+
+impl DispatcherPlace {
+    fn new(key: DispatcherKey) -> Self {
+        Self {
+            key,
+            hint: SlotsHint::default(),
+            sent: 0,
+            sent_at: None,
+            outstanding: 0,
+            suspect: false,
+        }
+    }
+
+    fn hear(&mut self, now: Instant, hint: SlotsHint, unanswered: u32) {
+        self.hint = hint;
+        self.sent = unanswered;
+        self.sent_at = (unanswered > 0).then_some(now);
+        self.suspect = false;
+    }
+
+    fn send(&mut self, now: Instant) {
+        self.sent += 1;
+        self.outstanding += 1;
+        self.sent_at = self.sent_at.or(Some(now));
+    }
+
+    fn suspect(&mut self) {
+        self.suspect = true;
+        self.sent_at = None;
+    }
+
+    fn load(&self) -> u64 {
+        u64::from(self.hint.running) + u64::from(self.hint.queued) + u64::from(self.sent)
+    }
+
+    fn free(&self) -> u64 {
+        self.usable_limit().saturating_sub(self.load())
+    }
+
+    fn backlog(&self) -> u64 {
+        match self.suspect {
+            true => 0,
+            false => self.load().saturating_sub(u64::from(self.hint.limit)),
+        }
+    }
+
+    fn usable_limit(&self) -> u64 {
+        match self.suspect {
+            true => 0,
+            false => u64::from(self.hint.limit),
+        }
+    }
+}
