Add admission

Cause: work that is accepted and comes late takes its slots from work that could have been in time. Ruled out: refusing by a queue length, which says nothing of the time; refusing by declared times, which would keep work out for ever that runs a hundred times shorter; one threshold for all, which refuses the customers that did not cause the overload. Change: a verdict from the contract, the customer's own work, the predicted wait and the saturation, with a time to come back in that is spread at random.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here reads a clock or a socket: the time comes in as `now`, randomness from a seeded generator, so every
 //! decision can be tested under load in virtual time.
 
+pub mod admission;
 mod bounded;
 pub mod health;
 pub mod placement;
@@ -12,6 +13,9 @@
 mod weight_tree;
 
 pub use crate::{
+    admission::{
+        AdmissionPolicy, AdmissionQuery, AdmissionSettings, AdmissionVerdict, Saturation, WorkClass,
+    },
     health::{EndKind, EndReport, EndpointHealth, FleetLatency, HealthSettings, HealthState},
     placement::{
         DispatcherKey, PlacementQuery, PlacementRule, PlacementSettings, PlacementTable, SlotsHint,
