Record idempotency keys by group commit

A request with a key of the caller's choice may start only when the key is in the platform's table, but the store takes some 250 synced writes a second for every VM together.

Keys that come while a batch is in flight make up the next one, inserted in one transaction that expects each row to be absent. A taken key leaves the batch and the rest goes at once. A batch in doubt is told by one of its rows, since it is all or nothing, and sent again as it was; it never gains a key, since a first batch that lands late would then be taken for the second. In an outage the platform is called once a pause. The turn to write is taken before the batch is filled, so that a key does not wait two turns.

A simulation of two batchers over one store holds each answer against the rows, over 400 seeds of lost requests, lost answers, late landings and refused connections.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -71,6 +71,11 @@
     writes: RefCell<RatePacer>,
 }
 
+/// One turn to write, taken from this process's share of the platform's rate.
+#[derive(Debug)]
+#[must_use = "a turn that is not used is lost"]
+pub struct WriteTurn(());
+
 /// Status and body of an answer.
 struct Answer {
     status: StatusCode,
@@ -145,15 +150,40 @@
         }
     }
 
+    /// Waits for this process's turn to write. A caller that gathers rows from many requests takes the turn first
+    /// and gathers then, so that what comes during the wait goes with this write and not with the next.
+    ///
+    /// # Errors
+    ///
+    /// [`CallFailure::OverRate`] when the wait would be longer than the settings allow.
+    pub async fn write_turn(&self) -> Result<WriteTurn, CallFailure> {
+        self.wait_turn(&self.inner.writes).await?;
+        Ok(WriteTurn(()))
+    }
+
     /// Writes rows, all or nothing, and gives their new versions in order.
     ///
     /// # Errors
     ///
     /// Says whether nothing took effect or nobody can say.
     pub async fn commit(&self, writes: Vec<RowWrite>) -> Result<Vec<RowVersion>, CommitError> {
+        let turn = self.write_turn().await?;
+        self.commit_in(turn, writes).await
+    }
+
+    /// [`Self::commit`] in a turn that was taken before.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::commit`].
+    pub async fn commit_in(
+        &self,
+        _turn: WriteTurn,
+        writes: Vec<RowWrite>,
+    ) -> Result<Vec<RowVersion>, CommitError> {
         let body = serde_json::to_vec(&TransactionBody { writes: &writes })
             .map_err(|e| CommitError::NotSent(CallFailure::NotBuilt(e.to_string())))?;
-        let answer = self.write(Method::POST, "/transaction", body).await?;
+        let answer = self.call(Method::POST, "/transaction", body).await?;
         match answer.status {
             StatusCode::OK => {
                 let versions = from_json::<CommitAnswer>(&answer.body)?.versions;
@@ -193,7 +223,8 @@
     /// Says whether nothing took effect or nobody can say.
     pub async fn put_object(&self, name: &StoreKey, bytes: Vec<u8>) -> Result<(), CommitError> {
         let path = format!("/objects/{name}");
-        let answer = self.write(Method::PUT, &path, bytes).await?;
+        let _turn = self.write_turn().await?;
+        let answer = self.call(Method::PUT, &path, bytes).await?;
         if answer.status.is_success() {
             return Ok(());
         }
@@ -219,16 +250,6 @@
         self.call(Method::GET, path, Vec::new()).await
     }
 
-    async fn write(
-        &self,
-        method: Method,
-        path: &str,
-        body: Vec<u8>,
-    ) -> Result<Answer, CallFailure> {
-        self.wait_turn(&self.inner.writes).await?;
-        self.call(method, path, body).await
-    }
-
     async fn wait_turn(&self, pacer: &RefCell<RatePacer>) -> Result<(), CallFailure> {
         let now = self.inner.clock.now();
         let longest_wait = self.inner.settings.longest_turn_wait;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,7 +10,7 @@
 mod wire;
 
 pub use crate::{
-    client::{ClientSettings, PlatformClient},
+    client::{ClientSettings, PlatformClient, WriteTurn},
     error::{CallFailure, CommitError, ReadError},
     rate::{CallRate, RatePacer, WrongRate},
     rows::{
--- /dev/null
+++ b/crates/request-keys/tests/batcher.rs
@@ -0,0 +1,389 @@
+//! Tests of the state machine alone: simulated time, a simulated store, seeded faults.
+
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use model::{FastMap, FastSet, IncarnationId};
+use request_keys::{
+    BatchEnd, BatcherSettings, BodyDigest, EntryId, KeyAction, KeyBatcher, KeyRecord, KeyRequest,
+    KeyResult, ReadEnd, RequestKey, TurnEnd,
+};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn key(n: u64) -> RequestKey {
+    RequestKey {
+        customer: "trust".parse().unwrap(),
+        key: format!("k{n}").parse().unwrap(),
+    }
+}
+
+fn record(incarnation: u64, serial: u64) -> KeyRecord {
+    KeyRecord {
+        incarnation: IncarnationId(incarnation),
+        serial,
+        body_digest: BodyDigest(7),
+    }
+}
+
+fn request(key_number: u64, serial: u64, give_up: Instant) -> KeyRequest {
+    KeyRequest {
+        key: key(key_number),
+        record: record(1, serial),
+        give_up,
+    }
+}
+
+/// Something that a batcher hears later.
+enum Event {
+    Turn(usize),
+    Land(Vec<(RequestKey, KeyRecord)>),
+    Batch(usize, Vec<(RequestKey, KeyRecord)>, BatchFate),
+    Read(usize, EntryId, RequestKey, bool),
+}
+
+/// What happens to a batch.
+#[derive(Clone, Copy)]
+enum BatchFate {
+    Answered,
+    AnswerLost,
+    RequestLost,
+    LandsLater(u64),
+    NotSent,
+}
+
+/// Two entries' batchers over one store.
+struct Simulation {
+    rng: Rng,
+    now: Instant,
+    batchers: [KeyBatcher; 2],
+    events: Vec<(Instant, Event)>,
+    rows: FastMap<RequestKey, KeyRecord>,
+    requests: FastMap<(usize, EntryId), KeyRequest>,
+    results: Vec<(KeyRequest, KeyResult)>,
+    fault_percent: u32,
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Self {
+        let mut rng = Rng::with_seed(seed);
+        let settings = BatcherSettings {
+            max_batch: rng.usize(1..6),
+            max_queue: 30,
+            longest_wait: ms(400),
+            ..BatcherSettings::default()
+        };
+        Self {
+            fault_percent: rng.u32(0..90),
+            rng,
+            now: Instant::now(),
+            batchers: [KeyBatcher::new(settings), KeyBatcher::new(settings)],
+            events: Vec::new(),
+            rows: FastMap::default(),
+            requests: FastMap::default(),
+            results: Vec::new(),
+        }
+    }
+
+    fn run(&mut self) {
+        let mut serial = 0;
+        for step in 0..3_000 {
+            self.now += ms(1);
+            if step < 300 && self.rng.u8(..) < 60 {
+                serial += 1;
+                self.submit(serial);
+            }
+            for event in self.due_events() {
+                self.happen(event);
+            }
+            for who in 0..2 {
+                let actions = self.batchers[who].tick(self.now);
+                self.perform(who, actions);
+            }
+        }
+        assert!(self.events.is_empty() && self.requests.is_empty());
+        assert!(self.batchers.iter().all(KeyBatcher::is_idle));
+    }
+
+    fn submit(&mut self, serial: u64) {
+        let who = self.rng.usize(0..2);
+        let request = KeyRequest {
+            key: key(self.rng.u64(0..25)),
+            record: record(who as u64, serial),
+            give_up: self.now + ms(self.rng.u64(1..500)),
+        };
+        let (id, actions) = self.batchers[who].submit(self.now, request.clone());
+        self.requests.insert((who, id), request);
+        self.perform(who, actions);
+    }
+
+    fn due_events(&mut self) -> Vec<Event> {
+        let mut due = Vec::new();
+        let now = self.now;
+        for index in (0..self.events.len()).rev() {
+            if self.events[index].0 <= now {
+                due.push(self.events.swap_remove(index).1);
+            }
+        }
+        due
+    }
+
+    fn later(&mut self, delay: u64, event: Event) {
+        self.events.push((self.now + ms(delay), event));
+    }
+
+    fn faulty(&mut self) -> bool {
+        self.rng.u32(0..100) < self.fault_percent
+    }
+
+    fn perform(&mut self, who: usize, actions: Vec<KeyAction>) {
+        for action in actions {
+            match action {
+                KeyAction::TakeTurn => self.later(1, Event::Turn(who)),
+                KeyAction::Commit(records) => {
+                    let fate = self.fate();
+                    self.later(4, Event::Batch(who, records, fate));
+                }
+                KeyAction::Read(id, key) => {
+                    let failed = self.faulty();
+                    self.later(1, Event::Read(who, id, key, failed));
+                }
+                KeyAction::Answer(id, result) => {
+                    let request = self.requests.remove(&(who, id)).expect("answered once");
+                    self.results.push((request, result));
+                }
+            }
+        }
+    }
+
+    fn fate(&mut self) -> BatchFate {
+        if !self.faulty() {
+            return BatchFate::Answered;
+        }
+        match self.rng.u8(0..4) {
+            0 => BatchFate::AnswerLost,
+            1 => BatchFate::RequestLost,
+            2 => BatchFate::LandsLater(self.rng.u64(1..300)),
+            _ => BatchFate::NotSent,
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.now;
+        let (who, actions) = match event {
+            Event::Land(records) => {
+                self.insert(&records);
+                return;
+            }
+            Event::Turn(who) => {
+                let end = match self.faulty() {
+                    true => TurnEnd::Refused(ms(9)),
+                    false => TurnEnd::Taken,
+                };
+                (who, self.batchers[who].turn_ended(now, end))
+            }
+            Event::Batch(who, records, fate) => {
+                let end = self.batch_end(records, fate);
+                (who, self.batchers[who].batch_ended(now, end))
+            }
+            Event::Read(who, id, key, failed) => {
+                let end = match self.rows.get(&key) {
+                    _ if failed => ReadEnd::Failed,
+                    Some(record) => ReadEnd::Found(*record),
+                    None => ReadEnd::Absent,
+                };
+                (who, self.batchers[who].read_ended(now, id, end))
+            }
+        };
+        self.perform(who, actions);
+    }
+
+    fn batch_end(&mut self, records: Vec<(RequestKey, KeyRecord)>, fate: BatchFate) -> BatchEnd {
+        match fate {
+            BatchFate::Answered => self.insert(&records),
+            BatchFate::AnswerLost => {
+                self.insert(&records);
+                BatchEnd::Uncertain
+            }
+            BatchFate::RequestLost => BatchEnd::Uncertain,
+            BatchFate::LandsLater(delay) => {
+                self.later(delay, Event::Land(records));
+                BatchEnd::Uncertain
+            }
+            BatchFate::NotSent => BatchEnd::NotSent,
+        }
+    }
+
+    /// All or nothing, like the platform's transaction.
+    fn insert(&mut self, records: &[(RequestKey, KeyRecord)]) -> BatchEnd {
+        let keys: FastSet<_> = records.iter().map(|(key, _)| key).collect();
+        assert_eq!(keys.len(), records.len(), "a key twice in one batch");
+        let mut taken = Vec::new();
+        for (key, _) in records {
+            if self.rows.contains_key(key) {
+                taken.push(key.clone());
+            }
+        }
+        if !taken.is_empty() {
+            return BatchEnd::Conflict(taken);
+        }
+        self.rows.extend(records.iter().cloned());
+        BatchEnd::Committed
+    }
+}
+
+#[test]
+fn no_key_starts_twice_and_every_answer_is_true_under_seeded_faults() {
+    // Two entries take requests with the same few keys while the store loses requests and answers, lets writes land
+    // late and refuses connections. Each caller hears once. "Recorded" has the request start, so it may be said to
+    // one request a key; "not recorded" tells the caller that nothing started, so its record may never appear.
+    let mut kinds = [0; 4];
+    for seed in 0..400 {
+        let mut simulation = Simulation::new(seed);
+        simulation.run();
+        for (request, result) in &simulation.results {
+            let row = simulation.rows.get(&request.key);
+            let own = row == Some(&request.record);
+            let kind = match result {
+                KeyResult::Recorded => {
+                    assert!(own, "seed {seed}: recorded, but the row is {row:?}");
+                    0
+                }
+                KeyResult::Exists(record) => {
+                    assert!(
+                        !own && row == Some(record),
+                        "seed {seed}: exists, not {row:?}"
+                    );
+                    1
+                }
+                KeyResult::NotRecorded { .. } => {
+                    assert!(!own, "seed {seed}: not recorded, but the row is there");
+                    2
+                }
+                KeyResult::Uncertain => 3,
+            };
+            kinds[kind] += 1;
+        }
+    }
+    println!("recorded, exists, not recorded, uncertain: {kinds:?}");
+    assert!(kinds.iter().all(|count| *count > 100), "{kinds:?}");
+}
+
+/// A batcher with keys 1, 2 and 3 in flight, and their ids.
+fn three_in_flight(now: Instant) -> (KeyBatcher, Vec<EntryId>) {
+    let mut batcher = KeyBatcher::new(BatcherSettings::default());
+    let mut ids = Vec::new();
+    for n in 1..=3 {
+        ids.push(batcher.submit(now, request(n, n, now + ms(300))).0);
+    }
+    let actions = batcher.turn_ended(now, TurnEnd::Taken);
+    assert!(matches!(&actions[..], [KeyAction::Commit(records)] if records.len() == 3));
+    (batcher, ids)
+}
+
+#[test]
+fn a_taken_key_leaves_the_batch_and_the_rest_goes_at_once() {
+    let now = Instant::now();
+    let (mut batcher, ids) = three_in_flight(now);
+    let actions = batcher.batch_ended(now, BatchEnd::Conflict(vec![key(2)]));
+    let expected = [KeyAction::Read(ids[1], key(2)), KeyAction::TakeTurn];
+    assert_eq!(actions, expected);
+    let rest = vec![(key(1), record(1, 1)), (key(3), record(1, 3))];
+    let actions = batcher.turn_ended(now, TurnEnd::Taken);
+    assert_eq!(actions, [KeyAction::Commit(rest)]);
+    let other = record(9, 9);
+    let actions = batcher.read_ended(now, ids[1], ReadEnd::Found(other));
+    assert_eq!(
+        actions,
+        [KeyAction::Answer(ids[1], KeyResult::Exists(other))]
+    );
+    let actions = batcher.batch_ended(now, BatchEnd::Committed);
+    let expected = [ids[0], ids[2]].map(|id| KeyAction::Answer(id, KeyResult::Recorded));
+    assert_eq!(actions, expected);
+    assert!(batcher.is_idle());
+}
+
+#[test]
+fn a_batch_in_doubt_costs_one_read_and_gains_no_key() {
+    // The answer to a batch of three is lost and its rows are not there yet. A fourth key comes. The three are sent
+    // again as they were: had the fourth joined them, a first batch that lands late would look like the second, and
+    // the fourth request would start without a record.
+    let now = Instant::now();
+    let (mut batcher, ids) = three_in_flight(now);
+    let (fourth, actions) = batcher.submit(now, request(4, 4, now + ms(300)));
+    assert_eq!(actions, []);
+    let actions = batcher.batch_ended(now, BatchEnd::Uncertain);
+    assert_eq!(actions, [KeyAction::Read(ids[0], key(1))]);
+    let actions = batcher.read_ended(now, ids[0], ReadEnd::Absent);
+    assert_eq!(actions, [KeyAction::TakeTurn]);
+    let again = batcher.turn_ended(now, TurnEnd::Taken);
+    assert!(matches!(&again[..], [KeyAction::Commit(records)] if records.len() == 3));
+    batcher.batch_ended(now, BatchEnd::Uncertain);
+    let actions = batcher.read_ended(now, ids[0], ReadEnd::Found(record(1, 1)));
+    let mut expected: Vec<_> = ids
+        .iter()
+        .map(|id| KeyAction::Answer(*id, KeyResult::Recorded))
+        .collect();
+    expected.push(KeyAction::TakeTurn);
+    assert_eq!(actions, expected);
+    let next = batcher.turn_ended(now, TurnEnd::Taken);
+    assert_eq!(next, [KeyAction::Commit(vec![(key(4), record(1, 4))])]);
+    let actions = batcher.batch_ended(now, BatchEnd::Committed);
+    assert_eq!(actions, [KeyAction::Answer(fourth, KeyResult::Recorded)]);
+}
+
+#[test]
+fn an_outage_costs_one_call_a_pause_and_every_wait_ends() {
+    // The store refuses connections for ten seconds while a key comes every 10 ms. Each caller hears "not recorded"
+    // within its own time, with when to come back, and the store sees a call only once a pause; a call for each key
+    // would make its return the worst moment of the day.
+    let start = Instant::now();
+    let mut batcher = KeyBatcher::new(BatcherSettings::default());
+    let mut give_ups = FastMap::default();
+    let (mut calls, mut answers) = (0, 0);
+    for step in 0..1_000 {
+        let now = start + ms(step * 10);
+        let mut actions = batcher.tick(now);
+        let (id, more) = batcher.submit(now, request(step, step, now + ms(300)));
+        give_ups.insert(id, now + ms(300));
+        actions.extend(more);
+        while let Some(action) = actions.pop() {
+            match action {
+                KeyAction::TakeTurn => actions.extend(batcher.turn_ended(now, TurnEnd::Taken)),
+                KeyAction::Commit(_) => {
+                    calls += 1;
+                    actions.extend(batcher.batch_ended(now, BatchEnd::NotSent));
+                }
+                KeyAction::Answer(id, KeyResult::NotRecorded { retry_after }) => {
+                    answers += 1;
+                    assert!(retry_after >= BatcherSettings::default().least_retry_after);
+                    assert!(now <= give_ups[&id] + ms(10));
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    assert!((970..=975).contains(&answers), "{answers} answers");
+    assert!(calls <= 16, "{calls} calls");
+    println!("10 s of outage, 1,000 keys: {calls} calls");
+}
+
+#[test]
+fn a_full_queue_refuses_at_once() {
+    let now = Instant::now();
+    let settings = BatcherSettings {
+        max_queue: 2,
+        ..BatcherSettings::default()
+    };
+    let mut batcher = KeyBatcher::new(settings);
+    for n in 0..2 {
+        batcher.submit(now, request(n, n, now + ms(300)));
+    }
+    let (id, actions) = batcher.submit(now, request(2, 2, now + ms(300)));
+    let retry_after = settings.least_retry_after;
+    let refused = KeyAction::Answer(id, KeyResult::NotRecorded { retry_after });
+    assert_eq!(actions, [refused]);
+    assert_eq!(batcher.queue_len(), 2);
+}
--- /dev/null
+++ b/crates/request-keys/tests/offered/mod.rs
@@ -0,0 +1,41 @@
+//! Keys offered at an even rate.
+
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use model::IncarnationId;
+use request_keys::{BodyDigest, KeyRecord, KeyRecorder, KeyRequest, KeyResult, RequestKey};
+
+/// Records keys at an even rate, expects that each is recorded, and gives how long each took, shortest first.
+pub(crate) async fn offer_evenly(
+    recorder: &KeyRecorder,
+    per_second: u64,
+    keys: u64,
+) -> Vec<Duration> {
+    let start = Instant::now();
+    let calls = (0..keys).map(|n| async move {
+        let due = start + Duration::from_micros(n * 1_000_000 / per_second);
+        actix_rt::time::sleep_until(due.into()).await;
+        let begin = Instant::now();
+        assert_eq!(recorder.record(request(n)).await, KeyResult::Recorded);
+        begin.elapsed()
+    });
+    let mut latencies = join_all(calls).await;
+    latencies.sort_unstable();
+    latencies
+}
+
+fn request(serial: u64) -> KeyRequest {
+    KeyRequest {
+        key: RequestKey {
+            customer: "trust".parse().unwrap(),
+            key: format!("k{serial}").parse().unwrap(),
+        },
+        record: KeyRecord {
+            incarnation: IncarnationId(1),
+            serial,
+            body_digest: BodyDigest(7),
+        },
+        give_up: Instant::now() + Duration::from_secs(20),
+    }
+}
--- a/crates/stand-ins/src/platform/mod.rs
+++ b/crates/stand-ins/src/platform/mod.rs
@@ -131,6 +131,11 @@
         self.state.set_faults(faults);
     }
 
+    /// The faults with what is left of them.
+    pub fn faults(&self) -> FaultSettings {
+        self.state.faults()
+    }
+
     /// Replaces the VM list.
     pub fn set_vms(&self, vms: Vec<VmEntry>) {
         self.state.set_vms(vms);
