--- /dev/null
+++ b/crates/scenario/src/binary.rs
@@ -0,0 +1,77 @@
+//! Finds the binary under test, and builds it where cargo runs the tests.
+
+use std::{
+    env,
+    path::{Path, PathBuf},
+    process::Command,
+    sync::Mutex,
+};
+
+use crate::error::BinaryError;
+
+/// Builds one at a time: two builds would only wait for each other's lock.
+static BUILT: Mutex<bool> = Mutex::new(false);
+
+/// The path of `cairnpaddle` in the target directory of the running test.
+///
+/// Under cargo the binary is built first, with the test's profile. Failure: a stale binary from an earlier build.
+/// Symptom: scenarios pass or fail for code that is no longer there. Cargo itself decides what is stale.
+///
+/// # Errors
+///
+/// The build fails, or outside cargo the binary is not there.
+pub fn find_binary() -> Result<PathBuf, BinaryError> {
+    let profile_dir = profile_dir().ok_or(BinaryError::NoTargetDirectory)?;
+    if let Some(cargo) = env::var_os("CARGO") {
+        let mut built = BUILT
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        if !*built {
+            build(Path::new(&cargo), &profile_dir)?;
+            *built = true;
+        }
+    }
+    let binary = profile_dir.join("cairnpaddle");
+    if !binary.is_file() {
+        return Err(BinaryError::Absent(binary.display().to_string()));
+    }
+    Ok(binary)
+}
+
+/// `target/<profile>` of the running test, which lies in its `deps`.
+fn profile_dir() -> Option<PathBuf> {
+    let exe = env::current_exe().ok()?;
+    let dir = exe.parent()?;
+    if dir.file_name()? == "deps" {
+        return Some(dir.parent()?.to_owned());
+    }
+    Some(dir.to_owned())
+}
+
+fn build(cargo: &Path, profile_dir: &Path) -> Result<(), BinaryError> {
+    let target_dir = profile_dir.parent().ok_or(BinaryError::NoTargetDirectory)?;
+    let profile = match profile_dir.file_name().and_then(|name| name.to_str()) {
+        Some("debug") | None => "dev",
+        Some(other) => other,
+    };
+    let output = Command::new(cargo)
+        .args([
+            "build",
+            "-p",
+            "cairnpaddle",
+            "--locked",
+            "-j4",
+            "--profile",
+            profile,
+        ])
+        .arg("--target-dir")
+        .arg(target_dir)
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .output()?;
+    if output.status.success() {
+        return Ok(());
+    }
+    Err(BinaryError::Build(
+        String::from_utf8_lossy(&output.stderr).into_owned(),
+    ))
+}
--- /dev/null
+++ b/crates/scenario/src/caller.rs
@@ -0,0 +1,185 @@
+//! A caller of an entry over HTTP/JSON. Each call has a connection of its own, as from another phone.
+
+use std::{net::SocketAddr, time::Duration};
+
+use awc::{Client, ClientResponse};
+use base64::{engine::general_purpose::STANDARD, Engine as _};
+use model::{CustomerId, IdempotencyKey, SubmissionId};
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use crate::{record::AnswerRecord, script::AnswerStatus};
+
+/// The largest answer read, in bytes: a job of 370 tasks of 64 KiB in base64.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// How long short calls may take.
+const SHORT_CALL: Duration = Duration::from_secs(2);
+/// The kind of every task that scenarios submit.
+const TASK_KIND: &str = "scenario";
+
+/// One submission as it is sent.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) customer: CustomerId,
+    pub(crate) payloads: Vec<Vec<u8>>,
+    pub(crate) declared: Duration,
+    pub(crate) deadline: Duration,
+    pub(crate) mark: CallerMark,
+}
+
+/// What kind of submission, and how a second arrival of it is known.
+#[derive(Clone, Debug)]
+pub(crate) enum CallerMark {
+    Job,
+    Plain,
+    Key(IdempotencyKey),
+    Ticket(String),
+}
+
+#[derive(Deserialize)]
+struct AnswerBody {
+    id: Option<SubmissionId>,
+    status: String,
+    #[serde(default)]
+    reason: String,
+    #[serde(default)]
+    results: Vec<String>,
+    result: Option<String>,
+}
+
+/// Submits and waits for the answer, at most for `limit`.
+pub(crate) async fn submit(
+    entry: SocketAddr,
+    request: &CallerRequest,
+    limit: Duration,
+) -> AnswerRecord {
+    let client = client(limit);
+    let path = match request.mark {
+        CallerMark::Job => "jobs",
+        _ => "requests",
+    };
+    let mut call = client.post(format!("http://{entry}/v1/{path}"));
+    if let CallerMark::Key(key) = &request.mark {
+        call = call.insert_header(("Idempotency-Key", key.as_str()));
+    }
+    match call.send_json(&body(request)).await {
+        Ok(answer) => read_answer(answer).await,
+        Err(error) => lost(format!("no answer: {error}")),
+    }
+}
+
+/// Gets a ticket.
+pub(crate) async fn ticket(entry: SocketAddr, customer: &CustomerId) -> Result<String, String> {
+    let call = client(SHORT_CALL).post(format!("http://{entry}/v1/tickets"));
+    let body = json!({ "customer": customer });
+    let mut answer = call
+        .send_json(&body)
+        .await
+        .map_err(|error| error.to_string())?;
+    let body: Value = answer.json().await.map_err(|error| error.to_string())?;
+    match body["ticket"].as_str() {
+        Some(ticket) => Ok(ticket.to_owned()),
+        None => Err(body.to_string()),
+    }
+}
+
+/// Asks that a submission be cancelled. Whatever comes back, the submission's own answer tells what became of it.
+pub(crate) async fn cancel(entry: SocketAddr, job: bool, id: SubmissionId) {
+    let kind = if job { "jobs" } else { "requests" };
+    let call = client(SHORT_CALL).delete(format!("http://{entry}/v1/{kind}/{id}"));
+    if let Err(error) = call.send().await {
+        log::warn!("scenario: cancel of {id} not answered: {error}");
+    }
+}
+
+/// Whether a process says that it is ready.
+pub(crate) async fn is_ready(address: SocketAddr) -> bool {
+    let call = client(SHORT_CALL).get(format!("http://{address}/ready"));
+    call.send()
+        .await
+        .is_ok_and(|answer| answer.status().is_success())
+}
+
+/// The contracts that an entry shows, or nothing where it shows none.
+pub(crate) async fn contracts(entry: SocketAddr) -> Option<Value> {
+    let call = client(SHORT_CALL).get(format!("http://{entry}/v1/contracts"));
+    let mut answer = call.send().await.ok()?;
+    if !answer.status().is_success() {
+        return None;
+    }
+    answer.json().await.ok()
+}
+
+fn client(limit: Duration) -> Client {
+    Client::builder()
+        .timeout(limit)
+        .disable_redirects()
+        .finish()
+}
+
+fn body(request: &CallerRequest) -> Value {
+    let declared = request.declared.as_millis();
+    let mut tasks = Vec::new();
+    for payload in &request.payloads {
+        tasks.push(json!({
+            "kind": TASK_KIND,
+            "payload": STANDARD.encode(payload),
+            "declared_run_ms": u64::try_from(declared).unwrap_or(u64::MAX),
+        }));
+    }
+    let deadline = u64::try_from(request.deadline.as_millis()).unwrap_or(u64::MAX);
+    let mut body = json!({ "customer": request.customer, "deadline_ms": deadline });
+    match &request.mark {
+        CallerMark::Job => body["tasks"] = Value::Array(tasks),
+        CallerMark::Plain | CallerMark::Key(_) => body["task"] = tasks.swap_remove(0),
+        CallerMark::Ticket(ticket) => {
+            body["task"] = tasks.swap_remove(0);
+            body["ticket"] = Value::String(ticket.clone());
+        }
+    }
+    body
+}
+
+async fn read_answer<S>(mut answer: ClientResponse<S>) -> AnswerRecord
+where
+    S: futures::Stream<Item = Result<actix_web::web::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let body = match answer.body().limit(MAX_ANSWER_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return lost(format!("answer broke off: {error}")),
+    };
+    let read = serde_json::from_slice(&body).map_err(|error| error.to_string());
+    match read.and_then(answer_record) {
+        Ok(record) => record,
+        Err(error) => lost(format!("not an answer ({}): {error}", answer.status())),
+    }
+}
+
+fn answer_record(body: AnswerBody) -> Result<AnswerRecord, String> {
+    let status = match body.status.as_str() {
+        "complete" => AnswerStatus::Complete,
+        "failed" => AnswerStatus::Failed,
+        "refused" => AnswerStatus::Refused,
+        "unknown" => AnswerStatus::Unknown,
+        other => return Err(format!("status {other:?}")),
+    };
+    let mut results = Vec::new();
+    for text in body.results.into_iter().chain(body.result) {
+        results.push(STANDARD.decode(text).map_err(|error| error.to_string())?);
+    }
+    Ok(AnswerRecord {
+        id: body.id,
+        status,
+        reason: body.reason,
+        results,
+    })
+}
+
+pub(crate) fn lost(reason: String) -> AnswerRecord {
+    AnswerRecord {
+        id: None,
+        status: AnswerStatus::Lost,
+        reason,
+        results: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/load.rs
@@ -0,0 +1,405 @@
+//! Submissions under way, shared between the steps and the callers that wait for answers.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use fastrand::Rng;
+use model::{ContractVersion, CustomerId};
+use serde_json::Value;
+use stand_ins::endpoint::TaskScript;
+
+use crate::{
+    caller::{self, CallerMark, CallerRequest},
+    error::StepError,
+    operator::ChangeEnd,
+    record::{AnswerRecord, SubmissionRecord, VersionSighting},
+    script::{Label, RequestMark, SubmitKind, SubmitStep},
+    world::NameMap,
+};
+
+/// The time between two looks at the contracts of the entries.
+const SIGHTING_PAUSE: Duration = Duration::from_millis(100);
+/// How long after its deadline a caller still waits, so that a late answer shows as late and not as lost.
+const CALLER_PATIENCE: Duration = Duration::from_secs(10);
+
+/// Whether an entry takes submissions, as the balancer knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DoorState {
+    /// It was ready, so the balancer sends submissions there.
+    Open,
+    /// It was started but not ready yet: whoever calls it all the same must get an answer.
+    Unready,
+    /// It was not started, or told to end, or frozen: whoever calls it all the same can ask for no answer.
+    Closed,
+}
+
+/// An entry as the balancer sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct EntryDoor {
+    pub(crate) vm: Label,
+    pub(crate) address: SocketAddr,
+    pub(crate) state: DoorState,
+}
+
+/// A group of submissions of one step.
+struct GroupState {
+    name: Label,
+    times: usize,
+}
+
+/// A submission and when it was sent.
+struct OpenSubmission {
+    record: SubmissionRecord,
+    sent: Instant,
+}
+
+/// What callers and operators know.
+#[derive(Default)]
+struct LoadInner {
+    doors: Vec<EntryDoor>,
+    groups: Vec<GroupState>,
+    submissions: Vec<OpenSubmission>,
+    tickets: NameMap<(CustomerId, String)>,
+    changes: NameMap<Option<ChangeEnd>>,
+    sightings: Vec<VersionSighting>,
+    rng: Rng,
+}
+
+/// The load of a run. Clones share it.
+#[derive(Clone, Default)]
+pub(crate) struct CallerLoad {
+    inner: Rc<RefCell<LoadInner>>,
+}
+
+impl CallerLoad {
+    pub(crate) fn new(seed: u64, doors: Vec<EntryDoor>) -> Self {
+        let inner = LoadInner {
+            doors,
+            rng: Rng::with_seed(seed),
+            ..LoadInner::default()
+        };
+        Self {
+            inner: Rc::new(RefCell::new(inner)),
+        }
+    }
+
+    /// Notes the state of a VM's entry.
+    pub(crate) fn set_door(&self, vm: &str, state: DoorState) {
+        for door in &mut self.inner.borrow_mut().doors {
+            if door.vm == vm {
+                door.state = state;
+            }
+        }
+    }
+
+    /// Notes that the entry of a VM was killed or frozen: what waits there can ask for no answer in time.
+    pub(crate) fn disturb(&self, vm: &str) {
+        for open in &mut self.inner.borrow_mut().submissions {
+            if open.record.via == vm && open.record.answer.is_none() {
+                open.record.disturbed = true;
+            }
+        }
+    }
+
+    /// The door of a VM, or one of the open ones.
+    pub(crate) fn door(&self, via: Option<&Label>) -> Result<EntryDoor, StepError> {
+        let mut inner = self.inner.borrow_mut();
+        if let Some(vm) = via {
+            let found = inner.doors.iter().find(|door| door.vm == *vm);
+            return found
+                .cloned()
+                .ok_or_else(|| StepError::UnknownVm(vm.clone()));
+        }
+        let open: Vec<_> = inner
+            .doors
+            .iter()
+            .filter(|door| door.state == DoorState::Open)
+            .cloned()
+            .collect();
+        inner
+            .rng
+            .choice(open)
+            .ok_or_else(|| StepError::UnknownVm("with an open entry".to_owned()))
+    }
+
+    pub(crate) fn random_seed(&self) -> u64 {
+        self.inner.borrow_mut().rng.u64(..)
+    }
+
+    pub(crate) fn keep_ticket(&self, name: &str, customer: &CustomerId, ticket: String) {
+        let value = (customer.clone(), ticket);
+        self.inner
+            .borrow_mut()
+            .tickets
+            .insert(name.to_owned(), value);
+    }
+
+    /// Sends the submissions of a step, each on its own connection, and goes on at once.
+    pub(crate) fn submit(&self, step: &SubmitStep) -> Result<(), StepError> {
+        let mark = self.mark(step)?;
+        if let Some(vm) = &step.via {
+            self.door(Some(vm))?;
+        }
+        self.inner.borrow_mut().groups.push(GroupState {
+            name: step.name.clone(),
+            times: step.times as usize,
+        });
+        let (load, step) = (self.clone(), step.clone());
+        actix_rt::spawn(async move {
+            for number in 1..=step.times {
+                load.send_one(&step, number, mark.clone());
+                if !step.every.is_zero() && number < step.times {
+                    actix_rt::time::sleep(step.every).await;
+                }
+            }
+        });
+        Ok(())
+    }
+
+    fn mark(&self, step: &SubmitStep) -> Result<CallerMark, StepError> {
+        Ok(match &step.kind {
+            SubmitKind::Job { .. } => CallerMark::Job,
+            SubmitKind::Request(RequestMark::Plain) => CallerMark::Plain,
+            SubmitKind::Request(RequestMark::Key(key)) => CallerMark::Key(key.clone()),
+            SubmitKind::Request(RequestMark::Ticket(name)) => {
+                let inner = self.inner.borrow();
+                let found = inner.tickets.get(name);
+                let (_, ticket) = found.ok_or_else(|| StepError::UnknownName(name.clone()))?;
+                CallerMark::Ticket(ticket.clone())
+            }
+        })
+    }
+
+    fn send_one(&self, step: &SubmitStep, number: u32, mark: CallerMark) {
+        let name = match step.times {
+            1 => step.name.clone(),
+            _ => format!("{}.{number}", step.name),
+        };
+        let run_label = run_label(step, &name);
+        let payloads = payloads(step, &run_label);
+        let door = self.door(step.via.as_ref());
+        let mut record = SubmissionRecord {
+            group: step.name.clone(),
+            name,
+            request: !matches!(step.kind, SubmitKind::Job { .. }),
+            run_label,
+            payloads: payloads.clone(),
+            deadline: step.deadline,
+            via: String::new(),
+            answer: None,
+            took: Duration::ZERO,
+            disturbed: false,
+        };
+        let Ok(door) = door else {
+            record.disturbed = true;
+            record.answer = Some(caller::lost("no entry takes submissions".to_owned()));
+            self.push(record);
+            return;
+        };
+        record.disturbed = door.state == DoorState::Closed;
+        record.via = door.vm;
+        let index = self.push(record);
+        let request = CallerRequest {
+            customer: step.customer.clone(),
+            payloads,
+            declared: step.declared.unwrap_or(step.run),
+            deadline: step.deadline,
+            mark,
+        };
+        let load = self.clone();
+        actix_rt::spawn(async move {
+            let limit = request.deadline + CALLER_PATIENCE;
+            let answer = caller::submit(door.address, &request, limit).await;
+            load.keep_answer(index, answer);
+        });
+    }
+
+    fn push(&self, record: SubmissionRecord) -> usize {
+        let submissions = &mut self.inner.borrow_mut().submissions;
+        submissions.push(OpenSubmission {
+            record,
+            sent: Instant::now(),
+        });
+        submissions.len() - 1
+    }
+
+    fn keep_answer(&self, index: usize, answer: AnswerRecord) {
+        let open = &mut self.inner.borrow_mut().submissions[index];
+        log::info!(
+            "scenario: {} answered {:?} {} after {:?}",
+            open.record.name,
+            answer.status,
+            answer.reason,
+            open.sent.elapsed()
+        );
+        open.record.took = open.sent.elapsed();
+        open.record.answer = Some(answer);
+    }
+
+    /// The submissions of a group.
+    pub(crate) fn group(&self, name: &str) -> Result<Vec<SubmissionRecord>, StepError> {
+        let inner = self.inner.borrow();
+        if !inner.groups.iter().any(|group| group.name == name) {
+            return Err(StepError::UnknownName(name.to_owned()));
+        }
+        let members = inner
+            .submissions
+            .iter()
+            .filter(|open| open.record.group == name);
+        Ok(members.map(|open| open.record.clone()).collect())
+    }
+
+    /// Answered submissions of a group, and how many it will have.
+    pub(crate) fn answered(&self, name: &str) -> Result<(usize, usize), StepError> {
+        let members = self.group(name)?;
+        let answered = members
+            .iter()
+            .filter(|record| record.answer.is_some())
+            .count();
+        let inner = self.inner.borrow();
+        let groups = inner.groups.iter().filter(|group| group.name == name);
+        Ok((answered, groups.map(|group| group.times).sum()))
+    }
+
+    /// Whether every submission was sent, and has its answer or is overdue by `margin`.
+    pub(crate) fn is_settled(&self, margin: Duration) -> bool {
+        let inner = self.inner.borrow();
+        let expected: usize = inner.groups.iter().map(|group| group.times).sum();
+        if inner.submissions.len() < expected {
+            return false;
+        }
+        for open in &inner.submissions {
+            let overdue = open.sent.elapsed() > open.record.deadline + margin;
+            if open.record.answer.is_none() && !overdue {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Every submission; the time of one without an answer runs until now.
+    pub(crate) fn records(&self) -> Vec<SubmissionRecord> {
+        let mut records = Vec::new();
+        for open in &self.inner.borrow().submissions {
+            let mut record = open.record.clone();
+            if record.answer.is_none() {
+                record.took = open.sent.elapsed();
+            }
+            records.push(record);
+        }
+        records
+    }
+
+    pub(crate) fn change_begins(&self, name: &str) {
+        self.inner
+            .borrow_mut()
+            .changes
+            .insert(name.to_owned(), None);
+    }
+
+    pub(crate) fn change_ends(&self, name: &str, end: ChangeEnd) {
+        log::info!("scenario: change {name} {:?}: {}", end.status, end.message);
+        self.inner
+            .borrow_mut()
+            .changes
+            .insert(name.to_owned(), Some(end));
+    }
+
+    /// What became of a change; nothing while it is under way.
+    pub(crate) fn change(&self, name: &str) -> Result<Option<ChangeEnd>, StepError> {
+        let inner = self.inner.borrow();
+        let found = inner.changes.get(name).cloned();
+        found.ok_or_else(|| StepError::UnknownName(name.to_owned()))
+    }
+
+    /// Looks at the contracts of every open entry again and again, until the run ends.
+    pub(crate) async fn watch_contracts(self) {
+        loop {
+            let doors = self.inner.borrow().doors.clone();
+            for door in doors
+                .into_iter()
+                .filter(|door| door.state == DoorState::Open)
+            {
+                if let Some(shown) = caller::contracts(door.address).await {
+                    self.inner
+                        .borrow_mut()
+                        .sightings
+                        .extend(read_sightings(&door.vm, &shown));
+                }
+            }
+            actix_rt::time::sleep(SIGHTING_PAUSE).await;
+        }
+    }
+
+    /// The newest version that each open entry has shown of a customer's contract.
+    pub(crate) fn versions(&self, customer: &CustomerId) -> Vec<(Label, Option<ContractVersion>)> {
+        let inner = self.inner.borrow();
+        let mut versions = Vec::new();
+        for door in inner
+            .doors
+            .iter()
+            .filter(|door| door.state == DoorState::Open)
+        {
+            let seen = inner.sightings.iter().rev();
+            let mut seen = seen.filter(|s| s.vm == door.vm && s.customer == *customer);
+            versions.push((door.vm.clone(), seen.next().map(|s| s.version)));
+        }
+        versions
+    }
+
+    pub(crate) fn sightings(&self) -> Vec<VersionSighting> {
+        self.inner.borrow().sightings.clone()
+    }
+}
+
+/// The name by which a submission's runs are known: shared by all that have one key or ticket.
+fn run_label(step: &SubmitStep, name: &str) -> Label {
+    match &step.kind {
+        SubmitKind::Request(RequestMark::Key(key)) => format!("key-{key}"),
+        SubmitKind::Request(RequestMark::Ticket(ticket)) => format!("ticket-{ticket}"),
+        SubmitKind::Job { .. } | SubmitKind::Request(RequestMark::Plain) => name.to_owned(),
+    }
+}
+
+fn payloads(step: &SubmitStep, run_label: &str) -> Vec<Vec<u8>> {
+    let tasks = match step.kind {
+        SubmitKind::Job { tasks } => tasks,
+        SubmitKind::Request(_) => 1,
+    };
+    let variant = step
+        .variant
+        .map_or(String::new(), |variant| format!("~{variant}"));
+    let mut payloads = Vec::new();
+    for task in 0..tasks {
+        let script = TaskScript {
+            run_ms: u64::try_from(step.run.as_millis()).ok(),
+            fail: step.fail_task == Some(task),
+            label: Some(format!("{run_label}#{task}{variant}")),
+            ..TaskScript::default()
+        };
+        payloads.push(serde_json::to_vec(&script).unwrap_or_default());
+    }
+    payloads
+}
+
+/// Reads a list of objects with a customer and a version, wherever it stands in what an entry shows.
+fn read_sightings(vm: &str, shown: &Value) -> Vec<VersionSighting> {
+    let list = shown.get("contracts").unwrap_or(shown);
+    let mut sightings = Vec::new();
+    for item in list.as_array().into_iter().flatten() {
+        let customer = item["customer"].as_str().and_then(|text| text.parse().ok());
+        let (Some(customer), Some(version)) = (customer, item["version"].as_u64()) else {
+            continue;
+        };
+        sightings.push(VersionSighting {
+            vm: vm.to_owned(),
+            customer,
+            version: ContractVersion(version),
+        });
+    }
+    sightings
+}
--- /dev/null
+++ b/crates/scenario/src/platform_view.rs
@@ -0,0 +1,111 @@
+//! The platform as one VM sees it: the same store, and a VM list whose endpoint addresses lead through links.
+//!
+//! A cut between a VM and an endpoint must not touch other VMs, so each VM reaches each endpoint over a link of its
+//! own and needs a VM list that says so. Dispatchers keep their own addresses: they know each other by them.
+
+use std::{io, net::SocketAddr, rc::Rc};
+
+use actix_web::{
+    dev::ServerHandle,
+    http::StatusCode,
+    web::{self, Bytes, Data},
+    App, HttpRequest, HttpResponse, HttpServer,
+};
+use awc::Client;
+use model::FastMap;
+use serde_json::Value;
+
+/// The largest answer passed on, in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// The addresses of endpoints, by id, as one VM sees them.
+pub(crate) type EndpointLinks = FastMap<String, SocketAddr>;
+
+/// A running view.
+pub(crate) struct PlatformView {
+    address: SocketAddr,
+    handle: ServerHandle,
+}
+
+struct ViewState {
+    client: Client,
+    upstream: SocketAddr,
+    links: EndpointLinks,
+}
+
+impl PlatformView {
+    /// Serves the platform at `upstream` under an address of its own.
+    pub(crate) fn start(upstream: SocketAddr, links: &EndpointLinks) -> io::Result<Self> {
+        let links = links.clone();
+        let server = HttpServer::new(move || {
+            let state = ViewState {
+                client: Client::builder()
+                    .disable_timeout()
+                    .disable_redirects()
+                    .finish(),
+                upstream,
+                links: links.clone(),
+            };
+            App::new()
+                .app_data(Data::new(Rc::new(state)))
+                .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+                .default_service(web::to(pass_on))
+        })
+        .workers(1)
+        .disable_signals()
+        .bind((upstream.ip(), 0))?;
+        let address = server.addrs()[0];
+        let server = server.run();
+        let handle = server.handle();
+        actix_rt::spawn(async move {
+            if let Err(error) = server.await {
+                log::warn!("scenario: platform view ended: {error}");
+            }
+        });
+        Ok(Self { address, handle })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for PlatformView {
+    fn drop(&mut self) {
+        drop(self.handle.stop(false));
+    }
+}
+
+async fn pass_on(state: Data<Rc<ViewState>>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let url = format!("http://{}{}", state.upstream, request.uri());
+    let mut call = state.client.request(request.method().clone(), url);
+    if let Some(kind) = request.headers().get("content-type") {
+        call = call.insert_header(("content-type", kind.clone()));
+    }
+    // No answer from the platform and this one mean the same to its clients: a write may have taken effect.
+    let Ok(mut answer) = call.send_body(body).await else {
+        return HttpResponse::BadGateway().finish();
+    };
+    let Ok(body) = answer.body().limit(MAX_BODY_BYTES).await else {
+        return HttpResponse::BadGateway().finish();
+    };
+    let mut builder = HttpResponse::build(answer.status());
+    if let Some(kind) = answer.headers().get("content-type") {
+        builder.insert_header(("content-type", kind.clone()));
+    }
+    if request.path() == "/vms" && answer.status() == StatusCode::OK {
+        return builder.body(with_links(&body, &state.links).unwrap_or(body));
+    }
+    builder.body(body)
+}
+
+fn with_links(body: &[u8], links: &EndpointLinks) -> Option<Bytes> {
+    let mut list: Value = serde_json::from_slice(body).ok()?;
+    for vm in list["vms"].as_array_mut()? {
+        let link = vm["id"].as_str().and_then(|id| links.get(id));
+        if let Some(link) = link {
+            vm["address"] = Value::String(link.to_string());
+        }
+    }
+    serde_json::to_vec(&list).ok().map(Bytes::from)
+}
--- /dev/null
+++ b/crates/scenario/src/process.rs
@@ -0,0 +1,175 @@
+//! A child process of the run. It never outlives its handle.
+
+use std::{
+    fmt,
+    fs::File,
+    io,
+    os::unix::process::ExitStatusExt as _,
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
+};
+
+use crate::{
+    record::{ExitCause, ExitRecord},
+    script::{Label, ProcessRole},
+};
+
+/// Which process of which VM.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct ProcessName {
+    pub(crate) vm: Label,
+    pub(crate) role: ProcessRole,
+}
+
+impl ProcessRole {
+    /// The subcommand of `cairnpaddle`.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Entry => "entry",
+            Self::Dispatcher => "dispatcher",
+        }
+    }
+}
+
+impl fmt::Display for ProcessName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.vm, self.role.as_str())
+    }
+}
+
+/// A signal that scenarios send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ChildSignal {
+    Terminate,
+    Kill,
+    Freeze,
+    Thaw,
+}
+
+/// A process of the system. Dropping it kills it.
+pub(crate) struct ChildProcess {
+    name: ProcessName,
+    child: Child,
+    cause: ExitCause,
+    frozen: bool,
+    status: Option<ExitStatus>,
+}
+
+impl ChildProcess {
+    /// Starts `cairnpaddle` in a role; its output goes to `log`.
+    pub(crate) fn start(
+        binary: &Path,
+        name: ProcessName,
+        settings: &Path,
+        log: &Path,
+    ) -> io::Result<Self> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(binary)
+            .arg(name.role.as_str())
+            .arg("--settings")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self {
+            name,
+            child,
+            cause: ExitCause::Itself,
+            frozen: false,
+            status: None,
+        })
+    }
+
+    pub(crate) fn name(&self) -> &ProcessName {
+        &self.name
+    }
+
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub(crate) fn is_frozen(&self) -> bool {
+        self.frozen
+    }
+
+    /// Whether it has been told to end.
+    pub(crate) fn is_ending(&self) -> bool {
+        self.cause != ExitCause::Itself
+    }
+
+    /// Whether it has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        if self.status.is_none() {
+            self.status = self.child.try_wait().ok().flatten();
+        }
+        self.status.is_some()
+    }
+
+    /// Sends a signal; one to a process that has ended does nothing.
+    pub(crate) fn signal(&mut self, signal: ChildSignal) -> io::Result<()> {
+        if self.has_ended() {
+            return Ok(());
+        }
+        let number = match signal {
+            ChildSignal::Terminate => libc::SIGTERM,
+            ChildSignal::Kill => libc::SIGKILL,
+            ChildSignal::Freeze => libc::SIGSTOP,
+            ChildSignal::Thaw => libc::SIGCONT,
+        };
+        send_signal(self.child.id(), number)?;
+        match signal {
+            ChildSignal::Terminate => self.cause = ExitCause::Terminated,
+            ChildSignal::Kill => self.cause = ExitCause::Killed,
+            ChildSignal::Freeze => self.frozen = true,
+            ChildSignal::Thaw => self.frozen = false,
+        }
+        Ok(())
+    }
+
+    /// How it ended. A process that still runs is killed, and has no code.
+    pub(crate) fn into_exit(mut self) -> ExitRecord {
+        let status = self.has_ended().then_some(self.status).flatten();
+        ExitRecord {
+            process: self.name.to_string(),
+            cause: self.cause,
+            code: status.and_then(|status| status.code()),
+        }
+    }
+
+    /// How it ended, in words.
+    pub(crate) fn describe(&mut self) -> String {
+        if !self.has_ended() {
+            return "runs".to_owned();
+        }
+        match self.status {
+            Some(status) => match status.signal() {
+                Some(signal) => format!("ended by signal {signal}"),
+                None => format!("ended with {:?}", status.code()),
+            },
+            None => "ended".to_owned(),
+        }
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        if self.has_ended() {
+            return;
+        }
+        // Both fail only where the process has ended by itself meanwhile.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn send_signal(pid: u32, signal: libc::c_int) -> io::Result<()> {
+    let pid = libc::pid_t::try_from(pid).map_err(io::Error::other)?;
+    // SAFETY: `kill` takes plain numbers and touches no memory of this process. The pid is that of a child which has
+    // not been waited for, so no other process can have got it meanwhile.
+    let result = unsafe { libc::kill(pid, signal) };
+    if result == 0 {
+        return Ok(());
+    }
+    Err(io::Error::last_os_error())
+}
--- /dev/null
+++ b/crates/scenario/src/process_files.rs
@@ -0,0 +1,91 @@
+//! Settings files of the processes under test.
+
+use std::{fs, io, net::SocketAddr, path::Path};
+
+use serde_json::{json, Map, Value};
+
+use crate::script::{ProcessRole, SettingLine};
+
+/// What the settings of a VM's two processes say.
+pub(crate) struct VmFile<'a> {
+    pub(crate) vm: &'a str,
+    pub(crate) data_centre: &'a str,
+    pub(crate) caller: SocketAddr,
+    pub(crate) peer: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) platform: SocketAddr,
+    /// Peer addresses of the dispatchers, the VM's own among them, with their data centres.
+    pub(crate) dispatchers: Vec<(SocketAddr, String)>,
+}
+
+impl VmFile<'_> {
+    /// Writes the settings of one role, with the scenario's own on top.
+    pub(crate) fn write(
+        &self,
+        role: ProcessRole,
+        lines: &[SettingLine],
+        path: &Path,
+    ) -> io::Result<()> {
+        let mut settings = match role {
+            ProcessRole::Entry => self.entry(),
+            ProcessRole::Dispatcher => self.dispatcher(),
+        };
+        for line in lines {
+            if line.role == role {
+                set(&mut settings, &line.path, line.value.clone());
+            }
+        }
+        fs::write(path, serde_json::to_vec_pretty(&settings)?)
+    }
+
+    // Times are shorter than in deployments, where the defaults spare the platform: scenarios wait for many of them.
+    fn entry(&self) -> Value {
+        json!({
+            "vm": self.vm,
+            "data_centre": self.data_centre,
+            "caller_listen": self.caller,
+            "platform": self.platform,
+            "dispatchers": self.peers(None),
+            "refresh_ms": 200,
+            "drain": { "notice_ms": 300, "limit_ms": 10_000 },
+            "log": { "level": "debug", "per_kind_per_second": 1000 },
+        })
+    }
+
+    fn dispatcher(&self) -> Value {
+        json!({
+            "vm": self.vm,
+            "data_centre": self.data_centre,
+            "peer_listen": self.peer,
+            "admin_listen": self.admin,
+            "platform": self.platform,
+            "peers": self.peers(Some(self.peer)),
+            "refresh_ms": 200,
+            "vm_list_ms": 200,
+            "drain": { "notice_ms": 300, "limit_ms": 10_000 },
+            "log": { "level": "debug", "per_kind_per_second": 1000 },
+        })
+    }
+
+    fn peers(&self, except: Option<SocketAddr>) -> Vec<Value> {
+        let mut peers = Vec::new();
+        for (address, data_centre) in &self.dispatchers {
+            if Some(*address) != except {
+                peers.push(json!({ "address": address, "data_centre": data_centre }));
+            }
+        }
+        peers
+    }
+}
+
+/// Sets the field at a path of parts joined by dots.
+fn set(settings: &mut Value, path: &str, value: Value) {
+    let mut place = settings;
+    for part in path.split('.') {
+        if !place.is_object() {
+            *place = Value::Object(Map::new());
+        }
+        place = &mut place[part];
+    }
+    *place = value;
+}
--- /dev/null
+++ b/crates/scenario/src/runner/conditions.rs
@@ -0,0 +1,148 @@
+//! Conditions that steps wait for.
+
+use std::time::{Duration, Instant};
+
+use stand_ins::endpoint::TaskScript;
+
+use super::{ScenarioRun, LOOK_PAUSE};
+use crate::{
+    error::StepError,
+    script::{Condition, CountBound, ProcessTarget},
+};
+
+/// Whether a condition holds, and how things stand.
+struct Look {
+    holds: bool,
+    state: String,
+}
+
+impl ScenarioRun {
+    pub(super) async fn wait(
+        &mut self,
+        condition: &Condition,
+        within: Duration,
+    ) -> Result<(), StepError> {
+        let begun = Instant::now();
+        loop {
+            let look = self.look(condition).await?;
+            if look.holds {
+                return Ok(());
+            }
+            if begun.elapsed() > within {
+                let state = look.state;
+                return Err(StepError::TimedOut { within, state });
+            }
+            actix_rt::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    async fn look(&mut self, condition: &Condition) -> Result<Look, StepError> {
+        match condition {
+            Condition::Running { bound, endpoint } => Ok(count_look(
+                self.running(endpoint.as_deref())?,
+                *bound,
+                "running",
+            )),
+            Condition::Started { group, bound } => {
+                Ok(count_look(self.starts(group)?, *bound, "started"))
+            }
+            Condition::Answered { group, bound } => {
+                let (answered, all) = self.load.answered(group)?;
+                let bound = bound.unwrap_or(CountBound::Exactly(all));
+                Ok(count_look(answered, bound, "answered"))
+            }
+            Condition::Ready(target) => self.look_ready(target, true).await,
+            Condition::Unready(target) => self.look_ready(target, false).await,
+            Condition::Exited(target) => self.look_exited(target),
+            Condition::ChangeEverywhere(name) => self.look_change(name),
+        }
+    }
+
+    fn running(&self, endpoint: Option<&str>) -> Result<usize, StepError> {
+        if let Some(name) = endpoint {
+            return Ok(self.world.endpoint(name)?.stand_in.record().running as usize);
+        }
+        let records = self.world.records();
+        Ok(records.iter().map(|record| record.running as usize).sum())
+    }
+
+    /// Tasks of a group that have started, over all endpoints.
+    pub(super) fn starts(&self, group: &str) -> Result<usize, StepError> {
+        let mut labels = Vec::new();
+        for submission in self.load.group(group)? {
+            labels.push(submission.run_label);
+        }
+        let mut count = 0;
+        for record in self.world.records() {
+            for start in record.starts {
+                let payload = start.payload.unwrap_or_default();
+                let label = TaskScript::read(payload.as_bytes())
+                    .label
+                    .unwrap_or_default();
+                let run = label.split('#').next().unwrap_or_default();
+                count += usize::from(labels.iter().any(|label| label == run));
+            }
+        }
+        Ok(count)
+    }
+
+    async fn look_ready(
+        &mut self,
+        target: &ProcessTarget,
+        expect: bool,
+    ) -> Result<Look, StepError> {
+        let mut state = Vec::new();
+        for name in self.world.targets(target)? {
+            if self.is_ready(&name).await? != expect {
+                state.push(format!("{name} {}", self.world.describe(&name)));
+            }
+        }
+        Ok(Look {
+            holds: state.is_empty(),
+            state: state.join(", "),
+        })
+    }
+
+    fn look_exited(&mut self, target: &ProcessTarget) -> Result<Look, StepError> {
+        let mut state = Vec::new();
+        for name in self.world.targets(target)? {
+            if self.world.is_running(&name)? {
+                state.push(format!("{name} runs"));
+            }
+        }
+        Ok(Look {
+            holds: state.is_empty(),
+            state: state.join(", "),
+        })
+    }
+
+    fn look_change(&self, name: &str) -> Result<Look, StepError> {
+        let Some(end) = self.load.change(name)? else {
+            return Ok(Look {
+                holds: false,
+                state: "the change is under way".to_owned(),
+            });
+        };
+        let Some(version) = end.version else {
+            return Err(StepError::Unexpected(format!(
+                "change {name}: {}",
+                end.message
+            )));
+        };
+        let versions = self.load.versions(&end.customer);
+        let holds = versions
+            .iter()
+            .all(|(_, seen)| seen.is_some_and(|seen| seen >= version));
+        Ok(Look {
+            holds,
+            state: format!("version {version} was made, shown are {versions:?}"),
+        })
+    }
+}
+
+fn count_look(count: usize, bound: CountBound, what: &str) -> Look {
+    Look {
+        holds: bound.holds(count),
+        state: format!("{count} {what}"),
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/runner/expectations.rs
@@ -0,0 +1,153 @@
+//! Expectations: wait for what they are about, then compare.
+
+use std::time::{Duration, Instant};
+
+use super::{ScenarioRun, LOOK_PAUSE};
+use crate::{
+    error::StepError,
+    record::{AnswerRecord, SubmissionRecord},
+    script::{ChangeStatus, CountBound, Expectation, ExpectedAnswer, Label},
+};
+
+/// How long after the deadline an answer is waited for here. The promise check says that it was late.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// How long an operator's change may be under way.
+const CHANGE_LIMIT: Duration = Duration::from_secs(20);
+
+impl ScenarioRun {
+    pub(super) async fn expect(&mut self, expectation: &Expectation) -> Result<(), StepError> {
+        match expectation {
+            Expectation::Answers {
+                group,
+                bound,
+                answers,
+            } => {
+                let found = self.answers(group).await?;
+                check_answers(&found, *bound, answers)
+            }
+            Expectation::Starts { group, bound } => {
+                let count = self.starts(group)?;
+                if bound.holds(count) {
+                    return Ok(());
+                }
+                Err(StepError::Unexpected(format!("{count} starts")))
+            }
+            Expectation::SameAnswer(first, second) => self.check_same(first, second).await,
+            Expectation::Changes { names, bound, ends } => {
+                self.check_changes(names, *bound, ends).await
+            }
+        }
+    }
+
+    /// The answers of a group, once all are there.
+    async fn answers(&self, group: &str) -> Result<Vec<SubmissionRecord>, StepError> {
+        let begun = Instant::now();
+        loop {
+            let members = self.load.group(group)?;
+            let (answered, all) = self.load.answered(group)?;
+            if answered >= all {
+                return Ok(members);
+            }
+            let deadline = members.iter().map(|record| record.deadline).max();
+            let within = deadline.unwrap_or_default() + PATIENCE;
+            let sending = members.len() < all;
+            if begun.elapsed() > within && !sending {
+                let state = format!("{answered} of {all} answered");
+                return Err(StepError::TimedOut { within, state });
+            }
+            actix_rt::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    async fn check_same(&self, first: &str, second: &str) -> Result<(), StepError> {
+        let first = self.answers(first).await?;
+        let second = self.answers(second).await?;
+        let mut answers = first
+            .iter()
+            .chain(&second)
+            .filter_map(|record| record.answer.as_ref());
+        let Some(one) = answers.next() else {
+            return Err(StepError::Unexpected("no answers".to_owned()));
+        };
+        for other in answers {
+            if (one.status, &one.results) != (other.status, &other.results) {
+                let (one, other) = (describe(one), describe(other));
+                return Err(StepError::Unexpected(format!("{one} and {other}")));
+            }
+        }
+        Ok(())
+    }
+
+    async fn check_changes(
+        &self,
+        names: &[Label],
+        bound: Option<CountBound>,
+        ends: &[ChangeStatus],
+    ) -> Result<(), StepError> {
+        let (mut count, mut state) = (0, Vec::new());
+        for name in names {
+            let end = self.change_end(name).await?;
+            count += usize::from(ends.contains(&end.0));
+            state.push(format!("{name} {:?}: {}", end.0, end.1));
+        }
+        let bound = bound.unwrap_or(CountBound::Exactly(names.len()));
+        if bound.holds(count) {
+            return Ok(());
+        }
+        Err(StepError::Unexpected(state.join(", ")))
+    }
+
+    async fn change_end(&self, name: &str) -> Result<(ChangeStatus, String), StepError> {
+        let begun = Instant::now();
+        loop {
+            if let Some(end) = self.load.change(name)? {
+                return Ok((end.status, end.message));
+            }
+            if begun.elapsed() > CHANGE_LIMIT {
+                return Err(StepError::TimedOut {
+                    within: CHANGE_LIMIT,
+                    state: format!("change {name} is under way"),
+                });
+            }
+            actix_rt::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+}
+
+fn check_answers(
+    found: &[SubmissionRecord],
+    bound: Option<CountBound>,
+    expected: &[ExpectedAnswer],
+) -> Result<(), StepError> {
+    let (mut count, mut others) = (0, Vec::new());
+    for submission in found {
+        let Some(answer) = &submission.answer else {
+            continue;
+        };
+        if expected.iter().any(|expected| fits(answer, expected)) {
+            count += 1;
+        } else {
+            others.push(format!("{} {}", submission.name, describe(answer)));
+        }
+    }
+    let bound = bound.unwrap_or(CountBound::Exactly(found.len()));
+    if bound.holds(count) {
+        return Ok(());
+    }
+    Err(StepError::Unexpected(format!(
+        "{count} of {}; others: {}",
+        found.len(),
+        others.join(", ")
+    )))
+}
+
+fn fits(answer: &AnswerRecord, expected: &ExpectedAnswer) -> bool {
+    let reason = expected.reason.as_ref();
+    answer.status == expected.status && reason.is_none_or(|reason| *reason == answer.reason)
+}
+
+fn describe(answer: &AnswerRecord) -> String {
+    format!("{:?} {}", answer.status, answer.reason)
+        .trim_end()
+        .to_owned()
+}
--- /dev/null
+++ b/crates/scenario/src/runner/mod.rs
@@ -0,0 +1,256 @@
+//! Runs a scenario against real processes and checks every promise at its end.
+
+mod conditions;
+mod expectations;
+mod steps;
+
+use std::{
+    fmt, io,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    error::StepError,
+    load::{CallerLoad, DoorState, EntryDoor},
+    operator,
+    process::ChildSignal,
+    promises::{check_promises, BrokenPromise, PromiseLimits},
+    record::RunRecord,
+    script::{AnswerStatus, ChangeStatus, ContractLine, Script, ScriptLine, Setup, Statement},
+    world::ScenarioWorld,
+};
+
+/// The time between two looks at a condition.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+/// How long processes may take to end once told to, which is more than their drain limit.
+const EXIT_LIMIT: Duration = Duration::from_secs(15);
+/// The seed where neither the scenario nor the settings name one.
+const DEFAULT_SEED: u64 = 1;
+
+/// Settings of a run.
+#[derive(Clone, Debug)]
+pub struct RunSettings {
+    /// The binary `cairnpaddle`.
+    pub binary: PathBuf,
+    /// A directory for settings files and logs, of this run alone.
+    pub dir: PathBuf,
+    /// The seed, before that of the scenario.
+    pub seed: Option<u64>,
+    /// What the promise checks allow for.
+    pub limits: PromiseLimits,
+}
+
+/// A step that failed.
+#[derive(Debug)]
+pub struct StepFailure {
+    /// The line, from 1; 0 for the set-up.
+    pub line: usize,
+    /// The text of the line.
+    pub text: String,
+    /// Why.
+    pub cause: StepError,
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct RunReport {
+    /// The seed that was used.
+    pub seed: u64,
+    /// How long it took.
+    pub took: Duration,
+    /// What it left behind.
+    pub record: RunRecord,
+    /// The step that failed, after which no other was made.
+    pub failure: Option<StepFailure>,
+    /// The promises that did not hold.
+    pub broken: Vec<BrokenPromise>,
+}
+
+impl RunReport {
+    /// Whether every step and every promise held.
+    pub fn is_good(&self) -> bool {
+        self.failure.is_none() && self.broken.is_empty()
+    }
+
+    fn count(&self, status: AnswerStatus) -> usize {
+        let submissions = self.record.submissions.iter();
+        let answers = submissions.filter_map(|submission| submission.answer.as_ref());
+        answers.filter(|answer| answer.status == status).count()
+    }
+}
+
+impl fmt::Display for RunReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let starts: usize = self.record.endpoints.iter().map(|e| e.starts.len()).sum();
+        writeln!(
+            f,
+            "seed {}, took {:?}: {} submissions ({} complete, {} failed, {} refused, {} unknown, {} lost), {starts} starts",
+            self.seed,
+            self.took,
+            self.record.submissions.len(),
+            self.count(AnswerStatus::Complete),
+            self.count(AnswerStatus::Failed),
+            self.count(AnswerStatus::Refused),
+            self.count(AnswerStatus::Unknown),
+            self.count(AnswerStatus::Lost),
+        )?;
+        if let Some(failure) = &self.failure {
+            writeln!(
+                f,
+                "line {}: {}\n  {}",
+                failure.line, failure.text, failure.cause
+            )?;
+        }
+        for broken in &self.broken {
+            writeln!(f, "broken promise: {broken}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs a scenario. Call it inside an actix `System`.
+///
+/// # Errors
+///
+/// The stand-ins cannot be started. Whatever goes wrong afterwards is in the report.
+pub async fn run_script(script: &Script, settings: RunSettings) -> io::Result<RunReport> {
+    let begun = Instant::now();
+    let limits = settings.limits;
+    let mut run = ScenarioRun::new(script, settings)?;
+    let watch = actix_rt::spawn(run.load.clone().watch_contracts());
+    let failure = run.make_steps(script).await;
+    let record = run.end(limits.answer_margin).await;
+    watch.abort();
+    let broken = check_promises(&record, &limits);
+    Ok(RunReport {
+        seed: run.seed,
+        took: begun.elapsed(),
+        record,
+        failure,
+        broken,
+    })
+}
+
+/// A scenario under way.
+struct ScenarioRun {
+    seed: u64,
+    world: ScenarioWorld,
+    load: CallerLoad,
+    contracts: Vec<ContractLine>,
+}
+
+impl ScenarioRun {
+    fn new(script: &Script, settings: RunSettings) -> io::Result<Self> {
+        let mut seed = None;
+        let (mut centres, mut contracts, mut fields) = (Vec::new(), Vec::new(), Vec::new());
+        for line in &script.lines {
+            let Statement::Setup(setup) = &line.statement else {
+                continue;
+            };
+            match setup.clone() {
+                Setup::Seed(number) => seed = Some(number),
+                Setup::DataCentre(line) => centres.push(line),
+                Setup::Contract(line) => contracts.push(line),
+                Setup::Setting(line) => fields.push(line),
+            }
+        }
+        let seed = settings.seed.or(seed).unwrap_or(DEFAULT_SEED);
+        let world = ScenarioWorld::build(&centres, fields, settings.binary, settings.dir)?;
+        let mut doors = Vec::new();
+        for vm in &world.vms {
+            doors.push(EntryDoor {
+                vm: vm.name.clone(),
+                address: vm.caller,
+                state: DoorState::Closed,
+            });
+        }
+        let load = CallerLoad::new(seed, doors);
+        Ok(Self {
+            seed,
+            world,
+            load,
+            contracts,
+        })
+    }
+
+    async fn make_steps(&mut self, script: &Script) -> Option<StepFailure> {
+        if let Err(cause) = self.make_contracts().await {
+            return Some(StepFailure {
+                line: 0,
+                text: "contracts of the set-up".to_owned(),
+                cause,
+            });
+        }
+        for ScriptLine {
+            number,
+            text,
+            statement,
+        } in &script.lines
+        {
+            let Statement::Step(step) = statement else {
+                continue;
+            };
+            log::info!("scenario: line {number}: {text}");
+            if let Err(cause) = self.make_step(step).await {
+                return Some(StepFailure {
+                    line: *number,
+                    text: text.clone(),
+                    cause,
+                });
+            }
+        }
+        None
+    }
+
+    async fn make_contracts(&self) -> Result<(), StepError> {
+        let platform = self.world.platform.address();
+        for line in &self.contracts {
+            let end = operator::change(platform, line, self.load.random_seed()).await;
+            if end.status != ChangeStatus::Accepted {
+                return Err(StepError::Contract(end.message));
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits for the answers, ends every process as a planned stop does, and gathers what is left behind.
+    async fn end(&mut self, margin: Duration) -> RunRecord {
+        while !self.load.is_settled(margin) {
+            actix_rt::time::sleep(LOOK_PAUSE).await;
+        }
+        let submissions = self.load.records();
+        self.end_processes().await;
+        RunRecord {
+            submissions,
+            endpoints: self.world.records(),
+            sightings: self.load.sightings(),
+            exits: self.world.take_exits(),
+        }
+    }
+
+    async fn end_processes(&mut self) {
+        for process in self.world.processes() {
+            if process.is_frozen() {
+                signal_at_end(process, ChildSignal::Thaw);
+            }
+            if !process.is_ending() {
+                signal_at_end(process, ChildSignal::Terminate);
+            }
+        }
+        let begun = Instant::now();
+        while begun.elapsed() < EXIT_LIMIT {
+            let mut processes = self.world.processes().into_iter();
+            if processes.all(|process| process.has_ended()) {
+                return;
+            }
+            actix_rt::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+}
+
+fn signal_at_end(process: &mut crate::process::ChildProcess, signal: ChildSignal) {
+    if let Err(error) = process.signal(signal) {
+        log::warn!("scenario: {signal:?} to {}: {error}", process.name());
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/world.rs
@@ -0,0 +1,419 @@
+//! The world of a run: stand-ins, links and the VMs with their processes.
+
+use std::{
+    fs, io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+};
+
+use model::{EndpointState, FastMap, VmEntry, VmRole};
+use stand_ins::{
+    endpoint::{EndpointRecord, EndpointSettings, EndpointStandIn},
+    forwarder::{LinkMode, LinkOrder, NetForwarder},
+    platform::{FaultSettings, PlatformSettings, PlatformStandIn},
+};
+
+use crate::{
+    error::StepError,
+    platform_view::{EndpointLinks, PlatformView},
+    process::{ChildProcess, ChildSignal, ProcessName},
+    process_files::VmFile,
+    record::ExitRecord,
+    script::{DataCentreLine, Label, ProcessRole, ProcessTarget, SettingLine},
+};
+
+/// The name of the platform among places.
+pub(crate) const PLATFORM: &str = "platform";
+
+/// A VM of the system.
+pub(crate) struct VmNode {
+    pub(crate) name: Label,
+    pub(crate) data_centre: Label,
+    pub(crate) caller: SocketAddr,
+    peer: SocketAddr,
+    admin: SocketAddr,
+    /// The platform as seen from here, behind a link.
+    pub(crate) platform: SocketAddr,
+    _view: PlatformView,
+    entry: Option<ChildProcess>,
+    dispatcher: Option<ChildProcess>,
+}
+
+/// An endpoint with its stand-in.
+pub(crate) struct EndpointNode {
+    pub(crate) name: Label,
+    data_centre: Label,
+    pub(crate) stand_in: EndpointStandIn,
+    state: EndpointState,
+    slots: u32,
+}
+
+/// Everything that runs.
+pub(crate) struct ScenarioWorld {
+    pub(crate) platform: PlatformStandIn,
+    pub(crate) faults: FaultSettings,
+    pub(crate) forwarder: NetForwarder,
+    pub(crate) vms: Vec<VmNode>,
+    pub(crate) endpoints: Vec<EndpointNode>,
+    links: Vec<LinkEnds>,
+    settings: Vec<SettingLine>,
+    binary: PathBuf,
+    dir: PathBuf,
+    /// Processes that have ended and been replaced.
+    exits: Vec<ExitRecord>,
+}
+
+/// Where a link goes: from a VM to an endpoint or the platform.
+pub(crate) struct LinkEnds {
+    pub(crate) name: String,
+    pub(crate) from: Label,
+    pub(crate) to: Label,
+}
+
+impl VmNode {
+    pub(crate) fn process(&mut self, role: ProcessRole) -> &mut Option<ChildProcess> {
+        match role {
+            ProcessRole::Entry => &mut self.entry,
+            ProcessRole::Dispatcher => &mut self.dispatcher,
+        }
+    }
+
+    /// Where the process of a role says whether it is ready.
+    pub(crate) fn ready_address(&self, role: ProcessRole) -> SocketAddr {
+        match role {
+            ProcessRole::Entry => self.caller,
+            ProcessRole::Dispatcher => self.admin,
+        }
+    }
+}
+
+impl ScenarioWorld {
+    /// Starts the stand-ins and links; no process yet.
+    pub(crate) fn build(
+        lines: &[DataCentreLine],
+        settings: Vec<SettingLine>,
+        binary: PathBuf,
+        dir: PathBuf,
+    ) -> io::Result<Self> {
+        fs::create_dir_all(&dir)?;
+        let platform = PlatformStandIn::start(PlatformSettings::default())?;
+        let mut world = Self {
+            platform,
+            faults: FaultSettings::default(),
+            forwarder: NetForwarder::start()?,
+            vms: Vec::new(),
+            endpoints: Vec::new(),
+            links: Vec::new(),
+            settings,
+            binary,
+            dir,
+            exits: Vec::new(),
+        };
+        for line in lines {
+            world.add_endpoints(line)?;
+        }
+        for line in lines {
+            world.add_vms(line)?;
+        }
+        world.publish_vms();
+        Ok(world)
+    }
+
+    fn add_endpoints(&mut self, line: &DataCentreLine) -> io::Result<()> {
+        for number in 1..=line.endpoints {
+            let name = format!("{}-e{number}", line.name);
+            let stand_in = EndpointStandIn::start(EndpointSettings {
+                id: name.parse().map_err(io::Error::other)?,
+                slots: line.slots,
+                ..EndpointSettings::default()
+            })?;
+            self.endpoints.push(EndpointNode {
+                name,
+                data_centre: line.name.to_string(),
+                stand_in,
+                state: EndpointState::Live,
+                slots: line.slots,
+            });
+        }
+        Ok(())
+    }
+
+    fn add_vms(&mut self, line: &DataCentreLine) -> io::Result<()> {
+        for number in 1..=line.vms {
+            let name = format!("{}-vm{number}", line.name);
+            let mut seen = EndpointLinks::default();
+            for index in 0..self.endpoints.len() {
+                let endpoint = &self.endpoints[index];
+                let (to, target) = (endpoint.name.clone(), endpoint.stand_in.address());
+                let address = self.add_link(&name, &to, target)?;
+                seen.insert(to, address);
+            }
+            let view = PlatformView::start(self.platform.address(), &seen)?;
+            let platform = self.add_link(&name, PLATFORM, view.address())?;
+            let [caller, peer, admin] = free_addresses()?;
+            self.vms.push(VmNode {
+                name,
+                data_centre: line.name.to_string(),
+                caller,
+                peer,
+                admin,
+                platform,
+                _view: view,
+                entry: None,
+                dispatcher: None,
+            });
+        }
+        Ok(())
+    }
+
+    fn add_link(&mut self, from: &str, to: &str, target: SocketAddr) -> io::Result<SocketAddr> {
+        let name = format!("{from}>{to}");
+        let address = self.forwarder.add_link(&name, target)?;
+        self.links.push(LinkEnds {
+            name,
+            from: from.to_owned(),
+            to: to.to_owned(),
+        });
+        Ok(address)
+    }
+
+    /// Tells the platform which VMs there are.
+    pub(crate) fn publish_vms(&self) {
+        let mut list = Vec::new();
+        for vm in &self.vms {
+            list.extend(vm_entry(&vm.name, &vm.data_centre, VmRole::System, vm.peer));
+        }
+        for endpoint in &self.endpoints {
+            let address = endpoint.stand_in.address();
+            let entry = vm_entry(
+                &endpoint.name,
+                &endpoint.data_centre,
+                VmRole::Endpoint,
+                address,
+            );
+            list.extend(entry.map(|entry| VmEntry {
+                slots: endpoint.slots,
+                state: endpoint.state,
+                ..entry
+            }));
+        }
+        self.platform.set_vms(list);
+    }
+
+    pub(crate) fn vm(&mut self, name: &str) -> Result<&mut VmNode, StepError> {
+        let found = self.vms.iter_mut().find(|vm| vm.name == name);
+        found.ok_or_else(|| StepError::UnknownVm(name.to_owned()))
+    }
+
+    pub(crate) fn endpoint(&self, name: &str) -> Result<&EndpointNode, StepError> {
+        let found = self.endpoints.iter().find(|endpoint| endpoint.name == name);
+        found.ok_or_else(|| StepError::UnknownEndpoint(name.to_owned()))
+    }
+
+    /// Marks an endpoint as leaving in the VM list.
+    pub(crate) fn leave(&mut self, name: &str) -> Result<(), StepError> {
+        let found = self
+            .endpoints
+            .iter_mut()
+            .find(|endpoint| endpoint.name == name);
+        let endpoint = found.ok_or_else(|| StepError::UnknownEndpoint(name.to_owned()))?;
+        endpoint.state = EndpointState::Leaving;
+        self.publish_vms();
+        Ok(())
+    }
+
+    /// The processes that a target names, dispatchers first: an entry is ready once it has one.
+    pub(crate) fn targets(&self, target: &ProcessTarget) -> Result<Vec<ProcessName>, StepError> {
+        let both = [ProcessRole::Dispatcher, ProcessRole::Entry];
+        let mut names = Vec::new();
+        for role in both {
+            for vm in &self.vms {
+                let named = match target {
+                    ProcessTarget::All => true,
+                    ProcessTarget::Vm(name) => *name == vm.name,
+                    ProcessTarget::One(one, name) => *one == role && *name == vm.name,
+                };
+                if named {
+                    let vm = vm.name.clone();
+                    names.push(ProcessName { vm, role });
+                }
+            }
+        }
+        if let (true, ProcessTarget::Vm(name) | ProcessTarget::One(_, name)) =
+            (names.is_empty(), target)
+        {
+            return Err(StepError::UnknownVm(name.clone()));
+        }
+        Ok(names)
+    }
+
+    /// Starts a process, in the place of one that has ended.
+    pub(crate) fn start(&mut self, name: &ProcessName) -> Result<(), StepError> {
+        let settings = self
+            .dir
+            .join(format!("{}-{}.json", name.vm, name.role.as_str()));
+        let log = self
+            .dir
+            .join(format!("{}-{}.log", name.vm, name.role.as_str()));
+        self.write_settings(name, &settings)?;
+        let binary = self.binary.clone();
+        let slot = self.vm(&name.vm)?.process(name.role);
+        if slot.as_mut().is_some_and(|process| !process.has_ended()) {
+            return Err(StepError::Running(name.to_string()));
+        }
+        let before = slot.take();
+        *slot = Some(ChildProcess::start(&binary, name.clone(), &settings, &log)?);
+        self.exits.extend(before.map(ChildProcess::into_exit));
+        Ok(())
+    }
+
+    fn write_settings(&mut self, name: &ProcessName, path: &Path) -> Result<(), StepError> {
+        let lines = self.settings.clone();
+        let dispatchers = self.vms.iter().map(|vm| (vm.peer, vm.data_centre.clone()));
+        let dispatchers = dispatchers.collect();
+        let vm = self.vm(&name.vm)?;
+        let file = VmFile {
+            vm: &vm.name,
+            data_centre: &vm.data_centre,
+            caller: vm.caller,
+            peer: vm.peer,
+            admin: vm.admin,
+            platform: vm.platform,
+            dispatchers,
+        };
+        Ok(file.write(name.role, &lines, path)?)
+    }
+
+    pub(crate) fn signal(
+        &mut self,
+        name: &ProcessName,
+        signal: ChildSignal,
+    ) -> Result<(), StepError> {
+        let slot = self.vm(&name.vm)?.process(name.role);
+        let Some(process) = slot.as_mut().filter(|process| !process.is_ending()) else {
+            return Err(StepError::NotRunning(name.to_string()));
+        };
+        process.signal(signal)?;
+        log::info!(
+            "scenario: {signal:?} to {} (pid {})",
+            process.name(),
+            process.pid()
+        );
+        Ok(())
+    }
+
+    /// Whether a process is there and has not ended.
+    pub(crate) fn is_running(&mut self, name: &ProcessName) -> Result<bool, StepError> {
+        let slot = self.vm(&name.vm)?.process(name.role);
+        Ok(slot.as_mut().is_some_and(|process| !process.has_ended()))
+    }
+
+    /// How a process stands, in words.
+    pub(crate) fn describe(&mut self, name: &ProcessName) -> String {
+        match self.vm(&name.vm).map(|vm| vm.process(name.role)) {
+            Ok(Some(process)) => process.describe(),
+            _ => "not started".to_owned(),
+        }
+    }
+
+    /// Every process that is there.
+    pub(crate) fn processes(&mut self) -> Vec<&mut ChildProcess> {
+        let mut list = Vec::new();
+        for vm in &mut self.vms {
+            list.extend(&mut vm.entry);
+            list.extend(&mut vm.dispatcher);
+        }
+        list
+    }
+
+    /// Takes every process away and gives how each ended; what still runs is killed.
+    pub(crate) fn take_exits(&mut self) -> Vec<ExitRecord> {
+        let mut exits = std::mem::take(&mut self.exits);
+        for vm in &mut self.vms {
+            for process in [vm.entry.take(), vm.dispatcher.take()] {
+                exits.extend(process.map(ChildProcess::into_exit));
+            }
+        }
+        exits
+    }
+
+    pub(crate) fn records(&self) -> Vec<EndpointRecord> {
+        let endpoints = self.endpoints.iter();
+        endpoints
+            .map(|endpoint| endpoint.stand_in.record())
+            .collect()
+    }
+
+    /// The links between two places, each with whether it runs from the first to the second.
+    pub(crate) fn links_between(&self, a: &str, b: &str) -> Result<Vec<(String, bool)>, StepError> {
+        let (a_members, b_members) = (self.members(a)?, self.members(b)?);
+        let mut links = Vec::new();
+        for link in &self.links {
+            if a_members.contains(&link.from) && b_members.contains(&link.to) {
+                links.push((link.name.clone(), true));
+            } else if b_members.contains(&link.from) && a_members.contains(&link.to) {
+                links.push((link.name.clone(), false));
+            }
+        }
+        if links.is_empty() {
+            return Err(StepError::UnknownPlace(format!("link between {a} and {b}")));
+        }
+        Ok(links)
+    }
+
+    pub(crate) async fn order_link(
+        &self,
+        link: Option<String>,
+        mode: LinkMode,
+    ) -> Result<(), StepError> {
+        let order = LinkOrder { link, mode };
+        let result = self.forwarder.order(order).await;
+        result.map_err(|error| StepError::UnknownPlace(error.0))
+    }
+
+    fn members(&self, place: &str) -> Result<Vec<Label>, StepError> {
+        if place == PLATFORM {
+            return Ok(vec![place.to_owned()]);
+        }
+        let mut members = Vec::new();
+        for vm in &self.vms {
+            if vm.name == place || vm.data_centre == place {
+                members.push(vm.name.clone());
+            }
+        }
+        for endpoint in &self.endpoints {
+            if endpoint.name == place || endpoint.data_centre == place {
+                members.push(endpoint.name.clone());
+            }
+        }
+        if members.is_empty() {
+            return Err(StepError::UnknownPlace(place.to_owned()));
+        }
+        Ok(members)
+    }
+}
+
+fn vm_entry(name: &str, data_centre: &str, role: VmRole, address: SocketAddr) -> Option<VmEntry> {
+    Some(VmEntry {
+        id: name.parse().ok()?,
+        data_centre: data_centre.parse().ok()?,
+        role,
+        address,
+        slots: 0,
+        state: EndpointState::Live,
+    })
+}
+
+/// Addresses that were free a moment ago: bound by the system all at once, so that they differ, then let go.
+fn free_addresses() -> io::Result<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let listeners = [bind()?, bind()?, bind()?];
+    Ok([
+        listeners[0].local_addr()?,
+        listeners[1].local_addr()?,
+        listeners[2].local_addr()?,
+    ])
+}
+
+/// Names to look things up by.
+pub(crate) type NameMap<V> = FastMap<Label, V>;
--- /dev/null
+++ b/crates/scenario/tests/scenarios.rs
@@ -0,0 +1,113 @@
+//! Runs the scenario files against real processes, one after the other.
+//!
+//! `SCENARIO_SEED` takes the place of the seed in the files; each report names the seed that was used.
+
+use std::{
+    env, fs,
+    path::{Path, PathBuf},
+    sync::{Mutex, PoisonError},
+};
+
+use scenario::{find_binary, parse_script, promises::PromiseLimits, run_script, RunSettings};
+
+/// Scenarios measure answer times, so no two run at once.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// The last lines of each log that a failed run shows.
+const LOG_LINES: usize = 40;
+
+fn scenarios_dir() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios")
+}
+
+fn run(name: &str) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let path = scenarios_dir().join(format!("{name}.scenario"));
+    let script = parse_script(&fs::read_to_string(&path).unwrap())
+        .unwrap_or_else(|error| panic!("{name}.scenario: {error}"));
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = fs::remove_dir_all(&dir);
+    let settings = RunSettings {
+        binary: find_binary().unwrap_or_else(|error| panic!("{error}")),
+        dir: dir.clone(),
+        seed: env::var("SCENARIO_SEED")
+            .ok()
+            .and_then(|text| text.parse().ok()),
+        limits: PromiseLimits::default(),
+    };
+    let report = actix_rt::System::new()
+        .block_on(run_script(&script, settings))
+        .unwrap();
+    println!("{name}: {report}");
+    if !report.is_good() {
+        panic!("{name}: {report}\n{}", logs(&dir));
+    }
+}
+
+fn logs(dir: &Path) -> String {
+    let mut text = String::new();
+    let mut paths: Vec<_> = fs::read_dir(dir)
+        .unwrap()
+        .map(|entry| entry.unwrap().path())
+        .filter(|path| path.extension().is_some_and(|extension| extension == "log"))
+        .collect();
+    paths.sort();
+    for path in paths {
+        let log = fs::read_to_string(&path).unwrap();
+        let lines: Vec<_> = log.lines().collect();
+        let from = lines.len().saturating_sub(LOG_LINES);
+        text.push_str(&format!("== {}\n", path.display()));
+        text.push_str(&lines[from..].join("\n"));
+        text.push('\n');
+    }
+    text
+}
+
+macro_rules! scenarios {
+    ($($name:ident,)+) => {
+        $(
+            #[test]
+            fn $name() {
+                run(stringify!($name));
+            }
+        )+
+
+        const LISTED: &[&str] = &[$(stringify!($name),)+];
+    };
+}
+
+scenarios! {
+    cancellation_wave,
+    contract_change_everywhere,
+    crossed_and_late_answers,
+    endpoint_leaves,
+    endpoints_that_misbehave,
+    freeze_dispatcher,
+    freeze_entry,
+    job_through,
+    kill_dispatcher,
+    kill_entry,
+    lost_endpoint_answer,
+    platform_down_at_start,
+    platform_down_at_work,
+    platform_loses_answers,
+    racing_operators,
+    request_by_key,
+    request_by_ticket,
+    request_once,
+    terminate_dispatcher,
+    terminate_entry,
+    vm_cut_from_endpoint,
+    vm_cut_from_platform,
+}
+
+#[test]
+fn every_file_is_listed() {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(scenarios_dir()).unwrap() {
+        let path = entry.unwrap().path();
+        files.push(path.file_stem().unwrap().to_string_lossy().into_owned());
+    }
+    files.sort();
+    assert_eq!(files, LISTED);
+}
