--- a/crates/scenario/src/caller.rs
+++ b/crates/scenario/src/caller.rs
@@ -92,9 +92,9 @@
     }
 }
 
-/// Whether a process says that it is ready.
-pub(crate) async fn is_ready(address: SocketAddr) -> bool {
-    let call = client(SHORT_CALL).get(format!("http://{address}/ready"));
+/// Whether a process says yes at one of its probes, `ready` or `live`.
+pub(crate) async fn probe(address: SocketAddr, probe: &str) -> bool {
+    let call = client(SHORT_CALL).get(format!("http://{address}/{probe}"));
     call.send()
         .await
         .is_ok_and(|answer| answer.status().is_success())
--- a/crates/scenario/src/parse/step.rs
+++ b/crates/scenario/src/parse/step.rs
@@ -305,6 +305,7 @@
                 .map(|(group, bound)| Condition::Answered { group, bound }),
             preceded(keyword("ready"), cut_err(target)).map(Condition::Ready),
             preceded(keyword("unready"), cut_err(target)).map(Condition::Unready),
+            preceded(keyword("live"), cut_err(target)).map(Condition::Live),
             preceded(keyword("exited"), cut_err(target)).map(Condition::Exited),
             preceded(
                 keyword("change"),
--- a/crates/scenario/src/runner/conditions.rs
+++ b/crates/scenario/src/runner/conditions.rs
@@ -6,6 +6,7 @@
 
 use super::{ScenarioRun, LOOK_PAUSE};
 use crate::{
+    caller,
     error::StepError,
     script::{Condition, CountBound, ProcessTarget},
 };
@@ -53,6 +54,7 @@
             }
             Condition::Ready(target) => self.look_ready(target, true).await,
             Condition::Unready(target) => self.look_ready(target, false).await,
+            Condition::Live(target) => self.look_live(target).await,
             Condition::Exited(target) => self.look_exited(target),
             Condition::ChangeEverywhere(name) => self.look_change(name),
         }
@@ -103,6 +105,20 @@
         })
     }
 
+    async fn look_live(&mut self, target: &ProcessTarget) -> Result<Look, StepError> {
+        let mut state = Vec::new();
+        for name in self.world.targets(target)? {
+            let address = self.world.vm(&name.vm)?.probe_address(name.role);
+            if !caller::probe(address, "live").await {
+                state.push(format!("{name} {}", self.world.describe(&name)));
+            }
+        }
+        Ok(Look {
+            holds: state.is_empty(),
+            state: state.join(", "),
+        })
+    }
+
     fn look_exited(&mut self, target: &ProcessTarget) -> Result<Look, StepError> {
         let mut state = Vec::new();
         for name in self.world.targets(target)? {
--- a/crates/scenario/src/runner/steps.rs
+++ b/crates/scenario/src/runner/steps.rs
@@ -77,8 +77,8 @@
 
     /// Asks a process whether it is ready, and tells the callers of an entry that is.
     pub(super) async fn is_ready(&mut self, name: &ProcessName) -> Result<bool, StepError> {
-        let address = self.world.vm(&name.vm)?.ready_address(name.role);
-        let ready = caller::is_ready(address).await;
+        let address = self.world.vm(&name.vm)?.probe_address(name.role);
+        let ready = caller::probe(address, "ready").await;
         if ready && name.role == ProcessRole::Entry {
             self.load.set_door(&name.vm, DoorState::Open);
         }
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -333,6 +333,8 @@
     Ready(ProcessTarget),
     /// The processes say that they are not ready, or are gone.
     Unready(ProcessTarget),
+    /// The processes answer at all, ready or not.
+    Live(ProcessTarget),
     /// The processes have ended.
     Exited(ProcessTarget),
     /// Every live entry shows the contract at least as new as the change made it.
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Where the process of a role says whether it is ready.
-    pub(crate) fn ready_address(&self, role: ProcessRole) -> SocketAddr {
+    /// Where the process of a role answers probes.
+    pub(crate) fn probe_address(&self, role: ProcessRole) -> SocketAddr {
         match role {
             ProcessRole::Entry => self.caller,
             ProcessRole::Dispatcher => self.admin,
--- a/crates/scenario/tests/language.rs
+++ b/crates/scenario/tests/language.rs
@@ -94,6 +94,7 @@
         "wait until answered j1 at-least 5 within 1s",
         "wait until ready all within 1s",
         "wait until unready entry east-vm1 within 1s",
+        "wait until live all within 1s",
         "wait until exited vm east-vm1 within 1s",
         "wait until change ch1 everywhere within 1s",
         "expect j1 complete",
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -95,6 +95,7 @@
     request_by_key,
     request_by_ticket,
     request_once,
+    stop_after_entry_died,
     terminate_dispatcher,
     terminate_entry,
     vm_cut_from_endpoint,
