Confirm a withdrawal only after every batch before it

Cause: the ledger kept the highest batch number seen. A batch that overtook the one before it vouched for that one: the withdrawal of a task still on its way was confirmed, and the task started after. Ruled out: relying on the library's order of handlers, which its documentation does not promise. Conclusion: a confirmed withdrawal is a promise that holds whatever the order of reading.

--- a/crates/ledger/src/entry_link.rs
+++ b/crates/ledger/src/entry_link.rs
@@ -1,6 +1,9 @@
 //! The entries as this dispatcher sees them: sessions, and ends that wait to be confirmed.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use model::{AttemptEnd, AttemptId, FastMap, IncarnationId, SessionId};
 use thiserror::Error;
@@ -17,12 +20,34 @@
     pub(crate) at: Instant,
 }
 
+/// Batches seen, numbered from 1. The highest number seen is not enough: a batch that overtook the one before it would
+/// then vouch for that one, and a task still on its way would be told "not run" and start.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct BatchRecord {
+    /// Every batch up to this one was seen.
+    complete: u64,
+    ahead: BTreeSet<u64>,
+}
+
+impl BatchRecord {
+    pub(crate) fn see(&mut self, batch: u64) {
+        self.ahead.insert(batch);
+        while self.ahead.remove(&(self.complete + 1)) {
+            self.complete += 1;
+        }
+    }
+
+    pub(crate) fn has_all(&self, until: u64) -> bool {
+        self.complete >= until
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct EntryLink {
     pub(crate) session: SessionId,
     pub(crate) connected: bool,
-    /// The last batch of offers seen on this session.
-    pub(crate) batch: u64,
+    /// Which batches of offers were seen on this session.
+    pub(crate) batches: BatchRecord,
     /// Ends that the entry has not confirmed. An attempt is forgotten only after that: a withdrawal that crosses
     /// the report would otherwise find nothing and be told "not run" of a task that ran.
     pub(crate) unconfirmed: FastMap<AttemptId, UnconfirmedEnd>,
--- a/crates/ledger/src/ledger/sessions.rs
+++ b/crates/ledger/src/ledger/sessions.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     action::LedgerAction,
-    entry_link::{EntryLink, StaleSession, UnconfirmedEnd},
+    entry_link::{BatchRecord, EntryLink, StaleSession, UnconfirmedEnd},
     ledger::SlotLedger,
 };
 
@@ -34,12 +34,12 @@
         let link = self.links.entry(entry).or_insert_with(|| EntryLink {
             session,
             connected: true,
-            batch: 0,
+            batches: BatchRecord::default(),
             unconfirmed: Default::default(),
         });
         link.session = session;
         link.connected = true;
-        link.batch = 0;
+        link.batches = BatchRecord::default();
         let mut ends: Vec<_> = link
             .unconfirmed
             .iter()
@@ -90,7 +90,7 @@
         if link.session != session || !link.connected {
             return false;
         }
-        link.batch = link.batch.max(batch);
+        link.batches.see(batch);
         true
     }
 
@@ -98,7 +98,7 @@
     pub(super) fn has_seen(&self, entry: IncarnationId, session: SessionId, batch: u64) -> bool {
         self.links
             .get(&entry)
-            .is_some_and(|link| link.session == session && link.batch >= batch)
+            .is_some_and(|link| link.session == session && link.batches.has_all(batch))
     }
 
     pub(super) fn report_not_run(&mut self, now: Instant, attempt: AttemptId, reason: RetryReason) {
--- a/crates/ledger/tests/at_most_once/world.rs
+++ b/crates/ledger/tests/at_most_once/world.rs
@@ -417,6 +417,11 @@
             self.faults
                 .push(format!("{attempt} started with another body"));
         }
+        if self.promised.contains(&attempt) {
+            self.faults.push(format!(
+                "{attempt} started after its withdrawal was confirmed"
+            ));
+        }
         let starts = self
             .started
             .entry((attempt.submission.serial, attempt.task))
--- /dev/null
+++ b/crates/ledger/tests/withdrawal.rs
@@ -0,0 +1,140 @@
+//! Withdrawals that cross or overtake what they withdraw.
+
+use std::time::{Duration, Instant};
+
+use ledger::{LedgerAction, LedgerSettings, SlotLedger};
+use model::{
+    AttemptEnd, AttemptId, CustomerShare, EndpointAddress, EndpointState, IncarnationId, Payload,
+    RetryReason, SessionId, SubmissionId, TaskOffer, TaskVerdict, WithdrawalVerdict,
+};
+
+const ENTRY: IncarnationId = IncarnationId(1);
+const SESSION: SessionId = SessionId(1);
+
+fn offer(serial: u64) -> TaskOffer {
+    let submission = SubmissionId {
+        incarnation: ENTRY,
+        serial,
+    };
+    TaskOffer {
+        attempt: AttemptId {
+            submission,
+            task: 0,
+            attempt: 0,
+        },
+        customer: "school".parse().expect("an id"),
+        share: CustomerShare::default(),
+        kind: "hold".parse().expect("a kind"),
+        time_left: Duration::from_secs(5),
+        expected_run_time: Duration::from_millis(100),
+        payload: Payload::from(&b"body"[..]),
+    }
+}
+
+/// A ledger with one endpoint of one slot and an open session.
+fn ledger(now: Instant) -> SlotLedger {
+    let mut ledger = SlotLedger::new(LedgerSettings::default());
+    let id = "endpoint-1".parse().expect("an id");
+    let address = EndpointAddress {
+        id,
+        address: ([127, 0, 0, 1], 1).into(),
+        slots: 1,
+    };
+    ledger.set_endpoints(now, &[(address, EndpointState::Live)]);
+    ledger
+        .open_session(now, ENTRY, SESSION)
+        .expect("the first session");
+    ledger
+}
+
+fn starts(ledger: &mut SlotLedger) -> usize {
+    let actions = ledger.take_actions();
+    actions
+        .iter()
+        .filter(|action| matches!(action, LedgerAction::Start { .. }))
+        .count()
+}
+
+#[test]
+fn a_withdrawal_that_overtakes_its_offer_confirms_nothing() {
+    // The caller cancels a job while its offer is on the way. The library reads the withdrawal first; then the offer
+    // comes and starts. A "not run" would free the customer's concurrency while the task runs.
+    let now = Instant::now();
+    let mut ledger = ledger(now);
+    let attempt = offer(1).attempt;
+    assert_eq!(
+        ledger.withdraw(now, ENTRY, SESSION, 1, &[attempt]),
+        [WithdrawalVerdict::Running]
+    );
+    assert_eq!(
+        ledger.offer(now, ENTRY, SESSION, 1, vec![offer(1)]),
+        [TaskVerdict::Started]
+    );
+    assert_eq!(
+        ledger.withdraw(now, ENTRY, SESSION, 1, &[offer(2).attempt]),
+        [WithdrawalVerdict::NotRun]
+    );
+}
+
+#[test]
+fn a_batch_does_not_vouch_for_the_one_it_overtook() {
+    // Two offers are on the way and change places; the withdrawal of the first is read between them. "Not run" would
+    // be untrue a moment later, when the first offer comes and starts.
+    let now = Instant::now();
+    let mut ledger = ledger(now);
+    ledger.offer(now, ENTRY, SESSION, 2, vec![offer(2)]);
+    let verdicts = ledger.withdraw(now, ENTRY, SESSION, 2, &[offer(1).attempt]);
+    assert_eq!(verdicts, [WithdrawalVerdict::Running]);
+}
+
+#[test]
+fn a_withdrawal_that_crosses_the_report_is_not_told_not_run() {
+    // The task ends while the entry gives it up. The report and the withdrawal cross; forgotten too early, the
+    // attempt would be told "not run" and placed again, and run twice.
+    let now = Instant::now();
+    let mut ledger = ledger(now);
+    let attempt = offer(1).attempt;
+    ledger.offer(now, ENTRY, SESSION, 1, vec![offer(1)]);
+    ledger.on_ran(now, attempt, AttemptEnd::Failed);
+    assert_eq!(
+        ledger.withdraw(now, ENTRY, SESSION, 1, &[attempt]),
+        [WithdrawalVerdict::Running]
+    );
+    ledger.on_confirmed(ENTRY, attempt);
+    assert!(ledger.is_drained());
+}
+
+#[test]
+fn a_body_after_the_limit_of_its_ask_does_not_start() {
+    // An entry freezes while its task is next in line. The slot goes to the next one after the limit; the entry
+    // thaws and its body comes. It must not start, and the entry is told so.
+    let now = Instant::now();
+    let mut ledger = ledger(now);
+    ledger.offer(now, ENTRY, SESSION, 1, vec![offer(1), offer(2), offer(3)]);
+    ledger.take_actions();
+    ledger.on_ran(now, offer(1).attempt, AttemptEnd::Failed);
+    let claim = ledger
+        .take_actions()
+        .into_iter()
+        .find_map(|action| match action {
+            LedgerAction::Claim { attempt, claim, .. } => Some((attempt, claim)),
+            _ => None,
+        });
+    let (attempt, claim) = claim.expect("the slot is offered to the next in line");
+    let late = now + LedgerSettings::default().claim_limit;
+    ledger.tick(late);
+    ledger.take_actions();
+    ledger.on_claimed(late, attempt, claim, Some(offer(2).payload));
+    let actions = ledger.take_actions();
+    let told = actions.iter().any(|action| {
+        matches!(
+            action,
+            LedgerAction::Report {
+                end: AttemptEnd::NotRun(RetryReason::ClaimLate),
+                ..
+            }
+        )
+    });
+    assert!(told, "{actions:?}");
+    assert_eq!(starts(&mut ledger), 0);
+}
