--- a/crates/caller-api/src/lib.rs
+++ b/crates/caller-api/src/lib.rs
@@ -17,3 +17,5 @@
     },
     input::{read_job, read_request, InputError},
 };
+
+pub mod operators;
