--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -123,10 +123,15 @@
             }
         };
         let serial = serial.unwrap_or_else(|| self.reserve_serial());
+        let first_attempt = match self.records.get(&serial) {
+            None => 0,
+            Some(earlier) if earlier.is_refused() => earlier.next_attempt,
+            Some(_) => return Err(RefusalReason::KeyReused),
+        };
         self.tickets.take(serial);
         let id = self.id(serial);
         let due = now + body.deadline.unwrap_or_else(|| contract.answer_within());
-        let mut record = new_record(body, digest, due);
+        let mut record = new_record(body, digest, due, first_attempt);
         record.take_terms(contract, version);
         let tasks = record.tasks.len() as u32;
         self.note(AuthorityEvent::Admitted {
@@ -165,10 +170,11 @@
         if self.records.contains_key(&serial) {
             return;
         }
-        let mut record = new_record(body, digest, now);
+        let mut record = new_record(body, digest, now, 0);
         record.tasks.clear();
         record.state = RecordState::Answered {
             outcome: Arc::new(refusal),
+            at: now,
         };
         self.records.insert(serial, record);
         self.kept.push_back((now, serial));
@@ -215,7 +221,7 @@
     pub fn outcome(&self, serial: u64) -> Option<Option<Arc<SubmissionOutcome>>> {
         match &self.records.get(&serial)?.state {
             RecordState::Open => Some(None),
-            RecordState::Answered { outcome } => Some(Some(outcome.clone())),
+            RecordState::Answered { outcome, .. } => Some(Some(outcome.clone())),
         }
     }
 
@@ -226,6 +232,13 @@
             .is_some_and(|record| record.shape == SubmissionShape::Job)
     }
 
+    /// Whether a submission was refused: nothing of it ran, and it may be submitted again under the same serial.
+    pub fn is_refused(&self, serial: u64) -> bool {
+        self.records
+            .get(&serial)
+            .is_some_and(|record| record.is_refused())
+    }
+
     /// The digest of a submission's body, to tell a second arrival from another request under the same name.
     pub fn digest(&self, serial: u64) -> Option<u64> {
         self.records.get(&serial).map(|record| record.digest)
@@ -315,7 +328,12 @@
     }
 }
 
-fn new_record(body: SubmissionBody, digest: u64, due: Instant) -> SubmissionRecord {
+fn new_record(
+    body: SubmissionBody,
+    digest: u64,
+    due: Instant,
+    first_attempt: u32,
+) -> SubmissionRecord {
     let shape = match body.kind {
         SubmissionKind::Job => SubmissionShape::Job,
         SubmissionKind::Request(_) => SubmissionShape::Request,
@@ -324,7 +342,7 @@
     for body in body.tasks {
         tasks.push(TaskRecord {
             body,
-            attempts: 0,
+            attempts: first_attempt,
             phase: TaskPhase::Waiting,
         });
     }
@@ -338,6 +356,8 @@
         due,
         tasks,
         done: 0,
+        first_attempt,
+        next_attempt: first_attempt,
         state: RecordState::Open,
     }
 }
--- a/crates/authority/src/authority/giving_up.rs
+++ b/crates/authority/src/authority/giving_up.rs
@@ -36,6 +36,11 @@
             let Some(record) = self.records.get(&serial).filter(|record| record.is_open()) else {
                 continue;
             };
+            // The pause may be one of an earlier run of a submission that was refused in between; its task may be in
+            // flight again by now, and placing it once more would run it twice.
+            if !record.is_waiting(task) {
+                continue;
+            }
             let waiting = waiting_task(record, serial, task);
             self.waiting.push(&customer, waiting);
         }
@@ -210,6 +215,7 @@
         let outcome = Arc::new(outcome);
         record.state = RecordState::Answered {
             outcome: outcome.clone(),
+            at: now,
         };
         self.due.remove(&(record.due, serial));
         self.open -= 1;
@@ -253,6 +259,8 @@
             return;
         };
         let tasks = std::mem::take(&mut record.tasks);
+        let used = tasks.iter().map(|task| task.attempts).max();
+        record.next_attempt = used.unwrap_or_default();
         let (customer, due) = (record.customer.clone(), record.due);
         let mut withdrawals: BTreeMap<DispatcherKey, Vec<AttemptId>> = BTreeMap::new();
         for (index, task) in tasks.iter().enumerate() {
@@ -364,7 +372,14 @@
                 break;
             }
             self.kept.pop_front();
-            self.records.remove(&serial);
+            // A refused submission may have run again since, and has a later place in the line.
+            if self
+                .records
+                .get(&serial)
+                .is_some_and(|record| record.was_answered_at(at))
+            {
+                self.records.remove(&serial);
+            }
         }
     }
 }
--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -73,7 +73,7 @@
         let record = self
             .records
             .get_mut(&task.serial)
-            .filter(|record| record.is_open())?;
+            .filter(|record| record.is_open() && record.is_waiting(task.task))?;
         let (customer, share) = (record.customer.clone(), record.share);
         let time_left = record.due.saturating_duration_since(now);
         let entry = record.task_mut(task.task)?;
--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -180,11 +180,12 @@
             record.customer.clone(),
             waiting_task(record, serial, attempt.task),
         );
+        let first_attempt = record.first_attempt;
         let Some(task) = record.task_mut(attempt.task) else {
             return;
         };
         task.phase = TaskPhase::Waiting;
-        let attempts = task.attempts;
+        let attempts = task.attempts - first_attempt;
         self.note(AuthorityEvent::Retried(attempt, reason));
         self.waiting.avoid(serial, attempt.task, dispatcher);
         if !tells_of_load(reason) {
--- a/crates/authority/src/record.rs
+++ b/crates/authority/src/record.rs
@@ -33,7 +33,10 @@
 #[derive(Clone, Debug)]
 pub(crate) enum RecordState {
     Open,
-    Answered { outcome: Arc<SubmissionOutcome> },
+    Answered {
+        outcome: Arc<SubmissionOutcome>,
+        at: Instant,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -47,6 +50,11 @@
     pub(crate) due: Instant,
     pub(crate) tasks: Vec<TaskRecord>,
     pub(crate) done: u32,
+    /// The first attempt number of this run.
+    pub(crate) first_attempt: u32,
+    /// The first attempt number that was never used, once the tasks are dropped. A refused submission that runs after
+    /// all starts its tasks' attempts there: an id used before may still be on its way somewhere.
+    pub(crate) next_attempt: u32,
     pub(crate) state: RecordState,
 }
 
@@ -55,6 +63,26 @@
         matches!(self.state, RecordState::Open)
     }
 
+    pub(crate) fn is_refused(&self) -> bool {
+        match &self.state {
+            RecordState::Open => false,
+            RecordState::Answered { outcome, .. } => {
+                matches!(outcome.as_ref(), SubmissionOutcome::Refused { .. })
+            }
+        }
+    }
+
+    pub(crate) fn was_answered_at(&self, time: Instant) -> bool {
+        matches!(self.state, RecordState::Answered { at, .. } if at == time)
+    }
+
+    pub(crate) fn is_waiting(&self, index: TaskIndex) -> bool {
+        let task = usize::try_from(index)
+            .ok()
+            .and_then(|index| self.tasks.get(index));
+        task.is_some_and(|task| matches!(task.phase, TaskPhase::Waiting))
+    }
+
     pub(crate) fn task_mut(&mut self, index: TaskIndex) -> Option<&mut TaskRecord> {
         self.tasks.get_mut(usize::try_from(index).ok()?)
     }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -3,11 +3,14 @@
 mod callers;
 mod contract_news;
 mod forwarding;
+mod keys;
 mod messages;
+mod operators;
 mod sessions;
 
 use std::{
     net::SocketAddr,
+    rc::Rc,
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc,
@@ -18,16 +21,17 @@
 use actix::{Actor, AsyncContext as _, Context, Handler};
 use authority::{AuthorityAction, AuthoritySettings, DispatcherKey, TaskAuthority};
 use caller_api::SubmissionAnswer;
-use contracts::ContractView;
+use contracts::{ContractEditor, ContractView, EditorSettings};
 use kernel::ClockSource;
 use model::{DataCentreId, FastMap, IncarnationId, SessionId, SubmissionId, SubmissionOutcome};
 use peer::{PeerLink, SessionClient};
 use platform::PlatformClient;
+use request_keys::{BatcherSettings, KeyRecorder};
 use settings::EntrySettings;
 use tokio::sync::oneshot;
 
 pub(crate) use messages::{
-    BodyClaimed, EndsReported, OutcomeAsked, SlotsTold, StopBegun, StopState, TicketRun,
+    BodyClaimed, EndsReported, OutcomeAsked, RequestPassed, SlotsTold, StopBegun, StopState,
 };
 
 /// The time between two looks at what has become due. It bounds how late an answer leaves after its deadline.
@@ -47,6 +51,8 @@
     last_tick: Instant,
     waiters: FastMap<u64, Vec<oneshot::Sender<SubmissionAnswer>>>,
     platform: PlatformClient,
+    recorder: KeyRecorder,
+    editor: Rc<ContractEditor>,
     ready: Arc<AtomicBool>,
     leaving: Arc<AtomicBool>,
 }
@@ -105,6 +111,12 @@
             next_session: 1,
             last_tick: now,
             waiters: FastMap::default(),
+            recorder: KeyRecorder::new(parts.platform.clone(), BatcherSettings::default()),
+            editor: Rc::new(ContractEditor::new(
+                parts.platform.clone(),
+                EditorSettings::default(),
+                fastrand::Rng::new(),
+            )),
             platform: parts.platform,
             ready: parts.ready,
             leaving: parts.leaving,
--- a/crates/entry/src/control/callers.rs
+++ b/crates/entry/src/control/callers.rs
@@ -10,12 +10,12 @@
 };
 use futures::future::LocalBoxFuture;
 use model::{
-    CustomerId, KeyedRun, RefusalReason, SubmissionBody, SubmissionId, SubmissionKind,
-    SubmissionOutcome, TicketId, UnknownReason,
+    Contract, ContractState, CustomerId, KeyedRun, RefusalReason, SubmissionBody, SubmissionId,
+    SubmissionKind, SubmissionOutcome, TicketId, UnknownReason,
 };
 use tokio::sync::oneshot;
 
-use super::EntryControl;
+use super::{keys::KeyedBody, EntryControl};
 
 /// When to come back after a refusal whose end cannot be told better: long enough for a VM to be found gone and for
 /// its endpoints to have another owner.
@@ -38,7 +38,7 @@
         }
     }
 
-    fn accept(
+    pub(super) fn accept(
         &mut self,
         mut body: SubmissionBody,
         digest: u64,
@@ -65,6 +65,21 @@
         Ok(admitted.id)
     }
 
+    /// The contract of a customer whose work may be accepted.
+    pub(super) fn check_customer(&self, customer: &CustomerId) -> Result<&Contract, RefusalReason> {
+        if !self.contracts.is_ready() {
+            return Err(RefusalReason::ConfigNotReady);
+        }
+        let (_, contract) = self
+            .contracts
+            .get(customer)
+            .ok_or(RefusalReason::UnknownCustomer)?;
+        match contract.state {
+            ContractState::Active => Ok(contract),
+            ContractState::Retired => Err(RefusalReason::RetiredCustomer),
+        }
+    }
+
     /// Waits for the answer of a submission of this entry.
     pub(super) fn wait_for(&mut self, serial: u64) -> AnswerFuture {
         let id = SubmissionId {
@@ -100,14 +115,20 @@
             .look_at_ticket(self.clock.now(), serial, &body.customer)
         {
             TicketUse::Fresh => self.run(body, digest, Some(serial)),
-            TicketUse::Used => self.wait_for_same(serial, digest),
+            TicketUse::Used => self.run_again(serial, body, digest),
             TicketUse::WrongCustomer => ready(refusal(RefusalReason::KeyReused)),
             TicketUse::Forgotten => ready(unknown(Some(ticket.0))),
         }
     }
 
-    /// The answer of an earlier arrival, if this one has the same body.
-    pub(super) fn wait_for_same(&mut self, serial: u64, digest: u64) -> AnswerFuture {
+    /// A later arrival of a request: it gets the first one's answer, if it has the same body. Where the first was
+    /// refused, nothing ran, and the request runs now under the same authority.
+    pub(super) fn run_again(
+        &mut self,
+        serial: u64,
+        body: SubmissionBody,
+        digest: u64,
+    ) -> AnswerFuture {
         if self
             .authority
             .digest(serial)
@@ -115,6 +136,9 @@
         {
             return ready(refusal(RefusalReason::KeyReused));
         }
+        if self.authority.is_refused(serial) {
+            return self.run(body, digest, Some(serial));
+        }
         self.wait_for(serial)
     }
 
@@ -143,8 +167,8 @@
             KeyedRun::Ticket(ticket) if ticket.0.incarnation == own => {
                 self.run_ticket(ticket, body, digest)
             }
-            KeyedRun::Ticket(ticket) => self.forward_ticket(ticket, raw),
-            KeyedRun::Key(_) => ready(refusal(RefusalReason::KeyNotRecorded)),
+            KeyedRun::Ticket(ticket) => self.forward_request(ticket.0, raw),
+            KeyedRun::Key(key) => self.run_keyed(ctx, key, KeyedBody { body, digest, raw }),
         };
         self.flush(ctx);
         answer
@@ -155,12 +179,7 @@
     type Result = Result<TicketId, RefusalReason>;
 
     fn handle(&mut self, command: TicketCommand, _: &mut Context<Self>) -> Self::Result {
-        if !self.contracts.is_ready() {
-            return Err(RefusalReason::ConfigNotReady);
-        }
-        if self.contracts.get(&command.customer).is_none() {
-            return Err(RefusalReason::UnknownCustomer);
-        }
+        self.check_customer(&command.customer)?;
         self.authority
             .issue_ticket(self.clock.now(), &command.customer)
     }
@@ -172,7 +191,7 @@
     fn handle(&mut self, command: OutcomeCommand, _: &mut Context<Self>) -> Self::Result {
         let id = command.id;
         if id.incarnation != self.authority.incarnation() {
-            return self.forward_outcome(id, None);
+            return self.forward_outcome(id);
         }
         ready(self.outcome_now(id.serial))
     }
@@ -216,26 +235,31 @@
 
 /// A refusal before there was a submission. Nothing ran.
 pub(super) fn refusal(reason: RefusalReason) -> CallerAnswer {
-    let retry_after = match reason {
-        RefusalReason::Stopping => Some(Duration::ZERO),
-        RefusalReason::Overloaded
-        | RefusalReason::NoCapacity
-        | RefusalReason::KeyNotRecorded
-        | RefusalReason::ConfigNotReady => Some(COME_BACK),
-        _ => None,
-    };
     CallerAnswer::Own(SubmissionAnswer {
         id: None,
         job: false,
         outcome: Arc::new(SubmissionOutcome::Refused {
             reason,
-            retry_after,
+            retry_after: come_back(reason),
         }),
         version: None,
         stale: false,
     })
 }
 
+/// When to come back after a refusal whose end cannot be told better.
+pub(super) fn come_back(reason: RefusalReason) -> Option<Duration> {
+    match reason {
+        // Another VM takes it at once.
+        RefusalReason::Stopping => Some(Duration::ZERO),
+        RefusalReason::Overloaded
+        | RefusalReason::NoCapacity
+        | RefusalReason::KeyNotRecorded
+        | RefusalReason::ConfigNotReady => Some(COME_BACK),
+        _ => None,
+    }
+}
+
 /// The entry that could tell is gone, or has forgotten.
 pub(super) fn unknown(id: Option<SubmissionId>) -> CallerAnswer {
     CallerAnswer::Own(SubmissionAnswer {
--- a/crates/entry/src/control/forwarding.rs
+++ b/crates/entry/src/control/forwarding.rs
@@ -2,44 +2,38 @@
 
 use actix::{Context, Handler};
 use caller_api::{read_request, render_answer, CallerAnswer};
-use model::{IncarnationId, KeyedRun, SubmissionId, SubmissionKind, TicketId};
-use peer::{DispatcherClient, EntryClient, ForwardedAnswer, OutcomeAsk, PeerError};
+use model::{IncarnationId, KeyedRun, SubmissionBody, SubmissionId, SubmissionKind};
+use peer::{DispatcherClient, EntryClient, ForwardedAnswer, PeerError};
 
 use super::{
     callers::{unknown, AnswerFuture},
-    EntryControl, LinkState, OutcomeAsked, TicketRun,
+    EntryControl, LinkState, OutcomeAsked, RequestPassed,
 };
 
 impl EntryControl {
-    /// Passes a request on to the entry that issued its ticket.
-    pub(super) fn forward_ticket(&self, ticket: TicketId, raw: Vec<u8>) -> AnswerFuture {
+    /// Passes a request on to the entry that has authority over its ticket or key.
+    pub(super) fn forward_request(&self, id: SubmissionId, raw: Vec<u8>) -> AnswerFuture {
         let dispatchers = self.open_dispatchers();
         Box::pin(async move {
-            let Some(entry) = find_entry(&dispatchers, ticket.0.incarnation).await else {
-                return unknown(Some(ticket.0));
+            let Some(entry) = find_entry(&dispatchers, id.incarnation).await else {
+                return unknown(Some(id));
             };
-            match entry.run_ticket(ticket.0.serial, &raw).await {
+            match entry.run(id.serial, &raw).await {
                 Ok(answer) => forwarded(answer),
                 // It may have run there before the connection broke.
-                Err(_) => unknown(Some(ticket.0)),
+                Err(_) => unknown(Some(id)),
             }
         })
     }
 
-    /// Asks the entry of a submission for its answer.
-    pub(super) fn forward_outcome(&self, id: SubmissionId, digest: Option<u64>) -> AnswerFuture {
+    /// Asks the entry of a submission how it stands.
+    pub(super) fn forward_outcome(&self, id: SubmissionId) -> AnswerFuture {
         let dispatchers = self.open_dispatchers();
         Box::pin(async move {
             let Some(entry) = find_entry(&dispatchers, id.incarnation).await else {
                 return unknown(Some(id));
             };
-            match entry
-                .outcome(OutcomeAsk {
-                    serial: id.serial,
-                    digest,
-                })
-                .await
-            {
+            match entry.outcome(id.serial).await {
                 Ok(Some(answer)) => forwarded(answer),
                 Ok(None) | Err(_) => unknown(Some(id)),
             }
@@ -61,47 +55,28 @@
     type Result = ();
 
     fn handle(&mut self, asked: OutcomeAsked, _: &mut Context<Self>) {
-        let OutcomeAsked { ask, reply } = asked;
-        if self.authority.outcome(ask.serial).is_none() {
-            let _gone = reply.send(Ok(None));
-            return;
-        }
-        let answer = match ask.digest {
-            Some(digest) => self.wait_for_same(ask.serial, digest),
-            None => super::callers::ready(self.outcome_now(ask.serial)),
-        };
-        actix_rt::spawn(async move {
-            let _gone = reply.send(Ok(Some(to_forward(&answer.await))));
-        });
+        let known = self.authority.outcome(asked.serial).is_some();
+        let answer = known.then(|| to_forward(&self.outcome_now(asked.serial)));
+        let _gone = asked.reply.send(Ok(answer));
     }
 }
 
-impl Handler<TicketRun> for EntryControl {
+impl Handler<RequestPassed> for EntryControl {
     type Result = ();
 
-    fn handle(&mut self, run: TicketRun, ctx: &mut Context<Self>) {
-        let TicketRun {
+    fn handle(&mut self, passed: RequestPassed, ctx: &mut Context<Self>) {
+        let RequestPassed {
             serial,
             json,
             reply,
-        } = run;
-        let (body, digest) = match read_request(&json, None) {
-            Ok(read) => read,
+        } = passed;
+        let answer = match read_request(&json, None) {
+            Ok((body, digest)) => self.run_passed(serial, body, digest),
             Err(error) => {
                 let _gone = reply.send(Err(PeerError::BadMessage(error.to_string())));
                 return;
             }
         };
-        let id = SubmissionId {
-            incarnation: self.authority.incarnation(),
-            serial,
-        };
-        let ticket = TicketId(id);
-        if body.kind != SubmissionKind::Request(KeyedRun::Ticket(ticket)) {
-            let _gone = reply.send(Err(PeerError::BadMessage("another ticket".to_owned())));
-            return;
-        }
-        let answer = self.run_ticket(ticket, body, digest);
         self.flush(ctx);
         actix_rt::spawn(async move {
             let _gone = reply.send(Ok(to_forward(&answer.await)));
@@ -109,6 +84,20 @@
     }
 }
 
+impl EntryControl {
+    fn run_passed(&mut self, serial: u64, body: SubmissionBody, digest: u64) -> AnswerFuture {
+        match &body.kind {
+            SubmissionKind::Request(KeyedRun::Ticket(ticket)) => {
+                self.run_ticket(*ticket, body, digest)
+            }
+            // A key: its first arrival came here, or its record would not name this entry.
+            SubmissionKind::Request(_) | SubmissionKind::Job => {
+                self.run_again(serial, body, digest)
+            }
+        }
+    }
+}
+
 /// Asks the dispatchers one after another. Each has sessions with all entries of its data centre, so the first one
 /// of the right data centre knows.
 async fn find_entry(
--- /dev/null
+++ b/crates/entry/src/control/keys.rs
@@ -0,0 +1,155 @@
+//! Requests with a key that the caller chose: the key is recorded in the platform's table before the start.
+
+use std::time::{Duration, Instant};
+
+use actix::{ActorFutureExt as _, AsyncContext as _, Context, WrapFuture as _};
+use model::{IdempotencyKey, RefusalReason, SubmissionBody, SubmissionOutcome};
+use request_keys::{BodyDigest, KeyRecord, KeyRequest, KeyResult, RequestKey};
+use tokio::sync::oneshot;
+
+use super::{
+    callers::{come_back, ready, refusal, AnswerFuture},
+    EntryControl,
+};
+
+/// A request with a key as it came.
+pub(super) struct KeyedBody {
+    pub(super) body: SubmissionBody,
+    pub(super) digest: u64,
+    /// For the entry that has authority over the key, should that be another one.
+    pub(super) raw: Vec<u8>,
+}
+
+/// A keyed request between its arrival and its start.
+struct KeyedRequest {
+    keyed: KeyedBody,
+    serial: u64,
+    due: Instant,
+    waiter: oneshot::Sender<AnswerFuture>,
+}
+
+impl EntryControl {
+    /// Records the key and runs the request, or gives a later arrival the first one's answer.
+    pub(super) fn run_keyed(
+        &mut self,
+        ctx: &mut Context<Self>,
+        key: IdempotencyKey,
+        keyed: KeyedBody,
+    ) -> AnswerFuture {
+        let customer = keyed.body.customer.clone();
+        // A request that would be refused anyway need not cost the store a write.
+        let contract = match self.check_customer(&customer) {
+            Ok(contract) => contract,
+            Err(reason) => return ready(refusal(reason)),
+        };
+        let (now, limit) = (self.clock.now(), contract.answer_within());
+        let time_left = keyed.body.deadline.unwrap_or(limit);
+        if time_left > limit {
+            return ready(refusal(RefusalReason::WrongDeadline));
+        }
+        let serial = self.authority.reserve_serial();
+        let incarnation = self.authority.incarnation();
+        let record = KeyRecord {
+            incarnation,
+            serial,
+            body_digest: BodyDigest(keyed.digest),
+        };
+        // Half of the time is left for the run itself.
+        let give_up = now + time_left / 2;
+        let request = KeyRequest {
+            key: RequestKey { customer, key },
+            record,
+            give_up,
+        };
+        let recorder = self.recorder.clone();
+        let (waiter, answer) = oneshot::channel();
+        let request_state = KeyedRequest {
+            keyed,
+            serial,
+            due: now + time_left,
+            waiter,
+        };
+        let recorded = async move { recorder.record(request).await }.into_actor(self);
+        ctx.spawn(recorded.map(move |result, control, ctx| {
+            control.on_recorded(request_state, result);
+            control.flush(ctx);
+        }));
+        Box::pin(async move {
+            match answer.await {
+                Ok(answer) => answer.await,
+                Err(_) => refusal(RefusalReason::Stopping),
+            }
+        })
+    }
+
+    fn on_recorded(&mut self, request: KeyedRequest, result: KeyResult) {
+        let KeyedRequest {
+            keyed,
+            serial,
+            due,
+            waiter,
+        } = request;
+        let answer = match result {
+            KeyResult::Recorded => self.run_recorded(serial, keyed, due),
+            KeyResult::Exists(first) => self.answer_of_first(first, keyed),
+            KeyResult::NotRecorded { retry_after } => self.refuse_keyed(
+                serial,
+                keyed,
+                RefusalReason::KeyNotRecorded,
+                Some(retry_after),
+            ),
+            // The row may be there or land later. It names this serial, and the refusal kept under it tells whoever
+            // reads the row that nothing ran.
+            KeyResult::Uncertain => {
+                let reason = RefusalReason::KeyNotRecorded;
+                self.refuse_keyed(serial, keyed, reason, come_back(reason))
+            }
+        };
+        // The caller may have gone; the answer stays under the key.
+        let _gone = waiter.send(answer);
+    }
+
+    fn run_recorded(&mut self, serial: u64, keyed: KeyedBody, due: Instant) -> AnswerFuture {
+        let time_left = due.saturating_duration_since(self.clock.now());
+        if time_left.is_zero() {
+            return self.refuse_keyed(serial, keyed, RefusalReason::DeadlinePassed, None);
+        }
+        let body = SubmissionBody {
+            deadline: Some(time_left),
+            ..keyed.body.clone()
+        };
+        match self.accept(body, keyed.digest, Some(serial)) {
+            Ok(id) => self.wait_for(id.serial),
+            Err(reason) => self.refuse_keyed(serial, keyed, reason, come_back(reason)),
+        }
+    }
+
+    /// The key is taken: its record names the submission that has the answer.
+    fn answer_of_first(&mut self, first: KeyRecord, keyed: KeyedBody) -> AnswerFuture {
+        if first.body_digest != BodyDigest(keyed.digest) {
+            return ready(refusal(RefusalReason::KeyReused));
+        }
+        if first.incarnation == self.authority.incarnation() {
+            return self.run_again(first.serial, keyed.body, keyed.digest);
+        }
+        self.forward_request(first.submission(), keyed.raw)
+    }
+
+    /// Keeps the refusal under the serial that the key's row may name, so that a later arrival finds out that nothing
+    /// ran and can run then.
+    fn refuse_keyed(
+        &mut self,
+        serial: u64,
+        keyed: KeyedBody,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+    ) -> AnswerFuture {
+        let refused = SubmissionOutcome::Refused {
+            reason,
+            retry_after,
+        };
+        self.authority
+            .refuse_reserved(self.clock.now(), serial, keyed.body, keyed.digest, refused);
+        ready(self.outcome_now(serial))
+    }
+}
--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -7,7 +7,7 @@
 use actix::Message;
 use authority::DispatcherKey;
 use model::{AttemptEnd, AttemptId, Payload, SessionId, SlotCounts};
-use peer::{ForwardedAnswer, OutcomeAsk, PeerError};
+use peer::{ForwardedAnswer, PeerError};
 use tokio::sync::oneshot;
 
 pub(crate) type ReplyTo<T> = oneshot::Sender<Result<T, PeerError>>;
@@ -43,14 +43,14 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct OutcomeAsked {
-    pub(crate) ask: OutcomeAsk,
+    pub(crate) serial: u64,
     pub(crate) reply: ReplyTo<Option<ForwardedAnswer>>,
 }
 
-/// Another entry passes on a request with a ticket of this one.
+/// Another entry passes on a request with a ticket or key whose authority this one is.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub(crate) struct TicketRun {
+pub(crate) struct RequestPassed {
     pub(crate) serial: u64,
     pub(crate) json: Vec<u8>,
     pub(crate) reply: ReplyTo<ForwardedAnswer>,
--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -5,11 +5,11 @@
 use actix::{Addr, Handler};
 use authority::DispatcherKey;
 use model::{AttemptEnd, AttemptId, Payload, SessionId, SlotCounts};
-use peer::{EntryService, ForwardedAnswer, OutcomeAsk, PeerError, ReplyFuture};
+use peer::{EntryService, ForwardedAnswer, PeerError, ReplyFuture};
 use tokio::sync::oneshot;
 
 use crate::{
-    control::{BodyClaimed, EndsReported, OutcomeAsked, SlotsTold, TicketRun},
+    control::{BodyClaimed, EndsReported, OutcomeAsked, RequestPassed, SlotsTold},
     EntryControl,
 };
 
@@ -66,15 +66,12 @@
         Box::pin(std::future::ready(Ok(())))
     }
 
-    fn outcome(&self, outcome: OutcomeAsk) -> ReplyFuture<Option<ForwardedAnswer>> {
-        ask(&self.control, |reply| OutcomeAsked {
-            ask: outcome,
-            reply,
-        })
+    fn outcome(&self, serial: u64) -> ReplyFuture<Option<ForwardedAnswer>> {
+        ask(&self.control, |reply| OutcomeAsked { serial, reply })
     }
 
-    fn run_ticket(&self, serial: u64, json: Vec<u8>) -> ReplyFuture<ForwardedAnswer> {
-        ask(&self.control, |reply| TicketRun {
+    fn run(&self, serial: u64, json: Vec<u8>) -> ReplyFuture<ForwardedAnswer> {
+        ask(&self.control, |reply| RequestPassed {
             serial,
             json,
             reply,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -8,7 +8,11 @@
 
 use actix::{Actor as _, Addr};
 use actix_web::{dev::ServerHandle, App, HttpServer};
-use caller_api::{caller_routes, CallerApi};
+use caller_api::{
+    caller_routes,
+    operators::{self, OperatorLink},
+    CallerApi,
+};
 use kernel::{ClockSource, SystemClock};
 use model::IncarnationId;
 use platform::PlatformClient;
@@ -108,9 +112,12 @@
         ready,
         leaving,
     };
+    let operators = OperatorLink::new(control.clone().recipient());
     let server = HttpServer::new(move || {
-        let api = api.clone();
-        App::new().configure(move |config| caller_routes(config, api, max_body))
+        let (api, operators) = (api.clone(), operators.clone());
+        App::new()
+            .configure(move |config| caller_routes(config, api, max_body))
+            .configure(move |config| operators::configure(config, operators))
     })
     .workers(threads)
     .disable_signals()
--- a/crates/ledger/tests/at_most_once/main.rs
+++ b/crates/ledger/tests/at_most_once/main.rs
@@ -16,6 +16,7 @@
     prop_oneof![
         4 => (1u32..4).prop_map(WorldStep::SubmitJob),
         4 => Just(WorldStep::SubmitRequest),
+        4 => (1u64..5).prop_map(WorldStep::SubmitAgain),
         30 => (0usize..2, any::<bool>()).prop_map(|(to, second)| WorldStep::ToDispatcher { to, second }),
         30 => (0usize..2, any::<bool>()).prop_map(|(from, second)| WorldStep::ToEntry { from, second }),
         4 => (0usize..4).prop_map(WorldStep::OldBytes),
--- a/crates/ledger/tests/at_most_once/world.rs
+++ b/crates/ledger/tests/at_most_once/world.rs
@@ -19,6 +19,8 @@
 pub(crate) enum WorldStep {
     SubmitJob(u32),
     SubmitRequest,
+    /// The caller comes back with a submission that was refused.
+    SubmitAgain(u64),
     /// The next message on the way to a dispatcher arrives, or the one behind it first.
     ToDispatcher {
         to: usize,
@@ -177,6 +179,7 @@
         match step {
             WorldStep::SubmitJob(tasks) => self.submit(true, tasks),
             WorldStep::SubmitRequest => self.submit(false, 1),
+            WorldStep::SubmitAgain(serial) => self.submit_again(serial),
             WorldStep::ToDispatcher { to, second } => self.deliver_to_dispatcher(to, second),
             WorldStep::ToEntry { from, second } => self.deliver_to_entry(from, second),
             WorldStep::OldBytes(index) => self.deliver_old(index),
@@ -281,25 +284,39 @@
     }
 
     fn submit(&mut self, job: bool, tasks: u32) {
-        let kind = if job {
-            SubmissionKind::Job
-        } else {
-            SubmissionKind::Request(KeyedRun::PerSubmission)
-        };
         let serial = self.authority.reserve_serial();
+        self.submit_as(serial, job, tasks);
+    }
+
+    fn submit_again(&mut self, serial: u64) {
+        if !self.authority.is_refused(serial) {
+            return;
+        }
+        if let Some((job, tasks)) = self.sizes.get(&serial).copied() {
+            self.submit_as(serial, job, tasks);
+        }
+    }
+
+    fn submit_as(&mut self, serial: u64, job: bool, tasks: u32) {
+        let kind = match job {
+            true => SubmissionKind::Job,
+            false => SubmissionKind::Request(KeyedRun::PerSubmission),
+        };
         let mut bodies = Vec::new();
         for task in 0..tasks {
             let payload = result_of(serial, task).payload;
+            let kind = "hold".parse().expect("a kind");
             bodies.push(TaskBody {
-                kind: "hold".parse().expect("a kind"),
+                kind,
                 payload,
                 declared_run_time: None,
             });
         }
+        let deadline = Some(Duration::from_millis(1500));
         let body = SubmissionBody {
             customer: customer(),
             kind,
-            deadline: Some(Duration::from_millis(1500)),
+            deadline,
             tasks: bodies,
         };
         let contract = Contract::default();
@@ -310,6 +327,7 @@
             .is_ok()
         {
             self.sizes.insert(serial, (job, tasks));
+            self.answers.remove(&serial);
         }
     }
 
@@ -349,6 +367,7 @@
                     );
                 }
                 AuthorityAction::Answer { id, outcome } => {
+                    self.check_answer(id.serial, &outcome);
                     if self
                         .answers
                         .insert(id.serial, outcome.as_ref().clone())
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -65,24 +65,16 @@
   }
 }
 
-struct KeyRecord {
-  # The owner of an idempotency key, as the platform's table keeps it.
-  serial @0 :UInt64;
-  incarnation @1 :UInt64;
-  bodyDigest @2 :UInt64;
-}
-
 interface EntryPort {
   claim @0 (attempt :Attempt) -> (answer :ClaimAnswer);
   # A slot is free for a queued attempt. A body may be sent once only.
   ended @1 (ends :List(AttemptEnd), slots :Slots) -> ();
   slots @2 (slots :Slots) -> ();
   # Sent when the picture changed much since the last message.
-  outcome @3 (serial :UInt64, digest :UInt64, wait :Bool) -> (found :Bool, status :UInt16, json :Data);
-  # The caller-facing answer of a submission of this entry. With `wait` it comes when there is one, and only if the
-  # body's digest is the same.
-  runTicket @4 (serial :UInt64, json :Data) -> (json :Data, status :UInt16);
-  # Runs a request under a ticket that this entry issued.
+  outcome @3 (serial :UInt64) -> (found :Bool, status :UInt16, json :Data);
+  # The caller-facing answer of a submission of this entry as it stands.
+  run @4 (serial :UInt64, json :Data) -> (status :UInt16, json :Data);
+  # Runs a request under a ticket or key whose authority this entry is, or gives the answer that it has.
 }
 
 interface DispatcherPort {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -15,7 +15,7 @@
         write_end, write_offers, write_slots, write_view,
     },
     peer_capnp::{claim_answer, dispatcher_port, entry_port, session_port},
-    service::{read_contract_page, ContractPage, ForwardedAnswer, OutcomeAsk},
+    service::{read_contract_page, ContractPage, ForwardedAnswer},
     PeerError,
 };
 
@@ -296,20 +296,17 @@
         }
     }
 
-    /// The caller-facing answer of a submission of this entry; `None` when it does not know the submission.
+    /// The caller-facing answer of a submission of this entry as it stands; `None` when it does not know it.
     ///
     /// # Errors
     ///
     /// The connection broke on either side.
     pub fn outcome(
         &self,
-        ask: OutcomeAsk,
+        serial: u64,
     ) -> impl Future<Output = Result<Option<ForwardedAnswer>, PeerError>> + 'static {
         let mut request = self.port.outcome_request();
-        let mut params = request.get();
-        params.set_serial(ask.serial);
-        params.set_digest(ask.digest.unwrap_or_default());
-        params.set_wait(ask.digest.is_some());
+        request.get().set_serial(serial);
         let reply = request.send().promise;
         async move {
             let reply = reply.await?;
@@ -324,17 +321,17 @@
         }
     }
 
-    /// Runs a request under a ticket of this entry.
+    /// Runs a request under a ticket or key whose authority this entry is, or gives the answer that it has.
     ///
     /// # Errors
     ///
     /// The connection broke on either side: the outcome is unknown.
-    pub fn run_ticket(
+    pub fn run(
         &self,
         serial: u64,
         json: &[u8],
     ) -> impl Future<Output = Result<ForwardedAnswer, PeerError>> + 'static {
-        let mut request = self.port.run_ticket_request();
+        let mut request = self.port.run_request();
         let mut params = request.get();
         params.set_serial(serial);
         params.set_json(json);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -19,7 +19,7 @@
     link::{connect, serve, PeerLink},
     service::{
         dispatcher_port, entry_port, ContractPage, ContractRecord, DispatcherService, EntryService,
-        ForwardedAnswer, OutcomeAsk, ReplyFuture, SessionService,
+        ForwardedAnswer, ReplyFuture, SessionService,
     },
 };
 
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -2215,259 +2215,6 @@
     pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::data::Builder<'a>>>;
 }
 
-pub mod key_record {
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-    impl <> ::core::marker::Copy for Reader<'_,>  {}
-    impl <> ::core::clone::Clone for Reader<'_,>  {
-        fn clone(&self) -> Self { *self }
-    }
-
-    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader,  }
-        }
-    }
-
-    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-        fn from(reader: Reader<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-        }
-    }
-
-    impl <> ::core::fmt::Debug for Reader<'_,>  {
-        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-        }
-    }
-
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(reader.get_struct(default)?.into())
-        }
-    }
-
-    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-            self.reader
-        }
-    }
-
-    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-        }
-    }
-
-    impl <> Reader<'_,>  {
-        pub fn reborrow(&self) -> Reader<'_,> {
-            Self { .. *self }
-        }
-
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.reader.total_size()
-        }
-        #[inline]
-        pub fn get_serial(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_incarnation(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn get_body_digest(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
-        }
-    }
-
-    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
-    }
-    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder,  }
-        }
-    }
-
-    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-        fn from(builder: Builder<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-        }
-    }
-
-    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-        }
-    }
-
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-        }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-        }
-    }
-
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-    }
-
-    impl <'a,> Builder<'a,>  {
-        pub fn into_reader(self) -> Reader<'a,> {
-            self.builder.into_reader().into()
-        }
-        pub fn reborrow(&mut self) -> Builder<'_,> {
-            Builder { builder: self.builder.reborrow() }
-        }
-        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-            self.builder.as_reader().into()
-        }
-
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.builder.as_reader().total_size()
-        }
-        #[inline]
-        pub fn get_serial(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_serial(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
-        pub fn get_incarnation(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_incarnation(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
-        pub fn get_body_digest(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn set_body_digest(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
-        }
-    }
-
-    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self { _typeless: typeless,  }
-        }
-    }
-    impl Pipeline  {
-    }
-    mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
-            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(196, 224, 238, 189, 3, 234, 135, 184),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
-            ::capnp::word(21, 150, 228, 123, 210, 161, 243, 192),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 75, 101, 121, 82, 101),
-            ::capnp::word(99, 111, 114, 100, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(115, 101, 114, 105, 97, 108, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
-            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 111, 100, 121, 68, 105, 103, 101),
-            ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ];
-        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-            match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                _ => ::capnp::introspect::panic_invalid_field_index(index),
-            }
-        }
-        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-        }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-            &ARENA,
-            NONUNION_MEMBERS,
-            MEMBERS_BY_DISCRIMINANT,
-            MEMBERS_BY_NAME
-        );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
-        pub(crate) const TYPE_ID: u64 = 0xb887_ea03_bdee_e0c4;
-    }
-}
-
 
 pub mod entry_port {
     #![allow(unused_variables)]
@@ -2479,8 +2226,8 @@
     pub type SlotsResults<> = ::capnp::capability::Results<crate::peer_capnp::entry_port::slots_results::Owned>;
     pub type OutcomeParams<> = ::capnp::capability::Params<crate::peer_capnp::entry_port::outcome_params::Owned>;
     pub type OutcomeResults<> = ::capnp::capability::Results<crate::peer_capnp::entry_port::outcome_results::Owned>;
-    pub type RunTicketParams<> = ::capnp::capability::Params<crate::peer_capnp::entry_port::run_ticket_params::Owned>;
-    pub type RunTicketResults<> = ::capnp::capability::Results<crate::peer_capnp::entry_port::run_ticket_results::Owned>;
+    pub type RunParams<> = ::capnp::capability::Params<crate::peer_capnp::entry_port::run_params::Owned>;
+    pub type RunResults<> = ::capnp::capability::Results<crate::peer_capnp::entry_port::run_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -2542,7 +2289,7 @@
         pub fn outcome_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::entry_port::outcome_params::Owned,crate::peer_capnp::entry_port::outcome_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
-        pub fn run_ticket_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::entry_port::run_ticket_params::Owned,crate::peer_capnp::entry_port::run_ticket_results::Owned> {
+        pub fn run_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::entry_port::run_params::Owned,crate::peer_capnp::entry_port::run_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
     }
@@ -2551,7 +2298,7 @@
         fn ended(self: ::capnp::capability::Rc<Self>, _: EndedParams<>, _: EndedResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry_port::Server::ended not implemented".to_string()))) }
         fn slots(self: ::capnp::capability::Rc<Self>, _: SlotsParams<>, _: SlotsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry_port::Server::slots not implemented".to_string()))) }
         fn outcome(self: ::capnp::capability::Rc<Self>, _: OutcomeParams<>, _: OutcomeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry_port::Server::outcome not implemented".to_string()))) }
-        fn run_ticket(self: ::capnp::capability::Rc<Self>, _: RunTicketParams<>, _: RunTicketResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry_port::Server::run_ticket not implemented".to_string()))) }
+        fn run(self: ::capnp::capability::Rc<Self>, _: RunParams<>, _: RunResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry_port::Server::run not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -2585,7 +2332,7 @@
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ended(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::slots(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::outcome(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::run_ticket(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::run(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -3877,19 +3624,11 @@
             pub fn get_serial(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
-            #[inline]
-            pub fn get_digest(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn get_wait(self) -> bool {
-                self.reader.get_bool_field(128)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3947,22 +3686,6 @@
             pub fn set_serial(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
-            #[inline]
-            pub fn get_digest(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn set_digest(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
-            }
-            #[inline]
-            pub fn get_wait(self) -> bool {
-                self.builder.get_bool_field(128)
-            }
-            #[inline]
-            pub fn set_wait(&mut self, value: bool)  {
-                self.builder.set_bool_field(128, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3974,17 +3697,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(216, 14, 250, 251, 133, 55, 160, 238),
-                ::capnp::word(21, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -3992,28 +3715,14 @@
                 ::capnp::word(80, 111, 114, 116, 46, 111, 117, 116),
                 ::capnp::word(99, 111, 109, 101, 36, 80, 97, 114),
                 ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 101, 114, 105, 97, 108, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4022,28 +3731,10 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 97, 105, 116, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4057,9 +3748,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xeea0_3785_fbfa_0ed8;
         }
     }
@@ -4328,7 +4019,7 @@
         }
     }
 
-    pub mod run_ticket_params {
+    pub mod run_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4490,24 +4181,23 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(2, 242, 167, 0, 122, 86, 200, 222),
                 ::capnp::word(21, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
                 ::capnp::word(80, 111, 114, 116, 46, 114, 117, 110),
-                ::capnp::word(84, 105, 99, 107, 101, 116, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -4564,7 +4254,7 @@
         }
     }
 
-    pub mod run_ticket_results {
+    pub mod run_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4626,6 +4316,10 @@
                 self.reader.total_size()
             }
             #[inline]
+            pub fn get_status(self) -> u16 {
+                self.reader.get_data_field::<u16>(0)
+            }
+            #[inline]
             pub fn get_json(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -4633,10 +4327,6 @@
             pub fn has_json(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_status(self) -> u16 {
-                self.reader.get_data_field::<u16>(0)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4692,6 +4382,14 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
+            pub fn get_status(self) -> u16 {
+                self.builder.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn set_status(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(0, value);
+            }
+            #[inline]
             pub fn get_json(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -4707,14 +4405,6 @@
             pub fn has_json(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_status(self) -> u16 {
-                self.builder.get_data_field::<u16>(0)
-            }
-            #[inline]
-            pub fn set_status(&mut self, value: u16)  {
-                self.builder.set_data_field::<u16>(0, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4733,7 +4423,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
@@ -4742,44 +4432,44 @@
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
                 ::capnp::word(80, 111, 114, 116, 46, 114, 117, 110),
-                ::capnp::word(84, 105, 99, 107, 101, 116, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 116, 117, 115, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 116, 97, 116, 117, 115, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4795,7 +4485,7 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0x9965_0824_2e4e_f05a;
         }
     }
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -49,16 +49,6 @@
     pub rows: Vec<ContractRecord>,
 }
 
-/// Asks for the caller-facing answer of a submission.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OutcomeAsk {
-    /// The submission's serial at its entry.
-    pub serial: u64,
-    /// The digest of the body that came a second time: the answer is waited for, and given only for the same body.
-    /// `None` asks how things stand now.
-    pub digest: Option<u64>,
-}
-
 /// A caller-facing answer passed on by another entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ForwardedAnswer {
@@ -129,11 +119,11 @@
     /// Takes a word on slots.
     fn slots(&self, slots: SlotCounts) -> ReplyFuture<()>;
 
-    /// Gives the caller-facing answer of a submission.
-    fn outcome(&self, ask: OutcomeAsk) -> ReplyFuture<Option<ForwardedAnswer>>;
+    /// Gives the caller-facing answer of a submission as it stands.
+    fn outcome(&self, serial: u64) -> ReplyFuture<Option<ForwardedAnswer>>;
 
-    /// Runs a request under a ticket.
-    fn run_ticket(&self, serial: u64, json: Vec<u8>) -> ReplyFuture<ForwardedAnswer>;
+    /// Runs a request under a ticket or key, or gives the answer that it has.
+    fn run(&self, serial: u64, json: Vec<u8>) -> ReplyFuture<ForwardedAnswer>;
 }
 
 /// Makes a port of a dispatcher's service.
@@ -363,7 +353,7 @@
     ) -> impl Future<Output = CallResult> + 'static {
         let answer = params
             .get()
-            .map(|params| self.0.outcome(read_outcome_ask(params)));
+            .map(|params| self.0.outcome(params.get_serial()));
         async move {
             if let Some(answer) = settle(answer.map_err(PeerError::from)).await? {
                 let mut results = results.get();
@@ -375,16 +365,14 @@
         }
     }
 
-    fn run_ticket(
+    fn run(
         self: Rc<Self>,
-        params: entry_capnp::RunTicketParams,
-        mut results: entry_capnp::RunTicketResults,
+        params: entry_capnp::RunParams,
+        mut results: entry_capnp::RunResults,
     ) -> impl Future<Output = CallResult> + 'static {
-        let answer = params.get().and_then(|params| {
-            Ok(self
-                .0
-                .run_ticket(params.get_serial(), params.get_json()?.to_vec()))
-        });
+        let answer = params
+            .get()
+            .and_then(|params| Ok(self.0.run(params.get_serial(), params.get_json()?.to_vec())));
         async move {
             let answer = settle(answer.map_err(PeerError::from)).await?;
             let mut results = results.get();
@@ -395,14 +383,6 @@
     }
 }
 
-fn read_outcome_ask(params: entry_capnp::outcome_params::Reader<'_>) -> OutcomeAsk {
-    let digest = params.get_wait().then(|| params.get_digest());
-    OutcomeAsk {
-        serial: params.get_serial(),
-        digest,
-    }
-}
-
 fn read_beat(params: &dispatcher_capnp::BeatParams) -> Result<BeatMessage, PeerError> {
     Ok(BeatMessage {
         view: read_view(params.get()?.get_view()?)?,
