Put links only between places that a scenario names

A link in between hides that a process is gone: the forwarder takes a connection before it knows whether its target does, so a refused connect is seen as one that broke. Processes now connect directly unless a step names the two places.

Links between VMs share the one address of a dispatcher and are told apart by the process that connects. They need a dispatcher that announces another address than the one it listens on (peer_announce), which is not there yet; such a scenario says so.

--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -12,6 +12,7 @@
 mod load;
 mod operator;
 mod parse;
+mod places;
 mod platform_view;
 mod process;
 mod process_files;
@@ -19,6 +20,7 @@
 pub mod record;
 mod runner;
 pub mod script;
+mod sources;
 mod world;
 
 pub use crate::{
--- a/crates/scenario/src/process_files.rs
+++ b/crates/scenario/src/process_files.rs
@@ -6,12 +6,23 @@
 
 use crate::script::{ProcessRole, SettingLine};
 
+/// The field that names the address a dispatcher announces to its peers.
+const ANNOUNCE: &str = "peer_announce";
+
+/// Whether dispatchers can be told an address to announce other than the one that they listen on.
+pub(crate) fn can_announce() -> bool {
+    let schema = settings::dispatcher_schema();
+    schema["properties"].get(ANNOUNCE).is_some()
+}
+
 /// What the settings of a VM's two processes say.
 pub(crate) struct VmFile<'a> {
     pub(crate) vm: &'a str,
     pub(crate) data_centre: &'a str,
     pub(crate) caller: SocketAddr,
     pub(crate) peer: SocketAddr,
+    /// The peer address that others are told.
+    pub(crate) announced: SocketAddr,
     pub(crate) admin: SocketAddr,
     pub(crate) platform: SocketAddr,
     /// Peer addresses of the dispatchers, the VM's own among them, with their data centres.
@@ -53,18 +64,22 @@
     }
 
     fn dispatcher(&self) -> Value {
-        json!({
+        let mut settings = json!({
             "vm": self.vm,
             "data_centre": self.data_centre,
             "peer_listen": self.peer,
             "admin_listen": self.admin,
             "platform": self.platform,
-            "peers": self.peers(Some(self.peer)),
+            "peers": self.peers(Some(self.announced)),
             "refresh_ms": 200,
             "vm_list_ms": 200,
             "drain": { "notice_ms": 300, "limit_ms": 10_000 },
             "log": { "level": "debug", "per_kind_per_second": 1000 },
-        })
+        });
+        if self.announced != self.peer {
+            settings[ANNOUNCE] = json!(self.announced);
+        }
+        settings
     }
 
     fn peers(&self, except: Option<SocketAddr>) -> Vec<Value> {
--- a/crates/scenario/src/runner/mod.rs
+++ b/crates/scenario/src/runner/mod.rs
@@ -143,20 +143,20 @@
 impl ScenarioRun {
     fn new(script: &Script, settings: RunSettings) -> io::Result<Self> {
         let mut seed = None;
-        let (mut centres, mut contracts, mut fields) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut contracts, mut fields) = (Vec::new(), Vec::new());
         for line in &script.lines {
             let Statement::Setup(setup) = &line.statement else {
                 continue;
             };
             match setup.clone() {
                 Setup::Seed(number) => seed = Some(number),
-                Setup::DataCentre(line) => centres.push(line),
+                Setup::DataCentre(_) => {}
                 Setup::Contract(line) => contracts.push(line),
                 Setup::Setting(line) => fields.push(line),
             }
         }
         let seed = settings.seed.or(seed).unwrap_or(DEFAULT_SEED);
-        let world = ScenarioWorld::build(&centres, fields, settings.binary, settings.dir)?;
+        let world = ScenarioWorld::build(script, fields, settings.binary, settings.dir)?;
         let mut doors = Vec::new();
         for vm in &world.vms {
             doors.push(EntryDoor {
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -15,26 +15,29 @@
 
 use crate::{
     error::StepError,
+    places::{PlaceMap, PlaceName, PLATFORM},
     platform_view::{EndpointLinks, PlatformView},
     process::{ChildProcess, ChildSignal, ProcessName},
-    process_files::VmFile,
+    process_files::{self, VmFile},
     record::ExitRecord,
-    script::{DataCentreLine, Label, ProcessRole, ProcessTarget, SettingLine},
+    script::{
+        DataCentreLine, Label, ProcessRole, ProcessTarget, Script, SettingLine, Setup, Statement,
+    },
+    sources::SourceList,
 };
 
-/// The name of the platform among places.
-pub(crate) const PLATFORM: &str = "platform";
-
 /// A VM of the system.
 pub(crate) struct VmNode {
     pub(crate) name: Label,
     pub(crate) data_centre: Label,
     pub(crate) caller: SocketAddr,
     peer: SocketAddr,
+    /// Where others reach its dispatcher: behind links, or the same.
+    announced: SocketAddr,
     admin: SocketAddr,
-    /// The platform as seen from here, behind a link.
+    /// The platform as seen from here, behind a link where a step names it.
     pub(crate) platform: SocketAddr,
-    _view: PlatformView,
+    _view: Option<PlatformView>,
     entry: Option<ChildProcess>,
     dispatcher: Option<ChildProcess>,
 }
@@ -55,6 +58,8 @@
     pub(crate) forwarder: NetForwarder,
     pub(crate) vms: Vec<VmNode>,
     pub(crate) endpoints: Vec<EndpointNode>,
+    places: PlaceMap,
+    sources: SourceList,
     links: Vec<LinkEnds>,
     settings: Vec<SettingLine>,
     binary: PathBuf,
@@ -63,11 +68,11 @@
     exits: Vec<ExitRecord>,
 }
 
-/// Where a link goes: from a VM to an endpoint or the platform.
-pub(crate) struct LinkEnds {
-    pub(crate) name: String,
-    pub(crate) from: Label,
-    pub(crate) to: Label,
+/// Where a link goes: from a VM to an endpoint, the platform or another VM.
+struct LinkEnds {
+    name: String,
+    from: Label,
+    to: Label,
 }
 
 impl VmNode {
@@ -90,7 +95,7 @@
 impl ScenarioWorld {
     /// Starts the stand-ins and links; no process yet.
     pub(crate) fn build(
-        lines: &[DataCentreLine],
+        script: &Script,
         settings: Vec<SettingLine>,
         binary: PathBuf,
         dir: PathBuf,
@@ -103,17 +108,21 @@
             forwarder: NetForwarder::start()?,
             vms: Vec::new(),
             endpoints: Vec::new(),
+            places: PlaceMap::new(script),
+            sources: SourceList::default(),
             links: Vec::new(),
             settings,
             binary,
             dir,
             exits: Vec::new(),
         };
-        for line in lines {
-            world.add_endpoints(line)?;
+        for line in &script.lines {
+            if let Statement::Setup(Setup::DataCentre(line)) = &line.statement {
+                world.add_endpoints(line)?;
+            }
         }
-        for line in lines {
-            world.add_vms(line)?;
+        for place in world.places.vms.clone() {
+            world.add_vm(place)?;
         }
         world.publish_vms();
         Ok(world)
@@ -138,34 +147,70 @@
         Ok(())
     }
 
-    fn add_vms(&mut self, line: &DataCentreLine) -> io::Result<()> {
-        for number in 1..=line.vms {
-            let name = format!("{}-vm{number}", line.name);
-            let mut seen = EndpointLinks::default();
-            for index in 0..self.endpoints.len() {
-                let endpoint = &self.endpoints[index];
-                let (to, target) = (endpoint.name.clone(), endpoint.stand_in.address());
-                let address = self.add_link(&name, &to, target)?;
-                seen.insert(to, address);
+    fn add_vm(&mut self, place: PlaceName) -> io::Result<()> {
+        let PlaceName { name, data_centre } = place;
+        let mut seen = EndpointLinks::default();
+        for index in 0..self.endpoints.len() {
+            let endpoint = &self.endpoints[index];
+            if !self.places.is_linked(&name, &endpoint.name) {
+                continue;
             }
-            let view = PlatformView::start(self.platform.address(), &seen)?;
-            let platform = self.add_link(&name, PLATFORM, view.address())?;
-            let [caller, peer, admin] = free_addresses()?;
-            self.vms.push(VmNode {
-                name,
-                data_centre: line.name.to_string(),
-                caller,
-                peer,
-                admin,
-                platform,
-                _view: view,
-                entry: None,
-                dispatcher: None,
-            });
+            let (to, target) = (endpoint.name.clone(), endpoint.stand_in.address());
+            let address = self.add_link(&name, &to, target)?;
+            seen.insert(to, address);
+        }
+        let (mut platform, mut view) = (self.platform.address(), None);
+        if !seen.is_empty() {
+            let started = PlatformView::start(platform, &seen)?;
+            platform = started.address();
+            view = Some(started);
         }
+        if self.places.is_linked(&name, PLATFORM) {
+            platform = self.add_link(&name, PLATFORM, platform)?;
+        }
+        let [caller, peer, admin] = free_addresses()?;
+        let announced = self.add_peer_links(&name, peer)?;
+        self.vms.push(VmNode {
+            name,
+            data_centre,
+            caller,
+            peer,
+            announced,
+            admin,
+            platform,
+            _view: view,
+            entry: None,
+            dispatcher: None,
+        });
         Ok(())
     }
 
+    /// Puts links from the other VMs in front of a dispatcher, where a step names them. Dispatchers know each other by
+    /// one address, so the links share one.
+    fn add_peer_links(&mut self, to: &str, peer: SocketAddr) -> io::Result<SocketAddr> {
+        let mut links = Vec::new();
+        for vm in &self.places.vms {
+            if vm.name != to && self.places.is_linked(&vm.name, to) {
+                links.push((vm.name.clone(), format!("{}>{to}", vm.name)));
+            }
+        }
+        if links.is_empty() {
+            return Ok(peer);
+        }
+        if !process_files::can_announce() {
+            return Err(io::Error::other(
+                "links between VMs need the setting peer_announce of dispatchers",
+            ));
+        }
+        let finder = self.sources.finder();
+        let address = self.forwarder.add_shared_links(peer, &links, finder)?;
+        for (from, name) in links {
+            let to = to.to_owned();
+            self.links.push(LinkEnds { name, from, to });
+        }
+        Ok(address)
+    }
+
     fn add_link(&mut self, from: &str, to: &str, target: SocketAddr) -> io::Result<SocketAddr> {
         let name = format!("{from}>{to}");
         let address = self.forwarder.add_link(&name, target)?;
@@ -181,7 +226,12 @@
     pub(crate) fn publish_vms(&self) {
         let mut list = Vec::new();
         for vm in &self.vms {
-            list.extend(vm_entry(&vm.name, &vm.data_centre, VmRole::System, vm.peer));
+            list.extend(vm_entry(
+                &vm.name,
+                &vm.data_centre,
+                VmRole::System,
+                vm.announced,
+            ));
         }
         for endpoint in &self.endpoints {
             let address = endpoint.stand_in.address();
@@ -262,14 +312,20 @@
             return Err(StepError::Running(name.to_string()));
         }
         let before = slot.take();
-        *slot = Some(ChildProcess::start(&binary, name.clone(), &settings, &log)?);
+        let process = ChildProcess::start(&binary, name.clone(), &settings, &log)?;
+        let pid = process.pid();
+        *slot = Some(process);
+        self.sources.add(pid, &name.vm);
         self.exits.extend(before.map(ChildProcess::into_exit));
         Ok(())
     }
 
     fn write_settings(&mut self, name: &ProcessName, path: &Path) -> Result<(), StepError> {
         let lines = self.settings.clone();
-        let dispatchers = self.vms.iter().map(|vm| (vm.peer, vm.data_centre.clone()));
+        let dispatchers = self
+            .vms
+            .iter()
+            .map(|vm| (vm.announced, vm.data_centre.clone()));
         let dispatchers = dispatchers.collect();
         let vm = self.vm(&name.vm)?;
         let file = VmFile {
@@ -277,6 +333,7 @@
             data_centre: &vm.data_centre,
             caller: vm.caller,
             peer: vm.peer,
+            announced: vm.announced,
             admin: vm.admin,
             platform: vm.platform,
             dispatchers,
@@ -346,7 +403,7 @@
 
     /// The links between two places, each with whether it runs from the first to the second.
     pub(crate) fn links_between(&self, a: &str, b: &str) -> Result<Vec<(String, bool)>, StepError> {
-        let (a_members, b_members) = (self.members(a)?, self.members(b)?);
+        let (a_members, b_members) = (self.places.members(a)?, self.places.members(b)?);
         let mut links = Vec::new();
         for link in &self.links {
             if a_members.contains(&link.from) && b_members.contains(&link.to) {
@@ -370,27 +427,6 @@
         let result = self.forwarder.order(order).await;
         result.map_err(|error| StepError::UnknownPlace(error.0))
     }
-
-    fn members(&self, place: &str) -> Result<Vec<Label>, StepError> {
-        if place == PLATFORM {
-            return Ok(vec![place.to_owned()]);
-        }
-        let mut members = Vec::new();
-        for vm in &self.vms {
-            if vm.name == place || vm.data_centre == place {
-                members.push(vm.name.clone());
-            }
-        }
-        for endpoint in &self.endpoints {
-            if endpoint.name == place || endpoint.data_centre == place {
-                members.push(endpoint.name.clone());
-            }
-        }
-        if members.is_empty() {
-            return Err(StepError::UnknownPlace(place.to_owned()));
-        }
-        Ok(members)
-    }
 }
 
 fn vm_entry(name: &str, data_centre: &str, role: VmRole, address: SocketAddr) -> Option<VmEntry> {
--- a/crates/stand-ins/src/forwarder/link.rs
+++ b/crates/stand-ins/src/forwarder/link.rs
@@ -46,6 +46,8 @@
 /// What the connections of a link see of its mode.
 #[derive(Clone, Copy, Default)]
 pub(super) struct FlowState {
+    /// New connections are closed at once, where the listener cannot refuse them.
+    pub(super) refuses: bool,
     pub(super) forward_silent: bool,
     pub(super) back_silent: bool,
     pub(super) delay: Duration,
@@ -102,7 +104,7 @@
     }
 }
 
-fn spawn_forward(
+pub(super) fn spawn_forward(
     near: TcpStream,
     target: SocketAddr,
     flow: watch::Receiver<FlowState>,
@@ -117,11 +119,13 @@
     });
 }
 
-fn change_flow(state: &mut FlowState, mode: LinkMode) {
+/// Puts a mode in force for the connections of a link.
+pub(super) fn change_flow(state: &mut FlowState, mode: LinkMode) {
     let resets = state.resets;
     *state = match mode {
         LinkMode::Pass => FlowState::default(),
-        LinkMode::Cut { .. } => FlowState {
+        LinkMode::Cut { connects } => FlowState {
+            refuses: connects == CutConnect::Refuse,
             forward_silent: true,
             back_silent: true,
             ..FlowState::default()
--- a/crates/stand-ins/src/forwarder/mod.rs
+++ b/crates/stand-ins/src/forwarder/mod.rs
@@ -8,6 +8,7 @@
 mod link;
 mod listen;
 mod pump;
+mod shared;
 
 use std::{
     io,
@@ -20,9 +21,12 @@
 use model::FastMap;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::forwarder::link::{LinkCommand, LinkCounters, LinkTask};
+use crate::forwarder::{
+    link::{change_flow, FlowState, LinkCommand, LinkCounters, LinkTask},
+    shared::{SharedTask, SourceFlow},
+};
 
 /// What happens to a new connection on a cut link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -108,6 +112,9 @@
 #[error("no link {0:?}")]
 pub struct UnknownLink(pub String);
 
+/// Says who opened a connection, by the address that it comes from.
+pub type SourceFinder = Arc<dyn Fn(SocketAddr) -> Option<String> + Send + Sync>;
+
 /// A running forwarder with a thread of its own. Dropping it closes every link.
 pub struct NetForwarder {
     shared: Arc<SharedLinks>,
@@ -117,7 +124,20 @@
 /// The links, shared with the control server.
 struct SharedLinks {
     links: Mutex<FastMap<String, LinkHandle>>,
-    tasks: mpsc::UnboundedSender<LinkTask>,
+    tasks: mpsc::UnboundedSender<ForwarderTask>,
+}
+
+enum ForwarderTask {
+    Link(LinkTask),
+    Shared(SharedTask),
+}
+
+/// How a link is told its mode.
+enum LinkPower {
+    /// By its own task, which has a listener to change too.
+    Task(mpsc::UnboundedSender<LinkCommand>),
+    /// By its flow alone: the listener belongs to several links.
+    Flow(watch::Sender<FlowState>),
 }
 
 struct LinkHandle {
@@ -125,7 +145,7 @@
     target: SocketAddr,
     mode: LinkMode,
     counters: Arc<LinkCounters>,
-    commands: mpsc::UnboundedSender<LinkCommand>,
+    power: LinkPower,
 }
 
 impl NetForwarder {
@@ -180,21 +200,72 @@
             counters: Arc::clone(&counters),
             commands: receiver,
         };
-        self.shared
-            .tasks
-            .send(task)
-            .map_err(|_| io::Error::other("the forwarder's thread has ended"))?;
+        self.run(ForwarderTask::Link(task))?;
         let handle = LinkHandle {
             address,
             target,
             mode: LinkMode::Pass,
             counters,
-            commands,
+            power: LinkPower::Task(commands),
         };
         self.shared.lock().insert(name.to_owned(), handle);
         Ok(address)
     }
 
+    /// Adds one address for `target` that stands for several links, one for each source, and gives that address.
+    /// `links` has the name of each source with that of its link; `finder` tells the source of a connection. One of
+    /// no source named passes.
+    ///
+    /// It is for targets that are known by one address to everybody. Since the listener is shared, a new connection
+    /// over a link that is cut comes about here and then stays silent, or is closed at once, where a link of its own
+    /// would hang or refuse.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub fn add_shared_links(
+        &self,
+        target: SocketAddr,
+        links: &[(String, String)],
+        finder: SourceFinder,
+    ) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind((target.ip(), 0))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let mut flows = FastMap::default();
+        let mut handles = Vec::new();
+        for (source, name) in links {
+            let (flow, receiver) = watch::channel(FlowState::default());
+            let counters = Arc::<LinkCounters>::default();
+            let source_flow = SourceFlow {
+                flow: receiver,
+                counters: Arc::clone(&counters),
+            };
+            flows.insert(source.clone(), source_flow);
+            let handle = LinkHandle {
+                address,
+                target,
+                mode: LinkMode::Pass,
+                counters,
+                power: LinkPower::Flow(flow),
+            };
+            handles.push((name.clone(), handle));
+        }
+        self.run(ForwarderTask::Shared(SharedTask {
+            listener,
+            target,
+            flows,
+            finder,
+        }))?;
+        self.shared.lock().extend(handles);
+        Ok(address)
+    }
+
+    fn run(&self, task: ForwarderTask) -> io::Result<()> {
+        let sent = self.shared.tasks.send(task);
+        sent.map_err(|_| io::Error::other("the forwarder's thread has ended"))
+    }
+
     /// Changes a link, or all, and waits until the change is in force.
     ///
     /// # Errors
@@ -264,8 +335,16 @@
             other => other,
         };
         let (done, receiver) = oneshot::channel();
-        // The link's task ends only after this handle is dropped.
-        let _ = self.commands.send(LinkCommand { mode, done });
+        match &self.power {
+            LinkPower::Task(commands) => {
+                // The link's task ends only after this handle is dropped.
+                let _ = commands.send(LinkCommand { mode, done });
+            }
+            LinkPower::Flow(flow) => {
+                flow.send_modify(|state| change_flow(state, mode));
+                let _ = done.send(());
+            }
+        }
         receiver
     }
 
@@ -283,9 +362,12 @@
     }
 }
 
-async fn run_links(mut tasks: mpsc::UnboundedReceiver<LinkTask>) {
+async fn run_links(mut tasks: mpsc::UnboundedReceiver<ForwarderTask>) {
     // The runtime, and with it every link, ends when the forwarder and its control server are gone.
     while let Some(task) = tasks.recv().await {
-        tokio::spawn(task.run());
+        match task {
+            ForwarderTask::Link(task) => tokio::spawn(task.run()),
+            ForwarderTask::Shared(task) => tokio::spawn(task.run()),
+        };
     }
 }
--- a/crates/stand-ins/src/forwarder/pump.rs
+++ b/crates/stand-ins/src/forwarder/pump.rs
@@ -45,6 +45,9 @@
 }
 
 /// Forwards one connection to `target` until it ends, is reset, or the link closes.
+///
+/// A connection that was accepted while nothing could pass reaches the target only after the heal, since a handshake
+/// needs both ways.
 pub(super) async fn forward(
     mut near: TcpStream,
     target: SocketAddr,
@@ -52,6 +55,10 @@
     counters: &LinkCounters,
 ) -> io::Result<()> {
     near.set_nodelay(true)?;
+    let passes = |state: &FlowState| !state.forward_silent && !state.back_silent;
+    if flow.wait_for(passes).await.is_err() {
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
     let mut far = TcpStream::connect(target).await?;
     far.set_nodelay(true)?;
     let resets = flow.borrow_and_update().resets;
--- /dev/null
+++ b/crates/stand-ins/src/forwarder/shared.rs
@@ -0,0 +1,84 @@
+//! Several links behind one address, told apart by who opens a connection.
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use model::FastMap;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+use crate::forwarder::{
+    link::{spawn_forward, FlowState, LinkCounters},
+    SourceFinder,
+};
+
+/// The flow of one source.
+pub(super) struct SourceFlow {
+    pub(super) flow: watch::Receiver<FlowState>,
+    pub(super) counters: Arc<LinkCounters>,
+}
+
+/// The links before their task runs.
+pub(super) struct SharedTask {
+    pub(super) listener: std::net::TcpListener,
+    pub(super) target: SocketAddr,
+    pub(super) flows: FastMap<String, SourceFlow>,
+    pub(super) finder: SourceFinder,
+}
+
+impl SharedTask {
+    /// Serves until the links' handles are dropped.
+    pub(super) async fn run(self) {
+        let target = self.target;
+        if let Err(error) = self.serve().await {
+            log::warn!("net forwarder: links to {target} ended: {error}");
+        }
+    }
+
+    async fn serve(self) -> io::Result<()> {
+        let Self {
+            listener,
+            target,
+            flows,
+            finder,
+        } = self;
+        let listener = TcpListener::from_std(listener)?;
+        // What no source is known of has a flow of its own, which lasts as long as this task.
+        let (_pass, pass) = watch::channel(FlowState::default());
+        let others = SourceFlow {
+            flow: pass,
+            counters: Arc::default(),
+        };
+        let closed = watch_end(&flows);
+        tokio::pin!(closed);
+        loop {
+            let (near, from) = tokio::select! {
+                accepted = listener.accept() => accepted?,
+                () = &mut closed => return Ok(()),
+            };
+            let source = finder(from);
+            let flow = source.as_ref().and_then(|source| flows.get(source));
+            forward(near, target, flow.unwrap_or(&others));
+        }
+    }
+}
+
+fn forward(near: TcpStream, target: SocketAddr, source: &SourceFlow) {
+    if source.flow.borrow().refuses {
+        // Fails only where the connection is gone already.
+        let _ = near.set_zero_linger();
+        return;
+    }
+    let counters = Arc::clone(&source.counters);
+    spawn_forward(near, target, source.flow.clone(), counters);
+}
+
+/// Ends when the handle of some flow is dropped, which happens to all at once.
+async fn watch_end(flows: &FastMap<String, SourceFlow>) {
+    let Some(one) = flows.values().next() else {
+        return std::future::pending().await;
+    };
+    let mut flow = one.flow.clone();
+    while flow.changed().await.is_ok() {}
+}
--- a/crates/stand-ins/tests/forwarder.rs
+++ b/crates/stand-ins/tests/forwarder.rs
@@ -3,13 +3,14 @@
 use std::{
     io,
     net::SocketAddr,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use stand_ins::forwarder::{CutConnect, LinkMode, LinkOrder, NetForwarder, OpenWay, UnknownLink};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     time::timeout,
 };
 
@@ -263,3 +264,61 @@
     let error = forwarder.order(unknown).await.unwrap_err();
     assert_eq!(error, UnknownLink("a-x".to_owned()));
 }
+
+// What each side sees: of two sources that use one address, only the cut one goes silent.
+// Order: a connection of each, a cut of one link, traffic on both; new connections while it is cut; the heal.
+// Why: dispatchers are known by one address to everybody, and a partition still lies between two of them only.
+#[actix_rt::test]
+async fn shared_links_are_cut_by_source() {
+    let forwarder = NetForwarder::start().unwrap();
+    let sources: Arc<Mutex<Vec<(SocketAddr, &str)>>> = Arc::default();
+    let known = Arc::clone(&sources);
+    let finder = move |from: SocketAddr| {
+        let known = known.lock().unwrap();
+        let found = known.iter().find(|(address, _)| *address == from);
+        found.map(|(_, name)| (*name).to_owned())
+    };
+    let names = |source: &str| (source.to_owned(), format!("{source}>target"));
+    let links = [names("a"), names("b")];
+    let link = forwarder
+        .add_shared_links(echo_target().await, &links, Arc::new(finder))
+        .unwrap();
+    let connect = |name| {
+        let sources = Arc::clone(&sources);
+        async move {
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+            let from = socket.local_addr().unwrap();
+            sources.lock().unwrap().push((from, name));
+            socket.connect(link).await.unwrap()
+        }
+    };
+    let (mut a, mut b) = (connect("a").await, connect("b").await);
+    assert_eq!(echoed(&mut a, "a1").await.unwrap(), "a1");
+    assert_eq!(echoed(&mut b, "b1").await.unwrap(), "b1");
+    let order = |mode| LinkOrder {
+        link: Some("a>target".to_owned()),
+        mode,
+    };
+    let cut = |connects| order(LinkMode::Cut { connects });
+    forwarder.order(cut(CutConnect::Hang)).await.unwrap();
+    a.write_all(b"a2").await.unwrap();
+    let mut new = connect("a").await;
+    new.write_all(b"n1").await.unwrap();
+    assert!(is_silent(&mut a).await);
+    assert!(is_silent(&mut new).await);
+    assert_eq!(echoed(&mut b, "b2").await.unwrap(), "b2");
+    forwarder.order(cut(CutConnect::Refuse)).await.unwrap();
+    let mut refused = connect("a").await;
+    let read = timeout(LONG, refused.read(&mut [0; 1])).await.unwrap();
+    assert_eq!(read.unwrap_err().kind(), io::ErrorKind::ConnectionReset);
+    forwarder.order(order(LinkMode::Pass)).await.unwrap();
+    for (stream, expect) in [(&mut a, b"a2"), (&mut new, b"n1")] {
+        let mut bytes = [0; 2];
+        timeout(LONG, stream.read_exact(&mut bytes))
+            .await
+            .unwrap()
+            .unwrap();
+        assert_eq!(&bytes, expect);
+    }
+}
