membership: close the gaps that broken lines showed

Cause: 32 lines were broken one at a time; with 8 of them broken every test still passed.

Change: tests for these 8: home goes on after a cut; smaller grant not confirmed at once; answer of the old home obeyed; ask repeated while its answer is on its way; freeze of a process with a beat on its way not noticed; unanswered beat not repeated soon; both addresses of a pair beat; silent contacts not tried in turn. Also an even load whose home is replaced, frozen or cut off: overrun below a task an entry. Random faults have more bad networks and fewer losses in each, as answers to older asks were obeyed without any run finding it.

--- a/crates/membership/tests/grant_faults/main.rs
+++ b/crates/membership/tests/grant_faults/main.rs
@@ -21,11 +21,11 @@
         Views::Heard => FaultKind::ReplaceVm,
     };
     let kind = prop_oneof![
-        (0..vms).prop_map(FaultKind::FreezeEntry),
-        (0..vms).prop_map(FaultKind::FreezeDispatcher),
-        (0..vms).prop_map(replace),
-        (1..(1u8 << vms) - 1).prop_map(FaultKind::Cut),
-        (0..90u8, 1..4000u64).prop_map(|(loss, ms)| FaultKind::BadNetwork(loss, ms)),
+        1 => (0..vms).prop_map(FaultKind::FreezeEntry),
+        1 => (0..vms).prop_map(FaultKind::FreezeDispatcher),
+        1 => (0..vms).prop_map(replace),
+        1 => (1..(1u8 << vms) - 1).prop_map(FaultKind::Cut),
+        3 => (0..60u8, 1..4000u64).prop_map(|(loss, ms)| FaultKind::BadNetwork(loss, ms)),
     ];
     let at = 12_000..FAULTS_UNTIL;
     (at, 100..16_000u64, kind).prop_map(|(at, lasts, kind)| Fault {
@@ -69,6 +69,31 @@
     Ok(())
 }
 
+// The callers of a busy customer see its limit kept but for a few tasks. Every entry has more work than its part when
+// the home is replaced, frozen or cut off. The next home confirms what entries hold, which under an even load is about
+// their base shares, and raises nothing for a term; a home that raised at once would give the share out twice.
+#[test]
+fn an_even_load_overruns_by_less_than_a_task_an_entry() {
+    let kinds = [
+        FaultKind::ReplaceVm as fn(usize) -> FaultKind,
+        FaultKind::FreezeDispatcher,
+        |vm| FaultKind::Cut(1 << vm),
+    ];
+    let mut worst: u32 = 0;
+    for seed in 0..60 {
+        let fault = Fault {
+            at: 25_000,
+            lasts: 100 + 200 * seed,
+            kind: kinds[seed as usize % 3](seed as usize / 3 % 5),
+        };
+        let settings = GrantSettings::default();
+        let mut fleet = Fleet::new(5, 58, seed, Views::Heard, vec![fault], settings);
+        fleet.set_demand(100);
+        fleet.run(FAULTS_UNTIL + 20_000, |_, sum| worst = worst.max(sum));
+    }
+    assert!(worst < 58 + 5, "{worst}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/membership/tests/grants.rs
+++ b/crates/membership/tests/grants.rs
@@ -195,6 +195,34 @@
     check(2001, 2);
 }
 
+// The caller sees its limit kept after a cut. VM 2 was out of sight and may have been home of the same customers on
+// its side; its holders come back one by one, so the home confirms only, for a term and a margin. A process that was
+// not there before has granted nothing, and the home goes on.
+#[test]
+fn a_home_that_meets_a_lost_one_again_is_a_new_home() {
+    let check = |back: LiveOwner, expect: u32| {
+        let mut home = Home::new(10, 1);
+        let listed = vec![address(1), address(2)];
+        let see = |home: &mut Home, at: u64, live: Vec<LiveOwner>| {
+            let now = home.at(at);
+            home.ledger.set_view(now, live, listed.clone());
+        };
+        see(&mut home, 0, vec![owner(1), owner(2)]);
+        home.pass(0, SETTLED);
+        see(&mut home, SETTLED, vec![owner(1)]);
+        see(&mut home, SETTLED + 1, vec![owner(1), back]);
+        let verdict = home.ask(SETTLED + 2, 1, 60, 0, 0);
+        let count = expect;
+        assert_eq!(verdict, GrantVerdict::Granted { count, share: 10 });
+    };
+    check(owner(2), 5);
+    let restarted = LiveOwner {
+        incarnation: IncarnationId(77),
+        ..owner(2)
+    };
+    check(restarted, 10);
+}
+
 // The callers on both sides of a cut are served. A home sees one of five VMs: it grants what the base shares of the
 // others leave, since each of those may be using its own. On the side with most VMs at least one task may run.
 #[test]
@@ -277,6 +305,52 @@
     }
 }
 
+// The caller at another entry waits a round trip and not a renewal. The home took a part back; it gives it to another
+// only when an ask of this entry shows that it knows, so the entry asks again at once.
+#[test]
+fn a_smaller_grant_is_confirmed_at_once() {
+    let mut entry = Entry::granted(40, 0, 1, 10);
+    let now = entry.at(5000);
+    let renewal = entry.holder.tick(now);
+    assert_eq!(renewal[0].asks[0].held, 10);
+    entry.holder.on_reply(now, &answer(&renewal[0], 6, 40));
+    let confirmation = entry.holder.tick(now);
+    assert_eq!(confirmation[0].asks[0].held, 6);
+    entry.holder.on_reply(now, &answer(&confirmation[0], 6, 40));
+    assert_eq!(entry.holder.tick(now), []);
+}
+
+// The home's debits must cover what entries hold. An ask that is on its way is not repeated before its time, as the
+// answer to the first would be ignored; and an answer of a home that is none any more is ignored.
+#[test]
+fn one_ask_at_a_time() {
+    let mut entry = Entry::new(40);
+    let second: CustomerId = "school-b".parse().unwrap();
+    entry.holder.set_share(&second, 40);
+    let now = entry.at(0);
+    entry.holder.set_waiting(now, &customer(), 10);
+    let first = entry.holder.tick(now);
+    assert_eq!(first[0].asks.len(), 1);
+    entry.holder.set_waiting(now, &second, 10);
+    let other = entry.holder.tick(entry.at(10));
+    assert_eq!(other[0].asks.len(), 1);
+    assert_eq!(other[0].asks[0].customer, second);
+    entry
+        .holder
+        .on_reply(entry.at(20), &answer(&first[0], 7, 40));
+    assert_eq!(entry.limit(20), 7);
+    let listed = vec![address(1), address(2)];
+    entry
+        .holder
+        .set_view(entry.at(30), vec![address(2)], listed);
+    entry
+        .holder
+        .on_reply(entry.at(40), &answer(&other[0], 9, 40));
+    assert_eq!(entry.holder.limit(entry.at(40), &second), 0);
+    let asks = entry.holder.tick(entry.at(50));
+    assert_eq!((asks[0].home, asks[0].asks.len()), (address(2), 2));
+}
+
 // The caller's task is refused or waits. The entry is paused with a grant in hand and resumes after the term, when the
 // home may have given the grant to another. The term is counted from before the ask, and checked at each start.
 #[test]
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -204,6 +204,11 @@
         &[Hear(1), Hear(9), Pass(1000), Freeze(60_000), Pass(100)],
         &[1, 9],
     );
+    // A beat was on its way when the process froze.
+    check_live(
+        &[Hear(1), Silence(1), Pass(1000), Freeze(60_000), Pass(1900)],
+        &[1],
+    );
     check_live(
         &[
             Hear(1),
@@ -320,6 +325,63 @@
     assert_eq!(table.highest_head(), 7);
 }
 
+#[test]
+fn the_higher_address_leaves_the_beat_to_the_lower() {
+    let check = |n: u8, after: u64, expect: usize| {
+        let now = Instant::now();
+        let mut table = table(3);
+        table.on_beat(
+            now,
+            BeatMessage {
+                view: view(HOME, n),
+            },
+        );
+        let actions = table.tick(now + ms(after));
+        assert_eq!(beats(&actions).len(), expect, "{n} after {after} ms");
+    };
+    check(1, 500, 0);
+    check(1, 749, 0);
+    check(1, 750, 1);
+    check(9, 499, 0);
+    check(9, 500, 1);
+}
+
+// The callers of a dead dispatcher's endpoints wait 6.5 s at the target. The period of a pair is 3 s there, so one
+// lost beat must not be death, and four periods of silence would be 12 s. An unanswered beat is repeated every 500 ms.
+#[test]
+fn an_unanswered_beat_is_repeated_soon() {
+    let mut now = Instant::now();
+    let mut table = table(1);
+    table.on_vm_list(&list(HOME, 1..=60));
+    for n in 2..=60 {
+        table.on_beat(
+            now,
+            BeatMessage {
+                view: view(HOME, n),
+            },
+        );
+    }
+    let silent = address(HOME, 60);
+    let mut beaten = 0;
+    let start = now;
+    while live(&table).contains(&silent) {
+        now += ms(100);
+        for to in beats(&table.tick(now)) {
+            beaten += usize::from(to == silent);
+            if to != silent {
+                let SocketAddr::V4(v4) = to else {
+                    continue;
+                };
+                let view = view(HOME, v4.ip().octets()[3]);
+                table.on_reply(now, BeatReply { view });
+            }
+        }
+    }
+    assert_eq!(beaten, 4);
+    assert_eq!(now - start, ms(5000));
+    assert_eq!(table.live().count(), 58);
+}
+
 /// Counts the beats and answers that the process spends in a minute in a healthy data centre of `count` VMs.
 fn beats_a_minute(count: u8) -> usize {
     let mut now = Instant::now();
@@ -408,9 +470,11 @@
             tried.extend(beats(&table.tick(now)));
         }
     }
-    tried.sort_unstable();
-    tried.dedup();
-    assert_eq!(tried.len(), 10);
+    // 40 beats at 10 members: the contacts twice before they are taken for dead, and then each in its turn.
+    for n in 1..=10 {
+        let beats = tried.iter().filter(|a| **a == address(AWAY, n)).count();
+        assert!((3..=5).contains(&beats), "{n}: {beats}");
+    }
 }
 
 #[test]
