--- /dev/null
+++ b/crates/ledger/src/entry_link.rs
@@ -0,0 +1,58 @@
+//! The entries as this dispatcher sees them: sessions, and ends that wait to be confirmed.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use model::{AttemptEnd, AttemptId, FastMap, IncarnationId, SessionId};
+use thiserror::Error;
+
+/// A session that a later one of the same entry has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("session {0} is over")]
+pub struct StaleSession(pub SessionId);
+
+#[derive(Clone, Debug)]
+pub(crate) struct UnconfirmedEnd {
+    pub(crate) end: AttemptEnd,
+    pub(crate) ran: Duration,
+    pub(crate) at: Instant,
+}
+
+/// Batches seen, numbered from 1. The highest number seen is not enough: a batch that overtook the one before it would
+/// then vouch for that one, and a task still on its way would be told "not run" and start.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct BatchRecord {
+    /// Every batch up to this one was seen.
+    complete: u64,
+    ahead: BTreeSet<u64>,
+}
+
+impl BatchRecord {
+    pub(crate) fn see(&mut self, batch: u64) {
+        self.ahead.insert(batch);
+        while self.ahead.remove(&(self.complete + 1)) {
+            self.complete += 1;
+        }
+    }
+
+    pub(crate) fn has_all(&self, until: u64) -> bool {
+        self.complete >= until
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct EntryLink {
+    pub(crate) session: SessionId,
+    pub(crate) connected: bool,
+    /// Which batches of offers were seen on this session.
+    pub(crate) batches: BatchRecord,
+    /// Ends that the entry has not confirmed. An attempt is forgotten only after that: a withdrawal that crosses
+    /// the report would otherwise find nothing and be told "not run" of a task that ran.
+    pub(crate) unconfirmed: FastMap<AttemptId, UnconfirmedEnd>,
+}
+
+/// Links are never forgotten: the last session number is what turns away bytes of an old connection, however late
+/// they are read. A link costs about a hundred bytes, and a process sees a few dozen new entries a day.
+pub(crate) type LinkTable = FastMap<IncarnationId, EntryLink>;
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -78,8 +78,9 @@
   ended @1 (ends :List(AttemptEnd), slots :Slots) -> ();
   slots @2 (slots :Slots) -> ();
   # Sent when the picture changed much since the last message.
-  outcome @3 (serial :UInt64) -> (json :Data, found :Bool);
-  # The caller-facing answer of a submission of this entry, waiting until there is one or the entry gives up on it.
+  outcome @3 (serial :UInt64, digest :UInt64, wait :Bool) -> (found :Bool, status :UInt16, json :Data);
+  # The caller-facing answer of a submission of this entry. With `wait` it comes when there is one, and only if the
+  # body's digest is the same.
   runTicket @4 (serial :UInt64, json :Data) -> (json :Data, status :UInt16);
   # Runs a request under a ticket that this entry issued.
 }
@@ -88,11 +89,69 @@
   open @0 (entry :EntryPort, incarnation :UInt64, session :UInt64) -> (session :SessionPort, dispatcher :UInt64, slots :Slots);
   find @1 (incarnation :UInt64) -> (entry :EntryPort, found :Bool);
   # Finds the entry of another VM, so that entries need no connections to each other.
-  beat @2 (from :UInt64, address :Text, dataCentre :Text, stopping :Bool, head :UInt64) -> (incarnation :UInt64, stopping :Bool, head :UInt64);
-  # The heartbeat among dispatchers. `head` is the newest contract version counter that the sender holds.
-  contracts @3 (since :UInt64) -> (head :UInt64, rows :List(ContractRow));
-  grant @4 (customer :Text, incarnation :UInt64, want :UInt32, inUse :UInt32) -> (granted :UInt32, termMicros :UInt64);
-  # Leases a part of the customer's concurrency in this data centre. Only the customer's home dispatcher grants.
+  beat @2 (view :MemberView) -> (view :MemberView);
+  # The heartbeat among dispatchers; the answer counts as one the other way.
+  contracts @3 (since :UInt64) -> (loaded :Bool, head :UInt64, rows :List(ContractRow));
+  # `loaded` is false while the sender holds no complete set that is as new as its peers'.
+  grant @4 (batch :AskBatch) -> (answered :Bool, batch :ReplyBatch);
+  # Leases parts of customers' concurrency in this data centre, from the customers' home dispatcher.
+  ping @5 () -> (view :MemberView, slots :Slots);
+  # What an entry asks to know that the dispatcher is alive.
+  handover @6 (report :HandoverReport) -> ();
+  # What a leaving owner of endpoints still has running there.
+}
+
+struct MemberView {
+  address @0 :Text;
+  dataCentre @1 :Text;
+  incarnation @2 :UInt64;
+  stopping @3 :Bool;
+  head @4 :UInt64;
+  # The newest contract head that the sender holds.
+}
+
+struct AskBatch {
+  home @0 :Text;
+  holder @1 :UInt64;
+  holderAddress @2 :Text;
+  serial @3 :UInt64;
+  asks @4 :List(GrantAsk);
+}
+
+struct GrantAsk {
+  customer @0 :Text;
+  want @1 :UInt32;
+  held @2 :UInt32;
+  inUse @3 :UInt32;
+}
+
+struct ReplyBatch {
+  serial @0 :UInt64;
+  termMicros @1 :UInt64;
+  replies @2 :List(GrantReply);
+}
+
+struct GrantReply {
+  customer @0 :Text;
+  union {
+    granted :group {
+      count @1 :UInt32;
+      share @2 :UInt32;
+    }
+    notHome @3 :Void;
+  }
+}
+
+struct HandoverReport {
+  from @0 :Text;
+  incarnation @1 :UInt64;
+  serial @2 :UInt64;
+  counts @3 :List(HandoverCount);
+}
+
+struct HandoverCount {
+  endpoint @0 :Text;
+  timeLeftMicros @1 :List(UInt64);
 }
 
 struct ContractRow {
@@ -103,6 +162,8 @@
 }
 
 interface SessionPort {
-  offer @0 (offers :List(Offer)) -> (verdicts :List(Verdict), slots :Slots);
-  withdraw @1 (attempts :List(Attempt)) -> (withdrawals :List(Withdrawal), slots :Slots);
+  offer @0 (batch :UInt64, offers :List(Offer)) -> (verdicts :List(Verdict), slots :Slots);
+  # Batches of one session are numbered from 1.
+  withdraw @1 (afterBatch :UInt64, attempts :List(Attempt)) -> (withdrawals :List(Withdrawal), slots :Slots);
+  # `afterBatch` is the last batch sent before. A dispatcher that has not seen it confirms nothing.
 }
