--- a/crates/stand-ins/src/platform/faults.rs
+++ b/crates/stand-ins/src/platform/faults.rs
@@ -20,6 +20,62 @@
     pub stale_vms_ms: u64,
 }
 
+impl FaultSettings {
+    /// Only this kind of outage.
+    pub fn down(down: DownMode) -> Self {
+        Self {
+            down,
+            ..Self::default()
+        }
+    }
+
+    /// Only a racing writer.
+    pub fn racing(write: RacingWrite) -> Self {
+        Self {
+            racing_writes: vec![write],
+            ..Self::default()
+        }
+    }
+
+    /// Only the loss of the next answers.
+    pub fn losing(next: u32, when: LossTime) -> Self {
+        let answer_loss = AnswerLoss {
+            next,
+            when,
+            ..AnswerLoss::default()
+        };
+        Self {
+            answer_loss,
+            ..Self::default()
+        }
+    }
+
+    /// Only the loss of a part of all answers after the write took effect, chosen by a seed.
+    pub fn losing_part(fraction: f64, seed: u64) -> Self {
+        let answer_loss = AnswerLoss {
+            fraction,
+            seed,
+            ..AnswerLoss::default()
+        };
+        Self {
+            answer_loss,
+            ..Self::default()
+        }
+    }
+}
+
+impl RacingWrite {
+    /// Others write these rows just before the next transactions that touch a row.
+    pub fn before(table: &str, key: &str, times: u32, writes: Vec<WriteRequest>) -> Self {
+        Self {
+            table: table.to_owned(),
+            key: key.to_owned(),
+            times,
+            writes,
+        }
+    }
+}
+
 /// Whether calls get through.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/stand-ins/src/platform/mod.rs
+++ b/crates/stand-ins/src/platform/mod.rs
@@ -4,7 +4,7 @@
 //! The borders are those of `docs/design/0001-interfaces.md`. Faults are set in process or by `PUT /control/faults`;
 //! calls under `/control/` are never slowed, cut or counted.
 
-mod answer;
+mod connection;
 mod control;
 mod faults;
 mod routes;
@@ -14,19 +14,14 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddr, TcpStream as StdTcpStream},
-    os::fd::AsFd,
+    net::{Ipv4Addr, SocketAddr},
     sync::Arc,
 };
 
-use actix_web::{
-    dev::{Extensions, ServerHandle},
-    rt::net::TcpStream,
-    web, App, HttpServer,
-};
+use actix_web::{dev::ServerHandle, web, App, HttpServer};
 use model::VmEntry;
 
-use self::{answer::ConnectionHandle, state::PlatformState};
+use self::{connection::OpenConnections, state::PlatformState};
 
 pub use self::{
     faults::{AnswerLoss, DownMode, FaultSettings, LossTime, RacingWrite},
@@ -67,6 +62,7 @@
     address: SocketAddr,
     handle: ServerHandle,
     state: Arc<PlatformState>,
+    connections: OpenConnections,
 }
 
 impl PlatformStandIn {
@@ -92,6 +88,8 @@
 
     fn serve(address: SocketAddr, state: Arc<PlatformState>) -> io::Result<Self> {
         let shared = web::Data::from(Arc::clone(&state));
+        let connections = OpenConnections::default();
+        let remembered = connections.clone();
         let server = HttpServer::new(move || {
             App::new()
                 .app_data(shared.clone())
@@ -100,7 +98,7 @@
                 .configure(routes::configure)
                 .configure(control::configure)
         })
-        .on_connect(remember_connection)
+        .on_connect(move |connection, extensions| remembered.remember(connection, extensions))
         .workers(1)
         .disable_signals()
         .shutdown_timeout(1)
@@ -113,6 +111,7 @@
             address,
             handle,
             state,
+            connections,
         })
     }
 
@@ -124,6 +123,8 @@
     /// Stops listening and closes every connection at once. Later connections are refused.
     pub async fn stop(&self) {
         self.handle.stop(false).await;
+        // The server does not wait for its workers here, so a kept-alive connection might answer once more.
+        self.connections.close_all();
     }
 
     /// Replaces every fault.
@@ -156,14 +157,3 @@
         self.state.write_now(&writes)
     }
 }
-
-/// Keeps a second handle on each connection, by which a fault can close it without an answer.
-fn remember_connection(connection: &dyn std::any::Any, extensions: &mut Extensions) {
-    let Some(stream) = connection.downcast_ref::<TcpStream>() else {
-        return;
-    };
-    let Ok(fd) = stream.as_fd().try_clone_to_owned() else {
-        return;
-    };
-    extensions.insert(ConnectionHandle(StdTcpStream::from(fd)));
-}
--- a/crates/stand-ins/src/platform/routes.rs
+++ b/crates/stand-ins/src/platform/routes.rs
@@ -5,7 +5,7 @@
 use tokio::time::{sleep, sleep_until, Duration, Instant};
 
 use super::{
-    answer::{close_connection, unavailable},
+    connection::close_connection,
     faults::{AnswerFate, DownMode, LossTime},
     state::PlatformState,
     table::{RowConflict, TableRow, WriteRequest},
@@ -195,3 +195,8 @@
         state.commit(&writes)
     })
 }
+
+/// The answer of a service that is down.
+fn unavailable() -> HttpResponse {
+    HttpResponse::ServiceUnavailable().body("unavailable")
+}
