Give the process its command line

Errors whose message holds their cause no longer name it as source too, so that a report does not tell it twice.

--- a/crates/cairnpaddle/src/main.rs
+++ b/crates/cairnpaddle/src/main.rs
@@ -1,3 +1,47 @@
-//! cairnpaddle.
+//! The process of one role: `cairnpaddle entry` or `cairnpaddle dispatcher`.
 
-fn main() {}
+mod options;
+mod role;
+
+use std::process::ExitCode;
+
+use command_line::CommandFault;
+
+use crate::options::{process_options, RoleCommand};
+
+const NAME: &str = "cairnpaddle";
+
+fn main() -> ExitCode {
+    let options = match command_line::parse(NAME, process_options()) {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
+    command_line::finish(NAME, options.verbose, run(&options.role))
+}
+
+fn run(role: &RoleCommand) -> Result<(), CommandFault> {
+    match role {
+        RoleCommand::Entry { settings } => {
+            let settings = settings::load_entry(settings).map_err(wrong_settings)?;
+            with_logs(&settings.log.clone(), || role::run_entry(settings))
+        }
+        RoleCommand::Dispatcher { settings } => {
+            let settings = settings::load_dispatcher(settings).map_err(wrong_settings)?;
+            with_logs(&settings.log.clone(), || role::run_dispatcher(settings))
+        }
+    }
+}
+
+fn with_logs(
+    settings: &settings::LogSettings,
+    run: impl FnOnce() -> eyre::Result<()>,
+) -> Result<(), CommandFault> {
+    let control = telemetry::init_logs(settings).map_err(eyre::Report::new)?;
+    let result = run();
+    control.flush();
+    result.map_err(CommandFault::Failure)
+}
+
+fn wrong_settings(error: settings::SettingsError) -> CommandFault {
+    CommandFault::WrongUsage(eyre::Report::new(error).wrap_err("wrong settings"))
+}
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -9,8 +9,7 @@
 pub struct SettingsError {
     /// The file, if the settings came from one.
     pub file: Option<PathBuf>,
-    /// What is wrong.
-    #[source]
+    /// What is wrong. The message holds it whole, so it is no source besides.
     pub fault: SettingsFault,
 }
 
--- a/crates/telemetry/src/error.rs
+++ b/crates/telemetry/src/error.rs
@@ -8,12 +8,12 @@
 #[derive(Debug, Error)]
 pub enum TelemetryError {
     /// Logging could not start, for example because other code of the process has set a logger.
-    #[error("logging cannot start: {0}")]
+    #[error("logging cannot start")]
     Logs(#[from] FlexiLoggerError),
     /// The exporter of metrics could not be built.
-    #[error("metrics cannot start: {0}")]
+    #[error("metrics cannot start")]
     Exporter(#[from] OTelSdkError),
     /// The metrics could not be written as text.
-    #[error("metrics cannot be written: {0}")]
+    #[error("metrics cannot be written")]
     Text(#[from] prometheus::Error),
 }
--- a/crates/telemetry/src/logs/part.rs
+++ b/crates/telemetry/src/logs/part.rs
@@ -8,6 +8,7 @@
     ("cairnctl", LogPart::Ctl),
     ("cairnpaddle", LogPart::Process),
     ("caller_api", LogPart::Caller),
+    ("command_line", LogPart::Process),
     ("contracts", LogPart::Contracts),
     ("decisions", LogPart::Entry),
     ("dispatcher", LogPart::Dispatcher),
