Add the operators' program

`cairnctl` creates, changes, retires, shows and lists contracts, explains a submission, shows the status, and checks settings files.

A change names the version it starts from, so the loser of a race changes nothing. Fields that a file leaves out come from that version: as defaults they would quietly reset limits. Each change carries an id; when its answer is lost the program reads the contract back and decides by that id, and says "outcome unknown" where it cannot.

awc reports a connection that broke after the call was sent as Connect(Disconnected). Taken for "not reached" that would have said "nothing was changed" of a change that took effect; the test of the lost answer hung on it at first and fails without the distinction.

Text for people escapes control characters, which would steer the operator's terminal.

--- /dev/null
+++ b/crates/cairnctl/src/check.rs
@@ -0,0 +1,54 @@
+//! `cairnctl check-settings` and `cairnctl schema`.
+
+use std::path::Path;
+
+use command_line::CommandFault;
+use eyre::{eyre, Report};
+use serde_json::json;
+use settings::SettingsError;
+
+use crate::{options::RoleName, render::OutputForm};
+
+/// Checks a file and gives the output.
+pub(crate) fn run(
+    role: Option<RoleName>,
+    file: &Path,
+    form: OutputForm,
+) -> Result<String, CommandFault> {
+    let role = match role {
+        Some(role) => check_role(role, file).map(|()| role).map_err(Report::new),
+        None => check_either(file),
+    };
+    let role = role.map_err(CommandFault::WrongUsage)?;
+    let value = json!({ "file": file.display().to_string(), "role": role.to_string() });
+    Ok(form.render(&value, |_| {
+        format!("{}: good settings of role {role}\n", file.display())
+    }))
+}
+
+/// The JSON schema of a role's settings.
+pub(crate) fn schema(role: RoleName) -> String {
+    let schema = match role {
+        RoleName::Entry => settings::entry_schema(),
+        RoleName::Dispatcher => settings::dispatcher_schema(),
+    };
+    format!("{schema:#}\n")
+}
+
+fn check_role(role: RoleName, file: &Path) -> Result<(), SettingsError> {
+    match role {
+        RoleName::Entry => settings::load_entry(file).map(|_| ()),
+        RoleName::Dispatcher => settings::load_dispatcher(file).map(|_| ()),
+    }
+}
+
+fn check_either(file: &Path) -> Result<RoleName, Report> {
+    let mut faults = Vec::new();
+    for role in [RoleName::Entry, RoleName::Dispatcher] {
+        match check_role(role, file) {
+            Ok(()) => return Ok(role),
+            Err(error) => faults.push(format!("as {role}: {error}")),
+        }
+    }
+    Err(eyre!("fits no role: {}", faults.join("; ")))
+}
--- /dev/null
+++ b/crates/cairnctl/src/status.rs
@@ -0,0 +1,31 @@
+//! `cairnctl status`.
+
+use command_line::CommandFault;
+use eyre::Report;
+use serde_json::Value;
+
+use crate::{
+    client::{EntryCall, EntryClient},
+    render::{flat_rows, table, OutputForm},
+};
+
+/// The most lines of one screen.
+const SCREEN_LINES: usize = 40;
+
+/// Asks for the state of the entry and gives the output.
+pub(crate) fn run(client: &EntryClient, form: OutputForm) -> Result<String, CommandFault> {
+    let call = EntryCall::get("/v1/status".to_owned());
+    let value = client.call(&call).map_err(Report::new)?;
+    Ok(form.render(&value, status_text))
+}
+
+fn status_text(value: &Value) -> String {
+    let mut rows = flat_rows(value);
+    let left_out = rows.len().saturating_sub(SCREEN_LINES);
+    rows.truncate(SCREEN_LINES);
+    let mut text = table(&rows);
+    if left_out > 0 {
+        text.push_str(&format!("{left_out} more lines, all with --json\n"));
+    }
+    text
+}
--- /dev/null
+++ b/crates/cairnctl/tests/commands.rs
@@ -0,0 +1,249 @@
+//! The operators' program against scripted answers of an entry: what is sent, what is printed, what it exits with.
+
+mod support;
+
+use insta::assert_snapshot;
+
+use crate::support::{
+    closed_address, run, told, FakeAnswer,
+    FakeAnswer::{Json, Lost, OwnChange},
+    FakeEntry,
+};
+
+const VERSION_4: &str = r#"{"customer":"trust","version":4,"change_id":"00000000000000aa","contract":{"state":"active","concurrency":40,"answer_within_ms":10000,"max_tasks":370,"max_payload_bytes":65536,"may_refuse":"jobs","share":3,"retry_percent":20,"second_reservation":false}}"#;
+
+/// One run: the arguments, the answers, then what was sent and told.
+fn case(args: &[&str], input: &str, answers: &[FakeAnswer]) -> String {
+    let entry = FakeEntry::start(answers);
+    let address = entry.address;
+    let output = run(address, args, input);
+    let mut text = format!("$ cairnctl {}\n", args.join(" "));
+    text += &told(&output, address);
+    for call in entry.calls() {
+        text += &format!("> {}\n", call.trim_end().replace('\n', "\n> "));
+    }
+    text + "\n"
+}
+
+#[test]
+fn contracts_are_read() {
+    let list = r#"{"contracts":[{"customer":"trust","version":4,"contract":{"state":"active","concurrency":40,"answer_within_ms":10000,"max_tasks":370,"may_refuse":"jobs","share":3}},{"customer":"prairie-civic","version":12,"contract":{"state":"retired","concurrency":160,"answer_within_ms":500,"max_tasks":1,"may_refuse":"nothing","share":1}}]}"#;
+    let history = r#"{"customer":"trust","changes":[{"version":1,"contract":{"concurrency":40,"share":1}},{"version":2,"contract":{"concurrency":60,"share":1}},{"version":3,"contract":{"concurrency":60,"share":3}}]}"#;
+    let missing = r#"{"reason":"unknown_customer","message":"customer nobody has no contract"}"#;
+    assert_snapshot!([
+        case(&["contract", "show", "trust"], "", &[Json(200, VERSION_4)]),
+        case(
+            &["--json", "contract", "show", "trust"],
+            "",
+            &[Json(200, VERSION_4)]
+        ),
+        case(&["contract", "list"], "", &[Json(200, list)]),
+        case(&["contract", "history", "trust"], "", &[Json(200, history)]),
+        case(&["contract", "show", "nobody"], "", &[Json(404, missing)]),
+    ]
+    .concat());
+}
+
+#[test]
+fn contracts_are_changed() {
+    let create = ["contract", "create", "trust", "--file", "-"];
+    let change = [
+        "contract",
+        "change",
+        "trust",
+        "--version",
+        "4",
+        "--file",
+        "-",
+    ];
+    let retire = ["contract", "retire", "trust", "--version", "4"];
+    assert_snapshot!([
+        case(&create, r#"{"concurrency": 60}"#, &[Json(201, VERSION_4)]),
+        case(
+            &change,
+            r#"{"concurrency": 60}"#,
+            &[Json(200, VERSION_4), Json(200, VERSION_4)]
+        ),
+        case(&retire, "", &[Json(200, VERSION_4)]),
+    ]
+    .concat());
+}
+
+/// Two operators race: the loser is told that nothing was changed, whether the other's change is seen before or only
+/// by the entry's refusal.
+#[test]
+fn the_loser_of_a_race_changes_nothing() {
+    let stale = [
+        "contract",
+        "change",
+        "trust",
+        "--version",
+        "3",
+        "--file",
+        "-",
+    ];
+    let change = [
+        "contract",
+        "change",
+        "trust",
+        "--version",
+        "4",
+        "--file",
+        "-",
+    ];
+    let create = ["contract", "create", "trust", "--file", "-"];
+    let conflict = r#"{"reason":"conflict","message":"version 5 is in force"}"#;
+    assert_snapshot!([
+        case(&stale, "{}", &[Json(200, VERSION_4)]),
+        case(&change, "{}", &[Json(200, VERSION_4), Json(412, conflict)]),
+        case(&create, "{}", &[Json(412, conflict)]),
+    ]
+    .concat());
+}
+
+/// The operator sends a change, the write takes effect, and its answer is lost. The program reads back: its own change
+/// id says that it took effect; another id or no answer leaves the outcome unknown, never "not changed".
+#[test]
+fn a_lost_answer_is_read_back() {
+    let retire = ["contract", "retire", "trust", "--version", "4"];
+    assert_snapshot!([
+        case(&retire, "", &[Lost, OwnChange]),
+        case(&retire, "", &[Lost, Json(200, VERSION_4)]),
+        case(&retire, "", &[Lost, Lost]),
+        case(&retire, "", &[Json(504, "{}"), OwnChange]),
+        case(&retire, "", &[Json(200, "{\"cust"), Json(404, "{}")]),
+        case(
+            &retire,
+            "",
+            &[Json(503, r#"{"reason":"config_not_ready"}"#)]
+        ),
+    ]
+    .concat());
+}
+
+#[test]
+fn an_entry_out_of_reach_is_said_to_be_so() {
+    let address = closed_address();
+    let output = run(
+        address,
+        &["contract", "retire", "trust", "--version", "4"],
+        "",
+    );
+    let text = told(&output, address);
+    assert!(
+        text.starts_with("exit 1\ncairnctl: entry ENTRY cannot be reached, nothing was changed: "),
+        "{text}"
+    );
+    assert_eq!(text.lines().count(), 2, "{text}");
+}
+
+#[test]
+fn explain_and_status() {
+    let report = r#"{"submission":"0000000000000007-1","customer":"trust","contract_version":3,"tasks":2,"events":[{"after_ms":0,"event":"admitted"},{"after_ms":1,"event":"offered","task":0,"dispatcher":"vm2"},{"after_ms":1290,"event":"answered","outcome":"unknown","reason":"connection_lost"}],"events_left_out":7}"#;
+    let status = r#"{"vm":"vm1","ready":true,"contracts":{"head":12,"age_ms":40},"dispatchers":[{"vm":"vm1","slots":8},{"vm":"vm2\u001b[2J","slots":16}],"note":null}"#;
+    assert_snapshot!([
+        case(&["explain", "0000000000000007-1"], "", &[Json(200, report)]),
+        case(
+            &["--json", "explain", "0000000000000007-1"],
+            "",
+            &[Json(200, report)]
+        ),
+        case(
+            &["explain", "0000000000000007-2"],
+            "",
+            &[Json(404, "not json")]
+        ),
+        case(&["status"], "", &[Json(200, status)]),
+    ]
+    .concat());
+}
+
+/// Nothing is sent for these, so there is no entry.
+#[test]
+fn wrong_usage_exits_with_2() {
+    let address = closed_address();
+    let create = ["contract", "create", "trust", "--file", "-"];
+    let table: [(&[&str], &str); 10] = [
+        (&[], ""),
+        (&["contract", "delete", "trust"], ""),
+        (&["contract", "show", "a b"], ""),
+        (&["contract", "retire", "trust"], ""),
+        (&["contract", "retire", "trust", "--version", "x"], ""),
+        (&["explain", "12"], ""),
+        (&["schema", "worker"], ""),
+        (&create, r#"{"concurency": 1}"#),
+        (&create, r#"{"concurrency": 0}"#),
+        (&create, "[]"),
+    ];
+    let mut text = String::new();
+    for (args, input) in table {
+        let output = run(address, args, input);
+        assert_eq!(output.status.code(), Some(2), "{args:?}");
+        text += &format!(
+            "$ cairnctl {} <<< {input:?}\n{}",
+            args.join(" "),
+            told(&output, address)
+        );
+    }
+    assert_snapshot!(text);
+}
+
+#[test]
+fn settings_are_checked() {
+    let address = closed_address();
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/examples");
+    let table: [&[&str]; 6] = [
+        &["check-settings", "EXAMPLES/entry.json"],
+        &[
+            "check-settings",
+            "EXAMPLES/dispatcher.json",
+            "--role",
+            "dispatcher",
+        ],
+        &["--json", "check-settings", "EXAMPLES/dispatcher.json"],
+        &[
+            "check-settings",
+            "EXAMPLES/dispatcher.json",
+            "--role",
+            "entry",
+        ],
+        &["check-settings", "EXAMPLES/contract.json"],
+        &["check-settings", "EXAMPLES/none.json", "--role", "entry"],
+    ];
+    let mut text = String::new();
+    for args in table {
+        let real: Vec<String> = args
+            .iter()
+            .map(|arg| arg.replace("EXAMPLES", examples))
+            .collect();
+        let real: Vec<&str> = real.iter().map(String::as_str).collect();
+        let told = told(&run(address, &real, ""), address).replace(examples, "EXAMPLES");
+        text += &format!("$ cairnctl {}\n{told}", args.join(" "));
+    }
+    assert_snapshot!(text);
+}
+
+#[test]
+fn schemas_are_json() {
+    let address = closed_address();
+    for role in ["entry", "dispatcher"] {
+        let output = run(address, &["schema", role], "");
+        assert!(output.status.success());
+        let schema: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+        assert!(
+            schema["properties"]["heartbeat_ms"]["minimum"].is_u64(),
+            "{role}"
+        );
+    }
+}
+
+#[test]
+fn help_and_completion() {
+    let address = closed_address();
+    let help = run(address, &["--help"], "");
+    assert!(help.status.success());
+    assert_snapshot!(String::from_utf8(help.stdout).unwrap());
+    let completion = run(address, &["--bpaf-complete-style-bash"], "");
+    assert!(completion.status.success());
+    assert!(!completion.stdout.is_empty());
+}
