--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -19,7 +19,7 @@
 
 impl TaskAuthority {
     /// Whether any reachable dispatcher takes work.
-    pub(super) fn has_capacity(&self) -> bool {
+    pub fn has_capacity(&self) -> bool {
         self.sessions
             .values()
             .any(|session| session.open().is_some() && takes_work(session))
@@ -73,7 +73,7 @@
         let record = self
             .records
             .get_mut(&task.serial)
-            .filter(|record| record.is_open())?;
+            .filter(|record| record.is_open() && record.is_waiting(task.task))?;
         let (customer, share) = (record.customer.clone(), record.share);
         let time_left = record.due.saturating_duration_since(now);
         let entry = record.task_mut(task.task)?;
--- /dev/null
+++ b/crates/entry/src/control/forwarding.rs
@@ -0,0 +1,128 @@
+//! Requests whose authority is another entry. Any dispatcher that has a session with both passes them on.
+
+use actix::{Context, Handler};
+use caller_api::{read_request, render_answer, CallerAnswer};
+use model::{IncarnationId, KeyedRun, SubmissionBody, SubmissionId, SubmissionKind};
+use peer::{DispatcherClient, EntryClient, ForwardedAnswer, PeerError};
+
+use super::{
+    callers::{unknown, AnswerFuture},
+    EntryControl, LinkState, OutcomeAsked, RequestPassed,
+};
+
+impl EntryControl {
+    /// Passes a request on to the entry that has authority over its ticket or key.
+    pub(super) fn forward_request(&self, id: SubmissionId, raw: Vec<u8>) -> AnswerFuture {
+        let dispatchers = self.open_dispatchers();
+        Box::pin(async move {
+            let Some(entry) = find_entry(&dispatchers, id.incarnation).await else {
+                return unknown(Some(id));
+            };
+            match entry.run(id.serial, &raw).await {
+                Ok(answer) => forwarded(answer),
+                // It may have run there before the connection broke.
+                Err(_) => unknown(Some(id)),
+            }
+        })
+    }
+
+    /// Asks the entry of a submission how it stands.
+    pub(super) fn forward_outcome(&self, id: SubmissionId) -> AnswerFuture {
+        let dispatchers = self.open_dispatchers();
+        Box::pin(async move {
+            let Some(entry) = find_entry(&dispatchers, id.incarnation).await else {
+                return unknown(Some(id));
+            };
+            match entry.outcome(id.serial).await {
+                Ok(Some(answer)) => forwarded(answer),
+                Ok(None) | Err(_) => unknown(Some(id)),
+            }
+        })
+    }
+
+    fn open_dispatchers(&self) -> Vec<DispatcherClient> {
+        let mut clients = Vec::new();
+        for slot in self.dispatchers.values() {
+            if let LinkState::Open(open) = &slot.link {
+                clients.push(open.link.client().clone());
+            }
+        }
+        clients
+    }
+}
+
+impl Handler<OutcomeAsked> for EntryControl {
+    type Result = ();
+
+    fn handle(&mut self, asked: OutcomeAsked, _: &mut Context<Self>) {
+        let known = self.authority.outcome(asked.serial).is_some();
+        let answer = known.then(|| to_forward(&self.outcome_now(asked.serial)));
+        let _gone = asked.reply.send(Ok(answer));
+    }
+}
+
+impl Handler<RequestPassed> for EntryControl {
+    type Result = ();
+
+    fn handle(&mut self, passed: RequestPassed, ctx: &mut Context<Self>) {
+        let RequestPassed {
+            serial,
+            json,
+            reply,
+        } = passed;
+        let answer = match read_request(&json, None) {
+            Ok((body, digest)) => self.run_passed(serial, body, digest),
+            Err(error) => {
+                let _gone = reply.send(Err(PeerError::BadMessage(error.to_string())));
+                return;
+            }
+        };
+        self.flush(ctx);
+        actix_rt::spawn(async move {
+            let _gone = reply.send(Ok(to_forward(&answer.await)));
+        });
+    }
+}
+
+impl EntryControl {
+    fn run_passed(&mut self, serial: u64, body: SubmissionBody, digest: u64) -> AnswerFuture {
+        match &body.kind {
+            SubmissionKind::Request(KeyedRun::Ticket(ticket)) => {
+                self.run_ticket(*ticket, body, digest)
+            }
+            // A key: its first arrival came here, or its record would not name this entry.
+            SubmissionKind::Request(_) | SubmissionKind::Job => {
+                self.run_again(serial, body, digest)
+            }
+        }
+    }
+}
+
+/// Asks the dispatchers one after another. Each has sessions with all entries of its data centre, so the first one
+/// of the right data centre knows.
+async fn find_entry(
+    dispatchers: &[DispatcherClient],
+    incarnation: IncarnationId,
+) -> Option<EntryClient> {
+    for dispatcher in dispatchers {
+        if let Ok(Some(entry)) = dispatcher.find(incarnation).await {
+            return Some(entry);
+        }
+    }
+    None
+}
+
+fn forwarded(answer: ForwardedAnswer) -> CallerAnswer {
+    CallerAnswer::Forwarded {
+        status: answer.status,
+        json: answer.json,
+    }
+}
+
+fn to_forward(answer: &CallerAnswer) -> ForwardedAnswer {
+    let rendered = render_answer(answer);
+    ForwardedAnswer {
+        status: rendered.status,
+        json: rendered.json,
+    }
+}
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -65,23 +65,16 @@
   }
 }
 
-struct KeyRecord {
-  # The owner of an idempotency key, as the platform's table keeps it.
-  serial @0 :UInt64;
-  incarnation @1 :UInt64;
-  bodyDigest @2 :UInt64;
-}
-
 interface EntryPort {
   claim @0 (attempt :Attempt) -> (answer :ClaimAnswer);
   # A slot is free for a queued attempt. A body may be sent once only.
   ended @1 (ends :List(AttemptEnd), slots :Slots) -> ();
   slots @2 (slots :Slots) -> ();
   # Sent when the picture changed much since the last message.
-  outcome @3 (serial :UInt64) -> (json :Data, found :Bool);
-  # The caller-facing answer of a submission of this entry, waiting until there is one or the entry gives up on it.
-  runTicket @4 (serial :UInt64, json :Data) -> (json :Data, status :UInt16);
-  # Runs a request under a ticket that this entry issued.
+  outcome @3 (serial :UInt64) -> (found :Bool, status :UInt16, json :Data);
+  # The caller-facing answer of a submission of this entry as it stands.
+  run @4 (serial :UInt64, json :Data) -> (status :UInt16, json :Data);
+  # Runs a request under a ticket or key whose authority this entry is, or gives the answer that it has.
 }
 
 interface DispatcherPort {
@@ -90,10 +83,11 @@
   # Finds the entry of another VM, so that entries need no connections to each other.
   beat @2 (view :MemberView) -> (view :MemberView);
   # The heartbeat among dispatchers; the answer counts as one the other way.
-  contracts @3 (since :UInt64) -> (head :UInt64, rows :List(ContractRow));
+  contracts @3 (since :UInt64) -> (loaded :Bool, head :UInt64, rows :List(ContractRow));
+  # `loaded` is false while the sender holds no complete set that is as new as its peers'.
   grant @4 (batch :AskBatch) -> (answered :Bool, batch :ReplyBatch);
   # Leases parts of customers' concurrency in this data centre, from the customers' home dispatcher.
-  ping @5 () -> (view :MemberView);
+  ping @5 () -> (view :MemberView, slots :Slots);
   # What an entry asks to know that the dispatcher is alive.
   handover @6 (report :HandoverReport) -> ();
   # What a leaving owner of endpoints still has running there.
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -114,16 +114,22 @@
         }
     }
 
-    /// Asks whether the dispatcher is alive, and how it sees itself.
+    /// Asks whether the dispatcher is alive, how it sees itself and how its slots stand.
     ///
     /// # Errors
     ///
     /// The connection broke.
-    pub fn ping(&self) -> impl Future<Output = Result<MemberView, PeerError>> + 'static {
+    pub fn ping(
+        &self,
+    ) -> impl Future<Output = Result<(MemberView, SlotCounts), PeerError>> + 'static {
         let reply = self.port.ping_request().send().promise;
         async move {
             let reply = reply.await?;
-            read_view(reply.get()?.get_view()?)
+            let reply = reply.get()?;
+            Ok((
+                read_view(reply.get_view()?)?,
+                read_slots(reply.get_slots()?),
+            ))
         }
     }
 
@@ -290,7 +296,7 @@
         }
     }
 
-    /// The caller-facing answer of a submission of this entry; `None` when it does not know the submission.
+    /// The caller-facing answer of a submission of this entry as it stands; `None` when it does not know it.
     ///
     /// # Errors
     ///
@@ -298,7 +304,7 @@
     pub fn outcome(
         &self,
         serial: u64,
-    ) -> impl Future<Output = Result<Option<Vec<u8>>, PeerError>> + 'static {
+    ) -> impl Future<Output = Result<Option<ForwardedAnswer>, PeerError>> + 'static {
         let mut request = self.port.outcome_request();
         request.get().set_serial(serial);
         let reply = request.send().promise;
@@ -308,21 +314,24 @@
             if !reply.get_found() {
                 return Ok(None);
             }
-            Ok(Some(reply.get_json()?.to_vec()))
+            Ok(Some(ForwardedAnswer {
+                status: reply.get_status(),
+                json: reply.get_json()?.to_vec(),
+            }))
         }
     }
 
-    /// Runs a request under a ticket of this entry.
+    /// Runs a request under a ticket or key whose authority this entry is, or gives the answer that it has.
     ///
     /// # Errors
     ///
     /// The connection broke on either side: the outcome is unknown.
-    pub fn run_ticket(
+    pub fn run(
         &self,
         serial: u64,
         json: &[u8],
     ) -> impl Future<Output = Result<ForwardedAnswer, PeerError>> + 'static {
-        let mut request = self.port.run_ticket_request();
+        let mut request = self.port.run_request();
         let mut params = request.get();
         params.set_serial(serial);
         params.set_json(json);
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -41,6 +41,8 @@
 /// Contract rows changed after some head number.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ContractPage {
+    /// Whether the sender holds a complete set that is as new as its peers'. The rest says nothing otherwise.
+    pub loaded: bool,
     /// The newest head number that the sender holds.
     pub head: u64,
     /// The rows.
@@ -78,8 +80,8 @@
     /// Takes a heartbeat.
     fn beat(&self, message: BeatMessage) -> ReplyFuture<BeatReply>;
 
-    /// Says that this process is alive, and how it sees itself.
-    fn ping(&self) -> ReplyFuture<MemberView>;
+    /// Says that this process is alive, how it sees itself and how its slots stand.
+    fn ping(&self) -> ReplyFuture<(MemberView, SlotCounts)>;
 
     /// Gives contract rows changed after a head number.
     fn contracts(&self, since: u64) -> ReplyFuture<ContractPage>;
@@ -117,11 +119,11 @@
     /// Takes a word on slots.
     fn slots(&self, slots: SlotCounts) -> ReplyFuture<()>;
 
-    /// Gives the caller-facing answer of a submission.
-    fn outcome(&self, serial: u64) -> ReplyFuture<Option<Vec<u8>>>;
+    /// Gives the caller-facing answer of a submission as it stands.
+    fn outcome(&self, serial: u64) -> ReplyFuture<Option<ForwardedAnswer>>;
 
-    /// Runs a request under a ticket.
-    fn run_ticket(&self, serial: u64, json: Vec<u8>) -> ReplyFuture<ForwardedAnswer>;
+    /// Runs a request under a ticket or key, or gives the answer that it has.
+    fn run(&self, serial: u64, json: Vec<u8>) -> ReplyFuture<ForwardedAnswer>;
 }
 
 /// Makes a port of a dispatcher's service.
@@ -147,6 +149,7 @@
         });
     }
     Ok(ContractPage {
+        loaded: reader.get_loaded(),
         head: reader.get_head(),
         rows,
     })
@@ -225,8 +228,10 @@
     ) -> impl Future<Output = CallResult> + 'static {
         let answer = self.0.ping();
         async move {
-            let view = answer.await?;
-            write_view(results.get().init_view(), &view);
+            let (view, slots) = answer.await?;
+            let mut results = results.get();
+            write_slots(results.reborrow().init_slots(), slots);
+            write_view(results.init_view(), &view);
             Ok(())
         }
     }
@@ -242,6 +247,7 @@
         async move {
             let page = settle(answer.map_err(PeerError::from)).await?;
             let mut results = results.get();
+            results.set_loaded(page.loaded);
             results.set_head(page.head);
             let mut rows = results.init_rows(page.rows.len() as u32);
             for (index, row) in page.rows.iter().enumerate() {
@@ -349,25 +355,24 @@
             .get()
             .map(|params| self.0.outcome(params.get_serial()));
         async move {
-            if let Some(json) = settle(answer.map_err(PeerError::from)).await? {
+            if let Some(answer) = settle(answer.map_err(PeerError::from)).await? {
                 let mut results = results.get();
-                results.set_json(&json);
+                results.set_status(answer.status);
+                results.set_json(&answer.json);
                 results.set_found(true);
             }
             Ok(())
         }
     }
 
-    fn run_ticket(
+    fn run(
         self: Rc<Self>,
-        params: entry_capnp::RunTicketParams,
-        mut results: entry_capnp::RunTicketResults,
+        params: entry_capnp::RunParams,
+        mut results: entry_capnp::RunResults,
     ) -> impl Future<Output = CallResult> + 'static {
-        let answer = params.get().and_then(|params| {
-            Ok(self
-                .0
-                .run_ticket(params.get_serial(), params.get_json()?.to_vec()))
-        });
+        let answer = params
+            .get()
+            .and_then(|params| Ok(self.0.run(params.get_serial(), params.get_json()?.to_vec())));
         async move {
             let answer = settle(answer.map_err(PeerError::from)).await?;
             let mut results = results.get();
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,4 +1,5 @@
 //! Small stand-ins of the platform, endpoints and the network, for tests and the demo.
 
 pub mod endpoint;
+pub mod forwarder;
 pub mod platform;
