Fit cairnctl to the entry's operator API and start the roles

The entry's routes for operators stand now, so cairnctl follows them: the form of errors, pages of lists and history, and no change id from the client. A lost answer is decided by the one version that the change can have made: in force with what was sent, it is done; anything else is said to be unknown.

cairnpaddle calls entry::run and dispatcher::run. Messages that bring their part's prefix with them do not get it twice.

The log part `ledger` is renamed to `keys`: the crate ledger counts slots and belongs to the dispatcher; idempotency keys are in request-keys.

/v1/explain and /v1/status are still served by no entry; those two commands are tested against a scripted fake only.

--- a/crates/cairnctl/src/client.rs
+++ b/crates/cairnctl/src/client.rs
@@ -50,7 +50,7 @@
     #[error("entry {entry} cannot be reached, nothing was changed: {cause}")]
     NotReached { entry: SocketAddr, cause: String },
     /// The call was sent and no whole answer came.
-    #[error("the answer of entry {entry} was lost: {cause}")]
+    #[error("entry {entry} gave no sure answer: {cause}")]
     AnswerLost { entry: SocketAddr, cause: String },
     /// The entry says that it did not do it.
     #[error("entry {entry} refused with status {status}: {reason}")]
@@ -94,7 +94,10 @@
         match status {
             200..=299 => value.map_err(|error| self.lost(format!("not JSON: {error}"))),
             // Only 503 says that nothing was done; the other server errors may come after the write.
-            500..=599 if status != 503 => Err(self.lost(format!("status {status}"))),
+            500..=599 if status != 503 => Err(self.lost(format!(
+                "status {status}, {}",
+                refusal_text(value.ok().as_ref())
+            ))),
             _ => Err(CallError::Refused {
                 entry: self.entry,
                 status,
@@ -127,12 +130,9 @@
 }
 
 fn refusal_text(body: Option<&Value>) -> String {
-    let Some(body) = body else {
-        return "no reason given".to_owned();
-    };
     let mut parts = Vec::new();
-    for field in ["reason", "message"] {
-        if let Some(text) = body[field].as_str() {
+    for field in ["reason", "field", "message"] {
+        if let Some(text) = body.and_then(|body| body["error"][field].as_str()) {
             parts.push(crate::render::cell(&Value::from(text)));
         }
     }
--- a/crates/cairnctl/src/contract.rs
+++ b/crates/cairnctl/src/contract.rs
@@ -19,24 +19,19 @@
 /// The status of a change whose precondition does not hold.
 const PRECONDITION_FAILED: u16 = 412;
 
+/// The most entries that are asked for at once.
+const PAGE_LIMIT: usize = 500;
+
 /// Runs the command and gives the output.
 pub(crate) fn run(
     client: &EntryClient,
     command: ContractCommand,
     form: OutputForm,
 ) -> Result<String, CommandFault> {
-    match command {
+    let (customer, change) = match command {
         ContractCommand::Create { file, customer } => {
-            let body = read_contract(&file, &customer)?.whole;
-            let precondition = ("if-none-match", "*".to_owned());
-            change(
-                client,
-                &customer,
-                Method::PUT,
-                precondition,
-                Some(body),
-                form,
-            )
+            let contract = read_contract(&file, &customer)?.whole;
+            (customer, ContractChange::Create(contract))
         }
         ContractCommand::Change {
             version,
@@ -44,81 +39,105 @@
             customer,
         } => {
             let fields = read_contract(&file, &customer)?.fields;
-            let body = merge_contract(client, &customer, version, fields)?;
-            let precondition = ("if-match", format!("\"{version}\""));
-            change(
-                client,
-                &customer,
-                Method::PUT,
-                precondition,
-                Some(body),
-                form,
-            )
+            let contract = merge_contract(client, &customer, version, fields)?;
+            (customer, ContractChange::Replace(version, contract))
         }
         ContractCommand::Retire { version, customer } => {
-            let precondition = ("if-match", format!("\"{version}\""));
-            change(client, &customer, Method::DELETE, precondition, None, form)
+            (customer, ContractChange::Retire(version))
         }
         ContractCommand::Show { customer } => {
             let value = read(client, contract_path(&customer))?;
-            Ok(form.render(&value, contract_text))
+            return Ok(form.render(&value, contract_text));
         }
         ContractCommand::List => {
-            let value = read(client, CONTRACTS_PATH.to_owned())?;
-            Ok(form.render(&value, list_text))
+            let value = read_pages(client, CONTRACTS_PATH, "contracts")?;
+            return Ok(form.render(&value, list_text));
         }
         ContractCommand::History { customer } => {
-            let value = read(client, format!("{}/history", contract_path(&customer)))?;
-            Ok(form.render(&value, history_text))
+            let path = format!("{}/history", contract_path(&customer));
+            let value = read_pages(client, &path, "versions")?;
+            return Ok(form.render(&value, history_text));
+        }
+    };
+    let value = make_change(client, &customer, &change)?;
+    Ok(form.render(&value, contract_text))
+}
+
+/// A change of one contract.
+enum ContractChange {
+    /// The first version.
+    Create(Value),
+    /// The next version after this one.
+    Replace(ContractVersion, Value),
+    /// A next version after this one that covers no new work.
+    Retire(ContractVersion),
+}
+
+impl ContractChange {
+    fn call(&self, customer: &CustomerId) -> EntryCall {
+        let (method, precondition, body) = match self {
+            Self::Create(contract) => (
+                Method::PUT,
+                ("if-none-match", "*".to_owned()),
+                Some(contract.clone()),
+            ),
+            Self::Replace(version, contract) => (
+                Method::PUT,
+                ("if-match", format!("\"{version}\"")),
+                Some(contract.clone()),
+            ),
+            Self::Retire(version) => (Method::DELETE, ("if-match", format!("\"{version}\"")), None),
+        };
+        EntryCall {
+            method,
+            path: contract_path(customer),
+            headers: vec![precondition],
+            body,
         }
     }
+
+    /// Whether the contract in force is what this change makes.
+    fn is_in_force(&self, row: &Value) -> bool {
+        let (before, made) = match self {
+            Self::Create(contract) => (0, row["contract"] == *contract),
+            Self::Replace(version, contract) => (version.0, row["contract"] == *contract),
+            Self::Retire(version) => (version.0, row["contract"]["state"] == "retired"),
+        };
+        made && row["version"] == before + 1
+    }
 }
 
-/// Changes a contract.
+/// Changes a contract and gives it as it is then.
 ///
 /// Failure: the answer is lost after the write may have taken effect. Symptom: the operator cannot tell whether the
-/// change is in force, and a repeat gets a conflict with the operator's own change. Each change carries an id, and
-/// the contract tells the id of its last change, so reading back decides it; where that cannot be read, or shows
-/// another id, the outcome is said to be unknown, never "not changed", since the write may still land.
-fn change(
+/// change is in force, and a repeat gets a conflict with the operator's own change. The precondition leaves one
+/// version that the change can have made, so if that version is in force with what was sent, the change is done.
+/// Anything else is said to be unknown, never "not changed", since the write may still land.
+fn make_change(
     client: &EntryClient,
     customer: &CustomerId,
-    method: Method,
-    precondition: (&'static str, String),
-    body: Option<Value>,
-    form: OutputForm,
-) -> Result<String, CommandFault> {
-    let change_id = format!("{:016x}", fastrand::u64(..));
-    let call = EntryCall {
-        method,
-        path: contract_path(customer),
-        headers: vec![precondition, ("change-id", change_id.clone())],
-        body,
-    };
-    let error = match client.call(&call) {
-        Ok(value) => return Ok(form.render(&value, contract_text)),
+    change: &ContractChange,
+) -> Result<Value, CommandFault> {
+    let error = match client.call(&change.call(customer)) {
+        Ok(value) => return Ok(value),
         Err(error) => error,
     };
-    match error {
+    let context = match error {
         CallError::AnswerLost { .. } => {
-            let read_back = client.call(&EntryCall::get(contract_path(customer)));
-            match read_back {
-                Ok(value) if value["change_id"] == change_id.as_str() => {
-                    Ok(form.render(&value, contract_text))
-                }
-                _ => Err(Report::new(error)
-                    .wrap_err(format!(
-                        "outcome unknown, look again with `cairnctl contract show {customer}`"
-                    ))
-                    .into()),
+            match client.call(&EntryCall::get(contract_path(customer))) {
+                Ok(row) if change.is_in_force(&row) => return Ok(row),
+                _ => format!(
+                    "outcome unknown, look again with `cairnctl contract history {customer}`"
+                ),
             }
         }
         CallError::Refused {
             status: PRECONDITION_FAILED,
             ..
-        } => Err(Report::new(error).wrap_err(conflict_text(customer)).into()),
-        other => Err(Report::new(other).into()),
-    }
+        } => conflict_text(customer),
+        other => return Err(Report::new(other).into()),
+    };
+    Err(Report::new(error).wrap_err(context).into())
 }
 
 fn read(client: &EntryClient, path: String) -> Result<Value, CommandFault> {
@@ -126,6 +145,22 @@
     Ok(value)
 }
 
+/// Reads every page of a list.
+fn read_pages(client: &EntryClient, path: &str, field: &str) -> Result<Value, CommandFault> {
+    let mut items = Vec::new();
+    let mut after = String::new();
+    loop {
+        let mut page = read(client, format!("{path}?limit={PAGE_LIMIT}{after}"))?;
+        if let Some(more) = page[field].as_array_mut() {
+            items.append(more);
+        }
+        if page["next"].is_null() {
+            return Ok(json!({ field: items }));
+        }
+        after = format!("&after={}", cell(&page["next"]));
+    }
+}
+
 fn contract_path(customer: &CustomerId) -> String {
     format!("{CONTRACTS_PATH}/{customer}")
 }
@@ -228,7 +263,7 @@
 fn history_text(value: &Value) -> String {
     let mut rows = Vec::new();
     let mut before = json!({});
-    for item in value["changes"].as_array().into_iter().flatten() {
+    for item in value["versions"].as_array().into_iter().flatten() {
         let version = format!("version {}", cell(&item["version"]));
         let changes = changed_fields(&before, &item["contract"]);
         rows.push(vec![version, changes.join(", ")]);
--- a/crates/cairnpaddle/src/main.rs
+++ b/crates/cairnpaddle/src/main.rs
@@ -1,7 +1,6 @@
 //! The process of one role: `cairnpaddle entry` or `cairnpaddle dispatcher`.
 
 mod options;
-mod role;
 
 use std::process::ExitCode;
 
@@ -23,11 +22,11 @@
     match role {
         RoleCommand::Entry { settings } => {
             let settings = settings::load_entry(settings).map_err(wrong_settings)?;
-            with_logs(&settings.log.clone(), || role::run_entry(settings))
+            with_logs(&settings.log.clone(), || entry::run(settings))
         }
         RoleCommand::Dispatcher { settings } => {
             let settings = settings::load_dispatcher(settings).map_err(wrong_settings)?;
-            with_logs(&settings.log.clone(), || role::run_dispatcher(settings))
+            with_logs(&settings.log.clone(), || dispatcher::run(settings))
         }
     }
 }
--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log.rs
@@ -90,7 +90,7 @@
         /// Which dispatchers live and who owns which endpoint.
         Membership => "membership",
         /// Idempotency keys.
-        Ledger => "ledger",
+        Keys => "keys",
         /// Start, stop and signals of the process.
         Process => "process",
         /// The operators' program.
--- a/crates/telemetry/src/logs/format.rs
+++ b/crates/telemetry/src/logs/format.rs
@@ -8,6 +8,7 @@
 use flexi_logger::DeferredNow;
 use log::Record;
 use serde::Serialize;
+use settings::LogPart;
 
 use super::part_of;
 
@@ -19,13 +20,13 @@
     now: &mut DeferredNow,
     record: &Record<'_>,
 ) -> io::Result<()> {
+    let part = part_of(record.target());
     write!(
         out,
-        "{} {} {}: {}",
+        "{} {} {part}: {}",
         now.now_utc_owned().format(TIME_FORMAT),
         record.level(),
-        part_of(record.target()),
-        one_line(&record.args().to_string()),
+        one_line(&message_of(record, part)),
     )
 }
 
@@ -35,11 +36,12 @@
     now: &mut DeferredNow,
     record: &Record<'_>,
 ) -> io::Result<()> {
+    let part = part_of(record.target());
     let line = JsonLine {
         time: now.now_utc_owned().format(TIME_FORMAT).to_string(),
         level: record.level().as_str(),
-        part: part_of(record.target()).as_str(),
-        message: record.args().to_string(),
+        part: part.as_str(),
+        message: message_of(record, part),
     };
     serde_json::to_writer(out, &line).map_err(io::Error::from)
 }
@@ -52,6 +54,18 @@
     message: String,
 }
 
+/// The message without the prefix of its part, which some messages bring with them.
+fn message_of(record: &Record<'_>, part: LogPart) -> String {
+    let text = record.args().to_string();
+    let own = text
+        .strip_prefix(part.as_str())
+        .and_then(|rest| rest.strip_prefix(": "));
+    match own {
+        Some(rest) => rest.to_owned(),
+        None => text,
+    }
+}
+
 /// Escapes control characters. A line break in an error's text would otherwise look like a message of its own.
 fn one_line(text: &str) -> String {
     let mut line = String::with_capacity(text.len());
