Mend what the scenarios showed: capacity gaps, dead entries, contracts in force

Cause: (1) jobs were refused as no_capacity in the second in which a dead dispatcher's endpoints change owner; (2) a dispatcher told to stop waited its whole limit for a killed entry to confirm ends, since what the library holds of a broken connection kept the port object, whose drop was to end the session, alive; (3) nothing showed which contracts an entry serves, so the scenario looked at the platform's. Ruled out: for (1) refusing with a shorter come-back, which costs the caller a second call for work that has time; for (2) a shorter drain limit, which would cut real work. Change: submissions are accepted for 3 s after the last slot went out of reach; the end of a connection is told by the connection itself; entries that stay silent for 3 s lose their session, and learn so by their next ping; /v1/in-force and /v1/status. Conclusion: the misbehaving endpoints remain, for the health policy to be wired in.

--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -60,6 +60,7 @@
     flights: FlightTable,
     waiting: WaitingTable,
     sessions: SessionTable,
+    last_capacity: Option<Instant>,
     rng: fastrand::Rng,
     actions: Vec<AuthorityAction>,
 }
@@ -85,6 +86,7 @@
             flights: FlightTable::default(),
             waiting: WaitingTable::default(),
             sessions: SessionTable::default(),
+            last_capacity: None,
             rng: fastrand::Rng::with_seed(seed),
             actions: Vec::new(),
         }
@@ -115,7 +117,7 @@
         serial: Option<u64>,
     ) -> Result<AdmittedSubmission, RefusalReason> {
         let customer = body.customer.clone();
-        let (contract, version) = match self.check(&body, contract) {
+        let (contract, version) = match self.check(now, &body, contract) {
             Ok(terms) => terms,
             Err(reason) => {
                 self.note(AuthorityEvent::Refused { customer, reason });
@@ -296,7 +298,8 @@
     /// What can be told without looking at load: whether the contract covers the submission at all, and whether
     /// this process has room for it.
     fn check<'a>(
-        &self,
+        &mut self,
+        now: Instant,
         body: &SubmissionBody,
         contract: Option<(&'a Contract, ContractVersion)>,
     ) -> Result<(&'a Contract, ContractVersion), RefusalReason> {
@@ -321,7 +324,7 @@
         if self.open >= self.settings.max_open {
             return Err(RefusalReason::Overloaded);
         }
-        if !self.has_capacity() {
+        if !self.had_capacity(now) {
             return Err(RefusalReason::NoCapacity);
         }
         Ok((contract, version))
--- a/crates/authority/src/authority/giving_up.rs
+++ b/crates/authority/src/authority/giving_up.rs
@@ -45,6 +45,7 @@
             self.waiting.push(&customer, waiting);
         }
         self.forget_old(now);
+        self.had_capacity(now);
         self.place(now);
     }
 
--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -25,6 +25,16 @@
             .any(|session| session.open().is_some() && takes_work(session))
     }
 
+    /// Whether slots are in reach or were a moment ago.
+    pub(super) fn had_capacity(&mut self, now: Instant) -> bool {
+        if self.has_capacity() {
+            self.last_capacity = Some(now);
+        }
+        let grace = self.settings.capacity_grace;
+        self.last_capacity
+            .is_some_and(|last| now.saturating_duration_since(last) <= grace)
+    }
+
     /// Offers what may be offered. Costs what changed since the last call, not what waits.
     pub(super) fn place(&mut self, now: Instant) {
         if !self.has_capacity() {
--- a/crates/authority/src/settings.rs
+++ b/crates/authority/src/settings.rs
@@ -19,6 +19,9 @@
     pub retry_pause: Duration,
     /// The longest such pause.
     pub max_retry_pause: Duration,
+    /// How long submissions are still accepted after the last slot went out of reach. Endpoints of a dead dispatcher
+    /// have another owner within its suspect time; refusing meanwhile would turn away work that can be done in time.
+    pub capacity_grace: Duration,
     /// The time that a lost dispatcher has to come back before what may have started there is given up.
     pub reconnect_wait: Duration,
 }
@@ -33,6 +36,7 @@
             max_tickets: 50_000,
             retry_pause: Duration::from_millis(5),
             max_retry_pause: Duration::from_millis(200),
+            capacity_grace: Duration::from_secs(3),
             reconnect_wait: Duration::from_secs(5),
         }
     }
--- a/crates/caller-api/src/callers.rs
+++ b/crates/caller-api/src/callers.rs
@@ -13,7 +13,8 @@
 use crate::{
     answer::{refusal_status, render_answer, RenderedAnswer},
     input::{read_job, read_request, read_ticket_ask, InputError},
-    CallerAnswer, CancelCommand, CancelResult, OutcomeCommand, SubmitCommand, TicketCommand,
+    CallerAnswer, CancelCommand, CancelResult, InForceCommand, OutcomeCommand, StatusCommand,
+    SubmitCommand, TicketCommand,
 };
 
 /// The header with a key that the caller chose.
@@ -47,17 +48,23 @@
         + Handler<SubmitCommand>
         + Handler<TicketCommand>
         + Handler<OutcomeCommand>
-        + Handler<CancelCommand>,
+        + Handler<CancelCommand>
+        + Handler<InForceCommand>
+        + Handler<StatusCommand>,
     A::Context: ToEnvelope<A, SubmitCommand>
         + ToEnvelope<A, TicketCommand>
         + ToEnvelope<A, OutcomeCommand>
-        + ToEnvelope<A, CancelCommand>,
+        + ToEnvelope<A, CancelCommand>
+        + ToEnvelope<A, InForceCommand>
+        + ToEnvelope<A, StatusCommand>,
 {
     config
         .app_data(web::Data::new(api))
         .app_data(web::PayloadConfig::new(max_body))
         .route("/live", web::get().to(HttpResponse::NoContent))
         .route("/ready", web::get().to(answer_ready::<A>))
+        .route("/v1/in-force", web::get().to(show_in_force::<A>))
+        .route("/v1/status", web::get().to(show_status::<A>))
         .route("/v1/jobs", web::post().to(submit_job::<A>))
         .route("/v1/requests", web::post().to(submit_request::<A>))
         .route("/v1/tickets", web::post().to(issue_ticket::<A>));
@@ -202,6 +209,28 @@
     build(&api, status).json(json!({ "id": id, "cancel": text }))
 }
 
+async fn show_in_force<A>(api: Api<A>) -> HttpResponse
+where
+    A: Actor + Handler<InForceCommand>,
+    A::Context: ToEnvelope<A, InForceCommand>,
+{
+    match api.control.send(InForceCommand).await {
+        Ok(contracts) => build(&api, 200).json(contracts),
+        Err(_) => refuse(&api, RefusalReason::Stopping),
+    }
+}
+
+async fn show_status<A>(api: Api<A>) -> HttpResponse
+where
+    A: Actor + Handler<StatusCommand>,
+    A::Context: ToEnvelope<A, StatusCommand>,
+{
+    match api.control.send(StatusCommand).await {
+        Ok(status) => build(&api, 200).json(status),
+        Err(_) => refuse(&api, RefusalReason::Stopping),
+    }
+}
+
 fn read_id(text: &str) -> Result<SubmissionId, InputError> {
     text.parse()
         .map_err(|error: model::WrongId| InputError::new("id", error.to_string()))
--- a/crates/caller-api/src/lib.rs
+++ b/crates/caller-api/src/lib.rs
@@ -12,8 +12,9 @@
     answer::{render_answer, RenderedAnswer},
     callers::{caller_routes, CallerApi},
     command::{
-        CallerAnswer, CancelCommand, CancelResult, OutcomeCommand, SubmissionAnswer, SubmitCommand,
-        TicketCommand,
+        CallerAnswer, CancelCommand, CancelResult, ContractInForce, ContractsInForce,
+        CustomerStatus, DispatcherStatus, EntryStatus, InForceCommand, OutcomeCommand,
+        StatusCommand, SubmissionAnswer, SubmitCommand, TicketCommand,
     },
     input::{read_job, read_request, InputError},
 };
--- a/crates/dispatcher/src/control/membership.rs
+++ b/crates/dispatcher/src/control/membership.rs
@@ -149,8 +149,15 @@
     type Result = ();
 
     fn handle(&mut self, taken: PingTaken, _: &mut Context<Self>) {
-        let _gone = taken
-            .reply
-            .send(Ok((self.members.beat_message().view, self.ledger.slots())));
+        let now = self.clock.now();
+        let open = taken
+            .session
+            .is_none_or(|(entry, session)| self.ledger.hear(now, entry, session));
+        let answer = match open {
+            true => Ok((self.members.beat_message().view, self.ledger.slots())),
+            // The entry opens another one, and learns what became of its attempts.
+            false => Err(PeerError::Failed("the session is over".to_owned())),
+        };
+        let _gone = taken.reply.send(answer);
     }
 }
--- a/crates/dispatcher/src/control/messages.rs
+++ b/crates/dispatcher/src/control/messages.rs
@@ -63,6 +63,7 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct PingTaken {
+    pub(crate) session: Option<(IncarnationId, SessionId)>,
     pub(crate) reply: ReplyTo<(MemberView, SlotCounts)>,
 }
 
--- a/crates/dispatcher/src/port.rs
+++ b/crates/dispatcher/src/port.rs
@@ -1,13 +1,16 @@
 //! The peer port: turns calls of entries and dispatchers into messages to the control actor.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::Cell, rc::Rc};
 
 use actix::{Addr, Handler};
 use membership::{BeatMessage, BeatReply, MemberView};
 use model::{
     AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, WithdrawalVerdict,
 };
-use peer::{ContractPage, DispatcherService, EntryClient, PeerError, ReplyFuture, SessionService};
+use peer::{
+    AcceptedPort, ContractPage, DispatcherService, EntryClient, PeerError, ReplyFuture,
+    SessionService,
+};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -19,29 +22,30 @@
     DispatcherControl,
 };
 
-/// The port of one connection. When the connection ends, the object goes, and its sessions with it.
-pub(crate) struct ConnectionPort {
+/// The port of one connection.
+struct ConnectionPort {
     control: Addr<DispatcherControl>,
     entries: EntryDirectory,
-    sessions: Rc<RefCell<Vec<(IncarnationId, SessionId)>>>,
-}
-
-impl ConnectionPort {
-    pub(crate) fn new(control: Addr<DispatcherControl>, entries: EntryDirectory) -> Self {
-        Self {
-            control,
-            entries,
-            sessions: Rc::default(),
-        }
-    }
+    session: Rc<Cell<Option<(IncarnationId, SessionId)>>>,
 }
 
-impl Drop for ConnectionPort {
-    fn drop(&mut self) {
-        for (entry, session) in self.sessions.borrow().iter().copied() {
-            self.control.do_send(SessionEnded { entry, session });
+/// Makes the port of a new connection. The session on it ends with the connection, and not with the port object: what
+/// the library still holds of a broken connection would keep that alive.
+pub(crate) fn accept(control: Addr<DispatcherControl>, entries: EntryDirectory) -> AcceptedPort {
+    let session = Rc::<Cell<Option<_>>>::default();
+    let opened = session.clone();
+    let closing = control.clone();
+    let port = peer::dispatcher_port(ConnectionPort {
+        control,
+        entries,
+        session,
+    });
+    let on_closed = Box::new(move || {
+        if let Some((entry, session)) = opened.get() {
+            closing.do_send(SessionEnded { entry, session });
         }
-    }
+    });
+    AcceptedPort { port, on_closed }
 }
 
 /// A session of one connection.
@@ -61,7 +65,7 @@
         session: SessionId,
     ) -> ReplyFuture<(SessionPort, IncarnationId, SlotCounts)> {
         let control = self.control.clone();
-        self.sessions.borrow_mut().push((entry, session));
+        self.session.set(Some((entry, session)));
         self.entries.put(entry, session, client);
         let answer = ask(&control, |reply| SessionOpened {
             entry,
@@ -92,7 +96,8 @@
     }
 
     fn ping(&self) -> ReplyFuture<(MemberView, SlotCounts)> {
-        ask(&self.control, |reply| PingTaken { reply })
+        let session = self.session.get();
+        ask(&self.control, |reply| PingTaken { session, reply })
     }
 
     fn contracts(&self, since: u64) -> ReplyFuture<ContractPage> {
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -19,7 +19,7 @@
     admin,
     control::{ControlParts, DispatcherControl, StopBegun, StopState},
     entry_directory::EntryDirectory,
-    port::ConnectionPort,
+    port::accept,
     traffic::EndpointTraffic,
     DispatcherError,
 };
@@ -114,7 +114,7 @@
     let port_control = control.clone();
     let port = actix_rt::spawn(async move {
         peer::serve(listener, move || {
-            peer::dispatcher_port(ConnectionPort::new(port_control.clone(), entries.clone()))
+            accept(port_control.clone(), entries.clone())
         })
         .await;
     });
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -7,6 +7,7 @@
 mod messages;
 mod operators;
 mod sessions;
+mod status;
 
 use std::{
     net::SocketAddr,
--- a/crates/ledger/src/entry_link.rs
+++ b/crates/ledger/src/entry_link.rs
@@ -46,6 +46,7 @@
 pub(crate) struct EntryLink {
     pub(crate) session: SessionId,
     pub(crate) connected: bool,
+    pub(crate) heard: Instant,
     /// Which batches of offers were seen on this session.
     pub(crate) batches: BatchRecord,
     /// Ends that the entry has not confirmed. An attempt is forgotten only after that: a withdrawal that crosses
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -59,6 +59,7 @@
     running: FastMap<AttemptId, RunningTask>,
     links: LinkTable,
     stopping: bool,
+    last_tick: Option<Instant>,
     actions: Vec<LedgerAction>,
     old_ends: VecDeque<(Instant, IncarnationId, AttemptId)>,
 }
@@ -78,6 +79,7 @@
             running: FastMap::default(),
             links: LinkTable::default(),
             stopping: false,
+            last_tick: None,
             actions: Vec::new(),
             old_ends: VecDeque::new(),
         }
@@ -124,6 +126,7 @@
 
     /// Ends asks that stayed without an answer, hands back what is overdue, forgets old ends.
     pub fn tick(&mut self, now: Instant) {
+        self.end_silent(now);
         self.end_late_claims(now);
         self.drop_overdue(now);
         self.forget_ends(now);
--- a/crates/ledger/src/ledger/queueing.rs
+++ b/crates/ledger/src/ledger/queueing.rs
@@ -31,7 +31,7 @@
         batch: u64,
         offers: Vec<TaskOffer>,
     ) -> Vec<TaskVerdict> {
-        if !self.see_batch(entry, session, batch) {
+        if !self.see_batch(now, entry, session, batch) {
             // The session is over: the entry has counted these as lost or asked for their withdrawal since, so
             // starting them now could run a task twice.
             return vec![TaskVerdict::NotRun(RetryReason::DispatcherLost); offers.len()];
--- a/crates/ledger/src/ledger/sessions.rs
+++ b/crates/ledger/src/ledger/sessions.rs
@@ -34,11 +34,13 @@
         let link = self.links.entry(entry).or_insert_with(|| EntryLink {
             session,
             connected: true,
+            heard: now,
             batches: BatchRecord::default(),
             unconfirmed: Default::default(),
         });
         link.session = session;
         link.connected = true;
+        link.heard = now;
         link.batches = BatchRecord::default();
         let mut ends: Vec<_> = link
             .unconfirmed
@@ -70,6 +72,42 @@
         self.drop_waiting_of(now, entry);
     }
 
+    /// Something came on a session. `false` means that the session is over.
+    pub fn hear(&mut self, now: Instant, entry: IncarnationId, session: SessionId) -> bool {
+        let Some(link) = self.links.get_mut(&entry) else {
+            return false;
+        };
+        if link.session != session || !link.connected {
+            return false;
+        }
+        link.heard = now;
+        true
+    }
+
+    /// Ends the sessions of entries that stay silent. After a pause of this process, messages lie unread in its own
+    /// sockets; every session then gets its full time again.
+    pub(super) fn end_silent(&mut self, now: Instant) {
+        let paused = self
+            .last_tick
+            .is_some_and(|last| now - last > self.settings.entry_silence / 2);
+        self.last_tick = Some(now);
+        let mut silent = Vec::new();
+        for (entry, link) in &mut self.links {
+            if paused {
+                link.heard = now;
+            }
+            if link.connected
+                && now.saturating_duration_since(link.heard) > self.settings.entry_silence
+            {
+                silent.push((*entry, link.session));
+            }
+        }
+        silent.sort_unstable();
+        for (entry, session) in silent {
+            self.on_session_lost(now, entry, session);
+        }
+    }
+
     /// An entry has confirmed the report of an end.
     pub fn on_confirmed(&mut self, entry: IncarnationId, attempt: AttemptId) {
         if let Some(link) = self.links.get_mut(&entry) {
@@ -80,17 +118,17 @@
     /// Notes a batch of offers. `false` means that the session is over.
     pub(super) fn see_batch(
         &mut self,
+        now: Instant,
         entry: IncarnationId,
         session: SessionId,
         batch: u64,
     ) -> bool {
-        let Some(link) = self.links.get_mut(&entry) else {
-            return false;
-        };
-        if link.session != session || !link.connected {
+        if !self.hear(now, entry, session) {
             return false;
         }
-        link.batches.see(batch);
+        if let Some(link) = self.links.get_mut(&entry) {
+            link.batches.see(batch);
+        }
         true
     }
 
--- a/crates/ledger/tests/at_most_once/world.rs
+++ b/crates/ledger/tests/at_most_once/world.rs
@@ -127,7 +127,12 @@
 }
 
 fn new_ledger(now: Instant, number: usize) -> SlotLedger {
-    let mut ledger = SlotLedger::new(LedgerSettings::default());
+    // Pings are not part of this world.
+    let entry_silence = Duration::from_secs(3600);
+    let mut ledger = SlotLedger::new(LedgerSettings {
+        entry_silence,
+        ..LedgerSettings::default()
+    });
     let address = EndpointAddress {
         id: format!("endpoint-{number}")
             .parse()
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use crate::{
     client::{DispatcherClient, EntryClient, OpenedSession, SessionClient},
-    link::{connect, serve, PeerLink},
+    link::{connect, serve, AcceptedPort, PeerLink},
     service::{
         dispatcher_port, entry_port, ContractPage, ContractRecord, DispatcherService, EntryService,
         ForwardedAnswer, ReplyFuture, SessionService,
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -66,18 +66,27 @@
     })
 }
 
+/// What serves one accepted connection.
+pub struct AcceptedPort {
+    /// The port that the other side gets.
+    pub port: peer_capnp::dispatcher_port::Client,
+    /// Called once when the connection has ended.
+    pub on_closed: Box<dyn FnOnce()>,
+}
+
 /// Accepts connections for as long as the future is polled. `make` gives each one its port.
-pub async fn serve(listener: TcpListener, make: impl Fn() -> peer_capnp::dispatcher_port::Client) {
+pub async fn serve(listener: TcpListener, make: impl Fn() -> AcceptedPort) {
     let connections = Rc::new(ConnectionTasks::default());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let port = make();
+        let AcceptedPort { port, on_closed } = make();
         let system = RpcSystem::new(Box::new(network(stream, Side::Server)), Some(port.client));
         connections.add(actix_rt::spawn(async move {
             let _ended = system.await;
+            on_closed();
         }));
     }
 }
--- a/crates/scenario/src/caller.rs
+++ b/crates/scenario/src/caller.rs
@@ -102,7 +102,7 @@
 
 /// The contracts that an entry shows, or nothing where it shows none.
 pub(crate) async fn contracts(entry: SocketAddr) -> Option<Value> {
-    let call = client(SHORT_CALL).get(format!("http://{entry}/v1/contracts"));
+    let call = client(SHORT_CALL).get(format!("http://{entry}/v1/in-force"));
     let mut answer = call.send().await.ok()?;
     if !answer.status().is_success() {
         return None;
