Ask entries how they answer, and check the versions of accepting contracts

An entry shows the contracts of the platform, not those it works under, so a change in force everywhere is seen only in how entries answer. A condition now sends small jobs until every entry answers as expected, and a promise check compares the versions that answers name.

--- a/crates/scenario/src/caller.rs
+++ b/crates/scenario/src/caller.rs
@@ -4,7 +4,7 @@
 
 use awc::{Client, ClientResponse};
 use base64::{engine::general_purpose::STANDARD, Engine as _};
-use model::{CustomerId, IdempotencyKey, SubmissionId};
+use model::{ContractVersion, CustomerId, IdempotencyKey, SubmissionId};
 use serde::Deserialize;
 use serde_json::{json, Value};
 
@@ -45,6 +45,7 @@
     #[serde(default)]
     results: Vec<String>,
     result: Option<String>,
+    contract_version: Option<ContractVersion>,
 }
 
 /// Submits and waits for the answer, at most for `limit`.
@@ -172,6 +173,7 @@
         status,
         reason: body.reason,
         results,
+        version: body.contract_version,
     })
 }
 
@@ -181,5 +183,6 @@
         status: AnswerStatus::Lost,
         reason,
         results: Vec::new(),
+        version: None,
     }
 }
--- a/crates/scenario/src/load.rs
+++ b/crates/scenario/src/load.rs
@@ -69,9 +69,18 @@
     rng: Rng,
 }
 
+impl LoadInner {
+    fn open_doors(&self) -> Vec<EntryDoor> {
+        let open = self.doors.iter();
+        let open = open.filter(|door| door.state == DoorState::Open);
+        open.cloned().collect()
+    }
+}
+
 /// The load of a run. Clones share it.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct CallerLoad {
+    begun: Instant,
     inner: Rc<RefCell<LoadInner>>,
 }
 
@@ -83,6 +92,7 @@
             ..LoadInner::default()
         };
         Self {
+            begun: Instant::now(),
             inner: Rc::new(RefCell::new(inner)),
         }
     }
@@ -114,18 +124,18 @@
                 .cloned()
                 .ok_or_else(|| StepError::UnknownVm(vm.clone()));
         }
-        let open: Vec<_> = inner
-            .doors
-            .iter()
-            .filter(|door| door.state == DoorState::Open)
-            .cloned()
-            .collect();
+        let open = inner.open_doors();
         inner
             .rng
             .choice(open)
             .ok_or_else(|| StepError::UnknownVm("with an open entry".to_owned()))
     }
 
+    /// The entries that take submissions.
+    pub(crate) fn open_doors(&self) -> Vec<EntryDoor> {
+        self.inner.borrow().open_doors()
+    }
+
     pub(crate) fn random_seed(&self) -> u64 {
         self.inner.borrow_mut().rng.u64(..)
     }
@@ -185,12 +195,14 @@
         let mut record = SubmissionRecord {
             group: step.name.clone(),
             name,
+            customer: step.customer.clone(),
             request: !matches!(step.kind, SubmitKind::Job { .. }),
             run_label,
             payloads: payloads.clone(),
             deadline: step.deadline,
             via: String::new(),
             answer: None,
+            sent: self.begun.elapsed(),
             took: Duration::ZERO,
             disturbed: false,
         };
@@ -319,11 +331,7 @@
     /// Looks at the contracts of every open entry again and again, until the run ends.
     pub(crate) async fn watch_contracts(self) {
         loop {
-            let doors = self.inner.borrow().doors.clone();
-            for door in doors
-                .into_iter()
-                .filter(|door| door.state == DoorState::Open)
-            {
+            for door in self.open_doors() {
                 if let Some(shown) = caller::contracts(door.address).await {
                     self.inner
                         .borrow_mut()
@@ -335,22 +343,6 @@
         }
     }
 
-    /// The newest version that each open entry has shown of a customer's contract.
-    pub(crate) fn versions(&self, customer: &CustomerId) -> Vec<(Label, Option<ContractVersion>)> {
-        let inner = self.inner.borrow();
-        let mut versions = Vec::new();
-        for door in inner
-            .doors
-            .iter()
-            .filter(|door| door.state == DoorState::Open)
-        {
-            let seen = inner.sightings.iter().rev();
-            let mut seen = seen.filter(|s| s.vm == door.vm && s.customer == *customer);
-            versions.push((door.vm.clone(), seen.next().map(|s| s.version)));
-        }
-        versions
-    }
-
     pub(crate) fn sightings(&self) -> Vec<VersionSighting> {
         self.inner.borrow().sightings.clone()
     }
--- a/crates/scenario/src/operator.rs
+++ b/crates/scenario/src/operator.rs
@@ -4,7 +4,6 @@
 
 use contracts::{ContractEditor, EditError, EditorSettings};
 use kernel::SystemClock;
-use model::{ContractVersion, CustomerId};
 use platform::{ClientSettings, PlatformClient};
 
 use crate::script::{ChangeStatus, ContractLine};
@@ -13,10 +12,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ChangeEnd {
     pub(crate) status: ChangeStatus,
-    /// Whose contract.
-    pub(crate) customer: CustomerId,
-    /// The version that it made, where it was accepted.
-    pub(crate) version: Option<ContractVersion>,
     /// What the operator was told.
     pub(crate) message: String,
 }
@@ -42,8 +37,6 @@
     match made {
         Ok(row) => ChangeEnd {
             status: ChangeStatus::Accepted,
-            customer: line.customer.clone(),
-            version: Some(row.version),
             message: format!("version {}", row.version),
         },
         Err(error) => ChangeEnd {
@@ -51,8 +44,6 @@
                 EditError::Conflict(_) => ChangeStatus::Conflict,
                 _ => ChangeStatus::Failed,
             },
-            customer: line.customer.clone(),
-            version: None,
             message: error.to_string(),
         },
     }
--- a/crates/scenario/src/parse/step.rs
+++ b/crates/scenario/src/parse/step.rs
@@ -307,16 +307,21 @@
             preceded(keyword("unready"), cut_err(target)).map(Condition::Unready),
             preceded(keyword("live"), cut_err(target)).map(Condition::Live),
             preceded(keyword("exited"), cut_err(target)).map(Condition::Exited),
-            preceded(
-                keyword("change"),
-                cut_err((value("a change"), keyword("everywhere"))),
-            )
-            .map(|(name, ())| Condition::ChangeEverywhere(name)),
+            preceded(keyword("entries"), cut_err(entries_answer)),
         )),
     )
     .parse_next(input)
 }
 
+fn entries_answer(input: &mut Input<'_>) -> ModalResult<Condition> {
+    seq! {Condition::EntriesAnswer {
+        _: keyword("answer"),
+        customer: value("a customer"),
+        answer: expected_answer,
+    }}
+    .parse_next(input)
+}
+
 fn expectation(input: &mut Input<'_>) -> ModalResult<Expectation> {
     alt((
         preceded(keyword("starts"), cut_err((group, bound)))
@@ -341,7 +346,7 @@
 fn expected_answer(input: &mut Input<'_>) -> ModalResult<ExpectedAnswer> {
     seq! {ExpectedAnswer {
         status: answer_status,
-        reason: opt(name_except("a reason", &["or"])),
+        reason: opt(name_except("a reason", &["or", "within"])),
     }}
     .parse_next(input)
 }
--- a/crates/scenario/src/promises.rs
+++ b/crates/scenario/src/promises.rs
@@ -214,6 +214,7 @@
     }
     check_leaving(&starts, &mut broken);
     check_versions(record, &mut broken);
+    check_accepting_versions(record, &mut broken);
     check_exits(record, &mut broken);
     broken
 }
@@ -447,6 +448,34 @@
     }
 }
 
+/// A job sent after the answer of another, to the same entry, is accepted under the same contract or a newer one.
+/// Requests are left out: a second arrival gets the answer of the first, with its old version.
+fn check_accepting_versions(record: &RunRecord, broken: &mut Vec<BrokenPromise>) {
+    let mut jobs = Vec::new();
+    for submission in record
+        .submissions
+        .iter()
+        .filter(|submission| !submission.request)
+    {
+        let version = submission.answer.as_ref().and_then(|answer| answer.version);
+        jobs.extend(version.map(|version| (submission, version)));
+    }
+    for (first, before) in &jobs {
+        for (second, after) in &jobs {
+            let same = (&first.via, &first.customer) == (&second.via, &second.customer);
+            if !same || second.sent < first.sent + first.took || after >= before {
+                continue;
+            }
+            broken.push(BrokenPromise::VersionWentBack {
+                vm: first.via.clone(),
+                customer: first.customer.clone(),
+                before: *before,
+                after: *after,
+            });
+        }
+    }
+}
+
 fn check_exits(record: &RunRecord, broken: &mut Vec<BrokenPromise>) {
     for exit in &record.exits {
         let right = match exit.cause {
--- a/crates/scenario/src/record.rs
+++ b/crates/scenario/src/record.rs
@@ -31,6 +31,8 @@
     pub reason: String,
     /// The results in the order of the tasks.
     pub results: Vec<Vec<u8>>,
+    /// The contract version under which it was accepted, where the answer names it.
+    pub version: Option<ContractVersion>,
 }
 
 /// A submission and what became of it.
@@ -40,6 +42,8 @@
     pub group: Label,
     /// Its own name.
     pub name: Label,
+    /// Whose.
+    pub customer: CustomerId,
     /// Whether it is a non-idempotent request.
     pub request: bool,
     /// The name by which its payloads are known at the endpoints. Requests with one key or ticket share it.
@@ -52,6 +56,8 @@
     pub via: Label,
     /// The answer; absent while it is out.
     pub answer: Option<AnswerRecord>,
+    /// When it was sent, since the run began.
+    pub sent: Duration,
     /// The time from sending to the answer, or until the end of the run.
     pub took: Duration,
     /// Whether the scenario killed or froze its entry meanwhile, so that no answer can be asked for in time.
--- a/crates/scenario/src/runner/conditions.rs
+++ b/crates/scenario/src/runner/conditions.rs
@@ -2,15 +2,22 @@
 
 use std::time::{Duration, Instant};
 
+use model::CustomerId;
 use stand_ins::endpoint::TaskScript;
 
-use super::{ScenarioRun, LOOK_PAUSE};
+use super::{
+    expectations::{describe, fits},
+    ScenarioRun, LOOK_PAUSE,
+};
 use crate::{
     caller,
     error::StepError,
-    script::{Condition, CountBound, ProcessTarget},
+    script::{Condition, CountBound, ExpectedAnswer, Label, ProcessTarget, SubmitKind, SubmitStep},
 };
 
+/// The deadline of the small jobs by which entries are asked how they answer.
+const PROBE_DEADLINE: Duration = Duration::from_secs(2);
+
 /// Whether a condition holds, and how things stand.
 struct Look {
     holds: bool,
@@ -56,7 +63,9 @@
             Condition::Unready(target) => self.look_ready(target, false).await,
             Condition::Live(target) => self.look_live(target).await,
             Condition::Exited(target) => self.look_exited(target),
-            Condition::ChangeEverywhere(name) => self.look_change(name),
+            Condition::EntriesAnswer { customer, answer } => {
+                self.look_entries(customer, answer).await
+            }
         }
     }
 
@@ -132,30 +141,50 @@
         })
     }
 
-    fn look_change(&self, name: &str) -> Result<Look, StepError> {
-        let Some(end) = self.load.change(name)? else {
-            return Ok(Look {
-                holds: false,
-                state: "the change is under way".to_owned(),
-            });
-        };
-        let Some(version) = end.version else {
-            return Err(StepError::Unexpected(format!(
-                "change {name}: {}",
-                end.message
-            )));
-        };
-        let versions = self.load.versions(&end.customer);
-        let holds = versions
-            .iter()
-            .all(|(_, seen)| seen.is_some_and(|seen| seen >= version));
+    /// Sends a small job to every entry that takes submissions. The jobs are recorded like any other, so the promises
+    /// hold for them too.
+    async fn look_entries(
+        &mut self,
+        customer: &CustomerId,
+        expected: &ExpectedAnswer,
+    ) -> Result<Look, StepError> {
+        let mut names = Vec::new();
+        for door in self.load.open_doors() {
+            self.probes += 1;
+            let name = format!("probe{}", self.probes);
+            self.load.submit(&probe_job(&name, customer, door.vm))?;
+            names.push(name);
+        }
+        let mut state = Vec::new();
+        for name in names {
+            for record in self.answers(&name).await? {
+                let answer = record.answer.filter(|answer| !fits(answer, expected));
+                state.extend(answer.map(|answer| format!("{} {}", record.via, describe(&answer))));
+            }
+        }
         Ok(Look {
-            holds,
-            state: format!("version {version} was made, shown are {versions:?}"),
+            holds: state.is_empty(),
+            state: state.join(", "),
         })
     }
 }
 
+fn probe_job(name: &str, customer: &CustomerId, vm: Label) -> SubmitStep {
+    SubmitStep {
+        name: name.to_owned(),
+        kind: SubmitKind::Job { tasks: 1 },
+        customer: customer.clone(),
+        run: Duration::from_millis(1),
+        deadline: PROBE_DEADLINE,
+        declared: None,
+        fail_task: None,
+        variant: None,
+        times: 1,
+        every: Duration::ZERO,
+        via: Some(vm),
+    }
+}
+
 fn count_look(count: usize, bound: CountBound, what: &str) -> Look {
     Look {
         holds: bound.holds(count),
--- a/crates/scenario/src/runner/expectations.rs
+++ b/crates/scenario/src/runner/expectations.rs
@@ -40,7 +40,7 @@
     }
 
     /// The answers of a group, once all are there.
-    async fn answers(&self, group: &str) -> Result<Vec<SubmissionRecord>, StepError> {
+    pub(super) async fn answers(&self, group: &str) -> Result<Vec<SubmissionRecord>, StepError> {
         let begun = Instant::now();
         loop {
             let members = self.load.group(group)?;
@@ -141,12 +141,14 @@
     )))
 }
 
-fn fits(answer: &AnswerRecord, expected: &ExpectedAnswer) -> bool {
+/// Whether an answer is the expected one.
+pub(super) fn fits(answer: &AnswerRecord, expected: &ExpectedAnswer) -> bool {
     let reason = expected.reason.as_ref();
     answer.status == expected.status && reason.is_none_or(|reason| *reason == answer.reason)
 }
 
-fn describe(answer: &AnswerRecord) -> String {
+/// An answer in words.
+pub(super) fn describe(answer: &AnswerRecord) -> String {
     format!("{:?} {}", answer.status, answer.reason)
         .trim_end()
         .to_owned()
--- a/crates/scenario/src/runner/mod.rs
+++ b/crates/scenario/src/runner/mod.rs
@@ -138,6 +138,8 @@
     world: ScenarioWorld,
     load: CallerLoad,
     contracts: Vec<ContractLine>,
+    /// Counts the small jobs sent to ask how entries answer.
+    probes: usize,
 }
 
 impl ScenarioRun {
@@ -171,6 +173,7 @@
             world,
             load,
             contracts,
+            probes: 0,
         })
     }
 
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -337,8 +337,13 @@
     Live(ProcessTarget),
     /// The processes have ended.
     Exited(ProcessTarget),
-    /// Every live entry shows the contract at least as new as the change made it.
-    ChangeEverywhere(Label),
+    /// Every entry that takes submissions answers a small job of the customer so.
+    EntriesAnswer {
+        /// Whose jobs.
+        customer: CustomerId,
+        /// The answer.
+        answer: ExpectedAnswer,
+    },
 }
 
 /// The status of an answer as the caller gets it.
--- a/crates/scenario/tests/promises.rs
+++ b/crates/scenario/tests/promises.rs
@@ -46,6 +46,7 @@
         status,
         reason: String::new(),
         results: Vec::new(),
+        version: None,
     }
 }
 
@@ -66,6 +67,7 @@
     let job = SubmissionRecord {
         group: "j1".to_owned(),
         name: "j1".to_owned(),
+        customer: "c1".parse().unwrap(),
         request: false,
         run_label: "j1".to_owned(),
         payloads: vec![payload("j1#0"), payload("j1#1")],
@@ -75,6 +77,7 @@
             results: vec![payload("j1#0"), payload("j1#1")],
             ..answer(1, AnswerStatus::Complete)
         }),
+        sent: Duration::ZERO,
         took: Duration::from_millis(20),
         disturbed: false,
     };
@@ -304,6 +307,28 @@
     );
 }
 
+// What the caller sees: a job is accepted under an older contract than the one before it.
+// Order: a job under version 3 is answered; two are sent to the same entry, one before that answer and one after it.
+// Why: only the one that was sent after it shows that the entry went back.
+#[test]
+fn a_job_accepted_under_an_older_contract_is_found() {
+    let later = |record: &RunRecord, name: &str, sent, version| {
+        let mut job = record.submissions[0].clone();
+        job.name = name.to_owned();
+        job.sent = Duration::from_millis(sent);
+        job.answer.as_mut().unwrap().version = Some(ContractVersion(version));
+        job
+    };
+    check(
+        |record| {
+            record.submissions[0] = later(record, "j1", 0, 3);
+            record.submissions.push(later(record, "during", 19, 1));
+            record.submissions.push(later(record, "after", 20, 2));
+        },
+        &["east-vm1 showed version 2 of c1's contract after version 3"],
+    );
+}
+
 #[test]
 fn a_wrong_exit_is_found() {
     let cases = [
