--- a/crates/scenario/src/runner/mod.rs
+++ b/crates/scenario/src/runner/mod.rs
@@ -17,7 +17,7 @@
     process::ChildSignal,
     promises::{check_promises, BrokenPromise, PromiseLimits},
     record::RunRecord,
-    script::{AnswerStatus, ChangeStatus, ContractLine, Script, ScriptLine, Setup, Statement},
+    script::{AnswerStatus, ContractLine, Script, ScriptLine, Setup, Statement},
     world::ScenarioWorld,
 };
 
@@ -138,6 +138,8 @@
     world: ScenarioWorld,
     load: CallerLoad,
     contracts: Vec<ContractLine>,
+    /// Counts the small jobs sent to ask how entries answer.
+    probes: usize,
 }
 
 impl ScenarioRun {
@@ -171,6 +173,7 @@
             world,
             load,
             contracts,
+            probes: 0,
         })
     }
 
@@ -206,10 +209,8 @@
     async fn make_contracts(&self) -> Result<(), StepError> {
         let platform = self.world.platform.address();
         for line in &self.contracts {
-            let end = operator::change(platform, line, self.load.random_seed()).await;
-            if end.status != ChangeStatus::Accepted {
-                return Err(StepError::Contract(end.message));
-            }
+            let made = operator::create(platform, line).await;
+            made.map_err(StepError::Contract)?;
         }
         Ok(())
     }
