--- a/crates/cairnctl/src/main.rs
+++ b/crates/cairnctl/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod client;
 mod contract;
+mod demonstration;
 mod explain;
 mod options;
 mod render;
@@ -37,6 +38,7 @@
         CtlCommand::Explain { id } => explain::run(&client, id, form)?,
         CtlCommand::Status => status::run(&client, form)?,
         CtlCommand::CheckSettings { role, file } => check::run(role, &file, form)?,
+        CtlCommand::Demo => demonstration::run(form)?,
         CtlCommand::Schema { role } => check::schema(role),
     };
     print_text(&text).map_err(eyre::Report::new)?;
--- a/crates/cairnctl/src/options.rs
+++ b/crates/cairnctl/src/options.rs
@@ -46,6 +46,9 @@
         #[bpaf(positional("FILE"), complete_shell(ShellComp::File { mask: Some("*.json") }))]
         file: PathBuf,
     },
+    /// Run the whole path once in this process, on stand-ins, and say what came of it
+    #[bpaf(command("demo"))]
+    Demo,
     /// Print the JSON schema of a role's settings
     #[bpaf(command("schema"))]
     Schema {
@@ -146,6 +149,7 @@
 
 // bpaf keeps a line break only before a space.
 const EXAMPLES: &str = "Examples:
+   cairnctl demo
    cairnctl contract create trust --file docs/examples/contract.json
    cairnctl contract change trust --version 1 --file docs/examples/contract.json
    cairnctl --json contract show trust
