Judge endpoints by what their tasks show

Change: the ledger feeds each end to the endpoint's health, against run times measured per customer and kind, and takes its limit from there; queued tasks are expected to run as long as measured.

--- a/crates/ledger/src/endpoint.rs
+++ b/crates/ledger/src/endpoint.rs
@@ -1,7 +1,8 @@
 //! The endpoints that this dispatcher owns, or owned while something still runs there.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Instant};
 
+use decisions::{EndpointHealth, HealthSettings};
 use model::{EndpointAddress, EndpointId, EndpointState, FastMap, FastSet};
 
 #[derive(Clone, Debug)]
@@ -10,11 +11,33 @@
     pub(crate) running: u32,
     pub(crate) state: EndpointState,
     pub(crate) owned: bool,
-    /// The limit that the endpoint's health allows now; at most its slots.
+    /// What its tasks have shown.
+    pub(crate) health: EndpointHealth,
+    /// The limit that the health allowed when last looked at; at most its slots.
     pub(crate) limit: u32,
 }
 
 impl EndpointRecord {
+    pub(crate) fn new(
+        address: EndpointAddress,
+        state: EndpointState,
+        health: &HealthSettings,
+    ) -> Self {
+        let health = EndpointHealth::new(health.clone());
+        Self {
+            limit: address.slots,
+            address,
+            running: 0,
+            state,
+            owned: true,
+            health,
+        }
+    }
+
+    pub(crate) fn refresh_limit(&mut self, now: Instant) {
+        self.limit = self.health.capacity(now, self.address.slots);
+    }
+
     pub(crate) fn room(&self) -> u32 {
         if !self.owned || self.state == EndpointState::Leaving {
             return 0;
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -9,7 +9,7 @@
     time::Instant,
 };
 
-use decisions::FairQueue;
+use decisions::{FairQueue, FleetLatency, RunTimeSettings, RunTimeTable};
 use model::{AttemptId, EndpointId, FastMap, IncarnationId, SessionId, SlotCounts, TaskOffer};
 
 use crate::{
@@ -44,6 +44,7 @@
     endpoint: EndpointId,
     started: Instant,
     customer: model::CustomerId,
+    kind: model::TaskKind,
     expected: std::time::Duration,
 }
 
@@ -56,6 +57,8 @@
     claims: FastMap<AttemptId, PendingClaim>,
     claim_limits: BTreeSet<(Instant, ClaimNumber, AttemptId)>,
     next_claim: u64,
+    run_times: RunTimeTable,
+    fleet: FleetLatency,
     running: FastMap<AttemptId, RunningTask>,
     links: LinkTable,
     stopping: bool,
@@ -76,6 +79,8 @@
             claims: FastMap::default(),
             claim_limits: BTreeSet::new(),
             next_claim: 1,
+            run_times: RunTimeTable::new(RunTimeSettings::default()),
+            fleet: FleetLatency::default(),
             running: FastMap::default(),
             links: LinkTable::default(),
             stopping: false,
@@ -130,6 +135,7 @@
         self.end_late_claims(now);
         self.drop_overdue(now);
         self.forget_ends(now);
+        self.refresh_limits(now);
         self.fill_slots(now);
     }
 }
--- a/crates/ledger/src/ledger/queueing.rs
+++ b/crates/ledger/src/ledger/queueing.rs
@@ -131,6 +131,16 @@
         offer: TaskOffer,
     ) -> TaskVerdict {
         let due = now + offer.time_left;
+        // What was measured here counts for more than what the entry expects, which may rest on a caller's word.
+        let declared = Some(offer.expected_run_time);
+        let expected = self
+            .run_times
+            .expect(now, &offer.customer, &offer.kind, declared)
+            .run_time;
+        let offer = TaskOffer {
+            expected_run_time: expected,
+            ..offer
+        };
         let queued = QueueEntry {
             attempt: offer.attempt,
             customer: offer.customer.clone(),
--- a/crates/ledger/src/ledger/running.rs
+++ b/crates/ledger/src/ledger/running.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use decisions::{EndKind, EndReport, EndpointHealth};
 use model::{
     AttemptEnd, AttemptId, EndpointAddress, EndpointId, EndpointState, FastSet, IncarnationId,
     RetryReason, TaskOffer,
@@ -20,6 +21,7 @@
             return;
         };
         let ran = now.saturating_duration_since(task.started);
+        self.learn(now, &task, &end, ran);
         self.release(&task.endpoint);
         let billed = if matches!(end, AttemptEnd::NotRun(_)) {
             Duration::ZERO
@@ -54,14 +56,6 @@
         self.fill_slots(now);
     }
 
-    /// Sets how many slots of an endpoint may be used, as its health allows.
-    pub fn set_limit(&mut self, now: Instant, endpoint: &EndpointId, limit: u32) {
-        self.endpoints.update(endpoint, |record| {
-            record.limit = limit.min(record.address.slots)
-        });
-        self.fill_slots(now);
-    }
-
     /// Tasks that run on an endpoint, with slots held for asked bodies.
     pub fn running_on(&self, endpoint: &EndpointId) -> u32 {
         self.endpoints
@@ -95,13 +89,17 @@
             );
             return;
         };
-        self.endpoints
-            .update(&endpoint, |record| record.running += 1);
+        self.endpoints.update(&endpoint, |record| {
+            record.running += 1;
+            record.health.on_start(now);
+            record.refresh_limit(now);
+        });
         let task = RunningTask {
             entry,
             endpoint,
             started: now,
             customer: offer.customer.clone(),
+            kind: offer.kind.clone(),
             expected: offer.expected_run_time,
         };
         self.running.insert(offer.attempt, task);
@@ -113,20 +111,16 @@
 
     fn put_endpoint(&mut self, address: &EndpointAddress, state: EndpointState) {
         if self.endpoints.get(&address.id).is_none() {
-            let (address, limit) = (address.clone(), address.slots);
-            self.endpoints.insert(EndpointRecord {
-                address,
-                running: 0,
-                state,
-                owned: true,
-                limit,
-            });
+            let record = EndpointRecord::new(address.clone(), state, &self.settings.health);
+            self.endpoints.insert(record);
             return;
         }
+        let health = self.settings.health.clone();
         self.endpoints.update(&address.id, |record| {
             if record.address != *address {
+                // Another address under the same id is another process: it does not inherit what the old one showed.
+                record.health = EndpointHealth::new(health);
                 record.limit = address.slots;
-                // Another address under the same id is another process: it does not inherit the old one's word.
                 record.state = EndpointState::Live;
             }
             record.address = address.clone();
@@ -138,6 +132,43 @@
         });
     }
 
+    /// Load: one endpoint that fails or drags everything it starts. Harm: it is always free, so it draws more work than
+    /// the healthy ones. What its tasks show, against what such tasks do elsewhere, sets its limit.
+    fn learn(&mut self, now: Instant, task: &RunningTask, end: &AttemptEnd, ran: Duration) {
+        let expected = self
+            .run_times
+            .expect(now, &task.customer, &task.kind, None)
+            .run_time;
+        let report = EndReport {
+            kind: EndKind::from(end),
+            ran,
+            expected: self.fleet.scale(expected),
+            failure_share: self.run_times.failure_share(&task.customer, &task.kind),
+        };
+        match report.kind {
+            EndKind::Done => {
+                self.fleet.on_done(ran, expected);
+                self.run_times.record(now, &task.customer, &task.kind, ran);
+            }
+            EndKind::Failed => self
+                .run_times
+                .record_failure(now, &task.customer, &task.kind),
+            _ => {}
+        }
+        self.endpoints.update(&task.endpoint, |record| {
+            record.health.on_end(now, report);
+            record.refresh_limit(now);
+        });
+    }
+
+    /// Limits come back with time: a quarantine ends, a pause is over. A dispatcher owns a few dozen endpoints at most.
+    pub(super) fn refresh_limits(&mut self, now: Instant) {
+        for id in self.endpoints.ids() {
+            self.endpoints
+                .update(&id, |record| record.refresh_limit(now));
+        }
+    }
+
     fn set_leaving(&mut self, endpoint: &EndpointId) {
         self.endpoints
             .update(endpoint, |record| record.state = EndpointState::Leaving);
--- a/crates/ledger/src/settings.rs
+++ b/crates/ledger/src/settings.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
+use decisions::HealthSettings;
+
 /// Limits of the dispatcher's state.
 #[derive(Clone, Debug)]
 pub struct LedgerSettings {
+    /// How endpoints are judged.
+    pub health: HealthSettings,
     /// Reservations at once. One more is turned away as not run, so that memory and waits stay bounded.
     pub max_queue: usize,
     /// How long an entry has to answer an ask before the slot goes to the next in line. An entry answers within a
@@ -20,6 +24,7 @@
 impl Default for LedgerSettings {
     fn default() -> Self {
         Self {
+            health: HealthSettings::default(),
             max_queue: 20_000,
             claim_limit: Duration::from_millis(200),
             entry_silence: Duration::from_secs(3),
