--- a/crates/cairnctl/tests/commands.rs
+++ b/crates/cairnctl/tests/commands.rs
@@ -179,6 +179,22 @@
     assert_eq!(text.lines().count(), 2, "{text}");
 }
 
+/// The file passes the checks, so the program goes as far as the entry, which is not there.
+#[test]
+fn the_example_contract_is_good() {
+    let address = closed_address();
+    let file = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../../docs/examples/contract.json"
+    );
+    let output = run(
+        address,
+        &["contract", "create", "trust", "--file", file],
+        "",
+    );
+    assert_eq!(output.status.code(), Some(1), "{}", told(&output, address));
+}
+
 #[test]
 fn explain_and_status() {
     let report = r#"{"submission":"0000000000000007-1","customer":"trust","contract_version":3,"tasks":2,"events":[{"after_ms":0,"event":"admitted"},{"after_ms":1,"event":"offered","task":0,"dispatcher":"vm2"},{"after_ms":1290,"event":"answered","outcome":"unknown","reason":"connection_lost"}],"events_left_out":7}"#;
