--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -9,7 +9,7 @@
     time::Instant,
 };
 
-use decisions::FairQueue;
+use decisions::{FairQueue, FleetLatency, RunTimeSettings, RunTimeTable};
 use model::{AttemptId, EndpointId, FastMap, IncarnationId, SessionId, SlotCounts, TaskOffer};
 
 use crate::{
@@ -44,6 +44,7 @@
     endpoint: EndpointId,
     started: Instant,
     customer: model::CustomerId,
+    kind: model::TaskKind,
     expected: std::time::Duration,
 }
 
@@ -56,9 +57,12 @@
     claims: FastMap<AttemptId, PendingClaim>,
     claim_limits: BTreeSet<(Instant, ClaimNumber, AttemptId)>,
     next_claim: u64,
+    run_times: RunTimeTable,
+    fleet: FleetLatency,
     running: FastMap<AttemptId, RunningTask>,
     links: LinkTable,
     stopping: bool,
+    last_tick: Option<Instant>,
     actions: Vec<LedgerAction>,
     old_ends: VecDeque<(Instant, IncarnationId, AttemptId)>,
 }
@@ -75,9 +79,12 @@
             claims: FastMap::default(),
             claim_limits: BTreeSet::new(),
             next_claim: 1,
+            run_times: RunTimeTable::new(RunTimeSettings::default()),
+            fleet: FleetLatency::default(),
             running: FastMap::default(),
             links: LinkTable::default(),
             stopping: false,
+            last_tick: None,
             actions: Vec::new(),
             old_ends: VecDeque::new(),
         }
@@ -124,9 +131,11 @@
 
     /// Ends asks that stayed without an answer, hands back what is overdue, forgets old ends.
     pub fn tick(&mut self, now: Instant) {
+        self.end_silent(now);
         self.end_late_claims(now);
         self.drop_overdue(now);
         self.forget_ends(now);
+        self.refresh_limits(now);
         self.fill_slots(now);
     }
 }
