--- a/crates/authority/src/action.rs
+++ b/crates/authority/src/action.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use model::{
-    AttemptId, CustomerId, RefusalReason, RetryReason, SessionId, SubmissionId, SubmissionOutcome,
-    TaskOffer,
+    AttemptEnd, AttemptId, ContractVersion, CustomerId, RefusalReason, RetryReason, SessionId,
+    SubmissionId, SubmissionOutcome, TaskOffer,
 };
 
 use crate::DispatcherKey;
@@ -54,6 +54,8 @@
         id: SubmissionId,
         /// Whose.
         customer: CustomerId,
+        /// The contract version that it runs under.
+        version: ContractVersion,
         /// Its number of tasks.
         tasks: u32,
     },
@@ -72,8 +74,8 @@
     Claimed(AttemptId),
     /// The dispatcher started it.
     Started(AttemptId),
-    /// It ran to an end.
-    Ended(AttemptId),
+    /// It ended in any way that the dispatcher told.
+    Ended(AttemptId, AttemptEnd),
     /// It certainly did not run and is placed again.
     Retried(AttemptId, RetryReason),
     /// The submission has its answer.
--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -139,6 +139,7 @@
         self.note(AuthorityEvent::Admitted {
             id,
             customer: customer.clone(),
+            version,
             tasks,
         });
         for task in 0..tasks {
--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -61,12 +61,10 @@
             // Nobody waits for it: the attempt was given up as unknown before, and stays so.
             return;
         };
+        self.note(AuthorityEvent::Ended(attempt, end.clone()));
         match end {
             AttemptEnd::Done(result) => self.on_done(now, attempt, result),
-            AttemptEnd::Failed => {
-                self.note(AuthorityEvent::Ended(attempt));
-                self.finish_failed(now, attempt, FailureReason::TaskFailed);
-            }
+            AttemptEnd::Failed => self.finish_failed(now, attempt, FailureReason::TaskFailed),
             AttemptEnd::NotRun(reason) => self.on_not_run(now, attempt, reason, flight.dispatcher),
             AttemptEnd::Unknown(reason) => self.on_unknown(now, attempt, reason),
         }
@@ -140,7 +138,6 @@
     }
 
     fn on_done(&mut self, now: Instant, attempt: AttemptId, result: TaskResult) {
-        self.note(AuthorityEvent::Ended(attempt));
         let serial = attempt.submission.serial;
         let Some(record) = self
             .records
--- a/crates/caller-api/src/callers.rs
+++ b/crates/caller-api/src/callers.rs
@@ -13,8 +13,8 @@
 use crate::{
     answer::{refusal_status, render_answer, RenderedAnswer},
     input::{read_job, read_request, read_ticket_ask, InputError},
-    CallerAnswer, CancelCommand, CancelResult, InForceCommand, OutcomeCommand, StatusCommand,
-    SubmitCommand, TicketCommand,
+    CallerAnswer, CancelCommand, CancelResult, ExplainCommand, InForceCommand, OutcomeCommand,
+    StatusCommand, SubmitCommand, TicketCommand,
 };
 
 /// The header with a key that the caller chose.
@@ -49,12 +49,14 @@
         + Handler<TicketCommand>
         + Handler<OutcomeCommand>
         + Handler<CancelCommand>
+        + Handler<ExplainCommand>
         + Handler<InForceCommand>
         + Handler<StatusCommand>,
     A::Context: ToEnvelope<A, SubmitCommand>
         + ToEnvelope<A, TicketCommand>
         + ToEnvelope<A, OutcomeCommand>
         + ToEnvelope<A, CancelCommand>
+        + ToEnvelope<A, ExplainCommand>
         + ToEnvelope<A, InForceCommand>
         + ToEnvelope<A, StatusCommand>,
 {
@@ -63,6 +65,7 @@
         .app_data(web::PayloadConfig::new(max_body))
         .route("/live", web::get().to(HttpResponse::NoContent))
         .route("/ready", web::get().to(answer_ready::<A>))
+        .route("/v1/explain/{id}", web::get().to(explain::<A>))
         .route("/v1/in-force", web::get().to(show_in_force::<A>))
         .route("/v1/status", web::get().to(show_status::<A>))
         .route("/v1/jobs", web::post().to(submit_job::<A>))
@@ -209,6 +212,25 @@
     build(&api, status).json(json!({ "id": id, "cancel": text }))
 }
 
+async fn explain<A>(api: Api<A>, id: web::Path<String>) -> HttpResponse
+where
+    A: Actor + Handler<ExplainCommand>,
+    A::Context: ToEnvelope<A, ExplainCommand>,
+{
+    let id = match read_id(&id) {
+        Ok(id) => id,
+        Err(error) => return bad_input(&api, &error),
+    };
+    match api.control.send(ExplainCommand { id }).await {
+        Ok(Some(report)) => build(&api, 200).json(report),
+        Ok(None) => {
+            let message = "no history of it is kept at this entry; ask the entry that its id names";
+            build(&api, 404).json(json!({ "id": id, "message": message }))
+        }
+        Err(_) => refuse(&api, RefusalReason::Stopping),
+    }
+}
+
 async fn show_in_force<A>(api: Api<A>) -> HttpResponse
 where
     A: Actor + Handler<InForceCommand>,
--- a/crates/caller-api/src/command.rs
+++ b/crates/caller-api/src/command.rs
@@ -45,6 +45,14 @@
     pub id: SubmissionId,
 }
 
+/// Say what happened to a submission, as JSON; nothing when its history is not kept.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Option<serde_json::Value>")]
+pub struct ExplainCommand {
+    /// The submission.
+    pub id: SubmissionId,
+}
+
 /// Say which contracts this entry serves now.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "ContractsInForce")]
--- a/crates/caller-api/src/lib.rs
+++ b/crates/caller-api/src/lib.rs
@@ -13,8 +13,8 @@
     callers::{caller_routes, CallerApi},
     command::{
         CallerAnswer, CancelCommand, CancelResult, ContractInForce, ContractsInForce,
-        CustomerStatus, DispatcherStatus, EntryStatus, InForceCommand, OutcomeCommand,
-        StatusCommand, SubmissionAnswer, SubmitCommand, TicketCommand,
+        CustomerStatus, DispatcherStatus, EntryStatus, ExplainCommand, InForceCommand,
+        OutcomeCommand, StatusCommand, SubmissionAnswer, SubmitCommand, TicketCommand,
     },
     input::{read_job, read_request, InputError},
 };
--- a/crates/dispatcher/src/admin.rs
+++ b/crates/dispatcher/src/admin.rs
@@ -10,17 +10,23 @@
 
 use actix_web::{dev::ServerHandle, web, App, HttpResponse, HttpServer};
 
+use telemetry::MetricSet;
+
 use crate::DispatcherError;
 
 /// Starts the admin server on a thread of its own.
 pub(crate) fn start(
     listener: TcpListener,
     ready: Arc<AtomicBool>,
+    metrics: Arc<MetricSet>,
 ) -> Result<ServerHandle, DispatcherError> {
     let state = web::Data::from(ready);
+    let metrics = web::Data::from(metrics);
     let server = HttpServer::new(move || {
         App::new()
             .app_data(state.clone())
+            .app_data(metrics.clone())
+            .route("/metrics", web::get().to(show_metrics))
             .route("/ready", web::get().to(answer_ready))
             .route("/live", web::get().to(HttpResponse::NoContent))
     })
@@ -44,3 +50,12 @@
     }
     HttpResponse::ServiceUnavailable().body("not ready\n")
 }
+
+async fn show_metrics(metrics: web::Data<MetricSet>) -> HttpResponse {
+    match metrics.render() {
+        Ok(page) => HttpResponse::Ok()
+            .content_type("text/plain; version=0.0.4")
+            .body(page),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -23,6 +23,7 @@
 use peer::PeerLink;
 use platform::PlatformClient;
 use settings::DispatcherSettings;
+use telemetry::{CounterKind, GaugeKind, MetricSet, TimeKind};
 
 use crate::{
     entry_directory::EntryDirectory,
@@ -56,6 +57,7 @@
     view: ContractView,
     polls: u32,
     polling: bool,
+    metrics: Arc<MetricSet>,
     ready: Arc<AtomicBool>,
     stopping: bool,
 }
@@ -76,6 +78,7 @@
     pub(crate) platform: PlatformClient,
     pub(crate) ready: Arc<AtomicBool>,
     pub(crate) entries: EntryDirectory,
+    pub(crate) metrics: Arc<MetricSet>,
 }
 
 impl DispatcherControl {
@@ -116,6 +119,7 @@
             traffic: parts.traffic,
             next_traffic: 0,
             platform: parts.platform,
+            metrics: parts.metrics,
             ready: parts.ready,
             stopping: false,
             view: ContractView::default(),
@@ -152,6 +156,10 @@
             }
         }
         for ((entry, session), ends) in reports {
+            self.metrics.count(CounterKind::Messages, 1);
+            for (_, _, ran) in &ends {
+                self.metrics.time(TimeKind::RunTime, *ran);
+            }
             self.report_ends(ctx, entry, session, ends);
         }
     }
@@ -175,6 +183,23 @@
         self.tick_members(ctx);
         self.ledger.tick(self.clock.now());
         self.flush(ctx);
+        self.set_gauges();
+    }
+
+    fn set_gauges(&self) {
+        let slots = self.ledger.slots();
+        self.metrics
+            .gauge(GaugeKind::SlotsLimit, f64::from(slots.limit));
+        self.metrics
+            .gauge(GaugeKind::SlotsRunning, f64::from(slots.running));
+        self.metrics
+            .gauge(GaugeKind::QueueLength, f64::from(slots.queued));
+        self.metrics
+            .gauge(GaugeKind::Sessions, self.entries.len() as f64);
+        self.metrics
+            .gauge(GaugeKind::ContractHead, self.view.head().0 as f64);
+        let owned = self.ownership.owned_by(self.own_address).count();
+        self.metrics.gauge(GaugeKind::OwnedEndpoints, owned as f64);
     }
 
     fn begin_stop(&mut self, ctx: &mut Context<Self>) {
--- a/crates/dispatcher/src/control/membership.rs
+++ b/crates/dispatcher/src/control/membership.rs
@@ -6,6 +6,7 @@
 use membership::{BeatReply, MemberAction};
 use model::{EndpointAddress, EndpointId, EndpointState, VmEntry, VmRole};
 use peer::PeerError;
+use telemetry::CounterKind;
 
 use super::{BeatTaken, DispatcherControl, PeerSlot, PingTaken};
 
@@ -65,6 +66,8 @@
             .ownership
             .update(addresses.collect::<Vec<_>>(), ids.collect::<Vec<_>>());
         if !moves.is_empty() {
+            self.metrics
+                .count(CounterKind::OwnerChanges, moves.len() as u64);
             log::info!(
                 "dispatcher: {} endpoints changed owner, {} dispatchers live",
                 moves.len(),
--- a/crates/dispatcher/src/control/sessions.rs
+++ b/crates/dispatcher/src/control/sessions.rs
@@ -6,6 +6,7 @@
 use ledger::ClaimNumber;
 use model::{AttemptEnd, AttemptId, IncarnationId, SessionId};
 use peer::PeerError;
+use telemetry::CounterKind;
 
 use super::{DispatcherControl, OffersMade, SessionEnded, SessionOpened, WithdrawalsMade};
 
@@ -23,6 +24,7 @@
                 .on_claim_failed(self.clock.now(), attempt, claim);
             return;
         };
+        self.metrics.count(CounterKind::Messages, 1);
         let answer = client.claim(attempt).into_actor(self);
         ctx.spawn(answer.map(move |answer, control, ctx| {
             let now = control.clock.now();
--- a/crates/dispatcher/src/entry_directory.rs
+++ b/crates/dispatcher/src/entry_directory.rs
@@ -49,6 +49,11 @@
             .map(|slot| slot.client.clone())
     }
 
+    /// Entries with a session.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.borrow().len()
+    }
+
     /// Forgets a session that is over.
     pub(crate) fn remove(&self, entry: IncarnationId, session: SessionId) {
         let mut entries = self.entries.borrow_mut();
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -13,6 +13,7 @@
 use model::IncarnationId;
 use platform::PlatformClient;
 use settings::DispatcherSettings;
+use telemetry::MetricSet;
 use tokio::task::JoinHandle;
 
 use crate::{
@@ -95,6 +96,7 @@
         address: settings.platform,
         ..platform::ClientSettings::default()
     };
+    let metrics = Arc::new(MetricSet::new()?);
     let drain = settings.drain.clone();
     let entries = EntryDirectory::default();
     let control = DispatcherControl::new(ControlParts {
@@ -106,9 +108,10 @@
         traffic,
         ready: ready.clone(),
         entries: entries.clone(),
+        metrics: metrics.clone(),
     })
     .start();
-    let admin = admin::start(admin_listener, ready)?;
+    let admin = admin::start(admin_listener, ready, metrics)?;
     peer_listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(peer_listener)?;
     let port_control = control.clone();
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -5,6 +5,7 @@
 mod forwarding;
 mod keys;
 mod messages;
+mod notes;
 mod operators;
 mod sessions;
 mod status;
@@ -20,7 +21,7 @@
 };
 
 use actix::{Actor, AsyncContext as _, Context, Handler};
-use authority::{AuthorityAction, AuthoritySettings, DispatcherKey, TaskAuthority};
+use authority::{AuthorityAction, AuthorityEvent, AuthoritySettings, DispatcherKey, TaskAuthority};
 use caller_api::SubmissionAnswer;
 use contracts::{ContractEditor, ContractView, EditorSettings};
 use kernel::ClockSource;
@@ -29,8 +30,11 @@
 use platform::PlatformClient;
 use request_keys::{BatcherSettings, KeyRecorder};
 use settings::EntrySettings;
+use telemetry::{GaugeKind, MetricSet};
 use tokio::sync::oneshot;
 
+use self::notes::{seconds, EventNotes};
+
 pub(crate) use messages::{
     BodyClaimed, EndsReported, OutcomeAsked, RequestPassed, SlotsTold, StopBegun, StopState,
 };
@@ -52,6 +56,7 @@
     last_tick: Instant,
     waiters: FastMap<u64, Vec<oneshot::Sender<SubmissionAnswer>>>,
     platform: PlatformClient,
+    notes: EventNotes,
     recorder: KeyRecorder,
     editor: Rc<ContractEditor>,
     ready: Arc<AtomicBool>,
@@ -89,6 +94,7 @@
     pub(crate) platform: PlatformClient,
     pub(crate) ready: Arc<AtomicBool>,
     pub(crate) leaving: Arc<AtomicBool>,
+    pub(crate) metrics: Arc<MetricSet>,
 }
 
 impl EntryControl {
@@ -112,6 +118,7 @@
             next_session: 1,
             last_tick: now,
             waiters: FastMap::default(),
+            notes: EventNotes::new(parts.metrics),
             recorder: KeyRecorder::new(parts.platform.clone(), BatcherSettings::default()),
             editor: Rc::new(ContractEditor::new(
                 parts.platform.clone(),
@@ -151,18 +158,31 @@
                     self.send_withdrawal(ctx, dispatcher, session, after_batch, attempts);
                 }
                 AuthorityAction::Answer { id, outcome } => self.answer(id, outcome),
-                AuthorityAction::Note(event) => log::debug!("entry: {event:?}"),
+                AuthorityAction::Note(event) => self.take_note(event),
             }
         }
     }
 
     fn answer(&mut self, id: SubmissionId, outcome: Arc<SubmissionOutcome>) {
+        self.notes.answered(self.clock.now(), id, &outcome);
         let answer = self.own_answer(id, outcome);
         for waiter in self.waiters.remove(&id.serial).into_iter().flatten() {
             let _gone = waiter.send(answer.clone());
         }
     }
 
+    fn take_note(&mut self, event: AuthorityEvent) {
+        let now = self.clock.now();
+        let dispatchers = &self.dispatchers;
+        self.notes.take(now, event, |key| {
+            let address = dispatchers.get(&key).map(|slot| slot.address.to_string());
+            // An address holds only characters that a VM id may have.
+            address
+                .and_then(|text| text.parse().ok())
+                .unwrap_or_else(|| self.settings.vm.clone())
+        });
+    }
+
     fn own_answer(&self, id: SubmissionId, outcome: Arc<SubmissionOutcome>) -> SubmissionAnswer {
         SubmissionAnswer {
             id: Some(id),
@@ -180,6 +200,25 @@
         self.authority.tick(now);
         self.flush(ctx);
         self.become_ready();
+        self.set_gauges();
+    }
+
+    fn set_gauges(&self) {
+        let metrics = self.notes.metrics();
+        let open = self
+            .dispatchers
+            .values()
+            .filter(|slot| matches!(slot.link, LinkState::Open(_)));
+        metrics.gauge(GaugeKind::Sessions, open.count() as f64);
+        metrics.gauge(
+            GaugeKind::OpenSubmissions,
+            self.authority.open_submissions() as f64,
+        );
+        metrics.gauge(GaugeKind::ContractHead, self.contracts.head().0 as f64);
+        if let Some(heard) = self.contracts_heard {
+            let age = self.clock.now().saturating_duration_since(heard);
+            metrics.gauge(GaugeKind::ContractAge, seconds(age));
+        }
     }
 
     /// Ready once contracts and slots are known, until the stop begins. Losing every slot later does not take the
--- a/crates/entry/src/control/callers.rs
+++ b/crates/entry/src/control/callers.rs
@@ -13,6 +13,7 @@
     Contract, ContractState, CustomerId, KeyedRun, RefusalReason, SubmissionBody, SubmissionId,
     SubmissionKind, SubmissionOutcome, TicketId, UnknownReason,
 };
+use telemetry::CounterKind;
 use tokio::sync::oneshot;
 
 use super::{keys::KeyedBody, EntryControl};
@@ -34,10 +35,19 @@
     ) -> AnswerFuture {
         match self.accept(body, digest, serial) {
             Ok(id) => self.wait_for(id.serial),
-            Err(reason) => ready(refusal(reason)),
+            Err(reason) => ready(self.refuse(reason)),
         }
     }
 
+    /// Refuses before there is a submission, and counts it.
+    pub(super) fn refuse(&self, reason: RefusalReason) -> CallerAnswer {
+        let answer = refusal(reason);
+        if let CallerAnswer::Own(own) = &answer {
+            self.notes.refused(&own.outcome);
+        }
+        answer
+    }
+
     pub(super) fn accept(
         &mut self,
         mut body: SubmissionBody,
@@ -116,7 +126,7 @@
         {
             TicketUse::Fresh => self.run(body, digest, Some(serial)),
             TicketUse::Used => self.run_again(serial, body, digest),
-            TicketUse::WrongCustomer => ready(refusal(RefusalReason::KeyReused)),
+            TicketUse::WrongCustomer => ready(self.refuse(RefusalReason::KeyReused)),
             TicketUse::Forgotten => ready(unknown(Some(ticket.0))),
         }
     }
@@ -134,11 +144,12 @@
             .digest(serial)
             .is_some_and(|first| first != digest)
         {
-            return ready(refusal(RefusalReason::KeyReused));
+            return ready(self.refuse(RefusalReason::KeyReused));
         }
         if self.authority.is_refused(serial) {
             return self.run(body, digest, Some(serial));
         }
+        self.notes.metrics().count(CounterKind::SecondArrivals, 1);
         self.wait_for(serial)
     }
 
--- a/crates/entry/src/control/keys.rs
+++ b/crates/entry/src/control/keys.rs
@@ -5,6 +5,7 @@
 use actix::{ActorFutureExt as _, AsyncContext as _, Context, WrapFuture as _};
 use model::{IdempotencyKey, RefusalReason, SubmissionBody, SubmissionOutcome};
 use request_keys::{BodyDigest, KeyRecord, KeyRequest, KeyResult, RequestKey};
+use telemetry::TimeKind;
 use tokio::sync::oneshot;
 
 use super::{
@@ -40,12 +41,12 @@
         // A request that would be refused anyway need not cost the store a write.
         let contract = match self.check_customer(&customer) {
             Ok(contract) => contract,
-            Err(reason) => return ready(refusal(reason)),
+            Err(reason) => return ready(self.refuse(reason)),
         };
         let (now, limit) = (self.clock.now(), contract.answer_within());
         let time_left = keyed.body.deadline.unwrap_or(limit);
         if time_left > limit {
-            return ready(refusal(RefusalReason::WrongDeadline));
+            return ready(self.refuse(RefusalReason::WrongDeadline));
         }
         let serial = self.authority.reserve_serial();
         let incarnation = self.authority.incarnation();
@@ -62,6 +63,7 @@
             give_up,
         };
         let recorder = self.recorder.clone();
+        let arrived = now;
         let (waiter, answer) = oneshot::channel();
         let request_state = KeyedRequest {
             keyed,
@@ -71,6 +73,10 @@
         };
         let recorded = async move { recorder.record(request).await }.into_actor(self);
         ctx.spawn(recorded.map(move |result, control, ctx| {
+            if result == KeyResult::Recorded {
+                let took = control.clock.now().saturating_duration_since(arrived);
+                control.notes.metrics().time(TimeKind::KeyCommit, took);
+            }
             control.on_recorded(request_state, result);
             control.flush(ctx);
         }));
@@ -127,7 +133,7 @@
     /// The key is taken: its record names the submission that has the answer.
     fn answer_of_first(&mut self, first: KeyRecord, keyed: KeyedBody) -> AnswerFuture {
         if first.body_digest != BodyDigest(keyed.digest) {
-            return ready(refusal(RefusalReason::KeyReused));
+            return ready(self.refuse(RefusalReason::KeyReused));
         }
         if first.incarnation == self.authority.incarnation() {
             return self.run_again(first.serial, keyed.body, keyed.digest);
--- /dev/null
+++ b/crates/entry/src/control/notes.rs
@@ -0,0 +1,147 @@
+//! What the authority notes, as metrics and as the history that `explain` shows.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use authority::{AuthorityEvent, DispatcherKey};
+use model::{ByteSize, FastMap, SubmissionId, SubmissionOutcome, VmId};
+use telemetry::{
+    CounterKind, ExplainEvent, ExplainHistory, ExplainReport, MetricSet, SubmissionNote, TimeKind,
+};
+
+/// The memory for the histories of submissions, in bytes. A job of 40 tasks takes some 10 KB, so the last thousand or so
+/// can be explained.
+const HISTORY_LIMIT: ByteSize = ByteSize(8 * 1024 * 1024);
+
+/// Counters and histories of one entry.
+pub(crate) struct EventNotes {
+    metrics: Arc<MetricSet>,
+    history: ExplainHistory,
+    accepted: FastMap<SubmissionId, Instant>,
+}
+
+impl EventNotes {
+    pub(crate) fn new(metrics: Arc<MetricSet>) -> Self {
+        Self {
+            metrics,
+            history: ExplainHistory::new(HISTORY_LIMIT),
+            accepted: FastMap::default(),
+        }
+    }
+
+    pub(crate) fn metrics(&self) -> &MetricSet {
+        &self.metrics
+    }
+
+    pub(crate) fn explain(&self, id: SubmissionId) -> Option<ExplainReport> {
+        self.history.explain(id)
+    }
+
+    /// A submission was refused before it had an id.
+    pub(crate) fn refused(&self, outcome: &SubmissionOutcome) {
+        self.metrics.answered(outcome);
+    }
+
+    /// A message about tasks left this process.
+    pub(crate) fn sent(&self, messages: u64) {
+        self.metrics.count(CounterKind::Messages, messages);
+    }
+
+    /// A message that led to no start.
+    pub(crate) fn wasted(&self, messages: u64) {
+        self.metrics.count(CounterKind::WastedMessages, messages);
+    }
+
+    pub(crate) fn answered(&mut self, now: Instant, id: SubmissionId, outcome: &SubmissionOutcome) {
+        self.metrics.answered(outcome);
+        if let Some(accepted) = self.accepted.remove(&id) {
+            self.metrics
+                .time(TimeKind::Response, now.saturating_duration_since(accepted));
+        }
+        self.history.note(
+            id,
+            ExplainEvent::Answered {
+                outcome: outcome.into(),
+            },
+            now,
+        );
+    }
+
+    pub(crate) fn take(
+        &mut self,
+        now: Instant,
+        event: AuthorityEvent,
+        address_of: impl Fn(DispatcherKey) -> VmId,
+    ) {
+        match event {
+            AuthorityEvent::Admitted {
+                id,
+                customer,
+                version,
+                tasks,
+            } => {
+                self.metrics.submitted(&customer);
+                self.accepted.insert(id, now);
+                let note = SubmissionNote {
+                    customer,
+                    contract: Some(version),
+                    tasks,
+                };
+                self.history.accept(id, note, now);
+                self.history.note(id, ExplainEvent::Admitted, now);
+            }
+            AuthorityEvent::Refused { .. } | AuthorityEvent::Answered(_) => {}
+            AuthorityEvent::Offered(attempt, dispatcher) => {
+                self.metrics.count(CounterKind::TaskOffers, 1);
+                let offered = ExplainEvent::Offered {
+                    task: attempt.task,
+                    dispatcher: address_of(dispatcher),
+                };
+                self.history.note(attempt.submission, offered, now);
+            }
+            AuthorityEvent::Queued(attempt) => {
+                self.history.note(
+                    attempt.submission,
+                    ExplainEvent::Queued { task: attempt.task },
+                    now,
+                );
+            }
+            AuthorityEvent::Claimed(attempt) => {
+                self.history.note(
+                    attempt.submission,
+                    ExplainEvent::Claimed { task: attempt.task },
+                    now,
+                );
+            }
+            AuthorityEvent::Started(attempt) => {
+                let started = ExplainEvent::Started {
+                    task: attempt.task,
+                    attempt: attempt.attempt,
+                };
+                self.history.note(attempt.submission, started, now);
+            }
+            AuthorityEvent::Ended(attempt, end) => {
+                let end = (&end).into();
+                let ended = ExplainEvent::Ended {
+                    task: attempt.task,
+                    attempt: attempt.attempt,
+                    end,
+                };
+                self.history.note(attempt.submission, ended, now);
+            }
+            AuthorityEvent::Retried(attempt, reason) => {
+                self.metrics.retried(reason);
+                // The offer that came to nothing, and its answer.
+                self.wasted(2);
+                log::debug!("entry: {attempt} is placed again: {reason}");
+            }
+        }
+    }
+}
+
+/// A length of time in seconds, for a gauge.
+pub(crate) fn seconds(span: Duration) -> f64 {
+    span.as_secs_f64()
+}
--- a/crates/entry/src/control/sessions.rs
+++ b/crates/entry/src/control/sessions.rs
@@ -10,6 +10,7 @@
 use membership::MemberView;
 use model::{AttemptId, DataCentreId, EndpointState, SessionId, TaskOffer, VmEntry, VmRole};
 use peer::{OpenedSession, PeerError, PeerLink};
+use telemetry::CounterKind;
 
 use super::{
     messages::LinkBroken, BodyClaimed, DispatcherSlot, EndsReported, EntryControl, LinkState,
@@ -139,6 +140,7 @@
             return;
         };
         let reply = open.client.offer(batch, &offers);
+        self.notes.sent(1);
         let attempts: Vec<AttemptId> = offers.iter().map(|offer| offer.attempt).collect();
         ctx.spawn(
             reply
@@ -172,6 +174,8 @@
             return;
         };
         let reply = open.client.withdraw(after_batch, &attempts);
+        self.notes.sent(1);
+        self.notes.wasted(1);
         ctx.spawn(
             reply
                 .into_actor(self)
@@ -311,6 +315,7 @@
             _ => return,
         }
         slot.link = LinkState::Idle(now);
+        self.notes.metrics().count(CounterKind::SessionsLost, 1);
         self.authority.on_session_lost(now, key, session);
     }
 
--- a/crates/entry/src/control/status.rs
+++ b/crates/entry/src/control/status.rs
@@ -5,7 +5,7 @@
 use actix::{Context, Handler};
 use caller_api::{
     ContractInForce, ContractsInForce, CustomerStatus, DispatcherStatus, EntryStatus,
-    InForceCommand, StatusCommand,
+    ExplainCommand, InForceCommand, StatusCommand,
 };
 
 use super::{EntryControl, LinkState};
@@ -20,6 +20,14 @@
     }
 }
 
+impl Handler<ExplainCommand> for EntryControl {
+    type Result = Option<serde_json::Value>;
+
+    fn handle(&mut self, command: ExplainCommand, _: &mut Context<Self>) -> Self::Result {
+        serde_json::to_value(self.notes.explain(command.id)?).ok()
+    }
+}
+
 impl Handler<InForceCommand> for EntryControl {
     type Result = ContractsInForce;
 
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -15,6 +15,9 @@
         /// Why.
         cause: io::Error,
     },
+    /// The metrics could not be set up.
+    #[error(transparent)]
+    Metrics(#[from] telemetry::TelemetryError),
     /// A thread or signal handler could not be set up.
     #[error("cannot set up the process: {0}")]
     SetUp(#[from] io::Error),
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -7,7 +7,7 @@
 };
 
 use actix::{Actor as _, Addr};
-use actix_web::{dev::ServerHandle, App, HttpServer};
+use actix_web::{dev::ServerHandle, web, App, HttpResponse, HttpServer};
 use caller_api::{
     caller_routes,
     operators::{self, OperatorLink},
@@ -17,6 +17,7 @@
 use model::IncarnationId;
 use platform::PlatformClient;
 use settings::{DrainSettings, EntrySettings};
+use telemetry::MetricSet;
 
 use crate::{
     control::{ControlParts, EntryControl, StopBegun, StopState},
@@ -94,6 +95,7 @@
         address: settings.platform,
         ..platform::ClientSettings::default()
     };
+    let metrics = Arc::new(MetricSet::new()?);
     let drain = settings.drain.clone();
     let threads = settings.caller_threads;
     let max_body = usize::try_from(settings.max_body_bytes.0).unwrap_or(usize::MAX);
@@ -105,6 +107,7 @@
         incarnation,
         ready: ready.clone(),
         leaving: leaving.clone(),
+        metrics: metrics.clone(),
     })
     .start();
     let api = CallerApi {
@@ -115,7 +118,10 @@
     let operators = OperatorLink::new(control.clone().recipient());
     let server = HttpServer::new(move || {
         let (api, operators) = (api.clone(), operators.clone());
+        let metrics = web::Data::from(metrics.clone());
         App::new()
+            .app_data(metrics)
+            .route("/metrics", web::get().to(show_metrics))
             .configure(move |config| caller_routes(config, api, max_body))
             .configure(move |config| operators::configure(config, operators))
     })
@@ -139,6 +145,15 @@
     })
 }
 
+async fn show_metrics(metrics: web::Data<MetricSet>) -> HttpResponse {
+    match metrics.render() {
+        Ok(page) => HttpResponse::Ok()
+            .content_type("text/plain; version=0.0.4")
+            .body(page),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
+
 /// Runs an entry until a signal ends it.
 ///
 /// # Errors
