Add a scenario in which the owner of the only endpoint stops

The cause: for a moment the stopping dispatcher owns every endpoint, and jobs of that moment are refused though another dispatcher takes over.

--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -98,6 +98,7 @@
     stop_after_entry_died,
     terminate_dispatcher,
     terminate_entry,
+    terminate_owner,
     vm_cut_from_endpoint,
     vm_cut_from_platform,
 }
