--- a/crates/dispatcher/src/control/membership.rs
+++ b/crates/dispatcher/src/control/membership.rs
@@ -6,6 +6,7 @@
 use membership::{BeatReply, MemberAction};
 use model::{EndpointAddress, EndpointId, EndpointState, VmEntry, VmRole};
 use peer::PeerError;
+use telemetry::CounterKind;
 
 use super::{BeatTaken, DispatcherControl, PeerSlot, PingTaken};
 
@@ -65,6 +66,8 @@
             .ownership
             .update(addresses.collect::<Vec<_>>(), ids.collect::<Vec<_>>());
         if !moves.is_empty() {
+            self.metrics
+                .count(CounterKind::OwnerChanges, moves.len() as u64);
             log::info!(
                 "dispatcher: {} endpoints changed owner, {} dispatchers live",
                 moves.len(),
@@ -149,8 +152,15 @@
     type Result = ();
 
     fn handle(&mut self, taken: PingTaken, _: &mut Context<Self>) {
-        let _gone = taken
-            .reply
-            .send(Ok((self.members.beat_message().view, self.ledger.slots())));
+        let now = self.clock.now();
+        let open = taken
+            .session
+            .is_none_or(|(entry, session)| self.ledger.hear(now, entry, session));
+        let answer = match open {
+            true => Ok((self.members.beat_message().view, self.ledger.slots())),
+            // The entry opens another one, and learns what became of its attempts.
+            false => Err(PeerError::Failed("the session is over".to_owned())),
+        };
+        let _gone = taken.reply.send(answer);
     }
 }
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -13,13 +13,14 @@
 use model::IncarnationId;
 use platform::PlatformClient;
 use settings::DispatcherSettings;
+use telemetry::MetricSet;
 use tokio::task::JoinHandle;
 
 use crate::{
     admin,
     control::{ControlParts, DispatcherControl, StopBegun, StopState},
     entry_directory::EntryDirectory,
-    port::ConnectionPort,
+    port::accept,
     traffic::EndpointTraffic,
     DispatcherError,
 };
@@ -95,6 +96,7 @@
         address: settings.platform,
         ..platform::ClientSettings::default()
     };
+    let metrics = Arc::new(MetricSet::new()?);
     let drain = settings.drain.clone();
     let entries = EntryDirectory::default();
     let control = DispatcherControl::new(ControlParts {
@@ -106,15 +108,16 @@
         traffic,
         ready: ready.clone(),
         entries: entries.clone(),
+        metrics: metrics.clone(),
     })
     .start();
-    let admin = admin::start(admin_listener, ready)?;
+    let admin = admin::start(admin_listener, ready, metrics)?;
     peer_listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(peer_listener)?;
     let port_control = control.clone();
     let port = actix_rt::spawn(async move {
         peer::serve(listener, move || {
-            peer::dispatcher_port(ConnectionPort::new(port_control.clone(), entries.clone()))
+            accept(port_control.clone(), entries.clone())
         })
         .await;
     });
--- a/crates/ledger/src/ledger/queueing.rs
+++ b/crates/ledger/src/ledger/queueing.rs
@@ -31,7 +31,7 @@
         batch: u64,
         offers: Vec<TaskOffer>,
     ) -> Vec<TaskVerdict> {
-        if !self.see_batch(entry, session, batch) {
+        if !self.see_batch(now, entry, session, batch) {
             // The session is over: the entry has counted these as lost or asked for their withdrawal since, so
             // starting them now could run a task twice.
             return vec![TaskVerdict::NotRun(RetryReason::DispatcherLost); offers.len()];
@@ -131,6 +131,16 @@
         offer: TaskOffer,
     ) -> TaskVerdict {
         let due = now + offer.time_left;
+        // What was measured here counts for more than what the entry expects, which may rest on a caller's word.
+        let declared = Some(offer.expected_run_time);
+        let expected = self
+            .run_times
+            .expect(now, &offer.customer, &offer.kind, declared)
+            .run_time;
+        let offer = TaskOffer {
+            expected_run_time: expected,
+            ..offer
+        };
         let queued = QueueEntry {
             attempt: offer.attempt,
             customer: offer.customer.clone(),
