--- a/crates/cairnctl/src/main.rs
+++ b/crates/cairnctl/src/main.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod options;
 mod render;
+mod stand_in;
 mod status;
 
 use std::process::ExitCode;
@@ -39,6 +40,7 @@
         CtlCommand::Status => status::run(&client, form)?,
         CtlCommand::CheckSettings { role, file } => check::run(role, &file, form)?,
         CtlCommand::Demo => demonstration::run(form)?,
+        CtlCommand::StandIn(command) => stand_in::run(&command)?,
         CtlCommand::Schema { role } => check::schema(role),
     };
     print_text(&text).map_err(eyre::Report::new)?;
--- a/crates/cairnctl/src/options.rs
+++ b/crates/cairnctl/src/options.rs
@@ -3,7 +3,7 @@
 use std::{fmt, net::SocketAddr, path::PathBuf, str::FromStr};
 
 use bpaf::{Bpaf, ShellComp};
-use model::{ContractVersion, CustomerId, SubmissionId};
+use model::{ContractVersion, CustomerId, EndpointId, SubmissionId};
 
 /// Drives the dispatcher for sub-second tasks by contracts, and looks into it.
 #[derive(Clone, Debug, Bpaf)]
@@ -49,6 +49,9 @@
     /// Run the whole path once in this process, on stand-ins, and say what came of it
     #[bpaf(command("demo"))]
     Demo,
+    /// Run a stand-in of what the platform gives, until SIGTERM or SIGINT
+    #[bpaf(command("stand-in"))]
+    StandIn(#[bpaf(external(stand_in_command))] StandInCommand),
     /// Print the JSON schema of a role's settings
     #[bpaf(command("schema"))]
     Schema {
@@ -113,6 +116,37 @@
     },
 }
 
+/// The stand-in to run.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum StandInCommand {
+    /// The table service, the object store and the VM list
+    #[bpaf(command("platform"))]
+    Platform {
+        /// Where to listen, as IP and port
+        #[bpaf(argument("ADDRESS"), fallback(default_platform()), display_fallback)]
+        listen: SocketAddr,
+        /// The VM list, a JSON file
+        #[bpaf(argument("FILE"), complete_shell(ShellComp::File { mask: Some("*.json") }))]
+        vms: PathBuf,
+    },
+    /// An endpoint that answers each task with its payload
+    #[bpaf(command("endpoint"))]
+    Endpoint {
+        /// Where to listen, as IP and port
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Tasks at once
+        #[bpaf(argument("COUNT"), fallback(8), display_fallback)]
+        slots: u32,
+        /// How long a task runs, in milliseconds
+        #[bpaf(argument("MS"), fallback(100), display_fallback)]
+        run_ms: u64,
+        /// Its name in the VM list
+        #[bpaf(positional("ID"))]
+        id: EndpointId,
+    },
+}
+
 /// A role of the system's processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RoleName {
@@ -143,6 +177,10 @@
     }
 }
 
+fn default_platform() -> SocketAddr {
+    settings::EntrySettings::default().platform
+}
+
 fn default_entry() -> SocketAddr {
     settings::EntrySettings::default().caller_listen
 }
@@ -150,6 +188,7 @@
 // bpaf keeps a line break only before a space.
 const EXAMPLES: &str = "Examples:
    cairnctl demo
+   cairnctl stand-in platform --vms docs/examples/vms.json
    cairnctl contract create trust --file docs/examples/contract.json
    cairnctl contract change trust --version 1 --file docs/examples/contract.json
    cairnctl --json contract show trust
