--- a/crates/membership/tests/grants.rs
+++ b/crates/membership/tests/grants.rs
@@ -223,6 +223,22 @@
     check(restarted, 10);
 }
 
+// The operator's change binds an entry that has not heard of it within a term. The home has; at the entry's renewal it
+// grants by the lower share, and what is over it is free for nobody.
+#[test]
+fn a_lower_share_binds_the_unaware_at_their_renewal() {
+    let mut home = Home::new(10, 0);
+    home.pass(0, SETTLED);
+    home.ask(SETTLED, 2, 60, 0, 0);
+    let now = home.at(SETTLED + 1);
+    home.ledger.set_share(now, customer(), 4);
+    let granted = |count| GrantVerdict::Granted { count, share: 4 };
+    assert_eq!(home.ask(SETTLED + 2, 3, 60, 0, 0), granted(0));
+    assert_eq!(home.ask(SETTLED + 3, 2, 60, 10, 10), granted(2));
+    assert_eq!(home.ask(SETTLED + 4, 2, 60, 2, 2), granted(2));
+    assert_eq!(home.ask(SETTLED + 5, 3, 60, 0, 0), granted(2));
+}
+
 // The callers on both sides of a cut are served. A home sees one of five VMs: it grants what the base shares of the
 // others leave, since each of those may be using its own. On the side with most VMs at least one task may run.
 #[test]
