Own nothing before the peers are heard, and tell entries of new limits

At start each dispatcher owned every endpoint until it heard of its peer, and entries placed by the slots of that moment until their next ping. Ruled out: the run time of 700 ms, and the load of the machine alone; the log shows three of four tasks at one owner. Change: a dispatcher owns nothing until every listed peer has answered or refused, or the suspect time has passed; a change of its limit is told to every entry at once. What is left is two entries that place at the same owner without knowing of each other; that is next.

--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -11,7 +11,7 @@
         atomic::{AtomicBool, Ordering},
         Arc,
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use ::contracts::ContractView;
@@ -19,7 +19,7 @@
 use actix::{Actor, Addr, AsyncContext as _, Context, Handler};
 use kernel::ClockSource;
 use ledger::{LedgerAction, LedgerSettings, SlotLedger};
-use model::{FastMap, IncarnationId, VmEntry};
+use model::{FastMap, FastSet, IncarnationId, VmEntry};
 use peer::PeerLink;
 use platform::PlatformClient;
 use settings::DispatcherSettings;
@@ -57,6 +57,10 @@
     view: ContractView,
     polls: u32,
     polling: bool,
+    told_limit: u32,
+    started: Instant,
+    settled: bool,
+    refused: FastSet<SocketAddr>,
     metrics: Arc<MetricSet>,
     ready: Arc<AtomicBool>,
     stopping: bool,
@@ -84,6 +88,7 @@
 impl DispatcherControl {
     pub(crate) fn new(parts: ControlParts) -> Self {
         let settings = parts.settings;
+        let now = parts.clock.now();
         let own = OwnMember {
             address: parts.own_address,
             data_centre: settings.data_centre.clone(),
@@ -119,6 +124,10 @@
             traffic: parts.traffic,
             next_traffic: 0,
             platform: parts.platform,
+            told_limit: 0,
+            started: now,
+            settled: false,
+            refused: FastSet::default(),
             metrics: parts.metrics,
             ready: parts.ready,
             stopping: false,
@@ -162,6 +171,23 @@
             }
             self.report_ends(ctx, entry, session, ends);
         }
+        self.tell_limit();
+    }
+
+    /// Load: endpoints that change owner. Harm: until the next ping or answer, entries place by the slots that this
+    /// dispatcher had, so tasks queue here while the new owner's slots stand free. Limits change rarely, so telling every
+    /// entry at once costs little.
+    fn tell_limit(&mut self) {
+        let slots = self.ledger.slots();
+        if slots.limit == self.told_limit {
+            return;
+        }
+        self.told_limit = slots.limit;
+        for client in self.entries.all() {
+            let told = client.slots(slots);
+            // A connection that breaks meanwhile ends the session by itself.
+            actix_rt::spawn(async move { drop(told.await) });
+        }
     }
 
     fn start_task(
--- a/crates/dispatcher/src/control/membership.rs
+++ b/crates/dispatcher/src/control/membership.rs
@@ -19,11 +19,35 @@
                 MemberAction::ViewChanged => changed = true,
             }
         }
+        if !self.settled && self.is_settled() {
+            self.settled = true;
+            changed = true;
+        }
         if changed {
             self.update_ownership();
         }
     }
 
+    /// Failure: a dispatcher has just started and has heard of nobody yet. Symptom without this: it takes every endpoint
+    /// for its own, as do its peers, and a burst overfills them; each busy answer is a wasted message. So it owns nothing
+    /// until everybody on the lists has answered or is known to be gone, or the suspect time has passed, in which a live
+    /// one would have.
+    fn is_settled(&self) -> bool {
+        let waited = self.clock.now().saturating_duration_since(self.started);
+        if waited >= self.settings.suspect_ms.duration() {
+            return true;
+        }
+        if self.vms.is_empty() {
+            return false;
+        }
+        let owners = self.members.owners();
+        let heard = |address: &SocketAddr| owners.iter().any(|owner| owner.address == *address);
+        self.members
+            .listed()
+            .iter()
+            .all(|address| heard(address) || self.refused.contains(address))
+    }
+
     pub(super) fn read_vm_list(&mut self, ctx: &mut Context<Self>) {
         let platform = self.platform.clone();
         let list = async move { platform.vm_list().await }.into_actor(self);
@@ -76,7 +100,9 @@
         }
         let owned: Vec<(EndpointAddress, EndpointState)> = endpoints
             .into_iter()
-            .filter(|(address, _)| self.ownership.owner(&address.id) == Some(self.own_address))
+            .filter(|(address, _)| {
+                self.settled && self.ownership.owner(&address.id) == Some(self.own_address)
+            })
             .collect();
         self.ledger.set_endpoints(self.clock.now(), &owned);
     }
@@ -126,6 +152,7 @@
             Err(error) => {
                 self.peers.remove(&address);
                 if error == PeerError::Refused {
+                    self.refused.insert(address);
                     self.members.on_refused(now, address);
                 }
             }
--- a/crates/dispatcher/src/entry_directory.rs
+++ b/crates/dispatcher/src/entry_directory.rs
@@ -49,6 +49,15 @@
             .map(|slot| slot.client.clone())
     }
 
+    /// The ports of all entries with a session.
+    pub(crate) fn all(&self) -> Vec<EntryClient> {
+        self.entries
+            .borrow()
+            .values()
+            .map(|slot| slot.client.clone())
+            .collect()
+    }
+
     /// Entries with a session.
     pub(crate) fn len(&self) -> usize {
         self.entries.borrow().len()
