Weigh lost answers by how common they are

Cause: a customer whose deadlines are too short for its tasks leaves answers lost on every endpoint, and four in a row closed each of them for everyone. Ruled out: not counting lost answers, since an endpoint that answers nothing would stay open. Change: lost answers weigh like failures, less the share that such tasks lose anywhere; failure shares have a text form; a queue without slots predicts an endless wait for known customers too. Conclusion: one customer's tasks close no endpoint whether they fail or do not end.

--- a/crates/decisions/src/health.rs
+++ b/crates/decisions/src/health.rs
@@ -198,13 +198,13 @@
         self.running = self.running.saturating_sub(1);
         match report.kind {
             EndKind::Done => self.on_done(now, report),
-            EndKind::Failed => {
+            EndKind::Failed | EndKind::Unknown => {
                 // A task of a kind that fails everywhere says little about this endpoint. Without this a customer
-                // with broken tasks would have all endpoints quarantined for everyone.
+                // with broken tasks, or with deadlines too short for them, would have all endpoints quarantined
+                // for everyone.
                 let weight = 1.0 - report.failure_share.0.clamp(0.0, 1.0);
                 self.on_failure(now, weight);
             }
-            EndKind::Unknown => self.on_failure(now, 1.0),
             EndKind::Unreachable => self.on_failure(now, self.settings.unreachable_weight),
             EndKind::Busy => self.on_busy(now),
             EndKind::Leaving => self.state = HealthState::Leaving,
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -253,12 +253,15 @@
         slots: u32,
     ) -> Duration {
         let drain = self.predicted_drain(slots);
+        if slots == 0 {
+            return drain;
+        }
         let Some(queued) = self.customers.get(customer) else {
-            return if slots == 0 { drain } else { Duration::ZERO };
+            return Duration::ZERO;
         };
         let own = u64::from(share.0.max(1));
         let others = self.waiting_share.saturating_sub(queued.waiting_share());
-        let factor = (own + others) as f64 / own as f64 / f64::from(slots.max(1));
+        let factor = (own + others) as f64 / own as f64 / f64::from(slots);
         let ahead = queued.rank.0.saturating_sub(self.virtual_now) * u128::from(queued.share);
         let ahead = Duration::from_nanos(u64::try_from(ahead).unwrap_or(u64::MAX));
         drain.min(queued.queued_time.saturating_add(ahead).mul_f64(factor))
--- a/crates/decisions/src/run_time.rs
+++ b/crates/decisions/src/run_time.rs
@@ -1,6 +1,11 @@
 //! Run times by customer and kind, learned from what ran.
 
-use std::time::{Duration, Instant};
+use std::{
+    fmt,
+    num::ParseFloatError,
+    str::FromStr,
+    time::{Duration, Instant},
+};
 
 use model::{CustomerId, TaskKind};
 
@@ -80,6 +85,20 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
 pub struct FailureShare(pub f32);
 
+impl fmt::Display for FailureShare {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for FailureShare {
+    type Err = ParseFloatError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        s.parse().map(Self)
+    }
+}
+
 /// What the tasks of each customer and kind did lately, over all endpoints.
 #[derive(Debug)]
 pub struct RunTimeTable {
@@ -106,7 +125,7 @@
         history.ends.add(false, window);
     }
 
-    /// Notes a task that failed. Its run time is not noted: a task that fails at once says nothing of how long
+    /// Notes a task that failed or whose answer did not come. Its run time is not noted: a task that fails at once says nothing of how long
     /// those take that succeed.
     pub fn record_failure(&mut self, now: Instant, customer: &CustomerId, kind: &TaskKind) {
         let window = self.settings.window;
--- a/crates/decisions/tests/health.rs
+++ b/crates/decisions/tests/health.rs
@@ -17,7 +17,7 @@
 
 /// Runs a script. `t500` sets the time in milliseconds, `start 8` starts eight tasks, `ok 8` ends eight well; the
 /// other ends are named like their kind. `slow4 5` ends five that ran four times longer than elsewhere, `common95 5`
-/// fails five of a kind of which 95% fail everywhere. `= 8` is the capacity expected of eight slots.
+/// fails five of a kind of which 95% fail everywhere, `lost95 5` leaves five of it without answer. `= 8` is the capacity expected of eight slots.
 fn check(script: &str) {
     let start = Instant::now();
     let mut now = start;
@@ -43,6 +43,7 @@
             "ok" | "slow" => report(EndKind::Done, number, 0),
             "failed" => report(EndKind::Failed, 1, 0),
             "common" => report(EndKind::Failed, 1, number),
+            "lost" => report(EndKind::Unknown, 1, number),
             "busy" => report(EndKind::Busy, 1, 0),
             "leaving" => report(EndKind::Leaving, 1, 0),
             "unreachable" => report(EndKind::Unreachable, 1, 0),
@@ -69,6 +70,7 @@
 #[test]
 fn a_customer_whose_tasks_fail_everywhere_closes_no_endpoint() {
     check("start 40 common95 40 = 8");
+    check("start 40 lost95 40 = 8");
     check("start 10 common50 10 = 0");
 }
 
--- a/crates/decisions/tests/queue.rs
+++ b/crates/decisions/tests/queue.rs
@@ -211,13 +211,18 @@
     queue
         .push(start, entry(start, "b", 2, 0, 100, 9000))
         .unwrap();
-    let wait =
-        |customer: &str| queue.predicted_wait(&customer.parse().unwrap(), CustomerShare(1), 4);
+    for (customer, slots, expect) in [
+        ("a", 4, ms(1025)),
+        ("b", 4, ms(50)),
+        ("c", 4, Duration::ZERO),
+        ("a", 0, Duration::MAX),
+        ("c", 0, Duration::MAX),
+    ] {
+        let wait = queue.predicted_wait(&customer.parse().unwrap(), CustomerShare(1), slots);
+        assert_eq!(wait, expect, "{customer} {slots}");
+    }
     assert_eq!(queue.predicted_drain(4), ms(1025));
     assert_eq!(queue.predicted_drain(0), Duration::MAX);
-    assert_eq!(wait("a"), ms(1025));
-    assert_eq!(wait("b"), ms(50));
-    assert_eq!(wait("c"), ms(0));
     queue.remove_submission(submission(1));
     assert_eq!(queue.predicted_drain(1), ms(100));
 }
