--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -75,6 +75,9 @@
     /// The attempt waits here already.
     #[error("the attempt waits already")]
     Duplicate(QueueEntry),
+    /// Other tasks of the submission wait for another customer.
+    #[error("the submission is another customer's")]
+    OtherCustomer(QueueEntry),
 }
 
 /// Start-time fair queue over customers.
@@ -132,7 +135,8 @@
     ///
     /// # Errors
     ///
-    /// Gives the entry back when the queue is full, the answer is due already or the attempt waits already.
+    /// Gives the entry back when the queue is full, the answer is due already, the attempt waits already or the
+    /// submission is another customer's.
     pub fn push(&mut self, now: Instant, entry: QueueEntry) -> Result<(), PushError> {
         let known =
             self.entries.contains_key(&entry.attempt) || self.overdue.contains_key(&entry.attempt);
@@ -142,6 +146,11 @@
         if entry.due <= now {
             return Err(PushError::Overdue(entry));
         }
+        // A job in the order of two customers would leave one of them an empty place, at which the queue stops.
+        let job = self.jobs.get(&entry.attempt.submission);
+        if job.is_some_and(|job| job.customer != entry.customer) {
+            return Err(PushError::OtherCustomer(entry));
+        }
         if self.entries.len() >= self.settings.max_entries {
             return Err(PushError::Full(entry));
         }
@@ -244,12 +253,15 @@
         slots: u32,
     ) -> Duration {
         let drain = self.predicted_drain(slots);
+        if slots == 0 {
+            return drain;
+        }
         let Some(queued) = self.customers.get(customer) else {
-            return if slots == 0 { drain } else { Duration::ZERO };
+            return Duration::ZERO;
         };
         let own = u64::from(share.0.max(1));
         let others = self.waiting_share.saturating_sub(queued.waiting_share());
-        let factor = (own + others) as f64 / own as f64 / f64::from(slots.max(1));
+        let factor = (own + others) as f64 / own as f64 / f64::from(slots);
         let ahead = queued.rank.0.saturating_sub(self.virtual_now) * u128::from(queued.share);
         let ahead = Duration::from_nanos(u64::try_from(ahead).unwrap_or(u64::MAX));
         drain.min(queued.queued_time.saturating_add(ahead).mul_f64(factor))
@@ -278,6 +290,7 @@
             return;
         };
         let job = self.jobs.entry(submission).or_insert_with(|| QueuedJob {
+            customer: entry.customer.clone(),
             due: entry.due,
             tasks: 0,
         });
@@ -354,6 +367,7 @@
             if due > now {
                 break;
             }
+            self.dues.pop_first();
             if let Some(entry) = self.take(&attempt) {
                 self.overdue.insert(attempt, entry);
             }
@@ -364,6 +378,7 @@
 
 #[derive(Debug)]
 struct QueuedJob {
+    customer: CustomerId,
     due: Instant,
     tasks: usize,
 }
