Let a dispatcher announce an address, and cut VMs apart in scenarios

Dispatchers know each other by one address, and endpoints hash to it, so a link between two VMs must stand at the announced address. peer_announce names it where it differs from peer_listen.

--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -87,7 +87,8 @@
 ) -> Result<DispatcherProcess, DispatcherError> {
     let peer_listener = listen(settings.peer_listen)?;
     let admin_listener = listen(settings.admin_listen)?;
-    let own_address = peer_listener.local_addr()?;
+    let peer_address = peer_listener.local_addr()?;
+    let own_address = settings.peer_announce.unwrap_or(peer_address);
     let admin_address = admin_listener.local_addr()?;
     let ready = Arc::new(AtomicBool::new(true));
     let (arbiters, traffic) = start_traffic(&settings);
@@ -118,10 +119,10 @@
         })
         .await;
     });
-    log::info!("dispatcher: listening for peers on {own_address}, admin on {admin_address}");
+    log::info!("dispatcher: listening for peers on {peer_address}, admin on {admin_address}");
     Ok(DispatcherProcess {
         control,
-        peer_address: own_address,
+        peer_address,
         admin_address,
         admin,
         port,
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -80,6 +80,8 @@
     cancellation_wave,
     contract_change_everywhere,
     crossed_and_late_answers,
+    data_centres_cut_apart,
+    dispatchers_cut_apart,
     endpoint_leaves,
     endpoints_that_misbehave,
     freeze_dispatcher,
--- a/crates/settings/src/dispatcher.rs
+++ b/crates/settings/src/dispatcher.rs
@@ -46,6 +46,9 @@
     pub data_centre: DataCentreId,
     /// Where entries and other dispatchers connect, as IP and port. Default `127.0.0.1:9080`.
     pub peer_listen: SocketAddr,
+    /// The peer address that entries and other dispatchers are told, where it is not `peer_listen`, as behind an
+    /// address translation. Default none.
+    pub peer_announce: Option<SocketAddr>,
     /// Where metrics, status and readiness are served, as IP and port. Default `127.0.0.1:9081`.
     pub admin_listen: SocketAddr,
     /// The platform's address, as IP and port. Default `127.0.0.1:8070`.
@@ -100,6 +103,7 @@
             vm: unset_vm(),
             data_centre: unset_data_centre(),
             peer_listen: loopback(9080),
+            peer_announce: None,
             admin_listen: loopback(9081),
             platform: loopback(8070),
             peers: Vec::new(),
