Bound retries by the customer's budget

Cause: refusals that tell of load were bounded by the task only: 200 single tasks whose endpoints turned everything away cost 1,600 offers. Ruled out: a lower bound a task, which fails a task after one busy endpoint also in quiet times. Change: such a retry takes a token of the customer's RetryBudget, filled by first placements and the contract's retry_percent. The bound of eight tries a task stays. Refusals that tell of a change (dispatcher lost or stopping, withdrawn, endpoint leaving) cost nothing, as before. Figures: the same 200 tasks cost at most 203 offers with a retry_percent of 0 and at most 243 with 20. Conclusion: retries no longer feed an overload.

--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -10,6 +10,7 @@
     time::Instant,
 };
 
+use decisions::{RetryBudget, RetrySettings};
 use model::{
     Contract, ContractState, ContractVersion, CustomerId, DataCentreId, FastMap, IncarnationId,
     RefusalReason, SubmissionBody, SubmissionId, SubmissionKind, SubmissionOutcome, TaskIndex,
@@ -60,6 +61,7 @@
     flights: FlightTable,
     waiting: WaitingTable,
     sessions: SessionTable,
+    budget: RetryBudget,
     last_capacity: Option<Instant>,
     rng: fastrand::Rng,
     actions: Vec<AuthorityAction>,
@@ -86,6 +88,7 @@
             flights: FlightTable::default(),
             waiting: WaitingTable::default(),
             sessions: SessionTable::default(),
+            budget: RetryBudget::new(RetrySettings::default()),
             last_capacity: None,
             rng: fastrand::Rng::with_seed(seed),
             actions: Vec::new(),
--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -85,6 +85,7 @@
             .get_mut(&task.serial)
             .filter(|record| record.is_open() && record.is_waiting(task.task))?;
         let (customer, share) = (record.customer.clone(), record.share);
+        let (first_attempt, retry_percent) = (record.first_attempt, record.retry_percent);
         let time_left = record.due.saturating_duration_since(now);
         let entry = record.task_mut(task.task)?;
         let attempt = AttemptId {
@@ -105,6 +106,9 @@
             phase: FlightPhase::Offered,
         };
         self.flights.insert(attempt, flight);
+        if attempt.attempt == first_attempt {
+            self.budget.on_placed(now, &customer, 1, retry_percent);
+        }
         self.note(AuthorityEvent::Offered(attempt, dispatcher));
         let usual = std::time::Duration::from_millis(USUAL_RUN_MS);
         Some(TaskOffer {
--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -15,8 +15,9 @@
     session::DispatcherKey,
 };
 
-/// Tries of one task after refusals that tell of load, before it is given up. A task that eight dispatchers have
-/// turned away, with growing pauses between, meets an overload that another try would only feed.
+/// Tries of one task after refusals that tell of load, before it is given up, whatever its customer has saved up in
+/// its budget. A task that eight dispatchers have turned away, with growing pauses between, meets an overload that
+/// another try would only feed; without the bound one unlucky task could spend the budget of all others.
 const MAX_LOAD_RETRIES: u32 = 8;
 
 impl TaskAuthority {
@@ -192,7 +193,9 @@
             self.waiting.push(&customer, waiting);
             return;
         }
-        if attempts >= MAX_LOAD_RETRIES {
+        // Load: endpoints that turn everything away. Harm: each refusal causes another placement, and the overload
+        // feeds itself. The budget bounds placements to the first ones plus the contract's percentage.
+        if attempts >= MAX_LOAD_RETRIES || !self.budget.try_retry(now, &customer) {
             self.finish_not_placed(now, serial, RefusalReason::RetryBudgetSpent);
             return;
         }
--- /dev/null
+++ b/crates/authority/tests/load/main.rs
@@ -0,0 +1,4 @@
+//! The authority under load, in virtual time: what callers get, and how many messages it costs.
+
+mod retries;
+mod world;
--- /dev/null
+++ b/crates/authority/tests/load/retries.rs
@@ -0,0 +1,145 @@
+//! Retries are bounded by what the customer has saved up.
+
+use model::{Contract, FailureReason, RefusalReason, RetryReason, SubmissionOutcome};
+
+use crate::world::{customer, ms, Job, World, HOME};
+
+struct RetryCase {
+    name: &'static str,
+    retry_percent: u32,
+    refuses: RetryReason,
+    /// Offers for 200 single tasks within a tenth of a second.
+    offers: std::ops::RangeInclusive<usize>,
+}
+
+/// What the caller sees: refusals with when to come back, soon after the budget is spent. What happens: every offer is
+/// turned away as busy, each task would be tried eight times, and the messages would grow eightfold while the
+/// endpoints have the least time for them.
+#[test]
+fn a_storm_of_busy_answers_costs_little_more_than_the_first_offers() {
+    let cases = [
+        RetryCase {
+            name: "no retries but the floor",
+            retry_percent: 0,
+            refuses: RetryReason::EndpointBusy,
+            offers: 200..=203,
+        },
+        RetryCase {
+            name: "a fifth",
+            retry_percent: 20,
+            refuses: RetryReason::EndpointBusy,
+            offers: 220..=243,
+        },
+        RetryCase {
+            name: "a full queue tells of load too",
+            retry_percent: 20,
+            refuses: RetryReason::QueueFull,
+            offers: 220..=243,
+        },
+        RetryCase {
+            name: "an unreachable endpoint too",
+            retry_percent: 20,
+            refuses: RetryReason::EndpointUnreachable,
+            offers: 220..=243,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(Contract {
+            retry_percent: case.retry_percent,
+            ..Contract::default()
+        });
+        world.allow("school", 400);
+        for _ in 0..2 {
+            let number = world.add_dispatcher(8, HOME);
+            world.dispatchers[number].refuses = Some(case.refuses);
+        }
+        let mut serials = Vec::new();
+        for _ in 0..200 {
+            serials.push(world.submit(&Job::default()).expect(case.name));
+        }
+        world.pass(ms(2_000));
+        let offers = world.offers();
+        assert!(case.offers.contains(&offers), "{}: {offers}", case.name);
+        for serial in serials {
+            let (_, outcome) = &world.answers[&serial];
+            let SubmissionOutcome::Refused {
+                reason: RefusalReason::RetryBudgetSpent,
+                retry_after: Some(_),
+            } = outcome
+            else {
+                panic!("{}: {outcome:?}", case.name);
+            };
+        }
+    }
+}
+
+/// What the caller sees: its job is complete although its first dispatcher is stopping. The refusal tells of a change
+/// and not of load, so it costs nothing of the budget: here there is none.
+#[test]
+fn a_stopping_dispatcher_costs_no_budget() {
+    let mut world = World::new(Contract {
+        retry_percent: 0,
+        ..Contract::default()
+    });
+    world.allow("school", 400);
+    let stopping = world.add_dispatcher(1_000, HOME);
+    world.add_dispatcher(8, HOME);
+    world.dispatchers[stopping].refuses = Some(RetryReason::DispatcherStopping);
+    let job = Job {
+        tasks: 8,
+        ..Job::default()
+    };
+    let serial = world.submit(&job).expect("admitted");
+    let key = world.dispatchers[stopping].key;
+    world.authority.on_dispatcher_stopping(key);
+    world.pass(ms(1_000));
+    let (_, outcome) = &world.answers[&serial];
+    assert!(
+        matches!(outcome, SubmissionOutcome::Complete(_)),
+        "{outcome:?}"
+    );
+}
+
+/// What the caller sees: a customer whose endpoints are busy does not spend what another has saved up, and a job of
+/// which tasks have run is failed and not refused once its last task cannot be placed.
+#[test]
+fn a_spent_budget_fails_what_has_run_and_leaves_others_alone() {
+    let mut world = World::new(Contract {
+        retry_percent: 0,
+        ..Contract::default()
+    });
+    world.allow("noisy", 400);
+    world.allow("quiet", 400);
+    let number = world.add_dispatcher(8, HOME);
+    let noisy = Job {
+        customer: "noisy",
+        tasks: 8,
+        ..Job::default()
+    };
+    let serial = world.submit(&noisy).expect("admitted");
+    world.dispatchers[number].refuses = Some(RetryReason::EndpointBusy);
+    for _ in 0..4 {
+        world.submit(&noisy).expect("admitted");
+    }
+    let quiet = Job {
+        customer: "quiet",
+        ..Job::default()
+    };
+    let served = world.submit(&quiet).expect("admitted");
+    world.dispatchers[number].refuses = None;
+    world.pass(ms(2_000));
+    let complete = |serial: u64| matches!(world.answers[&serial].1, SubmissionOutcome::Complete(_));
+    assert!(complete(serial), "what had started runs to its end");
+    assert!(complete(served), "one retry is within everybody's floor");
+    assert_eq!(world.authority.usage(&customer("noisy")), (0, 0));
+    let refused = world.answers.values().filter(|(_, outcome)| {
+        matches!(
+            outcome,
+            SubmissionOutcome::Refused {
+                reason: RefusalReason::RetryBudgetSpent,
+                ..
+            } | SubmissionOutcome::Failed(FailureReason::TaskNotPlaced)
+        )
+    });
+    assert_eq!(refused.count(), 4);
+}
