Give the retry budget savings to start with

Ruled out: charging nothing for busy answers, which is the storm itself; waiting for tokens, which come by one a second and would be as late. Change: RetrySettings has first_saved (none by default), and an authority gives each customer 40, as many as it may save up. A dispatcher that hands back what waits for it, having no endpoint any more, tells of a change: the task pauses as before but costs nothing of the budget. All verdicts of a batch are noted before any is decided on, so that a job of which nothing started is refused and not failed. Seen to fail: with verdicts decided on one by one, a_spent_budget_leaves_others_alone counts no refused job. Conclusion: the storm stays bounded, and the first failover no longer spends the budget.

--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -10,7 +10,7 @@
     time::Instant,
 };
 
-use decisions::{RetryBudget, RetrySettings, RunTimeSettings, RunTimeTable};
+use decisions::{RetryBudget, RunTimeSettings, RunTimeTable};
 use model::{
     Contract, ContractState, ContractVersion, CustomerId, DataCentreId, FastMap, IncarnationId,
     RefusalReason, SubmissionBody, SubmissionId, SubmissionKind, SubmissionOutcome, TaskIndex,
@@ -77,7 +77,6 @@
         seed: u64,
     ) -> Self {
         Self {
-            settings,
             data_centre,
             incarnation,
             next_serial: 1,
@@ -89,11 +88,12 @@
             flights: FlightTable::default(),
             waiting: WaitingTable::default(),
             sessions: SessionTable::default(),
-            budget: RetryBudget::new(RetrySettings::default()),
+            budget: RetryBudget::new(settings.retries.clone()),
             times: RunTimeTable::new(RunTimeSettings::default()),
             last_capacity: None,
             rng: fastrand::Rng::with_seed(seed),
             actions: Vec::new(),
+            settings,
         }
     }
 
--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -23,8 +23,23 @@
 impl TaskAuthority {
     /// A dispatcher has answered an offer.
     pub fn on_verdicts(&mut self, now: Instant, verdicts: &[(AttemptId, TaskVerdict)]) {
+        // All that a refused batch turned away is noted before any of it is decided on: a job that is given up at its
+        // first task would otherwise count the others as perhaps started, and be answered "failed" for "refused".
+        let mut turned_away = Vec::new();
         for (attempt, verdict) in verdicts {
-            self.on_verdict(now, *attempt, *verdict);
+            match verdict {
+                TaskVerdict::Started => self.on_taken(*attempt, FlightPhase::Running),
+                TaskVerdict::Queued => self.on_taken(*attempt, FlightPhase::Queued),
+                TaskVerdict::NotRun(reason) => {
+                    if let Some(flight) = self.land(*attempt) {
+                        self.set_waiting(*attempt);
+                        turned_away.push((*attempt, *reason, flight.dispatcher));
+                    }
+                }
+            }
+        }
+        for (attempt, reason, dispatcher) in turned_away {
+            self.on_not_run(now, attempt, reason, dispatcher);
         }
         self.place(now);
     }
@@ -119,17 +134,14 @@
         }
     }
 
-    fn on_verdict(&mut self, now: Instant, attempt: AttemptId, verdict: TaskVerdict) {
-        let phase = match verdict {
-            TaskVerdict::Started => FlightPhase::Running,
-            TaskVerdict::Queued => FlightPhase::Queued,
-            TaskVerdict::NotRun(reason) => {
-                if let Some(flight) = self.land(attempt) {
-                    self.on_not_run(now, attempt, reason, flight.dispatcher);
-                }
-                return;
-            }
-        };
+    fn set_waiting(&mut self, attempt: AttemptId) {
+        let record = self.records.get_mut(&attempt.submission.serial);
+        if let Some(task) = record.and_then(|record| record.task_mut(attempt.task)) {
+            task.phase = TaskPhase::Waiting;
+        }
+    }
+
+    fn on_taken(&mut self, attempt: AttemptId, phase: FlightPhase) {
         let Some(flight) = self.flights.get_mut(&attempt) else {
             return;
         };
@@ -207,7 +219,8 @@
         }
         // Load: endpoints that turn everything away. Harm: each refusal causes another placement, and the overload
         // feeds itself. The budget bounds placements to the first ones plus the contract's percentage.
-        if attempts >= MAX_LOAD_RETRIES || !self.budget.try_retry(now, &customer) {
+        let granted = !costs_budget(reason) || self.budget.try_retry(now, &customer);
+        if attempts >= MAX_LOAD_RETRIES || !granted {
             self.finish_not_placed(now, serial, RefusalReason::RetryBudgetSpent);
             return;
         }
@@ -257,6 +270,13 @@
     }
 }
 
+/// Whether another try is taken out of the customer's budget. A dispatcher hands back what waits for it when its last
+/// endpoint gets another owner: that tells of a change, and since it says so with its slots it gets no more offers.
+/// The task still pauses, or it would come back before the new owner is known.
+fn costs_budget(reason: RetryReason) -> bool {
+    tells_of_load(reason) && reason != RetryReason::NoEndpoint
+}
+
 /// Whether a refusal comes from load, so that trying again adds to it. The others come from a change in the
 /// system, and the task goes elsewhere at once.
 fn tells_of_load(reason: RetryReason) -> bool {
--- a/crates/authority/src/settings.rs
+++ b/crates/authority/src/settings.rs
@@ -2,6 +2,13 @@
 
 use std::time::Duration;
 
+use decisions::RetrySettings;
+
+/// The retries that a customer starts with at an entry: as many as it may save up later, one for each task that it has
+/// running by default. Endpoints whose owner died are still busy for a moment when the next owner offers them work.
+/// Customers are forgotten by the thousand only, so the retries are granted once in a process's life.
+const FIRST_RETRIES: f64 = 40.0;
+
 /// Limits of the entry's state. Every table is bounded, so that a flood of submissions costs refusals, not memory.
 #[derive(Clone, Debug)]
 pub struct AuthoritySettings {
@@ -15,6 +22,8 @@
     pub ticket_term: Duration,
     /// Unused tickets at once.
     pub max_tickets: usize,
+    /// The budget of retries after refusals that tell of load.
+    pub retries: RetrySettings,
     /// The first pause before a task is placed again after a refusal that tells of load.
     pub retry_pause: Duration,
     /// The longest such pause.
@@ -34,6 +43,10 @@
             keep_outcome: Duration::from_secs(120),
             ticket_term: Duration::from_secs(600),
             max_tickets: 50_000,
+            retries: RetrySettings {
+                first_saved: FIRST_RETRIES,
+                ..RetrySettings::default()
+            },
             retry_pause: Duration::from_millis(5),
             max_retry_pause: Duration::from_millis(200),
             capacity_grace: Duration::from_secs(3),
--- a/crates/decisions/src/retry.rs
+++ b/crates/decisions/src/retry.rs
@@ -20,7 +20,13 @@
     /// storm of retries when everything is short. Reason: 40 are the tasks that one customer has running by
     /// default, so each of them may be placed once more.
     pub max_saved: f64,
-    /// Customers remembered. One that was forgotten starts with the floor.
+    /// Retries that a customer starts with; the floor where that is more.
+    ///
+    /// Load: a process that has just started, and then a dispatcher dies. Harm: a customer with much work elsewhere
+    /// has saved up nothing here, and its tasks are refused while the endpoints change hands. Reason for none by
+    /// default: whoever forgets customers often gives these retries often.
+    pub first_saved: f64,
+    /// Customers remembered. One that was forgotten starts anew.
     pub max_customers: usize,
 }
 
@@ -29,6 +35,7 @@
         Self {
             floor_per_second: 1.0,
             max_saved: 40.0,
+            first_saved: 0.0,
             max_customers: 4096,
         }
     }
@@ -88,8 +95,9 @@
         let per_second = self.settings.floor_per_second;
         // A retry takes a whole token, so a smaller rate saves up for longer than a second.
         let floor = per_second.max(1.0);
+        let first = self.settings.first_saved.max(floor);
         let bucket = self.customers.use_or_insert(customer, || TokenBucket {
-            tokens: floor,
+            tokens: first,
             filled_at: now,
         });
         let since: Duration = now.saturating_duration_since(bucket.filled_at);
