Let a dispatcher that starts in an outage take the VM list from a peer

Cause: a VM that starts while the platform is down gets contracts from its peers, but no VM list, and so owns no endpoint. Change: a dispatcher without a list asks its peers for theirs after a read that failed.

--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -32,7 +32,7 @@
 
 pub(crate) use messages::{
     BeatTaken, ContractsAsked, OffersMade, PingTaken, SessionEnded, SessionOpened, StopBegun,
-    StopState, WithdrawalsMade,
+    StopState, VmsAsked, WithdrawalsMade,
 };
 
 /// The time between two looks at what has become due. It bounds how late a slot goes on after an ask stayed
--- a/crates/dispatcher/src/control/membership.rs
+++ b/crates/dispatcher/src/control/membership.rs
@@ -8,7 +8,7 @@
 use peer::PeerError;
 use telemetry::CounterKind;
 
-use super::{BeatTaken, DispatcherControl, PeerSlot, PingTaken};
+use super::{BeatTaken, DispatcherControl, PeerSlot, PingTaken, VmsAsked};
 
 impl DispatcherControl {
     pub(super) fn tick_members(&mut self, ctx: &mut Context<Self>) {
@@ -54,10 +54,34 @@
         ctx.spawn(list.map(|list, control, ctx| match list {
             Ok(vms) => control.take_vm_list(ctx, vms),
             // What is known goes on: endpoints and peers speak for themselves meanwhile.
-            Err(error) => log::debug!("dispatcher: VM list not read: {error}"),
+            Err(error) => {
+                log::debug!("dispatcher: VM list not read: {error}");
+                control.ask_peers_for_vms(ctx);
+            }
         }));
     }
 
+    /// Failure: this VM started while the platform is down. Symptom without this: it knows no endpoint and serves nothing
+    /// for the length of the outage. A peer's list is as old as the platform's last answer, which lags anyway.
+    fn ask_peers_for_vms(&mut self, ctx: &mut Context<Self>) {
+        if !self.vms.is_empty() {
+            return;
+        }
+        for slot in self.peers.values() {
+            let PeerSlot::Open(link) = slot else {
+                continue;
+            };
+            let vms = link.client().vms().into_actor(self);
+            ctx.spawn(vms.map(|vms, control, ctx| match vms {
+                Ok(vms) if control.vms.is_empty() && !vms.is_empty() => {
+                    control.take_vm_list(ctx, vms)
+                }
+                Ok(_) => {}
+                Err(error) => log::debug!("dispatcher: VM list not read from a peer: {error}"),
+            }));
+        }
+    }
+
     fn take_vm_list(&mut self, ctx: &mut Context<Self>, vms: Vec<VmEntry>) {
         self.members.on_vm_list(&vms);
         self.vms = vms;
@@ -175,6 +199,14 @@
     }
 }
 
+impl Handler<VmsAsked> for DispatcherControl {
+    type Result = ();
+
+    fn handle(&mut self, asked: VmsAsked, _: &mut Context<Self>) {
+        let _gone = asked.reply.send(Ok(self.vms.clone()));
+    }
+}
+
 impl Handler<PingTaken> for DispatcherControl {
     type Result = ();
 
--- a/crates/dispatcher/src/control/messages.rs
+++ b/crates/dispatcher/src/control/messages.rs
@@ -5,7 +5,8 @@
 use actix::Message;
 use membership::{BeatMessage, BeatReply, MemberView};
 use model::{
-    AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, WithdrawalVerdict,
+    AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, VmEntry,
+    WithdrawalVerdict,
 };
 use peer::{ContractPage, PeerError};
 use tokio::sync::oneshot;
@@ -67,6 +68,13 @@
     pub(crate) reply: ReplyTo<(MemberView, SlotCounts)>,
 }
 
+/// Somebody asks for the VM list.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct VmsAsked {
+    pub(crate) reply: ReplyTo<Vec<VmEntry>>,
+}
+
 /// Somebody asks for contract rows.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/dispatcher/src/port.rs
+++ b/crates/dispatcher/src/port.rs
@@ -5,7 +5,8 @@
 use actix::{Addr, Handler};
 use membership::{BeatMessage, BeatReply, MemberView};
 use model::{
-    AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, WithdrawalVerdict,
+    AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, VmEntry,
+    WithdrawalVerdict,
 };
 use peer::{
     AcceptedPort, ContractPage, DispatcherService, EntryClient, PeerError, ReplyFuture,
@@ -15,7 +16,7 @@
 
 use crate::{
     control::{
-        BeatTaken, ContractsAsked, OffersMade, PingTaken, SessionEnded, SessionOpened,
+        BeatTaken, ContractsAsked, OffersMade, PingTaken, SessionEnded, SessionOpened, VmsAsked,
         WithdrawalsMade,
     },
     entry_directory::EntryDirectory,
@@ -100,6 +101,10 @@
         ask(&self.control, |reply| PingTaken { session, reply })
     }
 
+    fn vms(&self) -> ReplyFuture<Vec<VmEntry>> {
+        ask(&self.control, |reply| VmsAsked { reply })
+    }
+
     fn contracts(&self, since: u64) -> ReplyFuture<ContractPage> {
         ask(&self.control, |reply| ContractsAsked { since, reply })
     }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -91,6 +91,8 @@
   # What an entry asks to know that the dispatcher is alive.
   handover @6 (report :HandoverReport) -> ();
   # What a leaving owner of endpoints still has running there.
+  vms @7 () -> (json :Data);
+  # The platform's VM list as this dispatcher last read it, as JSON; empty when it never did.
 }
 
 struct MemberView {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -6,7 +6,7 @@
 use membership::{BeatMessage, BeatReply, MemberView};
 use model::{
     AttemptEnd, AttemptId, IncarnationId, Payload, SessionId, SlotCounts, TaskOffer, TaskVerdict,
-    WithdrawalVerdict,
+    VmEntry, WithdrawalVerdict,
 };
 
 use crate::{
@@ -133,6 +133,19 @@
         }
     }
 
+    /// The platform's VM list as the dispatcher last read it; empty when it never did.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke or the list is not readable.
+    pub fn vms(&self) -> impl Future<Output = Result<Vec<VmEntry>, PeerError>> + 'static {
+        let reply = self.port.vms_request().send().promise;
+        async move {
+            let reply = reply.await?;
+            serde_json::from_slice(reply.get()?.get_json()?).map_err(crate::convert::bad)
+        }
+    }
+
     /// Contract rows changed after a head number.
     ///
     /// # Errors
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -4508,6 +4508,8 @@
     pub type PingResults<> = ::capnp::capability::Results<crate::peer_capnp::dispatcher_port::ping_results::Owned>;
     pub type HandoverParams<> = ::capnp::capability::Params<crate::peer_capnp::dispatcher_port::handover_params::Owned>;
     pub type HandoverResults<> = ::capnp::capability::Results<crate::peer_capnp::dispatcher_port::handover_results::Owned>;
+    pub type VmsParams<> = ::capnp::capability::Params<crate::peer_capnp::dispatcher_port::vms_params::Owned>;
+    pub type VmsResults<> = ::capnp::capability::Results<crate::peer_capnp::dispatcher_port::vms_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -4578,6 +4580,9 @@
         pub fn handover_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::dispatcher_port::handover_params::Owned,crate::peer_capnp::dispatcher_port::handover_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
         }
+        pub fn vms_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::dispatcher_port::vms_params::Owned,crate::peer_capnp::dispatcher_port::vms_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn open(self: ::capnp::capability::Rc<Self>, _: OpenParams<>, _: OpenResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method dispatcher_port::Server::open not implemented".to_string()))) }
@@ -4587,6 +4592,7 @@
         fn grant(self: ::capnp::capability::Rc<Self>, _: GrantParams<>, _: GrantResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method dispatcher_port::Server::grant not implemented".to_string()))) }
         fn ping(self: ::capnp::capability::Rc<Self>, _: PingParams<>, _: PingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method dispatcher_port::Server::ping not implemented".to_string()))) }
         fn handover(self: ::capnp::capability::Rc<Self>, _: HandoverParams<>, _: HandoverResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method dispatcher_port::Server::handover not implemented".to_string()))) }
+        fn vms(self: ::capnp::capability::Rc<Self>, _: VmsParams<>, _: VmsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method dispatcher_port::Server::vms not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -4623,6 +4629,7 @@
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::grant(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ping(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::handover(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::vms(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -7741,6 +7748,379 @@
             pub(crate) const TYPE_ID: u64 = 0x963c_6429_9ca0_9321;
         }
     }
+
+    pub mod vms_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(227, 3, 133, 25, 142, 37, 82, 143),
+                ::capnp::word(26, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 68, 105, 115, 112, 97),
+                ::capnp::word(116, 99, 104, 101, 114, 80, 111, 114),
+                ::capnp::word(116, 46, 118, 109, 115, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x8f52_258e_1985_03e3;
+        }
+    }
+
+    pub mod vms_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_json(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_json(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_json(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_json(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(244, 84, 191, 189, 17, 160, 30, 216),
+                ::capnp::word(26, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 68, 105, 115, 112, 97),
+                ::capnp::word(116, 99, 104, 101, 114, 80, 111, 114),
+                ::capnp::word(116, 46, 118, 109, 115, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xd81e_a011_bdbf_54f4;
+        }
+    }
 }
 
 pub mod member_view {
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -9,7 +9,7 @@
 use membership::{BeatMessage, BeatReply, MemberView};
 use model::{
     AttemptEnd, AttemptId, ContractVersion, CustomerId, IncarnationId, Payload, SessionId,
-    SlotCounts, TaskOffer, TaskVerdict, WithdrawalVerdict,
+    SlotCounts, TaskOffer, TaskVerdict, VmEntry, WithdrawalVerdict,
 };
 
 use crate::{
@@ -83,6 +83,9 @@
     /// Says that this process is alive, how it sees itself and how its slots stand.
     fn ping(&self) -> ReplyFuture<(MemberView, SlotCounts)>;
 
+    /// Gives the platform's VM list as last read.
+    fn vms(&self) -> ReplyFuture<Vec<VmEntry>>;
+
     /// Gives contract rows changed after a head number.
     fn contracts(&self, since: u64) -> ReplyFuture<ContractPage>;
 }
@@ -236,6 +239,21 @@
         }
     }
 
+    fn vms(
+        self: Rc<Self>,
+        _params: dispatcher_capnp::VmsParams,
+        mut results: dispatcher_capnp::VmsResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = self.0.vms();
+        async move {
+            let vms = answer.await?;
+            let json =
+                serde_json::to_vec(&vms).map_err(|error| PeerError::Failed(error.to_string()))?;
+            results.get().set_json(&json);
+            Ok(())
+        }
+    }
+
     fn contracts(
         self: Rc<Self>,
         params: dispatcher_capnp::ContractsParams,
