Carry contract updates as one type between processes

Cause: entry and dispatcher each turned rows into messages and back by hand, the same lines twice. Change: the peer crate carries the contracts crate's update; the conversion stands once, at the border.

--- a/crates/dispatcher/src/control/contracts.rs
+++ b/crates/dispatcher/src/control/contracts.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use ::contracts::{ContractReader, ContractRow, ContractUpdate, HeadNumber, PollError};
+use ::contracts::{ContractReader, ContractUpdate, HeadNumber, PollError};
 use actix::{ActorFutureExt as _, AsyncContext as _, Context, Handler, WrapFuture as _};
 use membership::rendezvous;
-use peer::{ContractPage, ContractRecord};
+use peer::ContractNews;
 
 use super::{ContractsAsked, DispatcherControl, PeerSlot};
 
@@ -46,16 +46,11 @@
             return;
         };
         let since = self.view.loaded_head().unwrap_or_default();
-        let page = link.client().contracts(since.0).into_actor(self);
-        ctx.spawn(page.map(move |page, control, _| match page {
-            Ok(page) if page.loaded => match read_page(since, page) {
-                Ok(update) => control.apply(update),
-                Err(error) => {
-                    log::error!("dispatcher: contracts of {address} cannot be read: {error}")
-                }
-            },
+        let news = link.client().contracts(since).into_actor(self);
+        ctx.spawn(news.map(move |news, control, _| match news {
+            Ok(news) if news.loaded => control.apply(news.update),
             Ok(_) => {}
-            Err(error) => log::debug!("dispatcher: contracts not read from {address}: {error}"),
+            Err(error) => log::warn!("dispatcher: contracts not read from {address}: {error}"),
         }));
     }
 
@@ -100,38 +95,10 @@
     type Result = ();
 
     fn handle(&mut self, asked: ContractsAsked, _: &mut Context<Self>) {
-        let update = self.view.newer_than(HeadNumber(asked.since));
-        let mut rows = Vec::with_capacity(update.rows.len());
-        for row in update.rows {
-            rows.push(ContractRecord {
-                customer: row.customer,
-                version: row.version,
-                head: row.head.0,
-                json: serde_json::to_vec(&row.contract).unwrap_or_default(),
-            });
-        }
-        let page = ContractPage {
+        let update = self.view.newer_than(asked.since);
+        let _gone = asked.reply.send(Ok(ContractNews {
             loaded: self.view.is_ready(),
-            head: update.head.0,
-            rows,
-        };
-        let _gone = asked.reply.send(Ok(page));
-    }
-}
-
-fn read_page(since: HeadNumber, page: ContractPage) -> Result<ContractUpdate, serde_json::Error> {
-    let mut rows = Vec::with_capacity(page.rows.len());
-    for record in page.rows {
-        rows.push(ContractRow {
-            customer: record.customer,
-            version: record.version,
-            head: HeadNumber(record.head),
-            contract: serde_json::from_slice(&record.json)?,
-        });
+            update,
+        }));
     }
-    Ok(ContractUpdate {
-        since,
-        head: HeadNumber(page.head),
-        rows,
-    })
 }
--- a/crates/dispatcher/src/control/messages.rs
+++ b/crates/dispatcher/src/control/messages.rs
@@ -3,12 +3,13 @@
 //! The port sends them with `do_send`, which keeps their order, and waits for the answer on a channel inside.
 
 use actix::Message;
+use contracts::HeadNumber;
 use membership::{BeatMessage, BeatReply, MemberView};
 use model::{
     AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, VmEntry,
     WithdrawalVerdict,
 };
-use peer::{ContractPage, PeerError};
+use peer::{ContractNews, PeerError};
 use tokio::sync::oneshot;
 
 pub(crate) type ReplyTo<T> = oneshot::Sender<Result<T, PeerError>>;
@@ -79,8 +80,8 @@
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(crate) struct ContractsAsked {
-    pub(crate) since: u64,
-    pub(crate) reply: ReplyTo<ContractPage>,
+    pub(crate) since: HeadNumber,
+    pub(crate) reply: ReplyTo<ContractNews>,
 }
 
 /// The process begins to stop.
--- a/crates/dispatcher/src/port.rs
+++ b/crates/dispatcher/src/port.rs
@@ -3,13 +3,14 @@
 use std::{cell::Cell, rc::Rc};
 
 use actix::{Addr, Handler};
+use contracts::HeadNumber;
 use membership::{BeatMessage, BeatReply, MemberView};
 use model::{
     AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, VmEntry,
     WithdrawalVerdict,
 };
 use peer::{
-    AcceptedPort, ContractPage, DispatcherService, EntryClient, PeerError, ReplyFuture,
+    AcceptedPort, ContractNews, DispatcherService, EntryClient, PeerError, ReplyFuture,
     SessionService,
 };
 use tokio::sync::oneshot;
@@ -105,7 +106,7 @@
         ask(&self.control, |reply| VmsAsked { reply })
     }
 
-    fn contracts(&self, since: u64) -> ReplyFuture<ContractPage> {
+    fn contracts(&self, since: HeadNumber) -> ReplyFuture<ContractNews> {
         ask(&self.control, |reply| ContractsAsked { since, reply })
     }
 }
--- a/crates/entry/src/control/contract_news.rs
+++ b/crates/entry/src/control/contract_news.rs
@@ -2,8 +2,8 @@
 
 use actix::{ActorFutureExt as _, AsyncContext as _, Context, WrapFuture as _};
 use authority::DispatcherKey;
-use contracts::{ContractRow, ContractUpdate, HeadNumber};
-use peer::ContractPage;
+use contracts::HeadNumber;
+use peer::ContractNews;
 
 use super::{EntryControl, LinkState};
 
@@ -36,41 +36,22 @@
             return;
         };
         let since = self.contracts.loaded_head().unwrap_or_default();
-        let page = open.link.client().contracts(since.0);
+        let news = open.link.client().contracts(since);
         ctx.spawn(
-            page.into_actor(self)
-                .map(move |page, control, ctx| match page {
-                    Ok(page) => control.take_contracts(ctx, since, page),
-                    Err(error) => log::debug!("entry: contracts not read from {key}: {error}"),
+            news.into_actor(self)
+                .map(move |news, control, ctx| match news {
+                    Ok(news) => control.take_contracts(ctx, news),
+                    Err(error) => log::warn!("entry: contracts not read from {key}: {error}"),
                 }),
         );
     }
 
-    fn take_contracts(&mut self, ctx: &mut Context<Self>, since: HeadNumber, page: ContractPage) {
-        if !page.loaded {
+    fn take_contracts(&mut self, ctx: &mut Context<Self>, news: ContractNews) {
+        if !news.loaded {
             return;
         }
-        let mut rows = Vec::with_capacity(page.rows.len());
-        for record in page.rows {
-            let Ok(contract) = serde_json::from_slice(&record.json) else {
-                log::error!("entry: contract of {} cannot be read", record.customer);
-                return;
-            };
-            let head = HeadNumber(record.head);
-            rows.push(ContractRow {
-                customer: record.customer,
-                version: record.version,
-                head,
-                contract,
-            });
-        }
-        let update = ContractUpdate {
-            since,
-            head: HeadNumber(page.head),
-            rows,
-        };
         self.contracts_heard = Some(self.clock.now());
-        for customer in self.contracts.apply(update) {
+        for customer in self.contracts.apply(news.update) {
             self.set_limit(&customer);
         }
         self.flush(ctx);
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -3,6 +3,7 @@
 
 use std::{future::Future, time::Duration};
 
+use contracts::HeadNumber;
 use membership::{BeatMessage, BeatReply, MemberView};
 use model::{
     AttemptEnd, AttemptId, IncarnationId, Payload, SessionId, SlotCounts, TaskOffer, TaskVerdict,
@@ -15,7 +16,7 @@
         write_end, write_offers, write_slots, write_view,
     },
     peer_capnp::{claim_answer, dispatcher_port, entry_port, session_port},
-    service::{read_contract_page, ContractPage, ForwardedAnswer},
+    service::{read_contract_news, ContractNews, ForwardedAnswer},
     PeerError,
 };
 
@@ -153,14 +154,14 @@
     /// The connection broke or a row is not readable.
     pub fn contracts(
         &self,
-        since: u64,
-    ) -> impl Future<Output = Result<ContractPage, PeerError>> + 'static {
+        since: HeadNumber,
+    ) -> impl Future<Output = Result<ContractNews, PeerError>> + 'static {
         let mut request = self.port.contracts_request();
-        request.get().set_since(since);
+        request.get().set_since(since.0);
         let reply = request.send().promise;
         async move {
             let reply = reply.await?;
-            read_contract_page(reply.get()?)
+            read_contract_news(reply.get()?, since)
         }
     }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -18,7 +18,7 @@
     client::{DispatcherClient, EntryClient, OpenedSession, SessionClient},
     link::{connect, serve, AcceptedPort, PeerLink},
     service::{
-        dispatcher_port, entry_port, ContractPage, ContractRecord, DispatcherService, EntryService,
+        dispatcher_port, entry_port, ContractNews, DispatcherService, EntryService,
         ForwardedAnswer, ReplyFuture, SessionService,
     },
 };
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -5,11 +5,12 @@
 
 use std::{future::Future, rc::Rc, time::Duration};
 
+use contracts::{ContractRow, ContractUpdate, HeadNumber};
 use futures::future::LocalBoxFuture;
 use membership::{BeatMessage, BeatReply, MemberView};
 use model::{
-    AttemptEnd, AttemptId, ContractVersion, CustomerId, IncarnationId, Payload, SessionId,
-    SlotCounts, TaskOffer, TaskVerdict, VmEntry, WithdrawalVerdict,
+    AttemptEnd, AttemptId, ContractVersion, IncarnationId, Payload, SessionId, SlotCounts,
+    TaskOffer, TaskVerdict, VmEntry, WithdrawalVerdict,
 };
 
 use crate::{
@@ -25,28 +26,13 @@
     PeerError,
 };
 
-/// A contract row as processes pass it on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ContractRecord {
-    /// Whose.
-    pub customer: CustomerId,
-    /// Its version.
-    pub version: ContractVersion,
-    /// The head number of the change that wrote it.
-    pub head: u64,
-    /// The contract as JSON.
-    pub json: Vec<u8>,
-}
-
-/// Contract rows changed after some head number.
+/// What a dispatcher knows of the contracts beyond what the asker knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ContractPage {
-    /// Whether the sender holds a complete set that is as new as its peers'. The rest says nothing otherwise.
+pub struct ContractNews {
+    /// Whether the sender holds a complete set that is as new as its peers'. The update says nothing otherwise.
     pub loaded: bool,
-    /// The newest head number that the sender holds.
-    pub head: u64,
     /// The rows.
-    pub rows: Vec<ContractRecord>,
+    pub update: ContractUpdate,
 }
 
 /// A caller-facing answer passed on by another entry.
@@ -87,7 +73,7 @@
     fn vms(&self) -> ReplyFuture<Vec<VmEntry>>;
 
     /// Gives contract rows changed after a head number.
-    fn contracts(&self, since: u64) -> ReplyFuture<ContractPage>;
+    fn contracts(&self, since: HeadNumber) -> ReplyFuture<ContractNews>;
 }
 
 /// A session of a dispatcher with an entry. It is over when the object is dropped.
@@ -139,25 +125,47 @@
     capnp_rpc::new_client(EntryGlue(service))
 }
 
-pub(crate) fn read_contract_page(
+pub(crate) fn read_contract_news(
     reader: dispatcher_capnp::contracts_results::Reader<'_>,
-) -> Result<ContractPage, PeerError> {
+    since: HeadNumber,
+) -> Result<ContractNews, PeerError> {
     let mut rows = Vec::new();
     for row in reader.get_rows()? {
-        rows.push(ContractRecord {
+        rows.push(ContractRow {
             customer: text(row.get_customer())?.parse().map_err(bad)?,
             version: ContractVersion(row.get_version()),
-            head: row.get_head(),
-            json: row.get_json()?.to_vec(),
+            head: HeadNumber(row.get_head()),
+            contract: serde_json::from_slice(row.get_json()?).map_err(bad)?,
         });
     }
-    Ok(ContractPage {
-        loaded: reader.get_loaded(),
-        head: reader.get_head(),
+    let update = ContractUpdate {
+        since,
+        head: HeadNumber(reader.get_head()),
         rows,
+    };
+    Ok(ContractNews {
+        loaded: reader.get_loaded(),
+        update,
     })
 }
 
+fn write_contract_news(
+    mut results: dispatcher_capnp::contracts_results::Builder<'_>,
+    news: &ContractNews,
+) -> Result<(), PeerError> {
+    results.set_loaded(news.loaded);
+    results.set_head(news.update.head.0);
+    let mut rows = results.init_rows(news.update.rows.len() as u32);
+    for (index, row) in news.update.rows.iter().enumerate() {
+        let mut builder = rows.reborrow().get(index as u32);
+        builder.set_customer(row.customer.as_str());
+        builder.set_version(row.version.0);
+        builder.set_head(row.head.0);
+        builder.set_json(&serde_json::to_vec(&row.contract).map_err(bad)?);
+    }
+    Ok(())
+}
+
 struct DispatcherGlue<S>(S);
 struct SessionGlue<S>(S);
 struct EntryGlue<S>(S);
@@ -261,20 +269,10 @@
     ) -> impl Future<Output = CallResult> + 'static {
         let answer = params
             .get()
-            .map(|params| self.0.contracts(params.get_since()));
+            .map(|params| self.0.contracts(HeadNumber(params.get_since())));
         async move {
-            let page = settle(answer.map_err(PeerError::from)).await?;
-            let mut results = results.get();
-            results.set_loaded(page.loaded);
-            results.set_head(page.head);
-            let mut rows = results.init_rows(page.rows.len() as u32);
-            for (index, row) in page.rows.iter().enumerate() {
-                let mut builder = rows.reborrow().get(index as u32);
-                builder.set_customer(row.customer.as_str());
-                builder.set_version(row.version.0);
-                builder.set_head(row.head);
-                builder.set_json(&row.json);
-            }
+            let news = settle(answer.map_err(PeerError::from)).await?;
+            write_contract_news(results.get(), &news)?;
             Ok(())
         }
     }
