Admit by predicted wait, own limit and lasting overload

Cause: submit refused only by contract fields, by the number of open submissions and for want of any slot. What could not be in time was accepted and refused at its deadline, and no refusal but two said when to come back. Change: submit asks the AdmissionPolicy. The wait is predicted from the customer's own accepted work that has not started, the shares of the customers whose tasks moved in the last 2 s, its drain rate and the local slots, divided by the entries that place on them. That number is not known yet: set_entries, 1 until told otherwise. The sums are kept in a LoadTable along with each move of a task. Overload is the mean saturation of the last 5 s (LastingSaturation). max_open and the grace after the last slot went stay as they were. submit returns a SubmissionRefusal with reason and retry_after, on_claim takes the time, and the entry passes on when to come back. Of 30 jobs of 8 tasks of 200 ms at once on 8 slots, due in 2 s, 20 to 24 are refused at once and all accepted ones are in time. Seen to fail, one break at a time: predicted wait zero; run times as declared in the sums; tasks of answered or complete submissions left in the sums; a granted concurrency of 1001; saturation infinite without slots; running work counted as waiting; the mean saturation fixed at zero, or that of the moment. Conclusion: what cannot be in time is refused at submission, with when to come back.

--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -1,5 +1,6 @@
 //! The authority: submissions in, offers and answers out.
 
+mod admitting;
 mod giving_up;
 mod placing;
 mod replies;
@@ -7,20 +8,22 @@
 use std::{
     collections::{BTreeSet, VecDeque},
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
-use decisions::{RetryBudget, RunTimeSettings, RunTimeTable};
+use decisions::{AdmissionPolicy, LastingSaturation, RetryBudget, RunTimeTable};
 use model::{
-    Contract, ContractState, ContractVersion, CustomerId, DataCentreId, FastMap, IncarnationId,
-    RefusalReason, SubmissionBody, SubmissionId, SubmissionKind, SubmissionOutcome, TaskIndex,
-    TicketId,
+    Contract, ContractVersion, CustomerId, DataCentreId, FastMap, IncarnationId, RefusalReason,
+    SubmissionBody, SubmissionId, SubmissionKind, SubmissionOutcome, TaskIndex, TicketId,
 };
 
 use crate::{
     action::{AuthorityAction, AuthorityEvent},
+    authority::admitting::ExpectedWork,
+    customer_load::LoadTable,
     flight::FlightTable,
     record::{RecordState, SubmissionRecord, SubmissionShape, TaskPhase, TaskRecord},
+    refusal::SubmissionRefusal,
     session::SessionTable,
     settings::AuthoritySettings,
     ticket::{TicketTable, TicketUse},
@@ -63,6 +66,10 @@
     sessions: SessionTable,
     budget: RetryBudget,
     times: RunTimeTable,
+    admission: AdmissionPolicy,
+    load: LoadTable,
+    saturation: LastingSaturation,
+    entries: u32,
     last_capacity: Option<Instant>,
     rng: fastrand::Rng,
     actions: Vec<AuthorityAction>,
@@ -89,7 +96,11 @@
             waiting: WaitingTable::default(),
             sessions: SessionTable::default(),
             budget: RetryBudget::new(settings.retries.clone()),
-            times: RunTimeTable::new(RunTimeSettings::default()),
+            times: RunTimeTable::new(settings.run_times.clone()),
+            admission: AdmissionPolicy::new(settings.admission.clone()),
+            load: LoadTable::default(),
+            saturation: LastingSaturation::default(),
+            entries: 1,
             last_capacity: None,
             rng: fastrand::Rng::with_seed(seed),
             actions: Vec::new(),
@@ -112,7 +123,7 @@
     ///
     /// # Errors
     ///
-    /// The refusal, when nothing of the submission will run.
+    /// The refusal, with when to come back, when nothing of the submission will run.
     pub fn submit(
         &mut self,
         now: Instant,
@@ -120,20 +131,21 @@
         digest: u64,
         contract: Option<(&Contract, ContractVersion)>,
         serial: Option<u64>,
-    ) -> Result<AdmittedSubmission, RefusalReason> {
+    ) -> Result<AdmittedSubmission, SubmissionRefusal> {
         let customer = body.customer.clone();
-        let (contract, version) = match self.check(now, &body, contract) {
+        let (contract, version, work) = match self.admit(now, &body, contract) {
             Ok(terms) => terms,
-            Err(reason) => {
+            Err(refusal) => {
+                let reason = refusal.reason;
                 self.note(AuthorityEvent::Refused { customer, reason });
-                return Err(reason);
+                return Err(refusal);
             }
         };
         let serial = serial.unwrap_or_else(|| self.reserve_serial());
         let first_attempt = match self.records.get(&serial) {
             None => 0,
             Some(earlier) if earlier.is_refused() => earlier.next_attempt,
-            Some(_) => return Err(RefusalReason::KeyReused),
+            Some(_) => return Err(SubmissionRefusal::never(RefusalReason::KeyReused)),
         };
         self.tickets.take(serial);
         let id = self.id(serial);
@@ -141,6 +153,9 @@
         let mut record = new_record(body, digest, due, first_attempt);
         record.take_terms(contract, version);
         let tasks = record.tasks.len() as u32;
+        let total = take_work(&mut record, work);
+        self.load
+            .accept(now, &customer, contract.share, tasks, total);
         self.note(AuthorityEvent::Admitted {
             id,
             customer: customer.clone(),
@@ -262,6 +277,13 @@
         self.place(now);
     }
 
+    /// Sets how many entries place on the same slots, this one included. Until it is told otherwise, an entry takes
+    /// itself for the only one: it then predicts too short a wait and refuses too little, and what it accepted too
+    /// much ends in the dispatchers' queues at its deadline.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
     /// Attempts at dispatchers and tasks waiting here, of one customer.
     pub fn usage(&self, customer: &CustomerId) -> (u32, usize) {
         self.waiting.usage(customer)
@@ -299,41 +321,6 @@
     fn note(&mut self, event: AuthorityEvent) {
         self.actions.push(AuthorityAction::Note(event));
     }
-
-    /// What can be told without looking at load: whether the contract covers the submission at all, and whether
-    /// this process has room for it.
-    fn check<'a>(
-        &mut self,
-        now: Instant,
-        body: &SubmissionBody,
-        contract: Option<(&'a Contract, ContractVersion)>,
-    ) -> Result<(&'a Contract, ContractVersion), RefusalReason> {
-        let (contract, version) = contract.ok_or(RefusalReason::UnknownCustomer)?;
-        if contract.state == ContractState::Retired {
-            return Err(RefusalReason::RetiredCustomer);
-        }
-        if body.tasks.len() > contract.max_tasks as usize {
-            return Err(RefusalReason::TooManyTasks);
-        }
-        for task in &body.tasks {
-            if task.payload.size() > contract.max_payload_bytes {
-                return Err(RefusalReason::PayloadTooLarge);
-            }
-        }
-        let deadline = body.deadline.unwrap_or_else(|| contract.answer_within());
-        if deadline.is_zero() || deadline > contract.answer_within() {
-            return Err(RefusalReason::WrongDeadline);
-        }
-        // Each open submission costs memory until its answer, so a flood has to end somewhere; refusing is cheap
-        // and honest, and the callers know when to come back.
-        if self.open >= self.settings.max_open {
-            return Err(RefusalReason::Overloaded);
-        }
-        if !self.had_capacity(now) {
-            return Err(RefusalReason::NoCapacity);
-        }
-        Ok((contract, version))
-    }
 }
 
 fn new_record(
@@ -350,6 +337,8 @@
     for body in body.tasks {
         tasks.push(TaskRecord {
             body,
+            expected: Duration::ZERO,
+            started: false,
             attempts: first_attempt,
             phase: TaskPhase::Waiting,
         });
@@ -370,6 +359,16 @@
     }
 }
 
+/// Gives the tasks their expected run times and returns the sum.
+fn take_work(record: &mut SubmissionRecord, work: ExpectedWork) -> Duration {
+    let mut total = Duration::ZERO;
+    for (task, expected) in record.tasks.iter_mut().zip(work.run_times) {
+        task.expected = expected;
+        total = total.saturating_add(expected);
+    }
+    total
+}
+
 fn waiting_task(record: &SubmissionRecord, serial: u64, task: TaskIndex) -> WaitingTask {
     WaitingTask {
         due: record.due,
--- /dev/null
+++ b/crates/authority/src/authority/admitting.rs
@@ -0,0 +1,199 @@
+//! Whether a submission is accepted.
+
+use std::time::{Duration, Instant};
+
+use decisions::{
+    AdmissionQuery, AdmissionVerdict, EstimateSource, RunTimeEstimate, Saturation, WaitPicture,
+    WorkClass,
+};
+use model::{
+    AttemptId, Contract, ContractState, ContractVersion, CustomerId, RefusalReason, SubmissionBody,
+    TaskBody,
+};
+
+use crate::{authority::TaskAuthority, refusal::SubmissionRefusal};
+
+/// When to come back after a refusal for want of room or slots: long enough for answers to leave, or for the endpoints
+/// of a dead VM to have another owner.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// The share of single tasks that run no longer than the slowest that is reckoned with.
+const SLOWEST_SHARE: f64 = 0.9;
+
+/// What a submission's tasks are expected to take.
+pub(super) struct ExpectedWork {
+    /// By task.
+    pub(super) run_times: Vec<Duration>,
+    total: Duration,
+    largest: RunTimeEstimate,
+    slowest: Duration,
+}
+
+/// What is known of one kind of task.
+#[derive(Clone, Copy)]
+struct KindEstimate {
+    expected: RunTimeEstimate,
+    slowest: Duration,
+}
+
+impl TaskAuthority {
+    /// Decides on a submission. What costs nothing to tell comes first, since a flood is refused here.
+    pub(super) fn admit<'a>(
+        &mut self,
+        now: Instant,
+        body: &SubmissionBody,
+        contract: Option<(&'a Contract, ContractVersion)>,
+    ) -> Result<(&'a Contract, ContractVersion, ExpectedWork), SubmissionRefusal> {
+        let (contract, version) =
+            contract.ok_or(SubmissionRefusal::never(RefusalReason::UnknownCustomer))?;
+        if contract.state == ContractState::Retired {
+            return Err(SubmissionRefusal::never(RefusalReason::RetiredCustomer));
+        }
+        for task in &body.tasks {
+            if task.payload.size() > contract.max_payload_bytes {
+                return Err(SubmissionRefusal::never(RefusalReason::PayloadTooLarge));
+            }
+        }
+        // Each open submission costs memory until its answer, so a flood has to end somewhere; refusing is cheap
+        // and honest, and the callers know when to come back.
+        if self.open >= self.settings.max_open {
+            let reason = RefusalReason::Overloaded;
+            return Err(SubmissionRefusal::not_now(reason, COME_BACK));
+        }
+        if !self.had_capacity(now) {
+            let reason = RefusalReason::NoCapacity;
+            return Err(SubmissionRefusal::not_now(reason, COME_BACK));
+        }
+        let work = self.expected_work(now, body);
+        match self.decide(now, body, contract, &work) {
+            AdmissionVerdict::Admit => Ok((contract, version, work)),
+            AdmissionVerdict::Refuse {
+                reason,
+                retry_after,
+            } => Err(SubmissionRefusal {
+                reason,
+                retry_after,
+            }),
+        }
+    }
+
+    /// A task has started, as far as its dispatcher tells.
+    pub(super) fn mark_started(&mut self, now: Instant, attempt: AttemptId) {
+        let Some(record) = self.records.get_mut(&attempt.submission.serial) else {
+            return;
+        };
+        let customer = record.customer.clone();
+        let Some(task) = record.task_mut(attempt.task).filter(|task| !task.started) else {
+            return;
+        };
+        task.started = true;
+        self.load.start(now, &customer, task.expected);
+    }
+
+    fn decide(
+        &mut self,
+        now: Instant,
+        body: &SubmissionBody,
+        contract: &Contract,
+        work: &ExpectedWork,
+    ) -> AdmissionVerdict {
+        let load = self.load.get(&body.customer);
+        let (slots, _) = self.local_slots();
+        // Slots that went out of reach a moment ago are on their way to another owner; how many is not known, so
+        // only what the submission and its customer's limit tell by themselves counts.
+        let (predicted_wait, saturation) = match slots {
+            0 => (Duration::ZERO, Saturation::default()),
+            _ => {
+                let picture = WaitPicture {
+                    own_work: load.waiting,
+                    share: contract.share,
+                    all_shares: self.load.shares_with(now, &body.customer, contract.share),
+                    drain: load.drain,
+                    slots: slots as f64 / f64::from(self.entries),
+                };
+                (picture.predicted_wait(), self.saturation.mean())
+            }
+        };
+        let query = AdmissionQuery {
+            contract,
+            class: WorkClass::from(&body.kind),
+            tasks: u32::try_from(body.tasks.len()).unwrap_or(u32::MAX),
+            largest: work.largest,
+            slowest: work.slowest,
+            expected_work: work.total,
+            deadline: body.deadline.unwrap_or_else(|| contract.answer_within()),
+            running: load.tasks,
+            running_work: load.work,
+            granted: self.waiting.limit(&body.customer),
+            predicted_wait,
+            saturation,
+        };
+        self.admission.decide(&query, &mut self.rng)
+    }
+
+    fn expected_work(&self, now: Instant, body: &SubmissionBody) -> ExpectedWork {
+        // The more tasks, the rarer a run time that one of them may well take.
+        let share = 1.0 - (1.0 - SLOWEST_SHARE) / body.tasks.len().max(1) as f64;
+        let mut work = ExpectedWork {
+            run_times: Vec::with_capacity(body.tasks.len()),
+            total: Duration::ZERO,
+            largest: RunTimeEstimate {
+                run_time: Duration::ZERO,
+                source: EstimateSource::Assumed,
+            },
+            slowest: Duration::ZERO,
+        };
+        let mut last: Option<(&TaskBody, KindEstimate)> = None;
+        for task in &body.tasks {
+            // Tasks of a job are mostly alike, and a quantile costs a walk over its buckets.
+            let estimate = match last {
+                Some((before, estimate)) if is_alike(before, task) => estimate,
+                _ => self.estimate(now, &body.customer, task, share),
+            };
+            last = Some((task, estimate));
+            let expected = estimate.expected;
+            work.run_times.push(self.reckoned(expected));
+            work.total = work.total.saturating_add(expected.run_time);
+            if (expected.run_time, expected.source) > (work.largest.run_time, work.largest.source) {
+                work.largest = expected;
+            }
+            work.slowest = work.slowest.max(estimate.slowest);
+        }
+        work
+    }
+
+    fn estimate(
+        &self,
+        now: Instant,
+        customer: &CustomerId,
+        task: &TaskBody,
+        share: f64,
+    ) -> KindEstimate {
+        let declared = task.declared_run_time;
+        KindEstimate {
+            expected: self.times.expect(now, customer, &task.kind, declared),
+            slowest: self
+                .times
+                .quantile(now, customer, &task.kind, declared, share)
+                .run_time,
+        }
+    }
+
+    /// The run time by which accepted work counts in the predicted wait.
+    ///
+    /// Load: the first jobs of a kind, declared a hundred times too long. Harm: the second is refused and told to come
+    /// back after half a minute, though the first is done within a second. Reason: until it is measured a task counts
+    /// as a usual one at the most; a few ends correct that.
+    fn reckoned(&self, expected: RunTimeEstimate) -> Duration {
+        match expected.source {
+            EstimateSource::Measured | EstimateSource::Stale => expected.run_time,
+            EstimateSource::Assumed | EstimateSource::Declared => {
+                expected.run_time.min(self.settings.run_times.assumed)
+            }
+        }
+    }
+}
+
+fn is_alike(one: &TaskBody, other: &TaskBody) -> bool {
+    one.kind == other.kind && one.declared_run_time == other.declared_run_time
+}
--- a/crates/authority/src/authority/giving_up.rs
+++ b/crates/authority/src/authority/giving_up.rs
@@ -45,6 +45,8 @@
             self.waiting.push(&customer, waiting);
         }
         self.forget_old(now);
+        let (_, saturation) = self.local_slots();
+        self.saturation.see(now, saturation);
         self.had_capacity(now);
         self.place(now);
     }
@@ -223,7 +225,7 @@
         self.kept.push_back((now, serial));
         self.actions.push(AuthorityAction::Answer { id, outcome });
         self.note(AuthorityEvent::Answered(id));
-        self.take_back(serial);
+        self.take_back(now, serial);
     }
 
     /// An attempt whose submission was answered before the verdict came.
@@ -254,7 +256,7 @@
 
     /// Load: cancellation waves and jobs that fail early. Harm: reservations of the dead hold up the living. Each
     /// dispatcher gets one message with all of a submission's attempts, so the cost is what is taken back.
-    fn take_back(&mut self, serial: u64) {
+    fn take_back(&mut self, now: Instant, serial: u64) {
         let id = self.id(serial);
         let Some(record) = self.records.get_mut(&serial) else {
             return;
@@ -266,6 +268,9 @@
         let mut withdrawals: BTreeMap<DispatcherKey, Vec<AttemptId>> = BTreeMap::new();
         for (index, task) in tasks.iter().enumerate() {
             let index = index as u32;
+            if !matches!(task.phase, TaskPhase::Done(_)) {
+                self.load.end(now, &customer, task.expected, task.started);
+            }
             match task.phase {
                 TaskPhase::Waiting => {
                     let waiting = crate::waiting::WaitingTask {
--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, time::Instant};
 
+use decisions::Saturation;
 use model::{AttemptId, CustomerId, TaskOffer};
 
 use crate::{
@@ -31,6 +32,19 @@
             .is_some_and(|last| now.saturating_duration_since(last) <= grace)
     }
 
+    /// The slots of this data centre that are in reach, and how full they are.
+    pub(super) fn local_slots(&self) -> (u64, Saturation) {
+        let (mut limit, mut taken) = (0, 0);
+        for session in self.sessions.values() {
+            if session.open().is_none() || session.data_centre != self.data_centre {
+                continue;
+            }
+            limit += u64::from(session.slots.limit);
+            taken += u64::from(session.slots.running + session.slots.queued + session.sent_since);
+        }
+        (limit, Saturation::new(taken, limit))
+    }
+
     /// Offers what may be offered. Costs what changed since the last call, not what waits.
     pub(super) fn place(&mut self, now: Instant) {
         if !self.has_capacity() {
--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -28,8 +28,8 @@
         let mut turned_away = Vec::new();
         for (attempt, verdict) in verdicts {
             match verdict {
-                TaskVerdict::Started => self.on_taken(*attempt, FlightPhase::Running),
-                TaskVerdict::Queued => self.on_taken(*attempt, FlightPhase::Queued),
+                TaskVerdict::Started => self.on_taken(now, *attempt, FlightPhase::Running),
+                TaskVerdict::Queued => self.on_taken(now, *attempt, FlightPhase::Queued),
                 TaskVerdict::NotRun(reason) => {
                     if let Some(flight) = self.land(*attempt) {
                         self.set_waiting(*attempt);
@@ -46,7 +46,12 @@
 
     /// A dispatcher has a slot for a queued attempt and asks for the body. `None` means that the attempt is gone
     /// and must not start.
-    pub fn on_claim(&mut self, session: SessionId, attempt: AttemptId) -> Option<Payload> {
+    pub fn on_claim(
+        &mut self,
+        now: Instant,
+        session: SessionId,
+        attempt: AttemptId,
+    ) -> Option<Payload> {
         let flight = self.flights.get_mut(&attempt)?;
         // An ask of an older session comes from a reservation that was given up when that session was lost, and the
         // body goes out once only. In any other phase the ask is good, whatever was heard before: it may overtake the
@@ -67,6 +72,7 @@
         };
         let payload = task.body.payload.clone();
         flight.phase = FlightPhase::Claimed;
+        self.mark_started(now, attempt);
         self.note(AuthorityEvent::Claimed(attempt));
         Some(payload)
     }
@@ -102,6 +108,7 @@
                 WithdrawalVerdict::Running => {
                     if let Some(flight) = self.flights.get_mut(attempt) {
                         flight.phase = FlightPhase::Running;
+                        self.mark_started(now, *attempt);
                     }
                 }
             }
@@ -141,7 +148,7 @@
         }
     }
 
-    fn on_taken(&mut self, attempt: AttemptId, phase: FlightPhase) {
+    fn on_taken(&mut self, now: Instant, attempt: AttemptId, phase: FlightPhase) {
         let Some(flight) = self.flights.get_mut(&attempt) else {
             return;
         };
@@ -152,7 +159,10 @@
         flight.phase = phase;
         match phase {
             FlightPhase::Queued => self.note(AuthorityEvent::Queued(attempt)),
-            _ => self.note(AuthorityEvent::Started(attempt)),
+            _ => {
+                self.mark_started(now, attempt);
+                self.note(AuthorityEvent::Started(attempt));
+            }
         }
         self.withdraw_if_answered(attempt);
     }
@@ -166,6 +176,7 @@
 
     fn on_done(&mut self, now: Instant, attempt: AttemptId, result: TaskResult) {
         self.note(AuthorityEvent::Ended(attempt));
+        self.mark_started(now, attempt);
         let serial = attempt.submission.serial;
         let Some(record) = self
             .records
@@ -178,7 +189,9 @@
             return;
         };
         task.phase = TaskPhase::Done(result);
+        let expected = task.expected;
         record.done += 1;
+        self.load.end(now, &record.customer, expected, true);
         if record.done as usize == record.tasks.len() {
             let results = record.results();
             self.finish(now, serial, SubmissionOutcome::Complete(results));
@@ -210,6 +223,9 @@
             return;
         };
         task.phase = TaskPhase::Waiting;
+        if std::mem::take(&mut task.started) {
+            self.load.put_back(&customer, task.expected);
+        }
         let attempts = task.attempts - first_attempt;
         self.note(AuthorityEvent::Retried(attempt, reason));
         self.waiting.avoid(serial, attempt.task, dispatcher);
--- a/crates/authority/src/lib.rs
+++ b/crates/authority/src/lib.rs
@@ -8,8 +8,10 @@
 
 mod action;
 mod authority;
+mod customer_load;
 mod flight;
 mod record;
+mod refusal;
 mod session;
 mod settings;
 mod ticket;
@@ -19,6 +21,7 @@
     action::{AuthorityAction, AuthorityEvent},
     authority::{AdmittedSubmission, CancelReply, TaskAuthority},
     flight::FlightPhase,
+    refusal::SubmissionRefusal,
     session::DispatcherKey,
     settings::AuthoritySettings,
     ticket::TicketUse,
--- a/crates/authority/src/record.rs
+++ b/crates/authority/src/record.rs
@@ -1,6 +1,9 @@
 //! Submissions and their tasks.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use model::{
     Contract, ContractVersion, CustomerId, CustomerShare, SubmissionOutcome, TaskBody, TaskIndex,
@@ -19,6 +22,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TaskRecord {
     pub(crate) body: TaskBody,
+    /// The run time by which the task counts in its customer's load.
+    pub(crate) expected: Duration,
+    /// Whether it counts as started there.
+    pub(crate) started: bool,
     /// Attempts made so far.
     pub(crate) attempts: u32,
     pub(crate) phase: TaskPhase,
--- a/crates/authority/src/settings.rs
+++ b/crates/authority/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use decisions::RetrySettings;
+use decisions::{AdmissionSettings, RetrySettings, RunTimeSettings};
 
 /// The retries that a customer starts with at an entry: as many as it may save up later, one for each task that it has
 /// running by default. Endpoints whose owner died are still busy for a moment when the next owner offers them work.
@@ -22,6 +22,10 @@
     pub ticket_term: Duration,
     /// Unused tickets at once.
     pub max_tickets: usize,
+    /// What is refused at submission.
+    pub admission: AdmissionSettings,
+    /// How run times are learned.
+    pub run_times: RunTimeSettings,
     /// The budget of retries after refusals that tell of load.
     pub retries: RetrySettings,
     /// The first pause before a task is placed again after a refusal that tells of load.
@@ -43,6 +47,8 @@
             keep_outcome: Duration::from_secs(120),
             ticket_term: Duration::from_secs(600),
             max_tickets: 50_000,
+            admission: AdmissionSettings::default(),
+            run_times: RunTimeSettings::default(),
             retries: RetrySettings {
                 first_saved: FIRST_RETRIES,
                 ..RetrySettings::default()
--- a/crates/authority/src/waiting.rs
+++ b/crates/authority/src/waiting.rs
@@ -42,6 +42,11 @@
         self.changed.insert(customer.clone());
     }
 
+    /// How many attempts of a customer may be in flight; none before its contract is known.
+    pub(crate) fn limit(&self, customer: &CustomerId) -> u32 {
+        self.customers.get(customer).map_or(0, |queue| queue.limit)
+    }
+
     pub(crate) fn push(&mut self, customer: &CustomerId, task: WaitingTask) {
         let queue = self.customers.entry(customer.clone()).or_default();
         queue.tasks.insert(task);
--- /dev/null
+++ b/crates/authority/tests/load/admission.rs
@@ -0,0 +1,288 @@
+//! What is refused at submission, with when to come back, and what is not.
+
+use std::time::Duration;
+
+use model::{Contract, RefusableWork, RefusalReason, SubmissionOutcome};
+
+use crate::world::{ms, Job, World, HOME};
+
+/// A contract under which nothing is refused for the sake of others.
+fn strict() -> Contract {
+    Contract {
+        may_refuse: RefusableWork::Nothing,
+        ..Contract::default()
+    }
+}
+
+/// Lets the kind's run time be measured.
+fn warm_up(world: &mut World, customer: &'static str) {
+    let job = Job {
+        customer,
+        tasks: 4,
+        deadline: ms(9_000),
+        ..Job::default()
+    };
+    world.submit(&job).expect("admitted");
+    world.pass(ms(4_000));
+    world.authority.tick(world.now);
+}
+
+fn count_complete(world: &World, serials: &[u64], within: Duration) -> usize {
+    let mut complete = 0;
+    for serial in serials {
+        let (at, outcome) = &world.answers[serial];
+        let in_time = at.saturating_duration_since(world.start) <= within;
+        complete += usize::from(in_time && matches!(outcome, SubmissionOutcome::Complete(_)));
+    }
+    complete
+}
+
+struct RefusalCase {
+    name: &'static str,
+    limit: u32,
+    run_time: Duration,
+    /// Jobs of 8 tasks at once, each due within 2 s, on 8 slots.
+    jobs: usize,
+    reason: RefusalReason,
+    refused: std::ops::RangeInclusive<usize>,
+    comes_back: bool,
+}
+
+/// What the callers see: those that cannot be in time are refused at once and told when to come back, and each that was
+/// accepted is complete in time. Where coming back does not help they are told so.
+#[test]
+fn a_burst_is_cut_to_what_can_be_in_time() {
+    let cases = [
+        RefusalCase {
+            name: "within the slots",
+            limit: 40,
+            run_time: ms(200),
+            jobs: 5,
+            reason: RefusalReason::PredictedLate,
+            refused: 0..=0,
+            comes_back: true,
+        },
+        RefusalCase {
+            name: "three times what the slots do in time",
+            limit: 400,
+            run_time: ms(200),
+            jobs: 30,
+            reason: RefusalReason::PredictedLate,
+            refused: 20..=24,
+            comes_back: true,
+        },
+        RefusalCase {
+            name: "far over the own limit",
+            limit: 2,
+            run_time: ms(200),
+            jobs: 10,
+            reason: RefusalReason::OverConcurrency,
+            refused: 7..=9,
+            comes_back: true,
+        },
+        RefusalCase {
+            name: "longer than its deadline",
+            limit: 40,
+            run_time: ms(3_000),
+            jobs: 3,
+            reason: RefusalReason::CanNeverRun,
+            refused: 3..=3,
+            comes_back: false,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(strict());
+        world.allow("school", case.limit);
+        world.add_dispatcher(8, HOME);
+        world.run_times.insert("hold", case.run_time);
+        warm_up(&mut world, "school");
+        world.start = world.now;
+        let job = Job {
+            tasks: 8,
+            deadline: ms(2_000),
+            ..Job::default()
+        };
+        let (mut serials, mut refused) = (Vec::new(), 0);
+        for _ in 0..case.jobs {
+            match world.submit(&job) {
+                Ok(serial) => serials.push(serial),
+                Err(refusal) => {
+                    refused += 1;
+                    assert_eq!(refusal.reason, case.reason, "{}", case.name);
+                    let comes_back = refusal.retry_after.is_some();
+                    assert_eq!(comes_back, case.comes_back, "{}", case.name);
+                }
+            }
+        }
+        assert!(case.refused.contains(&refused), "{}: {refused}", case.name);
+        world.pass(ms(4_000));
+        let complete = count_complete(&world, &serials, job.deadline);
+        assert_eq!(complete, serials.len(), "{}", case.name);
+    }
+}
+
+/// What the callers see: the one far over its limit is refused, the other gets every answer in time. What happens: the
+/// big one submits 60 jobs at once, all slots and the queue are its own, then the small one comes.
+#[test]
+fn a_customer_far_over_its_limit_leaves_the_other_in_time() {
+    let mut world = World::new(strict());
+    world.allow("big", 8);
+    world.allow("small", 8);
+    world.add_dispatcher(16, HOME);
+    warm_up(&mut world, "big");
+    world.start = world.now;
+    let big = Job {
+        customer: "big",
+        tasks: 8,
+        deadline: ms(2_000),
+        ..Job::default()
+    };
+    let mut refused = 0;
+    for _ in 0..60 {
+        let Err(refusal) = world.submit(&big) else {
+            continue;
+        };
+        refused += 1;
+        assert!(refusal.retry_after.is_some_and(|after| after <= ms(30_000)));
+    }
+    assert!(refused >= 50, "{refused}");
+    let small = Job {
+        customer: "small",
+        ..big
+    };
+    let mut serials = Vec::new();
+    for _ in 0..4 {
+        serials.push(world.submit(&small).expect("its own limit has room"));
+    }
+    world.pass(ms(4_000));
+    assert_eq!(count_complete(&world, &serials, ms(2_000)), serials.len());
+}
+
+/// What the callers see: while run times are not measured, wrong declarations refuse nothing that fits.
+#[test]
+fn declared_times_off_by_a_hundredfold_refuse_nothing() {
+    for declared in [ms(2), ms(200), ms(20_000)] {
+        let mut world = World::new(strict());
+        world.allow("school", 40);
+        world.add_dispatcher(8, HOME);
+        let job = Job {
+            tasks: 8,
+            declared: Some(declared),
+            ..Job::default()
+        };
+        let mut serials = Vec::new();
+        for _ in 0..4 {
+            serials.push(world.submit(&job).expect("fits"));
+        }
+        world.pass(ms(1_000));
+        for _ in 0..4 {
+            serials.push(world.submit(&job).expect("fits"));
+        }
+        world.pass(ms(1_000));
+        assert_eq!(count_complete(&world, &serials, ms(5_000)), 8);
+    }
+}
+
+/// What the callers see: work that waits for slots which just went is not refused for want of slots until the grace is
+/// over.
+#[test]
+fn without_slots_for_a_moment_work_is_still_accepted() {
+    let mut world = World::new(strict());
+    world.allow("school", 40);
+    let number = world.add_dispatcher(8, HOME);
+    warm_up(&mut world, "school");
+    world.dispatchers[number].slots = 0;
+    world.tell_slots();
+    world.submit(&Job::default()).expect("within the grace");
+    world.pass(ms(3_500));
+    let refusal = world.submit(&Job::default()).expect_err("over");
+    assert_eq!(refusal.reason, RefusalReason::NoCapacity);
+    assert!(refusal.retry_after.is_some());
+}
+
+/// What the callers see: the sums come back to nothing, so an idle system takes a full burst again and again.
+#[test]
+fn ended_work_is_not_counted() {
+    let mut world = World::new(strict());
+    world.allow("school", 40);
+    world.add_dispatcher(8, HOME);
+    warm_up(&mut world, "school");
+    let job = Job {
+        tasks: 8,
+        deadline: ms(2_000),
+        ..Job::default()
+    };
+    for round in 0..20 {
+        let mut cancelled = 0;
+        for _ in 0..6 {
+            cancelled = world
+                .submit(&job)
+                .unwrap_or_else(|refusal| panic!("round {round}: {refusal}"));
+        }
+        world.pass(ms(100));
+        world.authority.cancel(world.now, cancelled);
+        world.pass(ms(2_500));
+    }
+}
+
+/// What the caller sees: short work is accepted beside long tasks that have slots of their own. Only what has not
+/// started is in its way.
+#[test]
+fn running_tasks_are_not_waited_for() {
+    let mut world = World::new(strict());
+    world.allow("school", 400);
+    world.add_dispatcher(16, HOME);
+    world.run_times.insert("report", ms(3_000));
+    warm_up(&mut world, "school");
+    let long = Job {
+        kind: "report",
+        tasks: 8,
+        deadline: ms(9_000),
+        ..Job::default()
+    };
+    world.submit(&long).expect("fits");
+    world.pass(ms(4_000));
+    world.submit(&long).expect("fits");
+    let short = Job {
+        tasks: 8,
+        deadline: ms(2_000),
+        ..Job::default()
+    };
+    world.submit(&short).expect("half of the slots are free");
+}
+
+/// What the callers see: a burst of short jobs is complete, though it is five times the slots; what comes on top of an
+/// overload that lasts is refused, as the contract allows. What happens: jobs of tasks that hold all slots for seconds
+/// come in again and again.
+#[test]
+fn a_burst_is_no_overload_and_a_lasting_one_is() {
+    let mut world = World::new(Contract::default());
+    world.allow("school", 400);
+    world.add_dispatcher(4, HOME);
+    let short = Job {
+        tasks: 4,
+        deadline: ms(8_000),
+        ..Job::default()
+    };
+    let mut serials = Vec::new();
+    for _ in 0..5 {
+        serials.push(world.submit(&short).expect("a burst"));
+        world.pass(ms(5));
+        world.authority.tick(world.now);
+    }
+    world.pass(ms(8_000));
+    assert_eq!(count_complete(&world, &serials, ms(8_000)), 5);
+    let mut refused = 0;
+    for _ in 0..600 {
+        match world.submit(&short) {
+            Ok(_) => {}
+            Err(refusal) => {
+                refused += usize::from(refusal.reason == RefusalReason::Overloaded);
+                assert!(refusal.retry_after.is_some());
+            }
+        }
+        world.pass(ms(20));
+        world.authority.tick(world.now);
+    }
+    assert!(refused >= 100, "{refused}");
+}
--- a/crates/authority/tests/load/main.rs
+++ b/crates/authority/tests/load/main.rs
@@ -1,5 +1,6 @@
 //! The authority under load, in virtual time: what callers get, and how many messages it costs.
 
+mod admission;
 mod retries;
 mod run_times;
 mod world;
--- a/crates/authority/tests/load/world.rs
+++ b/crates/authority/tests/load/world.rs
@@ -5,7 +5,9 @@
     time::{Duration, Instant},
 };
 
-use authority::{AuthorityAction, AuthoritySettings, DispatcherKey, TaskAuthority};
+use authority::{
+    AuthorityAction, AuthoritySettings, DispatcherKey, SubmissionRefusal, TaskAuthority,
+};
 use model::{
     AttemptEnd, AttemptId, Contract, ContractVersion, CustomerId, DataCentreId, IncarnationId,
     Payload, RetryReason, SessionId, SlotCounts, SubmissionBody, SubmissionKind, SubmissionOutcome,
@@ -98,6 +100,8 @@
 
 pub(crate) struct World {
     pub(crate) now: Instant,
+    /// From where answer times are counted.
+    pub(crate) start: Instant,
     pub(crate) authority: TaskAuthority,
     pub(crate) contract: Contract,
     pub(crate) dispatchers: Vec<Dispatcher>,
@@ -110,8 +114,10 @@
 impl World {
     pub(crate) fn new(contract: Contract) -> Self {
         let home: DataCentreId = HOME.parse().expect("a data centre id");
+        let now = Instant::now();
         Self {
-            now: Instant::now(),
+            now,
+            start: now,
             authority: TaskAuthority::new(AuthoritySettings::default(), home, IncarnationId(1), 7),
             contract,
             dispatchers: Vec::new(),
@@ -149,7 +155,7 @@
     }
 
     /// Submits a job; `Ok` has the serial.
-    pub(crate) fn submit(&mut self, job: &Job) -> Result<u64, model::RefusalReason> {
+    pub(crate) fn submit(&mut self, job: &Job) -> Result<u64, SubmissionRefusal> {
         let terms = Some((&self.contract, ContractVersion(1)));
         let admitted = self
             .authority
@@ -187,6 +193,15 @@
         self.now = until;
     }
 
+    /// Each dispatcher tells how its slots stand, as pings do.
+    pub(crate) fn tell_slots(&mut self) {
+        for dispatcher in &self.dispatchers {
+            self.authority
+                .on_slots(self.now, dispatcher.key, dispatcher.counts());
+        }
+        self.flush();
+    }
+
     fn end_tasks(&mut self) {
         for n in 0..self.dispatchers.len() {
             while let Some(first) = self.dispatchers[n].running.first().copied() {
@@ -212,7 +227,9 @@
             let Some(attempt) = dispatcher.queued.pop_front() else {
                 return;
             };
-            let body = self.authority.on_claim(dispatcher.session, attempt);
+            let body = self
+                .authority
+                .on_claim(self.now, dispatcher.session, attempt);
             if body.is_some() {
                 let ran = dispatcher.ran[&attempt];
                 dispatcher.running.insert((self.now + ran, attempt, ran));
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,6 +7,7 @@
 mod bounded;
 pub mod drain_rate;
 pub mod health;
+pub mod lasting_saturation;
 pub mod placement;
 pub mod queue;
 pub mod retry;
@@ -20,6 +21,7 @@
     },
     drain_rate::DrainRate,
     health::{EndKind, EndReport, EndpointHealth, FleetLatency, HealthSettings, HealthState},
+    lasting_saturation::LastingSaturation,
     placement::{
         DispatcherKey, PlacementQuery, PlacementRule, PlacementSettings, PlacementTable, SlotsHint,
     },
--- a/crates/entry/src/control/callers.rs
+++ b/crates/entry/src/control/callers.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use actix::{Context, Handler, ResponseFuture};
-use authority::{CancelReply, TicketUse};
+use authority::{CancelReply, SubmissionRefusal, TicketUse};
 use caller_api::{
     CallerAnswer, CancelCommand, CancelResult, OutcomeCommand, SubmissionAnswer, SubmitCommand,
     TicketCommand,
@@ -34,7 +34,7 @@
     ) -> AnswerFuture {
         match self.accept(body, digest, serial) {
             Ok(id) => self.wait_for(id.serial),
-            Err(reason) => ready(refusal(reason)),
+            Err(refusal) => ready(refused(refusal)),
         }
     }
 
@@ -43,9 +43,10 @@
         mut body: SubmissionBody,
         digest: u64,
         serial: Option<u64>,
-    ) -> Result<SubmissionId, RefusalReason> {
+    ) -> Result<SubmissionId, SubmissionRefusal> {
         if !self.contracts.is_ready() {
-            return Err(RefusalReason::ConfigNotReady);
+            let reason = RefusalReason::ConfigNotReady;
+            return Err(SubmissionRefusal::not_now(reason, COME_BACK));
         }
         let contract = self
             .contracts
@@ -235,12 +236,24 @@
 
 /// A refusal before there was a submission. Nothing ran.
 pub(super) fn refusal(reason: RefusalReason) -> CallerAnswer {
+    refused(SubmissionRefusal {
+        reason,
+        retry_after: come_back(reason),
+    })
+}
+
+/// A refusal with what its cause told of when to come back.
+fn refused(refusal: SubmissionRefusal) -> CallerAnswer {
+    let SubmissionRefusal {
+        reason,
+        retry_after,
+    } = refusal;
     CallerAnswer::Own(SubmissionAnswer {
         id: None,
         job: false,
         outcome: Arc::new(SubmissionOutcome::Refused {
             reason,
-            retry_after: come_back(reason),
+            retry_after,
         }),
         version: None,
         stale: false,
--- a/crates/entry/src/control/keys.rs
+++ b/crates/entry/src/control/keys.rs
@@ -120,7 +120,7 @@
         };
         match self.accept(body, keyed.digest, Some(serial)) {
             Ok(id) => self.wait_for(id.serial),
-            Err(reason) => self.refuse_keyed(serial, keyed, reason, come_back(reason)),
+            Err(refusal) => self.refuse_keyed(serial, keyed, refusal.reason, refusal.retry_after),
         }
     }
 
--- a/crates/entry/src/control/sessions.rs
+++ b/crates/entry/src/control/sessions.rs
@@ -371,7 +371,10 @@
     type Result = ();
 
     fn handle(&mut self, claimed: BodyClaimed, ctx: &mut Context<Self>) {
-        let body = self.authority.on_claim(claimed.session, claimed.attempt);
+        let now = self.clock.now();
+        let body = self
+            .authority
+            .on_claim(now, claimed.session, claimed.attempt);
         let _gone = claimed.reply.send(Ok(body));
         self.flush(ctx);
     }
--- a/crates/ledger/tests/at_most_once/world.rs
+++ b/crates/ledger/tests/at_most_once/world.rs
@@ -563,7 +563,7 @@
                 attempt,
                 claim,
             } => {
-                let body = self.authority.on_claim(session, attempt);
+                let body = self.authority.on_claim(self.now, session, attempt);
                 Some(ToDispatcher::Body {
                     attempt,
                     claim,
