Choose dispatchers by the placement table

Cause: a linear scan over all sessions took the one with the most free slots; two entries with the same view ran to the same dispatcher, each hint forgot the offers that had crossed with it, and a frozen dispatcher drew work until its session was given up. Ruled out: a field in PlacementQuery for the one to avoid, since only retries have one; choosing twice, which counts the first choice as sent. Change: the authority chooses by decisions' PlacementTable. Its DispatcherKey is that of decisions now. The table has dispatchers with an open session that are not stopping; choose_other passes over the one that has just turned the task away; a hint counts on top the attempts that are still in the phase "offered", and on_answer takes each out once it is answered. Waits are reckoned by the mean of the last 64 run times. Where nobody can be chosen tasks wait for the next word of a dispatcher. The entry's setting "placement" has an effect now. Left: the way to another data centre is not measured, so the table's 10 ms there and back are assumed. Conclusion: the authority has no placement rule of its own any more.

--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use decisions::{AdmissionPolicy, LastingSaturation, RetryBudget, RunTimeTable};
+use decisions::{AdmissionPolicy, LastingSaturation, PlacementTable, RetryBudget, RunTimeTable};
 use model::{
     Contract, ContractVersion, CustomerId, DataCentreId, FastMap, IncarnationId, RefusalReason,
     SubmissionBody, SubmissionId, SubmissionKind, SubmissionOutcome, TaskIndex, TicketId,
@@ -53,7 +53,6 @@
 /// The authority over all submissions of one entry.
 pub struct TaskAuthority {
     settings: AuthoritySettings,
-    data_centre: DataCentreId,
     incarnation: IncarnationId,
     next_serial: u64,
     records: FastMap<u64, SubmissionRecord>,
@@ -64,6 +63,11 @@
     flights: FlightTable,
     waiting: WaitingTable,
     sessions: SessionTable,
+    places: PlacementTable,
+    /// Whether tasks wait that no dispatcher could be chosen for.
+    unplaced: bool,
+    /// The mean run time of the tasks that ended lately, whosever they were.
+    mean_run_time: Duration,
     budget: RetryBudget,
     times: RunTimeTable,
     admission: AdmissionPolicy,
@@ -83,8 +87,8 @@
         incarnation: IncarnationId,
         seed: u64,
     ) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
         Self {
-            data_centre,
             incarnation,
             next_serial: 1,
             records: FastMap::default(),
@@ -95,6 +99,9 @@
             flights: FlightTable::default(),
             waiting: WaitingTable::default(),
             sessions: SessionTable::default(),
+            places: PlacementTable::new(settings.placement.clone(), data_centre, rng.fork()),
+            unplaced: false,
+            mean_run_time: settings.run_times.assumed,
             budget: RetryBudget::new(settings.retries.clone()),
             times: RunTimeTable::new(settings.run_times.clone()),
             admission: AdmissionPolicy::new(settings.admission.clone()),
@@ -102,7 +109,7 @@
             saturation: LastingSaturation::default(),
             entries: 1,
             last_capacity: None,
-            rng: fastrand::Rng::with_seed(seed),
+            rng,
             actions: Vec::new(),
             settings,
         }
--- a/crates/authority/src/authority/admitting.rs
+++ b/crates/authority/src/authority/admitting.rs
@@ -98,7 +98,7 @@
         work: &ExpectedWork,
     ) -> AdmissionVerdict {
         let load = self.load.get(&body.customer);
-        let (slots, _) = self.local_slots();
+        let slots = self.places.slots();
         // Slots that went out of reach a moment ago are on their way to another owner; how many is not known, so
         // only what the submission and its customer's limit tell by themselves counts.
         let (predicted_wait, saturation) = match slots {
--- a/crates/authority/src/authority/giving_up.rs
+++ b/crates/authority/src/authority/giving_up.rs
@@ -45,8 +45,7 @@
             self.waiting.push(&customer, waiting);
         }
         self.forget_old(now);
-        let (_, saturation) = self.local_slots();
-        self.saturation.see(now, saturation);
+        self.saturation.see(now, self.places.saturation());
         self.had_capacity(now);
         self.place(now);
     }
@@ -83,16 +82,18 @@
             self.give_up_dispatcher(now, dispatcher, UnknownReason::DispatcherGone);
         }
         let state = SessionState::Open { session, batch: 0 };
+        let attempts = self.flights.at(dispatcher);
         let opened = DispatcherSession {
-            data_centre,
             incarnation,
             state,
             stopping: false,
             slots,
-            sent_since: 0,
+            unanswered: self.count_offered(&attempts),
         };
         self.sessions.insert(dispatcher, opened);
-        let attempts = self.flights.at(dispatcher);
+        self.places.remove_dispatcher(dispatcher);
+        self.places.add_dispatcher(dispatcher, &data_centre);
+        self.hint(now, dispatcher);
         for attempt in &attempts {
             if let Some(flight) = self.flights.get_mut(attempt) {
                 flight.session = session;
@@ -113,6 +114,7 @@
             return;
         }
         lost.state = SessionState::Lost { until };
+        self.places.remove_dispatcher(dispatcher);
         for attempt in self.flights.at(dispatcher) {
             let queued = self
                 .flights
@@ -131,6 +133,7 @@
     pub fn on_dispatcher_gone(&mut self, now: Instant, dispatcher: DispatcherKey) {
         self.give_up_dispatcher(now, dispatcher, UnknownReason::DispatcherGone);
         self.sessions.remove(&dispatcher);
+        self.places.remove_dispatcher(dispatcher);
         self.place(now);
     }
 
@@ -139,6 +142,7 @@
         if let Some(session) = self.sessions.get_mut(&dispatcher) {
             session.stopping = true;
         }
+        self.places.remove_dispatcher(dispatcher);
     }
 
     /// This process ends now: everything open is answered as it stands.
@@ -148,6 +152,15 @@
         }
     }
 
+    fn count_offered(&self, attempts: &[AttemptId]) -> u32 {
+        let mut offered = 0;
+        for attempt in attempts {
+            let flight = self.flights.get(attempt);
+            offered += u32::from(flight.is_some_and(|flight| flight.phase == FlightPhase::Offered));
+        }
+        offered
+    }
+
     /// Whether any task of the submission has run or may have started.
     fn may_have_started(&self, serial: u64) -> bool {
         let Some(record) = self.records.get(&serial) else {
--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Instant};
 
-use decisions::Saturation;
+use decisions::{PlacementQuery, SlotsHint};
 use model::{AttemptId, CustomerId, TaskOffer};
 
 use crate::{
@@ -32,19 +32,6 @@
             .is_some_and(|last| now.saturating_duration_since(last) <= grace)
     }
 
-    /// The slots of this data centre that are in reach, and how full they are.
-    pub(super) fn local_slots(&self) -> (u64, Saturation) {
-        let (mut limit, mut taken) = (0, 0);
-        for session in self.sessions.values() {
-            if session.open().is_none() || session.data_centre != self.data_centre {
-                continue;
-            }
-            limit += u64::from(session.slots.limit);
-            taken += u64::from(session.slots.running + session.slots.queued + session.sent_since);
-        }
-        (limit, Saturation::new(taken, limit))
-    }
-
     /// Offers what may be offered. Costs what changed since the last call, not what waits.
     pub(super) fn place(&mut self, now: Instant) {
         if !self.has_capacity() {
@@ -52,8 +39,10 @@
         }
         let mut batches = BTreeMap::new();
         for customer in self.waiting.take_changed() {
-            while let Some(task) = self.waiting.pop(&customer) {
-                self.place_one(now, &customer, task, &mut batches);
+            if !self.place_customer(now, &customer, &mut batches) {
+                // Nobody can be chosen just now. All wait for the next word of a dispatcher.
+                self.unplaced = true;
+                break;
             }
         }
         for (dispatcher, offers) in batches {
@@ -61,25 +50,47 @@
         }
     }
 
+    /// Places what one customer may have in flight; `false` when there is nobody to choose.
+    fn place_customer(
+        &mut self,
+        now: Instant,
+        customer: &CustomerId,
+        batches: &mut BTreeMap<DispatcherKey, Vec<TaskOffer>>,
+    ) -> bool {
+        while let Some(task) = self.waiting.pop(customer) {
+            if !self.place_one(now, customer, task, batches) {
+                return false;
+            }
+        }
+        true
+    }
+
     fn place_one(
         &mut self,
         now: Instant,
         customer: &CustomerId,
         task: WaitingTask,
         batches: &mut BTreeMap<DispatcherKey, Vec<TaskOffer>>,
-    ) {
+    ) -> bool {
         let avoided = self.waiting.take_avoided(task);
-        let Some(dispatcher) = self.choose(avoided) else {
-            // The last dispatcher went while this pass ran. The task waits for the next one.
+        let wanted = self
+            .records
+            .get(&task.serial)
+            .is_some_and(|record| record.is_open() && record.is_waiting(task.task));
+        if !wanted {
             self.waiting.release(customer);
-            self.waiting.push(customer, task);
-            return;
-        };
-        let Some(offer) = self.take_off(now, task, dispatcher) else {
+            return true;
+        }
+        let Some(dispatcher) = self.choose(now, avoided) else {
             self.waiting.release(customer);
-            return;
+            self.waiting.push(customer, task);
+            return false;
         };
-        batches.entry(dispatcher).or_default().push(offer);
+        match self.take_off(now, task, dispatcher) {
+            Some(offer) => batches.entry(dispatcher).or_default().push(offer),
+            None => self.waiting.release(customer),
+        }
+        true
     }
 
     /// Marks a task as in flight to a dispatcher and makes its offer.
@@ -107,7 +118,7 @@
         entry.phase = TaskPhase::InFlight;
         let body = entry.body.clone();
         let session = self.sessions.get_mut(&dispatcher)?;
-        session.sent_since += 1;
+        session.unanswered += 1;
         let (session, _) = session.open()?;
         let flight = FlightRecord {
             customer: customer.clone(),
@@ -153,46 +164,40 @@
         });
     }
 
-    /// Load: bursts of jobs over dispatchers with unequal room. Harm: a task queued behind a full dispatcher while
-    /// another has free slots answers late. The most free slots after what was just sent wins, a local dispatcher
-    /// before one in another data centre; ties by lot, so that entries with the same view do not herd.
-    fn choose(&mut self, avoided: Option<DispatcherKey>) -> Option<DispatcherKey> {
-        let mut best: Option<(PlaceScore, DispatcherKey)> = None;
-        let mut keys: Vec<_> = self.sessions.keys().copied().collect();
-        keys.sort_unstable();
-        for key in keys {
-            let session = &self.sessions[&key];
-            if session.open().is_none() || !takes_work(session) {
-                continue;
-            }
-            let taken = session.slots.running + session.slots.queued + session.sent_since;
-            let limit = session.slots.limit;
-            let score = PlaceScore {
-                other: avoided != Some(key),
-                has_free: limit > taken,
-                local: session.data_centre == self.data_centre,
-                free: limit.saturating_sub(taken),
-                // Per thousand of the limit: a queue of ten at a large dispatcher is shorter than at a small one.
-                spare: -(i64::from(taken) * 1000 / i64::from(limit.max(1))),
-                lot: self.rng.u16(..),
-            };
-            if best.as_ref().is_none_or(|(top, _)| score > *top) {
-                best = Some((score, key));
-            }
+    /// Takes what a dispatcher said of its slots into the choice. One that is stopping or lost is not in the table.
+    pub(super) fn hint(&mut self, now: Instant, dispatcher: DispatcherKey) {
+        let Some(session) = self.sessions.get(&dispatcher) else {
+            return;
+        };
+        let hint = SlotsHint {
+            limit: session.slots.limit,
+            running: session.slots.running,
+            queued: session.slots.queued,
+        };
+        self.places
+            .on_hint(now, dispatcher, hint, session.unanswered);
+    }
+
+    /// A dispatcher has answered an offer, in one way or another.
+    pub(super) fn on_answered(&mut self, dispatcher: DispatcherKey) {
+        if let Some(session) = self.sessions.get_mut(&dispatcher) {
+            session.unanswered = session.unanswered.saturating_sub(1);
         }
-        best.map(|(_, key)| key)
+        self.places.on_answer(dispatcher);
     }
-}
 
-/// Compared field by field, the greatest wins.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct PlaceScore {
-    other: bool,
-    has_free: bool,
-    local: bool,
-    free: u32,
-    spare: i64,
-    lot: u16,
+    /// Load: bursts of jobs over dispatchers with unequal room. Harm: a task queued behind a full dispatcher while
+    /// another has free slots answers late. Stopping dispatchers and those without an open session are not in the
+    /// table; the one that has just turned the task away is passed over where there is another.
+    fn choose(&mut self, now: Instant, avoided: Option<DispatcherKey>) -> Option<DispatcherKey> {
+        let query = PlacementQuery {
+            mean_run_time: self.mean_run_time,
+        };
+        match avoided {
+            Some(avoided) => self.places.choose_other(now, query, avoided),
+            None => self.places.choose(now, query),
+        }
+    }
 }
 
 fn takes_work(session: &crate::session::DispatcherSession) -> bool {
--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -20,6 +20,10 @@
 /// another try would only feed; without the bound one unlucky task could spend the budget of all others.
 const MAX_LOAD_RETRIES: u32 = 8;
 
+/// The tasks over which the mean run time is taken: about two usual jobs, so that it follows a change of the mix within
+/// a second and one long task does not send the next ones to another data centre.
+const MEAN_OVER: u32 = 64;
+
 impl TaskAuthority {
     /// A dispatcher has answered an offer.
     pub fn on_verdicts(&mut self, now: Instant, verdicts: &[(AttemptId, TaskVerdict)]) {
@@ -52,7 +56,7 @@
         session: SessionId,
         attempt: AttemptId,
     ) -> Option<Payload> {
-        let flight = self.flights.get_mut(&attempt)?;
+        let flight = self.flights.get(&attempt)?;
         // An ask of an older session comes from a reservation that was given up when that session was lost, and the
         // body goes out once only. In any other phase the ask is good, whatever was heard before: it may overtake the
         // verdict, or follow a withdrawal that the dispatcher could not confirm, and only a dispatcher that keeps no
@@ -71,7 +75,7 @@
             return None;
         };
         let payload = task.body.payload.clone();
-        flight.phase = FlightPhase::Claimed;
+        self.set_phase(attempt, FlightPhase::Claimed);
         self.mark_started(now, attempt);
         self.note(AuthorityEvent::Claimed(attempt));
         Some(payload)
@@ -106,8 +110,7 @@
                     }
                 }
                 WithdrawalVerdict::Running => {
-                    if let Some(flight) = self.flights.get_mut(attempt) {
-                        flight.phase = FlightPhase::Running;
+                    if self.set_phase(*attempt, FlightPhase::Running) {
                         self.mark_started(now, *attempt);
                     }
                 }
@@ -123,19 +126,37 @@
         };
         let gained = session.slots.limit == 0 && slots.limit > 0;
         session.slots = slots;
-        session.sent_since = 0;
-        if gained {
+        self.hint(now, dispatcher);
+        if gained || (self.unplaced && slots.limit > 0) {
+            self.unplaced = false;
             self.waiting.mark_all();
             self.place(now);
         }
     }
 
+    /// Notes how far an attempt has come; `false` when it is gone.
+    fn set_phase(&mut self, attempt: AttemptId, phase: FlightPhase) -> bool {
+        let Some(flight) = self.flights.get_mut(&attempt) else {
+            return false;
+        };
+        let before = std::mem::replace(&mut flight.phase, phase);
+        let dispatcher = flight.dispatcher;
+        if before == FlightPhase::Offered {
+            self.on_answered(dispatcher);
+        }
+        true
+    }
+
     /// Takes the run time of what ran, also of a task whose submission has its answer: those that come after the
     /// deadline are the slow ones, and without them their kind would look fast.
     fn learn(&mut self, now: Instant, flight: &FlightRecord, end: &AttemptEnd, ran: Duration) {
         let (customer, kind) = (&flight.customer, &flight.kind);
         match end {
-            AttemptEnd::Done(_) => self.times.record(now, customer, kind, ran),
+            AttemptEnd::Done(_) => {
+                self.times.record(now, customer, kind, ran);
+                let others = self.mean_run_time * (MEAN_OVER - 1);
+                self.mean_run_time = (others + ran) / MEAN_OVER;
+            }
             AttemptEnd::Failed => self.times.record_failure(now, customer, kind),
             AttemptEnd::NotRun(_) | AttemptEnd::Unknown(_) => {}
         }
@@ -149,14 +170,14 @@
     }
 
     fn on_taken(&mut self, now: Instant, attempt: AttemptId, phase: FlightPhase) {
-        let Some(flight) = self.flights.get_mut(&attempt) else {
+        let Some(flight) = self.flights.get(&attempt) else {
             return;
         };
         // A verdict that was overtaken by the ask or the end says nothing new.
         if flight.phase != FlightPhase::Offered {
             return;
         }
-        flight.phase = phase;
+        self.set_phase(attempt, phase);
         match phase {
             FlightPhase::Queued => self.note(AuthorityEvent::Queued(attempt)),
             _ => {
@@ -171,6 +192,10 @@
     pub(super) fn land(&mut self, attempt: AttemptId) -> Option<FlightRecord> {
         let flight = self.flights.remove(&attempt)?;
         self.waiting.release(&flight.customer);
+        if flight.phase == FlightPhase::Offered {
+            self.on_answered(flight.dispatcher);
+        }
+        self.places.on_end(flight.dispatcher);
         Some(flight)
     }
 
--- a/crates/authority/src/session.rs
+++ b/crates/authority/src/session.rs
@@ -1,18 +1,9 @@
 //! The dispatchers as this entry sees them.
 
-use std::{fmt, time::Instant};
+use std::time::Instant;
 
-use model::{DataCentreId, FastMap, IncarnationId, SessionId, SlotCounts};
-
-/// A dispatcher as this entry counts them; one a peer address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct DispatcherKey(pub u64);
-
-impl fmt::Display for DispatcherKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "d{}", self.0)
-    }
-}
+pub use decisions::DispatcherKey;
+use model::{FastMap, IncarnationId, SessionId, SlotCounts};
 
 /// Whether a dispatcher can be reached.
 #[derive(Clone, Debug)]
@@ -29,13 +20,12 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct DispatcherSession {
-    pub(crate) data_centre: DataCentreId,
     pub(crate) incarnation: IncarnationId,
     pub(crate) state: SessionState,
     pub(crate) stopping: bool,
     pub(crate) slots: SlotCounts,
-    /// Offered since the last word; counted on top of `slots`, so that a burst is not sent to one place.
-    pub(crate) sent_since: u32,
+    /// Attempts there in the phase "offered": what `slots` cannot have counted.
+    pub(crate) unanswered: u32,
 }
 
 impl DispatcherSession {
--- a/crates/authority/src/settings.rs
+++ b/crates/authority/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use decisions::{AdmissionSettings, RetrySettings, RunTimeSettings};
+use decisions::{AdmissionSettings, PlacementSettings, RetrySettings, RunTimeSettings};
 
 /// The retries that a customer starts with at an entry: as many as it may save up later, one for each task that it has
 /// running by default. Endpoints whose owner died are still busy for a moment when the next owner offers them work.
@@ -24,6 +24,8 @@
     pub max_tickets: usize,
     /// What is refused at submission.
     pub admission: AdmissionSettings,
+    /// How dispatchers are chosen.
+    pub placement: PlacementSettings,
     /// How run times are learned.
     pub run_times: RunTimeSettings,
     /// The budget of retries after refusals that tell of load.
@@ -48,6 +50,7 @@
             ticket_term: Duration::from_secs(600),
             max_tickets: 50_000,
             admission: AdmissionSettings::default(),
+            placement: PlacementSettings::default(),
             run_times: RunTimeSettings::default(),
             retries: RetrySettings {
                 first_saved: FIRST_RETRIES,
--- a/crates/authority/tests/load/world.rs
+++ b/crates/authority/tests/load/world.rs
@@ -69,6 +69,8 @@
     pub(crate) slots: usize,
     /// Turns every offer away.
     pub(crate) refuses: Option<RetryReason>,
+    /// Takes offers and says nothing.
+    pub(crate) frozen: bool,
     pub(crate) offers: Vec<TaskOffer>,
     running: BTreeSet<(Instant, AttemptId, Duration)>,
     queued: VecDeque<AttemptId>,
@@ -133,6 +135,7 @@
             session: SessionId(number as u64 + 1),
             slots,
             refuses: None,
+            frozen: false,
             offers: Vec::new(),
             running: BTreeSet::new(),
             queued: VecDeque::new(),
@@ -196,6 +199,9 @@
     /// Each dispatcher tells how its slots stand, as pings do.
     pub(crate) fn tell_slots(&mut self) {
         for dispatcher in &self.dispatchers {
+            if dispatcher.frozen {
+                continue;
+            }
             self.authority
                 .on_slots(self.now, dispatcher.key, dispatcher.counts());
         }
@@ -275,6 +281,10 @@
 
     fn offer(&mut self, key: DispatcherKey, offers: Vec<TaskOffer>) {
         let dispatcher = &mut self.dispatchers[key.0 as usize];
+        if dispatcher.frozen {
+            dispatcher.offers.extend(offers);
+            return;
+        }
         let mut verdicts = Vec::new();
         for offer in offers {
             let ran = self.run_times[offer.kind.as_str()];
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -213,6 +213,37 @@
         Some(site.places[index].key)
     }
 
+    /// Chooses like [`Self::choose`], but not `avoided` while there is any other.
+    ///
+    /// Load: a dispatcher that has just turned the task away. Harm: it looks as free as before until its next hint,
+    /// and draws the task again. Reason for not more than one: its hint comes within a heartbeat.
+    pub fn choose_other(
+        &mut self,
+        now: Instant,
+        query: PlacementQuery,
+        avoided: DispatcherKey,
+    ) -> Option<DispatcherKey> {
+        self.set_avoided(avoided, true);
+        let other = self.choose(now, query);
+        self.set_avoided(avoided, false);
+        other.or_else(|| self.choose(now, query))
+    }
+
+    /// Notes that a dispatcher answered an offer that it had not answered at its last hint.
+    pub fn on_answer(&mut self, key: DispatcherKey) {
+        let Some((site, index)) = self.places.get(&key).copied() else {
+            return;
+        };
+        self.sites[site].change(index, DispatcherPlace::answer);
+    }
+
+    fn set_avoided(&mut self, key: DispatcherKey, avoided: bool) {
+        let Some((site, index)) = self.places.get(&key).copied() else {
+            return;
+        };
+        self.sites[site].change(index, |place| place.avoided = avoided);
+    }
+
     /// The local data centre while it has a free slot, then another where that gains time, then the local queue.
     fn by_free_slots(&mut self, now: Instant, query: PlacementQuery) -> Option<(usize, usize)> {
         let draws = self.settings.draws;
@@ -433,6 +464,7 @@
     /// Sent and not ended.
     outstanding: u32,
     suspect: bool,
+    avoided: bool,
 }
 
 impl DispatcherPlace {
@@ -444,6 +476,7 @@
             sent_at: None,
             outstanding: 0,
             suspect: false,
+            avoided: false,
         }
     }
 
@@ -460,6 +493,13 @@
         self.sent_at = self.sent_at.or(Some(now));
     }
 
+    fn answer(&mut self) {
+        self.sent = self.sent.saturating_sub(1);
+        if self.sent == 0 {
+            self.sent_at = None;
+        }
+    }
+
     fn suspect(&mut self) {
         self.suspect = true;
         self.sent_at = None;
@@ -481,7 +521,7 @@
     }
 
     fn usable_limit(&self) -> u64 {
-        match self.suspect {
+        match self.suspect || self.avoided {
             true => 0,
             false => u64::from(self.hint.limit),
         }
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -244,3 +244,53 @@
         }
     }
 }
+
+/// Dispatcher 1 has most of the free slots, and 2 or nobody besides.
+#[test]
+fn the_avoided_one_is_taken_only_without_another() {
+    let query = PlacementQuery {
+        mean_run_time: Duration::from_millis(200),
+    };
+    let avoided = DispatcherKey(1);
+    let full = SlotsHint {
+        limit: 1,
+        running: 1,
+        queued: 5,
+    };
+    let empty = SlotsHint {
+        limit: 100,
+        ..SlotsHint::default()
+    };
+    for seed in 0..20 {
+        let now = Instant::now();
+        let mut table = table(PlacementSettings::default(), seed);
+        table.add_dispatcher(avoided, &centre(1));
+        table.on_hint(now, avoided, empty, 0);
+        assert_eq!(table.choose_other(now, query, avoided), Some(avoided));
+        let other = DispatcherKey(2);
+        table.add_dispatcher(other, &centre(2));
+        table.on_hint(now, other, full, 0);
+        assert_eq!(table.choose_other(now, query, avoided), Some(other));
+        assert_eq!(table.choose(now, query), Some(avoided));
+    }
+}
+
+/// A hint that came with the answers counts the tasks already.
+#[test]
+fn answered_offers_do_not_count_twice() {
+    let now = Instant::now();
+    let mut table = table(PlacementSettings::default(), 1);
+    let key = DispatcherKey(1);
+    table.add_dispatcher(key, &centre(1));
+    let hint = SlotsHint {
+        limit: 8,
+        running: 4,
+        queued: 0,
+    };
+    table.on_hint(now, key, hint, 4);
+    assert_eq!(table.saturation(), decisions::Saturation(1.0));
+    for _ in 0..4 {
+        table.on_answer(key);
+    }
+    assert_eq!(table.saturation(), decisions::Saturation(0.5));
+}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -23,12 +23,13 @@
 use authority::{AuthorityAction, AuthoritySettings, DispatcherKey, TaskAuthority};
 use caller_api::SubmissionAnswer;
 use contracts::{ContractEditor, ContractView, EditorSettings};
+use decisions::{PlacementRule, PlacementSettings};
 use kernel::ClockSource;
 use model::{DataCentreId, FastMap, IncarnationId, SessionId, SubmissionId, SubmissionOutcome};
 use peer::{PeerLink, SessionClient};
 use platform::PlatformClient;
 use request_keys::{BatcherSettings, KeyRecorder};
-use settings::EntrySettings;
+use settings::{EntrySettings, PlacementPolicy};
 use tokio::sync::oneshot;
 
 pub(crate) use messages::{
@@ -94,7 +95,12 @@
 impl EntryControl {
     pub(crate) fn new(parts: ControlParts) -> Self {
         let settings = parts.settings;
+        let placement = PlacementSettings {
+            rule: placement_rule(settings.placement),
+            ..PlacementSettings::default()
+        };
         let authority_settings = AuthoritySettings {
+            placement,
             max_open: settings.max_submissions,
             keep_outcome: settings.outcome_keep_ms.duration(),
             ..AuthoritySettings::default()
@@ -201,6 +207,14 @@
     }
 }
 
+fn placement_rule(policy: PlacementPolicy) -> PlacementRule {
+    match policy {
+        PlacementPolicy::FreeSlots => PlacementRule::FreeSlots,
+        PlacementPolicy::RandomOwner => PlacementRule::RandomOwner,
+        PlacementPolicy::TwoChoices => PlacementRule::TwoChoices,
+    }
+}
+
 impl Actor for EntryControl {
     type Context = Context<Self>;
 
