--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -1,5 +1,6 @@
 //! The authority: submissions in, offers and answers out.
 
+mod admitting;
 mod giving_up;
 mod placing;
 mod replies;
@@ -7,20 +8,23 @@
 use std::{
     collections::{BTreeSet, VecDeque},
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
-use decisions::{RetryBudget, RunTimeSettings, RunTimeTable};
+use decisions::{AdmissionPolicy, LastingSaturation, PlacementTable, RetryBudget, RunTimeTable};
 use model::{
-    AttemptId, Contract, ContractState, ContractVersion, CustomerId, DataCentreId, FastMap,
-    IncarnationId, RefusalReason, SubmissionBody, SubmissionId, SubmissionKind, SubmissionOutcome,
-    TaskIndex, TicketId,
+    AttemptId, Contract, ContractVersion, CustomerId, DataCentreId, FastMap, IncarnationId,
+    RefusalReason, SubmissionBody, SubmissionId, SubmissionKind, SubmissionOutcome, TaskIndex,
+    TicketId,
 };
 
 use crate::{
     action::{AuthorityAction, AuthorityEvent},
+    authority::admitting::ExpectedWork,
+    customer_load::LoadTable,
     flight::{FlightPhase, FlightTable},
     record::{RecordState, SubmissionRecord, SubmissionShape, TaskPhase, TaskRecord},
+    refusal::SubmissionRefusal,
     session::{DispatcherKey, SessionTable},
     settings::AuthoritySettings,
     ticket::{TicketTable, TicketUse},
@@ -50,7 +54,6 @@
 /// The authority over all submissions of one entry.
 pub struct TaskAuthority {
     settings: AuthoritySettings,
-    data_centre: DataCentreId,
     incarnation: IncarnationId,
     next_serial: u64,
     records: FastMap<u64, SubmissionRecord>,
@@ -61,8 +64,17 @@
     flights: FlightTable,
     waiting: WaitingTable,
     sessions: SessionTable,
+    places: PlacementTable,
+    /// Whether tasks wait that no dispatcher could be chosen for.
+    unplaced: bool,
+    /// The mean run time of the tasks that ended lately, whosever they were.
+    mean_run_time: Duration,
     budget: RetryBudget,
     times: RunTimeTable,
+    admission: AdmissionPolicy,
+    load: LoadTable,
+    saturation: LastingSaturation,
+    entries: u32,
     last_capacity: Option<Instant>,
     rng: fastrand::Rng,
     actions: Vec<AuthorityAction>,
@@ -76,8 +88,8 @@
         incarnation: IncarnationId,
         seed: u64,
     ) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
         Self {
-            data_centre,
             incarnation,
             next_serial: 1,
             records: FastMap::default(),
@@ -88,10 +100,17 @@
             flights: FlightTable::default(),
             waiting: WaitingTable::default(),
             sessions: SessionTable::default(),
+            places: PlacementTable::new(settings.placement.clone(), data_centre, rng.fork()),
+            unplaced: false,
+            mean_run_time: settings.run_times.assumed,
             budget: RetryBudget::new(settings.retries.clone()),
-            times: RunTimeTable::new(RunTimeSettings::default()),
+            times: RunTimeTable::new(settings.run_times.clone()),
+            admission: AdmissionPolicy::new(settings.admission.clone()),
+            load: LoadTable::default(),
+            saturation: LastingSaturation::default(),
+            entries: 1,
             last_capacity: None,
-            rng: fastrand::Rng::with_seed(seed),
+            rng,
             actions: Vec::new(),
             settings,
         }
@@ -112,7 +131,7 @@
     ///
     /// # Errors
     ///
-    /// The refusal, when nothing of the submission will run.
+    /// The refusal, with when to come back, when nothing of the submission will run.
     pub fn submit(
         &mut self,
         now: Instant,
@@ -120,20 +139,21 @@
         digest: u64,
         contract: Option<(&Contract, ContractVersion)>,
         serial: Option<u64>,
-    ) -> Result<AdmittedSubmission, RefusalReason> {
+    ) -> Result<AdmittedSubmission, SubmissionRefusal> {
         let customer = body.customer.clone();
-        let (contract, version) = match self.check(now, &body, contract) {
+        let (contract, version, work) = match self.admit(now, &body, contract) {
             Ok(terms) => terms,
-            Err(reason) => {
+            Err(refusal) => {
+                let reason = refusal.reason;
                 self.note(AuthorityEvent::Refused { customer, reason });
-                return Err(reason);
+                return Err(refusal);
             }
         };
         let serial = serial.unwrap_or_else(|| self.reserve_serial());
         let first_attempt = match self.records.get(&serial) {
             None => 0,
             Some(earlier) if earlier.is_refused() => earlier.next_attempt,
-            Some(_) => return Err(RefusalReason::KeyReused),
+            Some(_) => return Err(SubmissionRefusal::never(RefusalReason::KeyReused)),
         };
         self.tickets.take(serial);
         let id = self.id(serial);
@@ -141,6 +161,9 @@
         let mut record = new_record(body, digest, due, first_attempt);
         record.take_terms(contract, version);
         let tasks = record.tasks.len() as u32;
+        let total = take_work(&mut record, work);
+        self.load
+            .accept(now, &customer, contract.share, tasks, total);
         self.note(AuthorityEvent::Admitted {
             id,
             customer: customer.clone(),
@@ -263,6 +286,13 @@
         self.place(now);
     }
 
+    /// Sets how many entries place on the same slots, this one included. Until it is told otherwise, an entry takes
+    /// itself for the only one: it then predicts too short a wait and refuses too little, and what it accepted too
+    /// much ends in the dispatchers' queues at its deadline.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
     /// Attempts at dispatchers and tasks waiting here, of one customer.
     pub fn usage(&self, customer: &CustomerId) -> (u32, usize) {
         self.waiting.usage(customer)
@@ -305,41 +335,6 @@
     fn note(&mut self, event: AuthorityEvent) {
         self.actions.push(AuthorityAction::Note(event));
     }
-
-    /// What can be told without looking at load: whether the contract covers the submission at all, and whether
-    /// this process has room for it.
-    fn check<'a>(
-        &mut self,
-        now: Instant,
-        body: &SubmissionBody,
-        contract: Option<(&'a Contract, ContractVersion)>,
-    ) -> Result<(&'a Contract, ContractVersion), RefusalReason> {
-        let (contract, version) = contract.ok_or(RefusalReason::UnknownCustomer)?;
-        if contract.state == ContractState::Retired {
-            return Err(RefusalReason::RetiredCustomer);
-        }
-        if body.tasks.len() > contract.max_tasks as usize {
-            return Err(RefusalReason::TooManyTasks);
-        }
-        for task in &body.tasks {
-            if task.payload.size() > contract.max_payload_bytes {
-                return Err(RefusalReason::PayloadTooLarge);
-            }
-        }
-        let deadline = body.deadline.unwrap_or_else(|| contract.answer_within());
-        if deadline.is_zero() || deadline > contract.answer_within() {
-            return Err(RefusalReason::WrongDeadline);
-        }
-        // Each open submission costs memory until its answer, so a flood has to end somewhere; refusing is cheap
-        // and honest, and the callers know when to come back.
-        if self.open >= self.settings.max_open {
-            return Err(RefusalReason::Overloaded);
-        }
-        if !self.had_capacity(now) {
-            return Err(RefusalReason::NoCapacity);
-        }
-        Ok((contract, version))
-    }
 }
 
 fn new_record(
@@ -356,6 +351,8 @@
     for body in body.tasks {
         tasks.push(TaskRecord {
             body,
+            expected: Duration::ZERO,
+            started: false,
             attempts: first_attempt,
             phase: TaskPhase::Waiting,
         });
@@ -376,6 +373,16 @@
     }
 }
 
+/// Gives the tasks their expected run times and returns the sum.
+fn take_work(record: &mut SubmissionRecord, work: ExpectedWork) -> Duration {
+    let mut total = Duration::ZERO;
+    for (task, expected) in record.tasks.iter_mut().zip(work.run_times) {
+        task.expected = expected;
+        total = total.saturating_add(expected);
+    }
+    total
+}
+
 fn waiting_task(record: &SubmissionRecord, serial: u64, task: TaskIndex) -> WaitingTask {
     WaitingTask {
         due: record.due,
--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -20,6 +20,10 @@
 /// another try would only feed; without the bound one unlucky task could spend the budget of all others.
 const MAX_LOAD_RETRIES: u32 = 8;
 
+/// The tasks over which the mean run time is taken: about two usual jobs, so that it follows a change of the mix within
+/// a second and one long task does not send the next ones to another data centre.
+const MEAN_OVER: u32 = 64;
+
 impl TaskAuthority {
     /// A dispatcher has answered an offer.
     pub fn on_verdicts(&mut self, now: Instant, verdicts: &[(AttemptId, TaskVerdict)]) {
@@ -28,8 +32,8 @@
         let mut turned_away = Vec::new();
         for (attempt, verdict) in verdicts {
             match verdict {
-                TaskVerdict::Started => self.on_taken(*attempt, FlightPhase::Running),
-                TaskVerdict::Queued => self.on_taken(*attempt, FlightPhase::Queued),
+                TaskVerdict::Started => self.on_taken(now, *attempt, FlightPhase::Running),
+                TaskVerdict::Queued => self.on_taken(now, *attempt, FlightPhase::Queued),
                 TaskVerdict::NotRun(reason) => {
                     if let Some(flight) = self.land(*attempt) {
                         self.set_waiting(*attempt);
@@ -46,8 +50,13 @@
 
     /// A dispatcher has a slot for a queued attempt and asks for the body. `None` means that the attempt is gone
     /// and must not start.
-    pub fn on_claim(&mut self, session: SessionId, attempt: AttemptId) -> Option<Payload> {
-        let flight = self.flights.get_mut(&attempt)?;
+    pub fn on_claim(
+        &mut self,
+        now: Instant,
+        session: SessionId,
+        attempt: AttemptId,
+    ) -> Option<Payload> {
+        let flight = self.flights.get(&attempt)?;
         // An ask of an older session comes from a reservation that was given up when that session was lost, and the
         // body goes out once only. In any other phase the ask is good, whatever was heard before: it may overtake the
         // verdict, or follow a withdrawal that the dispatcher could not confirm, and only a dispatcher that keeps no
@@ -66,7 +75,8 @@
             return None;
         };
         let payload = task.body.payload.clone();
-        flight.phase = FlightPhase::Claimed;
+        self.set_phase(attempt, FlightPhase::Claimed);
+        self.mark_started(now, attempt);
         self.note(AuthorityEvent::Claimed(attempt));
         Some(payload)
     }
@@ -112,19 +122,37 @@
         };
         let gained = session.slots.limit == 0 && slots.limit > 0;
         session.slots = slots;
-        session.sent_since = 0;
-        if gained {
+        self.hint(now, dispatcher);
+        if gained || (self.unplaced && slots.limit > 0) {
+            self.unplaced = false;
             self.waiting.mark_all();
             self.place(now);
         }
     }
 
+    /// Notes how far an attempt has come; `false` when it is gone.
+    fn set_phase(&mut self, attempt: AttemptId, phase: FlightPhase) -> bool {
+        let Some(flight) = self.flights.get_mut(&attempt) else {
+            return false;
+        };
+        let before = std::mem::replace(&mut flight.phase, phase);
+        let dispatcher = flight.dispatcher;
+        if before == FlightPhase::Offered {
+            self.on_answered(dispatcher);
+        }
+        true
+    }
+
     /// Takes the run time of what ran, also of a task whose submission has its answer: those that come after the
     /// deadline are the slow ones, and without them their kind would look fast.
     fn learn(&mut self, now: Instant, flight: &FlightRecord, end: &AttemptEnd, ran: Duration) {
         let (customer, kind) = (&flight.customer, &flight.kind);
         match end {
-            AttemptEnd::Done(_) => self.times.record(now, customer, kind, ran),
+            AttemptEnd::Done(_) => {
+                self.times.record(now, customer, kind, ran);
+                let others = self.mean_run_time * (MEAN_OVER - 1);
+                self.mean_run_time = (others + ran) / MEAN_OVER;
+            }
             AttemptEnd::Failed => self.times.record_failure(now, customer, kind),
             AttemptEnd::NotRun(_) | AttemptEnd::Unknown(_) => {}
         }
@@ -137,18 +165,21 @@
         }
     }
 
-    fn on_taken(&mut self, attempt: AttemptId, phase: FlightPhase) {
-        let Some(flight) = self.flights.get_mut(&attempt) else {
+    fn on_taken(&mut self, now: Instant, attempt: AttemptId, phase: FlightPhase) {
+        let Some(flight) = self.flights.get(&attempt) else {
             return;
         };
         // A verdict that was overtaken by the ask or the end says nothing new.
         if flight.phase != FlightPhase::Offered {
             return;
         }
-        flight.phase = phase;
+        self.set_phase(attempt, phase);
         match phase {
             FlightPhase::Queued => self.note(AuthorityEvent::Queued(attempt)),
-            _ => self.note(AuthorityEvent::Started(attempt)),
+            _ => {
+                self.mark_started(now, attempt);
+                self.note(AuthorityEvent::Started(attempt));
+            }
         }
         self.withdraw_if_answered(attempt);
     }
@@ -157,10 +188,15 @@
     pub(super) fn land(&mut self, attempt: AttemptId) -> Option<FlightRecord> {
         let flight = self.flights.remove(&attempt)?;
         self.waiting.release(&flight.customer);
+        if flight.phase == FlightPhase::Offered {
+            self.on_answered(flight.dispatcher);
+        }
+        self.places.on_end(flight.dispatcher);
         Some(flight)
     }
 
     fn on_done(&mut self, now: Instant, attempt: AttemptId, result: TaskResult) {
+        self.mark_started(now, attempt);
         let serial = attempt.submission.serial;
         let Some(record) = self
             .records
@@ -173,7 +209,9 @@
             return;
         };
         task.phase = TaskPhase::Done(result);
+        let expected = task.expected;
         record.done += 1;
+        self.load.end(now, &record.customer, expected, true);
         if record.done as usize == record.tasks.len() {
             let results = record.results();
             self.finish(now, serial, SubmissionOutcome::Complete(results));
@@ -205,6 +243,9 @@
             return;
         };
         task.phase = TaskPhase::Waiting;
+        if std::mem::take(&mut task.started) {
+            self.load.put_back(&customer, task.expected);
+        }
         let attempts = task.attempts - first_attempt;
         self.note(AuthorityEvent::Retried(attempt, reason));
         self.waiting.avoid(serial, attempt.task, dispatcher);
--- a/crates/entry/src/control/callers.rs
+++ b/crates/entry/src/control/callers.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use actix::{Context, Handler, ResponseFuture};
-use authority::{CancelReply, TicketUse};
+use authority::{CancelReply, SubmissionRefusal, TicketUse};
 use caller_api::{
     CallerAnswer, CancelCommand, CancelResult, OutcomeCommand, SubmissionAnswer, SubmitCommand,
     TicketCommand,
@@ -35,13 +35,21 @@
     ) -> AnswerFuture {
         match self.accept(body, digest, serial) {
             Ok(id) => self.wait_for(id.serial),
-            Err(reason) => ready(self.refuse(reason)),
+            Err(refusal) => ready(self.refuse_for(refusal)),
         }
     }
 
     /// Refuses before there is a submission, and counts it.
     pub(super) fn refuse(&self, reason: RefusalReason) -> CallerAnswer {
-        let answer = refusal(reason);
+        let retry_after = come_back(reason);
+        self.refuse_for(SubmissionRefusal {
+            reason,
+            retry_after,
+        })
+    }
+
+    fn refuse_for(&self, cause: SubmissionRefusal) -> CallerAnswer {
+        let answer = refused(cause);
         if let CallerAnswer::Own(own) = &answer {
             self.notes.refused(&own.outcome);
         }
@@ -53,9 +61,10 @@
         mut body: SubmissionBody,
         digest: u64,
         serial: Option<u64>,
-    ) -> Result<SubmissionId, RefusalReason> {
+    ) -> Result<SubmissionId, SubmissionRefusal> {
         if !self.contracts.is_ready() {
-            return Err(RefusalReason::ConfigNotReady);
+            let reason = RefusalReason::ConfigNotReady;
+            return Err(SubmissionRefusal::not_now(reason, COME_BACK));
         }
         let contract = self
             .contracts
@@ -246,12 +255,24 @@
 
 /// A refusal before there was a submission. Nothing ran.
 pub(super) fn refusal(reason: RefusalReason) -> CallerAnswer {
+    refused(SubmissionRefusal {
+        reason,
+        retry_after: come_back(reason),
+    })
+}
+
+/// A refusal with what its cause told of when to come back.
+fn refused(refusal: SubmissionRefusal) -> CallerAnswer {
+    let SubmissionRefusal {
+        reason,
+        retry_after,
+    } = refusal;
     CallerAnswer::Own(SubmissionAnswer {
         id: None,
         job: false,
         outcome: Arc::new(SubmissionOutcome::Refused {
             reason,
-            retry_after: come_back(reason),
+            retry_after,
         }),
         version: None,
         stale: false,
