caller-api: Test the border of callers against real entries

The callers' routes had no contract test. Tables now send wrong and good calls to entries, dispatchers and stand-ins in one process; each wrong call is followed by a good one, and the endpoints' starts are counted after each.

Found and mended: - A body or a task written as an array in field order was taken and ran, as derived structs take sequences. Objects are now asked for. - Of two Idempotency-Key headers the first was taken and the request ran. Two are refused. - A wrong method or path got 404 without a body. It is 405 or 404 now, naming `method` or `path`, and says that nothing ran. - A body that ended inside a name was told to be wrong at the field "?". The field is what holds the name now.

Each test was seen to fail: bad_input by the faults above (and with the check for two keys taken out), a_name_runs_once with a used ticket run again, a_refused_key with the refused state not looked at, cancelling with "too late" told as "cancelled".

--- a/crates/caller-api/src/callers.rs
+++ b/crates/caller-api/src/callers.rs
@@ -6,7 +6,7 @@
 };
 
 use actix::{dev::ToEnvelope, Actor, Addr, Handler};
-use actix_web::{http::StatusCode, web, HttpRequest, HttpResponse, HttpResponseBuilder};
+use actix_web::{http::StatusCode, web, HttpRequest, HttpResponse, HttpResponseBuilder, Resource};
 use model::{RefusalReason, SubmissionId};
 use serde_json::json;
 
@@ -63,20 +63,32 @@
     config
         .app_data(web::Data::new(api))
         .app_data(web::PayloadConfig::new(max_body))
-        .route("/live", web::get().to(HttpResponse::NoContent))
-        .route("/ready", web::get().to(answer_ready::<A>))
-        .route("/v1/explain/{id}", web::get().to(explain::<A>))
-        .route("/v1/in-force", web::get().to(show_in_force::<A>))
-        .route("/v1/status", web::get().to(show_status::<A>))
-        .route("/v1/jobs", web::post().to(submit_job::<A>))
-        .route("/v1/requests", web::post().to(submit_request::<A>))
-        .route("/v1/tickets", web::post().to(issue_ticket::<A>));
+        .service(resource("/live").route(web::get().to(HttpResponse::NoContent)))
+        .service(resource("/ready").route(web::get().to(answer_ready::<A>)))
+        .service(resource("/v1/explain/{id}").route(web::get().to(explain::<A>)))
+        .service(resource("/v1/in-force").route(web::get().to(show_in_force::<A>)))
+        .service(resource("/v1/status").route(web::get().to(show_status::<A>)))
+        .service(resource("/v1/jobs").route(web::post().to(submit_job::<A>)))
+        .service(resource("/v1/requests").route(web::post().to(submit_request::<A>)))
+        .service(resource("/v1/tickets").route(web::post().to(issue_ticket::<A>)));
     for kind in ["jobs", "requests"] {
-        let path = format!("/v1/{kind}/{{id}}");
-        config
-            .route(&path, web::get().to(show_outcome::<A>))
-            .route(&path, web::delete().to(cancel::<A>));
+        let by_id = resource(&format!("/v1/{kind}/{{id}}"))
+            .route(web::get().to(show_outcome::<A>))
+            .route(web::delete().to(cancel::<A>));
+        config.service(by_id);
     }
+    config.default_service(web::to(async || {
+        let error = InputError::new("path", "nothing is served there");
+        HttpResponse::NotFound().json(input_body(&error))
+    }));
+}
+
+/// A path of which a method that it does not have is refused like any other wrong input.
+fn resource(path: &str) -> Resource {
+    web::resource(path).default_service(web::to(async || {
+        let error = InputError::new("method", "not served on this path");
+        HttpResponse::MethodNotAllowed().json(input_body(&error))
+    }))
 }
 
 type Api<A> = web::Data<CallerApi<A>>;
@@ -125,12 +137,9 @@
         Ok(raw) => raw,
         Err(answer) => return *answer,
     };
-    let key = match request.headers().get(KEY_HEADER).map(|key| key.to_str()) {
-        None => None,
-        Some(Ok(key)) => Some(key),
-        Some(Err(_)) => {
-            return bad_input(&api, &InputError::new(KEY_HEADER, "must be plain ASCII"))
-        }
+    let key = match read_key_header(&request) {
+        Ok(key) => key,
+        Err(error) => return bad_input(&api, &error),
     };
     match read_request(&raw, key) {
         Ok((body, digest)) => {
@@ -253,6 +262,22 @@
     }
 }
 
+/// Failure: a client library and a proxy both add the header. Symptom without the check: the request runs under the
+/// first of two keys, and its retry, whose headers come in another order, runs again. A refusal of two is enough, as
+/// nothing runs before it.
+fn read_key_header(request: &HttpRequest) -> Result<Option<&str>, InputError> {
+    let mut keys = request.headers().get_all(KEY_HEADER);
+    let Some(key) = keys.next() else {
+        return Ok(None);
+    };
+    if keys.next().is_some() {
+        return Err(InputError::new(KEY_HEADER, "must not come twice"));
+    }
+    key.to_str()
+        .map(Some)
+        .map_err(|_| InputError::new(KEY_HEADER, "must be plain ASCII"))
+}
+
 fn read_id(text: &str) -> Result<SubmissionId, InputError> {
     text.parse()
         .map_err(|error: model::WrongId| InputError::new("id", error.to_string()))
--- a/crates/caller-api/src/input.rs
+++ b/crates/caller-api/src/input.rs
@@ -10,6 +10,8 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::object::JsonObject;
+
 /// A body or header that cannot be used. Nothing ran.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("{field}: {message}")]
@@ -47,7 +49,7 @@
     }
     let mut tasks = Vec::with_capacity(input.tasks.len());
     for (index, task) in input.tasks.into_iter().enumerate() {
-        tasks.push(task.read(&format!("tasks[{index}]"))?);
+        tasks.push(task.0.read(&format!("tasks[{index}]"))?);
     }
     let body = SubmissionBody {
         customer: input.customer,
@@ -81,7 +83,7 @@
         customer: input.customer,
         kind: SubmissionKind::Request(run),
         deadline: read_deadline(input.deadline_ms)?,
-        tasks: vec![input.task.read("task")?],
+        tasks: vec![input.task.0.read("task")?],
     };
     let digest = digest(&body);
     Ok((body, digest))
@@ -98,7 +100,7 @@
     customer: CustomerId,
     #[serde(default)]
     deadline_ms: Option<u64>,
-    tasks: Vec<TaskInput>,
+    tasks: Vec<JsonObject<TaskInput>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -107,7 +109,7 @@
     customer: CustomerId,
     #[serde(default)]
     deadline_ms: Option<u64>,
-    task: TaskInput,
+    task: JsonObject<TaskInput>,
     #[serde(default)]
     ticket: Option<TicketId>,
 }
@@ -160,19 +162,25 @@
 
 fn read_json<T: DeserializeOwned>(raw: &[u8]) -> Result<T, InputError> {
     let mut deserializer = serde_json::Deserializer::from_slice(raw);
-    let value = serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
-        let path = error.path().to_string();
-        InputError::new(
-            if path == "." { "body".to_owned() } else { path },
-            error.inner().to_string(),
-        )
-    })?;
+    let JsonObject(value) =
+        serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
+            let path = error.path().to_string();
+            InputError::new(field_name(&path), error.inner().to_string())
+        })?;
     deserializer
         .end()
         .map_err(|error| InputError::new("body", error.to_string()))?;
     Ok(value)
 }
 
+/// The path of a field, or of what holds it where the text ends before its name.
+fn field_name(path: &str) -> &str {
+    match path.trim_end_matches('?').trim_end_matches('.') {
+        "" => "body",
+        path => path,
+    }
+}
+
 fn read_deadline(deadline_ms: Option<u64>) -> Result<Option<Duration>, InputError> {
     if deadline_ms == Some(0) {
         return Err(InputError::new("deadline_ms", "must be more than 0"));
--- a/crates/caller-api/src/lib.rs
+++ b/crates/caller-api/src/lib.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod command;
 mod input;
+mod object;
 
 pub use crate::{
     answer::{render_answer, RenderedAnswer},
--- /dev/null
+++ b/crates/caller-api/tests/reasons.rs
@@ -0,0 +1,36 @@
+//! The stable reasons with their HTTP status: clients match on these texts, so a change here breaks them.
+
+use std::{sync::Arc, time::Duration};
+
+use caller_api::{render_answer, CallerAnswer, SubmissionAnswer};
+use model::{FailureReason, RefusalReason, SubmissionOutcome, UnknownReason};
+
+fn line(outcome: SubmissionOutcome) -> String {
+    let answer = render_answer(&CallerAnswer::Own(SubmissionAnswer {
+        id: None,
+        job: false,
+        outcome: Arc::new(outcome),
+        version: None,
+        stale: false,
+    }));
+    let json = String::from_utf8(answer.json).expect("JSON is text");
+    format!("{} {json}\n", answer.status)
+}
+
+#[test]
+fn reasons_and_statuses_are_stable() {
+    let mut page = String::new();
+    for reason in RefusalReason::ALL {
+        page += &line(SubmissionOutcome::Refused {
+            reason: *reason,
+            retry_after: Some(Duration::from_millis(1_500)),
+        });
+    }
+    for reason in FailureReason::ALL {
+        page += &line(SubmissionOutcome::Failed(*reason));
+    }
+    for reason in UnknownReason::ALL {
+        page += &line(SubmissionOutcome::Unknown(*reason));
+    }
+    insta::assert_snapshot!(page);
+}
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -12,12 +12,14 @@
 use entry::EntryProcess;
 use eyre::{bail, Result, WrapErr as _};
 use kernel::{ClockSource, SystemClock};
-use model::{Contract, CustomerId, DataCentreId, EndpointId, EndpointState, VmEntry, VmRole};
+use model::{
+    Contract, ContractVersion, CustomerId, DataCentreId, EndpointId, EndpointState, VmEntry, VmRole,
+};
 use platform::PlatformClient;
 use settings::{DispatcherPeer, DispatcherSettings, DrainSettings, DurationMs, EntrySettings};
 use stand_ins::{
     endpoint::{EndpointSettings, EndpointStandIn},
-    platform::{PlatformSettings, PlatformStandIn},
+    platform::{FaultSettings, PlatformSettings, PlatformStandIn},
 };
 
 /// How long the parts may take to find each other.
@@ -32,6 +34,8 @@
     pub endpoints: u32,
     /// Slots of each endpoint.
     pub slots: u32,
+    /// What the entries start from; their own fields, such as addresses, are set by the fleet.
+    pub entry: EntrySettings,
 }
 
 impl Default for FleetSettings {
@@ -40,6 +44,7 @@
             vms: 2,
             endpoints: 4,
             slots: 8,
+            entry: EntrySettings::default(),
         }
     }
 }
@@ -108,6 +113,32 @@
     ///
     /// The platform stand-in turned the change away.
     pub async fn create_contract(&self, customer: &CustomerId) -> Result<()> {
+        self.editor()
+            .create(customer, Contract::default())
+            .await
+            .wrap_err("contract not created")?;
+        Ok(())
+    }
+
+    /// Retires a contract that was never changed.
+    ///
+    /// # Errors
+    ///
+    /// The platform stand-in turned the change away.
+    pub async fn retire_contract(&self, customer: &CustomerId) -> Result<()> {
+        self.editor()
+            .retire(customer, ContractVersion(1))
+            .await
+            .wrap_err("contract not retired")?;
+        Ok(())
+    }
+
+    /// Switches the platform stand-in's faults.
+    pub fn set_platform_faults(&self, faults: FaultSettings) {
+        self.platform.set_faults(faults);
+    }
+
+    fn editor(&self) -> ContractEditor {
         let clock: Arc<dyn ClockSource> = Arc::new(SystemClock);
         let address = self.platform.address();
         let client = PlatformClient::new(
@@ -117,12 +148,7 @@
             },
             clock,
         );
-        let editor = ContractEditor::new(client, EditorSettings::default(), fastrand::Rng::new());
-        editor
-            .create(customer, Contract::default())
-            .await
-            .wrap_err("contract not created")?;
-        Ok(())
+        ContractEditor::new(client, EditorSettings::default(), fastrand::Rng::new())
     }
 
     /// Waits until every entry says that it is ready and knows of slots.
@@ -280,7 +306,7 @@
                 platform: platform.address(),
                 dispatchers: peers.to_vec(),
                 drain: quick_drain(),
-                ..Default::default()
+                ..settings.entry.clone()
             },
             Arc::new(SystemClock),
         )?;
--- /dev/null
+++ b/crates/demo/tests/border/caller.rs
@@ -0,0 +1,164 @@
+//! A fleet with contracts, and an HTTP caller that sends exactly the bytes it is told to.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use base64::{engine::general_purpose::STANDARD, Engine as _};
+use demo::{DemoFleet, FleetSettings};
+use model::CustomerId;
+use serde_json::{json, Value};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+    time::timeout,
+};
+
+/// How long anything here may take. Far more than it does, so that only a hang reaches it.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// The customer whose contract stands.
+pub(crate) const CUSTOMER: &str = "border-school";
+
+/// A customer with a contract of its own.
+pub(crate) const OTHER: &str = "other-school";
+
+/// A customer whose contract is retired.
+pub(crate) const RETIRED: &str = "retired-school";
+
+/// An HTTP answer.
+#[derive(Clone, Debug)]
+pub(crate) struct HttpReply {
+    /// The status.
+    pub(crate) status: u16,
+    /// The head in lower case.
+    pub(crate) head: String,
+    /// The body, or null where it is not JSON.
+    pub(crate) json: Value,
+}
+
+impl HttpReply {
+    /// A text field of the body, empty where absent.
+    pub(crate) fn text(&self, field: &str) -> &str {
+        self.json[field].as_str().unwrap_or_default()
+    }
+
+    /// The bytes of a request's result.
+    pub(crate) fn result(&self) -> Vec<u8> {
+        STANDARD
+            .decode(self.text("result"))
+            .expect("a result is base64")
+    }
+}
+
+/// Starts a fleet whose customers' contracts are in force at every entry.
+pub(crate) async fn fleet(settings: FleetSettings) -> DemoFleet {
+    let fleet = DemoFleet::start(settings).await.expect("fleet");
+    fleet.wait_until_ready().await.expect("ready");
+    for name in [CUSTOMER, OTHER, RETIRED] {
+        let customer: CustomerId = name.parse().expect("customer");
+        fleet.create_contract(&customer).await.expect("contract");
+        fleet.wait_until_in_force(&customer).await.expect("force");
+    }
+    let retired: CustomerId = RETIRED.parse().expect("customer");
+    fleet.retire_contract(&retired).await.expect("retired");
+    for address in fleet.caller_addresses() {
+        let ask = json!({ "customer": RETIRED });
+        wait_for(async || post(address, "/v1/tickets", &ask).await.status == 403).await;
+    }
+    fleet
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn wait_for(mut holds: impl AsyncFnMut() -> bool) {
+    let limit = Instant::now() + LIMIT;
+    while !holds().await {
+        assert!(Instant::now() < limit, "the condition never held");
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A request of one task.
+pub(crate) fn request(payload: &[u8]) -> Value {
+    json!({ "customer": CUSTOMER, "task": task(payload) })
+}
+
+/// A job.
+pub(crate) fn job(payloads: &[&[u8]]) -> Value {
+    let tasks: Vec<Value> = payloads.iter().map(|payload| task(payload)).collect();
+    json!({ "customer": CUSTOMER, "tasks": tasks })
+}
+
+/// A task with a payload.
+pub(crate) fn task(payload: &[u8]) -> Value {
+    json!({ "kind": "border", "payload": STANDARD.encode(payload) })
+}
+
+/// Gets a ticket.
+pub(crate) async fn issue(entry: SocketAddr) -> Value {
+    let ask = json!({ "customer": CUSTOMER });
+    let reply = post(entry, "/v1/tickets", &ask).await;
+    assert_eq!(reply.status, 201, "{reply:?}");
+    reply.json["ticket"].clone()
+}
+
+/// Posts JSON.
+pub(crate) async fn post(entry: SocketAddr, path: &str, body: &Value) -> HttpReply {
+    post_with(entry, path, "", body).await
+}
+
+/// Posts JSON with further header lines.
+pub(crate) async fn post_with(
+    entry: SocketAddr,
+    path: &str,
+    headers: &str,
+    body: &Value,
+) -> HttpReply {
+    send(
+        entry,
+        &message("POST", path, headers, body.to_string().as_bytes()),
+    )
+    .await
+}
+
+/// Calls without a body.
+pub(crate) async fn call(entry: SocketAddr, method: &str, path: &str) -> HttpReply {
+    send(entry, &message(method, path, "", b"")).await
+}
+
+/// A whole HTTP message.
+pub(crate) fn message(method: &str, path: &str, headers: &str, body: &[u8]) -> Vec<u8> {
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\ncontent-length: {length}\r\n{headers}\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// Sends bytes and reads the answer until the connection ends.
+pub(crate) async fn send(entry: SocketAddr, bytes: &[u8]) -> HttpReply {
+    timeout(LIMIT, exchange(entry, bytes))
+        .await
+        .expect("an answer in time")
+}
+
+async fn exchange(entry: SocketAddr, bytes: &[u8]) -> HttpReply {
+    let mut stream = TcpStream::connect(entry).await.expect("connection");
+    // The server may answer and close before it has read everything.
+    let _closed = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let _reset = stream.read_to_end(&mut answer).await;
+    let end = answer
+        .windows(4)
+        .position(|part| part == b"\r\n\r\n")
+        .expect("a whole head");
+    let head = String::from_utf8_lossy(&answer[..end]).to_lowercase();
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .expect("a status line");
+    let json = serde_json::from_slice(&answer[end + 4..]).unwrap_or(Value::Null);
+    HttpReply { status, head, json }
+}
--- /dev/null
+++ b/crates/demo/tests/border/good_calls.rs
@@ -0,0 +1,310 @@
+//! What callers may send, against real entries: one whole answer each, and one start.
+
+use std::net::SocketAddr;
+
+use base64::{engine::general_purpose::STANDARD, Engine as _};
+use demo::{DemoFleet, FleetSettings};
+use futures::future::join;
+use model::SubmissionId;
+use serde_json::{json, Value};
+use stand_ins::platform::{DownMode, FaultSettings};
+
+use crate::caller::{
+    call, fleet, issue, job, message, post, post_with, request, send, wait_for, HttpReply,
+};
+
+/// One slot, so that a second task has to wait for the first.
+fn one_slot() -> FleetSettings {
+    FleetSettings {
+        endpoints: 1,
+        slots: 1,
+        ..Default::default()
+    }
+}
+
+/// A payload that runs long enough to be looked at while it runs.
+fn long(label: &str) -> Vec<u8> {
+    format!(r#"{{"run_ms":2000,"label":"{label}"}}"#).into_bytes()
+}
+
+fn check_complete(reply: &HttpReply, payload: &[u8]) {
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert_eq!(reply.text("status"), "complete", "{reply:?}");
+    assert_eq!(reply.result(), payload);
+}
+
+#[actix_rt::test]
+async fn payloads_come_back_byte_for_byte() {
+    let fleet = fleet(FleetSettings::default()).await;
+    let entries = fleet.caller_addresses();
+    let every: Vec<u8> = (0..=255).collect();
+    let largest: Vec<u8> = every.iter().copied().cycle().take(64 * 1024).collect();
+    let payloads: [&[u8]; 4] = [b"", &every, &largest, b"\0"];
+    for payload in payloads {
+        let reply = post(entries[0], "/v1/requests", &request(payload)).await;
+        check_complete(&reply, payload);
+    }
+    let reply = post(entries[1], "/v1/jobs", &job(&payloads)).await;
+    let results: Vec<String> = payloads
+        .iter()
+        .map(|bytes| STANDARD.encode(bytes))
+        .collect();
+    assert_eq!(reply.json["results"], json!(results));
+    assert_eq!(fleet.starts(), 8);
+    assert_eq!(fleet.stop().await, 0);
+}
+
+// The content type is not looked at: `curl -d` sends that of a form, and what is read is JSON or refused.
+#[actix_rt::test]
+async fn odd_but_good_calls_run() {
+    let fleet = fleet(FleetSettings::default()).await;
+    let entry = fleet.caller_addresses()[0];
+    let mut hints = request(b"hints");
+    hints["task"]["declared_run_ms"] = json!(u64::MAX);
+    hints["task"]["declared_bytes"] = json!(0);
+    let mut longest = request(b"longest");
+    longest["deadline_ms"] = json!(10_000);
+    let key = format!("idempotency-key: {}\r\n", "k".repeat(64));
+    let table = [
+        ("content-type: text/plain\r\n", request(b"text")),
+        (
+            "content-type: application/x-www-form-urlencoded\r\n",
+            request(b"form"),
+        ),
+        (
+            "content-type: \r\nx-garbage: \u{e9}\r\n",
+            request(b"garbage"),
+        ),
+        ("", hints),
+        ("", longest),
+        (key.as_str(), request(b"longest key")),
+    ];
+    for (headers, body) in table {
+        let payload = STANDARD
+            .decode(body["task"]["payload"].as_str().expect("text"))
+            .expect("base64");
+        let reply = post_with(entry, "/v1/requests", headers, &body).await;
+        check_complete(&reply, &payload);
+    }
+    let head = call(entry, "GET", "/live").await;
+    assert_eq!(head.status, 204);
+    assert_eq!(fleet.starts(), 6);
+    assert_eq!(fleet.stop().await, 0);
+}
+
+/// Sends the same message through two entries, at once or one after the other, and checks for one start and one
+/// answer.
+async fn check_once(fleet: &DemoFleet, bytes: &[u8], payload: &[u8], at_once: bool) {
+    let entries = fleet.caller_addresses();
+    let starts = fleet.starts();
+    let (first, second) = if at_once {
+        join(send(entries[0], bytes), send(entries[1], bytes)).await
+    } else {
+        (send(entries[0], bytes).await, send(entries[1], bytes).await)
+    };
+    check_complete(&first, payload);
+    assert_eq!(first.json, second.json);
+    assert_eq!(first.status, second.status);
+    let again = send(entries[1], bytes).await;
+    assert_eq!(first.json, again.json);
+    assert_eq!(fleet.starts(), starts + 1, "ran twice");
+}
+
+// What the caller sees: the same answer to each arrival of a request, through whichever entry it came.
+// What happens: the caller, or a proxy for it, sends a request under one name twice, at once or after its answer.
+// Why: the second arrival is a retry and no second request; running it would book twice.
+#[actix_rt::test]
+async fn a_name_runs_once_through_both_entries() {
+    let fleet = fleet(FleetSettings::default()).await;
+    let entry = fleet.caller_addresses()[0];
+    for at_once in [false, true] {
+        for turn in 0..5 {
+            let payload = format!("ticket {at_once} {turn}").into_bytes();
+            let mut body = request(&payload);
+            body["ticket"] = issue(entry).await;
+            let bytes = message("POST", "/v1/requests", "", body.to_string().as_bytes());
+            check_once(&fleet, &bytes, &payload, at_once).await;
+            let payload = format!("key {at_once} {turn}").into_bytes();
+            let key = format!("idempotency-key: {at_once}-{turn}\r\n");
+            let body = request(&payload).to_string();
+            let bytes = message("POST", "/v1/requests", &key, body.as_bytes());
+            check_once(&fleet, &bytes, &payload, at_once).await;
+        }
+    }
+    assert_eq!(fleet.stop().await, 0);
+}
+
+// What the caller sees: 503 key_not_recorded with when to come back; later, through any entry, the answer.
+// What happens: the platform's table is out of reach while a keyed request comes, and back when it comes again.
+// Why: without the row a retry through another entry could run too, so nothing may run before the row stands; and a
+// key whose first arrival was refused must not be spent.
+#[actix_rt::test]
+async fn a_key_waits_for_the_platform() {
+    let fleet = fleet(FleetSettings::default()).await;
+    let entries = fleet.caller_addresses();
+    let modes = [
+        DownMode::Unavailable,
+        DownMode::Closed,
+        DownMode::WritesUnavailable,
+    ];
+    for (index, mode) in modes.into_iter().enumerate() {
+        let payload = format!("outage {index}").into_bytes();
+        let key = format!("idempotency-key: outage-{index}\r\n");
+        let mut body = request(&payload);
+        body["deadline_ms"] = json!(1_000);
+        let bytes = message("POST", "/v1/requests", &key, body.to_string().as_bytes());
+        fleet.set_platform_faults(FaultSettings::down(mode));
+        for entry in &entries {
+            let reply = send(*entry, &bytes).await;
+            assert_eq!(reply.status, 503, "{mode:?}: {reply:?}");
+            assert_eq!(reply.text("reason"), "key_not_recorded", "{mode:?}");
+            assert!(reply.head.contains("retry-after:"), "{mode:?}: {reply:?}");
+            assert!(reply.json["retry_after_ms"].as_u64() > Some(0), "{mode:?}");
+        }
+        assert_eq!(fleet.starts(), index, "{mode:?}: something ran");
+        fleet.set_platform_faults(FaultSettings::default());
+        wait_for(async || send(entries[1], &bytes).await.status == 200).await;
+        let first = send(entries[0], &bytes).await;
+        check_complete(&first, &payload);
+        assert_eq!(send(entries[1], &bytes).await.json, first.json);
+        assert_eq!(fleet.starts(), index + 1, "{mode:?}: ran twice");
+    }
+    assert_eq!(fleet.stop().await, 0);
+}
+
+/// The submission that a ticket's request will be.
+fn id_of(ticket: &Value) -> String {
+    let text = ticket.as_str().expect("a ticket is text");
+    text.trim_start_matches('t').to_owned()
+}
+
+/// Sends a ticketed request that stays open, and gives its id.
+async fn open_request(
+    entry: SocketAddr,
+    payload: Vec<u8>,
+) -> (String, actix_rt::task::JoinHandle<HttpReply>) {
+    let ticket = issue(entry).await;
+    let id = id_of(&ticket);
+    let mut body = request(&payload);
+    body["ticket"] = ticket;
+    let reply = actix_rt::spawn(async move { post(entry, "/v1/requests", &body).await });
+    let path = format!("/v1/requests/{id}");
+    wait_for(async || call(entry, "GET", &path).await.status == 202).await;
+    (id, reply)
+}
+
+// What the caller sees: a request that waits can be taken back and did not run; one that runs cannot, and gets its
+// own answer; a job can be taken back at any time and gets no partial results.
+// What happens: one slot is taken by a long request, another request and then a job wait behind it.
+// Why: "cancelled" must be as true as "not run".
+#[actix_rt::test]
+async fn cancelling_says_what_it_did() {
+    let fleet = fleet(one_slot()).await;
+    let entries = fleet.caller_addresses();
+    let (running, answer) = open_request(entries[0], long("runs")).await;
+    wait_for(async || fleet.starts() == 1).await;
+    let (waiting, refused) = open_request(entries[0], long("waits")).await;
+    let path = format!("/v1/requests/{waiting}");
+    let reply = call(entries[0], "DELETE", &path).await;
+    assert_eq!((reply.status, reply.text("cancel")), (200, "cancelled"));
+    let refused = refused.await.expect("an answer");
+    assert_eq!(refused.status, 409, "{refused:?}");
+    assert_eq!(refused.text("reason"), "cancelled");
+    assert_eq!(call(entries[0], "GET", &path).await.json, refused.json);
+    let path = format!("/v1/requests/{running}");
+    let reply = call(entries[0], "DELETE", &path).await;
+    assert_eq!((reply.status, reply.text("cancel")), (409, "too_late"));
+    assert_eq!(
+        call(entries[0], "GET", &path).await.text("status"),
+        "pending"
+    );
+    let reply = answer.await.expect("an answer");
+    check_complete(&reply, &long("runs"));
+    assert_eq!(call(entries[0], "DELETE", &path).await.status, 404);
+    assert_eq!(call(entries[1], "GET", &path).await.json, reply.json);
+    assert_eq!(fleet.starts(), 1, "a cancelled request ran");
+    cancel_job(&fleet, entries[0]).await;
+    assert_eq!(fleet.stop().await, 0);
+}
+
+/// The id of the next submission: its serial is the one after a ticket's.
+async fn next_id(entry: SocketAddr) -> SubmissionId {
+    let mut id: SubmissionId = id_of(&issue(entry).await).parse().expect("an id");
+    id.serial += 1;
+    id
+}
+
+// What the caller sees: its keyed request is refused as cancelled, and when it is sent again it runs, once.
+// What happens: the key's row is written, the request waits for a slot and is taken back; then it comes again through
+// the other entry, which finds the row and passes it on to the first.
+// Why: a refusal says that nothing ran, so the key is not spent; only the entry in the row may start it.
+#[actix_rt::test]
+async fn a_refused_key_runs_when_it_comes_again() {
+    let fleet = fleet(one_slot()).await;
+    let entries = fleet.caller_addresses();
+    let (_, holder) = open_request(entries[0], long("holds")).await;
+    wait_for(async || fleet.starts() == 1).await;
+    let path = format!("/v1/requests/{}", next_id(entries[0]).await);
+    let body = request(b"again").to_string();
+    let key = "idempotency-key: again\r\n";
+    let bytes = message("POST", "/v1/requests", key, body.as_bytes());
+    let sent = bytes.clone();
+    let entry = entries[0];
+    let refused = actix_rt::spawn(async move { send(entry, &sent).await });
+    wait_for(async || call(entry, "GET", &path).await.status == 202).await;
+    let reply = call(entry, "DELETE", &path).await;
+    assert_eq!((reply.status, reply.text("cancel")), (200, "cancelled"));
+    assert_eq!(
+        refused.await.expect("an answer").text("reason"),
+        "cancelled"
+    );
+    assert_eq!(fleet.starts(), 1);
+    let (first, second) = join(send(entries[1], &bytes), send(entries[0], &bytes)).await;
+    check_complete(&first, b"again");
+    assert_eq!(first.json, second.json);
+    check_complete(&holder.await.expect("an answer"), &long("holds"));
+    assert_eq!(fleet.starts(), 2);
+    assert_eq!(fleet.stop().await, 0);
+}
+
+async fn cancel_job(fleet: &DemoFleet, entry: SocketAddr) {
+    let path = format!("/v1/jobs/{}", next_id(entry).await);
+    let body = job(&[&long("first"), &long("second")]);
+    let answer = actix_rt::spawn(async move { post(entry, "/v1/jobs", &body).await });
+    wait_for(async || fleet.starts() == 2).await;
+    let reply = call(entry, "DELETE", &path).await;
+    assert_eq!((reply.status, reply.text("cancel")), (200, "cancelled"));
+    let reply = answer.await.expect("an answer");
+    assert_eq!(
+        (reply.text("status"), reply.text("reason")),
+        ("failed", "cancelled")
+    );
+    assert_eq!(reply.json.get("results"), None);
+    assert_eq!(fleet.starts(), 2, "the rest of a cancelled job ran");
+}
+
+#[actix_rt::test]
+async fn outcomes_are_told_by_every_entry() {
+    let fleet = fleet(FleetSettings::default()).await;
+    let entries = fleet.caller_addresses();
+    let reply = post(entries[0], "/v1/requests", &request(b"told")).await;
+    check_complete(&reply, b"told");
+    let path = format!("/v1/requests/{}", reply.text("id"));
+    for entry in &entries {
+        assert_eq!(call(*entry, "GET", &path).await.json, reply.json);
+        // Neither an entry that is gone nor a serial that was never given out is taken for "not run".
+        let own = reply.text("id").rsplit_once('-').expect("two parts").0;
+        for id in ["0000000000000001-1", &format!("{own}-999999")] {
+            let reply = call(*entry, "GET", &format!("/v1/requests/{id}")).await;
+            let told = (reply.status, reply.text("status"), reply.text("reason"));
+            assert_eq!(told, (200, "unknown", "entry_gone"), "{id}");
+        }
+    }
+    let (open, answer) = open_request(entries[0], long("open")).await;
+    for entry in &entries {
+        let reply = call(*entry, "GET", &format!("/v1/requests/{open}")).await;
+        assert_eq!((reply.status, reply.text("status")), (202, "pending"));
+    }
+    check_complete(&answer.await.expect("an answer"), &long("open"));
+    assert_eq!(fleet.stop().await, 0);
+}
