--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -13,10 +13,6 @@
     waiting::WaitingTask,
 };
 
-/// The run time expected of a task about which nothing is known, in milliseconds: the middle of what the users
-/// call usual.
-const USUAL_RUN_MS: u64 = 200;
-
 impl TaskAuthority {
     /// Whether any reachable dispatcher takes work.
     pub fn has_capacity(&self) -> bool {
@@ -85,6 +81,7 @@
             .get_mut(&task.serial)
             .filter(|record| record.is_open() && record.is_waiting(task.task))?;
         let (customer, share) = (record.customer.clone(), record.share);
+        let (first_attempt, retry_percent) = (record.first_attempt, record.retry_percent);
         let time_left = record.due.saturating_duration_since(now);
         let entry = record.task_mut(task.task)?;
         let attempt = AttemptId {
@@ -100,20 +97,28 @@
         let (session, _) = session.open()?;
         let flight = FlightRecord {
             customer: customer.clone(),
+            kind: body.kind.clone(),
             dispatcher,
             session,
             phase: FlightPhase::Offered,
         };
         self.flights.insert(attempt, flight);
+        if attempt.attempt == first_attempt {
+            self.budget.on_placed(now, &customer, 1, retry_percent);
+        }
         self.note(AuthorityEvent::Offered(attempt, dispatcher));
-        let usual = std::time::Duration::from_millis(USUAL_RUN_MS);
+        // Load: run times declared a hundred times too long or too short. Harm: by such a word the dispatcher's fair
+        // queue bills the customer wrongly and keeps a slot's worth of work back for nothing.
+        let expected = self
+            .times
+            .expect(now, &customer, &body.kind, body.declared_run_time);
         Some(TaskOffer {
             attempt,
             customer,
             share,
             kind: body.kind,
             time_left,
-            expected_run_time: body.declared_run_time.unwrap_or(usual),
+            expected_run_time: expected.run_time,
             payload: body.payload,
         })
     }
--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -15,15 +15,31 @@
     session::DispatcherKey,
 };
 
-/// Tries of one task after refusals that tell of load, before it is given up. A task that eight dispatchers have
-/// turned away, with growing pauses between, meets an overload that another try would only feed.
+/// Tries of one task after refusals that tell of load, before it is given up, whatever its customer has saved up in
+/// its budget. A task that eight dispatchers have turned away, with growing pauses between, meets an overload that
+/// another try would only feed; without the bound one unlucky task could spend the budget of all others.
 const MAX_LOAD_RETRIES: u32 = 8;
 
 impl TaskAuthority {
     /// A dispatcher has answered an offer.
     pub fn on_verdicts(&mut self, now: Instant, verdicts: &[(AttemptId, TaskVerdict)]) {
+        // All that a refused batch turned away is noted before any of it is decided on: a job that is given up at its
+        // first task would otherwise count the others as perhaps started, and be answered "failed" for "refused".
+        let mut turned_away = Vec::new();
         for (attempt, verdict) in verdicts {
-            self.on_verdict(now, *attempt, *verdict);
+            match verdict {
+                TaskVerdict::Started => self.on_taken(*attempt, FlightPhase::Running),
+                TaskVerdict::Queued => self.on_taken(*attempt, FlightPhase::Queued),
+                TaskVerdict::NotRun(reason) => {
+                    if let Some(flight) = self.land(*attempt) {
+                        self.set_waiting(*attempt);
+                        turned_away.push((*attempt, *reason, flight.dispatcher));
+                    }
+                }
+            }
+        }
+        for (attempt, reason, dispatcher) in turned_away {
+            self.on_not_run(now, attempt, reason, dispatcher);
         }
         self.place(now);
     }
@@ -55,13 +71,14 @@
         Some(payload)
     }
 
-    /// An attempt has ended.
-    pub fn on_ended(&mut self, now: Instant, attempt: AttemptId, end: AttemptEnd) {
+    /// An attempt has ended after `ran`.
+    pub fn on_ended(&mut self, now: Instant, attempt: AttemptId, end: AttemptEnd, ran: Duration) {
         let Some(flight) = self.land(attempt) else {
             // Nobody waits for it: the attempt was given up as unknown before, and stays so.
             return;
         };
         self.note(AuthorityEvent::Ended(attempt, end.clone()));
+        self.learn(now, &flight, &end, ran);
         match end {
             AttemptEnd::Done(result) => self.on_done(now, attempt, result),
             AttemptEnd::Failed => self.finish_failed(now, attempt, FailureReason::TaskFailed),
@@ -102,17 +119,25 @@
         }
     }
 
-    fn on_verdict(&mut self, now: Instant, attempt: AttemptId, verdict: TaskVerdict) {
-        let phase = match verdict {
-            TaskVerdict::Started => FlightPhase::Running,
-            TaskVerdict::Queued => FlightPhase::Queued,
-            TaskVerdict::NotRun(reason) => {
-                if let Some(flight) = self.land(attempt) {
-                    self.on_not_run(now, attempt, reason, flight.dispatcher);
-                }
-                return;
-            }
-        };
+    /// Takes the run time of what ran, also of a task whose submission has its answer: those that come after the
+    /// deadline are the slow ones, and without them their kind would look fast.
+    fn learn(&mut self, now: Instant, flight: &FlightRecord, end: &AttemptEnd, ran: Duration) {
+        let (customer, kind) = (&flight.customer, &flight.kind);
+        match end {
+            AttemptEnd::Done(_) => self.times.record(now, customer, kind, ran),
+            AttemptEnd::Failed => self.times.record_failure(now, customer, kind),
+            AttemptEnd::NotRun(_) | AttemptEnd::Unknown(_) => {}
+        }
+    }
+
+    fn set_waiting(&mut self, attempt: AttemptId) {
+        let record = self.records.get_mut(&attempt.submission.serial);
+        if let Some(task) = record.and_then(|record| record.task_mut(attempt.task)) {
+            task.phase = TaskPhase::Waiting;
+        }
+    }
+
+    fn on_taken(&mut self, attempt: AttemptId, phase: FlightPhase) {
         let Some(flight) = self.flights.get_mut(&attempt) else {
             return;
         };
@@ -187,7 +212,10 @@
             self.waiting.push(&customer, waiting);
             return;
         }
-        if attempts >= MAX_LOAD_RETRIES {
+        // Load: endpoints that turn everything away. Harm: each refusal causes another placement, and the overload
+        // feeds itself. The budget bounds placements to the first ones plus the contract's percentage.
+        let granted = !costs_budget(reason) || self.budget.try_retry(now, &customer);
+        if attempts >= MAX_LOAD_RETRIES || !granted {
             self.finish_not_placed(now, serial, RefusalReason::RetryBudgetSpent);
             return;
         }
@@ -237,6 +265,13 @@
     }
 }
 
+/// Whether another try is taken out of the customer's budget. A dispatcher hands back what waits for it when its last
+/// endpoint gets another owner: that tells of a change, and since it says so with its slots it gets no more offers.
+/// The task still pauses, or it would come back before the new owner is known.
+fn costs_budget(reason: RetryReason) -> bool {
+    tells_of_load(reason) && reason != RetryReason::NoEndpoint
+}
+
 /// Whether a refusal comes from load, so that trying again adds to it. The others come from a change in the
 /// system, and the task goes elsewhere at once.
 fn tells_of_load(reason: RetryReason) -> bool {
--- a/crates/dispatcher/src/control/membership.rs
+++ b/crates/dispatcher/src/control/membership.rs
@@ -8,7 +8,7 @@
 use peer::PeerError;
 use telemetry::CounterKind;
 
-use super::{BeatTaken, DispatcherControl, PeerSlot, PingTaken};
+use super::{BeatTaken, DispatcherControl, PeerSlot, PingTaken, VmsAsked};
 
 impl DispatcherControl {
     pub(super) fn tick_members(&mut self, ctx: &mut Context<Self>) {
@@ -19,21 +19,69 @@
                 MemberAction::ViewChanged => changed = true,
             }
         }
+        if !self.settled && self.is_settled() {
+            self.settled = true;
+            changed = true;
+        }
         if changed {
             self.update_ownership();
         }
     }
 
+    /// Failure: a dispatcher has just started and has heard of nobody yet. Symptom without this: it takes every endpoint
+    /// for its own, as do its peers, and a burst overfills them; each busy answer is a wasted message. So it owns nothing
+    /// until everybody on the lists has answered or is known to be gone, or the suspect time has passed, in which a live
+    /// one would have.
+    fn is_settled(&self) -> bool {
+        let waited = self.clock.now().saturating_duration_since(self.started);
+        if waited >= self.settings.suspect_ms.duration() {
+            return true;
+        }
+        if self.vms.is_empty() {
+            return false;
+        }
+        let owners = self.members.owners();
+        let heard = |address: &SocketAddr| owners.iter().any(|owner| owner.address == *address);
+        self.members
+            .listed()
+            .iter()
+            .all(|address| heard(address) || self.refused.contains(address))
+    }
+
     pub(super) fn read_vm_list(&mut self, ctx: &mut Context<Self>) {
         let platform = self.platform.clone();
         let list = async move { platform.vm_list().await }.into_actor(self);
         ctx.spawn(list.map(|list, control, ctx| match list {
             Ok(vms) => control.take_vm_list(ctx, vms),
             // What is known goes on: endpoints and peers speak for themselves meanwhile.
-            Err(error) => log::debug!("dispatcher: VM list not read: {error}"),
+            Err(error) => {
+                log::debug!("dispatcher: VM list not read: {error}");
+                control.ask_peers_for_vms(ctx);
+            }
         }));
     }
 
+    /// Failure: this VM started while the platform is down. Symptom without this: it knows no endpoint and serves nothing
+    /// for the length of the outage. A peer's list is as old as the platform's last answer, which lags anyway.
+    fn ask_peers_for_vms(&mut self, ctx: &mut Context<Self>) {
+        if !self.vms.is_empty() {
+            return;
+        }
+        for slot in self.peers.values() {
+            let PeerSlot::Open(link) = slot else {
+                continue;
+            };
+            let vms = link.client().vms().into_actor(self);
+            ctx.spawn(vms.map(|vms, control, ctx| match vms {
+                Ok(vms) if control.vms.is_empty() && !vms.is_empty() => {
+                    control.take_vm_list(ctx, vms)
+                }
+                Ok(_) => {}
+                Err(error) => log::debug!("dispatcher: VM list not read from a peer: {error}"),
+            }));
+        }
+    }
+
     fn take_vm_list(&mut self, ctx: &mut Context<Self>, vms: Vec<VmEntry>) {
         self.members.on_vm_list(&vms);
         self.vms = vms;
@@ -76,7 +124,9 @@
         }
         let owned: Vec<(EndpointAddress, EndpointState)> = endpoints
             .into_iter()
-            .filter(|(address, _)| self.ownership.owner(&address.id) == Some(self.own_address))
+            .filter(|(address, _)| {
+                self.settled && self.ownership.owner(&address.id) == Some(self.own_address)
+            })
             .collect();
         self.ledger.set_endpoints(self.clock.now(), &owned);
     }
@@ -126,6 +176,7 @@
             Err(error) => {
                 self.peers.remove(&address);
                 if error == PeerError::Refused {
+                    self.refused.insert(address);
                     self.members.on_refused(now, address);
                 }
             }
@@ -148,6 +199,14 @@
     }
 }
 
+impl Handler<VmsAsked> for DispatcherControl {
+    type Result = ();
+
+    fn handle(&mut self, asked: VmsAsked, _: &mut Context<Self>) {
+        let _gone = asked.reply.send(Ok(self.vms.clone()));
+    }
+}
+
 impl Handler<PingTaken> for DispatcherControl {
     type Result = ();
 
