entry: Bound the bytes held for callers

Open submissions were bounded by count alone (20,000), and so were kept answers (50,000). A job may carry 24 MB, so a burst within both bounds outgrows a small VM: the process would be killed and each caller on it left without an answer.

max_open_bytes (256 MiB) bounds the payloads of open submissions; what would go above it is refused as overloaded with Retry-After, and an answer or a cancellation frees room. max_kept_bytes (256 MiB) bounds the results kept for second arrivals: the oldest are forgotten first, and such an arrival is told "unknown", as after their keeping time.

The count of ranged settings in the settings test goes from 13 to 15, since two were added.

Ruled out: one bound for both. A burst of one customer would then make the process forget the answers of others. Not bounded by this: bodies that the HTTP threads are still reading, and keyed requests whose row is being written.

Seen to fail: held_bytes without the count down at the answer, and without the count of results; the border's memory test without the setting passed on. The border's cancel tests wait for the reservation now: before it a request may have started, and a cancellation rightly comes too late (seen once as a failure).

--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -20,6 +20,7 @@
 use crate::{
     action::{AuthorityAction, AuthorityEvent},
     flight::{FlightPhase, FlightTable},
+    held::HeldBytes,
     record::{RecordState, SubmissionRecord, SubmissionShape, TaskPhase, TaskRecord},
     session::{DispatcherKey, SessionTable},
     settings::AuthoritySettings,
@@ -55,6 +56,7 @@
     next_serial: u64,
     records: FastMap<u64, SubmissionRecord>,
     open: usize,
+    held: HeldBytes,
     due: BTreeSet<(Instant, u64)>,
     kept: VecDeque<(Instant, u64)>,
     tickets: TicketTable,
@@ -82,6 +84,7 @@
             next_serial: 1,
             records: FastMap::default(),
             open: 0,
+            held: HeldBytes::default(),
             due: BTreeSet::new(),
             kept: VecDeque::new(),
             tickets: TicketTable::default(),
@@ -151,6 +154,7 @@
             self.waiting
                 .push(&customer, WaitingTask { due, serial, task });
         }
+        self.held.add_open(&record);
         self.records.insert(serial, record);
         self.open += 1;
         self.due.insert((due, serial));
@@ -335,6 +339,10 @@
         if self.open >= self.settings.max_open {
             return Err(RefusalReason::Overloaded);
         }
+        let bytes: u64 = body.tasks.iter().map(|task| task.payload.size().0).sum();
+        if self.held.open.0 + bytes > self.settings.max_open_bytes.0 {
+            return Err(RefusalReason::Overloaded);
+        }
         if !self.had_capacity(now) {
             return Err(RefusalReason::NoCapacity);
         }
--- a/crates/authority/src/authority/giving_up.rs
+++ b/crates/authority/src/authority/giving_up.rs
@@ -213,6 +213,7 @@
         else {
             return;
         };
+        self.held.close(record, &outcome);
         let outcome = Arc::new(outcome);
         record.state = RecordState::Answered {
             outcome: outcome.clone(),
@@ -369,18 +370,22 @@
     fn forget_old(&mut self, now: Instant) {
         while let Some((at, serial)) = self.kept.front().copied() {
             let old = at + self.settings.keep_outcome <= now;
-            if !old && self.kept.len() <= self.settings.max_kept {
+            let large = self.held.kept > self.settings.max_kept_bytes;
+            if !old && !large && self.kept.len() <= self.settings.max_kept {
                 break;
             }
             self.kept.pop_front();
             // A refused submission may have run again since, and has a later place in the line.
-            if self
-                .records
-                .get(&serial)
-                .is_some_and(|record| record.was_answered_at(at))
-            {
-                self.records.remove(&serial);
+            let Some(record) = self.records.get(&serial) else {
+                continue;
+            };
+            if !record.was_answered_at(at) {
+                continue;
+            }
+            if let RecordState::Answered { outcome, .. } = &record.state {
+                self.held.drop_kept(outcome);
             }
+            self.records.remove(&serial);
         }
     }
 }
--- /dev/null
+++ b/crates/authority/src/held.rs
@@ -0,0 +1,51 @@
+//! How many bytes of callers the process holds.
+
+use model::{ByteSize, SubmissionOutcome};
+
+use crate::record::SubmissionRecord;
+
+/// The bytes of payloads and answers that are held.
+///
+/// Failure: a burst of jobs of many MB each, which a bound on the number of submissions lets in. Symptom without this:
+/// the process outgrows its VM and is killed, and every caller on it gets no answer. Counting payloads is enough for
+/// open submissions, since what else a submission holds is small, and counting results for answered ones, since their
+/// payloads are dropped.
+#[derive(Debug, Default)]
+pub(crate) struct HeldBytes {
+    pub(crate) open: ByteSize,
+    pub(crate) kept: ByteSize,
+}
+
+impl HeldBytes {
+    pub(crate) fn add_open(&mut self, record: &SubmissionRecord) {
+        self.open.0 += payload_bytes(record);
+    }
+
+    /// The submission has its answer. To be called while its tasks are still there.
+    pub(crate) fn close(&mut self, record: &SubmissionRecord, outcome: &SubmissionOutcome) {
+        self.open.0 = self.open.0.saturating_sub(payload_bytes(record));
+        self.kept.0 += result_bytes(outcome);
+    }
+
+    /// The answer is forgotten.
+    pub(crate) fn drop_kept(&mut self, outcome: &SubmissionOutcome) {
+        self.kept.0 = self.kept.0.saturating_sub(result_bytes(outcome));
+    }
+}
+
+fn payload_bytes(record: &SubmissionRecord) -> u64 {
+    let sizes = record.tasks.iter().map(|task| task.body.payload.size().0);
+    sizes.sum()
+}
+
+fn result_bytes(outcome: &SubmissionOutcome) -> u64 {
+    match outcome {
+        SubmissionOutcome::Complete(results) => {
+            let sizes = results.iter().map(|result| result.payload.size().0);
+            sizes.sum()
+        }
+        SubmissionOutcome::Failed(_)
+        | SubmissionOutcome::Refused { .. }
+        | SubmissionOutcome::Unknown(_) => 0,
+    }
+}
--- a/crates/authority/src/lib.rs
+++ b/crates/authority/src/lib.rs
@@ -9,6 +9,7 @@
 mod action;
 mod authority;
 mod flight;
+mod held;
 mod record;
 mod session;
 mod settings;
--- a/crates/authority/src/settings.rs
+++ b/crates/authority/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use model::ByteSize;
+
 use decisions::RetrySettings;
 
 /// The retries that a customer starts with at an entry: as many as it may save up later, one for each task that it has
@@ -14,8 +16,12 @@
 pub struct AuthoritySettings {
     /// Submissions without an answer at once. One more is refused as overloaded.
     pub max_open: usize,
+    /// Bytes of their payloads together. A submission that would go above it is refused as overloaded.
+    pub max_open_bytes: ByteSize,
     /// Answered submissions kept so that a second arrival gets the first answer.
     pub max_kept: usize,
+    /// Bytes of their results together. Above it the oldest are forgotten; a second arrival is then told "unknown".
+    pub max_kept_bytes: ByteSize,
     /// How long an answer is kept.
     pub keep_outcome: Duration,
     /// How long an unused ticket is good.
@@ -39,7 +45,9 @@
     fn default() -> Self {
         Self {
             max_open: 20_000,
+            max_open_bytes: ByteSize(256 * 1024 * 1024),
             max_kept: 50_000,
+            max_kept_bytes: ByteSize(256 * 1024 * 1024),
             keep_outcome: Duration::from_secs(120),
             ticket_term: Duration::from_secs(600),
             max_tickets: 50_000,
--- a/crates/demo/tests/border/good_calls.rs
+++ b/crates/demo/tests/border/good_calls.rs
@@ -193,6 +193,17 @@
     (id, reply)
 }
 
+/// Waits until a submission's task has a reservation at a dispatcher. Before that it may have started, for all that
+/// the entry knows, so it could not be cancelled.
+async fn wait_until_queued(entry: SocketAddr, id: &str) {
+    let path = format!("/v1/explain/{id}");
+    wait_for(async || {
+        let report = call(entry, "GET", &path).await;
+        report.json.to_string().contains("queued")
+    })
+    .await;
+}
+
 // What the caller sees: a request that waits can be taken back and did not run; one that runs cannot, and gets its
 // own answer; a job can be taken back at any time and gets no partial results.
 // What happens: one slot is taken by a long request, another request and then a job wait behind it.
@@ -204,6 +215,7 @@
     let (running, answer) = open_request(entries[0], long("runs")).await;
     wait_for(async || fleet.starts() == 1).await;
     let (waiting, refused) = open_request(entries[0], long("waits")).await;
+    wait_until_queued(entries[0], &waiting).await;
     let path = format!("/v1/requests/{waiting}");
     let reply = call(entries[0], "DELETE", &path).await;
     assert_eq!((reply.status, reply.text("cancel")), (200, "cancelled"));
@@ -244,14 +256,15 @@
     let entries = fleet.caller_addresses();
     let (_, holder) = open_request(entries[0], long("holds")).await;
     wait_for(async || fleet.starts() == 1).await;
-    let path = format!("/v1/requests/{}", next_id(entries[0]).await);
+    let id = next_id(entries[0]).await.to_string();
+    let path = format!("/v1/requests/{id}");
     let body = request(b"again").to_string();
     let key = "idempotency-key: again\r\n";
     let bytes = message("POST", "/v1/requests", key, body.as_bytes());
     let sent = bytes.clone();
     let entry = entries[0];
     let refused = actix_rt::spawn(async move { send(entry, &sent).await });
-    wait_for(async || call(entry, "GET", &path).await.status == 202).await;
+    wait_until_queued(entry, &id).await;
     let reply = call(entry, "DELETE", &path).await;
     assert_eq!((reply.status, reply.text("cancel")), (200, "cancelled"));
     assert_eq!(
--- a/crates/demo/tests/border/main.rs
+++ b/crates/demo/tests/border/main.rs
@@ -3,3 +3,4 @@
 mod bad_input;
 mod caller;
 mod good_calls;
+mod memory;
--- /dev/null
+++ b/crates/demo/tests/border/memory.rs
@@ -0,0 +1,53 @@
+//! The bound on the bytes that an entry holds for callers.
+
+use demo::FleetSettings;
+use model::ByteSize;
+use settings::EntrySettings;
+
+use crate::caller::{call, fleet, issue, post, request, wait_for};
+
+/// A payload of about 60 KB that runs for a second.
+fn large() -> Vec<u8> {
+    let label = "x".repeat(60_000);
+    format!(r#"{{"run_ms":1000,"label":"{label}"}}"#).into_bytes()
+}
+
+// What the caller sees: 503 overloaded with when to come back, and then the answer.
+// What happens: one payload is held while its task runs, and another comes for which there is no room.
+// Why: bodies without a bound would end the process and with it every caller's answer.
+#[actix_rt::test]
+async fn a_full_entry_refuses_until_it_has_answered() {
+    let fleet = fleet(FleetSettings {
+        entry: EntrySettings {
+            max_open_bytes: ByteSize(100_000),
+            ..Default::default()
+        },
+        ..Default::default()
+    })
+    .await;
+    let entry = fleet.caller_addresses()[0];
+    let ticket = issue(entry).await;
+    let id = ticket
+        .as_str()
+        .expect("text")
+        .trim_start_matches('t')
+        .to_owned();
+    let mut body = request(&large());
+    body["ticket"] = ticket;
+    let first = actix_rt::spawn(async move { post(entry, "/v1/requests", &body).await });
+    let path = format!("/v1/requests/{id}");
+    wait_for(async || call(entry, "GET", &path).await.status == 202).await;
+    let refused = post(entry, "/v1/requests", &request(&large())).await;
+    assert_eq!(
+        (refused.status, refused.text("reason")),
+        (503, "overloaded")
+    );
+    assert!(refused.head.contains("retry-after: 1"), "{refused:?}");
+    let small = post(entry, "/v1/requests", &request(b"small")).await;
+    assert_eq!(small.text("status"), "complete", "{small:?}");
+    assert_eq!(first.await.expect("an answer").result(), large());
+    let again = post(entry, "/v1/requests", &request(&large())).await;
+    assert_eq!(again.result(), large());
+    assert_eq!(fleet.starts(), 3);
+    assert_eq!(fleet.stop().await, 0);
+}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -102,6 +102,8 @@
         let settings = parts.settings;
         let authority_settings = AuthoritySettings {
             max_open: settings.max_submissions,
+            max_open_bytes: settings.max_open_bytes,
+            max_kept_bytes: settings.max_kept_bytes,
             keep_outcome: settings.outcome_keep_ms.duration(),
             ..AuthoritySettings::default()
         };
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -62,6 +62,17 @@
     #[serde(deserialize_with = "bounded::<_, _, 1, 10_000_000>")]
     #[schemars(range(min = 1, max = 10_000_000))]
     pub max_submissions: usize,
+    /// The most bytes of payloads of submissions in work. A submission that would go above it is refused as overloaded
+    /// with when to come back. Default 268435456; at least `max_body_bytes`, so that whatever may be sent fits an
+    /// idle process.
+    #[serde(deserialize_with = "bounded_size::<_, 1_024, 1_099_511_627_776>")]
+    #[schemars(with = "u64", range(min = 1_024, max = 1_099_511_627_776_u64))]
+    pub max_open_bytes: ByteSize,
+    /// The most bytes of results kept for second arrivals. Above it the oldest are forgotten before
+    /// `outcome_keep_ms`, and a second arrival is told "unknown". Default 268435456.
+    #[serde(deserialize_with = "bounded_size::<_, 1_024, 1_099_511_627_776>")]
+    #[schemars(with = "u64", range(min = 1_024, max = 1_099_511_627_776_u64))]
+    pub max_kept_bytes: ByteSize,
     /// How long an outcome is kept for a second arrival of the same request. Default 300000.
     #[serde(deserialize_with = "bounded::<_, _, 1_000, 86_400_000>")]
     #[schemars(range(min = 1_000, max = 86_400_000))]
@@ -104,6 +115,8 @@
             answer_margin_ms: DurationMs(20),
             max_body_bytes: ByteSize(32 * 1024 * 1024),
             max_submissions: 20_000,
+            max_open_bytes: ByteSize(256 * 1024 * 1024),
+            max_kept_bytes: ByteSize(256 * 1024 * 1024),
             outcome_keep_ms: DurationMs(300_000),
             drain: DrainSettings::default(),
             heartbeat_ms: DurationMs(100),
@@ -126,6 +139,9 @@
         if self.session_timeout_ms.0 < 2 * self.heartbeat_ms.0 {
             return wrong("session_timeout_ms", "must be at least twice heartbeat_ms");
         }
+        if self.max_open_bytes < self.max_body_bytes {
+            return wrong("max_open_bytes", "must be at least max_body_bytes");
+        }
         if self.freshness_ms <= self.refresh_ms {
             return wrong("freshness_ms", "must be more than refresh_ms");
         }
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -43,6 +43,7 @@
             "shorter than two heartbeats",
         ),
         (r#""freshness_ms": 1000"#, "no fresher than the refresh"),
+        (r#""max_open_bytes": 1024"#, "less than one body"),
         (r#""max_body_bytes": "32 MB""#, "text for a size"),
         (r#""heartbeat_ms": 100,"#, "trailing comma"),
         (r#""heartbeat_ms": 100} {"#, "two documents"),
@@ -141,7 +142,7 @@
     let dispatcher = schema_ranges(&dispatcher_schema(), |text| {
         parse_dispatcher(text).err().map(|e| e.to_string())
     });
-    assert_eq!((entry, dispatcher), (13, 13));
+    assert_eq!((entry, dispatcher), (15, 13));
 }
 
 fn schema_ranges(schema: &Value, refuse: impl Fn(&str) -> Option<String>) -> usize {
