--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -23,6 +23,7 @@
     authority::admitting::ExpectedWork,
     customer_load::LoadTable,
     flight::{FlightPhase, FlightTable},
+    held::HeldBytes,
     record::{RecordState, SubmissionRecord, SubmissionShape, TaskPhase, TaskRecord},
     refusal::SubmissionRefusal,
     session::{DispatcherKey, SessionTable},
@@ -58,6 +59,7 @@
     next_serial: u64,
     records: FastMap<u64, SubmissionRecord>,
     open: usize,
+    held: HeldBytes,
     due: BTreeSet<(Instant, u64)>,
     kept: VecDeque<(Instant, u64)>,
     tickets: TicketTable,
@@ -94,6 +96,7 @@
             next_serial: 1,
             records: FastMap::default(),
             open: 0,
+            held: HeldBytes::default(),
             due: BTreeSet::new(),
             kept: VecDeque::new(),
             tickets: TicketTable::default(),
@@ -174,6 +177,7 @@
             self.waiting
                 .push(&customer, WaitingTask { due, serial, task });
         }
+        self.held.add_open(&record);
         self.records.insert(serial, record);
         self.open += 1;
         self.due.insert((due, serial));
--- a/crates/authority/src/authority/admitting.rs
+++ b/crates/authority/src/authority/admitting.rs
@@ -56,7 +56,9 @@
         }
         // Each open submission costs memory until its answer, so a flood has to end somewhere; refusing is cheap
         // and honest, and the callers know when to come back.
-        if self.open >= self.settings.max_open {
+        let bytes: u64 = body.tasks.iter().map(|task| task.payload.size().0).sum();
+        let large = self.held.open.0 + bytes > self.settings.max_open_bytes.0;
+        if large || self.open >= self.settings.max_open {
             let reason = RefusalReason::Overloaded;
             return Err(SubmissionRefusal::not_now(reason, COME_BACK));
         }
--- a/crates/authority/src/lib.rs
+++ b/crates/authority/src/lib.rs
@@ -10,6 +10,7 @@
 mod authority;
 mod customer_load;
 mod flight;
+mod held;
 mod record;
 mod refusal;
 mod session;
