Move queued tasks to free slots elsewhere

Ruled out: hints more often than each answer and ping, which narrow the gap and do not close it; a second reservation, which costs messages on every queued task. Change: a task that is told 'queued' goes to another dispatcher if one is known to have a free slot: an offer and a withdrawal more, only while slots stand free, twice a task at most. New retry reason slot_elsewhere.

--- a/crates/authority/src/authority/giving_up.rs
+++ b/crates/authority/src/authority/giving_up.rs
@@ -333,6 +333,21 @@
         }
     }
 
+    /// Tells a dispatcher to forget reservations that were given up here.
+    pub(super) fn take_back_reservations(
+        &mut self,
+        dispatcher: DispatcherKey,
+        attempts: Vec<AttemptId>,
+    ) {
+        if let Some((session, batch)) = self
+            .sessions
+            .get(&dispatcher)
+            .and_then(|session| session.open())
+        {
+            self.send_withdraw(dispatcher, session, batch, attempts);
+        }
+    }
+
     fn send_withdraw(
         &mut self,
         dispatcher: DispatcherKey,
--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -24,14 +24,25 @@
 /// a second and one long task does not send the next ones to another data centre.
 const MEAN_OVER: u32 = 64;
 
+/// The tries of a task among which it may leave a queue for a free slot elsewhere.
+const MAX_MOVES: u32 = 2;
+
 impl TaskAuthority {
     /// A dispatcher has answered an offer.
     pub fn on_verdicts(&mut self, now: Instant, verdicts: &[(AttemptId, TaskVerdict)]) {
         // All that a refused batch turned away is noted before any of it is decided on: a job that is given up at its
         // first task would otherwise count the others as perhaps started, and be answered "failed" for "refused".
         let mut turned_away = Vec::new();
+        let mut moved = Vec::new();
         for (attempt, verdict) in verdicts {
             match verdict {
+                TaskVerdict::Queued if self.may_move(*attempt, moved.len()) => {
+                    if let Some(flight) = self.land(*attempt) {
+                        self.set_waiting(*attempt);
+                        moved.push(*attempt);
+                        turned_away.push((*attempt, RetryReason::SlotElsewhere, flight.dispatcher));
+                    }
+                }
                 TaskVerdict::Started => self.on_taken(now, *attempt, FlightPhase::Running),
                 TaskVerdict::Queued => self.on_taken(now, *attempt, FlightPhase::Queued),
                 TaskVerdict::NotRun(reason) => {
@@ -42,6 +53,9 @@
                 }
             }
         }
+        if let Some((_, _, dispatcher)) = turned_away.first().filter(|_| !moved.is_empty()) {
+            self.take_back_reservations(*dispatcher, moved);
+        }
         for (attempt, reason, dispatcher) in turned_away {
             self.on_not_run(now, attempt, reason, dispatcher);
         }
@@ -165,6 +179,30 @@
         }
     }
 
+    /// Load: two entries that place onto the same free slots without knowing of each other. Harm: one of them waits for a
+    /// whole run time while a slot stands free at another dispatcher. A queued task has certainly not started and its ask
+    /// will be turned away, so it can go there at the price of an offer and a withdrawal. Only as many move as there are
+    /// free slots, and each task twice at most, since what is known of other dispatchers may be as old as their last
+    /// word; with every slot in use nothing moves.
+    fn may_move(&self, attempt: AttemptId, moved: usize) -> bool {
+        let Some(flight) = self
+            .flights
+            .get(&attempt)
+            .filter(|flight| flight.phase == FlightPhase::Offered)
+        else {
+            return false;
+        };
+        let Some(record) = self
+            .records
+            .get(&attempt.submission.serial)
+            .filter(|record| record.is_open())
+        else {
+            return false;
+        };
+        let tries = attempt.attempt - record.first_attempt;
+        tries < MAX_MOVES && self.places.free_beside(flight.dispatcher) > moved as u64
+    }
+
     fn on_taken(&mut self, now: Instant, attempt: AttemptId, phase: FlightPhase) {
         let Some(flight) = self.flights.get(&attempt) else {
             return;
@@ -325,6 +363,7 @@
         RetryReason::EndpointLeaving
         | RetryReason::DispatcherStopping
         | RetryReason::DispatcherLost
-        | RetryReason::Withdrawn => false,
+        | RetryReason::Withdrawn
+        | RetryReason::SlotElsewhere => false,
     }
 }
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -191,6 +191,16 @@
         site.map_or(Saturation::new(0, 0), |n| self.sites[n].saturation())
     }
 
+    /// The free slots of the local data centre's other dispatchers, as far as is known.
+    pub fn free_beside(&self, key: DispatcherKey) -> u64 {
+        let site = &self.sites[0];
+        let own = match self.places.get(&key) {
+            Some((0, index)) => site.places[*index].free(),
+            _ => 0,
+        };
+        site.free.total().saturating_sub(own)
+    }
+
     /// Chooses a dispatcher and counts the task as sent there. `None` when no reachable dispatcher has a slot.
     pub fn choose(&mut self, now: Instant, query: PlacementQuery) -> Option<DispatcherKey> {
         for site in &mut self.sites {
--- a/crates/model/src/reason.rs
+++ b/crates/model/src/reason.rs
@@ -119,6 +119,8 @@
         ClaimLate => "claim_late",
         /// The dispatcher's queue is full.
         QueueFull => "queue_full",
+        /// The task would have waited at one dispatcher while another had a free slot.
+        SlotElsewhere => "slot_elsewhere",
     }
 }
 
