peer: Test the border over TCP, and read the largest answers

The peer border had no contract test.

Found: a message over 64 MiB, the library's default limit, is refused by its reader ("Message has 9028819 words, which is too large" for 1100 payloads of 64 KiB; 1000 of them, 62.5 MiB, pass). An answer of 1000 results of 64 KiB is 84 MiB in base64, so no other entry could ever pass it on. The limit is 128 MiB now. There still has to be one, as a message's head names the memory to set aside.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -114,6 +114,18 @@
     }
 }
 
+/// The largest message that is read, in bytes. What processes send in parts stays far below; an answer that one entry
+/// passes on for another cannot be parted, and that of a job of 1000 results of 64 KiB is 84 MiB of base64. The
+/// library's own limit, 64 MiB, would make such an answer fail each time that it is asked for. There still has to be a
+/// limit, since a message's head names the memory to set aside for it.
+const MAX_MESSAGE: usize = 128 * 1024 * 1024;
+
+fn reader_options() -> capnp::message::ReaderOptions {
+    let mut options = capnp::message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_MESSAGE / size_of::<u64>()));
+    options
+}
+
 type StreamNetwork =
     VatNetwork<futures::io::BufReader<tokio_util::compat::Compat<tokio::net::tcp::OwnedReadHalf>>>;
 
@@ -123,5 +135,5 @@
     let (reader, writer) = stream.into_split();
     let reader = futures::io::BufReader::new(reader.compat());
     let writer = futures::io::BufWriter::new(writer.compat_write());
-    VatNetwork::new(reader, writer, side, capnp::message::ReaderOptions::new())
+    VatNetwork::new(reader, writer, side, reader_options())
 }
--- /dev/null
+++ b/crates/peer/tests/border/round_trips.rs
@@ -0,0 +1,147 @@
+//! Every call carries every value there and back unchanged.
+
+use std::rc::Rc;
+
+use model::{IncarnationId, SessionId};
+use peer::PeerLink;
+use proptest::{
+    collection::vec,
+    prelude::{any, Strategy},
+    strategy::ValueTree as _,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+
+use crate::{
+    fakes::{self, FakeEntry, SeenCall, Shared},
+    values,
+};
+
+/// How many rounds of values each call carries.
+const ROUNDS: u64 = 200;
+
+/// Values in a fixed order.
+struct Values(TestRunner);
+
+impl Values {
+    fn new() -> Self {
+        let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+        Self(TestRunner::new_with_rng(Config::default(), rng))
+    }
+
+    fn next<S: Strategy>(&mut self, strategy: S) -> S::Value {
+        let tree = strategy.new_tree(&mut self.0).expect("a value");
+        tree.current()
+    }
+}
+
+async fn check_dispatcher_calls(shared: &Rc<Shared>, link: &PeerLink, values: &mut Values) {
+    let client = link.client();
+    {
+        let mut answers = shared.answers.borrow_mut();
+        answers.view = values.next(values::view());
+        answers.slots = values.next(values::slots());
+        answers.page = values.next(values::page());
+        answers.vms = values.next(vec(values::vm(), 0..8));
+    }
+    let view = values.next(values::view());
+    let since = values.next(any::<u64>());
+    let message = membership::BeatMessage { view: view.clone() };
+    let beat = client.beat(&message).await.expect("beat");
+    let ping = client.ping().await.expect("ping");
+    let page = client.contracts(since).await.expect("contracts");
+    let vms = client.vms().await.expect("vms");
+    let answers = shared.answers.borrow();
+    assert_eq!(beat.view, answers.view);
+    assert_eq!(ping, (answers.view.clone(), answers.slots));
+    assert_eq!(page, answers.page);
+    assert_eq!(vms, answers.vms);
+    let seen = [SeenCall::Beat(view), SeenCall::Contracts(since)];
+    assert_eq!(shared.take_seen(), seen);
+}
+
+async fn check_session_calls(
+    shared: &Rc<Shared>,
+    link: &PeerLink,
+    values: &mut Values,
+    session: SessionId,
+) {
+    let incarnation = IncarnationId(values.next(any::<u64>()));
+    let port = peer::entry_port(FakeEntry(shared.clone()));
+    let opened = link.client().open(port, incarnation, session);
+    let opened = opened.await.expect("open");
+    {
+        let mut answers = shared.answers.borrow_mut();
+        assert_eq!(opened.dispatcher, answers.view.incarnation);
+        assert_eq!(opened.slots, answers.slots);
+        answers.verdicts = values.next(vec(values::verdict(), 0..8));
+        answers.withdrawals = values.next(vec(values::withdrawal(), 0..8));
+    }
+    let (batch, after) = values.next(any::<(u64, u64)>());
+    let offers = values.next(vec(values::offer(), 0..8));
+    let attempts = values.next(vec(values::attempt(), 0..8));
+    let offered = opened.session.offer(batch, &offers).await.expect("offer");
+    let withdrawn = opened.session.withdraw(after, &attempts);
+    let withdrawn = withdrawn.await.expect("withdraw");
+    let answers = shared.answers.borrow();
+    assert_eq!(offered, (answers.verdicts.clone(), answers.slots));
+    assert_eq!(withdrawn, (answers.withdrawals.clone(), answers.slots));
+    let seen = [
+        SeenCall::Opened(incarnation, session),
+        SeenCall::Offers(batch, offers),
+        SeenCall::Withdrawals(after, attempts),
+    ];
+    assert_eq!(shared.take_seen(), seen);
+}
+
+/// The calls of a dispatcher to an entry, and of another entry, which finds the port over a connection of its own: on
+/// that of the entry itself the port would be found at home, and nothing sent.
+async fn check_entry_calls(shared: &Rc<Shared>, link: &PeerLink, values: &mut Values) {
+    let found = link.client().find(IncarnationId(1)).await.expect("find");
+    let entry = found.expect("an entry");
+    {
+        let mut answers = shared.answers.borrow_mut();
+        answers.body = values.next(proptest::option::of(values::payload()));
+        answers.forwarded = values.next(proptest::option::of(values::forwarded()));
+    }
+    let attempt = values.next(values::attempt());
+    let ends = values.next(vec(values::end(), 0..8));
+    let slots = values.next(values::slots());
+    let serial = values.next(any::<u64>());
+    let json = values.next(values::bytes());
+    let body = entry.claim(attempt).await.expect("claim");
+    entry.ended(&ends, slots).await.expect("ended");
+    entry.slots(slots).await.expect("slots");
+    let outcome = entry.outcome(serial).await.expect("outcome");
+    let run = entry.run(serial, &json).await.expect("run");
+    let answers = shared.answers.borrow();
+    assert_eq!(body, answers.body);
+    assert_eq!(outcome, answers.forwarded);
+    if answers.forwarded.is_some() {
+        assert_eq!(Some(run), answers.forwarded);
+    }
+    let seen = [
+        SeenCall::Claim(attempt),
+        SeenCall::Ends(ends, slots),
+        SeenCall::Slots(slots),
+        SeenCall::Outcome(serial),
+        SeenCall::Run(serial, json),
+    ];
+    assert_eq!(shared.take_seen(), seen);
+}
+
+#[actix_rt::test]
+async fn every_call_carries_every_value() {
+    let shared = Shared::new();
+    let (address, server) = fakes::serve(&shared).await;
+    let link = peer::connect(address, || {}).await.expect("a connection");
+    let none = link.client().find(IncarnationId(1)).await.expect("find");
+    assert!(none.is_none());
+    let finder = peer::connect(address, || {}).await.expect("a connection");
+    let mut values = Values::new();
+    for round in 1..=ROUNDS {
+        check_dispatcher_calls(&shared, &link, &mut values).await;
+        check_session_calls(&shared, &link, &mut values, SessionId(round)).await;
+        check_entry_calls(&shared, &finder, &mut values).await;
+    }
+    server.abort();
+}
