Check that a leaving endpoint gets nothing at the ledger

Change: two tests, for an endpoint that the list calls leaving and for one that says so itself while the list lags.

--- /dev/null
+++ b/crates/ledger/tests/leaving.rs
@@ -0,0 +1,104 @@
+//! Endpoints that leave, by the VM list or by their own word.
+
+use std::time::{Duration, Instant};
+
+use ledger::{LedgerAction, LedgerSettings, SlotLedger};
+use model::{
+    AttemptEnd, AttemptId, CustomerShare, EndpointAddress, EndpointState, IncarnationId, Payload,
+    RetryReason, SessionId, SubmissionId, TaskOffer, TaskVerdict,
+};
+
+const ENTRY: IncarnationId = IncarnationId(1);
+const SESSION: SessionId = SessionId(1);
+
+fn offer(serial: u64) -> TaskOffer {
+    let submission = SubmissionId {
+        incarnation: ENTRY,
+        serial,
+    };
+    TaskOffer {
+        attempt: AttemptId {
+            submission,
+            task: 0,
+            attempt: 0,
+        },
+        customer: "school".parse().expect("an id"),
+        share: CustomerShare::default(),
+        kind: "hold".parse().expect("a kind"),
+        time_left: Duration::from_secs(5),
+        expected_run_time: Duration::from_millis(100),
+        payload: Payload::from(&b"body"[..]),
+    }
+}
+
+fn address(name: &str) -> EndpointAddress {
+    EndpointAddress {
+        id: name.parse().expect("an id"),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots: 2,
+    }
+}
+
+fn ledger(now: Instant, endpoints: &[(EndpointAddress, EndpointState)]) -> SlotLedger {
+    let mut ledger = SlotLedger::new(LedgerSettings::default());
+    ledger.set_endpoints(now, endpoints);
+    ledger
+        .open_session(now, ENTRY, SESSION)
+        .expect("the first session");
+    ledger
+}
+
+/// The endpoints of the starts since the last look.
+fn starts(ledger: &mut SlotLedger) -> Vec<String> {
+    let mut endpoints = Vec::new();
+    for action in ledger.take_actions() {
+        if let LedgerAction::Start { endpoint, .. } = action {
+            endpoints.push(endpoint.id.to_string());
+        }
+    }
+    endpoints
+}
+
+#[test]
+fn an_endpoint_that_the_list_calls_leaving_gets_nothing() {
+    // One of two endpoints leaves while a task runs there. Its slots are the emptier ones, and what comes next must
+    // still go to the other; when that is full, it waits.
+    let now = Instant::now();
+    let (leaving, live) = (address("e1"), address("e2"));
+    let mut ledger = ledger(now, &[(leaving.clone(), EndpointState::Live)]);
+    ledger.offer(now, ENTRY, SESSION, 1, vec![offer(1)]);
+    assert_eq!(starts(&mut ledger), ["e1"]);
+    let listed = [
+        (leaving, EndpointState::Leaving),
+        (live, EndpointState::Live),
+    ];
+    ledger.set_endpoints(now, &listed);
+    let verdicts = ledger.offer(now, ENTRY, SESSION, 2, vec![offer(2), offer(3), offer(4)]);
+    assert_eq!(
+        verdicts,
+        [
+            TaskVerdict::Started,
+            TaskVerdict::Started,
+            TaskVerdict::Queued
+        ]
+    );
+    assert_eq!(starts(&mut ledger), ["e2", "e2"]);
+    assert_eq!(ledger.slots().limit, 2);
+}
+
+#[test]
+fn an_endpoint_that_calls_itself_leaving_gets_nothing_though_the_list_lags() {
+    // The endpoint turns a task away as leaving; the VM list still calls it live when it is read next. With no other
+    // endpoint, what comes is turned away as not run, so that it can go to another dispatcher.
+    let now = Instant::now();
+    let endpoint = address("e1");
+    let mut ledger = ledger(now, &[(endpoint.clone(), EndpointState::Live)]);
+    ledger.offer(now, ENTRY, SESSION, 1, vec![offer(1)]);
+    let end = AttemptEnd::NotRun(RetryReason::EndpointLeaving);
+    ledger.on_ran(now, offer(1).attempt, end);
+    starts(&mut ledger);
+    ledger.set_endpoints(now, &[(endpoint, EndpointState::Live)]);
+    let verdicts = ledger.offer(now, ENTRY, SESSION, 2, vec![offer(2)]);
+    assert_eq!(verdicts, [TaskVerdict::NotRun(RetryReason::NoEndpoint)]);
+    assert!(starts(&mut ledger).is_empty());
+}
