--- a/crates/authority/src/authority/giving_up.rs
+++ b/crates/authority/src/authority/giving_up.rs
@@ -45,6 +45,7 @@
             self.waiting.push(&customer, waiting);
         }
         self.forget_old(now);
+        self.saturation.see(now, self.places.saturation(now));
         self.had_capacity(now);
         self.place(now);
     }
@@ -81,16 +82,18 @@
             self.give_up_dispatcher(now, dispatcher, UnknownReason::DispatcherGone);
         }
         let state = SessionState::Open { session, batch: 0 };
+        let attempts = self.flights.at(dispatcher);
         let opened = DispatcherSession {
-            data_centre,
             incarnation,
             state,
             stopping: false,
             slots,
-            sent_since: 0,
+            unanswered: self.count_offered(&attempts),
         };
         self.sessions.insert(dispatcher, opened);
-        let attempts = self.flights.at(dispatcher);
+        self.places.remove_dispatcher(dispatcher);
+        self.places.add_dispatcher(dispatcher, &data_centre);
+        self.hint(now, dispatcher);
         for attempt in &attempts {
             if let Some(flight) = self.flights.get_mut(attempt) {
                 flight.session = session;
@@ -111,6 +114,7 @@
             return;
         }
         lost.state = SessionState::Lost { until };
+        self.places.remove_dispatcher(dispatcher);
         for attempt in self.flights.at(dispatcher) {
             let queued = self
                 .flights
@@ -129,6 +133,7 @@
     pub fn on_dispatcher_gone(&mut self, now: Instant, dispatcher: DispatcherKey) {
         self.give_up_dispatcher(now, dispatcher, UnknownReason::DispatcherGone);
         self.sessions.remove(&dispatcher);
+        self.places.remove_dispatcher(dispatcher);
         self.place(now);
     }
 
@@ -137,6 +142,7 @@
         if let Some(session) = self.sessions.get_mut(&dispatcher) {
             session.stopping = true;
         }
+        self.places.remove_dispatcher(dispatcher);
     }
 
     /// This process ends now: everything open is answered as it stands.
@@ -146,6 +152,15 @@
         }
     }
 
+    fn count_offered(&self, attempts: &[AttemptId]) -> u32 {
+        let mut offered = 0;
+        for attempt in attempts {
+            let flight = self.flights.get(attempt);
+            offered += u32::from(flight.is_some_and(|flight| flight.phase == FlightPhase::Offered));
+        }
+        offered
+    }
+
     /// Whether any task of the submission has run or may have started.
     fn may_have_started(&self, serial: u64) -> bool {
         let Some(record) = self.records.get(&serial) else {
@@ -223,7 +238,7 @@
         self.kept.push_back((now, serial));
         self.actions.push(AuthorityAction::Answer { id, outcome });
         self.note(AuthorityEvent::Answered(id));
-        self.take_back(serial);
+        self.take_back(now, serial);
     }
 
     /// An attempt whose submission was answered before the verdict came.
@@ -254,7 +269,7 @@
 
     /// Load: cancellation waves and jobs that fail early. Harm: reservations of the dead hold up the living. Each
     /// dispatcher gets one message with all of a submission's attempts, so the cost is what is taken back.
-    fn take_back(&mut self, serial: u64) {
+    fn take_back(&mut self, now: Instant, serial: u64) {
         let id = self.id(serial);
         let Some(record) = self.records.get_mut(&serial) else {
             return;
@@ -266,6 +281,9 @@
         let mut withdrawals: BTreeMap<DispatcherKey, Vec<AttemptId>> = BTreeMap::new();
         for (index, task) in tasks.iter().enumerate() {
             let index = index as u32;
+            if !matches!(task.phase, TaskPhase::Done(_)) {
+                self.load.end(now, &customer, task.expected, task.started);
+            }
             match task.phase {
                 TaskPhase::Waiting => {
                     let waiting = crate::waiting::WaitingTask {
