Add a scenario for the readiness of a stopping entry

Cause: no scenario looked at whether an entry that was told to stop says so while it still has requests open. Ruled out: looking after its end, since a process that is gone is not ready either; the requests outlast the look.

--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -106,6 +106,7 @@
     request_once,
     rolling_replacement,
     stop_after_entry_died,
+    stopping_entry_is_unready,
     straggling_endpoint,
     terminate_dispatcher,
     terminate_entry,
