Add a load tool with planned send times

Ruled out: a closed loop, whose callers wait for answers and so hide every stall; reuse of the scenario crate's callers, which judge promises and keep each answer.

Change: crates/load plans each call by seed, sends it at its time over a client without a limit of connections, and counts the response from that time. cairnctl load prints the report, as text or as one JSON line, and draws curves.

Tests run: load, cairnctl, demo, scenario.

Conclusion: the shapes, determinism by seed and arithmetic are tested; a short run goes against the demo's fleet.

--- /dev/null
+++ b/crates/cairnctl/src/load_run.rs
@@ -0,0 +1,105 @@
+//! `cairnctl load`.
+
+use std::{net::SocketAddr, time::Duration};
+
+use command_line::CommandFault;
+use eyre::{eyre, Report, Result};
+use indicatif::{ProgressBar, ProgressStyle};
+use load::{
+    draw_curves, run_load, CallEnd, CallRecord, CurveLine, LoadReport, LoadSettings, LoadTargets,
+};
+
+use crate::{options::LoadOptions, render::OutputForm};
+
+/// Runs the load and gives the report: text for people, or one JSON line.
+pub(crate) fn run(
+    entries: Vec<SocketAddr>,
+    options: &LoadOptions,
+    form: OutputForm,
+) -> Result<String, CommandFault> {
+    let settings = load_settings(options).map_err(CommandFault::WrongUsage)?;
+    let targets = load_targets(entries, options);
+    let bar = progress_bar();
+    let show = |done, all| {
+        bar.set_length(all);
+        bar.set_position(done);
+    };
+    let ran = actix_rt::System::new().block_on(run_load(&settings, &targets, show));
+    bar.finish_and_clear();
+    let (report, calls) = ran.map_err(Report::new)?;
+    if let Some(path) = &options.report {
+        draw_curves(path, &curves(&targets, &calls)).map_err(Report::new)?;
+    }
+    render(&report, form).map_err(CommandFault::from)
+}
+
+fn load_settings(options: &LoadOptions) -> Result<LoadSettings> {
+    let table = options.shape.table();
+    let task_rate = match (options.rate, options.slots) {
+        (Some(rate), _) => rate,
+        (None, Some(slots)) => table.task_rate(options.percent, slots),
+        (None, None) => return Err(eyre!("give --rate, or --percent with --slots")),
+    };
+    if !task_rate.is_finite() || task_rate <= 0.0 {
+        return Err(eyre!("the load must be more than 0"));
+    }
+    Ok(LoadSettings {
+        shape: options.shape,
+        seed: options.seed,
+        task_rate,
+        duration: Duration::from_secs(options.seconds),
+        customers: options.customers,
+        burst: options.burst,
+        ..LoadSettings::default()
+    })
+}
+
+fn load_targets(entries: Vec<SocketAddr>, options: &LoadOptions) -> LoadTargets {
+    let customers = 1..=options.customers;
+    LoadTargets {
+        entries,
+        dispatchers: options.dispatcher_admin.clone(),
+        endpoints: options.endpoint.clone(),
+        customers: customers
+            .map(|number| format!("{}-{number}", options.prefix))
+            .collect(),
+        slots: options.slots,
+    }
+}
+
+/// On a terminal; elsewhere it draws nothing.
+fn progress_bar() -> ProgressBar {
+    let bar = ProgressBar::new(0);
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} calls, {elapsed}") {
+        bar.set_style(style);
+    }
+    bar
+}
+
+fn curves(targets: &LoadTargets, calls: &[CallRecord]) -> Vec<CurveLine> {
+    let mut lines = vec![CurveLine {
+        name: "all".to_owned(),
+        ..CurveLine::default()
+    }];
+    for customer in &targets.customers {
+        lines.push(CurveLine {
+            name: customer.clone(),
+            ..CurveLine::default()
+        });
+    }
+    for call in calls {
+        if call.end != CallEnd::Complete {
+            continue;
+        }
+        lines[0].ratios.push(call.ratio());
+        lines[call.customer + 1].ratios.push(call.ratio());
+    }
+    lines
+}
+
+fn render(report: &LoadReport, form: OutputForm) -> Result<String> {
+    Ok(match form {
+        OutputForm::Text => report.to_string(),
+        OutputForm::Json => format!("{}\n", serde_json::to_string(report)?),
+    })
+}
--- a/crates/cairnctl/src/main.rs
+++ b/crates/cairnctl/src/main.rs
@@ -5,6 +5,7 @@
 mod contract;
 mod demonstration;
 mod explain;
+mod load_run;
 mod options;
 mod render;
 mod stand_in;
@@ -16,7 +17,7 @@
 
 use crate::{
     client::EntryClient,
-    options::{ctl_options, CtlCommand, CtlOptions},
+    options::{ctl_options, default_entry, CtlCommand, CtlOptions},
     render::OutputForm,
 };
 
@@ -33,13 +34,23 @@
 
 fn run(options: CtlOptions) -> Result<(), CommandFault> {
     let form = OutputForm::from_json_flag(options.json);
-    let client = EntryClient::new(options.entry);
+    let mut entries = options.entry;
+    if entries.is_empty() {
+        entries.push(default_entry());
+    }
+    let several = matches!(options.command, CtlCommand::Load(_));
+    if entries.len() > 1 && !several {
+        let fault = eyre::eyre!("only load takes several entries");
+        return Err(CommandFault::WrongUsage(fault));
+    }
+    let client = EntryClient::new(entries[0]);
     let text = match options.command {
         CtlCommand::Contract(command) => contract::run(&client, command, form)?,
         CtlCommand::Explain { id } => explain::run(&client, id, form)?,
         CtlCommand::Status => status::run(&client, form)?,
         CtlCommand::CheckSettings { role, file } => check::run(role, &file, form)?,
         CtlCommand::Demo => demonstration::run(form)?,
+        CtlCommand::Load(command) => load_run::run(entries, &command, form)?,
         CtlCommand::StandIn(command) => stand_in::run(&command)?,
         CtlCommand::Schema { role } => check::schema(role),
     };
--- a/crates/cairnctl/src/options.rs
+++ b/crates/cairnctl/src/options.rs
@@ -3,6 +3,7 @@
 use std::{fmt, net::SocketAddr, path::PathBuf, str::FromStr};
 
 use bpaf::{Bpaf, ShellComp};
+use load::LoadShape;
 use model::{ContractVersion, CustomerId, EndpointId, SubmissionId};
 
 /// Drives the dispatcher for sub-second tasks by contracts, and looks into it.
@@ -13,9 +14,9 @@
     pub(crate) json: bool,
     /// After an error, print the whole report
     pub(crate) verbose: bool,
-    /// Any entry's address, as IP and port
-    #[bpaf(argument("ADDRESS"), fallback(default_entry()), display_fallback)]
-    pub(crate) entry: SocketAddr,
+    /// Any entry's address, as IP and port, 127.0.0.1:8080 without it; `load` takes several
+    #[bpaf(argument("ADDRESS"), many)]
+    pub(crate) entry: Vec<SocketAddr>,
     #[bpaf(external(ctl_command))]
     pub(crate) command: CtlCommand,
 }
@@ -49,6 +50,9 @@
     /// Run the whole path once in this process, on stand-ins, and say what came of it
     #[bpaf(command("demo"))]
     Demo,
+    /// Send the users' load to entries at planned times and report what came of it
+    #[bpaf(command("load"))]
+    Load(#[bpaf(external(load_options))] LoadOptions),
     /// Run a stand-in of what the platform gives, until SIGTERM or SIGINT
     #[bpaf(command("stand-in"))]
     StandIn(#[bpaf(external(stand_in_command))] StandInCommand),
@@ -116,6 +120,46 @@
     },
 }
 
+/// The load to send.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct LoadOptions {
+    /// A dispatcher's admin address, for its counters; may be given again
+    #[bpaf(argument("ADDRESS"), many)]
+    pub(crate) dispatcher_admin: Vec<SocketAddr>,
+    /// An endpoint stand-in's address, for its starts; may be given again
+    #[bpaf(argument("ADDRESS"), many)]
+    pub(crate) endpoint: Vec<SocketAddr>,
+    /// Whose load: trust or utility
+    #[bpaf(argument("SHAPE"), fallback(LoadShape::Trust), display_fallback)]
+    pub(crate) shape: LoadShape,
+    /// The same seed plans the same calls
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    pub(crate) seed: u64,
+    /// Task starts a second; without it, --percent counts
+    #[bpaf(argument("RATE"), optional)]
+    pub(crate) rate: Option<f64>,
+    /// The load as a percentage of what --slots can run
+    #[bpaf(argument("PERCENT"), fallback(50.0), display_fallback)]
+    pub(crate) percent: f64,
+    /// The slots of all endpoints
+    #[bpaf(argument("COUNT"), optional)]
+    pub(crate) slots: Option<u32>,
+    /// How long calls are sent
+    #[bpaf(argument("SECONDS"), fallback(10), display_fallback)]
+    pub(crate) seconds: u64,
+    /// How many customers call: PREFIX-1, PREFIX-2 and so on, each with a contract
+    #[bpaf(argument("COUNT"), fallback(3), display_fallback)]
+    pub(crate) customers: usize,
+    /// What the customers' names begin with
+    #[bpaf(argument("PREFIX"), fallback("customer".to_owned()), display_fallback)]
+    pub(crate) prefix: String,
+    /// Ten times the rate in a tenth of the run, as in the morning rush
+    pub(crate) burst: bool,
+    /// Draw the response curves into this SVG file
+    #[bpaf(argument("FILE"), optional)]
+    pub(crate) report: Option<PathBuf>,
+}
+
 /// The stand-in to run.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) enum StandInCommand {
@@ -141,6 +185,9 @@
         /// How long a task runs, in milliseconds
         #[bpaf(argument("MS"), fallback(100), display_fallback)]
         run_ms: u64,
+        /// How many to run in this process, at ports that follow each other; their names then end in -1, -2 and so on
+        #[bpaf(argument("COUNT"), fallback(1), display_fallback)]
+        count: u16,
         /// Its name in the VM list
         #[bpaf(positional("ID"))]
         id: EndpointId,
@@ -181,7 +228,7 @@
     settings::EntrySettings::default().platform
 }
 
-fn default_entry() -> SocketAddr {
+pub(crate) fn default_entry() -> SocketAddr {
     settings::EntrySettings::default().caller_listen
 }
 
@@ -193,6 +240,7 @@
    cairnctl contract change trust --version 1 --file docs/examples/contract.json
    cairnctl --json contract show trust
    cairnctl --entry 127.0.0.1:8080 status
+   cairnctl load --entry 127.0.0.1:8080 --percent 80 --slots 400 --seconds 20
    cairnctl check-settings docs/examples/entry.json --role entry
  \n Shell completion, here for bash:
    source <(cairnctl --bpaf-complete-style-bash)
--- a/crates/cairnctl/src/stand_in.rs
+++ b/crates/cairnctl/src/stand_in.rs
@@ -3,8 +3,8 @@
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 use command_line::{print_text, CommandFault};
-use eyre::{Result, WrapErr as _};
-use model::{EndpointId, VmEntry};
+use eyre::{eyre, Result, WrapErr as _};
+use model::VmEntry;
 use stand_ins::{
     endpoint::{EndpointSettings, EndpointStandIn},
     platform::{PlatformSettings, PlatformStandIn},
@@ -23,6 +23,7 @@
             listen,
             slots,
             run_ms,
+            count,
             id,
         } => {
             let settings = EndpointSettings {
@@ -32,7 +33,8 @@
                 run_time: Duration::from_millis(*run_ms),
                 ..EndpointSettings::default()
             };
-            actix_rt::System::new().block_on(run_endpoint(settings, id))?;
+            let list = numbered(&settings, *count).map_err(CommandFault::WrongUsage)?;
+            actix_rt::System::new().block_on(run_endpoints(list))?;
         }
     }
     Ok(String::new())
@@ -56,17 +58,43 @@
     Ok(())
 }
 
-async fn run_endpoint(settings: EndpointSettings, id: &EndpointId) -> Result<()> {
-    let address = settings.address;
-    let slots = settings.slots;
-    let endpoint = EndpointStandIn::start(settings)
-        .wrap_err_with(|| format!("{address} cannot be listened on"))?;
-    print_text(&format!(
-        "endpoint {id} on {}, {slots} slots\n",
-        endpoint.address()
-    ))?;
+/// The settings of `count` endpoints at ports that follow each other; a single one keeps its name.
+fn numbered(first: &EndpointSettings, count: u16) -> Result<Vec<EndpointSettings>> {
+    if count <= 1 {
+        return Ok(vec![first.clone()]);
+    }
+    let mut list = Vec::new();
+    for number in 0..count {
+        let mut address = first.address;
+        if address.port() != 0 {
+            let port = address.port().checked_add(number);
+            address.set_port(port.ok_or_else(|| eyre!("the ports go beyond 65535"))?);
+        }
+        list.push(EndpointSettings {
+            id: format!("{}-{}", first.id, number + 1).parse()?,
+            address,
+            ..first.clone()
+        });
+    }
+    Ok(list)
+}
+
+async fn run_endpoints(list: Vec<EndpointSettings>) -> Result<()> {
+    let mut endpoints = Vec::new();
+    for settings in list {
+        let (address, id, slots) = (settings.address, settings.id.clone(), settings.slots);
+        let endpoint = EndpointStandIn::start(settings)
+            .wrap_err_with(|| format!("{address} cannot be listened on"))?;
+        print_text(&format!(
+            "endpoint {id} on {}, {slots} slots\n",
+            endpoint.address()
+        ))?;
+        endpoints.push(endpoint);
+    }
     kernel::wait_for_stop().await?;
-    endpoint.stop().await;
+    for endpoint in &endpoints {
+        endpoint.stop().await;
+    }
     Ok(())
 }
 
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -180,6 +180,14 @@
             .collect()
     }
 
+    /// Where the endpoints listen.
+    pub fn endpoint_addresses(&self) -> Vec<SocketAddr> {
+        self.endpoints
+            .iter()
+            .map(EndpointStandIn::address)
+            .collect()
+    }
+
     /// How many tasks the endpoints started.
     pub fn starts(&self) -> usize {
         self.endpoints
--- /dev/null
+++ b/crates/load/src/driver.rs
@@ -0,0 +1,221 @@
+//! Sends the calls of a plan at their times and collects the answers.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use awc::{Client, Connector};
+use base64::{engine::general_purpose::STANDARD, Engine as _};
+use futures::future;
+use model::Payload;
+use serde::Deserialize;
+use serde_json::{json, Value};
+use stand_ins::endpoint::TaskScript;
+
+use crate::{
+    counters::read_counters,
+    error::LoadError,
+    plan::{plan_load, CallKind, LoadSettings, PlannedCall},
+    report::{CallEnd, CallRecord, LoadReport, ReportInput},
+    starts::{read_starts, summarise_starts},
+};
+
+/// The most bytes of an answer: a job of 370 results in base64.
+const MAX_ANSWER: usize = 48 * 1024 * 1024;
+/// An idle connection is let go before the entry closes it, so that no call goes into a closing one.
+const KEEP_ALIVE: Duration = Duration::from_secs(3);
+
+/// Whom the load concerns.
+#[derive(Clone, Debug, Default)]
+pub struct LoadTargets {
+    /// Entries; calls go round them, as a balancer would have it.
+    pub entries: Vec<SocketAddr>,
+    /// Admin addresses of dispatchers, for their counters.
+    pub dispatchers: Vec<SocketAddr>,
+    /// Endpoint stand-ins, for their starts.
+    pub endpoints: Vec<SocketAddr>,
+    /// The customers that call.
+    pub customers: Vec<String>,
+    /// The slots of the system, where known.
+    pub slots: Option<u32>,
+}
+
+/// Runs the load and waits for the last answer. `progress` hears how many calls of how many have been answered.
+/// Call it inside an actix system. The records of the calls come with the report, for curves.
+///
+/// # Errors
+///
+/// There is no entry or customer, or counters or starts could not be read.
+pub async fn run_load(
+    settings: &LoadSettings,
+    targets: &LoadTargets,
+    progress: impl Fn(u64, u64),
+) -> Result<(LoadReport, Vec<CallRecord>), LoadError> {
+    if targets.entries.is_empty() {
+        return Err(LoadError::Missing("entry"));
+    }
+    if targets.customers.is_empty() {
+        return Err(LoadError::Missing("customer"));
+    }
+    let settings = LoadSettings {
+        customers: targets.customers.len(),
+        ..settings.clone()
+    };
+    let mut processes = targets.entries.clone();
+    processes.extend(&targets.dispatchers);
+    let before = read_counters(&processes).await?;
+    let driver = CallDriver {
+        http: open_client(settings.patience),
+        targets: targets.clone(),
+        // Endpoints may have run earlier loads of the same seed: the prefix tells this run's tasks from theirs.
+        prefix: format!("{:08x}", fastrand::u32(..)),
+        round_trips: settings.round_trips,
+        begun: Instant::now(),
+    };
+    let plan = plan_load(&settings);
+    let planned = plan.len() as u64;
+    let mut open = Vec::new();
+    for (number, call) in plan.into_iter().enumerate() {
+        let wait = call.at.saturating_sub(driver.begun.elapsed());
+        if !wait.is_zero() {
+            actix_rt::time::sleep(wait).await;
+        }
+        let driver = driver.clone();
+        open.push(actix_rt::spawn(
+            async move { driver.call(number, call).await },
+        ));
+        progress(number as u64, planned);
+    }
+    let calls: Vec<CallRecord> = future::join_all(open)
+        .await
+        .into_iter()
+        .filter_map(Result::ok)
+        .collect();
+    progress(planned, planned);
+    let counters = read_counters(&processes).await? - before;
+    let mut starts = None;
+    if !targets.endpoints.is_empty() {
+        let list = read_starts(&targets.endpoints, &driver.prefix).await?;
+        starts = Some(summarise_starts(&list));
+    }
+    let input = ReportInput {
+        customers: targets.customers.clone(),
+        calls,
+        duration: settings.duration,
+        slots: targets.slots,
+        counters: Some(counters),
+        starts,
+    };
+    Ok((LoadReport::new(&input), input.calls))
+}
+
+/// A client without a limit of connections: one that waited for a free connection would close the loop.
+fn open_client(patience: Duration) -> Client {
+    let connector = Connector::new().limit(0).conn_keep_alive(KEEP_ALIVE);
+    Client::builder()
+        .connector(connector)
+        .timeout(patience)
+        .finish()
+}
+
+#[derive(Clone)]
+struct CallDriver {
+    http: Client,
+    targets: LoadTargets,
+    prefix: String,
+    round_trips: Duration,
+    begun: Instant,
+}
+
+#[derive(Debug, Deserialize)]
+struct AnswerBody {
+    status: String,
+    #[serde(default)]
+    reason: Option<String>,
+    #[serde(default)]
+    results: Vec<Payload>,
+    #[serde(default)]
+    result: Option<Payload>,
+}
+
+impl CallDriver {
+    async fn call(self, number: usize, call: PlannedCall) -> CallRecord {
+        let payloads = self.payloads(number, &call);
+        let end = self.send(number, &call, &payloads).await;
+        CallRecord {
+            customer: call.customer,
+            kind: call.kind,
+            tasks: call.run_ms.len() as u64,
+            slot_time: call.slot_time(),
+            at: call.at,
+            // From the time at which it was meant to be sent, also when this process was late.
+            response: self.begun.elapsed().saturating_sub(call.at),
+            ideal: call.ideal(self.round_trips),
+            end,
+        }
+    }
+
+    fn payloads(&self, number: usize, call: &PlannedCall) -> Vec<Vec<u8>> {
+        let mut payloads = Vec::new();
+        for (index, run_ms) in call.run_ms.iter().enumerate() {
+            let script = TaskScript {
+                run_ms: Some(*run_ms),
+                label: Some(format!("{}-{number}-{index}", self.prefix)),
+                ..TaskScript::default()
+            };
+            // A script holds only numbers and text, which always serialise.
+            payloads.push(serde_json::to_vec(&script).unwrap_or_default());
+        }
+        payloads
+    }
+
+    async fn send(&self, number: usize, call: &PlannedCall, payloads: &[Vec<u8>]) -> CallEnd {
+        let entry = self.targets.entries[number % self.targets.entries.len()];
+        let customer = &self.targets.customers[call.customer];
+        let task =
+            |payload: &Vec<u8>| json!({ "kind": "load", "payload": STANDARD.encode(payload) });
+        let (path, body) = match call.kind {
+            CallKind::Job => {
+                let tasks: Vec<Value> = payloads.iter().map(task).collect();
+                ("jobs", json!({ "customer": customer, "tasks": tasks }))
+            }
+            CallKind::Request => (
+                "requests",
+                json!({ "customer": customer, "task": task(&payloads[0]) }),
+            ),
+        };
+        let url = format!("http://{entry}/v1/{path}");
+        let mut answer = match self.http.post(url).send_json(&body).await {
+            Ok(answer) => answer,
+            Err(error) => return CallEnd::Lost(error.to_string()),
+        };
+        let bytes = match answer.body().limit(MAX_ANSWER).await {
+            Ok(bytes) => bytes,
+            Err(error) => return CallEnd::Lost(error.to_string()),
+        };
+        match serde_json::from_slice(&bytes) {
+            Ok(body) => classify(body, payloads),
+            Err(_) => CallEnd::Wrong,
+        }
+    }
+}
+
+fn classify(body: AnswerBody, payloads: &[Vec<u8>]) -> CallEnd {
+    let reason = body.reason.unwrap_or_default();
+    match body.status.as_str() {
+        "complete" => {
+            let got = body.results.iter().chain(&body.result);
+            let got: Vec<&[u8]> = got.map(|payload| &payload.0[..]).collect();
+            if got == payloads {
+                CallEnd::Complete
+            } else {
+                CallEnd::Wrong
+            }
+        }
+        "failed" => CallEnd::Failed(reason),
+        "refused" => CallEnd::Refused(reason),
+        "unknown" => CallEnd::Unknown(reason),
+        _ => CallEnd::Wrong,
+    }
+}
--- /dev/null
+++ b/crates/load/src/starts.rs
@@ -0,0 +1,111 @@
+//! What the endpoint stand-ins started: the ground truth of a run.
+
+use std::{net::SocketAddr, time::Duration};
+
+use awc::Client;
+use model::{CustomerId, FastMap};
+use serde::Serialize;
+use stand_ins::endpoint::{EndpointRecord, TaskScript};
+
+use crate::{counters::get_page, error::LoadError};
+
+const MAX_RECORD: usize = 512 * 1024 * 1024;
+
+/// A start of a task of this run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskStart {
+    /// The label of its payload, which no other task has.
+    pub label: String,
+    /// Whose task.
+    pub customer: CustomerId,
+    /// When it started, on one time line for all endpoints, in milliseconds.
+    pub from_ms: i64,
+    /// When it ended, on the same line.
+    pub to_ms: i64,
+}
+
+/// What the starts of a run come to.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct StartSummary {
+    /// Tasks started, doubled ones counted each time.
+    pub starts: u64,
+    /// Starts beyond the first of a task.
+    pub doubled: u64,
+    /// The most tasks of each customer that ran at once, over all endpoints, by customer.
+    #[serde(skip)]
+    pub peaks: FastMap<CustomerId, u32>,
+    /// The most tasks that ran at once.
+    pub peak: u32,
+}
+
+/// Counts starts, doubled starts and the most that ran at once.
+pub fn summarise_starts(starts: &[TaskStart]) -> StartSummary {
+    let mut seen = FastMap::<&str, u64>::default();
+    let mut edges = Vec::new();
+    for start in starts {
+        *seen.entry(&start.label).or_default() += 1;
+        edges.push((start.from_ms, 1_i8, &start.customer));
+        edges.push((start.to_ms, -1, &start.customer));
+    }
+    // At one instant ends go first: a slot that is freed and taken in the same millisecond was never taken twice.
+    edges.sort_by_key(|edge| (edge.0, edge.1));
+    let mut summary = StartSummary {
+        starts: starts.len() as u64,
+        doubled: seen.values().map(|count| count - 1).sum(),
+        ..StartSummary::default()
+    };
+    let mut running = FastMap::<&CustomerId, u32>::default();
+    let mut all = 0;
+    for (_, step, customer) in edges {
+        let count = running.entry(customer).or_default();
+        if step < 0 {
+            *count = count.saturating_sub(1);
+            all -= 1;
+            continue;
+        }
+        *count += 1;
+        all += 1;
+        summary.peak = summary.peak.max(all);
+        let peak = summary.peaks.entry(customer.clone()).or_default();
+        *peak = (*peak).max(*count);
+    }
+    summary
+}
+
+/// Reads the starts of the run whose labels begin with `prefix`.
+pub(crate) async fn read_starts(
+    endpoints: &[SocketAddr],
+    prefix: &str,
+) -> Result<Vec<TaskStart>, LoadError> {
+    let client = Client::builder().timeout(Duration::from_secs(60)).finish();
+    let begun = std::time::Instant::now();
+    let mut starts = Vec::new();
+    for endpoint in endpoints {
+        let url = format!("http://{endpoint}/control/starts");
+        let page = get_page(&client, url.clone(), MAX_RECORD).await?;
+        let here_ms = begun.elapsed().as_millis() as i64;
+        let record: EndpointRecord =
+            serde_json::from_slice(&page).map_err(|error| LoadError::Page {
+                url,
+                cause: error.to_string(),
+            })?;
+        let shift = here_ms - record.now_ms as i64;
+        for start in record.starts {
+            let Some(payload) = start.payload else {
+                continue;
+            };
+            let script = TaskScript::read(payload.as_bytes());
+            let Some(label) = script.label.filter(|label| label.starts_with(prefix)) else {
+                continue;
+            };
+            let from_ms = start.started_ms as i64 + shift;
+            starts.push(TaskStart {
+                label,
+                customer: start.customer,
+                from_ms,
+                to_ms: from_ms + script.run_ms.unwrap_or(0) as i64,
+            });
+        }
+    }
+    Ok(starts)
+}
--- a/crates/scenario/tests/promises.rs
+++ b/crates/scenario/tests/promises.rs
@@ -53,6 +53,7 @@
 fn endpoint(name: &str, starts: Vec<StartRecord>) -> EndpointRecord {
     EndpointRecord {
         id: name.parse().unwrap(),
+        now_ms: 0,
         slots: 8,
         most_running: 1,
         running: 0,
--- a/crates/stand-ins/src/endpoint/record.rs
+++ b/crates/stand-ins/src/endpoint/record.rs
@@ -64,6 +64,9 @@
 pub struct EndpointRecord {
     /// The endpoint.
     pub id: EndpointId,
+    /// When this was read, in milliseconds since the stand-in started.
+    #[serde(default)]
+    pub now_ms: u64,
     /// Tasks at once.
     pub slots: u32,
     /// The most that ran at once.
--- a/crates/stand-ins/src/endpoint/state.rs
+++ b/crates/stand-ins/src/endpoint/state.rs
@@ -91,6 +91,7 @@
         let mutable = self.lock();
         EndpointRecord {
             id: self.settings.id.clone(),
+            now_ms: millis(self.born.elapsed()),
             slots: self.settings.slots,
             most_running: mutable.most_running,
             running: mutable.running,
