--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -10,6 +10,7 @@
     time::Instant,
 };
 
+use decisions::{RetryBudget, RunTimeSettings, RunTimeTable};
 use model::{
     AttemptId, Contract, ContractState, ContractVersion, CustomerId, DataCentreId, FastMap,
     IncarnationId, RefusalReason, SubmissionBody, SubmissionId, SubmissionKind, SubmissionOutcome,
@@ -60,6 +61,8 @@
     flights: FlightTable,
     waiting: WaitingTable,
     sessions: SessionTable,
+    budget: RetryBudget,
+    times: RunTimeTable,
     last_capacity: Option<Instant>,
     rng: fastrand::Rng,
     actions: Vec<AuthorityAction>,
@@ -74,7 +77,6 @@
         seed: u64,
     ) -> Self {
         Self {
-            settings,
             data_centre,
             incarnation,
             next_serial: 1,
@@ -86,9 +88,12 @@
             flights: FlightTable::default(),
             waiting: WaitingTable::default(),
             sessions: SessionTable::default(),
+            budget: RetryBudget::new(settings.retries.clone()),
+            times: RunTimeTable::new(RunTimeSettings::default()),
             last_capacity: None,
             rng: fastrand::Rng::with_seed(seed),
             actions: Vec::new(),
+            settings,
         }
     }
 
--- a/crates/dispatcher/src/port.rs
+++ b/crates/dispatcher/src/port.rs
@@ -3,19 +3,21 @@
 use std::{cell::Cell, rc::Rc};
 
 use actix::{Addr, Handler};
+use contracts::HeadNumber;
 use membership::{BeatMessage, BeatReply, MemberView};
 use model::{
-    AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, WithdrawalVerdict,
+    AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, VmEntry,
+    WithdrawalVerdict,
 };
 use peer::{
-    AcceptedPort, ContractPage, DispatcherService, EntryClient, PeerError, ReplyFuture,
+    AcceptedPort, ContractNews, DispatcherService, EntryClient, PeerError, ReplyFuture,
     SessionService,
 };
 use tokio::sync::oneshot;
 
 use crate::{
     control::{
-        BeatTaken, ContractsAsked, OffersMade, PingTaken, SessionEnded, SessionOpened,
+        BeatTaken, ContractsAsked, OffersMade, PingTaken, SessionEnded, SessionOpened, VmsAsked,
         WithdrawalsMade,
     },
     entry_directory::EntryDirectory,
@@ -100,7 +102,11 @@
         ask(&self.control, |reply| PingTaken { session, reply })
     }
 
-    fn contracts(&self, since: u64) -> ReplyFuture<ContractPage> {
+    fn vms(&self) -> ReplyFuture<Vec<VmEntry>> {
+        ask(&self.control, |reply| VmsAsked { reply })
+    }
+
+    fn contracts(&self, since: HeadNumber) -> ReplyFuture<ContractNews> {
         ask(&self.control, |reply| ContractsAsked { since, reply })
     }
 }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -3,10 +3,11 @@
 
 use std::{future::Future, time::Duration};
 
+use contracts::HeadNumber;
 use membership::{BeatMessage, BeatReply, MemberView};
 use model::{
     AttemptEnd, AttemptId, IncarnationId, Payload, SessionId, SlotCounts, TaskOffer, TaskVerdict,
-    WithdrawalVerdict,
+    VmEntry, WithdrawalVerdict,
 };
 
 use crate::{
@@ -15,7 +16,7 @@
         write_end, write_offers, write_slots, write_view,
     },
     peer_capnp::{claim_answer, dispatcher_port, entry_port, session_port},
-    service::{read_contract_page, ContractPage, ForwardedAnswer},
+    service::{read_contract_news, ContractNews, ForwardedAnswer},
     PeerError,
 };
 
@@ -133,6 +134,19 @@
         }
     }
 
+    /// The platform's VM list as the dispatcher last read it; empty when it never did.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke or the list is not readable.
+    pub fn vms(&self) -> impl Future<Output = Result<Vec<VmEntry>, PeerError>> + 'static {
+        let reply = self.port.vms_request().send().promise;
+        async move {
+            let reply = reply.await?;
+            serde_json::from_slice(reply.get()?.get_json()?).map_err(crate::convert::bad)
+        }
+    }
+
     /// Contract rows changed after a head number.
     ///
     /// # Errors
@@ -140,14 +154,14 @@
     /// The connection broke or a row is not readable.
     pub fn contracts(
         &self,
-        since: u64,
-    ) -> impl Future<Output = Result<ContractPage, PeerError>> + 'static {
+        since: HeadNumber,
+    ) -> impl Future<Output = Result<ContractNews, PeerError>> + 'static {
         let mut request = self.port.contracts_request();
-        request.get().set_since(since);
+        request.get().set_since(since.0);
         let reply = request.send().promise;
         async move {
             let reply = reply.await?;
-            read_contract_page(reply.get()?)
+            read_contract_news(reply.get()?, since)
         }
     }
 }
