Add an experiment and slopes over real processes

Ruled out: counting bytes in /proc/PID/io, which leaves out what goes through send and recv; the interface's counters, which other programs on the machine share. ss tells the kernel's count of each connection with its process.

Change: xtask experiment starts entries, dispatchers and stand-ins, creates contracts over the operator routes, runs the load at each level for each rule of placement, prints a table with the load average and writes JSON. xtask slopes does the same for processor time, memory and bytes by task starts, open submissions, endpoints, contracts, members and contract changes. Children are ended by their own handles.

--- /dev/null
+++ b/xtask/src/experiment.rs
@@ -0,0 +1,190 @@
+//! Response and goodput of real processes at several loads, for each rule of placement.
+
+use std::{fs, path::PathBuf, time::Duration};
+
+use bpaf::Bpaf;
+use eyre::Result;
+use load::{run_load, LoadReport, LoadSettings, LoadShape, LoadTargets};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::{
+    fleet::{build_programs, FleetSettings, RealFleet},
+    usage::load_average,
+};
+
+/// The system is left alone between two loads, so that the queue of one is not the start of the next.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// What to run.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct ExperimentOptions {
+    /// Data centres
+    #[bpaf(argument("COUNT"), fallback(3), display_fallback)]
+    data_centres: u16,
+    /// VMs over all data centres, each with an entry and a dispatcher
+    #[bpaf(argument("COUNT"), fallback(8), display_fallback)]
+    vms: u16,
+    /// Endpoints over all data centres
+    #[bpaf(argument("COUNT"), fallback(50), display_fallback)]
+    endpoints: u16,
+    /// Slots of each endpoint
+    #[bpaf(argument("COUNT"), fallback(8), display_fallback)]
+    slots: u32,
+    /// Loads as percentages of the slots, separated by commas
+    #[bpaf(argument("LIST"), fallback("60,80,90,100,130".to_owned()), display_fallback)]
+    load: String,
+    /// How long calls are sent at each load
+    #[bpaf(argument("SECONDS"), fallback(20), display_fallback)]
+    seconds: u64,
+    /// Rules of placement, separated by commas
+    #[bpaf(argument("LIST"), fallback("free_slots".to_owned()), display_fallback)]
+    placement: String,
+    /// Whose load: trust or utility
+    #[bpaf(argument("SHAPE"), fallback(LoadShape::Trust), display_fallback)]
+    shape: LoadShape,
+    /// The same seed plans the same calls
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Customers that call
+    #[bpaf(argument("COUNT"), fallback(5), display_fallback)]
+    customers: usize,
+    /// The concurrency of each customer's contract; without it, the slots of all endpoints
+    #[bpaf(argument("COUNT"), optional)]
+    concurrency: Option<u32>,
+    /// Where settings, logs and the report go
+    #[bpaf(argument("DIR"), fallback(default_out()))]
+    out: PathBuf,
+}
+
+#[derive(Serialize)]
+struct ExperimentRow {
+    placement: String,
+    percent: f64,
+    load_average: [String; 2],
+    report: LoadReport,
+}
+
+/// Runs every rule at every load and writes `experiment.json`.
+pub(crate) async fn run(options: ExperimentOptions) -> Result<()> {
+    build_programs()?;
+    let mut rows = Vec::new();
+    println!(
+        "{:<13} {:>5}  {:>6} {:>6} {:>6}  {:>8} {:>9} {:>8}  {:>8} {:>7} {:>7} {:>5}  load average",
+        "placement",
+        "load",
+        "p50",
+        "p90",
+        "p99",
+        "goodput",
+        "messages",
+        "wasted",
+        "complete",
+        "refused",
+        "failed",
+        "lost"
+    );
+    for placement in options.placement.split(',') {
+        let fleet = start_fleet(&options, placement).await?;
+        for percent in options.load.split(',') {
+            let row = run_row(&options, &fleet, placement, percent.parse()?).await?;
+            print_row(&row);
+            rows.push(row);
+            let file = options.out.join("experiment.json");
+            fs::write(file, serde_json::to_vec_pretty(&rows)?)?;
+            actix_rt::time::sleep(PAUSE).await;
+        }
+    }
+    Ok(())
+}
+
+async fn start_fleet(options: &ExperimentOptions, placement: &str) -> Result<RealFleet> {
+    let fleet = RealFleet::start(FleetSettings {
+        data_centres: options.data_centres,
+        vms: options.vms,
+        endpoints: options.endpoints,
+        slots: options.slots,
+        placement: placement.to_owned(),
+        dir: options.out.join(placement),
+    })
+    .await?;
+    let concurrency = options.concurrency.unwrap_or(total_slots(options));
+    let contract = json!({ "concurrency": concurrency });
+    fleet
+        .create_contracts("customer", 1..=options.customers, &contract)
+        .await?;
+    actix_rt::time::sleep(PAUSE).await;
+    Ok(fleet)
+}
+
+async fn run_row(
+    options: &ExperimentOptions,
+    fleet: &RealFleet,
+    placement: &str,
+    percent: f64,
+) -> Result<ExperimentRow> {
+    let slots = total_slots(options);
+    let settings = LoadSettings {
+        shape: options.shape,
+        seed: options.seed,
+        task_rate: options.shape.table().task_rate(percent, slots),
+        duration: Duration::from_secs(options.seconds),
+        ..LoadSettings::default()
+    };
+    let customers = 1..=options.customers;
+    let targets = LoadTargets {
+        entries: fleet.entries(),
+        dispatchers: fleet.dispatcher_admins(),
+        endpoints: fleet.endpoint_addresses(),
+        customers: customers
+            .map(|number| format!("customer-{number}"))
+            .collect(),
+        slots: Some(slots),
+    };
+    let before = load_average();
+    let (report, _) = run_load(&settings, &targets, |_, _| {}).await?;
+    Ok(ExperimentRow {
+        placement: placement.to_owned(),
+        percent,
+        load_average: [before, load_average()],
+        report,
+    })
+}
+
+fn total_slots(options: &ExperimentOptions) -> u32 {
+    u32::from(options.endpoints) * options.slots
+}
+
+fn print_row(row: &ExperimentRow) {
+    let (all, report) = (&row.report.all, &row.report);
+    let times = all.over_ideal;
+    println!(
+        "{:<13} {:>4}%  {:>6.2} {:>6.2} {:>6.2}  {:>7.1}% {:>9.2} {:>7.2}%  {:>8} {:>7} {:>7} {:>5}  {} to {}",
+        row.placement,
+        row.percent,
+        times.p50,
+        times.p90,
+        times.p99,
+        report.goodput.unwrap_or(0.0) * 100.0,
+        report.messages_per_task.unwrap_or(0.0),
+        report.wasted_part.unwrap_or(0.0) * 100.0,
+        all.complete,
+        all.refused,
+        all.failed + all.unknown,
+        all.lost,
+        row.load_average[0],
+        row.load_average[1],
+    );
+    if let Some(starts) = &report.starts {
+        if starts.doubled > 0 || all.wrong > 0 {
+            println!(
+                "  doubled starts {}, wrong answers {}",
+                starts.doubled, all.wrong
+            );
+        }
+    }
+}
+
+fn default_out() -> PathBuf {
+    PathBuf::from("target/experiment")
+}
--- /dev/null
+++ b/xtask/src/fleet.rs
@@ -0,0 +1,389 @@
+//! A fleet of real processes on loopback: one entry and one dispatcher a VM, and stand-ins of the platform and the
+//! endpoints.
+
+use std::{
+    collections::HashSet,
+    env, fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use awc::Client;
+use eyre::{bail, ensure, Result, WrapErr as _};
+use serde_json::{json, Value};
+
+use crate::{http, ports::PortFinder};
+
+const READY_LIMIT: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(50);
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub(crate) struct FleetSettings {
+    pub(crate) data_centres: u16,
+    /// VMs over all data centres.
+    pub(crate) vms: u16,
+    /// Endpoints over all data centres.
+    pub(crate) endpoints: u16,
+    pub(crate) slots: u32,
+    /// How entries choose dispatchers, as their settings name it.
+    pub(crate) placement: String,
+    /// Where settings and logs go.
+    pub(crate) dir: PathBuf,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            data_centres: 1,
+            vms: 1,
+            endpoints: 4,
+            slots: 8,
+            placement: "free_slots".to_owned(),
+            dir: PathBuf::from("target/measurements"),
+        }
+    }
+}
+
+struct VmNode {
+    data_centre: String,
+    caller: SocketAddr,
+    peer: SocketAddr,
+    admin: SocketAddr,
+}
+
+/// A child that is killed, by its own handle, when dropped.
+struct OwnChild(Child);
+
+impl Drop for OwnChild {
+    fn drop(&mut self) {
+        // Both fail only where the process has ended by itself.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// The running processes.
+pub(crate) struct RealFleet {
+    settings: FleetSettings,
+    platform: SocketAddr,
+    vms: Vec<VmNode>,
+    endpoints: Vec<(String, String, SocketAddr)>,
+    entries: Vec<OwnChild>,
+    dispatchers: Vec<OwnChild>,
+    stand_ins: Vec<OwnChild>,
+    client: Client,
+}
+
+impl RealFleet {
+    /// Starts everything and waits until all entries are ready and all endpoints owned.
+    pub(crate) async fn start(settings: FleetSettings) -> Result<Self> {
+        fs::create_dir_all(&settings.dir)?;
+        let mut ports = PortFinder::new();
+        let mut fleet = Self {
+            platform: ports.one()?,
+            vms: Vec::new(),
+            endpoints: Vec::new(),
+            entries: Vec::new(),
+            dispatchers: Vec::new(),
+            stand_ins: Vec::new(),
+            client: http::client(),
+            settings,
+        };
+        fleet.start_endpoints(&mut ports)?;
+        for number in 0..fleet.settings.vms {
+            fleet.vms.push(VmNode {
+                data_centre: fleet.data_centre(number),
+                caller: ports.one()?,
+                peer: ports.one()?,
+                admin: ports.one()?,
+            });
+        }
+        fleet.start_platform()?;
+        fleet.wait_for_platform().await?;
+        fleet.start_processes()?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    fn data_centre(&self, number: u16) -> String {
+        format!("dc-{}", number % self.settings.data_centres + 1)
+    }
+
+    /// One process for the endpoints of a data centre.
+    fn start_endpoints(&mut self, ports: &mut PortFinder) -> Result<()> {
+        for number in 0..self.settings.data_centres {
+            let (all, centres) = (self.settings.endpoints, self.settings.data_centres);
+            let count = all / centres + u16::from(number < all % centres);
+            if count == 0 {
+                continue;
+            }
+            let first = ports.run(count)?;
+            let centre = self.data_centre(number);
+            let name = format!("{centre}-e");
+            for index in 0..count {
+                let address = SocketAddr::new(first.ip(), first.port() + index);
+                let id = if count == 1 {
+                    name.clone()
+                } else {
+                    format!("{name}-{}", index + 1)
+                };
+                self.endpoints.push((id, centre.clone(), address));
+            }
+            let (listen, slots) = (first.to_string(), self.settings.slots.to_string());
+            let count = count.to_string();
+            let args = ["stand-in", "endpoint", "--listen", &listen];
+            let more = ["--slots", &slots, "--count", &count, &name];
+            let child = self.spawn("cairnctl", &[&args[..], &more[..]].concat(), &name)?;
+            self.stand_ins.push(child);
+        }
+        Ok(())
+    }
+
+    fn start_platform(&mut self) -> Result<()> {
+        let mut list = Vec::new();
+        for (index, vm) in self.vms.iter().enumerate() {
+            list.push(json!({
+                "id": format!("vm-{}", index + 1), "data_centre": vm.data_centre,
+                "role": "system", "address": vm.peer,
+            }));
+        }
+        for (id, centre, address) in &self.endpoints {
+            list.push(json!({
+                "id": id, "data_centre": centre, "role": "endpoint",
+                "address": address, "slots": self.settings.slots,
+            }));
+        }
+        let file = self.settings.dir.join("vms.json");
+        fs::write(&file, serde_json::to_vec(&list)?)?;
+        let (listen, file) = (self.platform.to_string(), file.display().to_string());
+        let args = ["stand-in", "platform", "--listen", &listen, "--vms", &file];
+        let child = self.spawn("cairnctl", &args, "platform")?;
+        self.stand_ins.push(child);
+        Ok(())
+    }
+
+    async fn wait_for_platform(&self) -> Result<()> {
+        let limit = Instant::now() + READY_LIMIT;
+        while http::status(&self.client, self.platform, "/control/stats").await != Some(200) {
+            ensure!(Instant::now() < limit, "the platform stand-in is not there");
+            actix_rt::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    fn start_processes(&mut self) -> Result<()> {
+        for index in 0..self.vms.len() {
+            let file = self.write_settings(index, "dispatcher", self.dispatcher_file(index))?;
+            let child = self.spawn(
+                "cairnpaddle",
+                &["dispatcher", "--settings", &file],
+                &format!("dispatcher-{}", index + 1),
+            )?;
+            self.dispatchers.push(child);
+        }
+        for index in 0..self.vms.len() {
+            let file = self.write_settings(index, "entry", self.entry_file(index))?;
+            let child = self.spawn(
+                "cairnpaddle",
+                &["entry", "--settings", &file],
+                &format!("entry-{}", index + 1),
+            )?;
+            self.entries.push(child);
+        }
+        Ok(())
+    }
+
+    fn write_settings(&self, index: usize, role: &str, file: Value) -> Result<String> {
+        let path = self.settings.dir.join(format!("{role}-{}.json", index + 1));
+        fs::write(&path, serde_json::to_vec_pretty(&file)?)?;
+        Ok(path.display().to_string())
+    }
+
+    fn entry_file(&self, index: usize) -> Value {
+        let vm = &self.vms[index];
+        json!({
+            "vm": format!("vm-{}", index + 1),
+            "data_centre": vm.data_centre,
+            "caller_listen": vm.caller,
+            "platform": self.platform,
+            "dispatchers": self.peers(None),
+            "placement": self.settings.placement,
+            "log": { "level": "warn" },
+        })
+    }
+
+    fn dispatcher_file(&self, index: usize) -> Value {
+        let vm = &self.vms[index];
+        json!({
+            "vm": format!("vm-{}", index + 1),
+            "data_centre": vm.data_centre,
+            "peer_listen": vm.peer,
+            "admin_listen": vm.admin,
+            "platform": self.platform,
+            "peers": self.peers(Some(index)),
+            "log": { "level": "warn" },
+        })
+    }
+
+    fn peers(&self, except: Option<usize>) -> Vec<Value> {
+        let mut peers = Vec::new();
+        for (index, vm) in self.vms.iter().enumerate() {
+            if Some(index) != except {
+                peers.push(json!({ "address": vm.peer, "data_centre": vm.data_centre }));
+            }
+        }
+        peers
+    }
+
+    fn spawn(&self, program: &str, args: &[&str], name: &str) -> Result<OwnChild> {
+        let log = fs::File::create(self.settings.dir.join(format!("{name}.log")))?;
+        let child = Command::new(program_path(program)?)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .wrap_err_with(|| format!("{program} not started"))?;
+        Ok(OwnChild(child))
+    }
+
+    async fn wait_until_ready(&self) -> Result<()> {
+        let limit = Instant::now() + READY_LIMIT;
+        loop {
+            if self.is_ready().await {
+                return Ok(());
+            }
+            if Instant::now() > limit {
+                bail!("not ready within {READY_LIMIT:?}; see the logs in the directory");
+            }
+            actix_rt::time::sleep(POLL).await;
+        }
+    }
+
+    /// Whether every process is ready and each endpoint has one owner.
+    async fn is_ready(&self) -> bool {
+        for vm in &self.vms {
+            for address in [vm.caller, vm.admin] {
+                if http::status(&self.client, address, "/ready").await != Some(200) {
+                    return false;
+                }
+            }
+        }
+        let mut owned = 0.0;
+        for vm in &self.vms {
+            let page = http::text(&self.client, vm.admin, "/metrics").await;
+            owned += page.map_or(0.0, |page| gauge(&page, "cairnpaddle_owned_endpoints"));
+        }
+        owned as usize == self.endpoints.len()
+    }
+
+    /// Creates contracts of customers `PREFIX-from` to `PREFIX-to`, and waits until they are in force at every entry.
+    pub(crate) async fn create_contracts(
+        &self,
+        prefix: &str,
+        numbers: std::ops::RangeInclusive<usize>,
+        contract: &Value,
+    ) -> Result<()> {
+        let mut last = String::new();
+        for number in numbers {
+            last = format!("{prefix}-{number}");
+            let create = ("If-None-Match", "*".to_owned());
+            http::put_contract(&self.client, self.vms[0].caller, &last, create, contract).await?;
+        }
+        self.wait_for_version(&last, 1).await?;
+        Ok(())
+    }
+
+    /// Waits until every entry has the version of the contract in force; gives how long that took.
+    pub(crate) async fn wait_for_version(&self, customer: &str, version: u64) -> Result<Duration> {
+        let begun = Instant::now();
+        for entry in self.entries() {
+            while !self.has_version(entry, customer, version).await? {
+                ensure!(begun.elapsed() < READY_LIMIT, "{customer} not in force");
+                actix_rt::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        Ok(begun.elapsed())
+    }
+
+    async fn has_version(&self, entry: SocketAddr, customer: &str, version: u64) -> Result<bool> {
+        let page = http::text(&self.client, entry, "/v1/in-force").await?;
+        let page: Value = serde_json::from_str(&page)?;
+        let rows = page["contracts"].as_array().into_iter().flatten();
+        let mut own = rows.filter(|row| row["customer"] == customer);
+        Ok(own.any(|row| row["version"].as_u64() >= Some(version)))
+    }
+
+    pub(crate) fn client(&self) -> &Client {
+        &self.client
+    }
+
+    pub(crate) fn entries(&self) -> Vec<SocketAddr> {
+        self.vms.iter().map(|vm| vm.caller).collect()
+    }
+
+    pub(crate) fn dispatcher_admins(&self) -> Vec<SocketAddr> {
+        self.vms.iter().map(|vm| vm.admin).collect()
+    }
+
+    pub(crate) fn endpoint_addresses(&self) -> Vec<SocketAddr> {
+        let addresses = self.endpoints.iter();
+        addresses.map(|(_, _, address)| *address).collect()
+    }
+
+    pub(crate) fn entry_pids(&self) -> Vec<u32> {
+        self.entries.iter().map(|child| child.0.id()).collect()
+    }
+
+    pub(crate) fn dispatcher_pids(&self) -> Vec<u32> {
+        self.dispatchers.iter().map(|child| child.0.id()).collect()
+    }
+
+    pub(crate) fn peer_ports(&self) -> HashSet<u16> {
+        self.vms.iter().map(|vm| vm.peer.port()).collect()
+    }
+
+    pub(crate) fn platform_ports(&self) -> HashSet<u16> {
+        HashSet::from([self.platform.port()])
+    }
+}
+
+/// The sum of a metric's series on a page.
+fn gauge(page: &str, name: &str) -> f64 {
+    let mut sum = 0.0;
+    for line in page.lines() {
+        let Some((series, value)) = line.rsplit_once(' ') else {
+            continue;
+        };
+        if series.split('{').next() == Some(name) {
+            sum += value.parse::<f64>().unwrap_or(0.0);
+        }
+    }
+    sum
+}
+
+/// Builds the programs under measurement as release programs.
+pub(crate) fn build_programs() -> Result<()> {
+    let cargo = env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let status = Command::new(cargo)
+        .args(["build", "--release", "--locked", "-j6"])
+        .args(["-p", "cairnpaddle", "-p", "cairnctl"])
+        .status()?;
+    ensure!(status.success(), "the programs do not build");
+    Ok(())
+}
+
+/// Programs are measured as release builds, next to this one's directory.
+fn program_path(program: &str) -> Result<PathBuf> {
+    let own = env::current_exe()?;
+    let target = own.parent().and_then(Path::parent);
+    let path = target
+        .unwrap_or(Path::new("target"))
+        .join("release")
+        .join(program);
+    ensure!(path.is_file(), "{} is not there", path.display());
+    Ok(path)
+}
--- /dev/null
+++ b/xtask/src/http.rs
@@ -0,0 +1,54 @@
+//! Calls of the processes under measurement.
+
+use std::{net::SocketAddr, time::Duration};
+
+use awc::Client;
+use eyre::{ensure, eyre, Result};
+use serde_json::Value;
+
+const LIMIT: Duration = Duration::from_secs(5);
+const MAX_BODY: usize = 64 * 1024 * 1024;
+
+/// A client with short limits.
+pub(crate) fn client() -> Client {
+    Client::builder().timeout(LIMIT).finish()
+}
+
+/// The status of a GET; none where nobody answers.
+pub(crate) async fn status(client: &Client, to: SocketAddr, path: &str) -> Option<u16> {
+    let answer = client.get(format!("http://{to}{path}")).send().await.ok()?;
+    Some(answer.status().as_u16())
+}
+
+/// The body of a GET as text.
+pub(crate) async fn text(client: &Client, to: SocketAddr, path: &str) -> Result<String> {
+    let sent = client.get(format!("http://{to}{path}")).send().await;
+    let mut answer = sent.map_err(|error| eyre!("GET {to}{path}: {error}"))?;
+    let body = answer.body().limit(MAX_BODY).await?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
+/// Puts a contract under a precondition and gives the version that it then has.
+pub(crate) async fn put_contract(
+    client: &Client,
+    entry: SocketAddr,
+    customer: &str,
+    precondition: (&str, String),
+    contract: &Value,
+) -> Result<u64> {
+    let call = client
+        .put(format!("http://{entry}/v1/contracts/{customer}"))
+        .insert_header(precondition);
+    let sent = call.send_json(contract).await;
+    let mut answer = sent.map_err(|error| eyre!("contract of {customer}: {error}"))?;
+    let body = answer.body().await?;
+    let told = String::from_utf8_lossy(&body);
+    ensure!(
+        answer.status().is_success(),
+        "contract of {customer}: {told}"
+    );
+    let told: Value = serde_json::from_str(&told)?;
+    told["version"]
+        .as_u64()
+        .ok_or_else(|| eyre!("no version in {told}"))
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,7 +1,16 @@
-//! Chores of the repository, run as `cargo run -p xtask -- codegen`.
+//! Chores of the repository, run as `cargo run -p xtask -- codegen`, and measurements of real processes.
+
+mod experiment;
+mod fleet;
+mod http;
+mod ports;
+mod slopes;
+mod usage;
 
 use bpaf::Bpaf;
 
+use crate::{experiment::ExperimentOptions, slopes::SlopesOptions};
+
 /// Chores of the repository.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
@@ -9,11 +18,21 @@
     /// Generates the peer protocol's code from its schema. Needs Debian's package `capnproto`.
     #[bpaf(command)]
     Codegen,
+    /// Starts real processes on loopback, loads them at several levels and writes what came of it
+    #[bpaf(command)]
+    Experiment(#[bpaf(external(experiment::experiment_options))] ExperimentOptions),
+    /// Measures what processor time, memory and bytes grow with, on real processes on loopback
+    #[bpaf(command)]
+    Slopes(#[bpaf(external(slopes::slopes_options))] SlopesOptions),
 }
 
 fn main() -> eyre::Result<()> {
     match task_command().run() {
         TaskCommand::Codegen => generate_peer(),
+        TaskCommand::Experiment(options) => {
+            actix_rt::System::new().block_on(experiment::run(options))
+        }
+        TaskCommand::Slopes(options) => actix_rt::System::new().block_on(slopes::run(options)),
     }
 }
 
--- /dev/null
+++ b/xtask/src/slopes.rs
@@ -0,0 +1,430 @@
+//! What processor time, memory and bytes of an entry and a dispatcher grow with: one table for each cause, on real
+//! processes. Processor time and memory are the system's own counts, so a busy machine lengthens responses here but
+//! hardly changes these figures.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use bpaf::Bpaf;
+use eyre::{bail, Result};
+use load::{run_load, LoadSettings, LoadTargets};
+use serde::Serialize;
+use serde_json::{json, Value};
+
+use crate::{
+    fleet::{build_programs, FleetSettings, RealFleet},
+    http,
+    usage::{load_average, tcp_bytes, ProcessUsage},
+};
+
+/// How long idle processes are watched.
+const WATCH: Duration = Duration::from_secs(8);
+/// After a start or a change, what follows from it is left to end before the watch.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Contracts of the members' and changes' tables: the target's teams.
+const TEAMS: usize = 140;
+
+/// What to measure.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct SlopesOptions {
+    /// Tables, separated by commas: starts, open, endpoints, contracts, members, changes
+    #[bpaf(
+        argument("LIST"),
+        fallback("starts,open,endpoints,contracts,members,changes".to_owned()),
+        display_fallback
+    )]
+    tables: String,
+    /// Where settings, logs and the figures go
+    #[bpaf(argument("DIR"), fallback(default_out()))]
+    out: PathBuf,
+}
+
+/// One row: what was set, and what was measured at it.
+#[derive(Debug, Serialize)]
+struct SlopeRow {
+    table: String,
+    load_average: String,
+    figures: BTreeMap<&'static str, f64>,
+}
+
+/// Measures the tables asked for, prints each row and writes `slopes.json`.
+pub(crate) async fn run(options: SlopesOptions) -> Result<()> {
+    build_programs()?;
+    let mut rows = Vec::new();
+    for table in options.tables.split(',') {
+        let dir = options.out.join(table);
+        let figures = match table {
+            "starts" => measure_starts(dir).await?,
+            "open" => measure_open(dir).await?,
+            "endpoints" => measure_endpoints(dir).await?,
+            "contracts" => measure_contracts(dir).await?,
+            "members" => measure_members(dir).await?,
+            "changes" => measure_changes(dir).await?,
+            other => bail!("there is no table {other}"),
+        };
+        rows.extend(figures);
+        fs::write(
+            options.out.join("slopes.json"),
+            serde_json::to_vec_pretty(&rows)?,
+        )?;
+    }
+    Ok(())
+}
+
+fn default_out() -> PathBuf {
+    PathBuf::from("target/slopes")
+}
+
+fn row(table: &str, figures: &[(&'static str, f64)]) -> SlopeRow {
+    let row = SlopeRow {
+        table: table.to_owned(),
+        load_average: load_average(),
+        figures: figures.iter().copied().collect(),
+    };
+    let mut line = format!("{table:<10}");
+    for (name, value) in figures {
+        line += &format!(" {name}={value:.3}");
+    }
+    println!("{line} load_average={}", row.load_average);
+    row
+}
+
+/// The use of one role's processes at one moment.
+#[derive(Clone, Copy)]
+struct Snapshot {
+    entry: ProcessUsage,
+    dispatcher: ProcessUsage,
+    at: Instant,
+}
+
+impl Snapshot {
+    fn take(fleet: &RealFleet) -> Result<Self> {
+        Ok(Self {
+            entry: ProcessUsage::total(&fleet.entry_pids())?,
+            dispatcher: ProcessUsage::total(&fleet.dispatcher_pids())?,
+            at: Instant::now(),
+        })
+    }
+
+    /// Percent of a core since `before`, of one entry and of one dispatcher out of `count` each.
+    fn percent_since(&self, before: &Self, count: u16) -> (f64, f64) {
+        let time = (self.at - before.at).as_secs_f64() * f64::from(count) / 100.0;
+        let entry = (self.entry.cpu - before.entry.cpu) / time;
+        let dispatcher = (self.dispatcher.cpu - before.dispatcher.cpu) / time;
+        (entry, dispatcher)
+    }
+
+    /// MiB of one entry and of one dispatcher out of `count` each.
+    fn memory(&self, count: u16) -> (f64, f64) {
+        let mib = |rss: u64| rss as f64 / 1024.0 / f64::from(count);
+        (mib(self.entry.rss), mib(self.dispatcher.rss))
+    }
+}
+
+/// Watches an idle fleet and gives the figures of one entry and one dispatcher.
+async fn watch_idle(fleet: &RealFleet, vms: u16) -> Result<Vec<(&'static str, f64)>> {
+    actix_rt::time::sleep(SETTLE).await;
+    let before = Snapshot::take(fleet)?;
+    actix_rt::time::sleep(WATCH).await;
+    let after = Snapshot::take(fleet)?;
+    let (entry_cpu, dispatcher_cpu) = after.percent_since(&before, vms);
+    let (entry_mib, dispatcher_mib) = after.memory(vms);
+    Ok(vec![
+        ("entry_cpu_percent", entry_cpu),
+        ("dispatcher_cpu_percent", dispatcher_cpu),
+        ("entry_mib", entry_mib),
+        ("dispatcher_mib", dispatcher_mib),
+    ])
+}
+
+fn wide_contract() -> Value {
+    json!({ "concurrency": 100_000, "answer_within_ms": 600_000, "may_refuse": "nothing" })
+}
+
+/// Processor time for each task start: one VM, its endpoints with room for all.
+async fn measure_starts(dir: PathBuf) -> Result<Vec<SlopeRow>> {
+    let mut rows = Vec::new();
+    for rate in [0.0, 100.0, 300.0, 1_000.0, 2_000.0] {
+        let fleet = RealFleet::start(FleetSettings {
+            endpoints: 30,
+            slots: 60,
+            dir: dir.clone(),
+            ..FleetSettings::default()
+        })
+        .await?;
+        fleet
+            .create_contracts("customer", 1..=5, &wide_contract())
+            .await?;
+        actix_rt::time::sleep(SETTLE).await;
+        let before = Snapshot::take(&fleet)?;
+        let settings = LoadSettings {
+            task_rate: rate,
+            duration: WATCH,
+            ..LoadSettings::default()
+        };
+        let targets = LoadTargets {
+            entries: fleet.entries(),
+            dispatchers: fleet.dispatcher_admins(),
+            customers: (1..=5).map(|number| format!("customer-{number}")).collect(),
+            ..LoadTargets::default()
+        };
+        let (report, _) = run_load(&settings, &targets, |_, _| {}).await?;
+        if rate == 0.0 {
+            actix_rt::time::sleep(WATCH).await;
+        }
+        let after = Snapshot::take(&fleet)?;
+        let seconds = (after.at - before.at).as_secs_f64();
+        let (entry_mib, dispatcher_mib) = after.memory(1);
+        let offers = report.counters.unwrap_or_default().offers;
+        rows.push(row(
+            "starts",
+            &[
+                ("rate", rate),
+                ("tasks", report.useful_tasks as f64),
+                ("offers", offers),
+                ("seconds", seconds),
+                ("entry_cpu_s", after.entry.cpu - before.entry.cpu),
+                (
+                    "dispatcher_cpu_s",
+                    after.dispatcher.cpu - before.dispatcher.cpu,
+                ),
+                ("entry_mib", entry_mib),
+                ("dispatcher_mib", dispatcher_mib),
+                ("messages_per_task", report.messages_per_task.unwrap_or(0.0)),
+                ("p99_over_ideal", report.all.over_ideal.p99),
+            ],
+        ));
+    }
+    Ok(rows)
+}
+
+/// Memory of each open submission, its caller's connection included: single tasks that wait for the one slot.
+async fn measure_open(dir: PathBuf) -> Result<Vec<SlopeRow>> {
+    let fleet = RealFleet::start(FleetSettings {
+        endpoints: 1,
+        slots: 1,
+        dir,
+        ..FleetSettings::default()
+    })
+    .await?;
+    fleet
+        .create_contracts("customer", 1..=1, &wide_contract())
+        .await?;
+    let entry = fleet.entries()[0];
+    let mut rows = Vec::new();
+    let mut sent = 0;
+    for wanted in [0, 500, 1_000, 2_000] {
+        while sent < wanted {
+            sent += 1;
+            actix_rt::spawn(send_long_task(entry));
+            if sent % 50 == 0 {
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        actix_rt::time::sleep(SETTLE).await;
+        let page = http::text(fleet.client(), entry, "/v1/status").await?;
+        let status: Value = serde_json::from_str(&page)?;
+        let (entry_mib, dispatcher_mib) = Snapshot::take(&fleet)?.memory(1);
+        rows.push(row(
+            "open",
+            &[
+                ("sent", f64::from(wanted)),
+                (
+                    "open",
+                    status["open_submissions"].as_f64().unwrap_or(f64::NAN),
+                ),
+                ("entry_mib", entry_mib),
+                ("dispatcher_mib", dispatcher_mib),
+            ],
+        ));
+    }
+    Ok(rows)
+}
+
+/// Sends a job of one task of a minute; nobody waits for its answer, and it ends with the processes.
+async fn send_long_task(entry: std::net::SocketAddr) {
+    let connector = awc::Connector::new().limit(0);
+    let client = awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .finish();
+    // base64 of {"run_ms":60000}
+    let task = json!({ "kind": "load", "payload": "eyJydW5fbXMiOjYwMDAwfQ==" });
+    let body = json!({ "customer": "customer-1", "tasks": [task] });
+    let sent = client.post(format!("http://{entry}/v1/jobs"));
+    drop(sent.send_json(&body).await);
+}
+
+/// Idle use for each endpoint owned: one dispatcher.
+async fn measure_endpoints(dir: PathBuf) -> Result<Vec<SlopeRow>> {
+    let mut rows = Vec::new();
+    for endpoints in [10, 100, 200] {
+        let fleet = RealFleet::start(FleetSettings {
+            endpoints,
+            dir: dir.clone(),
+            ..FleetSettings::default()
+        })
+        .await?;
+        let mut figures = vec![("endpoints", f64::from(endpoints))];
+        figures.extend(watch_idle(&fleet, 1).await?);
+        rows.push(row("endpoints", &figures));
+    }
+    Ok(rows)
+}
+
+/// Idle use for each contract: two VMs.
+async fn measure_contracts(dir: PathBuf) -> Result<Vec<SlopeRow>> {
+    let fleet = RealFleet::start(FleetSettings {
+        vms: 2,
+        dir,
+        ..FleetSettings::default()
+    })
+    .await?;
+    let mut rows = Vec::new();
+    let mut made = 0;
+    for wanted in [10, 140, 1_400] {
+        let begun = Instant::now();
+        fleet
+            .create_contracts("team", made + 1..=wanted, &json!({}))
+            .await?;
+        made = wanted;
+        let creation = begun.elapsed().as_secs_f64();
+        let mut figures = vec![("contracts", wanted as f64), ("creation_s", creation)];
+        figures.extend(watch_idle(&fleet, 2).await?);
+        rows.push(row("contracts", &figures));
+    }
+    Ok(rows)
+}
+
+/// Idle use for each member of a data centre, with the target's contracts.
+async fn measure_members(dir: PathBuf) -> Result<Vec<SlopeRow>> {
+    let mut rows = Vec::new();
+    for vms in [2, 4, 8, 16] {
+        let fleet = RealFleet::start(FleetSettings {
+            vms,
+            endpoints: 16,
+            dir: dir.clone(),
+            ..FleetSettings::default()
+        })
+        .await?;
+        fleet
+            .create_contracts("team", 1..=TEAMS, &json!({}))
+            .await?;
+        actix_rt::time::sleep(SETTLE).await;
+        let mut figures = vec![("members", f64::from(vms))];
+        let bytes = all_bytes(&fleet)?;
+        let begun = Instant::now();
+        figures.extend(watch_idle(&fleet, vms).await?);
+        let time = begun.elapsed().as_secs_f64() * f64::from(vms) * 1e3;
+        let after = all_bytes(&fleet)?;
+        let names = [
+            "entry_peer_kb_s",
+            "entry_platform_kb_s",
+            "dispatcher_peer_kb_s",
+            "dispatcher_platform_kb_s",
+        ];
+        for (index, name) in names.into_iter().enumerate() {
+            figures.push((name, (after[index] - bytes[index]) / time));
+        }
+        rows.push(row("members", &figures));
+    }
+    Ok(rows)
+}
+
+/// Bytes of entries with dispatchers, entries with the platform, dispatchers with all peers, dispatchers with the
+/// platform.
+fn all_bytes(fleet: &RealFleet) -> Result<[f64; 4]> {
+    let mut bytes = [0.0; 4];
+    let (entries, dispatchers) = (fleet.entry_pids(), fleet.dispatcher_pids());
+    let (peers, platform) = (fleet.peer_ports(), fleet.platform_ports());
+    let sums = [
+        (&entries, &peers),
+        (&entries, &platform),
+        (&dispatchers, &peers),
+        (&dispatchers, &platform),
+    ];
+    for (index, (pids, ports)) in sums.into_iter().enumerate() {
+        bytes[index] = tcp_bytes(pids, ports)? as f64;
+    }
+    Ok(bytes)
+}
+
+/// Use for each change of a contract, and the time until it is in force everywhere: eight VMs.
+async fn measure_changes(dir: PathBuf) -> Result<Vec<SlopeRow>> {
+    let vms = 8;
+    let fleet = RealFleet::start(FleetSettings {
+        data_centres: 3,
+        vms,
+        endpoints: 16,
+        dir,
+        ..FleetSettings::default()
+    })
+    .await?;
+    fleet
+        .create_contracts("team", 1..=TEAMS, &json!({}))
+        .await?;
+    actix_rt::time::sleep(SETTLE).await;
+    let mut versions = vec![1; TEAMS];
+    let mut rows = Vec::new();
+    for rate in [0.0, 1.0, 5.0, 20.0] {
+        let before = Snapshot::take(&fleet)?;
+        let count = (rate * WATCH.as_secs_f64()) as usize;
+        for number in 0..count {
+            let due = Duration::from_secs_f64(number as f64 / rate);
+            actix_rt::time::sleep(due.saturating_sub(before.at.elapsed())).await;
+            change(&fleet, &mut versions, number % TEAMS).await?;
+        }
+        actix_rt::time::sleep(WATCH.saturating_sub(before.at.elapsed())).await;
+        let after = Snapshot::take(&fleet)?;
+        let seconds = (after.at - before.at).as_secs_f64();
+        let (entry_cpu, dispatcher_cpu) = after.percent_since(&before, vms);
+        rows.push(row(
+            "changes",
+            &[
+                ("changes_per_s", count as f64 / seconds),
+                ("entry_cpu_percent", entry_cpu),
+                ("dispatcher_cpu_percent", dispatcher_cpu),
+            ],
+        ));
+    }
+    rows.push(measure_spread(&fleet, &mut versions).await?);
+    Ok(rows)
+}
+
+/// The time from the operator's answer until every entry has the change in force.
+async fn measure_spread(fleet: &RealFleet, versions: &mut [u64]) -> Result<SlopeRow> {
+    let mut times = Vec::new();
+    for index in 0..20 {
+        let version = change(fleet, versions, index).await?;
+        let customer = format!("team-{}", index + 1);
+        let time = fleet.wait_for_version(&customer, version).await?;
+        times.push(time.as_secs_f64());
+        // Changes must not keep step with the periods of the readers.
+        actix_rt::time::sleep(Duration::from_millis(37 * (index as u64 % 11))).await;
+    }
+    times.sort_by(f64::total_cmp);
+    Ok(row(
+        "in_force",
+        &[
+            ("changes", times.len() as f64),
+            ("p50_s", times[times.len() / 2]),
+            ("max_s", times[times.len() - 1]),
+        ],
+    ))
+}
+
+async fn change(fleet: &RealFleet, versions: &mut [u64], index: usize) -> Result<u64> {
+    let customer = format!("team-{}", index + 1);
+    let contract = json!({ "concurrency": 40 + versions[index] % 10 });
+    let precondition = ("If-Match", format!("\"{}\"", versions[index]));
+    let entries = fleet.entries();
+    let entry = entries[index % entries.len()];
+    let version =
+        http::put_contract(fleet.client(), entry, &customer, precondition, &contract).await?;
+    versions[index] = version;
+    Ok(version)
+}
