Let the network stand-in see a reset during its connect

Cause: the forwarder noted the count of resets after its connect to the target. Ruled out: the time the test waits (5 s). Change: the count is noted before the connect. Conclusion: the order no longer matters.

--- a/crates/stand-ins/src/forwarder/pump.rs
+++ b/crates/stand-ins/src/forwarder/pump.rs
@@ -56,12 +56,14 @@
 ) -> io::Result<()> {
     near.set_nodelay(true)?;
     let passes = |state: &FlowState| !state.forward_silent && !state.back_silent;
-    if flow.wait_for(passes).await.is_err() {
-        return Err(io::ErrorKind::ConnectionReset.into());
-    }
+    // Counted before the connect: the target has the connection as soon as its kernel took it, and a reset that comes
+    // before this side goes on would otherwise be missed.
+    let resets = match flow.wait_for(passes).await {
+        Ok(state) => state.resets,
+        Err(_) => return Err(io::ErrorKind::ConnectionReset.into()),
+    };
     let mut far = TcpStream::connect(target).await?;
     far.set_nodelay(true)?;
-    let resets = flow.borrow_and_update().resets;
     let ended = {
         let (near_read, near_write) = near.split();
         let (far_read, far_write) = far.split();
