authority, dispatcher: Split offers and ends over messages by bytes

Offers that become due together left as one message however large. Four jobs of 370 payloads of 64 KiB, 97 MB, would go over any sensible reader's limit; the call then fails, the session is given up, and the same batch fails on the next one. A report of ends that fails is not repeated while its session stands, so the tasks' answers would be unknown.

Messages now carry payloads of at most 1 MiB, or a single one. Each part of the offers is a batch with a number of its own, so that what a withdrawal confirms stays as it was. Usual batches are one message as before.

Ruled out: parts under one number. The dispatcher notes a batch as seen with its first part, and a withdrawal could then confirm an attempt whose part is still to come.

Two jobs of 370 payloads of 64 KiB at once come back byte for byte through both entries. Seen to fail: the tests of the parts without the limit, the jobs with small parts not sent. The split of ends is not reached by a test of its own: the jobs also passed with large parts of ends left out, as ends came singly.

--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Instant};
 
-use model::{AttemptId, CustomerId, TaskOffer};
+use model::{split_for_messages, AttemptId, CustomerId, TaskOffer};
 
 use crate::{
     action::{AuthorityAction, AuthorityEvent},
@@ -43,7 +43,7 @@
             }
         }
         for (dispatcher, offers) in batches {
-            self.send_batch(dispatcher, offers);
+            self.send_batches(dispatcher, offers);
         }
     }
 
@@ -123,6 +123,15 @@
         })
     }
 
+    /// Load: jobs of large payloads, offered together when a session opens or a limit rises. Harm: in one message they
+    /// would pass the reader's limit, and the call fail on each session again; below it, the first task would wait for
+    /// the last one's bytes. Each part is a batch of its own, so that a withdrawal names the last part sent.
+    fn send_batches(&mut self, dispatcher: DispatcherKey, offers: Vec<TaskOffer>) {
+        for part in split_for_messages(offers, |offer| offer.payload.size()) {
+            self.send_batch(dispatcher, part);
+        }
+    }
+
     fn send_batch(&mut self, dispatcher: DispatcherKey, offers: Vec<TaskOffer>) {
         let Some((session, batch)) = self
             .sessions
--- a/crates/demo/tests/border/memory.rs
+++ b/crates/demo/tests/border/memory.rs
@@ -1,10 +1,11 @@
-//! The bound on the bytes that an entry holds for callers.
+//! Large bodies: the largest job, and the bound on the bytes that an entry holds for callers.
 
 use demo::FleetSettings;
+use futures::future::join_all;
 use model::ByteSize;
 use settings::EntrySettings;
 
-use crate::caller::{call, fleet, issue, post, request, wait_for};
+use crate::caller::{call, fleet, issue, job, post, request, wait_for};
 
 /// A payload of about 60 KB that runs for a second.
 fn large() -> Vec<u8> {
@@ -51,3 +52,37 @@
     assert_eq!(fleet.starts(), 3);
     assert_eq!(fleet.stop().await, 0);
 }
+
+// What the caller sees: each of 370 results of 64 KiB, byte for byte and in order.
+// What happens: several such jobs, 24 MB each, go through both entries at once.
+// Why: batches of offers and of ends are split by bytes, and none may be lost or put out of order by it.
+#[actix_rt::test]
+async fn the_largest_jobs_come_back_whole() {
+    let fleet = fleet(FleetSettings::default()).await;
+    let mut jobs = Vec::new();
+    for (seed, entry) in (1..).zip(fleet.caller_addresses()) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut payloads = Vec::new();
+        for _ in 0..370 {
+            let mut payload = vec![0; 64 * 1024];
+            rng.fill(&mut payload);
+            payloads.push(payload);
+        }
+        jobs.push(async move {
+            let parts: Vec<&[u8]> = payloads.iter().map(Vec::as_slice).collect();
+            let body = job(&parts);
+            let reply = post(entry, "/v1/jobs", &body).await;
+            assert_eq!(reply.text("status"), "complete", "{}", reply.head);
+            for (index, task) in body["tasks"].as_array().into_iter().flatten().enumerate() {
+                assert!(
+                    reply.json["results"][index] == task["payload"],
+                    "task {index}"
+                );
+            }
+            assert_eq!(reply.json["results"].as_array().map(Vec::len), Some(370));
+        });
+    }
+    join_all(jobs).await;
+    assert_eq!(fleet.starts(), 740);
+    assert_eq!(fleet.stop().await, 0);
+}
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -19,7 +19,7 @@
 use actix::{Actor, Addr, AsyncContext as _, Context, Handler};
 use kernel::ClockSource;
 use ledger::{LedgerAction, LedgerSettings, SlotLedger};
-use model::{FastMap, FastSet, IncarnationId, VmEntry};
+use model::{split_for_messages, FastMap, FastSet, IncarnationId, VmEntry};
 use peer::PeerLink;
 use platform::PlatformClient;
 use settings::DispatcherSettings;
@@ -165,11 +165,16 @@
             }
         }
         for ((entry, session), ends) in reports {
-            self.metrics.count(CounterKind::Messages, 1);
             for (_, _, ran) in &ends {
                 self.metrics.time(TimeKind::RunTime, *ran);
             }
-            self.report_ends(ctx, entry, session, ends);
+            // Failure: a session comes back after many large results. Symptom without the split: a report over the
+            // reader's limit fails, is not repeated while the session stands, and the tasks' answers come as unknown.
+            // Parts are enough, since ends do not depend on each other.
+            for part in split_for_messages(ends, |(_, end, _)| end.size()) {
+                self.metrics.count(CounterKind::Messages, 1);
+                self.report_ends(ctx, entry, session, part);
+            }
         }
         self.tell_limit();
     }
--- a/crates/model/src/bytes.rs
+++ b/crates/model/src/bytes.rs
@@ -41,6 +41,32 @@
     }
 }
 
+/// The payloads that one message between processes carries, in bytes. All messages of a connection wait in one line, so
+/// a large one keeps the other side from starting what came first, and one over the reader's limit fails as a whole. A
+/// message a MiB keeps the messages of a batch few, and a batch of usual tasks is one message.
+pub const MAX_MESSAGE_PAYLOADS: ByteSize = ByteSize(1024 * 1024);
+
+/// Splits what one message would carry, in order, so that the payloads of each part stay within
+/// [`MAX_MESSAGE_PAYLOADS`] or are a single one. Nothing gives no part.
+pub fn split_for_messages<T>(items: Vec<T>, size: impl Fn(&T) -> ByteSize) -> Vec<Vec<T>> {
+    let mut parts = Vec::new();
+    let mut part = Vec::new();
+    let mut bytes = 0;
+    for item in items {
+        let size = size(&item).0;
+        if !part.is_empty() && bytes + size > MAX_MESSAGE_PAYLOADS.0 {
+            parts.push(std::mem::take(&mut part));
+            bytes = 0;
+        }
+        bytes += size;
+        part.push(item);
+    }
+    if !part.is_empty() {
+        parts.push(part);
+    }
+    parts
+}
+
 /// The opaque bytes of a task or its answer. In JSON it is a base64 string.
 #[derive(Clone, PartialEq, Eq, Hash, Default)]
 pub struct Payload(pub Arc<[u8]>);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -13,7 +13,7 @@
 mod submission;
 
 pub use crate::{
-    bytes::{ByteSize, Payload, MAX_PAYLOAD_BYTES},
+    bytes::{split_for_messages, ByteSize, Payload, MAX_MESSAGE_PAYLOADS, MAX_PAYLOAD_BYTES},
     contract::{
         Contract, ContractState, ContractVersion, CustomerShare, RefusableWork, WrongContract,
         MAX_TASKS_PER_JOB,
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{FailureReason, Payload, RefusalReason, RetryReason, UnknownReason};
+use crate::{ByteSize, FailureReason, Payload, RefusalReason, RetryReason, UnknownReason};
 
 /// The answer of one task, in the order of the submission's tasks.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,6 +24,16 @@
     Unknown(UnknownReason),
 }
 
+impl AttemptEnd {
+    /// The bytes of its result.
+    pub fn size(&self) -> ByteSize {
+        match self {
+            Self::Done(result) => result.payload.size(),
+            Self::Failed | Self::NotRun(_) | Self::Unknown(_) => ByteSize(0),
+        }
+    }
+}
+
 /// The one answer of a submission.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SubmissionOutcome {
--- /dev/null
+++ b/crates/model/tests/messages.rs
@@ -0,0 +1,24 @@
+//! How payloads are split over messages.
+
+use model::{split_for_messages, ByteSize, MAX_MESSAGE_PAYLOADS};
+
+#[test]
+fn parts_keep_the_order_and_the_limit() {
+    let limit = MAX_MESSAGE_PAYLOADS.0;
+    let table: [(&[u64], &[usize]); 8] = [
+        (&[], &[]),
+        (&[0], &[1]),
+        (&[0, 0, 0], &[3]),
+        (&[limit], &[1]),
+        (&[limit, 0, 1], &[2, 1]),
+        (&[limit + 1, limit + 1], &[1, 1]),
+        (&[limit / 2, limit / 2, limit / 2], &[2, 1]),
+        (&[1, limit, 1], &[1, 1, 1]),
+    ];
+    for (sizes, lengths) in table {
+        let parts = split_for_messages(sizes.to_vec(), |size| ByteSize(*size));
+        let got: Vec<usize> = parts.iter().map(Vec::len).collect();
+        assert_eq!(got, lengths, "{sizes:?}");
+        assert_eq!(parts.concat(), sizes);
+    }
+}
