authority: Let the test of large batches pass admission

The batch now comes about as it would in a fleet: the session is lost, jobs come, a new session opens. The assertions are the same; without the split it fails at 96,993,280 bytes in one message.

--- a/crates/authority/tests/large_batches.rs
+++ b/crates/authority/tests/large_batches.rs
@@ -26,8 +26,8 @@
 
 #[test]
 fn a_batch_of_large_payloads_leaves_in_parts() {
-    // Jobs of 24 MB wait for room in the customer's concurrency, which is then raised. Their offers leave together, in
-    // messages of at most a MiB; as one message they would pass the reader's limit, and no session could carry them.
+    // The session with the only dispatcher is lost, jobs of 24 MB come, and a new session opens. Their offers leave
+    // together, in messages of at most a MiB; in one they would pass the reader's limit, and no session could carry it.
     // A withdrawal afterwards names the last part, so that the dispatcher confirms nothing that may still come.
     let now = Instant::now();
     let data_centre: DataCentreId = "hall".parse().expect("an id");
@@ -38,20 +38,23 @@
         ..SlotCounts::default()
     };
     let (key, session) = (DispatcherKey(1), SessionId(1));
-    authority.on_session_opened(now, key, data_centre, IncarnationId(9), session, slots);
+    let dispatcher = IncarnationId(9);
+    authority.on_session_opened(now, key, data_centre.clone(), dispatcher, session, slots);
     let contract = Contract {
         concurrency: 5_000,
         ..Contract::default()
     };
     let terms = Some((&contract, ContractVersion(1)));
     let customer = job().customer;
-    authority.set_limit(now, &customer, 0);
+    authority.set_limit(now, &customer, 5_000);
+    authority.tick(now);
+    authority.on_session_lost(now, key, session);
     let mut serials = Vec::new();
     for _ in 0..4 {
         let admitted = authority.submit(now, job(), 0, terms, None);
         serials.push(admitted.expect("admitted").id.serial);
     }
-    authority.set_limit(now, &customer, 5_000);
+    authority.on_session_opened(now, key, data_centre, dispatcher, SessionId(2), slots);
     let (mut sent, mut last) = (0, 0);
     for action in authority.take_actions() {
         let AuthorityAction::Offer { batch, offers, .. } = action else {
