docs: Run the callers' examples of the API page in a test

The examples were pasted by hand and several lines were marked as not run. Ids are renamed to the page's.

Found: a keyed request refused before it was accepted showed "contract_version": 0. It shows none now.

--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -279,9 +279,10 @@
         self.records.get(&serial).map(|record| record.digest)
     }
 
-    /// The contract version under which a submission was accepted.
+    /// The contract version under which a submission was accepted; none when it never was.
     pub fn version(&self, serial: u64) -> Option<ContractVersion> {
-        self.records.get(&serial).map(|record| record.version)
+        let version = self.records.get(&serial)?.version;
+        (version != ContractVersion::default()).then_some(version)
     }
 
     /// Sets how many tasks of a customer this entry may have at dispatchers at once.
--- a/crates/demo/tests/border/caller.rs
+++ b/crates/demo/tests/border/caller.rs
@@ -32,8 +32,12 @@
 pub(crate) struct HttpReply {
     /// The status.
     pub(crate) status: u16,
+    /// The first line.
+    pub(crate) first_line: String,
     /// The head in lower case.
     pub(crate) head: String,
+    /// The body's text.
+    pub(crate) body: String,
     /// The body, or null where it is not JSON.
     pub(crate) json: Value,
 }
@@ -153,12 +157,21 @@
         .windows(4)
         .position(|part| part == b"\r\n\r\n")
         .expect("a whole head");
-    let head = String::from_utf8_lossy(&answer[..end]).to_lowercase();
+    let head = String::from_utf8_lossy(&answer[..end]).into_owned();
+    let first_line = head.lines().next().unwrap_or_default().to_owned();
+    let head = head.to_lowercase();
+    let body = String::from_utf8_lossy(&answer[end + 4..]).into_owned();
     let status = head
         .split(' ')
         .nth(1)
         .and_then(|text| text.parse().ok())
         .expect("a status line");
     let json = serde_json::from_slice(&answer[end + 4..]).unwrap_or(Value::Null);
-    HttpReply { status, head, json }
+    HttpReply {
+        status,
+        first_line,
+        head,
+        body,
+        json,
+    }
 }
--- a/crates/demo/tests/border/good_calls.rs
+++ b/crates/demo/tests/border/good_calls.rs
@@ -88,6 +88,9 @@
     }
     let head = call(entry, "GET", "/live").await;
     assert_eq!(head.status, 204);
+    let metrics = call(entry, "GET", "/metrics").await;
+    assert_eq!(metrics.status, 200);
+    assert!(metrics.body.contains("# TYPE "), "{metrics:?}");
     assert_eq!(fleet.starts(), 6);
     assert_eq!(fleet.stop().await, 0);
 }
--- a/crates/demo/tests/border/main.rs
+++ b/crates/demo/tests/border/main.rs
@@ -4,3 +4,4 @@
 mod caller;
 mod good_calls;
 mod memory;
+mod page;
--- /dev/null
+++ b/crates/demo/tests/border/page.rs
@@ -0,0 +1,256 @@
+//! Runs the callers' examples of `docs/API.md` and checks that the page shows what came.
+
+use std::net::SocketAddr;
+
+use demo::{DemoFleet, FleetSettings};
+use model::{CustomerId, SubmissionId};
+use stand_ins::platform::{DownMode, FaultSettings};
+
+use crate::caller::{call, fleet, message, send, wait_for, HttpReply};
+
+const PAGE: &str = include_str!("../../../../docs/API.md");
+
+/// The incarnation that the page shows in place of each run's own.
+const SHOWN: &str = "98ce8a3683357382";
+
+/// The headers that the page shows.
+const HEADERS: [&str; 1] = ["retry-after"];
+
+/// A payload that runs for two seconds, in base64.
+const LONG: &str = "eyJydW5fbXMiOjIwMDB9";
+
+/// Two entries and what the page should hold.
+struct Examples {
+    fleet: DemoFleet,
+    entries: Vec<SocketAddr>,
+    /// The submission before the first one of the page, which shows it with serial 0.
+    base: SubmissionId,
+    missing: String,
+}
+
+/// One call as the page writes it.
+#[derive(Clone, Copy)]
+struct Example<'a> {
+    /// `A` or `B`.
+    entry: char,
+    method: &'a str,
+    path: &'a str,
+    key: Option<&'a str>,
+    body: &'a str,
+}
+
+impl<'a> Example<'a> {
+    fn post(entry: char, path: &'a str, body: &'a str) -> Self {
+        Self {
+            entry,
+            method: "POST",
+            path,
+            key: None,
+            body,
+        }
+    }
+
+    fn bare(method: &'a str, path: &'a str) -> Self {
+        Self {
+            entry: 'A',
+            method,
+            path,
+            key: None,
+            body: "",
+        }
+    }
+
+    fn command(&self) -> String {
+        let mut command = "    $ curl -i ".to_owned();
+        if self.method != "GET" {
+            command += &format!("-X {} ", self.method);
+        }
+        command += &format!("http://${}{}", self.entry, self.path);
+        if let Some(key) = self.key {
+            command += &format!(" -H 'Idempotency-Key: {key}'");
+        }
+        if !self.body.is_empty() {
+            command += &format!(" \\\n        -d '{}'", self.body);
+        }
+        command
+    }
+}
+
+impl Examples {
+    async fn start() -> Self {
+        let fleet = fleet(FleetSettings {
+            endpoints: 1,
+            slots: 1,
+            ..Default::default()
+        })
+        .await;
+        let customer: CustomerId = "trust".parse().expect("a name");
+        fleet.create_contract(&customer).await.expect("contract");
+        fleet.wait_until_in_force(&customer).await.expect("force");
+        let entries = fleet.caller_addresses();
+        let ask = r#"{"customer":"trust"}"#;
+        let issued = send(
+            entries[0],
+            &message("POST", "/v1/tickets", "", ask.as_bytes()),
+        )
+        .await;
+        let base = issued.text("ticket").trim_start_matches('t');
+        Self {
+            entries,
+            base: base.parse().expect("an id"),
+            fleet,
+            missing: String::new(),
+        }
+    }
+
+    async fn send(&self, example: Example<'_>) -> HttpReply {
+        let entry = self.entries[usize::from(example.entry == 'B')];
+        let key = example.key.map(|key| format!("idempotency-key: {key}\r\n"));
+        let headers = key.unwrap_or_default();
+        let path = self.to_real(example.path);
+        let body = self.to_real(example.body);
+        let bytes = message(example.method, &path, &headers, body.as_bytes());
+        send(entry, &bytes).await
+    }
+
+    async fn run(&mut self, example: Example<'_>) {
+        let reply = self.send(example).await;
+        self.show(example, &reply);
+    }
+
+    fn show(&mut self, example: Example<'_>, reply: &HttpReply) {
+        let mut block = format!("{}\n    {}\n", example.command(), reply.first_line);
+        for line in reply.head.lines() {
+            if HEADERS.iter().any(|name| line.starts_with(name)) {
+                block += &format!("    {line}\n");
+            }
+        }
+        block += &format!("\n    {}\n", reply.body);
+        let block = self.to_shown(&block);
+        if !PAGE.contains(&block) {
+            self.missing += &format!("{block}\n");
+        }
+    }
+
+    /// A shown id of this run's next submission.
+    async fn next_id(&self) -> String {
+        let ask = r#"{"customer":"trust"}"#;
+        let reply = self.send(Example::post('A', "/v1/tickets", ask)).await;
+        let id = reply.text("ticket").trim_start_matches('t');
+        let mut id: SubmissionId = id.parse().expect("an id");
+        id.serial += 1;
+        self.to_shown(&id.to_string())
+    }
+
+    /// The page's ids in place of this run's.
+    fn to_shown(&self, text: &str) -> String {
+        let own = self.base.incarnation.to_string();
+        rename_ids(text, &own, SHOWN, |serial| serial - self.base.serial)
+    }
+
+    /// This run's ids in place of the page's.
+    fn to_real(&self, text: &str) -> String {
+        let own = self.base.incarnation.to_string();
+        rename_ids(text, SHOWN, &own, |serial| serial + self.base.serial)
+    }
+}
+
+fn rename_ids(text: &str, from: &str, to: &str, renumber: impl Fn(u64) -> u64) -> String {
+    let from = format!("{from}-");
+    let mut parts = text.split(&from);
+    let mut renamed = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let end = part.find(|c: char| !c.is_ascii_hexdigit());
+        let (serial, rest) = part.split_at(end.unwrap_or(part.len()));
+        let serial = u64::from_str_radix(serial, 16).expect("a serial");
+        renamed += &format!("{to}-{:x}{rest}", renumber(serial));
+    }
+    renamed
+}
+
+async fn run_calls(examples: &mut Examples) {
+    let job = r#"{"customer":"trust","deadline_ms":2000,"tasks":[{"kind":"readiness","payload":"AAAA"},{"kind":"readiness","payload":"AAEC","declared_run_ms":50}]}"#;
+    examples.run(Example::post('A', "/v1/jobs", job)).await;
+    let hold = r#"{"customer":"trust","task":{"kind":"hold","payload":"AAAA"}}"#;
+    let other = r#"{"customer":"trust","task":{"kind":"hold","payload":"AAAB"}}"#;
+    examples.run(Example::post('A', "/v1/requests", hold)).await;
+    for (entry, body) in [('A', hold), ('B', hold), ('B', other)] {
+        let key = Some("hold-17");
+        let example = Example::post(entry, "/v1/requests", body);
+        examples.run(Example { key, ..example }).await;
+    }
+    for body in [
+        r#"{"customer":"trust","tasks":[{"kind":"k","payload":"???"}]}"#,
+        r#"{"customer":"nobody","tasks":[{"kind":"k","payload":"AAAA"}]}"#,
+    ] {
+        examples.run(Example::post('A', "/v1/jobs", body)).await;
+    }
+    examples.run(Example::bare("PUT", "/v1/jobs")).await;
+}
+
+async fn run_ticket(examples: &mut Examples) {
+    let ask = r#"{"customer":"trust"}"#;
+    let example = Example::post('A', "/v1/tickets", ask);
+    let reply = examples.send(example).await;
+    examples.show(example, &reply);
+    let ticket = examples.to_shown(reply.text("ticket"));
+    let body = format!(
+        r#"{{"customer":"trust","ticket":"{ticket}","task":{{"kind":"confirm","payload":"AAAA"}}}}"#
+    );
+    for entry in ['A', 'B'] {
+        examples
+            .run(Example::post(entry, "/v1/requests", &body))
+            .await;
+    }
+    let path = format!("/v1/requests/{}", ticket.trim_start_matches('t'));
+    examples.run(Example::bare("GET", &path)).await;
+}
+
+/// One request runs, another waits behind it for the only slot; both are asked for and cancelled.
+async fn run_cancels(examples: &mut Examples) {
+    let long = format!(r#"{{"customer":"trust","task":{{"kind":"hold","payload":"{LONG}"}}}}"#);
+    let mut paths = Vec::new();
+    let mut answers = Vec::new();
+    for event in ["started", "queued"] {
+        let id = examples.next_id().await;
+        let bytes = message("POST", "/v1/requests", "", long.as_bytes());
+        let entry = examples.entries[0];
+        answers.push(actix_rt::spawn(async move { send(entry, &bytes).await }));
+        let explain = examples.to_real(&format!("/v1/explain/{id}"));
+        wait_for(async || {
+            let report = call(entry, "GET", &explain).await;
+            report.json.to_string().contains(event)
+        })
+        .await;
+        paths.push(format!("/v1/requests/{id}"));
+    }
+    examples.run(Example::bare("GET", &paths[0])).await;
+    for path in &paths {
+        examples.run(Example::bare("DELETE", path)).await;
+    }
+    examples.run(Example::bare("GET", &paths[1])).await;
+    for answer in answers {
+        answer.await.expect("an answer");
+    }
+}
+
+async fn run_outage(examples: &mut Examples) {
+    let down = FaultSettings::down(DownMode::Unavailable);
+    examples.fleet.set_platform_faults(down);
+    let body = r#"{"customer":"trust","deadline_ms":1000,"task":{"kind":"hold","payload":"AAAA"}}"#;
+    let example = Example::post('A', "/v1/requests", body);
+    let key = Some("hold-18");
+    examples.run(Example { key, ..example }).await;
+}
+
+#[actix_rt::test]
+async fn the_page_shows_what_comes() {
+    let mut examples = Examples::start().await;
+    run_calls(&mut examples).await;
+    run_ticket(&mut examples).await;
+    run_cancels(&mut examples).await;
+    run_outage(&mut examples).await;
+    println!("{}", examples.missing);
+    assert!(examples.missing.is_empty(), "not on the page as it came");
+    assert_eq!(examples.fleet.stop().await, 0);
+}
