--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -254,7 +254,23 @@
 
     /// Sets how many tasks of a customer this entry may have at dispatchers at once.
     pub fn set_limit(&mut self, now: Instant, customer: &CustomerId, limit: u32) {
-        self.waiting.set_limit(customer, limit);
+        self.waiting.set_limit(customer, limit, None);
+        self.place(now);
+    }
+
+    /// Like [`Self::set_limit`], for a limit that lapses: from `until` on nothing of the customer is placed.
+    ///
+    /// Failure: this process is paused while a lease on concurrency lapses and goes to others. Symptom without this:
+    /// on thawing it places by the old limit, and the customer runs more than its contract allows. The time is
+    /// compared at each placement, so nothing that lies in the queues gets past it.
+    pub fn set_limit_until(
+        &mut self,
+        now: Instant,
+        customer: &CustomerId,
+        limit: u32,
+        until: Option<Instant>,
+    ) {
+        self.waiting.set_limit(customer, limit, until);
         self.place(now);
     }
 
--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -42,7 +42,7 @@
         }
         let mut batches = BTreeMap::new();
         for customer in self.waiting.take_changed() {
-            while let Some(task) = self.waiting.pop(&customer) {
+            while let Some(task) = self.waiting.pop(now, &customer) {
                 self.place_one(now, &customer, task, &mut batches);
             }
         }
--- a/crates/authority/src/waiting.rs
+++ b/crates/authority/src/waiting.rs
@@ -22,6 +22,8 @@
 struct CustomerQueue {
     tasks: BTreeSet<WaitingTask>,
     limit: u32,
+    /// When the limit lapses; then nothing may be placed.
+    until: Option<Instant>,
     in_flight: u32,
 }
 
@@ -36,9 +38,10 @@
 }
 
 impl WaitingTable {
-    pub(crate) fn set_limit(&mut self, customer: &CustomerId, limit: u32) {
+    pub(crate) fn set_limit(&mut self, customer: &CustomerId, limit: u32, until: Option<Instant>) {
         let queue = self.customers.entry(customer.clone()).or_default();
         queue.limit = limit;
+        queue.until = until;
         self.changed.insert(customer.clone());
     }
 
@@ -87,9 +90,10 @@
     }
 
     /// Takes the next task of a customer that has room.
-    pub(crate) fn pop(&mut self, customer: &CustomerId) -> Option<WaitingTask> {
+    pub(crate) fn pop(&mut self, now: Instant, customer: &CustomerId) -> Option<WaitingTask> {
         let queue = self.customers.get_mut(customer)?;
-        if queue.in_flight >= queue.limit {
+        let lapsed = queue.until.is_some_and(|until| until <= now);
+        if lapsed || queue.in_flight >= queue.limit {
             return None;
         }
         let task = queue.tasks.pop_first()?;
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -253,6 +253,7 @@
                 platform: platform.address(),
                 peers,
                 vm_list_ms: DurationMs(200),
+                grant_term_ms: DurationMs(2_000),
                 refresh_ms: DurationMs(200),
                 drain: quick_drain(),
                 ..Default::default()
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -1,6 +1,8 @@
 //! The control state of a dispatcher.
 
 mod contracts;
+mod grants;
+mod handover;
 mod membership;
 mod messages;
 mod sessions;
@@ -15,11 +17,14 @@
 };
 
 use ::contracts::ContractView;
-use ::membership::{MemberSettings, MemberTable, OwnMember, OwnershipMap};
+use ::membership::{
+    CentreView, GrantLedger, GrantSettings, HandoverLedger, MemberSettings, MemberTable, OwnMember,
+    OwnershipMap,
+};
 use actix::{Actor, Addr, AsyncContext as _, Context, Handler};
 use kernel::ClockSource;
 use ledger::{LedgerAction, LedgerSettings, SlotLedger};
-use model::{FastMap, IncarnationId, VmEntry};
+use model::{FastMap, FastSet, IncarnationId, VmEntry};
 use peer::PeerLink;
 use platform::PlatformClient;
 use settings::DispatcherSettings;
@@ -31,14 +36,22 @@
 };
 
 pub(crate) use messages::{
-    BeatTaken, ContractsAsked, OffersMade, PingTaken, SessionEnded, SessionOpened, StopBegun,
-    StopState, WithdrawalsMade,
+    BeatTaken, ContractsAsked, GrantsAsked, HandoverTaken, OffersMade, PingTaken, SessionEnded,
+    SessionOpened, StopBegun, StopState, WithdrawalsMade,
 };
 
 /// The time between two looks at what has become due. It bounds how late a slot goes on after an ask stayed
 /// unanswered, and is small against the shortest tasks of 50 ms.
 const TICK: Duration = Duration::from_millis(20);
 
+/// The time between two looks at the grants. The ledger takes a gap of the suspect time for a freeze of this process;
+/// the shortest that the settings' defaults allow is five of these.
+const GRANT_TICK: Duration = Duration::from_millis(200);
+
+/// The time between two reports to the new owners of endpoints. It bounds how long a slot that a task has left stays
+/// counted there, and is of the size of the shortest tasks.
+const HANDOVER_TICK: Duration = Duration::from_millis(50);
+
 /// The control state of a dispatcher: slots, members, sessions. It lives on the control thread.
 pub struct DispatcherControl {
     settings: DispatcherSettings,
@@ -48,6 +61,11 @@
     ledger: SlotLedger,
     members: MemberTable,
     ownership: OwnershipMap,
+    grants: GrantLedger,
+    centre: CentreView,
+    handovers: HandoverLedger,
+    reported: FastSet<SocketAddr>,
+    next_report: u64,
     vms: Vec<VmEntry>,
     peers: FastMap<SocketAddr, PeerSlot>,
     entries: EntryDirectory,
@@ -106,6 +124,7 @@
             claim_limit: settings.claim_limit_ms.duration(),
             ..LedgerSettings::default()
         });
+        let grants = GrantLedger::new(parts.own_address, grant_settings(&settings));
         Self {
             clock: parts.clock,
             incarnation: parts.incarnation,
@@ -113,6 +132,11 @@
             ledger,
             members,
             ownership: OwnershipMap::default(),
+            grants,
+            centre: CentreView::default(),
+            handovers: HandoverLedger::default(),
+            reported: FastSet::default(),
+            next_report: 1,
             vms: Vec::new(),
             peers: FastMap::default(),
             entries: parts.entries,
@@ -211,15 +235,32 @@
         self.members.set_stopping();
         self.ledger.stop(self.clock.now());
         self.tick(ctx);
+        self.tick_handovers(ctx);
         log::info!("dispatcher: stopping, {} tasks run", self.ledger.running());
     }
 }
 
+/// `grant_term_ms` has to be the same for all dispatchers of a data centre: a new home waits out the old one's grants
+/// by its own term. Entries take the term from each answer.
+fn grant_settings(settings: &DispatcherSettings) -> GrantSettings {
+    let term = settings.grant_term_ms.duration();
+    GrantSettings {
+        term,
+        margin: term / 20,
+        frozen_after: settings.suspect_ms.duration(),
+        ..GrantSettings::default()
+    }
+}
+
 impl Actor for DispatcherControl {
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Context<Self>) {
         ctx.run_interval(TICK, Self::tick);
+        ctx.run_interval(GRANT_TICK, |control, _| {
+            control.grants.tick(control.clock.now());
+        });
+        ctx.run_interval(HANDOVER_TICK, Self::tick_handovers);
         self.read_vm_list(ctx);
         ctx.run_interval(self.settings.vm_list_ms.duration(), Self::read_vm_list);
         self.poll_contracts(ctx);
@@ -247,8 +288,10 @@
 impl Handler<StopState> for DispatcherControl {
     type Result = usize;
 
-    fn handle(&mut self, _: StopState, _: &mut Context<Self>) -> usize {
+    fn handle(&mut self, _: StopState, ctx: &mut Context<Self>) -> usize {
         if self.ledger.is_drained() {
+            // The new owners' slots need not wait for the deadlines of what has ended.
+            self.tick_handovers(ctx);
             return 0;
         }
         self.ledger.running().max(1)
--- a/crates/dispatcher/src/control/contracts.rs
+++ b/crates/dispatcher/src/control/contracts.rs
@@ -92,6 +92,7 @@
                 self.view.head()
             );
         }
+        self.update_shares(&changed);
         self.members.set_head(self.view.head().0);
     }
 }
--- /dev/null
+++ b/crates/dispatcher/src/control/grants.rs
@@ -0,0 +1,77 @@
+//! The home's side of grants, and what entries are told about the data centre.
+
+use std::collections::BTreeMap;
+
+use actix::{Context, Handler};
+use model::{CustomerId, DataCentreId, EndpointState, VmEntry, VmRole};
+
+use super::{DispatcherControl, GrantsAsked};
+
+impl DispatcherControl {
+    /// Takes the members and the VM list as they are now. Nothing is told or granted before the list has been read:
+    /// without it every share would be 0, and a home that says so stops its customers. An entry whose home does not
+    /// answer has its base share.
+    pub(super) fn update_centre(&mut self) {
+        if self.vms.is_empty() {
+            return;
+        }
+        let owners = self.members.owners();
+        let listed = self.members.listed();
+        let slots = count_slots(&self.vms);
+        let resized = slots != self.centre.slots;
+        let addresses = owners.iter().map(|owner| owner.address).collect();
+        self.centre.update(addresses, listed.clone(), slots);
+        self.grants.set_view(self.clock.now(), owners, listed);
+        if resized {
+            let customers: Vec<_> = self.view.rows().map(|row| row.customer.clone()).collect();
+            self.update_shares(&customers);
+        }
+    }
+
+    /// Sets the shares of customers whose contract, or whose data centres, have changed. A retired contract keeps its
+    /// share: what was accepted before runs to its end.
+    pub(super) fn update_shares(&mut self, customers: &[CustomerId]) {
+        let now = self.clock.now();
+        for customer in customers {
+            let Some((_, contract)) = self.view.get(customer) else {
+                continue;
+            };
+            let share = self
+                .centre
+                .share_of(&self.settings.data_centre, contract.concurrency);
+            self.grants.set_share(now, customer.clone(), share);
+        }
+    }
+}
+
+impl Handler<GrantsAsked> for DispatcherControl {
+    type Result = ();
+
+    fn handle(&mut self, asked: GrantsAsked, _: &mut Context<Self>) {
+        let reply = match self.centre.revision {
+            0 => None,
+            _ => self.grants.on_ask(self.clock.now(), &asked.batch),
+        };
+        let _gone = asked.reply.send(Ok(reply));
+    }
+}
+
+/// What each data centre counts for: its endpoints' slots. One with VMs of the system and no endpoint counts 1, since
+/// its entries still have callers, whose tasks go to other data centres.
+fn count_slots(vms: &[VmEntry]) -> Vec<(DataCentreId, u32)> {
+    let mut slots: BTreeMap<DataCentreId, u32> = BTreeMap::new();
+    for vm in vms {
+        if vm.state == EndpointState::Leaving {
+            continue;
+        }
+        let counted = slots.entry(vm.data_centre.clone()).or_default();
+        if vm.role == VmRole::Endpoint {
+            *counted = counted.saturating_add(vm.slots);
+        }
+    }
+    let mut counts: Vec<_> = slots.into_iter().collect();
+    for (_, count) in &mut counts {
+        *count = (*count).max(1);
+    }
+    counts
+}
--- /dev/null
+++ b/crates/dispatcher/src/control/handover.rs
@@ -0,0 +1,98 @@
+//! Tasks that run at endpoints of which another dispatcher is the owner now.
+
+use std::net::SocketAddr;
+
+use actix::{ActorFutureExt as _, AsyncContext as _, Context, Handler, WrapFuture as _};
+use membership::{HandoverCount, HandoverReport};
+use model::{EndpointId, FastMap};
+
+use super::{DispatcherControl, HandoverTaken, PeerSlot};
+
+impl DispatcherControl {
+    /// Reports what this dispatcher still runs at endpoints of others, and lets the slots that others reported go
+    /// free with time. A new owner is told once more when nothing is left, so that it need not wait for deadlines.
+    ///
+    /// Load: a planned stop, or an endpoint that moves to a dispatcher that came up, at full slots. Harm: the new
+    /// owner takes the slots for free, and each task it sends there is turned away. Reports go only while such tasks
+    /// run, so a move of an idle endpoint costs nothing.
+    pub(super) fn tick_handovers(&mut self, ctx: &mut Context<Self>) {
+        let mut reports = self.collect_reports();
+        for address in self.reported.clone() {
+            reports.entry(address).or_default();
+        }
+        for (address, counts) in reports {
+            self.report_to(ctx, address, counts);
+        }
+        self.count_outside();
+        self.flush(ctx);
+    }
+
+    fn collect_reports(&self) -> FastMap<SocketAddr, Vec<HandoverCount>> {
+        let mut reports: FastMap<SocketAddr, Vec<HandoverCount>> = FastMap::default();
+        for (endpoint, time_left) in self.ledger.unowned_tasks(self.clock.now()) {
+            let Some(owner) = self.ownership.owner(&endpoint) else {
+                continue;
+            };
+            if owner == self.own_address {
+                continue;
+            }
+            let count = HandoverCount {
+                endpoint,
+                time_left,
+            };
+            reports.entry(owner).or_default().push(count);
+        }
+        reports
+    }
+
+    fn report_to(
+        &mut self,
+        ctx: &mut Context<Self>,
+        address: SocketAddr,
+        counts: Vec<HandoverCount>,
+    ) {
+        let Some(PeerSlot::Open(link)) = self.peers.get(&address) else {
+            // The heartbeat connects to it. One that is gone has nothing to count.
+            self.reported.remove(&address);
+            return;
+        };
+        match counts.is_empty() {
+            true => self.reported.remove(&address),
+            false => self.reported.insert(address),
+        };
+        let report = HandoverReport {
+            from: self.own_address,
+            incarnation: self.incarnation,
+            serial: self.next_report,
+            counts,
+        };
+        self.next_report += 1;
+        let told = link.client().handover(&report).into_actor(self);
+        ctx.spawn(told.map(move |told, _, _| {
+            if let Err(error) = told {
+                log::debug!("dispatcher: report not taken by {address}: {error}");
+            }
+        }));
+    }
+
+    fn count_outside(&mut self) {
+        let now = self.clock.now();
+        self.handovers.tick(now);
+        let owned: Vec<EndpointId> = self.ownership.owned_by(self.own_address).cloned().collect();
+        for endpoint in owned {
+            let used = self.handovers.outstanding(now, &endpoint);
+            self.ledger.set_outside(now, &endpoint, used as u32);
+        }
+    }
+}
+
+impl Handler<HandoverTaken> for DispatcherControl {
+    type Result = ();
+
+    fn handle(&mut self, taken: HandoverTaken, ctx: &mut Context<Self>) {
+        self.handovers.on_report(self.clock.now(), taken.report);
+        self.count_outside();
+        let _gone = taken.reply.send(Ok(()));
+        self.flush(ctx);
+    }
+}
--- a/crates/dispatcher/src/control/membership.rs
+++ b/crates/dispatcher/src/control/membership.rs
@@ -5,7 +5,7 @@
 use actix::{ActorFutureExt as _, AsyncContext as _, Context, Handler, WrapFuture as _};
 use membership::{BeatReply, MemberAction};
 use model::{EndpointAddress, EndpointId, EndpointState, VmEntry, VmRole};
-use peer::PeerError;
+use peer::{PeerError, PingReply};
 use telemetry::CounterKind;
 
 use super::{BeatTaken, DispatcherControl, PeerSlot, PingTaken};
@@ -21,6 +21,7 @@
         }
         if changed {
             self.update_ownership();
+            self.update_centre();
         }
     }
 
@@ -38,6 +39,7 @@
         self.members.on_vm_list(&vms);
         self.vms = vms;
         self.update_ownership();
+        self.update_centre();
         self.flush(ctx);
     }
 
@@ -157,7 +159,11 @@
             .session
             .is_none_or(|(entry, session)| self.ledger.hear(now, entry, session));
         let answer = match open {
-            true => Ok((self.members.beat_message().view, self.ledger.slots())),
+            true => Ok(PingReply {
+                view: self.members.beat_message().view,
+                slots: self.ledger.slots(),
+                centre: (self.centre.revision != taken.revision).then(|| self.centre.clone()),
+            }),
             // The entry opens another one, and learns what became of its attempts.
             false => Err(PeerError::Failed("the session is over".to_owned())),
         };
--- a/crates/dispatcher/src/control/messages.rs
+++ b/crates/dispatcher/src/control/messages.rs
@@ -3,11 +3,11 @@
 //! The port sends them with `do_send`, which keeps their order, and waits for the answer on a channel inside.
 
 use actix::Message;
-use membership::{BeatMessage, BeatReply, MemberView};
+use membership::{AskBatch, BeatMessage, BeatReply, HandoverReport, ReplyBatch};
 use model::{
     AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, WithdrawalVerdict,
 };
-use peer::{ContractPage, PeerError};
+use peer::{ContractPage, PeerError, PingReply};
 use tokio::sync::oneshot;
 
 pub(crate) type ReplyTo<T> = oneshot::Sender<Result<T, PeerError>>;
@@ -64,7 +64,25 @@
 #[rtype(result = "()")]
 pub(crate) struct PingTaken {
     pub(crate) session: Option<(IncarnationId, SessionId)>,
-    pub(crate) reply: ReplyTo<(MemberView, SlotCounts)>,
+    /// The revision of the view of the data centre that the entry has.
+    pub(crate) revision: u64,
+    pub(crate) reply: ReplyTo<PingReply>,
+}
+
+/// An entry asks for parts of customers' shares.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct GrantsAsked {
+    pub(crate) batch: AskBatch,
+    pub(crate) reply: ReplyTo<Option<ReplyBatch>>,
+}
+
+/// An earlier owner of endpoints tells what it still runs there.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct HandoverTaken {
+    pub(crate) report: HandoverReport,
+    pub(crate) reply: ReplyTo<()>,
 }
 
 /// Somebody asks for contract rows.
--- a/crates/dispatcher/src/port.rs
+++ b/crates/dispatcher/src/port.rs
@@ -3,20 +3,20 @@
 use std::{cell::Cell, rc::Rc};
 
 use actix::{Addr, Handler};
-use membership::{BeatMessage, BeatReply, MemberView};
+use membership::{AskBatch, BeatMessage, BeatReply, HandoverReport, ReplyBatch};
 use model::{
     AttemptId, IncarnationId, SessionId, SlotCounts, TaskOffer, TaskVerdict, WithdrawalVerdict,
 };
 use peer::{
-    AcceptedPort, ContractPage, DispatcherService, EntryClient, PeerError, ReplyFuture,
+    AcceptedPort, ContractPage, DispatcherService, EntryClient, PeerError, PingReply, ReplyFuture,
     SessionService,
 };
 use tokio::sync::oneshot;
 
 use crate::{
     control::{
-        BeatTaken, ContractsAsked, OffersMade, PingTaken, SessionEnded, SessionOpened,
-        WithdrawalsMade,
+        BeatTaken, ContractsAsked, GrantsAsked, HandoverTaken, OffersMade, PingTaken, SessionEnded,
+        SessionOpened, WithdrawalsMade,
     },
     entry_directory::EntryDirectory,
     DispatcherControl,
@@ -95,9 +95,21 @@
         ask(&self.control, |reply| BeatTaken { message, reply })
     }
 
-    fn ping(&self) -> ReplyFuture<(MemberView, SlotCounts)> {
+    fn ping(&self, revision: u64) -> ReplyFuture<PingReply> {
         let session = self.session.get();
-        ask(&self.control, |reply| PingTaken { session, reply })
+        ask(&self.control, |reply| PingTaken {
+            session,
+            revision,
+            reply,
+        })
+    }
+
+    fn grant(&self, batch: AskBatch) -> ReplyFuture<Option<ReplyBatch>> {
+        ask(&self.control, |reply| GrantsAsked { batch, reply })
+    }
+
+    fn handover(&self, report: HandoverReport) -> ReplyFuture<()> {
+        ask(&self.control, |reply| HandoverTaken { report, reply })
     }
 
     fn contracts(&self, since: u64) -> ReplyFuture<ContractPage> {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod contract_news;
 mod forwarding;
+mod grants;
 mod keys;
 mod messages;
 mod notes;
@@ -25,7 +26,10 @@
 use caller_api::SubmissionAnswer;
 use contracts::{ContractEditor, ContractView, EditorSettings};
 use kernel::ClockSource;
-use model::{DataCentreId, FastMap, IncarnationId, SessionId, SubmissionId, SubmissionOutcome};
+use membership::{CentreView, GrantHolder, GrantSettings};
+use model::{
+    CustomerId, DataCentreId, FastMap, IncarnationId, SessionId, SubmissionId, SubmissionOutcome,
+};
 use peer::{PeerLink, SessionClient};
 use platform::PlatformClient;
 use request_keys::{BatcherSettings, KeyRecorder};
@@ -33,7 +37,10 @@
 use telemetry::{GaugeKind, MetricSet};
 use tokio::sync::oneshot;
 
-use self::notes::{seconds, EventNotes};
+use self::{
+    grants::UsableGrant,
+    notes::{seconds, EventNotes},
+};
 
 pub(crate) use messages::{
     BodyClaimed, EndsReported, OutcomeAsked, RequestPassed, SlotsTold, StopBegun, StopState,
@@ -49,6 +56,11 @@
     authority: TaskAuthority,
     contracts: ContractView,
     contracts_heard: Option<Instant>,
+    grants: GrantHolder,
+    centre: CentreView,
+    own_dispatcher: SocketAddr,
+    usable: FastMap<CustomerId, UsableGrant>,
+    asks_due: bool,
     dispatchers: FastMap<DispatcherKey, DispatcherSlot>,
     keys: FastMap<SocketAddr, DispatcherKey>,
     next_key: u64,
@@ -68,6 +80,8 @@
     address: SocketAddr,
     data_centre: DataCentreId,
     link: LinkState,
+    /// The data centre as it sees it, since the session opened.
+    centre: Option<CentreView>,
 }
 
 /// How the connection to a dispatcher stands.
@@ -107,11 +121,17 @@
         };
         let data_centre = settings.data_centre.clone();
         let seed = parts.incarnation.0;
+        let own_dispatcher = grants::first_dispatcher(&settings);
         let now = parts.clock.now();
         let mut control = Self {
             authority: TaskAuthority::new(authority_settings, data_centre, parts.incarnation, seed),
             contracts: ContractView::default(),
             contracts_heard: None,
+            grants: GrantHolder::new(own_dispatcher, parts.incarnation, GrantSettings::default()),
+            centre: CentreView::default(),
+            own_dispatcher,
+            usable: FastMap::default(),
+            asks_due: false,
             dispatchers: FastMap::default(),
             keys: FastMap::default(),
             next_key: 1,
@@ -139,6 +159,9 @@
 
     /// Carries out what the authority wants done. To be called at the end of each input.
     fn flush(&mut self, ctx: &mut Context<Self>) {
+        if self.asks_due {
+            self.send_asks(ctx);
+        }
         for action in self.authority.take_actions() {
             match action {
                 AuthorityAction::Offer {
@@ -198,6 +221,7 @@
         self.note_own_pause(now);
         self.tend_sessions(ctx, now);
         self.authority.tick(now);
+        self.tick_grants(ctx, now);
         self.flush(ctx);
         self.become_ready();
         self.set_gauges();
@@ -214,6 +238,7 @@
             GaugeKind::OpenSubmissions,
             self.authority.open_submissions() as f64,
         );
+        metrics.gauge(GaugeKind::GrantsHeld, f64::from(self.grants_held()));
         metrics.gauge(GaugeKind::ContractHead, self.contracts.head().0 as f64);
         if let Some(heard) = self.contracts_heard {
             let age = self.clock.now().saturating_duration_since(heard);
@@ -221,10 +246,11 @@
         }
     }
 
-    /// Ready once contracts and slots are known, until the stop begins. Losing every slot later does not take the
+    /// Ready once contracts, slots and the customers' homes are known, until the stop begins. Losing every slot later does not take the
     /// entry out of the balancer: its callers get a refusal with when to come back, and not no answer at all.
     fn become_ready(&mut self) {
-        let known = self.contracts.is_ready() && self.authority.has_capacity();
+        let known =
+            self.contracts.is_ready() && self.centre.revision > 0 && self.authority.has_capacity();
         if known && !self.leaving.load(Ordering::Relaxed) {
             self.ready.store(true, Ordering::Relaxed);
         }
--- a/crates/entry/src/control/callers.rs
+++ b/crates/entry/src/control/callers.rs
@@ -69,9 +69,10 @@
                 body.deadline = Some(deadline - margin);
             }
         }
-        let admitted = self
-            .authority
-            .submit(self.clock.now(), body, digest, contract, serial)?;
+        let now = self.clock.now();
+        let customer = body.customer.clone();
+        let admitted = self.authority.submit(now, body, digest, contract, serial)?;
+        self.note_demand(now, &customer);
         Ok(admitted.id)
     }
 
@@ -152,15 +153,6 @@
         self.notes.metrics().count(CounterKind::SecondArrivals, 1);
         self.wait_for(serial)
     }
-
-    /// Sets how many tasks of a customer this entry may have at dispatchers at once.
-    pub(super) fn set_limit(&mut self, customer: &CustomerId) {
-        let limit = self
-            .contracts
-            .get(customer)
-            .map_or(0, |(_, contract)| contract.concurrency);
-        self.authority.set_limit(self.clock.now(), customer, limit);
-    }
 }
 
 impl Handler<SubmitCommand> for EntryControl {
--- a/crates/entry/src/control/contract_news.rs
+++ b/crates/entry/src/control/contract_news.rs
@@ -71,7 +71,7 @@
         };
         self.contracts_heard = Some(self.clock.now());
         for customer in self.contracts.apply(update) {
-            self.set_limit(&customer);
+            self.set_share(&customer);
         }
         self.flush(ctx);
     }
--- a/crates/entry/src/control/sessions.rs
+++ b/crates/entry/src/control/sessions.rs
@@ -37,6 +37,7 @@
                 address,
                 data_centre,
                 link,
+                centre: None,
             },
         );
     }
@@ -58,6 +59,7 @@
             }
         }
         self.forget_unlisted(vms);
+        self.note_own_dispatcher(vms);
     }
 
     /// VMs are replaced all the time, so an address that no list names and that does not answer is forgotten.
@@ -257,6 +259,8 @@
         };
         ctx.spawn(opened.into_actor(self).map(move |opened, control, ctx| {
             control.on_connected(key, session, opened);
+            // Its view of the data centre is needed before the first grant can be asked for.
+            control.ping(ctx, key);
             control.flush(ctx);
         }));
     }
@@ -315,8 +319,10 @@
             _ => return,
         }
         slot.link = LinkState::Idle(now);
+        slot.centre = None;
         self.notes.metrics().count(CounterKind::SessionsLost, 1);
         self.authority.on_session_lost(now, key, session);
+        self.choose_centre();
     }
 
     fn ping(&mut self, ctx: &mut Context<Self>, key: DispatcherKey) {
@@ -328,14 +334,19 @@
         };
         open.pinged = true;
         let session = open.session;
-        let reply = open.link.client().ping();
+        let revision = slot.centre.as_ref().map_or(0, |view| view.revision);
+        let reply = open.link.client().ping(revision);
         ctx.spawn(
             reply
                 .into_actor(self)
                 .map(move |reply, control, ctx| match reply {
-                    Ok((view, slots)) => {
-                        control.authority.on_slots(control.clock.now(), key, slots);
-                        control.on_ping_reply(ctx, key, session, &view);
+                    Ok(reply) => {
+                        let now = control.clock.now();
+                        control.authority.on_slots(now, key, reply.slots);
+                        if let Some(view) = reply.centre {
+                            control.take_centre(key, view);
+                        }
+                        control.on_ping_reply(ctx, key, session, &reply.view);
                     }
                     Err(error) => control.on_call_failed(ctx, key, session, &error),
                 }),
--- a/crates/ledger/src/endpoint.rs
+++ b/crates/ledger/src/endpoint.rs
@@ -9,6 +9,8 @@
 pub(crate) struct EndpointRecord {
     pub(crate) address: EndpointAddress,
     pub(crate) running: u32,
+    /// Slots that an earlier owner still uses.
+    pub(crate) outside: u32,
     pub(crate) state: EndpointState,
     pub(crate) owned: bool,
     /// What its tasks have shown.
@@ -28,6 +30,7 @@
             limit: address.slots,
             address,
             running: 0,
+            outside: 0,
             state,
             owned: true,
             health,
@@ -42,7 +45,7 @@
         if !self.owned || self.state == EndpointState::Leaving {
             return 0;
         }
-        self.limit.saturating_sub(self.running)
+        self.limit.saturating_sub(self.running + self.outside)
     }
 }
 
@@ -64,7 +67,7 @@
         self.endpoints.keys().cloned().collect()
     }
 
-    /// Slots that may be used now, and tasks that run, over all endpoints.
+    /// Slots that may be used now, and slots in use, over all endpoints.
     pub(crate) fn totals(&self) -> (u32, u32) {
         (self.limit, self.running)
     }
@@ -74,10 +77,10 @@
         let Some(record) = self.endpoints.get_mut(id) else {
             return;
         };
-        let (room, limit, running) = (record.room(), usable(record), record.running);
+        let (room, limit, used) = (record.room(), usable(record), used(record));
         change(record);
         self.limit = self.limit - limit + usable(record);
-        self.running = self.running - running + record.running;
+        self.running = self.running - used + self::used(record);
         let (after, gone) = (record.room(), !record.owned && record.running == 0);
         self.move_room(id, room, after);
         if gone {
@@ -92,7 +95,7 @@
         }
         let room = record.room();
         self.limit += usable(&record);
-        self.running += record.running;
+        self.running += used(&record);
         self.endpoints.insert(id.clone(), record);
         self.move_room(&id, 0, room);
     }
@@ -119,6 +122,14 @@
     }
 }
 
+/// Slots in use, by whomever. An earlier owner's count only where this dispatcher is the owner.
+fn used(record: &EndpointRecord) -> u32 {
+    match record.owned {
+        true => record.running + record.outside,
+        false => record.running,
+    }
+}
+
 fn usable(record: &EndpointRecord) -> u32 {
     if !record.owned || record.state == EndpointState::Leaving {
         return 0;
--- a/crates/ledger/src/ledger/running.rs
+++ b/crates/ledger/src/ledger/running.rs
@@ -4,8 +4,8 @@
 
 use decisions::{EndKind, EndReport, EndpointHealth};
 use model::{
-    AttemptEnd, AttemptId, EndpointAddress, EndpointId, EndpointState, FastSet, IncarnationId,
-    RetryReason, TaskOffer,
+    AttemptEnd, AttemptId, EndpointAddress, EndpointId, EndpointState, FastMap, FastSet,
+    IncarnationId, RetryReason, TaskOffer,
 };
 
 use crate::{
@@ -56,6 +56,35 @@
         self.fill_slots(now);
     }
 
+    /// Sets how many slots of an owned endpoint an earlier owner still uses.
+    ///
+    /// Load: an owner leaves with its slots full. Harm: a start at a slot that is not free is turned away, and costs a
+    /// message and the caller's time.
+    pub fn set_outside(&mut self, now: Instant, endpoint: &EndpointId, used: u32) {
+        let known = self.endpoints.get(endpoint);
+        if known.is_none_or(|record| record.outside == used) {
+            return;
+        }
+        self.endpoints
+            .update(endpoint, |record| record.outside = used);
+        self.fill_slots(now);
+    }
+
+    /// The tasks that run at endpoints which this dispatcher does not own, with the time left of each until its
+    /// deadline. All endpoints when it stops.
+    pub fn unowned_tasks(&self, now: Instant) -> FastMap<EndpointId, Vec<Duration>> {
+        let mut tasks: FastMap<EndpointId, Vec<Duration>> = FastMap::default();
+        for task in self.running.values() {
+            let record = self.endpoints.get(&task.endpoint);
+            if !self.stopping && record.is_some_and(|record| record.owned) {
+                continue;
+            }
+            let left = task.due.saturating_duration_since(now);
+            tasks.entry(task.endpoint.clone()).or_default().push(left);
+        }
+        tasks
+    }
+
     /// Tasks that run on an endpoint, with slots held for asked bodies.
     pub fn running_on(&self, endpoint: &EndpointId) -> u32 {
         self.endpoints
@@ -98,6 +127,7 @@
             entry,
             endpoint,
             started: now,
+            due: now + offer.time_left,
             customer: offer.customer.clone(),
             kind: offer.kind.clone(),
             expected: offer.expected_run_time,
--- /dev/null
+++ b/crates/ledger/tests/handover.rs
@@ -0,0 +1,100 @@
+//! Slots that pass from one owner to the next while tasks run in them.
+
+use std::time::{Duration, Instant};
+
+use ledger::{LedgerAction, LedgerSettings, SlotLedger};
+use model::{
+    AttemptEnd, AttemptId, CustomerShare, EndpointAddress, EndpointId, EndpointState,
+    IncarnationId, Payload, SessionId, SubmissionId, TaskOffer, TaskResult, TaskVerdict,
+};
+
+const ENTRY: IncarnationId = IncarnationId(1);
+const SESSION: SessionId = SessionId(1);
+
+fn offer(serial: u64) -> TaskOffer {
+    let submission = SubmissionId {
+        incarnation: ENTRY,
+        serial,
+    };
+    TaskOffer {
+        attempt: AttemptId {
+            submission,
+            task: 0,
+            attempt: 0,
+        },
+        customer: "school".parse().unwrap(),
+        share: CustomerShare::default(),
+        kind: "hold".parse().unwrap(),
+        time_left: Duration::from_secs(5),
+        expected_run_time: Duration::from_millis(100),
+        payload: Payload::from(&b"body"[..]),
+    }
+}
+
+fn endpoint() -> EndpointId {
+    "endpoint-1".parse().unwrap()
+}
+
+/// A ledger with one endpoint of two slots and an open session.
+fn ledger(now: Instant) -> SlotLedger {
+    let mut ledger = SlotLedger::new(LedgerSettings::default());
+    let address = EndpointAddress {
+        id: endpoint(),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots: 2,
+    };
+    ledger.set_endpoints(now, &[(address, EndpointState::Live)]);
+    ledger.open_session(now, ENTRY, SESSION).unwrap();
+    ledger
+}
+
+// The caller at the new owner waits for a slot and is not turned away by a full endpoint. The old owner's tasks fill
+// it; one slot goes free by a report, and the task that waited is asked for.
+#[test]
+fn slots_of_an_earlier_owner_are_not_given_out() {
+    let now = Instant::now();
+    let mut ledger = ledger(now);
+    ledger.set_outside(now, &endpoint(), 2);
+    assert_eq!(ledger.slots().running, 2);
+    assert_eq!(ledger.slots().limit, 2);
+    let verdicts = ledger.offer(now, ENTRY, SESSION, 1, vec![offer(1)]);
+    assert_eq!(verdicts, [TaskVerdict::Queued]);
+    assert!(ledger.take_actions().is_empty());
+    ledger.set_outside(now, &endpoint(), 1);
+    let actions = ledger.take_actions();
+    assert!(matches!(actions[..], [LedgerAction::Claim { .. }]));
+    ledger.set_outside(now, &endpoint(), 0);
+    let slots = ledger.slots();
+    assert_eq!((slots.running, slots.limit), (1, 2));
+}
+
+// The new owner hears of exactly what runs and until when. The old one loses the endpoint while a task runs, and again
+// has nothing to report once that has ended.
+#[test]
+fn what_runs_at_a_lost_endpoint_is_reported() {
+    let now = Instant::now();
+    let mut ledger = ledger(now);
+    ledger.set_outside(now, &endpoint(), 1);
+    ledger.offer(now, ENTRY, SESSION, 1, vec![offer(1)]);
+    assert!(ledger.unowned_tasks(now).is_empty());
+    ledger.set_endpoints(now, &[]);
+    let later = now + Duration::from_secs(2);
+    let tasks = ledger.unowned_tasks(later);
+    assert_eq!(tasks[&endpoint()], [Duration::from_secs(3)]);
+    let done = AttemptEnd::Done(TaskResult {
+        payload: Payload::default(),
+    });
+    ledger.on_ran(later, offer(1).attempt, done);
+    assert!(ledger.unowned_tasks(later).is_empty());
+    let slots = ledger.slots();
+    assert_eq!((slots.running, slots.limit), (0, 0));
+}
+
+#[test]
+fn a_stopping_owner_reports_every_endpoint() {
+    let now = Instant::now();
+    let mut ledger = ledger(now);
+    ledger.offer(now, ENTRY, SESSION, 1, vec![offer(1), offer(2)]);
+    ledger.stop(now);
+    assert_eq!(ledger.unowned_tasks(now)[&endpoint()].len(), 2);
+}
--- a/crates/membership/src/grant/holder.rs
+++ b/crates/membership/src/grant/holder.rs
@@ -77,6 +77,7 @@
 struct Asked {
     serial: u64,
     at: Instant,
+    want: u32,
     held: u32,
 }
 
@@ -160,6 +161,15 @@
         }
     }
 
+    /// Sets how many tasks of the customer run or may run, and how many wait for a grant, for callers that keep count
+    /// of both themselves.
+    pub fn set_demand(&mut self, now: Instant, customer: &CustomerId, in_use: u32, waiting: u32) {
+        if let Some(holding) = self.holdings.get_mut(customer) {
+            holding.in_use = in_use;
+        }
+        self.set_waiting(now, customer, waiting);
+    }
+
     /// Sets how many tasks of the customer wait for a grant at this entry.
     pub fn set_waiting(&mut self, now: Instant, customer: &CustomerId, waiting: u32) {
         let limit = self.limit(now, customer);
@@ -188,6 +198,17 @@
         0
     }
 
+    /// When [`Self::limit`] ends to hold; `None` for one that does not lapse by itself.
+    pub fn lapses_at(&self, now: Instant, customer: &CustomerId) -> Option<Instant> {
+        let grant = self.holdings.get(customer)?.grant?;
+        (now < grant.until).then_some(grant.until)
+    }
+
+    /// The address by which this entry's base shares are reckoned, once it is known better than at the start.
+    pub fn set_own(&mut self, own: SocketAddr) {
+        self.own = own;
+    }
+
     /// The tasks of the customer that run or may run.
     pub fn in_use(&self, customer: &CustomerId) -> u32 {
         self.holdings.get(customer).map_or(0, |h| h.in_use)
@@ -363,7 +384,10 @@
         base: u32,
         settings: &GrantSettings,
     ) -> (u32, u32) {
-        let want = with_headroom(self.peak.max(self.demand()), settings.headroom_percent);
+        let mut want = with_headroom(self.peak.max(self.demand()), settings.headroom_percent);
+        if want > 0 && self.granted(now).is_none_or(|count| count == 0) {
+            want = want.max(base.min(settings.first_ask));
+        }
         let held = match self.granted(now) {
             Some(granted) => granted.min(want),
             None if self.home_is_silent(now, settings.base_after) => base,
@@ -378,6 +402,7 @@
         self.asked = Some(Asked {
             serial,
             at: now,
+            want,
             held,
         });
         self.silent_since.get_or_insert(now);
@@ -405,10 +430,15 @@
         let next = if count < asked.held {
             // The home frees what it took back only when an ask shows that it is given up, and others wait for it.
             now
+        } else if self.demand() > count && count >= asked.want {
+            // A burst that came while the ask was on its way: the home gave all that was asked for and may have more.
+            // Waiting here would hold the burst up for no one's sake; one ask a round trip is what it costs.
+            now
         } else if self.demand() > count || (count == 0 && self.peak > 0) {
             now + settings.retry_every
         } else {
-            asked.at + settings.renew_every
+            // A deployment with a shorter term has no use for a renewal after its end.
+            asked.at + settings.renew_every.min(term * 2 / 3)
         };
         self.due = Some(next);
     }
--- a/crates/membership/src/grant/settings.rs
+++ b/crates/membership/src/grant/settings.rs
@@ -32,6 +32,10 @@
     /// How much more than it has use for an entry asks, in percent and at least 1, so that the next task need not wait
     /// for a round trip.
     pub headroom_percent: u32,
+    /// The least that an entry asks for when it holds nothing, and at most its base share. Load: a few tasks come close
+    /// together after a pause. Harm: each waits for a round trip of its own. Never more than the base share, since
+    /// others need the rest, and few, since a busy entry elsewhere is cut by it until the unused part goes back.
+    pub first_ask: u32,
 }
 
 impl Default for GrantSettings {
@@ -46,6 +50,7 @@
             frozen_after: Duration::from_secs(2),
             bytes_per_second: 6000,
             headroom_percent: 25,
+            first_ask: 4,
         }
     }
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,8 +6,10 @@
 //! - [`MemberTable`]: which dispatchers are live, from heartbeats.
 //! - [`OwnershipMap`]: which dispatcher owns which endpoint.
 //! - [`GrantLedger`] and [`GrantHolder`]: the two sides of a lease on a part of a customer's concurrency.
+//! - [`CentreView`]: what entries hear of all that.
 //! - [`HandoverReport`]: what a leaving owner tells the new ones.
 
+mod centre;
 mod grant;
 mod handover;
 mod member;
@@ -15,6 +17,7 @@
 mod ownership;
 
 pub use crate::{
+    centre::CentreView,
     grant::{
         base_share, fair_target, split_shares, AskBatch, GrantAsk, GrantHolder, GrantLedger,
         GrantReply, GrantSettings, GrantVerdict, ReplyBatch, StartRefusal,
--- a/crates/membership/tests/grants.rs
+++ b/crates/membership/tests/grants.rs
@@ -336,6 +336,55 @@
     assert_eq!(entry.holder.tick(now), []);
 }
 
+// The caller of a burst waits one round trip more and not a second. The first task's ask is on its way while the rest
+// of the burst comes; the home gives all that was asked for, so there may be more, and the holder asks for that at once.
+#[test]
+fn a_burst_behind_an_ask_is_asked_for_at_once() {
+    let mut entry = Entry::new(40);
+    let (customer, settings) = (customer(), GrantSettings::default());
+    entry.holder.set_demand(entry.at(0), &customer, 0, 1);
+    let first = entry.holder.tick(entry.at(0));
+    entry.holder.set_demand(entry.at(1), &customer, 0, 20);
+    assert_eq!(entry.holder.tick(entry.at(1)), [], "one is on its way");
+    let want = first[0].asks[0].want;
+    assert_eq!(want, settings.first_ask);
+    entry
+        .holder
+        .on_reply(entry.at(2), &answer(&first[0], want, 40));
+    let second = entry.holder.tick(entry.at(2));
+    assert_eq!(second[0].asks[0].want, 25);
+    // A home that is short is left alone for the usual time.
+    entry
+        .holder
+        .on_reply(entry.at(3), &answer(&second[0], 10, 40));
+    assert_eq!(entry.holder.tick(entry.at(4)), []);
+    let later = entry.at(3) + settings.retry_every;
+    assert_eq!(entry.holder.tick(later).len(), 1);
+}
+
+#[test]
+fn demand_is_taken_as_counted_elsewhere() {
+    let mut entry = Entry::granted(20, 0, 1, 10);
+    let customer = customer();
+    entry.holder.set_demand(entry.at(2), &customer, 7, 0);
+    assert_eq!(entry.holder.in_use(&customer), 7);
+    entry.holder.set_demand(entry.at(3), &customer, 2, 0);
+    assert_eq!(entry.holder.in_use(&customer), 2);
+}
+
+#[test]
+fn a_grant_says_when_it_lapses() {
+    let entry = Entry::granted(20, 0, 1, 10);
+    let (customer, term) = (customer(), GrantSettings::default().term);
+    assert_eq!(
+        entry.holder.lapses_at(entry.at(1), &customer),
+        Some(entry.at(0) + term)
+    );
+    let lapsed = entry.at(0) + term;
+    assert_eq!(entry.holder.lapses_at(lapsed, &customer), None);
+    assert_eq!(entry.holder.limit(lapsed, &customer), 0);
+}
+
 // The home's debits must cover what entries hold. An ask that is on its way is not repeated before its time, as the
 // answer to the first would be ignored; and an answer of a home that is none any more is ignored.
 #[test]
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -87,8 +87,9 @@
   # `loaded` is false while the sender holds no complete set that is as new as its peers'.
   grant @4 (batch :AskBatch) -> (answered :Bool, batch :ReplyBatch);
   # Leases parts of customers' concurrency in this data centre, from the customers' home dispatcher.
-  ping @5 () -> (view :MemberView, slots :Slots);
-  # What an entry asks to know that the dispatcher is alive.
+  ping @5 (revision :UInt64) -> (view :MemberView, slots :Slots, centre :CentreView);
+  # What an entry asks to know that the dispatcher is alive. `centre` is there when the entry's revision is another
+  # than the dispatcher's.
   handover @6 (report :HandoverReport) -> ();
   # What a leaving owner of endpoints still has running there.
 }
@@ -102,6 +103,20 @@
   # The newest contract head that the sender holds.
 }
 
+struct CentreView {
+  # A data centre as one of its dispatchers sees it.
+  revision @0 :UInt64;
+  # Never 0; goes up with each change in the life of the dispatcher.
+  owners @1 :List(Text);
+  listed @2 :List(Text);
+  slots @3 :List(CentreSlots);
+}
+
+struct CentreSlots {
+  dataCentre @0 :Text;
+  slots @1 :UInt32;
+}
+
 struct AskBatch {
   home @0 :Text;
   holder @1 :UInt64;
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -3,7 +3,7 @@
 
 use std::{future::Future, time::Duration};
 
-use membership::{BeatMessage, BeatReply, MemberView};
+use membership::{AskBatch, BeatMessage, BeatReply, HandoverReport, ReplyBatch};
 use model::{
     AttemptEnd, AttemptId, IncarnationId, Payload, SessionId, SlotCounts, TaskOffer, TaskVerdict,
     WithdrawalVerdict,
@@ -14,8 +14,9 @@
         read_slots, read_verdict, read_view, read_withdrawal, write_attempt, write_attempts,
         write_end, write_offers, write_slots, write_view,
     },
+    convert_grants::{read_centre, read_replies, write_asks, write_handover},
     peer_capnp::{claim_answer, dispatcher_port, entry_port, session_port},
-    service::{read_contract_page, ContractPage, ForwardedAnswer},
+    service::{read_contract_page, ContractPage, ForwardedAnswer, PingReply},
     PeerError,
 };
 
@@ -114,22 +115,72 @@
         }
     }
 
-    /// Asks whether the dispatcher is alive, how it sees itself and how its slots stand.
+    /// Asks whether the dispatcher is alive, how it sees itself, how its slots stand, and how it sees its data centre
+    /// if that is another revision than the one given.
     ///
     /// # Errors
     ///
     /// The connection broke.
     pub fn ping(
         &self,
-    ) -> impl Future<Output = Result<(MemberView, SlotCounts), PeerError>> + 'static {
-        let reply = self.port.ping_request().send().promise;
+        revision: u64,
+    ) -> impl Future<Output = Result<PingReply, PeerError>> + 'static {
+        let mut request = self.port.ping_request();
+        request.get().set_revision(revision);
+        let reply = request.send().promise;
+        async move {
+            let reply = reply.await?;
+            let reply = reply.get()?;
+            let centre = match reply.has_centre() {
+                true => Some(read_centre(reply.get_centre()?)?),
+                false => None,
+            };
+            Ok(PingReply {
+                view: read_view(reply.get_view()?)?,
+                slots: read_slots(reply.get_slots()?),
+                centre,
+            })
+        }
+    }
+
+    /// Asks for parts of customers' shares. `None` when the dispatcher does not answer such asks now, or had a later
+    /// one already.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn grant(
+        &self,
+        batch: &AskBatch,
+    ) -> impl Future<Output = Result<Option<ReplyBatch>, PeerError>> + 'static {
+        let mut request = self.port.grant_request();
+        write_asks(request.get().init_batch(), batch);
+        let reply = request.send().promise;
         async move {
             let reply = reply.await?;
             let reply = reply.get()?;
-            Ok((
-                read_view(reply.get_view()?)?,
-                read_slots(reply.get_slots()?),
-            ))
+            if !reply.get_answered() {
+                return Ok(None);
+            }
+            Ok(Some(read_replies(reply.get_batch()?)?))
+        }
+    }
+
+    /// Reports what still runs at endpoints that are the other dispatcher's now.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn handover(
+        &self,
+        report: &HandoverReport,
+    ) -> impl Future<Output = Result<(), PeerError>> + 'static {
+        let mut request = self.port.handover_request();
+        write_handover(request.get().init_report(), report);
+        let reply = request.send().promise;
+        async move {
+            reply.await?;
+            Ok(())
         }
     }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod convert;
+mod convert_grants;
 mod link;
 mod service;
 
@@ -19,7 +20,7 @@
     link::{connect, serve, AcceptedPort, PeerLink},
     service::{
         dispatcher_port, entry_port, ContractPage, ContractRecord, DispatcherService, EntryService,
-        ForwardedAnswer, ReplyFuture, SessionService,
+        ForwardedAnswer, PingReply, ReplyFuture, SessionService,
     },
 };
 
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -7006,11 +7006,15 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7060,6 +7064,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_revision(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7071,17 +7083,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(141, 8, 65, 30, 183, 161, 164, 179),
-                ::capnp::word(26, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(26, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -7089,9 +7101,29 @@
                 ::capnp::word(116, 99, 104, 101, 114, 80, 111, 114),
                 ::capnp::word(116, 46, 112, 105, 110, 103, 36, 80),
                 ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -7103,9 +7135,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xb3a4_a1b7_1e41_088d;
         }
     }
@@ -7187,11 +7219,19 @@
             pub fn has_slots(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_centre(self) -> ::capnp::Result<crate::peer_capnp::centre_view::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_centre(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7273,6 +7313,22 @@
             pub fn has_slots(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_centre(self) -> ::capnp::Result<crate::peer_capnp::centre_view::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_centre(&mut self, value: crate::peer_capnp::centre_view::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_centre(self, ) -> crate::peer_capnp::centre_view::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+            }
+            #[inline]
+            pub fn has_centre(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7288,19 +7344,22 @@
             pub fn get_slots(&self) -> crate::peer_capnp::slots::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
             }
+            pub fn get_centre(&self) -> crate::peer_capnp::centre_view::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(208, 188, 41, 74, 186, 47, 136, 231),
                 ::capnp::word(26, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -7308,21 +7367,28 @@
                 ::capnp::word(116, 99, 104, 101, 114, 80, 111, 114),
                 ::capnp::word(116, 46, 112, 105, 110, 103, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(118, 105, 101, 119, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 7, 171, 132, 241, 183, 52, 224),
@@ -7339,11 +7405,20 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 101, 110, 116, 114, 101, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(52, 178, 244, 127, 196, 222, 195, 209),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::member_view::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::peer_capnp::slots::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::peer_capnp::centre_view::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7357,9 +7432,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
             pub(crate) const TYPE_ID: u64 = 0xe788_2fba_4a29_bcd0;
         }
     }
@@ -8077,6 +8152,570 @@
     }
 }
 
+pub mod centre_view {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_owners(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_owners(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_listed(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_listed(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_slots(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::centre_slots::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_slots(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_owners(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_owners(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_owners(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_owners(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_listed(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_listed(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_listed(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_listed(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_slots(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::centre_slots::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_slots(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::centre_slots::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_slots(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::centre_slots::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_slots(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 90] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(52, 178, 244, 127, 196, 222, 195, 209),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(21, 150, 228, 123, 210, 161, 243, 192),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 67, 101, 110, 116, 114),
+            ::capnp::word(101, 86, 105, 101, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 119, 110, 101, 114, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 101, 100, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 108, 111, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(87, 35, 223, 187, 74, 123, 147, 152),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::peer_capnp::centre_slots::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3];
+        pub(crate) const TYPE_ID: u64 = 0xd1c3_dec4_7ff4_b234;
+    }
+}
+
+pub mod centre_slots {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_data_centre(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_slots(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_data_centre(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_data_centre(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_data_centre(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_slots(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_slots(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(87, 35, 223, 187, 74, 123, 147, 152),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(21, 150, 228, 123, 210, 161, 243, 192),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 67, 101, 110, 116, 114),
+            ::capnp::word(101, 83, 108, 111, 116, 115, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 97, 116, 97, 67, 101, 110, 116),
+            ::capnp::word(114, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 108, 111, 116, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0x9893_7b4a_bbdf_2357;
+    }
+}
+
 pub mod ask_batch {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -6,7 +6,9 @@
 use std::{future::Future, rc::Rc, time::Duration};
 
 use futures::future::LocalBoxFuture;
-use membership::{BeatMessage, BeatReply, MemberView};
+use membership::{
+    AskBatch, BeatMessage, BeatReply, CentreView, HandoverReport, MemberView, ReplyBatch,
+};
 use model::{
     AttemptEnd, AttemptId, ContractVersion, CustomerId, IncarnationId, Payload, SessionId,
     SlotCounts, TaskOffer, TaskVerdict, WithdrawalVerdict,
@@ -18,6 +20,7 @@
         bad, read_attempt, read_end, read_offers, read_slots, read_view, text, write_slots,
         write_verdict, write_view, write_withdrawal,
     },
+    convert_grants::{read_asks, read_handover, write_centre, write_replies},
     peer_capnp::{
         dispatcher_port as dispatcher_capnp, entry_port as entry_capnp,
         session_port as session_capnp,
@@ -58,6 +61,17 @@
     pub json: Vec<u8>,
 }
 
+/// The answer to a ping.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PingReply {
+    /// How the dispatcher sees itself.
+    pub view: MemberView,
+    /// Its slots.
+    pub slots: SlotCounts,
+    /// How it sees its data centre, if that has changed since the revision that the ping named.
+    pub centre: Option<CentreView>,
+}
+
 /// An answer on its way.
 pub type ReplyFuture<T> = LocalBoxFuture<'static, Result<T, PeerError>>;
 
@@ -80,8 +94,15 @@
     /// Takes a heartbeat.
     fn beat(&self, message: BeatMessage) -> ReplyFuture<BeatReply>;
 
-    /// Says that this process is alive, how it sees itself and how its slots stand.
-    fn ping(&self) -> ReplyFuture<(MemberView, SlotCounts)>;
+    /// Says that this process is alive, how it sees itself and how its slots stand, and how it sees its data centre
+    /// if that is another revision.
+    fn ping(&self, revision: u64) -> ReplyFuture<PingReply>;
+
+    /// Answers asks for parts of customers' shares; `None` when it does not answer such now.
+    fn grant(&self, batch: AskBatch) -> ReplyFuture<Option<ReplyBatch>>;
+
+    /// Takes in what an earlier owner still runs at endpoints of this dispatcher.
+    fn handover(&self, report: HandoverReport) -> ReplyFuture<()>;
 
     /// Gives contract rows changed after a head number.
     fn contracts(&self, since: u64) -> ReplyFuture<ContractPage>;
@@ -223,19 +244,49 @@
 
     fn ping(
         self: Rc<Self>,
-        _params: dispatcher_capnp::PingParams,
+        params: dispatcher_capnp::PingParams,
         mut results: dispatcher_capnp::PingResults,
     ) -> impl Future<Output = CallResult> + 'static {
-        let answer = self.0.ping();
+        let answer = params
+            .get()
+            .map(|params| self.0.ping(params.get_revision()));
         async move {
-            let (view, slots) = answer.await?;
+            let reply = settle(answer.map_err(PeerError::from)).await?;
             let mut results = results.get();
-            write_slots(results.reborrow().init_slots(), slots);
-            write_view(results.init_view(), &view);
+            write_slots(results.reborrow().init_slots(), reply.slots);
+            write_view(results.reborrow().init_view(), &reply.view);
+            if let Some(centre) = &reply.centre {
+                write_centre(results.init_centre(), centre);
+            }
+            Ok(())
+        }
+    }
+
+    fn grant(
+        self: Rc<Self>,
+        params: dispatcher_capnp::GrantParams,
+        mut results: dispatcher_capnp::GrantResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = read_grant(&params).map(|batch| self.0.grant(batch));
+        async move {
+            if let Some(batch) = settle(answer).await? {
+                let mut results = results.get();
+                results.set_answered(true);
+                write_replies(results.init_batch(), &batch);
+            }
             Ok(())
         }
     }
 
+    fn handover(
+        self: Rc<Self>,
+        params: dispatcher_capnp::HandoverParams,
+        _results: dispatcher_capnp::HandoverResults,
+    ) -> impl Future<Output = CallResult> + 'static {
+        let answer = read_report(&params).map(|report| self.0.handover(report));
+        async move { Ok(settle(answer).await?) }
+    }
+
     fn contracts(
         self: Rc<Self>,
         params: dispatcher_capnp::ContractsParams,
@@ -389,6 +440,14 @@
     })
 }
 
+fn read_grant(params: &dispatcher_capnp::GrantParams) -> Result<AskBatch, PeerError> {
+    read_asks(params.get()?.get_batch()?)
+}
+
+fn read_report(params: &dispatcher_capnp::HandoverParams) -> Result<HandoverReport, PeerError> {
+    read_handover(params.get()?.get_report()?)
+}
+
 fn read_offer_batch(
     params: &session_capnp::OfferParams,
 ) -> Result<(u64, Vec<TaskOffer>), PeerError> {
--- a/crates/scenario/src/process_files.rs
+++ b/crates/scenario/src/process_files.rs
@@ -73,6 +73,7 @@
             "peers": self.peers(Some(self.announced)),
             "refresh_ms": 200,
             "vm_list_ms": 200,
+            "grant_term_ms": 2_000,
             "drain": { "notice_ms": 300, "limit_ms": 10_000 },
             "log": { "level": "debug", "per_kind_per_second": 1000 },
         });
--- a/crates/settings/src/dispatcher.rs
+++ b/crates/settings/src/dispatcher.rs
@@ -82,7 +82,8 @@
     #[serde(deserialize_with = "bounded::<_, _, 10, 60_000>")]
     #[schemars(range(min = 10, max = 60_000))]
     pub refresh_ms: DurationMs,
-    /// How long a grant of a customer's concurrency lasts. Default 2000; at least twice the heartbeat.
+    /// How long a grant of a customer's concurrency lasts. It has to be the same for all dispatchers of a data centre.
+    /// Default 12000; at least twice the heartbeat.
     #[serde(deserialize_with = "bounded::<_, _, 20, 600_000>")]
     #[schemars(range(min = 20, max = 600_000))]
     pub grant_term_ms: DurationMs,
@@ -110,7 +111,7 @@
             suspect_ms: DurationMs(1_000),
             vm_list_ms: DurationMs(1_000),
             refresh_ms: DurationMs(1_000),
-            grant_term_ms: DurationMs(2_000),
+            grant_term_ms: DurationMs(12_000),
             drain: DrainSettings::default(),
             endpoint: EndpointCallSettings::default(),
             log: LogSettings::default(),
