--- a/crates/scenario/src/parse/step.rs
+++ b/crates/scenario/src/parse/step.rs
@@ -326,6 +326,7 @@
     alt((
         preceded(keyword("starts"), cut_err((group, bound)))
             .map(|(group, bound)| Expectation::Starts { group, bound }),
+        preceded(keyword("peak"), cut_err(peak)),
         preceded(keyword("same-answer"), cut_err((group, group)))
             .map(|(first, second)| Expectation::SameAnswer(first, second)),
         preceded(keyword("changes"), cut_err(changes)),
@@ -334,6 +335,15 @@
     .parse_next(input)
 }
 
+fn peak(input: &mut Input<'_>) -> ModalResult<Expectation> {
+    seq! {Expectation::Peak {
+        customer: value("a customer"),
+        bound: bound,
+        from: opt_field("from", "a group"),
+    }}
+    .parse_next(input)
+}
+
 fn answers(input: &mut Input<'_>) -> ModalResult<Expectation> {
     seq! {Expectation::Answers {
         group: group,
--- a/crates/scenario/src/runner/expectations.rs
+++ b/crates/scenario/src/runner/expectations.rs
@@ -32,6 +32,17 @@
                 }
                 Err(StepError::Unexpected(format!("{count} starts")))
             }
+            Expectation::Peak {
+                customer,
+                bound,
+                from,
+            } => {
+                let count = self.peak(customer, from.as_deref())?;
+                if bound.holds(count) {
+                    return Ok(());
+                }
+                Err(StepError::Unexpected(format!("{count} at once")))
+            }
             Expectation::SameAnswer(first, second) => self.check_same(first, second).await,
             Expectation::Changes { names, bound, ends } => {
                 self.check_changes(names, *bound, ends).await
--- a/crates/scenario/src/runner/mod.rs
+++ b/crates/scenario/src/runner/mod.rs
@@ -2,6 +2,7 @@
 
 mod conditions;
 mod expectations;
+mod peak;
 mod steps;
 
 use std::{
--- /dev/null
+++ b/crates/scenario/src/runner/peak.rs
@@ -0,0 +1,68 @@
+//! The most tasks of a customer that ran at once, by what the endpoints remember.
+
+use model::CustomerId;
+use stand_ins::endpoint::{EndpointRecord, StartRecord, TaskScript};
+
+use super::ScenarioRun;
+use crate::error::StepError;
+
+impl ScenarioRun {
+    pub(super) fn peak(
+        &self,
+        customer: &CustomerId,
+        from: Option<&str>,
+    ) -> Result<usize, StepError> {
+        let mut labels = Vec::new();
+        if let Some(group) = from {
+            for submission in self.load.group(group)? {
+                labels.push(submission.run_label);
+            }
+        }
+        let records = self.world.records();
+        let mut steps = Vec::new();
+        let mut first = from.map(|_| i64::MAX);
+        for record in &records {
+            for start in &record.starts {
+                if start.customer != *customer {
+                    continue;
+                }
+                let (begun, ended) = span(record, start);
+                steps.push((begun, 1));
+                steps.push((ended, -1));
+                if labels.contains(&run_label(start)) {
+                    first = first.map(|at| at.min(begun));
+                }
+            }
+        }
+        Ok(most_at_once(steps, first))
+    }
+}
+
+/// When a task began and ended, in microseconds before now (so both are at most 0): the stand-ins started at
+/// different times, and this is what their clocks have in common.
+fn span(record: &EndpointRecord, start: &StartRecord) -> (i64, i64) {
+    let before_now = |at: u64| at as i64 - record.age_us as i64;
+    let ended = start.ended_us.map_or(0, before_now);
+    (before_now(start.started_us), ended)
+}
+
+/// An end and a start at one moment do not overlap: ends sort first.
+fn most_at_once(mut steps: Vec<(i64, i64)>, first: Option<i64>) -> usize {
+    steps.sort_unstable();
+    let (mut running, mut most) = (0, 0);
+    for (at, change) in steps {
+        running += change;
+        if first.is_none_or(|first| at >= first) {
+            most = most.max(running);
+        }
+    }
+    usize::try_from(most).unwrap_or_default()
+}
+
+fn run_label(start: &StartRecord) -> String {
+    let payload = start.payload.as_deref().unwrap_or_default();
+    let label = TaskScript::read(payload.as_bytes())
+        .label
+        .unwrap_or_default();
+    label.split('#').next().unwrap_or_default().to_owned()
+}
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -402,6 +402,15 @@
         /// How many.
         bound: CountBound,
     },
+    /// The most tasks of a customer that ran at once, over all endpoints.
+    Peak {
+        /// Whose.
+        customer: CustomerId,
+        /// How many.
+        bound: CountBound,
+        /// Counted from the first start of this group on; over the whole run where absent.
+        from: Option<Label>,
+    },
     /// Two groups got the same answer with the same result.
     SameAnswer(Label, Label),
     /// Ends of changes.
--- a/crates/scenario/tests/promises.rs
+++ b/crates/scenario/tests/promises.rs
@@ -35,6 +35,8 @@
         digest: digest(&payload),
         payload: Some(String::from_utf8(payload).unwrap()),
         started_ms: 0,
+        started_us: 0,
+        ended_us: Some(5_000),
         leaving_for_ms: None,
         end: Some(RunEnd::Done),
     }
@@ -54,6 +56,7 @@
     EndpointRecord {
         id: name.parse().unwrap(),
         slots: 8,
+        age_us: 10_000,
         most_running: 1,
         running: 0,
         leaving: false,
--- a/crates/stand-ins/src/endpoint/record.rs
+++ b/crates/stand-ins/src/endpoint/record.rs
@@ -30,6 +30,10 @@
     pub payload: Option<String>,
     /// When it started, in milliseconds since the stand-in did.
     pub started_ms: u64,
+    /// The same in microseconds.
+    pub started_us: u64,
+    /// When it ended, in microseconds since the stand-in did; absent while it runs.
+    pub ended_us: Option<u64>,
     /// How long the endpoint had been leaving at the start, in milliseconds.
     pub leaving_for_ms: Option<u64>,
     /// How it ended; absent while it runs.
@@ -66,6 +70,8 @@
     pub id: EndpointId,
     /// Tasks at once.
     pub slots: u32,
+    /// The time since the stand-in started, in microseconds.
+    pub age_us: u64,
     /// The most that ran at once.
     pub most_running: u32,
     /// What runs now.
--- a/crates/stand-ins/src/endpoint/state.rs
+++ b/crates/stand-ins/src/endpoint/state.rs
@@ -92,6 +92,7 @@
         EndpointRecord {
             id: self.settings.id.clone(),
             slots: self.settings.slots,
+            age_us: micros(self.born.elapsed()),
             most_running: mutable.most_running,
             running: mutable.running,
             leaving: mutable.leaving_since.is_some(),
@@ -149,6 +150,7 @@
         let mut mutable = self.lock();
         mutable.running -= 1;
         mutable.starts[order].end = Some(end);
+        mutable.starts[order].ended_us = Some(micros(self.born.elapsed()));
     }
 
     /// Swaps an answer with one that waits, or waits for the next for at most `limit`.
@@ -202,6 +204,7 @@
         arrived: &ArrivedTask,
         leaving_for: Option<Duration>,
     ) -> StartRecord {
+        let age = self.born.elapsed();
         let text = std::str::from_utf8(&arrived.payload)
             .ok()
             .filter(|text| text.len() <= MAX_TEXT_BYTES);
@@ -212,7 +215,9 @@
             kind: arrived.kind.clone(),
             digest: task::digest(&arrived.payload),
             payload: text.map(str::to_owned),
-            started_ms: millis(self.born.elapsed()),
+            started_ms: millis(age),
+            started_us: micros(age),
+            ended_us: None,
             leaving_for_ms: leaving_for.map(millis),
             end: None,
         }
@@ -237,6 +242,10 @@
     }
 }
 
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
