Remove settings of the entry that nobody reads

Cause: `refresh_ms` and `give_up_margin_ms` of the entry were checked and then not used: the entry hears of contracts with each answer to a heartbeat, and withdraws at the deadline less `answer_margin_ms`.

Change: both are gone, and a file that names one is refused like any unknown field. `freshness_ms` has to be longer than `heartbeat_ms` instead of `refresh_ms`.

--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -45,11 +45,6 @@
     #[serde(deserialize_with = "bounded::<_, _, 1, 256>")]
     #[schemars(range(min = 1, max = 256))]
     pub caller_threads: usize,
-    /// How long before its deadline a submission is given up, so that withdrawals can still be confirmed and "not
-    /// run" be said truly. Default 100.
-    #[serde(deserialize_with = "bounded::<_, _, 1, 60_000>")]
-    #[schemars(range(min = 1, max = 60_000))]
-    pub give_up_margin_ms: DurationMs,
     /// How long before its deadline the answer leaves, whatever is still unconfirmed then. Default 20.
     #[serde(deserialize_with = "bounded::<_, _, 0, 60_000>")]
     #[schemars(range(min = 0, max = 60_000))]
@@ -76,12 +71,8 @@
     #[serde(deserialize_with = "bounded::<_, _, 20, 600_000>")]
     #[schemars(range(min = 20, max = 600_000))]
     pub session_timeout_ms: DurationMs,
-    /// The time between looks at the contracts' head row. Default 1000.
-    #[serde(deserialize_with = "bounded::<_, _, 10, 60_000>")]
-    #[schemars(range(min = 10, max = 60_000))]
-    pub refresh_ms: DurationMs,
     /// The age of the contracts from which answers are marked as given under old contracts. Default 10000; longer
-    /// than `refresh_ms`.
+    /// than `heartbeat_ms`, as each answer to a heartbeat tells how new they are.
     #[serde(deserialize_with = "bounded::<_, _, 20, 600_000>")]
     #[schemars(range(min = 20, max = 600_000))]
     pub freshness_ms: DurationMs,
@@ -100,7 +91,6 @@
             platform: loopback(8070),
             dispatchers: Vec::new(),
             caller_threads: 2,
-            give_up_margin_ms: DurationMs(100),
             answer_margin_ms: DurationMs(20),
             max_body_bytes: ByteSize(32 * 1024 * 1024),
             max_submissions: 20_000,
@@ -108,7 +98,6 @@
             drain: DrainSettings::default(),
             heartbeat_ms: DurationMs(100),
             session_timeout_ms: DurationMs(1_000),
-            refresh_ms: DurationMs(1_000),
             freshness_ms: DurationMs(10_000),
             placement: PlacementPolicy::default(),
             log: LogSettings::default(),
@@ -120,14 +109,11 @@
     pub(crate) fn check(&self) -> Result<(), FieldRule> {
         check_identity(&self.vm, &self.data_centre)?;
         let wrong = |path, rule| Err(FieldRule { path, rule });
-        if self.answer_margin_ms >= self.give_up_margin_ms {
-            return wrong("answer_margin_ms", "must be less than give_up_margin_ms");
-        }
         if self.session_timeout_ms.0 < 2 * self.heartbeat_ms.0 {
             return wrong("session_timeout_ms", "must be at least twice heartbeat_ms");
         }
-        if self.freshness_ms <= self.refresh_ms {
-            return wrong("freshness_ms", "must be more than refresh_ms");
+        if self.freshness_ms <= self.heartbeat_ms {
+            return wrong("freshness_ms", "must be more than heartbeat_ms");
         }
         Ok(())
     }
