--- a/crates/authority/src/authority/admitting.rs
+++ b/crates/authority/src/authority/admitting.rs
@@ -126,7 +126,9 @@
             deadline: body.deadline.unwrap_or_else(|| contract.answer_within()),
             running: load.tasks,
             running_work: load.work,
-            granted: self.waiting.limit(&body.customer),
+            // Not the limit of this moment: a grant comes a round trip after the first submission and grows with what
+            // waits, so by it the first job of an idle customer would be refused.
+            granted: self.waiting.reach(&body.customer),
             predicted_wait,
             saturation,
         };
--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -57,7 +57,7 @@
         customer: &CustomerId,
         batches: &mut BTreeMap<DispatcherKey, Vec<TaskOffer>>,
     ) -> bool {
-        while let Some(task) = self.waiting.pop(customer) {
+        while let Some(task) = self.waiting.pop(now, customer) {
             if !self.place_one(now, customer, task, batches) {
                 return false;
             }
--- a/crates/authority/src/waiting.rs
+++ b/crates/authority/src/waiting.rs
@@ -22,6 +22,10 @@
 struct CustomerQueue {
     tasks: BTreeSet<WaitingTask>,
     limit: u32,
+    /// The most that the limit can grow to, where that is known.
+    share: Option<u32>,
+    /// When the limit lapses; then nothing may be placed.
+    until: Option<Instant>,
     in_flight: u32,
 }
 
@@ -36,15 +40,21 @@
 }
 
 impl WaitingTable {
-    pub(crate) fn set_limit(&mut self, customer: &CustomerId, limit: u32) {
+    pub(crate) fn set_limit(&mut self, customer: &CustomerId, limit: u32, until: Option<Instant>) {
         let queue = self.customers.entry(customer.clone()).or_default();
         queue.limit = limit;
+        queue.until = until;
         self.changed.insert(customer.clone());
     }
 
-    /// How many attempts of a customer may be in flight; none before its contract is known.
-    pub(crate) fn limit(&self, customer: &CustomerId) -> u32 {
-        self.customers.get(customer).map_or(0, |queue| queue.limit)
+    pub(crate) fn set_share(&mut self, customer: &CustomerId, share: u32) {
+        self.customers.entry(customer.clone()).or_default().share = Some(share);
+    }
+
+    /// The most that a customer can have at dispatchers at once: its share, or its limit where no share is known.
+    pub(crate) fn reach(&self, customer: &CustomerId) -> u32 {
+        let queue = self.customers.get(customer);
+        queue.map_or(0, |queue| queue.share.unwrap_or(queue.limit))
     }
 
     pub(crate) fn push(&mut self, customer: &CustomerId, task: WaitingTask) {
@@ -92,9 +102,10 @@
     }
 
     /// Takes the next task of a customer that has room.
-    pub(crate) fn pop(&mut self, customer: &CustomerId) -> Option<WaitingTask> {
+    pub(crate) fn pop(&mut self, now: Instant, customer: &CustomerId) -> Option<WaitingTask> {
         let queue = self.customers.get_mut(customer)?;
-        if queue.in_flight >= queue.limit {
+        let lapsed = queue.until.is_some_and(|until| until <= now);
+        if lapsed || queue.in_flight >= queue.limit {
             return None;
         }
         let task = queue.tasks.pop_first()?;
--- a/crates/peer/tests/border/fakes.rs
+++ b/crates/peer/tests/border/fakes.rs
@@ -4,14 +4,16 @@
 
 use actix_rt::task::JoinHandle;
 use contracts::HeadNumber;
-use membership::{BeatMessage, BeatReply, MemberView};
+use membership::{
+    AskBatch, BeatMessage, BeatReply, CentreView, HandoverReport, MemberView, ReplyBatch,
+};
 use model::{
     AttemptEnd, AttemptId, IncarnationId, Payload, SessionId, SlotCounts, TaskOffer, TaskVerdict,
     VmEntry, WithdrawalVerdict,
 };
 use peer::{
     AcceptedPort, ContractNews, DispatcherService, EntryClient, EntryService, ForwardedAnswer,
-    PeerError, ReplyFuture, SessionService,
+    PeerError, PingReply, ReplyFuture, SessionService,
 };
 use tokio::net::TcpListener;
 
@@ -20,6 +22,9 @@
 pub(crate) enum SeenCall {
     Opened(IncarnationId, SessionId),
     Beat(MemberView),
+    Ping(u64),
+    Grant(AskBatch),
+    Handover(HandoverReport),
     Contracts(HeadNumber),
     Offers(u64, Vec<TaskOffer>),
     Withdrawals(u64, Vec<AttemptId>),
@@ -37,6 +42,8 @@
     pub(crate) verdicts: Vec<TaskVerdict>,
     pub(crate) withdrawals: Vec<WithdrawalVerdict>,
     pub(crate) news: ContractNews,
+    pub(crate) centre: Option<CentreView>,
+    pub(crate) grants: Option<ReplyBatch>,
     pub(crate) vms: Vec<VmEntry>,
     pub(crate) body: Option<Payload>,
     pub(crate) forwarded: Option<ForwardedAnswer>,
@@ -66,6 +73,8 @@
             verdicts: Vec::new(),
             withdrawals: Vec::new(),
             news: ContractNews::default(),
+            centre: None,
+            grants: None,
             vms: Vec::new(),
             body: None,
             forwarded: None,
@@ -139,9 +148,25 @@
         ready(BeatReply { view })
     }
 
-    fn ping(&self) -> ReplyFuture<(MemberView, SlotCounts)> {
+    fn ping(&self, revision: u64) -> ReplyFuture<PingReply> {
+        self.0.see(SeenCall::Ping(revision));
         let answers = self.0.answers.borrow();
-        ready((answers.view.clone(), answers.slots))
+        let (view, slots) = (answers.view.clone(), answers.slots);
+        ready(PingReply {
+            view,
+            slots,
+            centre: answers.centre.clone(),
+        })
+    }
+
+    fn grant(&self, batch: AskBatch) -> ReplyFuture<Option<ReplyBatch>> {
+        self.0.see(SeenCall::Grant(batch));
+        ready(self.0.answers.borrow().grants.clone())
+    }
+
+    fn handover(&self, report: HandoverReport) -> ReplyFuture<()> {
+        self.0.see(SeenCall::Handover(report));
+        ready(())
     }
 
     fn contracts(&self, since: HeadNumber) -> ReplyFuture<ContractNews> {
--- a/crates/peer/tests/border/faults.rs
+++ b/crates/peer/tests/border/faults.rs
@@ -101,10 +101,10 @@
         let mut rest = Vec::new();
         let read = timeout(LIMIT, stream.read_to_end(&mut rest)).await;
         assert!(read.is_ok(), "{what}: the connection stays");
-        link.client().ping().await.expect(what);
+        link.client().ping(0).await.expect(what);
         opened.session.offer(1, &[]).await.expect(what);
         let (other, _) = open_next(&shared, address).await;
-        other.client().ping().await.expect(what);
+        other.client().ping(0).await.expect(what);
     }
     server.abort();
 }
--- a/crates/peer/tests/border/round_trips.rs
+++ b/crates/peer/tests/border/round_trips.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 
 use model::{IncarnationId, SessionId};
-use peer::PeerLink;
+use peer::{PeerLink, PingReply};
 use proptest::{
     collection::vec,
+    option,
     prelude::{any, Strategy},
     strategy::ValueTree as _,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
@@ -41,6 +42,8 @@
         answers.view = values.next(values::view());
         answers.slots = values.next(values::slots());
         answers.news = values.next(values::news());
+        answers.centre = values.next(option::of(values::centre()));
+        answers.grants = values.next(option::of(values::reply_batch()));
         answers.vms = values.next(vec(values::vm(), 0..8));
     }
     let view = values.next(values::view());
@@ -48,15 +51,37 @@
     let since = shared.answers.borrow().news.update.since;
     let message = membership::BeatMessage { view: view.clone() };
     let beat = client.beat(&message).await.expect("beat");
-    let ping = client.ping().await.expect("ping");
+    let (revision, ask, report) = (
+        values.next(any::<u64>()),
+        values.next(values::ask_batch()),
+        values.next(values::report()),
+    );
+    let ping = client.ping(revision).await.expect("ping");
+    let grants = client.grant(&ask).await.expect("grant");
+    client.handover(&report).await.expect("handover");
     let news = client.contracts(since).await.expect("contracts");
     let vms = client.vms().await.expect("vms");
     let answers = shared.answers.borrow();
     assert_eq!(beat.view, answers.view);
-    assert_eq!(ping, (answers.view.clone(), answers.slots));
+    let (view_told, slots) = (answers.view.clone(), answers.slots);
+    assert_eq!(
+        ping,
+        PingReply {
+            view: view_told,
+            slots,
+            centre: answers.centre.clone()
+        }
+    );
+    assert_eq!(grants, answers.grants);
     assert_eq!(news, answers.news);
     assert_eq!(vms, answers.vms);
-    let seen = [SeenCall::Beat(view), SeenCall::Contracts(since)];
+    let seen = [
+        SeenCall::Beat(view),
+        SeenCall::Ping(revision),
+        SeenCall::Grant(ask),
+        SeenCall::Handover(report),
+        SeenCall::Contracts(since),
+    ];
     assert_eq!(shared.take_seen(), seen);
 }
 
--- a/crates/peer/tests/border/values.rs
+++ b/crates/peer/tests/border/values.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use contracts::{ContractRow, ContractUpdate, HeadNumber};
-use membership::MemberView;
+use membership::{
+    AskBatch, CentreView, GrantAsk, GrantReply, GrantVerdict, HandoverCount, HandoverReport,
+    MemberView, ReplyBatch,
+};
 use model::{
     AttemptEnd, AttemptId, Contract, ContractVersion, CustomerShare, EndpointState, IncarnationId,
     Payload, RetryReason, SlotCounts, SubmissionId, TaskOffer, TaskResult, TaskVerdict,
@@ -113,6 +116,82 @@
     })
 }
 
+pub(crate) fn centre() -> impl Strategy<Value = CentreView> {
+    let slots =
+        (NAME, any::<u32>()).prop_map(|(name, slots)| (name.parse().expect("a name"), slots));
+    (
+        any::<u64>(),
+        vec(address(), 0..5),
+        vec(address(), 0..5),
+        vec(slots, 0..4),
+    )
+        .prop_map(|(revision, owners, listed, slots)| CentreView {
+            revision,
+            owners,
+            listed,
+            slots,
+        })
+}
+
+pub(crate) fn ask_batch() -> impl Strategy<Value = AskBatch> {
+    let ask =
+        (NAME, any::<(u32, u32, u32)>()).prop_map(|(customer, (want, held, in_use))| GrantAsk {
+            customer: customer.parse().expect("a name"),
+            want,
+            held,
+            in_use,
+        });
+    (address(), address(), any::<(u64, u64)>(), vec(ask, 0..6)).prop_map(
+        |(home, holder_address, (holder, serial), asks)| {
+            let holder = IncarnationId(holder);
+            AskBatch {
+                home,
+                holder,
+                holder_address,
+                serial,
+                asks,
+            }
+        },
+    )
+}
+
+pub(crate) fn reply_batch() -> impl Strategy<Value = ReplyBatch> {
+    let verdict = prop_oneof![
+        any::<(u32, u32)>().prop_map(|(count, share)| GrantVerdict::Granted { count, share }),
+        Just(GrantVerdict::NotHome),
+    ];
+    let reply = (NAME, verdict).prop_map(|(customer, verdict)| GrantReply {
+        customer: customer.parse().expect("a name"),
+        verdict,
+    });
+    (any::<(u64, u32)>(), vec(reply, 0..6)).prop_map(|((serial, micros), replies)| {
+        let term = Duration::from_micros(u64::from(micros));
+        ReplyBatch {
+            serial,
+            term,
+            replies,
+        }
+    })
+}
+
+pub(crate) fn report() -> impl Strategy<Value = HandoverReport> {
+    let count = (NAME, vec(any::<u32>(), 0..5)).prop_map(|(endpoint, micros)| HandoverCount {
+        endpoint: endpoint.parse().expect("a name"),
+        time_left: micros
+            .into_iter()
+            .map(|micros| Duration::from_micros(u64::from(micros)))
+            .collect(),
+    });
+    (address(), any::<(u64, u64)>(), vec(count, 0..5)).prop_map(
+        |(from, (incarnation, serial), counts)| HandoverReport {
+            from,
+            incarnation: IncarnationId(incarnation),
+            serial,
+            counts,
+        },
+    )
+}
+
 pub(crate) fn news() -> impl Strategy<Value = ContractNews> {
     let row = (NAME, any::<(u64, u64)>(), contract()).prop_map(
         |(customer, (version, head), contract)| ContractRow {
