Answer at once what waits and cannot be in time any more

Cause: a submission that waited behind tasks that run much longer than expected was refused at its deadline only, or got a slot too late and used it for an answer that nobody waits for. Ruled out: looking at all that waits in each tick, which costs what waits. Change: a submission of which tasks wait is looked at when half of its time left is over, or as soon as the measured run time no longer fits; each look is one entry in an ordered set. A task about to be offered is held against the time left as well. Only where nothing of the submission has started it is refused, as predicted late, with 1 to 1.5 s to come back. The run time is the shorter one of mean and median, measured within the last minute. Seen to fail, one break at a time: no check before the offer; looks that never find anything; looks at half times only. Without the call of look_at_waiting the tests do not end. Conclusion: callers hear as soon as the measured times tell.

--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -2,6 +2,7 @@
 
 mod admitting;
 mod giving_up;
+mod hopeless;
 mod placing;
 mod replies;
 
@@ -58,6 +59,8 @@
     records: FastMap<u64, SubmissionRecord>,
     open: usize,
     due: BTreeSet<(Instant, u64)>,
+    /// When a submission of which tasks wait is looked at next.
+    looks: BTreeSet<(Instant, u64)>,
     kept: VecDeque<(Instant, u64)>,
     tickets: TicketTable,
     flights: FlightTable,
@@ -94,6 +97,7 @@
             records: FastMap::default(),
             open: 0,
             due: BTreeSet::new(),
+            looks: BTreeSet::new(),
             kept: VecDeque::new(),
             tickets: TicketTable::default(),
             flights: FlightTable::default(),
@@ -176,6 +180,7 @@
         self.open += 1;
         self.due.insert((due, serial));
         self.place(now);
+        self.look_later(now, serial);
         Ok(AdmittedSubmission { id, due })
     }
 
@@ -315,7 +320,8 @@
     pub fn next_tick(&self) -> Option<Instant> {
         let due = self.due.first().map(|(due, _)| *due);
         let wake = self.waiting.next_wake();
-        due.into_iter().chain(wake).min()
+        let look = self.looks.first().map(|(look_at, _)| *look_at);
+        due.into_iter().chain(wake).chain(look).min()
     }
 
     fn id(&self, serial: u64) -> SubmissionId {
@@ -358,6 +364,7 @@
         retry_percent: 0,
         digest,
         due,
+        look_at: None,
         tasks,
         done: 0,
         first_attempt,
--- a/crates/authority/src/authority/giving_up.rs
+++ b/crates/authority/src/authority/giving_up.rs
@@ -32,6 +32,7 @@
             self.give_up(now, serial, GiveUpCause::Deadline);
         }
         self.give_up_lost(now);
+        self.look_at_waiting(now);
         for (customer, serial, task) in self.waiting.wake(now) {
             let Some(record) = self.records.get(&serial).filter(|record| record.is_open()) else {
                 continue;
@@ -234,6 +235,9 @@
             at: now,
         };
         self.due.remove(&(record.due, serial));
+        if let Some(look_at) = record.look_at.take() {
+            self.looks.remove(&(look_at, serial));
+        }
         self.open -= 1;
         self.kept.push_back((now, serial));
         self.actions.push(AuthorityAction::Answer { id, outcome });
--- a/crates/authority/src/authority/placing.rs
+++ b/crates/authority/src/authority/placing.rs
@@ -81,6 +81,11 @@
             self.waiting.release(customer);
             return true;
         }
+        if self.is_hopeless(now, task.serial, task.task) {
+            self.waiting.release(customer);
+            self.refuse_hopeless(now, task.serial);
+            return true;
+        }
         let Some(dispatcher) = self.choose(now, avoided) else {
             self.waiting.release(customer);
             self.waiting.push(customer, task);
--- a/crates/authority/src/record.rs
+++ b/crates/authority/src/record.rs
@@ -55,6 +55,8 @@
     pub(crate) retry_percent: u32,
     pub(crate) digest: u64,
     pub(crate) due: Instant,
+    /// Its place in the order of looks at what waits.
+    pub(crate) look_at: Option<Instant>,
     pub(crate) tasks: Vec<TaskRecord>,
     pub(crate) done: u32,
     /// The first attempt number of this run.
@@ -90,6 +92,12 @@
         task.is_some_and(|task| matches!(task.phase, TaskPhase::Waiting))
     }
 
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.tasks
+            .iter()
+            .any(|task| matches!(task.phase, TaskPhase::Waiting))
+    }
+
     pub(crate) fn task_mut(&mut self, index: TaskIndex) -> Option<&mut TaskRecord> {
         self.tasks.get_mut(usize::try_from(index).ok()?)
     }
