--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -2,6 +2,7 @@
 
 mod admitting;
 mod giving_up;
+mod hopeless;
 mod placing;
 mod replies;
 
@@ -61,6 +62,8 @@
     open: usize,
     held: HeldBytes,
     due: BTreeSet<(Instant, u64)>,
+    /// When a submission of which tasks wait is looked at next.
+    looks: BTreeSet<(Instant, u64)>,
     kept: VecDeque<(Instant, u64)>,
     tickets: TicketTable,
     flights: FlightTable,
@@ -98,6 +101,7 @@
             open: 0,
             held: HeldBytes::default(),
             due: BTreeSet::new(),
+            looks: BTreeSet::new(),
             kept: VecDeque::new(),
             tickets: TicketTable::default(),
             flights: FlightTable::default(),
@@ -182,6 +186,7 @@
         self.open += 1;
         self.due.insert((due, serial));
         self.place(now);
+        self.look_later(now, serial);
         Ok(AdmittedSubmission { id, due })
     }
 
@@ -348,7 +353,8 @@
     pub fn next_tick(&self) -> Option<Instant> {
         let due = self.due.first().map(|(due, _)| *due);
         let wake = self.waiting.next_wake();
-        due.into_iter().chain(wake).min()
+        let look = self.looks.first().map(|(look_at, _)| *look_at);
+        due.into_iter().chain(wake).chain(look).min()
     }
 
     fn id(&self, serial: u64) -> SubmissionId {
@@ -391,6 +397,7 @@
         retry_percent: 0,
         digest,
         due,
+        look_at: None,
         tasks,
         done: 0,
         first_attempt,
