Report what runs before an endpoint changes hands

Cause: a stopping dispatcher told of its stop first and reported what it still ran up to 50 ms later, so the new owner gave out slots that were in use. The higher address of a pair often had no connection to report on.

Change: the report goes out before the beat that tells of the stop, over a connection made for it where there is none. The ledger keeps reported slots also of endpoints that it does not own yet. The language of the scenarios has `expect turned-away BOUND`.

Left: where an endpoint moves between two live owners, the new one may send tasks to full slots until the old one has seen the move.

--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -234,8 +234,10 @@
         self.ready.store(false, Ordering::Relaxed);
         self.members.set_stopping();
         self.ledger.stop(self.clock.now());
-        self.tick(ctx);
+        // The new owners have to count what runs here before they hear that the endpoints are theirs.
+        self.update_ownership();
         self.tick_handovers(ctx);
+        self.tick(ctx);
         log::info!("dispatcher: stopping, {} tasks run", self.ledger.running());
     }
 }
--- a/crates/dispatcher/src/control/handover.rs
+++ b/crates/dispatcher/src/control/handover.rs
@@ -4,7 +4,7 @@
 
 use actix::{ActorFutureExt as _, AsyncContext as _, Context, Handler, WrapFuture as _};
 use membership::{HandoverCount, HandoverReport};
-use model::{EndpointId, FastMap};
+use model::FastMap;
 
 use super::{DispatcherControl, HandoverTaken, PeerSlot};
 
@@ -51,10 +51,11 @@
         address: SocketAddr,
         counts: Vec<HandoverCount>,
     ) {
-        let Some(PeerSlot::Open(link)) = self.peers.get(&address) else {
-            // The heartbeat connects to it. One that is gone has nothing to count.
-            self.reported.remove(&address);
-            return;
+        let link = match self.peers.get(&address) {
+            Some(PeerSlot::Open(link)) => link,
+            Some(PeerSlot::Connecting) => return,
+            // Of a pair only one side needs a connection for heartbeats, and it may be the other one.
+            None => return self.connect_peer(ctx, address),
         };
         match counts.is_empty() {
             true => self.reported.remove(&address),
@@ -78,11 +79,7 @@
     fn count_outside(&mut self) {
         let now = self.clock.now();
         self.handovers.tick(now);
-        let owned: Vec<EndpointId> = self.ownership.owned_by(self.own_address).cloned().collect();
-        for endpoint in owned {
-            let used = self.handovers.outstanding(now, &endpoint);
-            self.ledger.set_outside(now, &endpoint, used as u32);
-        }
+        self.ledger.set_outside(now, self.handovers.used(now));
     }
 }
 
--- a/crates/dispatcher/src/control/membership.rs
+++ b/crates/dispatcher/src/control/membership.rs
@@ -45,7 +45,7 @@
 
     /// Load: dispatchers come and go, endpoints come and go. Harm: an endpoint without an owner stands idle. Two
     /// owners for a moment only overfill it, which its busy answer makes a definite not-run.
-    fn update_ownership(&mut self) {
+    pub(super) fn update_ownership(&mut self) {
         let owners = self.members.owners();
         let mut endpoints = Vec::new();
         for vm in &self.vms {
@@ -100,12 +100,14 @@
         }
     }
 
-    fn connect_peer(&mut self, ctx: &mut Context<Self>, address: SocketAddr) {
+    pub(super) fn connect_peer(&mut self, ctx: &mut Context<Self>, address: SocketAddr) {
         self.peers.insert(address, PeerSlot::Connecting);
         let link = peer::connect(address, || {}).into_actor(self);
         ctx.spawn(link.map(move |link, control, ctx| match link {
             Ok(link) => {
                 control.peers.insert(address, PeerSlot::Open(link));
+                // What still runs goes before the beat that tells of a stop, so that the new owner counts it first.
+                control.tick_handovers(ctx);
                 control.beat(ctx, address);
             }
             Err(error) => control.on_beat_reply(ctx, address, Err(error)),
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -53,6 +53,8 @@
 pub struct SlotLedger {
     settings: LedgerSettings,
     endpoints: EndpointTable,
+    /// Slots that earlier owners still use, also of endpoints that are not owned yet.
+    outside: FastMap<EndpointId, u32>,
     queue: FairQueue,
     reservations: FastMap<AttemptId, Reservation>,
     claims: FastMap<AttemptId, PendingClaim>,
@@ -75,6 +77,7 @@
         Self {
             settings,
             endpoints: EndpointTable::default(),
+            outside: FastMap::default(),
             queue,
             reservations: FastMap::default(),
             claims: FastMap::default(),
--- a/crates/ledger/src/ledger/running.rs
+++ b/crates/ledger/src/ledger/running.rs
@@ -56,17 +56,21 @@
         self.fill_slots(now);
     }
 
-    /// Sets how many slots of an owned endpoint an earlier owner still uses.
+    /// Sets how many slots earlier owners still use. It holds for endpoints that come later as well: the report may be
+    /// here before the endpoint is.
     ///
     /// Load: an owner leaves with its slots full. Harm: a start at a slot that is not free is turned away, and costs a
     /// message and the caller's time.
-    pub fn set_outside(&mut self, now: Instant, endpoint: &EndpointId, used: u32) {
-        let known = self.endpoints.get(endpoint);
-        if known.is_none_or(|record| record.outside == used) {
+    pub fn set_outside(&mut self, now: Instant, used: FastMap<EndpointId, u32>) {
+        if used == self.outside {
             return;
         }
-        self.endpoints
-            .update(endpoint, |record| record.outside = used);
+        let before = std::mem::replace(&mut self.outside, used);
+        for endpoint in before.keys().chain(self.outside.keys()) {
+            let used = self.outside.get(endpoint).copied().unwrap_or_default();
+            self.endpoints
+                .update(endpoint, |record| record.outside = used);
+        }
         self.fill_slots(now);
     }
 
@@ -141,7 +145,8 @@
 
     fn put_endpoint(&mut self, address: &EndpointAddress, state: EndpointState) {
         if self.endpoints.get(&address.id).is_none() {
-            let record = EndpointRecord::new(address.clone(), state, &self.settings.health);
+            let mut record = EndpointRecord::new(address.clone(), state, &self.settings.health);
+            record.outside = self.outside.get(&address.id).copied().unwrap_or_default();
             self.endpoints.insert(record);
             return;
         }
--- a/crates/ledger/tests/handover.rs
+++ b/crates/ledger/tests/handover.rs
@@ -4,7 +4,7 @@
 
 use ledger::{LedgerAction, LedgerSettings, SlotLedger};
 use model::{
-    AttemptEnd, AttemptId, CustomerShare, EndpointAddress, EndpointId, EndpointState,
+    AttemptEnd, AttemptId, CustomerShare, EndpointAddress, EndpointId, EndpointState, FastMap,
     IncarnationId, Payload, SessionId, SubmissionId, TaskOffer, TaskResult, TaskVerdict,
 };
 
@@ -35,6 +35,10 @@
     "endpoint-1".parse().unwrap()
 }
 
+fn used(count: u32) -> FastMap<EndpointId, u32> {
+    [(endpoint(), count)].into_iter().collect()
+}
+
 /// A ledger with one endpoint of two slots and an open session.
 fn ledger(now: Instant) -> SlotLedger {
     let mut ledger = SlotLedger::new(LedgerSettings::default());
@@ -54,27 +58,46 @@
 fn slots_of_an_earlier_owner_are_not_given_out() {
     let now = Instant::now();
     let mut ledger = ledger(now);
-    ledger.set_outside(now, &endpoint(), 2);
+    ledger.set_outside(now, used(2));
     assert_eq!(ledger.slots().running, 2);
     assert_eq!(ledger.slots().limit, 2);
     let verdicts = ledger.offer(now, ENTRY, SESSION, 1, vec![offer(1)]);
     assert_eq!(verdicts, [TaskVerdict::Queued]);
     assert!(ledger.take_actions().is_empty());
-    ledger.set_outside(now, &endpoint(), 1);
+    ledger.set_outside(now, used(1));
     let actions = ledger.take_actions();
     assert!(matches!(actions[..], [LedgerAction::Claim { .. }]));
-    ledger.set_outside(now, &endpoint(), 0);
+    ledger.set_outside(now, FastMap::default());
     let slots = ledger.slots();
     assert_eq!((slots.running, slots.limit), (1, 2));
 }
 
+// The caller's task waits, although the report came before the endpoint: the leaving owner sends it first, so that no
+// slot is given out between the two.
+#[test]
+fn a_report_may_come_before_the_endpoint() {
+    let now = Instant::now();
+    let mut ledger = ledger(now);
+    let address = EndpointAddress {
+        id: "endpoint-2".parse().unwrap(),
+        address: ([127, 0, 0, 1], 2).into(),
+        slots: 1,
+    };
+    ledger.set_endpoints(now, &[]);
+    ledger.set_outside(now, [(address.id.clone(), 1)].into_iter().collect());
+    ledger.set_endpoints(now, &[(address, EndpointState::Live)]);
+    let verdicts = ledger.offer(now, ENTRY, SESSION, 1, vec![offer(1)]);
+    assert_eq!(verdicts, [TaskVerdict::Queued]);
+    assert!(ledger.take_actions().is_empty());
+}
+
 // The new owner hears of exactly what runs and until when. The old one loses the endpoint while a task runs, and again
 // has nothing to report once that has ended.
 #[test]
 fn what_runs_at_a_lost_endpoint_is_reported() {
     let now = Instant::now();
     let mut ledger = ledger(now);
-    ledger.set_outside(now, &endpoint(), 1);
+    ledger.set_outside(now, used(1));
     ledger.offer(now, ENTRY, SESSION, 1, vec![offer(1)]);
     assert!(ledger.unowned_tasks(now).is_empty());
     ledger.set_endpoints(now, &[]);
--- a/crates/membership/src/handover.rs
+++ b/crates/membership/src/handover.rs
@@ -78,6 +78,19 @@
         used
     }
 
+    /// The slots that earlier owners use now, of every endpoint with any.
+    pub fn used(&self, now: Instant) -> FastMap<EndpointId, u32> {
+        let mut used: FastMap<EndpointId, u32> = FastMap::default();
+        for report in self.reports.values() {
+            for (endpoint, deadlines) in &report.deadlines {
+                let open = deadlines.iter().filter(|at| now < **at).count();
+                *used.entry(endpoint.clone()).or_default() += open as u32;
+            }
+        }
+        used.retain(|_, count| *count > 0);
+        used
+    }
+
     /// Drops what has expired. Returns true when nothing is left.
     pub fn tick(&mut self, now: Instant) -> bool {
         for report in self.reports.values_mut() {
--- a/crates/scenario/src/parse/step.rs
+++ b/crates/scenario/src/parse/step.rs
@@ -327,6 +327,7 @@
         preceded(keyword("starts"), cut_err((group, bound)))
             .map(|(group, bound)| Expectation::Starts { group, bound }),
         preceded(keyword("peak"), cut_err(peak)),
+        preceded(keyword("turned-away"), cut_err(bound)).map(Expectation::TurnedAway),
         preceded(keyword("same-answer"), cut_err((group, group)))
             .map(|(first, second)| Expectation::SameAnswer(first, second)),
         preceded(keyword("changes"), cut_err(changes)),
--- a/crates/scenario/src/runner/expectations.rs
+++ b/crates/scenario/src/runner/expectations.rs
@@ -32,6 +32,13 @@
                 }
                 Err(StepError::Unexpected(format!("{count} starts")))
             }
+            Expectation::TurnedAway(bound) => {
+                let count = self.turned_away();
+                if bound.holds(count) {
+                    return Ok(());
+                }
+                Err(StepError::Unexpected(format!("{count} turned away")))
+            }
             Expectation::Peak {
                 customer,
                 bound,
--- a/crates/scenario/src/runner/peak.rs
+++ b/crates/scenario/src/runner/peak.rs
@@ -1,7 +1,7 @@
-//! The most tasks of a customer that ran at once, by what the endpoints remember.
+//! How full endpoints were, by what they remember: the most tasks of a customer at once, and tasks turned away.
 
 use model::CustomerId;
-use stand_ins::endpoint::{EndpointRecord, StartRecord, TaskScript};
+use stand_ins::endpoint::{EndpointRecord, StartRecord, TaskScript, TurnedAway};
 
 use super::ScenarioRun;
 use crate::error::StepError;
@@ -36,6 +36,18 @@
         }
         Ok(most_at_once(steps, first))
     }
+
+    pub(super) fn turned_away(&self) -> usize {
+        let mut count = 0;
+        for record in self.world.records() {
+            let full = record
+                .refusals
+                .iter()
+                .filter(|refusal| refusal.cause == TurnedAway::Busy);
+            count += full.count();
+        }
+        count
+    }
 }
 
 /// When a task began and ended, in microseconds before now (so both are at most 0): the stand-ins started at
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -402,6 +402,8 @@
         /// How many.
         bound: CountBound,
     },
+    /// Tasks that endpoints turned away because no slot was free.
+    TurnedAway(CountBound),
     /// The most tasks of a customer that ran at once, over all endpoints.
     Peak {
         /// Whose.
--- a/crates/scenario/tests/language.rs
+++ b/crates/scenario/tests/language.rs
@@ -104,6 +104,7 @@
         "expect j1 at-least 30 complete",
         "expect starts j1 exactly 5",
         "expect peak c1 at-most 5",
+        "expect turned-away exactly 0",
         "expect peak c1 at-most 5 from j1",
         "expect same-answer r1 r2",
         "expect changes ch1 accepted",
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -99,6 +99,7 @@
     request_by_ticket,
     request_once,
     stop_after_entry_died,
+    stop_with_slots_full,
     terminate_dispatcher,
     terminate_entry,
     terminate_owner,
