--- a/crates/entry/src/control/grants.rs
+++ b/crates/entry/src/control/grants.rs
@@ -81,6 +81,9 @@
         let now = self.clock.now();
         self.grants
             .set_view(now, view.owners.clone(), view.listed.clone());
+        // One entry a VM, and the VMs that are listed place on the same slots.
+        self.authority
+            .set_entries(u32::try_from(view.listed.len()).unwrap_or(u32::MAX));
         self.centre = view;
         if resized {
             let customers: Vec<_> = self
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -111,6 +111,7 @@
     stop_after_entry_died,
     stopping_entry_is_unready,
     straggling_endpoint,
+    stop_with_slots_full,
     terminate_dispatcher,
     terminate_entry,
     terminate_owner,
