Count asks for grants and measure what they cost

Cause: nothing told how many messages grants take in the processes, or how long a customer's first submission waits for one.

Change: the counter cairnpaddle_grant_asks_total; asks are no longer counted as messages about tasks.

Sparse customers ask once or more a job, which is left.

--- a/crates/entry/src/control/grants.rs
+++ b/crates/entry/src/control/grants.rs
@@ -12,6 +12,7 @@
 use membership::{AskBatch, CentreView, ReplyBatch};
 use model::{CustomerId, VmEntry, VmRole};
 use settings::EntrySettings;
+use telemetry::CounterKind;
 
 use super::{EntryControl, LinkState};
 
@@ -160,7 +161,7 @@
             return;
         };
         let reply = open.link.client().grant(batch);
-        self.notes.sent(1);
+        self.notes.metrics().count(CounterKind::GrantAsks, 1);
         let home = batch.home;
         ctx.spawn(
             reply
--- a/crates/telemetry/src/metrics/catalogue.rs
+++ b/crates/telemetry/src/metrics/catalogue.rs
@@ -61,6 +61,7 @@
     CounterKind::TaskOffers.line(),
     CounterKind::Messages.line(),
     CounterKind::WastedMessages.line(),
+    CounterKind::GrantAsks.line(),
     CounterKind::PlatformErrors.line(),
     CounterKind::ReadBacks.line(),
     CounterKind::OwnerChanges.line(),
@@ -125,6 +126,8 @@
             "Messages about tasks between processes, batches counted once";
         WastedMessages => "cairnpaddle_wasted_messages_total", "1",
             "Messages about tasks that led to no start: offers turned away, withdrawals, claims that came late";
+        GrantAsks => "cairnpaddle_grant_asks_total", "1",
+            "Messages to homes of customers that ask for grants, all customers of a home in one";
         PlatformErrors => "cairnpaddle_platform_errors_total", "1",
             "Calls of the platform that failed or gave no answer";
         ReadBacks => "cairnpaddle_read_backs_total", "1",
