--- a/crates/entry/src/control/grants.rs
+++ b/crates/entry/src/control/grants.rs
@@ -12,6 +12,7 @@
 use membership::{AskBatch, CentreView, ReplyBatch};
 use model::{CustomerId, VmEntry, VmRole};
 use settings::EntrySettings;
+use telemetry::CounterKind;
 
 use super::{EntryControl, LinkState};
 
@@ -166,7 +167,7 @@
             return;
         };
         let reply = open.link.client().grant(batch);
-        self.notes.sent(1);
+        self.notes.metrics().count(CounterKind::GrantAsks, 1);
         let home = batch.home;
         ctx.spawn(
             reply
