--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -77,6 +77,7 @@
 }
 
 scenarios! {
+    burst_tenfold,
     cancellation_wave,
     cancellations_while_dispatcher_dies,
     claims_lapse_while_frozen,
@@ -92,6 +93,7 @@
     freeze_dispatcher,
     freeze_entry,
     job_through,
+    jobs_that_can_never_run,
     key_in_doubt,
     kill_dispatcher,
     kill_entry,
