--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -77,6 +77,7 @@
 }
 
 scenarios! {
+    burst_tenfold,
     cancellation_wave,
     cancellations_while_dispatcher_dies,
     claims_lapse_while_frozen,
@@ -85,12 +86,14 @@
     data_centres_cut_apart,
     dispatcher_dies_in_outage,
     dispatchers_cut_apart,
+    endpoint_dies,
     endpoint_leaves,
     endpoint_leaves_as_owner_stops,
     endpoints_that_misbehave,
     freeze_dispatcher,
     freeze_entry,
     job_through,
+    jobs_that_can_never_run,
     key_in_doubt,
     kill_dispatcher,
     kill_entry,
@@ -99,6 +102,7 @@
     limit_over_vms_and_data_centres,
     lost_endpoint_answer,
     operators_race_at_two_entries,
+    owner_stops_with_long_tasks,
     platform_down_at_start,
     platform_down_at_work,
     platform_loses_answers,
@@ -109,14 +113,15 @@
     request_once,
     rolling_replacement,
     stop_after_entry_died,
+    stop_with_slots_full,
     stopping_entry_is_unready,
     straggling_endpoint,
-    stop_with_slots_full,
     terminate_dispatcher,
     terminate_entry,
     terminate_owner,
     vm_cut_from_endpoint,
     vm_cut_from_platform,
+    vm_list_lags,
     vm_starts_in_outage,
 }
 
