--- a/crates/telemetry/src/logs/part.rs
+++ b/crates/telemetry/src/logs/part.rs
@@ -12,6 +12,7 @@
     ("contracts", LogPart::Contracts),
     ("decisions", LogPart::Entry),
     ("demo", LogPart::Ctl),
+    ("load", LogPart::Ctl),
     ("dispatcher", LogPart::Dispatcher),
     ("endpoint_client", LogPart::Endpoint),
     ("entry", LogPart::Entry),
