Let the contract say whether queued tasks move, and settle before owning

Dispatchers that start together still took every endpoint: a peer that does not listen yet refuses the connection and counted as gone. Work was refused as overloaded after a moment with few slots, which the 5 s mean outlives. Ruled out: dropping the move, which the Utility gains from; the contract's unused second_reservation, whose place the new field takes, since nothing read it. Change: the contract's move_queued (on by default) decides; only an answer settles a starting dispatcher, or the suspect time; overload needs both the mean and the present saturation.

--- a/crates/authority/src/authority.rs
+++ b/crates/authority/src/authority.rs
@@ -395,6 +395,7 @@
         version: ContractVersion::default(),
         share: model::CustomerShare::default(),
         retry_percent: 0,
+        move_queued: false,
         digest,
         due,
         look_at: None,
--- a/crates/authority/src/authority/admitting.rs
+++ b/crates/authority/src/authority/admitting.rs
@@ -113,7 +113,11 @@
                     drain: load.drain,
                     slots: slots as f64 / f64::from(self.entries),
                 };
-                (picture.predicted_wait(), self.saturation.mean())
+                // The mean outlives a moment in which slots are few, and the moment alone refuses ordinary bursts; an
+                // overload that lasts shows in both.
+                let (mean, present) = (self.saturation.mean(), self.places.saturation(now));
+                let lasting = if present < mean { present } else { mean };
+                (picture.predicted_wait(), lasting)
             }
         };
         let query = AdmissionQuery {
--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -200,7 +200,9 @@
             return false;
         };
         let tries = attempt.attempt - record.first_attempt;
-        tries < MAX_MOVES && self.places.free_beside(flight.dispatcher) > moved as u64
+        record.move_queued
+            && tries < MAX_MOVES
+            && self.places.free_beside(flight.dispatcher) > moved as u64
     }
 
     fn on_taken(&mut self, now: Instant, attempt: AttemptId, phase: FlightPhase) {
--- a/crates/authority/src/record.rs
+++ b/crates/authority/src/record.rs
@@ -53,6 +53,7 @@
     pub(crate) version: ContractVersion,
     pub(crate) share: CustomerShare,
     pub(crate) retry_percent: u32,
+    pub(crate) move_queued: bool,
     pub(crate) digest: u64,
     pub(crate) due: Instant,
     /// Its place in the order of looks at what waits.
@@ -118,5 +119,6 @@
         self.version = version;
         self.share = contract.share;
         self.retry_percent = contract.retry_percent;
+        self.move_queued = contract.move_queued;
     }
 }
--- a/crates/authority/tests/moving.rs
+++ b/crates/authority/tests/moving.rs
@@ -9,7 +9,7 @@
 };
 
 /// Two dispatchers; the first has `free` slots and the second `beside`, of four each.
-fn check(free: u32, beside: u32, expect_moves: usize) {
+fn check(move_queued: bool, free: u32, beside: u32, expect_moves: usize) {
     // Another entry took the first dispatcher's slots a moment ago, so the job's tasks are queued there. The caller sees
     // its job wait for a whole run time, although the second dispatcher may have slots free.
     let now = Instant::now();
@@ -53,7 +53,10 @@
             slots,
         );
     }
-    let contract = Contract::default();
+    let contract = Contract {
+        move_queued,
+        ..Contract::default()
+    };
     authority
         .submit(now, body, 0, Some((&contract, ContractVersion(1))), None)
         .expect("admitted");
@@ -86,7 +89,8 @@
 
 #[test]
 fn queued_tasks_move_to_free_slots_and_no_further() {
-    check(0, 4, 3);
-    check(0, 2, 2);
-    check(0, 0, 0);
+    check(true, 0, 4, 3);
+    check(true, 0, 2, 2);
+    check(true, 0, 0, 0);
+    check(false, 0, 4, 0);
 }
--- a/crates/cairnctl/tests/commands.rs
+++ b/crates/cairnctl/tests/commands.rs
@@ -10,7 +10,7 @@
     FakeEntry,
 };
 
-const VERSION_4: &str = r#"{"customer":"trust","version":4,"head":9,"contract":{"state":"active","concurrency":40,"answer_within_ms":10000,"max_tasks":370,"max_payload_bytes":65536,"may_refuse":"jobs","share":3,"retry_percent":20,"second_reservation":false}}"#;
+const VERSION_4: &str = r#"{"customer":"trust","version":4,"head":9,"contract":{"state":"active","concurrency":40,"answer_within_ms":10000,"max_tasks":370,"max_payload_bytes":65536,"may_refuse":"jobs","share":3,"retry_percent":20,"move_queued":false}}"#;
 
 /// One run: the arguments, the answers, then what was sent and told.
 fn case(args: &[&str], input: &str, answers: &[FakeAnswer]) -> String {
--- a/crates/demo/examples/grant_cost.rs
+++ b/crates/demo/examples/grant_cost.rs
@@ -22,6 +22,7 @@
         vms: 8,
         endpoints: 8,
         slots: 8,
+        ..FleetSettings::default()
     })
     .await?;
     fleet.wait_until_ready().await?;
--- a/crates/dispatcher/src/control/membership.rs
+++ b/crates/dispatcher/src/control/membership.rs
@@ -31,8 +31,8 @@
 
     /// Failure: a dispatcher has just started and has heard of nobody yet. Symptom without this: it takes every endpoint
     /// for its own, as do its peers, and a burst overfills them; each busy answer is a wasted message. So it owns nothing
-    /// until everybody on the lists has answered or is known to be gone, or the suspect time has passed, in which a live
-    /// one would have.
+    /// until everybody on the lists has answered, or the suspect time has passed, in which a live one would have. A
+    /// refused connection does not count as gone here: a peer that starts at the same time does not listen yet.
     fn is_settled(&self) -> bool {
         let waited = self.clock.now().saturating_duration_since(self.started);
         if waited >= self.settings.suspect_ms.duration() {
@@ -43,10 +43,7 @@
         }
         let owners = self.members.owners();
         let heard = |address: &SocketAddr| owners.iter().any(|owner| owner.address == *address);
-        self.members
-            .listed()
-            .iter()
-            .all(|address| heard(address) || self.refused.contains(address))
+        self.members.listed().iter().all(heard)
     }
 
     pub(super) fn read_vm_list(&mut self, ctx: &mut Context<Self>) {
@@ -180,7 +177,6 @@
             Err(error) => {
                 self.peers.remove(&address);
                 if error == PeerError::Refused {
-                    self.refused.insert(address);
                     self.members.on_refused(now, address);
                 }
             }
--- a/crates/model/src/contract.rs
+++ b/crates/model/src/contract.rs
@@ -131,8 +131,9 @@
     pub share: CustomerShare,
     /// Placements after a definite not-run, as a percentage of first placements.
     pub retry_percent: u32,
-    /// Whether a queued task may wait at a second dispatcher too, which costs messages and gains response time.
-    pub second_reservation: bool,
+    /// Whether a task that is told to queue may go to a free slot elsewhere, which costs messages and gains response
+    /// time.
+    pub move_queued: bool,
 }
 
 impl Default for Contract {
@@ -146,7 +147,7 @@
             may_refuse: RefusableWork::default(),
             share: CustomerShare::default(),
             retry_percent: 20,
-            second_reservation: false,
+            move_queued: true,
         }
     }
 }
--- a/crates/peer/tests/border/values.rs
+++ b/crates/peer/tests/border/values.rs
@@ -220,7 +220,7 @@
             answer_within_ms,
             share: CustomerShare(share),
             retry_percent: retry,
-            second_reservation: second,
+            move_queued: second,
             ..Contract::default()
         },
     )
