Catch signals from the start of a process

Cause: the handlers were installed only after the listeners stood and the first line was printed, so a SIGTERM in between ended the process outright. stand_ins_listen_until_a_signal failed by this in 2 of 4 repeats on a loaded machine; entry and dispatcher had the same order. Ruled out: a wait in the test. Change: the handlers come first; a signal is kept until it is waited for. Conclusion: a planned stop is graceful from the first moment on.

--- a/crates/cairnctl/src/stand_in.rs
+++ b/crates/cairnctl/src/stand_in.rs
@@ -4,6 +4,7 @@
 
 use command_line::{print_text, CommandFault};
 use eyre::{eyre, Result, WrapErr as _};
+use kernel::StopSignals;
 use model::VmEntry;
 use stand_ins::{
     endpoint::{EndpointSettings, EndpointStandIn},
@@ -41,6 +42,7 @@
 }
 
 async fn run_platform(address: SocketAddr, vms: Vec<VmEntry>) -> Result<()> {
+    let mut signals = StopSignals::install()?;
     let count = vms.len();
     let settings = PlatformSettings {
         address,
@@ -53,7 +55,7 @@
         "platform on {}, {count} VMs listed\n",
         platform.address()
     ))?;
-    kernel::wait_for_stop().await?;
+    signals.wait().await;
     platform.stop().await;
     Ok(())
 }
@@ -80,6 +82,7 @@
 }
 
 async fn run_endpoints(list: Vec<EndpointSettings>) -> Result<()> {
+    let mut signals = StopSignals::install()?;
     let mut endpoints = Vec::new();
     for settings in list {
         let (address, id, slots) = (settings.address, settings.id.clone(), settings.slots);
@@ -91,7 +94,7 @@
         ))?;
         endpoints.push(endpoint);
     }
-    kernel::wait_for_stop().await?;
+    signals.wait().await;
     for endpoint in &endpoints {
         endpoint.stop().await;
     }
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -9,7 +9,7 @@
 use actix::{Actor as _, Addr, Arbiter};
 use actix_web::dev::ServerHandle;
 use endpoint_client::ClientSettings;
-use kernel::{ClockSource, SystemClock};
+use kernel::{ClockSource, StopSignals, SystemClock};
 use model::IncarnationId;
 use platform::PlatformClient;
 use settings::DispatcherSettings;
@@ -141,11 +141,10 @@
 /// The process could not be set up.
 pub fn run(settings: DispatcherSettings) -> eyre::Result<()> {
     actix::System::new().block_on(async move {
+        let mut signals = StopSignals::install()?;
         let process = start(settings, Arc::new(SystemClock))?;
-        kernel::wait_for_stop().await?;
-        let stop = process.stop();
-        let cut = kernel::stop_or_second_signal(stop).await?;
-        match cut {
+        signals.wait().await;
+        match signals.wait_beside(process.stop()).await {
             Some(0) => log::info!("dispatcher: stopped, nothing cut"),
             Some(cut) => log::warn!("dispatcher: stopped, {cut} tasks cut"),
             None => log::warn!("dispatcher: second signal, stopped at once"),
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,7 +13,7 @@
     operators::{self, OperatorLink},
     CallerApi,
 };
-use kernel::{ClockSource, SystemClock};
+use kernel::{ClockSource, StopSignals, SystemClock};
 use model::IncarnationId;
 use platform::PlatformClient;
 use settings::{DrainSettings, EntrySettings};
@@ -161,9 +161,10 @@
 /// The process could not be set up.
 pub fn run(settings: EntrySettings) -> eyre::Result<()> {
     actix::System::new().block_on(async move {
+        let mut signals = StopSignals::install()?;
         let process = start(settings, Arc::new(SystemClock))?;
-        kernel::wait_for_stop().await?;
-        match kernel::stop_or_second_signal(process.stop()).await? {
+        signals.wait().await;
+        match signals.wait_beside(process.stop()).await {
             Some(0) => log::info!("entry: stopped, nothing cut"),
             Some(cut) => log::warn!("entry: stopped, {cut} submissions cut"),
             None => log::warn!("entry: second signal, stopped at once"),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -10,5 +10,5 @@
 pub use crate::{
     clock::{ClockSource, ManualClock, SystemClock},
     directory::{KernelError, ServiceDirectory, ServiceName},
-    signals::{stop_or_second_signal, wait_for_stop},
+    signals::StopSignals,
 };
--- a/crates/kernel/src/signals.rs
+++ b/crates/kernel/src/signals.rs
@@ -2,31 +2,44 @@
 
 use std::{future::Future, io};
 
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
-/// Waits for SIGTERM or SIGINT.
+/// SIGTERM and SIGINT, caught from the moment that this exists.
 ///
-/// # Errors
-///
-/// The signal handlers cannot be set up.
-pub async fn wait_for_stop() -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
+/// Failure: a signal comes while the process is still starting. Symptom without this: the process is ended by the
+/// signal itself, without a graceful shutdown, although its listeners may have taken work. Install it before anything
+/// else; a signal that comes before [`Self::wait`] is kept for it.
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
 }
 
-/// Waits for the stop to end by itself, or for a second signal: `None`.
-///
-/// # Errors
-///
-/// The signal handlers cannot be set up.
-pub async fn stop_or_second_signal<T>(stop: impl Future<Output = T>) -> io::Result<Option<T>> {
-    tokio::select! {
-        done = stop => Ok(Some(done)),
-        second = wait_for_stop() => second.map(|()| None),
+impl StopSignals {
+    /// Installs the handlers. Has to run within an actix system.
+    ///
+    /// # Errors
+    ///
+    /// The handlers cannot be set up.
+    pub fn install() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for the next signal.
+    pub async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+
+    /// Waits for the stop to end by itself, or for another signal: `None`.
+    pub async fn wait_beside<T>(&mut self, stop: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            done = stop => Some(done),
+            () = self.wait() => None,
+        }
     }
 }
