Bound an entry's pings and drop a setting that nobody reads

Cause: an entry pings each session after 100 ms of silence: 3.19 KB/s a session by the slopes, 191 KB/s at 60 dispatchers, where a node may spend 27 on control. endpoint.connections was checked and not read: the ledger never has more tasks at an endpoint than its slots, so there is nothing for it to bound. Ruled out: a longer heartbeat for all, which slows today's small data centres for nothing. Change: at most 20 pings a second an entry, the period growing with its sessions as that of beats does; a session is given up after three periods at least, and a dispatcher ends an entry's session after 10 s of silence. The setting is gone. Conclusion: at 60 sessions the period is 3 s; a silent cut is found after 9 s there, a death at once as before.

--- a/crates/entry/src/control/sessions.rs
+++ b/crates/entry/src/control/sessions.rs
@@ -21,6 +21,12 @@
 /// The time between two tries to connect to a dispatcher that did not answer.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 
+/// The most pings a second that an entry spends on all its sessions together.
+const PINGS_PER_SECOND: u32 = 20;
+
+/// How many ping periods a session may stay silent: one ping lost on the way is no cut.
+const UNANSWERED_PERIODS: u32 = 3;
+
 impl EntryControl {
     /// Notes a dispatcher; a known one stays as it is.
     pub(super) fn know_dispatcher(&mut self, address: SocketAddr, data_centre: DataCentreId) {
@@ -101,8 +107,7 @@
 
     /// Connects what is not connected, pings what is, and gives up what stays silent.
     pub(super) fn tend_sessions(&mut self, ctx: &mut Context<Self>, now: Instant) {
-        let timeout = self.settings.session_timeout_ms.duration();
-        let beat = self.settings.heartbeat_ms.duration();
+        let (beat, timeout) = self.ping_times();
         let (mut connect, mut ping, mut lost) = (Vec::new(), Vec::new(), Vec::new());
         for (key, slot) in &self.dispatchers {
             match &slot.link {
@@ -130,6 +135,27 @@
         }
     }
 
+    /// How long a session may be silent before it is pinged, and before it is given up.
+    ///
+    /// Load: an entry with many sessions. Harm: each pinged as often as one alone, 60 of them take 191 KB/s of the 27
+    /// that a node may spend on control. The period grows with the sessions instead, to 20 pings a second at most; a
+    /// dispatcher that dies is told of by its broken connection, so only a silent cut is found later by that.
+    fn ping_times(&self) -> (Duration, Duration) {
+        let open = self
+            .dispatchers
+            .values()
+            .filter(|slot| matches!(slot.link, LinkState::Open(_)));
+        let sessions = u32::try_from(open.count()).unwrap_or(u32::MAX);
+        let spread = Duration::from_secs(1).saturating_mul(sessions) / PINGS_PER_SECOND;
+        let beat = self.settings.heartbeat_ms.duration().max(spread);
+        let timeout = self
+            .settings
+            .session_timeout_ms
+            .duration()
+            .max(beat * UNANSWERED_PERIODS);
+        (beat, timeout)
+    }
+
     pub(super) fn send_offers(
         &mut self,
         ctx: &mut Context<Self>,
--- a/crates/ledger/src/settings.rs
+++ b/crates/ledger/src/settings.rs
@@ -14,8 +14,9 @@
     /// How long an entry has to answer an ask before the slot goes to the next in line. An entry answers within a
     /// round trip; one that does not is frozen or cut off, and must not hold a slot meanwhile.
     pub claim_limit: Duration,
-    /// The silence after which an entry's session is over. An entry with an open session pings several times a second;
-    /// one that is frozen or cut off silently would hold up this process's stop and its reservations the queue.
+    /// The silence after which an entry's session is over. An entry with an open session pings several times a second,
+    /// with 60 sessions each 3 s; one that is frozen or cut off silently would hold up this process's stop and its
+    /// reservations the queue.
     pub entry_silence: Duration,
     /// How long the end of an attempt is kept for an entry that is out of reach.
     pub keep_ends: Duration,
@@ -27,7 +28,7 @@
             health: HealthSettings::default(),
             max_queue: 20_000,
             claim_limit: Duration::from_millis(200),
-            entry_silence: Duration::from_secs(3),
+            entry_silence: Duration::from_secs(10),
             keep_ends: Duration::from_secs(60),
         }
     }
--- a/crates/settings/src/dispatcher.rs
+++ b/crates/settings/src/dispatcher.rs
@@ -21,17 +21,12 @@
     #[serde(deserialize_with = "bounded::<_, _, 1, 60_000>")]
     #[schemars(range(min = 1, max = 60_000))]
     pub connect_timeout_ms: DurationMs,
-    /// The most connections to one endpoint. An executor takes about 60, and only its owner connects. Default 60.
-    #[serde(deserialize_with = "bounded::<_, _, 1, 10_000>")]
-    #[schemars(range(min = 1, max = 10_000))]
-    pub connections: usize,
 }
 
 impl Default for EndpointCallSettings {
     fn default() -> Self {
         Self {
             connect_timeout_ms: DurationMs(250),
-            connections: 60,
         }
     }
 }
