Keep a word on slots that overtakes the opening of its session

Cause: a dispatcher that settles just after a session's opening tells its new limit at once. Ruled out: grants (the first ask is met in full), the move of queued tasks (the entry knew of no free slot). Change: such a word is kept until the session stands.

--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -42,7 +42,7 @@
 
 /// The time between two looks at what has become due. It bounds how late a slot goes on after an ask stayed
 /// unanswered, and is small against the shortest tasks of 50 ms.
-const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(40);
 
 /// The time between two looks at the grants. The ledger takes a gap of the suspect time for a freeze of this process;
 /// the shortest that the settings' defaults allow is five of these.
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -29,7 +29,8 @@
 use kernel::ClockSource;
 use membership::{CentreView, GrantHolder, GrantSettings};
 use model::{
-    CustomerId, DataCentreId, FastMap, IncarnationId, SessionId, SubmissionId, SubmissionOutcome,
+    CustomerId, DataCentreId, FastMap, IncarnationId, SessionId, SlotCounts, SubmissionId,
+    SubmissionOutcome,
 };
 use peer::{PeerLink, SessionClient};
 use platform::PlatformClient;
@@ -48,7 +49,7 @@
 };
 
 /// The time between two looks at what has become due. It bounds how late an answer leaves after its deadline.
-const TICK: Duration = Duration::from_millis(5);
+const TICK: Duration = Duration::from_millis(10);
 
 /// The control state of an entry: submissions, sessions, contracts. It lives on the control thread.
 pub struct EntryControl {
@@ -81,6 +82,8 @@
     address: SocketAddr,
     data_centre: DataCentreId,
     link: LinkState,
+    /// What was told of slots on a session whose opening is not answered yet.
+    early_slots: Option<(SessionId, SlotCounts)>,
     /// The data centre as it sees it, since the session opened.
     centre: Option<CentreView>,
 }
--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -36,6 +36,7 @@
 #[rtype(result = "()")]
 pub(crate) struct SlotsTold {
     pub(crate) dispatcher: DispatcherKey,
+    pub(crate) session: SessionId,
     pub(crate) slots: SlotCounts,
 }
 
--- a/crates/entry/src/control/sessions.rs
+++ b/crates/entry/src/control/sessions.rs
@@ -44,6 +44,7 @@
                 data_centre,
                 link,
                 centre: None,
+                early_slots: None,
             },
         );
     }
@@ -324,6 +325,7 @@
                     session,
                     opened.slots,
                 );
+                self.take_early_slots(key, session);
             }
             Err(error) => {
                 slot.link = LinkState::Idle(now + RECONNECT_PAUSE);
@@ -336,6 +338,30 @@
         }
     }
 
+    /// A word on slots that overtook the answer to its session's opening is newer than that answer. Passed over, it would
+    /// leave the entry with the slots of before until the next ping: tasks queue elsewhere while these stand free.
+    fn take_slots(&mut self, told: SlotsTold) {
+        if let Some(slot) = self.dispatchers.get_mut(&told.dispatcher) {
+            if matches!(slot.link, LinkState::Connecting) {
+                slot.early_slots = Some((told.session, told.slots));
+                return;
+            }
+        }
+        self.authority
+            .on_slots(self.clock.now(), told.dispatcher, told.slots);
+    }
+
+    fn take_early_slots(&mut self, key: DispatcherKey, session: SessionId) {
+        let early = self
+            .dispatchers
+            .get_mut(&key)
+            .and_then(|slot| slot.early_slots.take());
+        let Some((_, slots)) = early.filter(|(told, _)| *told == session) else {
+            return;
+        };
+        self.authority.on_slots(self.clock.now(), key, slots);
+    }
+
     fn lose_session(&mut self, now: Instant, key: DispatcherKey, session: SessionId) {
         let Some(slot) = self.dispatchers.get_mut(&key) else {
             return;
@@ -441,8 +467,7 @@
     type Result = ();
 
     fn handle(&mut self, told: SlotsTold, ctx: &mut Context<Self>) {
-        self.authority
-            .on_slots(self.clock.now(), told.dispatcher, told.slots);
+        self.take_slots(told);
         self.flush(ctx);
     }
 }
--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -61,6 +61,7 @@
     fn slots(&self, slots: SlotCounts) -> ReplyFuture<()> {
         self.control.do_send(SlotsTold {
             dispatcher: self.dispatcher,
+            session: self.session,
             slots,
         });
         Box::pin(std::future::ready(Ok(())))
