Let the parts of a process find each other by name

Cause: the kernel's service directory was written first and used by nobody; parts were handed addresses. Ruled out: actix's own registry, which is one a thread and by type. Change: control actors are registered under names; the traffic threads, the callers' routes and the operators' link find them there.

--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -22,7 +22,7 @@
     OwnershipMap,
 };
 use actix::{Actor, Addr, AsyncContext as _, Context, Handler};
-use kernel::ClockSource;
+use kernel::{ClockSource, ServiceName};
 use ledger::{LedgerAction, LedgerSettings, SlotLedger};
 use model::{split_for_messages, FastMap, FastSet, IncarnationId, VmEntry};
 use peer::PeerLink;
@@ -52,6 +52,9 @@
 /// counted there, and is of the size of the shortest tasks.
 const HANDOVER_TICK: Duration = Duration::from_millis(50);
 
+/// The name under which a dispatcher's control actor is found.
+pub(crate) const CONTROL_SERVICE: ServiceName = ServiceName("dispatcher.control");
+
 /// The control state of a dispatcher: slots, members, sessions. It lives on the control thread.
 pub struct DispatcherControl {
     settings: DispatcherSettings,
@@ -165,7 +168,7 @@
         let mut reports = FastMap::default();
         for action in self.ledger.take_actions() {
             match action {
-                LedgerAction::Start { endpoint, offer } => self.start_task(ctx, endpoint, offer),
+                LedgerAction::Start { endpoint, offer } => self.start_task(endpoint, offer),
                 LedgerAction::Claim {
                     entry,
                     session,
@@ -217,19 +220,10 @@
         }
     }
 
-    fn start_task(
-        &mut self,
-        ctx: &mut Context<Self>,
-        endpoint: model::EndpointAddress,
-        offer: model::TaskOffer,
-    ) {
+    fn start_task(&mut self, endpoint: model::EndpointAddress, offer: model::TaskOffer) {
         self.next_traffic = (self.next_traffic + 1) % self.traffic.len();
         let traffic = &self.traffic[self.next_traffic];
-        traffic.do_send(RunTask {
-            endpoint,
-            offer,
-            control: ctx.address(),
-        });
+        traffic.do_send(RunTask { endpoint, offer });
     }
 
     fn tick(&mut self, ctx: &mut Context<Self>) {
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -9,7 +9,7 @@
 use actix::{Actor as _, Addr, Arbiter};
 use actix_web::dev::ServerHandle;
 use endpoint_client::ClientSettings;
-use kernel::{ClockSource, StopSignals, SystemClock};
+use kernel::{ClockSource, ServiceDirectory, StopSignals, SystemClock};
 use model::IncarnationId;
 use platform::PlatformClient;
 use settings::DispatcherSettings;
@@ -18,7 +18,7 @@
 
 use crate::{
     admin,
-    control::{ControlParts, DispatcherControl, StopBegun, StopState},
+    control::{ControlParts, DispatcherControl, StopBegun, StopState, CONTROL_SERVICE},
     entry_directory::EntryDirectory,
     port::accept,
     traffic::EndpointTraffic,
@@ -92,7 +92,8 @@
     let own_address = settings.peer_announce.unwrap_or(peer_address);
     let admin_address = admin_listener.local_addr()?;
     let ready = Arc::new(AtomicBool::new(true));
-    let (arbiters, traffic) = start_traffic(&settings);
+    let services = ServiceDirectory::default();
+    let (arbiters, traffic) = start_traffic(&settings, &services);
     let platform_settings = platform::ClientSettings {
         address: settings.platform,
         ..platform::ClientSettings::default()
@@ -112,6 +113,7 @@
         metrics: metrics.clone(),
     })
     .start();
+    services.register(CONTROL_SERVICE, control.clone());
     let admin = admin::start(admin_listener, ready, metrics)?;
     peer_listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(peer_listener)?;
@@ -153,7 +155,10 @@
     })
 }
 
-fn start_traffic(settings: &DispatcherSettings) -> (Vec<Arbiter>, Vec<Addr<EndpointTraffic>>) {
+fn start_traffic(
+    settings: &DispatcherSettings,
+    services: &ServiceDirectory,
+) -> (Vec<Arbiter>, Vec<Addr<EndpointTraffic>>) {
     let client = ClientSettings {
         connect_timeout: settings.endpoint.connect_timeout_ms.duration(),
         ..ClientSettings::default()
@@ -162,10 +167,10 @@
     let mut traffic = Vec::new();
     for _ in 0..settings.traffic_threads {
         let arbiter = Arbiter::new();
-        let client = client.clone();
+        let (client, services) = (client.clone(), services.clone());
         traffic.push(EndpointTraffic::start_in_arbiter(
             &arbiter.handle(),
-            move |_| EndpointTraffic::new(client),
+            move |_| EndpointTraffic::new(client, services),
         ));
         arbiters.push(arbiter);
     }
--- a/crates/dispatcher/src/traffic.rs
+++ b/crates/dispatcher/src/traffic.rs
@@ -1,10 +1,11 @@
 //! The traffic threads: each calls endpoints with its own connections.
 
-use actix::{Actor, Addr, AsyncContext as _, Context, Handler, Message};
+use actix::{Actor, AsyncContext as _, Context, Handler, Message};
 use endpoint_client::{ClientSettings, EndpointClient};
+use kernel::ServiceDirectory;
 use model::{AttemptEnd, AttemptId, EndpointAddress, TaskOffer};
 
-use crate::DispatcherControl;
+use crate::{control::CONTROL_SERVICE, DispatcherControl};
 
 /// Runs a task on an endpoint.
 #[derive(Message)]
@@ -12,7 +13,6 @@
 pub(crate) struct RunTask {
     pub(crate) endpoint: EndpointAddress,
     pub(crate) offer: TaskOffer,
-    pub(crate) control: Addr<DispatcherControl>,
 }
 
 /// A task has ended on its endpoint.
@@ -26,12 +26,14 @@
 /// One traffic thread's caller of endpoints.
 pub(crate) struct EndpointTraffic {
     client: EndpointClient,
+    services: ServiceDirectory,
 }
 
 impl EndpointTraffic {
-    pub(crate) fn new(settings: ClientSettings) -> Self {
+    pub(crate) fn new(settings: ClientSettings, services: ServiceDirectory) -> Self {
         Self {
             client: EndpointClient::new(settings),
+            services,
         }
     }
 }
@@ -45,9 +47,17 @@
 
     fn handle(&mut self, task: RunTask, ctx: &mut Context<Self>) {
         let client = self.client.clone();
+        // Looked up before the start: without anybody to tell the end to, the task must not run.
+        let control = match self.services.find::<DispatcherControl>(CONTROL_SERVICE) {
+            Ok(control) => control,
+            Err(error) => {
+                log::error!("dispatcher: {} not started: {error}", task.offer.attempt);
+                return;
+            }
+        };
         let call = async move {
             let end = client.run(&task.endpoint, &task.offer, || {}).await;
-            task.control.do_send(TaskRan {
+            control.do_send(TaskRan {
                 attempt: task.offer.attempt,
                 end,
             });
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -18,6 +18,9 @@
     /// The metrics could not be set up.
     #[error(transparent)]
     Metrics(#[from] telemetry::TelemetryError),
+    /// A part of the process was not found.
+    #[error(transparent)]
+    Service(#[from] kernel::KernelError),
     /// A thread or signal handler could not be set up.
     #[error("cannot set up the process: {0}")]
     SetUp(#[from] io::Error),
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,7 +13,7 @@
     operators::{self, OperatorLink},
     CallerApi,
 };
-use kernel::{ClockSource, StopSignals, SystemClock};
+use kernel::{ClockSource, ServiceDirectory, ServiceName, StopSignals, SystemClock};
 use model::IncarnationId;
 use platform::PlatformClient;
 use settings::{DrainSettings, EntrySettings};
@@ -24,6 +24,9 @@
     EntryError,
 };
 
+/// The name under which an entry's control actor is found.
+const CONTROL_SERVICE: ServiceName = ServiceName("entry.control");
+
 /// The time between two looks at whether a stopping process may end.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
@@ -110,12 +113,14 @@
         metrics: metrics.clone(),
     })
     .start();
+    let services = ServiceDirectory::default();
+    services.register(CONTROL_SERVICE, control.clone());
     let api = CallerApi {
-        control: control.clone(),
+        control: services.find::<EntryControl>(CONTROL_SERVICE)?,
         ready,
         leaving,
     };
-    let operators = OperatorLink::new(control.clone().recipient());
+    let operators = OperatorLink::new(services.find::<EntryControl>(CONTROL_SERVICE)?.recipient());
     let server = HttpServer::new(move || {
         let (api, operators) = (api.clone(), operators.clone());
         let metrics = web::Data::from(metrics.clone());
--- a/xtask/src/experiment.rs
+++ b/xtask/src/experiment.rs
@@ -109,7 +109,9 @@
     })
     .await?;
     let concurrency = options.concurrency.unwrap_or(total_slots(options));
-    let contract = json!({ "concurrency": concurrency });
+    // The Trust pays for each wasted message, the Utility for each late answer.
+    let move_queued = options.shape == LoadShape::Utility;
+    let contract = json!({ "concurrency": concurrency, "move_queued": move_queued });
     fleet
         .create_contracts("customer", 1..=options.customers, &contract)
         .await?;
