Answer every open request before a stopping node ends

Ruled out: cutting connections at SIGTERM (requests in flight on them would be lost), and more time (the grace period is the platform's).

Change: a job that cannot be expected to end within the rest of the grace period is refused as not run; idle connections are closed once the balancer has turned away; what is still open at the end gets a complete answer. A node counts an owner as usable only with an open connection to it. The workers' and members' tables are read in batches. Stand-ins of the platform, and tests that failed first.

--- a/crates/claims/src/settings.rs
+++ b/crates/claims/src/settings.rs
@@ -36,8 +36,8 @@
             far_limit: Duration::from_millis(1_300),
             rank_delay: Duration::from_millis(120),
             far_delay: Duration::from_millis(700),
-            isolated_delay: Duration::from_millis(5_500),
-            refresh: Duration::from_millis(2_000),
+            isolated_delay: Duration::from_millis(9_500),
+            refresh: Duration::from_millis(4_000),
             attempt_limit: Duration::from_millis(600),
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,7 +11,10 @@
 pub use crate::{
     demand::{CpuMillis, MemoryMegabytes, ResourceDemand},
     ids::{FenceToken, JobId, LifeId, RunNumber, ServiceId, TaskId, WrongJobId},
-    request::{JobOutcome, JobRequest, JobTerms, RefusalKind, StepSpec, TaskText, UnsupportedNeed},
+    request::{
+        longest_chain, JobOutcome, JobRequest, JobTerms, RefusalKind, StepSpec, TaskText,
+        UnsupportedNeed,
+    },
     route::{BodyLimits, RouteMatch, RouteRule, RouteTable, ServiceRule, TableVersion},
     worker::{
         EndCause, EndedRun, RunningRun, WorkerClock, WorkerListing, WorkerRecord, WorkerState,
--- a/crates/jobs/src/request.rs
+++ b/crates/jobs/src/request.rs
@@ -77,6 +77,22 @@
     }
 }
 
+/// The longest chain of predicted task times over the steps of a job.
+pub fn longest_chain(steps: &[StepSpec], predict: impl Fn(&StepSpec) -> Duration) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+    for step in steps {
+        let begin = step
+            .after
+            .iter()
+            .filter_map(|before| ends.get(*before as usize))
+            .max()
+            .copied()
+            .unwrap_or_default();
+        ends.push(begin + predict(step));
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
 /// What the route asks of a job, and how long its customer waits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobTerms {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -6,9 +6,11 @@
 mod clock;
 mod directory;
 mod signals;
+mod tasks;
 
 pub use crate::{
     clock::{ClockSource, ManualClock, SystemClock},
     directory::{KernelError, ServiceDirectory, ServiceName},
     signals::StopSignals,
+    tasks::TaskSet,
 };
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -64,7 +64,11 @@
     let here = &state.settings.data_centre;
     let mut pools = Vec::new();
     for pool in keeper.pools() {
-        if let Some(owner) = keeper.owner(now, &pool).filter(|owner| owner.alive) {
+        let Some(owner) = keeper.owner(now, &pool) else {
+            continue;
+        };
+        let reached = owner.here || state.links.get(owner.address).is_some();
+        if owner.alive && reached {
             pools.push((pool, owner));
         }
     }
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -13,12 +13,22 @@
 
 use crate::{owner, state::NodeState};
 
-/// How long a feed waits for a change. A connection that has gone silent is found after this time and the client's
-/// limit, which leaves a configuration half of the 2 s in which it has to be in force.
-const FEED_WAIT: Duration = Duration::from_millis(700);
+/// How long a feed of what has to be in force within 2 s waits for a change. A connection that has gone silent is
+/// found after this time and the client's limit.
+const URGENT_WAIT: Duration = Duration::from_millis(1_200);
 
-/// The shortest time between two readings of the workers' table, so that their heartbeats come in batches.
-const WORKERS_GAP: Duration = Duration::from_millis(60);
+/// How long any other feed waits for a change.
+const FEED_WAIT: Duration = Duration::from_millis(3_000);
+
+/// The shortest time between two readings of the workers' table. Its rows change with each of the workers' heartbeats,
+/// some 30 times a second at 48 workers; a worker that drains has to be left alone within 2 s.
+const WORKERS_GAP: Duration = Duration::from_millis(250);
+
+/// The shortest time between two readings of the members' table, of which heartbeats tell earlier.
+const MEMBERS_GAP: Duration = Duration::from_millis(900);
+
+/// The same until the first members are known, which heartbeats need.
+const FIRST_MEMBERS_GAP: Duration = Duration::from_millis(100);
 
 /// The shortest time between two readings of any other table.
 const FEED_GAP: Duration = Duration::from_millis(15);
@@ -28,17 +38,15 @@
 
 /// Follows a table for as long as the process runs. The history may be gone at any time; then all is read again.
 pub(crate) async fn follow(state: Rc<NodeState>, table: StoreTable) {
-    let gap = if table == StoreTable::Workers {
-        WORKERS_GAP
-    } else {
-        FEED_GAP
-    };
+    let urgent = table == StoreTable::Operator;
+    let wait = if urgent { URGENT_WAIT } else { FEED_WAIT };
+    let begun = state.now();
     let mut after: Option<RowVersion> = None;
     let mut lost_since = None;
     loop {
         let read = match after {
             None => state.store.read_all(table, "").await,
-            Some(after) => state.store.feed(table, after, FEED_WAIT).await,
+            Some(after) => state.store.feed(table, after, wait).await,
         };
         match read {
             Ok(page) => {
@@ -48,7 +56,8 @@
                 let whole = after.is_none();
                 after = Some(page.version.max(after.unwrap_or(RowVersion(0))));
                 take_page(&state, table, page, whole);
-                actix_rt::time::sleep(gap).await;
+                let age = state.now().saturating_duration_since(begun);
+                actix_rt::time::sleep(feed_gap(table, age)).await;
             }
             Err(StoreError::HistoryGone) => {
                 let line = EventLine::new("history_gone").text("table", table.as_str());
@@ -66,6 +75,15 @@
     }
 }
 
+fn feed_gap(table: StoreTable, age: Duration) -> Duration {
+    match table {
+        StoreTable::Workers => WORKERS_GAP,
+        StoreTable::Members if age < MEMBERS_GAP * 3 => FIRST_MEMBERS_GAP,
+        StoreTable::Members => MEMBERS_GAP,
+        StoreTable::Operator | StoreTable::Claims => FEED_GAP,
+    }
+}
+
 fn note_lost(state: &NodeState, table: StoreTable, error: &StoreError) {
     let line = EventLine::new("store_lost")
         .text("table", table.as_str())
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -13,8 +13,12 @@
     StatusCode,
 };
 use actix_service::{Service as _, ServiceFactory as _};
-use futures::StreamExt as _;
-use jobs::{BodyLimits, JobId, JobOutcome, RefusalKind, RouteRule};
+use futures::{
+    future::{select, Either},
+    StreamExt as _,
+};
+use jobs::{longest_chain, BodyLimits, JobId, JobOutcome, RefusalKind, RouteRule};
+use kernel::TaskSet;
 use platform_adapter::{
     decode_job, encode_outcome, encode_pending, EncodedAnswer, DEADLINE_HEADER,
 };
@@ -59,8 +63,16 @@
         }
     };
     // One thread serves all connections; the library's own server would add an accepting and a working thread.
+    let signal = {
+        let state = state.clone();
+        move || {
+            let close_idle = state.close_idle.clone();
+            async move { close_idle.notified().await }
+        }
+    };
     let factory = HttpService::<TcpStream, _, _, _, _>::build()
         .keep_alive(KEEP_ALIVE)
+        .graceful_shutdown_signal(signal)
         .client_request_timeout(HEAD_TIME)
         .h1_allow_half_closed(false)
         .h1(actix_service::fn_service(handler))
@@ -69,6 +81,7 @@
         .new_service(())
         .await
         .map_err(|()| NodeError::Server)?;
+    let connections = TaskSet::default();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             actix_rt::time::sleep(ACCEPT_PAUSE).await;
@@ -78,9 +91,9 @@
         let _best_effort = stream.set_nodelay(true);
         // A connection that breaks ends its own requests; there is nothing to do beside.
         let connection = service.call(stream);
-        actix_rt::spawn(async move {
+        connections.add(actix_rt::spawn(async move {
             let _ended = connection.await;
-        });
+        }));
     }
 }
 
@@ -147,7 +160,7 @@
     if method != Method::POST {
         return plain(StatusCode::METHOD_NOT_ALLOWED, "{}");
     }
-    let deadline = arrived + time_limit(&request, &rule);
+    let deadline = arrived + time_limit(&request);
     let body = match read_body(request.take_payload(), table.limits).await {
         Ok(body) => body,
         Err(status) => return plain(status, "{}"),
@@ -180,17 +193,42 @@
         arrived,
         deadline,
     };
-    let outcome = match unsupported {
-        None => run_job(state, &job).await,
-        Some(_) => JobOutcome::Refused {
-            kind: RefusalKind::Unsupported,
-            retry_after: NOT_READY_RETRY,
-        },
+    let refused = |kind| JobOutcome::Refused {
+        kind,
+        retry_after: NOT_READY_RETRY,
+    };
+    let outcome = if unsupported.is_some() {
+        refused(RefusalKind::Unsupported)
+    } else if is_past_stop(state, &job) {
+        refused(RefusalKind::NotServing)
+    } else {
+        run_until_cut(state, &job).await
     };
     note_answered(state, &job, outcome);
     encoded(&encode_outcome(outcome))
 }
 
+/// Whether the process will be gone before the job can be expected to end. Taken all the same, the job would be cut.
+fn is_past_stop(state: &NodeState, job: &EntryJob) -> bool {
+    let chain = longest_chain(&job.request.steps, |step| step.estimate);
+    let expected = chain.mul_f64(job.rule.stretch) + job.rule.goal;
+    state
+        .stop_limit
+        .get()
+        .is_some_and(|limit| state.now() + expected > limit)
+}
+
+/// Runs a job, but answers before the process ends: a customer whose connection breaks without an answer cannot tell
+/// a job that was taken from one that was not.
+async fn run_until_cut(state: &Rc<NodeState>, job: &EntryJob) -> JobOutcome {
+    let run = std::pin::pin!(run_job(state, job));
+    let cut = std::pin::pin!(state.cut.notified());
+    match select(run, cut).await {
+        Either::Left((outcome, _)) => outcome,
+        Either::Right(_) => JobOutcome::GivenUp,
+    }
+}
+
 fn note_refused(state: &NodeState, reason: &'static str) {
     state.log(
         EventKind::Kept,
@@ -208,14 +246,13 @@
 }
 
 /// How long the customer waits.
-fn time_limit(request: &Request, rule: &RouteRule) -> Duration {
+fn time_limit(request: &Request) -> Duration {
     let header = request
         .headers()
         .get(DEADLINE_HEADER)
         .and_then(|value| value.to_str().ok());
     let millis = header.and_then(|text| text.trim().parse::<u64>().ok());
     let waits = millis.map_or(DEFAULT_DEADLINE, Duration::from_millis);
-    let _ = rule;
     waits.min(LONGEST_DEADLINE)
 }
 
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -20,6 +20,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{signal, SignalKind},
+    sync::Notify,
     task::JoinHandle,
 };
 
@@ -49,6 +50,9 @@
 /// What is left of the time to stop for the last answers to travel.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
+/// The time that answers of cut requests get to leave the process.
+const LAST_ANSWERS: Duration = Duration::from_millis(60);
+
 /// How long the start waits for this process's former row, so that its incarnation rises even where the clock of the
 /// VM was set back.
 const FORMER_ROW_LIMIT: Duration = Duration::from_millis(400);
@@ -56,6 +60,8 @@
 /// A running node.
 pub struct NodeProcess {
     state: Rc<NodeState>,
+    customer_address: SocketAddr,
+    ready_address: SocketAddr,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -68,6 +74,21 @@
 }
 
 impl NodeProcess {
+    /// Where customers connect.
+    pub fn customer_address(&self) -> SocketAddr {
+        self.customer_address
+    }
+
+    /// Where readiness is asked.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.ready_address
+    }
+
+    /// The log lines that have not been written out.
+    pub fn log_lines(&self) -> String {
+        self.state.log.borrow().gathered()
+    }
+
     /// Leaves without cutting a request: says "not ready", ends the jobs of its pools and lets go of them, and stays
     /// until its own requests are answered or its time is over.
     pub async fn stop(&self) {
@@ -76,6 +97,7 @@
         let grace = Duration::from_secs_f64(state.settings.stop_grace_s);
         let limit = begun + grace.saturating_sub(STOP_MARGIN);
         state.leaving.set(true);
+        state.stop_limit.set(Some(limit));
         state.keeper.borrow_mut().leave();
         state.log(
             EventKind::Kept,
@@ -87,6 +109,10 @@
         }
         while state.now() < limit {
             release_idle(state);
+            if state.now() >= begun + TURN_AWAY {
+                // New connections go elsewhere by now, so whoever is closed out gets another node.
+                state.close_idle.notify_waiters();
+            }
             let owns = !state.pools.borrow().is_empty();
             let busy = owns || state.open_requests.get() > 0;
             if !busy && state.now() >= begun + TURN_AWAY {
@@ -94,8 +120,11 @@
             }
             actix_rt::time::sleep(TICK).await;
         }
+        let cut = state.open_requests.get();
+        state.cut.notify_waiters();
+        actix_rt::time::sleep(LAST_ANSWERS).await;
         let line = EventLine::new("process_stopped")
-            .number("open_requests", state.open_requests.get() as u64)
+            .number("cut_requests", cut as u64)
             .millis("took_ms", state.now().saturating_duration_since(begun));
         state.log(EventKind::Kept, line);
         state.log.borrow_mut().flush();
@@ -130,6 +159,7 @@
     let ready = listen(settings.ready_listen).await?;
     let peers = listen(settings.peer_listen).await?;
     let address = peers.local_addr()?;
+    let (customer_address, ready_address) = (customers.local_addr()?, ready.local_addr()?);
     let socket = UdpSocket::bind(address).await;
     let socket = Rc::new(socket.map_err(|cause| NodeError::Listen { address, cause })?);
     let http = HttpCaller::default();
@@ -166,6 +196,9 @@
         log: RefCell::new(log),
         leaving: Cell::new(false),
         open_requests: Cell::new(0),
+        stop_limit: Cell::new(None),
+        close_idle: Rc::default(),
+        cut: Notify::new(),
         last_tick: Cell::new(time_since_boot()),
         next_waiter: Cell::new(0),
         settings,
@@ -198,7 +231,12 @@
     for table in tables {
         tasks.push(actix_rt::spawn(feeds::follow(state.clone(), table)));
     }
-    Ok(NodeProcess { state, tasks })
+    Ok(NodeProcess {
+        state,
+        customer_address,
+        ready_address,
+        tasks,
+    })
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, NodeError> {
--- a/crates/node/src/ready.rs
+++ b/crates/node/src/ready.rs
@@ -4,6 +4,7 @@
 
 use actix_http::{body::BoxBody, HttpService, Request, Response, StatusCode};
 use actix_service::{Service as _, ServiceFactory as _};
+use kernel::TaskSet;
 use platform_adapter::READY_PATH;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -26,15 +27,16 @@
         .new_service(())
         .await
         .map_err(|()| NodeError::Server)?;
+    let connections = TaskSet::default();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             actix_rt::time::sleep(std::time::Duration::from_millis(20)).await;
             continue;
         };
         let connection = service.call(stream);
-        actix_rt::spawn(async move {
+        connections.add(actix_rt::spawn(async move {
             let _ended = connection.await;
-        });
+        }));
     }
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -39,6 +39,12 @@
     pub(crate) log: RefCell<EventLog>,
     pub(crate) leaving: Cell<bool>,
     pub(crate) open_requests: Cell<usize>,
+    /// When the process ends, once it is stopping.
+    pub(crate) stop_limit: Cell<Option<Instant>>,
+    /// Woken when customers' idle connections are to be closed.
+    pub(crate) close_idle: Rc<Notify>,
+    /// Woken when open requests have to be answered because the process ends.
+    pub(crate) cut: Notify,
     /// The time since boot at the last tick, suspension included.
     pub(crate) last_tick: Cell<Duration>,
     pub(crate) next_waiter: Cell<u64>,
--- /dev/null
+++ b/crates/node/tests/serving.rs
@@ -0,0 +1,101 @@
+//! A node on stand-ins of the platform: what customers get.
+
+mod support;
+
+use std::time::Duration;
+
+use awc::Client;
+use serde_json::{json, Value};
+use support::{job, post_job, send, start_node, Platform};
+
+const ID: &str = "5c0e7a21d94b36f8";
+
+#[actix_rt::test]
+async fn a_job_is_answered_when_all_its_tasks_are_done() {
+    let platform = Platform::start(2, Duration::from_millis(40)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    let answer = post_job(&node, ID, &job(5, 40)).await;
+    assert_eq!(answer, (200, json!({ "State": "completed" })));
+    let runs: Vec<_> = platform
+        .executors
+        .iter()
+        .flat_map(|executor| executor.runs())
+        .collect();
+    assert_eq!(runs.len(), 5);
+    assert!(runs
+        .iter()
+        .all(|run| run.ended.is_some_and(|(_, how)| how == "done")));
+}
+
+#[actix_rt::test]
+async fn what_is_not_a_job_is_refused_and_nothing_runs() {
+    let platform = Platform::start(1, Duration::from_millis(10)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    let client = Client::default();
+    let kept = json!({ "Spec": "", "Phases": [{ "Count": 1, "Cpu": 1, "EstMs": 1 }] });
+    let no_tasks = json!({ "Ephemeral": true, "Phases": [{ "Count": 0 }] });
+    let wrong_type = json!({ "Ephemeral": true, "Phases": [{ "Count": "many" }] });
+    let circle = json!({ "Ephemeral": true, "Phases": [{ "Count": 1, "After": [0] }] });
+    let too_long = json!({ "Ephemeral": true, "Spec": "x".repeat(5_000), "Phases": [] });
+    let never_fits = json!({ "Ephemeral": true, "Phases": [{ "Count": 1, "Cpu": 99_000 }] });
+    let path = format!("/hold/{ID}");
+    let cases: [(&str, &str, &Value, u16); 11] = [
+        ("POST", "/other/5c0e7a21d94b36f8", &job(1, 10), 404),
+        ("POST", "/hold/not-an-id", &job(1, 10), 400),
+        ("POST", &path, &json!("no job"), 400),
+        ("POST", &path, &no_tasks, 400),
+        ("POST", &path, &wrong_type, 400),
+        ("POST", &path, &circle, 400),
+        ("POST", &path, &too_long, 413),
+        ("POST", &path, &kept, 503),
+        ("POST", &path, &never_fits, 503),
+        ("GET", &path, &Value::Null, 410),
+        ("PUT", &path, &job(1, 10), 405),
+    ];
+    for (method, path, body, status) in cases {
+        let (got, _) = send(&client, node.customer_address(), method, path, body).await;
+        assert_eq!(got, status, "{method} {path} {body}");
+    }
+    assert!(platform.executors[0].runs().is_empty());
+    let pending = send(
+        &client,
+        node.customer_address(),
+        "GET",
+        "/hold/",
+        &Value::Null,
+    )
+    .await;
+    assert_eq!(pending, (200, json!({ "Pending": 0 })));
+}
+
+/// A process that has just started does not know the configuration yet. A customer that reaches it is told that
+/// nothing ran and when to come back, and not that there is no such queue.
+#[actix_rt::test]
+async fn without_a_configuration_nothing_is_taken() {
+    let platform = Platform::start(1, Duration::from_millis(10)).await;
+    platform.store.remove("op", "config");
+    let node = start_node(platform.node_settings("vm-1")).await;
+    let (status, _) = post_job(&node, ID, &job(1, 10)).await;
+    assert_eq!(status, 503);
+    assert!(!support::is_ready(&node).await);
+}
+
+/// A customer leaves while its job runs. Its connection closes, the node cancels the job, and the worker is told to
+/// stop: nobody waits for the work any more, and the customer's next try must not run beside it.
+#[actix_rt::test]
+async fn a_customer_that_leaves_stops_its_job() {
+    let platform = Platform::start(1, Duration::from_millis(1_500)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    let body = job(2, 1_500);
+    let call = post_job(&node, ID, &body);
+    let left = tokio::time::timeout(Duration::from_millis(300), call).await;
+    assert!(left.is_err());
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    let runs = platform.executors[0].runs();
+    assert_eq!(runs.len(), 2);
+    assert!(
+        runs.iter()
+            .all(|run| run.ended.is_some_and(|(_, how)| how == "stopped")),
+        "{runs:?}"
+    );
+}
--- /dev/null
+++ b/crates/node/tests/stopping.rs
@@ -0,0 +1,102 @@
+//! A planned stop cuts no request.
+
+mod support;
+
+use std::{rc::Rc, time::Duration};
+
+use awc::Client;
+use serde_json::json;
+use settings::NodeSettings;
+use support::{job, send, Platform};
+
+const GRACE_S: f64 = 2.5;
+
+fn settings(platform: &Platform) -> NodeSettings {
+    NodeSettings {
+        stop_grace_s: GRACE_S,
+        ..platform.node_settings("vm-1")
+    }
+}
+
+/// The caller sees its answer although the node is stopping: the job was taken before, so it is run to its end.
+#[actix_rt::test]
+async fn a_job_that_runs_when_the_stop_begins_is_answered() {
+    let platform = Platform::start(1, Duration::from_millis(700)).await;
+    let node = platform.start_node(settings(&platform)).await;
+    let address = node.customer_address();
+    let call = actix_rt::spawn(async move {
+        send(
+            &Client::default(),
+            address,
+            "POST",
+            "/hold/00000000000000a1",
+            &job(2, 700),
+        )
+        .await
+    });
+    actix_rt::time::sleep(Duration::from_millis(150)).await;
+    node.stop().await;
+    assert_eq!(call.await.unwrap(), (200, json!({ "State": "completed" })));
+}
+
+/// A customer keeps a connection open and idle while its node stops, and sends a job on it late: what is left of the
+/// node's time does not suffice for the job. Another node owns the workers and would take it. Taken and cut by the end
+/// of the process, the customer could not know whether it ran; so it is told at once that it did not.
+#[actix_rt::test]
+async fn a_job_that_comes_too_late_in_the_stop_is_refused_and_not_cut() {
+    let platform = Platform::start(1, Duration::from_millis(900)).await;
+    let owner = platform.start_node(platform.node_settings("vm-0")).await;
+    assert!(owner.log_lines().contains("pool_taken"));
+    let node = Rc::new(platform.start_node(settings(&platform)).await);
+    let address = node.customer_address();
+    let client = Client::default();
+    let first = send(
+        &client,
+        address,
+        "POST",
+        "/hold/00000000000000b1",
+        &job(1, 900),
+    )
+    .await;
+    assert_eq!(first.0, 200);
+    let stopping = {
+        let node = node.clone();
+        actix_rt::spawn(async move { node.stop().await })
+    };
+    actix_rt::time::sleep(Duration::from_millis(1_450)).await;
+    let late = send(
+        &client,
+        address,
+        "POST",
+        "/hold/00000000000000b2",
+        &job(1, 900),
+    )
+    .await;
+    stopping.await.unwrap();
+    drop(node);
+    assert_eq!(late.0, 503);
+    assert_eq!(platform.executors[0].runs().len(), 1);
+}
+
+/// A job takes far longer than estimated and is still running when the node's time is over. Its customer gets a
+/// complete answer that says that the outcome is not known, and not a connection that breaks.
+#[actix_rt::test]
+async fn a_job_that_outlasts_the_stop_gets_an_answer() {
+    let platform = Platform::start(1, Duration::from_millis(3_800)).await;
+    let node = platform.start_node(settings(&platform)).await;
+    let address = node.customer_address();
+    let call = actix_rt::spawn(async move {
+        send(
+            &Client::default(),
+            address,
+            "POST",
+            "/hold/00000000000000c1",
+            &job(1, 3_800),
+        )
+        .await
+    });
+    actix_rt::time::sleep(Duration::from_millis(150)).await;
+    node.stop().await;
+    drop(node);
+    assert_eq!(call.await.unwrap().0, 504);
+}
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,155 @@
+//! A node with stand-ins of the platform around it.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use awc::{http::StatusCode, Client};
+use kernel::SystemClock;
+use node::NodeProcess;
+use platform_stand_ins::{ExecutorPlan, ExecutorStandIn, StoreStandIn};
+use serde_json::{json, Value};
+use settings::NodeSettings;
+use telemetry::EventLog;
+
+pub(crate) const CENTRE: &str = "east";
+pub(crate) const HOST: &str = "diary.example";
+
+/// The platform, without nodes.
+pub(crate) struct Platform {
+    pub(crate) store: StoreStandIn,
+    pub(crate) executors: Vec<ExecutorStandIn>,
+}
+
+impl Platform {
+    /// A store with a configuration, and executors that are listed in it.
+    pub(crate) async fn start(executors: usize, run_time: Duration) -> Self {
+        let store = StoreStandIn::start().await;
+        store.put("op", "config", &config(3));
+        let mut started = Vec::new();
+        for number in 0..executors {
+            let life = format!("i-{number}");
+            let plan = ExecutorPlan {
+                life: life.clone(),
+                run_time,
+                ..ExecutorPlan::default()
+            };
+            let executor = ExecutorStandIn::start(plan).await;
+            store.put("servers", &life, &executor.entry("svc", CENTRE, "ready"));
+            started.push(executor);
+        }
+        Self {
+            store,
+            executors: started,
+        }
+    }
+
+    pub(crate) fn node_settings(&self, vm: &str) -> NodeSettings {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        NodeSettings {
+            vm: vm.parse().unwrap(),
+            data_centre: CENTRE.parse().unwrap(),
+            customer_listen: any,
+            ready_listen: any,
+            peer_listen: any,
+            store: self.store.address(),
+            ..NodeSettings::default()
+        }
+    }
+
+    /// Starts a node and waits until it is ready.
+    pub(crate) async fn start_node(&self, settings: NodeSettings) -> NodeProcess {
+        let node = start_node(settings).await;
+        for _ in 0..400 {
+            if is_ready(&node).await {
+                return node;
+            }
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the node is not ready: {}", node.log_lines());
+    }
+}
+
+/// Starts a node. The port that the system gives for TCP may be taken for UDP, so a few are tried.
+pub(crate) async fn start_node(settings: NodeSettings) -> NodeProcess {
+    for _ in 0..20 {
+        let log = EventLog::in_memory();
+        if let Ok(node) = node::start(settings.clone(), Arc::new(SystemClock), log).await {
+            return node;
+        }
+    }
+    panic!("no free port for the node");
+}
+
+pub(crate) async fn is_ready(node: &NodeProcess) -> bool {
+    let url = format!("http://{}/-/readyz", node.ready_address());
+    let answer = Client::default().get(url).send().await;
+    answer.is_ok_and(|answer| answer.status() == StatusCode::OK)
+}
+
+pub(crate) fn config(version: u64) -> Value {
+    json!({
+        "Version": version,
+        "Routes": [{
+            "Name": "r-1", "Host": HOST, "Prefix": "/hold/", "Kind": "non_idempotent",
+            "TimeoutMs": 1500, "GoalMs": 60, "Priority": 0, "Service": "svc", "Attempts": 3,
+            "Stretch": 1.6,
+        }],
+        "Services": [{
+            "Name": "svc", "HealthPath": "/healthz", "MaxConns": 64, "AdmissionCheck": false,
+        }],
+        "Limits": { "MaxBodyBytes": 4096 },
+    })
+}
+
+/// A job of one step that need not be kept.
+pub(crate) fn job(count: u32, estimate_ms: u64) -> Value {
+    json!({
+        "Spec": "text", "Ephemeral": true,
+        "Phases": [{ "Count": count, "Cpu": 6_000, "MemMb": 64, "EstMs": estimate_ms }],
+    })
+}
+
+/// Sends a request and gives status and body; 0 when there was no complete answer.
+pub(crate) async fn send(
+    client: &Client,
+    node: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &Value,
+) -> (u16, Value) {
+    let url = format!("http://{node}{path}");
+    let method = method.parse().unwrap();
+    let request = client
+        .request(method, url)
+        .insert_header(("Host", HOST))
+        .insert_header(("X-Deadline-Ms", "4000"))
+        .timeout(Duration::from_secs(8));
+    let body = if body.is_null() {
+        String::new()
+    } else {
+        body.to_string()
+    };
+    let Ok(mut answer) = request.send_body(body).await else {
+        return (0, Value::Null);
+    };
+    let status = answer.status().as_u16();
+    let Ok(bytes) = answer.body().await else {
+        return (0, Value::Null);
+    };
+    (
+        status,
+        serde_json::from_slice(&bytes).unwrap_or(Value::Null),
+    )
+}
+
+#[allow(dead_code, reason = "not every test file of this module posts jobs")]
+pub(crate) async fn post_job(node: &NodeProcess, id: &str, body: &Value) -> (u16, Value) {
+    let path = format!("/hold/{id}");
+    send(
+        &Client::default(),
+        node.customer_address(),
+        "POST",
+        &path,
+        body,
+    )
+    .await
+}
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,8 +1,9 @@
 //! Connections: one TCP connection is one two-party capnp-rpc network.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use capnp_rpc::{rpc_twoparty_capnp::Side, twoparty::VatNetwork, RpcSystem};
+use kernel::TaskSet;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinHandle,
@@ -93,7 +94,7 @@
     listener: TcpListener,
     make: impl Fn() -> (capnp::capability::Client, Box<dyn FnOnce()>),
 ) {
-    let connections = Rc::new(ConnectionTasks::default());
+    let connections = TaskSet::default();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -108,29 +109,6 @@
     }
 }
 
-/// Ends the accepted connections when the server ends, so that a stopped dispatcher in a test or demo does not go
-/// on answering.
-#[derive(Default)]
-struct ConnectionTasks {
-    tasks: std::cell::RefCell<Vec<JoinHandle<()>>>,
-}
-
-impl ConnectionTasks {
-    fn add(&self, task: JoinHandle<()>) {
-        let mut tasks = self.tasks.borrow_mut();
-        tasks.retain(|task| !task.is_finished());
-        tasks.push(task);
-    }
-}
-
-impl Drop for ConnectionTasks {
-    fn drop(&mut self) {
-        for task in self.tasks.borrow().iter() {
-            task.abort();
-        }
-    }
-}
-
 /// The largest message that is read, in bytes. What processes send in parts stays far below; an answer that one entry
 /// passes on for another cannot be parted, and that of a job of 1000 results of 64 KiB is 84 MiB of base64. The
 /// library's own limit, 64 MiB, would make such an answer fail each time that it is asked for. There still has to be a
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -86,22 +86,3 @@
             .sum()
     }
 }
-
-/// The longest chain of predicted task times over the steps of a job.
-pub(crate) fn longest_chain(
-    steps: &[StepSpec],
-    predict: impl Fn(&StepSpec) -> Duration,
-) -> Duration {
-    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
-    for step in steps {
-        let begin = step
-            .after
-            .iter()
-            .filter_map(|before| ends.get(*before as usize))
-            .max()
-            .copied()
-            .unwrap_or_default();
-        ends.push(begin + predict(step));
-    }
-    ends.into_iter().max().unwrap_or_default()
-}
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -11,8 +11,8 @@
 };
 
 use jobs::{
-    FenceToken, JobId, JobOutcome, JobRequest, JobTerms, LifeId, RefusalKind, RunNumber, StepSpec,
-    WorkerRecord, WorkerState,
+    longest_chain, FenceToken, JobId, JobOutcome, JobRequest, JobTerms, LifeId, RefusalKind,
+    RunNumber, StepSpec, WorkerRecord, WorkerState,
 };
 use model::FastMap;
 
@@ -20,7 +20,7 @@
     action::{PoolAction, PoolNote, WaiterId, WorkerChange},
     admission::{predict_end, AdmissionAsk, AdmissionView, PoolLoad},
     estimate::EstimateBook,
-    job::{longest_chain, JobLedger, StepProgress, WaitingTask},
+    job::{JobLedger, StepProgress, WaitingTask},
     placement::{can_hold, PlacementAsk},
     queue::{latest_start, JobQueue, QueueEntry},
     settings::PoolSettings,
