Divide wide jobs among data centres when no pool can take one alone

Cause: most jobs refused under load were short and wide (8 to 22 tasks), each turned away by three pools that all had some free places.

Ruled out: one pool for all data centres.

Change: a refusal says how many of the tasks would be in time; if the pools together can take all, each gets its part and does not refuse it any more.

--- a/crates/jobs/src/request.rs
+++ b/crates/jobs/src/request.rs
@@ -12,6 +12,8 @@
 pub struct StepSpec {
     /// The number of tasks.
     pub count: u32,
+    /// The index of the first of them: more than 0 in a part of a job that is divided among pools.
+    pub first: u32,
     /// What each task needs.
     pub demand: ResourceDemand,
     /// A rough estimate of a task's run time on a worker of mean speed.
@@ -112,6 +114,9 @@
     pub time_left: Duration,
     /// The time since the customer's request arrived.
     pub waited: Duration,
+    /// Whether it is a part of a job that is divided among pools: the others are on their way, so that it is not
+    /// refused for its predicted end.
+    pub firm: bool,
 }
 
 /// Why a job was refused before anything of it ran.
@@ -178,6 +183,8 @@
         kind: RefusalKind,
         /// When to come back.
         retry_after: Duration,
+        /// How many of its tasks would have been in time. The entry may divide the job among pools.
+        fits: u32,
     },
     /// It was given up after something of it may have run, and what runs has been told to stop.
     GivenUp,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -7,8 +7,12 @@
 };
 
 use claims::OwnerView;
-use futures::future::{select, Either};
-use jobs::{JobOutcome, JobRequest, JobTerms, RefusalKind, RouteRule};
+use futures::{
+    future::{select, Either},
+    stream::FuturesUnordered,
+    StreamExt as _,
+};
+use jobs::{JobOutcome, JobRequest, JobTerms, RefusalKind, RouteRule, StepSpec};
 use model::DataCentreId;
 use peer::JobCall;
 use telemetry::{EventKind, EventLine};
@@ -32,29 +36,108 @@
     pub(crate) deadline: Instant,
 }
 
-/// Runs a job to its end.
+/// An owner that refused a job as a whole, and how many of its tasks it could take in time.
+struct PartOffer {
+    pool: DataCentreId,
+    owner: OwnerView,
+    fits: u32,
+}
+
+/// A part of a job for one pool.
+struct JobPart {
+    pool: DataCentreId,
+    owner: OwnerView,
+    step: StepSpec,
+}
+
+/// Runs a job to its end: whole in one pool if one takes it, else divided among pools that can take it together.
 pub(crate) async fn run_job(state: &Rc<NodeState>, job: &EntryJob) -> JobOutcome {
+    let mut offers = Vec::new();
     let mut last = JobOutcome::Refused {
         kind: RefusalKind::Unreachable,
         retry_after: NO_OWNER_RETRY,
+        fits: 0,
     };
     for (pool, owner) in pools_in_order(state).into_iter().take(MOST_ASKED) {
-        let now = state.now();
-        let left = job.deadline.saturating_duration_since(now);
-        let call = job_call(state, job, &pool, now);
-        let asked = timeout(left, ask(state, &pool, &owner, call)).await;
-        let outcome = match asked {
-            Ok(Some(outcome)) => outcome,
-            Ok(None) => continue,
-            Err(_) => JobOutcome::GivenUp,
+        let Some(outcome) = ask_in_time(state, job, &pool, &owner, None).await else {
+            continue;
+        };
+        let JobOutcome::Refused { fits, .. } = outcome else {
+            return outcome;
+        };
+        last = outcome;
+        offers.push(PartOffer { pool, owner, fits });
+    }
+    match divide(&job.request, offers) {
+        Some(parts) => run_parts(state, job, &parts).await,
+        None => last,
+    }
+}
+
+/// Divides the tasks of a job of one step among pools as each offered, if together they can take all.
+///
+/// Load it is made for: wide jobs of short tasks, when each pool has places for some of their tasks only. Harm
+/// prevented: they are refused while places stay free that no other job needs at the moment.
+fn divide(request: &JobRequest, offers: Vec<PartOffer>) -> Option<Vec<JobPart>> {
+    let [step] = request.steps.as_slice() else {
+        return None;
+    };
+    let mut parts = Vec::new();
+    let mut first = step.first;
+    let mut left = step.count;
+    for PartOffer { pool, owner, fits } in offers {
+        let count = fits.min(left);
+        if count == 0 {
+            continue;
+        }
+        let step = StepSpec {
+            count,
+            first,
+            ..step.clone()
         };
-        note_asked(state, job, &pool, &owner, outcome);
+        parts.push(JobPart { pool, owner, step });
+        first += count;
+        left -= count;
+    }
+    (left == 0).then_some(parts)
+}
+
+/// Runs the parts of a job. It is complete when all are; once one is not, the others are cancelled.
+async fn run_parts(state: &Rc<NodeState>, job: &EntryJob, parts: &[JobPart]) -> JobOutcome {
+    let mut running: FuturesUnordered<_> = parts
+        .iter()
+        .map(|part| ask_in_time(state, job, &part.pool, &part.owner, Some(part.step.clone())))
+        .collect();
+    while let Some(outcome) = running.next().await {
         match outcome {
-            JobOutcome::Refused { .. } => last = outcome,
-            outcome => return outcome,
+            Some(JobOutcome::Completed) => (),
+            Some(JobOutcome::Failed) => return JobOutcome::Failed,
+            // Others of its parts may have begun, so it cannot be said that nothing ran.
+            None | Some(JobOutcome::Refused { .. } | JobOutcome::GivenUp) => {
+                return JobOutcome::GivenUp;
+            }
         }
     }
-    last
+    JobOutcome::Completed
+}
+
+/// Asks one owner, for at most as long as the customer waits. None if the job surely did not reach it.
+async fn ask_in_time(
+    state: &Rc<NodeState>,
+    job: &EntryJob,
+    pool: &DataCentreId,
+    owner: &OwnerView,
+    part: Option<StepSpec>,
+) -> Option<JobOutcome> {
+    let now = state.now();
+    let left = job.deadline.saturating_duration_since(now);
+    let call = job_call(state, job, pool, now, part);
+    let outcome = match timeout(left, ask(state, pool, owner, call)).await {
+        Ok(asked) => asked?,
+        Err(_) => JobOutcome::GivenUp,
+    };
+    note_asked(state, job, pool, owner, outcome);
+    Some(outcome)
 }
 
 /// The pools whose owners can take a job: this data centre's first, then by their load.
@@ -79,12 +162,26 @@
     pools
 }
 
-fn job_call(state: &NodeState, job: &EntryJob, pool: &DataCentreId, now: Instant) -> JobCall {
+fn job_call(
+    state: &NodeState,
+    job: &EntryJob,
+    pool: &DataCentreId,
+    now: Instant,
+    part: Option<StepSpec>,
+) -> JobCall {
     let rule = &job.rule;
+    let firm = part.is_some();
+    let request = match part {
+        None => job.request.clone(),
+        Some(step) => Arc::new(JobRequest {
+            steps: vec![step],
+            ..(*job.request).clone()
+        }),
+    };
     JobCall {
         entry: state.node(),
         pool: pool.clone(),
-        request: job.request.clone(),
+        request,
         terms: JobTerms {
             service: rule.service.clone(),
             route: rule.name.clone(),
@@ -94,6 +191,7 @@
             goal: rule.goal,
             time_left: job.deadline.saturating_duration_since(now),
             waited: now.saturating_duration_since(job.arrived),
+            firm,
         },
     }
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -196,6 +196,7 @@
     let refused = |kind| JobOutcome::Refused {
         kind,
         retry_after: NOT_READY_RETRY,
+        fits: 0,
     };
     let outcome = if unsupported.is_some() {
         refused(RefusalKind::Unsupported)
--- a/crates/node/src/notes.rs
+++ b/crates/node/src/notes.rs
@@ -14,7 +14,12 @@
         JobOutcome::Completed => (EventKind::Plain, line.text("outcome", "completed")),
         JobOutcome::Failed => (EventKind::Kept, line.text("outcome", "failed")),
         JobOutcome::GivenUp => (EventKind::Kept, line.text("outcome", "given_up")),
-        JobOutcome::Refused { kind, retry_after } => {
+        JobOutcome::Refused {
+            kind,
+            retry_after,
+            fits,
+        } => {
+            let line = line.number("fits", fits);
             let line = line.text("outcome", "refused").text("reason", kind);
             (EventKind::Kept, line.millis("retry_after_ms", retry_after))
         }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -278,6 +278,7 @@
     let not_serving = JobOutcome::Refused {
         kind: RefusalKind::NotServing,
         retry_after: OWNERLESS_RETRY,
+        fits: 0,
     };
     let waiter = WaiterId(state.next_waiter.get());
     state.next_waiter.set(waiter.0 + 1);
@@ -321,6 +322,7 @@
                 return JobOutcome::Refused {
                     kind: RefusalKind::NotServing,
                     retry_after: OWNERLESS_RETRY,
+                    fits: 0,
                 };
             }
             let pool = call.pool.clone();
--- a/crates/peer/schema/pool.capnp
+++ b/crates/peer/schema/pool.capnp
@@ -17,6 +17,7 @@
   # Empty for none.
   mostPerWorker @8 :UInt32;
   # 0 for no limit.
+  first @9 :UInt32;
 }
 
 struct Job {
@@ -34,6 +35,7 @@
   timeLeftMicros @10 :UInt64;
   waitedMicros @11 :UInt64;
   pool @12 :Text;
+  firm @13 :Bool;
 }
 
 struct Outcome {
@@ -48,6 +50,7 @@
 struct Refusal {
   kind @0 :Text;
   retryAfterMicros @1 :UInt64;
+  fits @2 :UInt32;
 }
 
 interface PoolPort {
--- a/crates/peer/src/pool_capnp.rs
+++ b/crates/peer/src/pool_capnp.rs
@@ -114,11 +114,15 @@
         pub fn get_most_per_worker(self) -> u32 {
             self.reader.get_data_field::<u32>(1)
         }
+        #[inline]
+        pub fn get_first(self) -> u32 {
+            self.reader.get_data_field::<u32>(10)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -264,6 +268,14 @@
         pub fn set_most_per_worker(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(1, value);
         }
+        #[inline]
+        pub fn get_first(self) -> u32 {
+            self.builder.get_data_field::<u32>(10)
+        }
+        #[inline]
+        pub fn set_first(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(10, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -275,86 +287,93 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 162] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 177] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(132, 91, 117, 246, 8, 148, 235, 245),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(97, 89, 227, 244, 162, 200, 183, 209),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 116, 101, 112, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -438,6 +457,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 105, 114, 115, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -450,6 +477,7 @@
                 6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -463,9 +491,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,0,1,7,4,2,8,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,0,1,7,4,9,2,8,6];
         pub(crate) const TYPE_ID: u64 = 0xf5eb_9408_f675_5b84;
     }
 }
@@ -607,11 +635,15 @@
         pub fn has_pool(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_firm(self) -> bool {
+            self.reader.get_bool_field(384)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -813,6 +845,14 @@
         pub fn has_pool(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_firm(self) -> bool {
+            self.builder.get_bool_field(384)
+        }
+        #[inline]
+        pub fn set_firm(&mut self, value: bool)  {
+            self.builder.set_bool_field(384, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -824,114 +864,121 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 220] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 235] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(22, 6, 88, 73, 87, 18, 233, 177),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(97, 89, 227, 244, 162, 200, 183, 209),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 128, 1, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1045,6 +1092,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 105, 114, 109, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1061,6 +1116,7 @@
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                13 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1074,9 +1130,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,1,9,0,12,6,5,4,3,8,2,10,11];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,1,13,9,0,12,6,5,4,3,8,2,10,11];
         pub(crate) const TYPE_ID: u64 = 0xb1e9_1257_4958_0616;
     }
 }
@@ -1480,11 +1536,15 @@
         pub fn get_retry_after_micros(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
+        #[inline]
+        pub fn get_fits(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1558,6 +1618,14 @@
         pub fn set_retry_after_micros(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
+        #[inline]
+        pub fn get_fits(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_fits(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1569,38 +1637,45 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(21, 60, 36, 121, 127, 179, 40, 251),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(97, 89, 227, 244, 162, 200, 183, 209),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 102, 117, 115),
             ::capnp::word(97, 108, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1619,11 +1694,20 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 105, 116, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1637,9 +1721,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
         pub(crate) const TYPE_ID: u64 = 0xfb28_b37f_7924_3c15;
     }
 }
--- a/crates/peer/src/pool_message.rs
+++ b/crates/peer/src/pool_message.rs
@@ -100,6 +100,7 @@
     wire.set_goal_micros(micros(terms.goal));
     wire.set_time_left_micros(micros(terms.time_left));
     wire.set_waited_micros(micros(terms.waited));
+    wire.set_firm(terms.firm);
     let mut steps = wire.init_steps(length(request.steps.len()));
     for (place, spec) in request.steps.iter().enumerate() {
         write_step(steps.reborrow().get(length(place)), spec);
@@ -108,6 +109,7 @@
 
 fn write_step(mut wire: step::Builder<'_>, spec: &StepSpec) {
     wire.set_count(spec.count);
+    wire.set_first(spec.first);
     wire.set_cpu_millis(spec.demand.cpu.0);
     wire.set_memory_megabytes(spec.demand.memory.0);
     wire.set_accelerators(spec.demand.accelerators);
@@ -141,6 +143,7 @@
         goal: Duration::from_micros(wire.get_goal_micros()),
         time_left: Duration::from_micros(wire.get_time_left_micros()),
         waited: Duration::from_micros(wire.get_waited_micros()),
+        firm: wire.get_firm(),
     };
     let entry = NodeId::from(text(wire.get_entry())?);
     let pool = centre_id(wire.get_pool())?;
@@ -156,6 +159,7 @@
     let optional = |text: &str| (!text.is_empty()).then(|| Arc::from(text));
     Ok(StepSpec {
         count: wire.get_count(),
+        first: wire.get_first(),
         demand: ResourceDemand {
             cpu: CpuMillis(wire.get_cpu_millis()),
             memory: MemoryMegabytes(wire.get_memory_megabytes()),
@@ -174,10 +178,15 @@
         JobOutcome::Completed => wire.set_completed(()),
         JobOutcome::Failed => wire.set_failed(()),
         JobOutcome::GivenUp => wire.set_given_up(()),
-        JobOutcome::Refused { kind, retry_after } => {
+        JobOutcome::Refused {
+            kind,
+            retry_after,
+            fits,
+        } => {
             let mut refusal = wire.init_refused();
             refusal.set_kind(kind.as_str());
             refusal.set_retry_after_micros(micros(retry_after));
+            refusal.set_fits(fits);
         }
     }
 }
@@ -193,7 +202,11 @@
             let kind = RefusalKind::ALL.iter().find(|kind| kind.as_str() == name);
             let kind = *kind.ok_or_else(|| PeerError::BadMessage(format!("refusal {name:?}")))?;
             let retry_after = Duration::from_micros(refusal.get_retry_after_micros());
-            Ok(JobOutcome::Refused { kind, retry_after })
+            Ok(JobOutcome::Refused {
+                kind,
+                retry_after,
+                fits: refusal.get_fits(),
+            })
         }
     }
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -123,7 +123,12 @@
         terms: JobTerms,
     ) {
         if let Some(job) = self.jobs.get_mut(&request.id) {
-            job.waiters.push(waiter);
+            // Another part of the same job belongs to a try that its customer has given up.
+            if job.request.steps == request.steps {
+                job.waiters.push(waiter);
+            } else {
+                self.answer(waiter, JobOutcome::GivenUp);
+            }
             return;
         }
         // Runs of an earlier try of the same job are still ending. Starting beside them would run a task twice at the
@@ -206,6 +211,7 @@
                 JobOutcome::Refused {
                     kind: RefusalKind::NotServing,
                     retry_after: SHORTEST_RETRY,
+                    fits: 0,
                 }
             };
             self.finish(now, id, outcome);
@@ -236,7 +242,7 @@
         terms: JobTerms,
     ) -> JobLedger {
         let steps = request.steps.iter().map(|step| StepProgress {
-            waiting: (0..step.count)
+            waiting: (step.first..step.first.saturating_add(step.count))
                 .map(|index| WaitingTask {
                     index,
                     ..WaitingTask::default()
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -42,7 +42,7 @@
             Some(RefusalKind::NotServing)
         } else if !self.can_ever_hold(request, terms) {
             Some(RefusalKind::NoRoomEver)
-        } else if predicted > too_late || forecast.harms {
+        } else if !terms.firm && (predicted > too_late || forecast.harms) {
             Some(RefusalKind::TooLate)
         } else if queued + request.steps.len() > self.settings.most_queued {
             Some(RefusalKind::QueueFull)
@@ -57,8 +57,53 @@
             queued,
             harms: forecast.harms,
         });
-        let retry_after = self.load().backlog.clamp(SHORTEST_RETRY, LONGEST_RETRY);
-        kind.map(|kind| JobOutcome::Refused { kind, retry_after })
+        let kind = kind?;
+        let fits = match kind {
+            RefusalKind::TooLate => self.count_in_time(now, request, terms, objective),
+            _ => 0,
+        };
+        Some(JobOutcome::Refused {
+            kind,
+            retry_after: self.load().backlog.clamp(SHORTEST_RETRY, LONGEST_RETRY),
+            fits,
+        })
+    }
+
+    /// How many tasks of a job that is too wide would be in time. Wide jobs of short tasks find no single pool with
+    /// places for all their tasks at once, while all pools together have them.
+    fn count_in_time(
+        &self,
+        now: Instant,
+        request: &JobRequest,
+        terms: &JobTerms,
+        objective: Duration,
+    ) -> u32 {
+        let [step] = request.steps.as_slice() else {
+            return 0;
+        };
+        let limit = objective.mul_f64(self.settings.refuse_beyond);
+        let in_time = |count: u32| {
+            let step = StepSpec {
+                count,
+                ..step.clone()
+            };
+            let part = JobRequest {
+                steps: vec![step],
+                ..request.clone()
+            };
+            let forecast = self.forecast(now, &part, terms, objective);
+            terms.waited.saturating_add(forecast.end) <= limit && !forecast.harms
+        };
+        let (mut fits, mut too_many) = (0, step.count);
+        while fits + 1 < too_many {
+            let middle = fits + (too_many - fits) / 2;
+            if in_time(middle) {
+                fits = middle;
+            } else {
+                too_many = middle;
+            }
+        }
+        fits
     }
 
     pub(super) fn predict(&self, terms: &JobTerms, spec: &StepSpec) -> Duration {
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -158,6 +158,7 @@
                     JobOutcome::Refused {
                         kind,
                         retry_after: SHORTEST_RETRY,
+                        fits: 0,
                     },
                 ));
             } else if now >= job.deadline {
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -312,6 +312,7 @@
             goal: Duration::from_millis(60),
             time_left: Duration::from_secs_f64((1_500.0 + 5.0 * longest) / 1000.0),
             waited: Duration::from_millis(4),
+            firm: false,
         };
         let came = self.now;
         self.known.insert(id, (works.clone(), cpu));
