Explain a job from the logs of nodes alone

Ruled out: a history kept by the nodes, which would cost them memory and be gone with them.

`check-settings` and `schema` know the node's settings. Log lines name another process as `peer` or `owner`, since `node` is the writer.

--- a/crates/cairnctl/src/check.rs
+++ b/crates/cairnctl/src/check.rs
@@ -17,7 +17,7 @@
 ) -> Result<String, CommandFault> {
     let role = match role {
         Some(role) => check_role(role, file).map(|()| role).map_err(Report::new),
-        None => check_either(file),
+        None => check_any(file),
     };
     let role = role.map_err(CommandFault::WrongUsage)?;
     let value = json!({ "file": file.display().to_string(), "role": role.to_string() });
@@ -31,6 +31,7 @@
     let schema = match role {
         RoleName::Entry => settings::entry_schema(),
         RoleName::Dispatcher => settings::dispatcher_schema(),
+        RoleName::Node => settings::node_schema(),
     };
     format!("{schema:#}\n")
 }
@@ -39,12 +40,13 @@
     match role {
         RoleName::Entry => settings::load_entry(file).map(|_| ()),
         RoleName::Dispatcher => settings::load_dispatcher(file).map(|_| ()),
+        RoleName::Node => settings::load_node(file).map(|_| ()),
     }
 }
 
-fn check_either(file: &Path) -> Result<RoleName, Report> {
+fn check_any(file: &Path) -> Result<RoleName, Report> {
     let mut faults = Vec::new();
-    for role in [RoleName::Entry, RoleName::Dispatcher] {
+    for role in [RoleName::Entry, RoleName::Dispatcher, RoleName::Node] {
         match check_role(role, file) {
             Ok(()) => return Ok(role),
             Err(error) => faults.push(format!("as {role}: {error}")),
--- a/crates/cairnctl/src/explain.rs
+++ b/crates/cairnctl/src/explain.rs
@@ -1,24 +1,57 @@
 //! `cairnctl explain`.
 
 use command_line::CommandFault;
-use eyre::Report;
+use eyre::{eyre, Report};
 use model::SubmissionId;
 use serde_json::Value;
 
 use crate::{
     client::{EntryCall, EntryClient},
+    options::ExplainOptions,
     render::{cell, table, OutputForm},
+    story::{self, LogQuestion},
 };
 
-/// Asks for the history of a submission and gives the output.
+/// Asks for the history of a submission, or reads it from logs, and gives the output.
 pub(crate) fn run(
     client: &EntryClient,
-    id: SubmissionId,
+    options: &ExplainOptions,
     form: OutputForm,
 ) -> Result<String, CommandFault> {
-    let call = EntryCall::get(format!("/v1/explain/{id}"));
-    let value = client.call(&call).map_err(Report::new)?;
-    Ok(form.render(&value, report_text))
+    if options.logs.is_empty() {
+        let id = submission(options).map_err(CommandFault::WrongUsage)?;
+        let call = EntryCall::get(format!("/v1/explain/{id}"));
+        let value = client.call(&call).map_err(Report::new)?;
+        return Ok(form.render(&value, report_text));
+    }
+    let question = log_question(options).map_err(CommandFault::WrongUsage)?;
+    story::run(&options.logs, &question, form)
+}
+
+fn submission(options: &ExplainOptions) -> Result<SubmissionId, Report> {
+    if options.slowest.is_some() || options.failed || options.reason.is_some() {
+        return Err(eyre!("--slowest, --failed and --reason need --logs"));
+    }
+    let id = options
+        .id
+        .as_deref()
+        .ok_or_else(|| eyre!("name the submission"))?;
+    Ok(id.parse()?)
+}
+
+/// Exactly one of an id and the lists.
+fn log_question(options: &ExplainOptions) -> Result<LogQuestion, Report> {
+    let mut questions = Vec::new();
+    questions.extend(options.id.clone().map(LogQuestion::Story));
+    questions.extend(options.slowest.map(LogQuestion::Slowest));
+    questions.extend(options.failed.then_some(LogQuestion::Failed));
+    questions.extend(options.reason.clone().map(LogQuestion::Reason));
+    match questions.len() {
+        1 => Ok(questions.remove(0)),
+        _ => Err(eyre!(
+            "name one of a job's ID, --slowest, --failed and --reason"
+        )),
+    }
 }
 
 fn report_text(report: &Value) -> String {
--- a/crates/cairnctl/src/main.rs
+++ b/crates/cairnctl/src/main.rs
@@ -10,6 +10,7 @@
 mod render;
 mod stand_in;
 mod status;
+mod story;
 
 use std::process::ExitCode;
 
@@ -46,7 +47,7 @@
     let client = EntryClient::new(entries[0]);
     let text = match options.command {
         CtlCommand::Contract(command) => contract::run(&client, command, form)?,
-        CtlCommand::Explain { id } => explain::run(&client, id, form)?,
+        CtlCommand::Explain(options) => explain::run(&client, &options, form)?,
         CtlCommand::Status => status::run(&client, form)?,
         CtlCommand::CheckSettings { role, file } => check::run(role, &file, form)?,
         CtlCommand::Demo => demonstration::run(form)?,
--- a/crates/cairnctl/src/options.rs
+++ b/crates/cairnctl/src/options.rs
@@ -4,7 +4,7 @@
 
 use bpaf::{Bpaf, ShellComp};
 use load::LoadShape;
-use model::{ContractVersion, CustomerId, EndpointId, SubmissionId};
+use model::{ContractVersion, CustomerId, EndpointId};
 
 /// Drives the dispatcher for sub-second tasks by contracts, and looks into it.
 #[derive(Clone, Debug, Bpaf)]
@@ -29,18 +29,14 @@
     Contract(#[bpaf(external(contract_command))] ContractCommand),
     /// Tell what became of a submission and why
     #[bpaf(command("explain"))]
-    Explain {
-        /// The submission, as its answer named it
-        #[bpaf(positional("ID"))]
-        id: SubmissionId,
-    },
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
     /// Show the state of one entry and what it sees
     #[bpaf(command("status"))]
     Status,
     /// Check a settings file without starting anything
     #[bpaf(command("check-settings"))]
     CheckSettings {
-        /// The role that the file is for; without it, either will do
+        /// The role that the file is for; without it, any will do
         #[bpaf(argument("ROLE"), optional)]
         role: Option<RoleName>,
         /// The settings, a JSON file
@@ -59,12 +55,31 @@
     /// Print the JSON schema of a role's settings
     #[bpaf(command("schema"))]
     Schema {
-        /// entry or dispatcher
+        /// entry, dispatcher or node
         #[bpaf(positional("ROLE"))]
         role: RoleName,
     },
 }
 
+/// What is to be explained, and from where.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct ExplainOptions {
+    /// A node's log; may be given again. Without it, an entry is asked
+    #[bpaf(argument("FILE"), many, complete_shell(ShellComp::File { mask: None }))]
+    pub(crate) logs: Vec<PathBuf>,
+    /// List the N jobs that took longest, from the logs
+    #[bpaf(argument("N"), optional)]
+    pub(crate) slowest: Option<usize>,
+    /// List the jobs that were not completed, from the logs
+    pub(crate) failed: bool,
+    /// List the jobs that were refused for this reason, from the logs
+    #[bpaf(argument("REASON"), optional)]
+    pub(crate) reason: Option<String>,
+    /// The submission, as its answer named it, or with --logs the job's id
+    #[bpaf(positional("ID"), optional)]
+    pub(crate) id: Option<String>,
+}
+
 /// What is to be done with contracts.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) enum ContractCommand {
@@ -201,6 +216,8 @@
     Entry,
     /// The dispatcher.
     Dispatcher,
+    /// The node on the users' platform.
+    Node,
 }
 
 impl fmt::Display for RoleName {
@@ -208,6 +225,7 @@
         f.write_str(match self {
             Self::Entry => "entry",
             Self::Dispatcher => "dispatcher",
+            Self::Node => "node",
         })
     }
 }
@@ -219,7 +237,8 @@
         match s {
             "entry" => Ok(Self::Entry),
             "dispatcher" => Ok(Self::Dispatcher),
-            _ => Err("expected entry or dispatcher".to_owned()),
+            "node" => Ok(Self::Node),
+            _ => Err("expected entry, dispatcher or node".to_owned()),
         }
     }
 }
--- a/crates/node/src/notes.rs
+++ b/crates/node/src/notes.rs
@@ -196,13 +196,13 @@
 /// Logs what the claim keeper learned.
 pub(crate) fn log_claim(state: &NodeState, note: &ClaimNote) {
     let line = match note {
-        ClaimNote::PeerHeard(node) => EventLine::new("peer_heard").text("node", node),
+        ClaimNote::PeerHeard(node) => EventLine::new("peer_heard").text("peer", node),
         ClaimNote::PeerSilent { node, age } => EventLine::new("peer_silent")
-            .text("node", node)
+            .text("peer", node)
             .millis("age_ms", *age),
         ClaimNote::OwnerChanged { pool, node, fence } => EventLine::new("owner_changed")
             .text("pool", pool)
-            .text("node", node)
+            .text("owner", node)
             .number("fence", fence.0),
         ClaimNote::Claiming {
             pool,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -86,7 +86,7 @@
         move || {
             state.links.open.borrow_mut().remove(&address);
             lost.notify_waiters();
-            let line = EventLine::new("link_lost").text("node", node);
+            let line = EventLine::new("link_lost").text("peer", node);
             state.log(EventKind::Kept, line);
         }
     };
@@ -94,7 +94,7 @@
     state.links.connecting.borrow_mut().remove(&address);
     match opened {
         Ok(link) => {
-            let line = EventLine::new("link_opened").text("node", &node);
+            let line = EventLine::new("link_opened").text("peer", &node);
             state.log(EventKind::Kept, line);
             let link = Rc::new(OwnerLink { node, link, lost });
             state.links.open.borrow_mut().insert(address, link);
@@ -104,7 +104,7 @@
                 state.keeper.borrow_mut().on_refused(&node);
             }
             let line = EventLine::new("link_failed")
-                .text("node", &node)
+                .text("peer", &node)
                 .text("error", error);
             state.log(EventKind::Kept, line);
         }
--- a/crates/node/tests/dividing.rs
+++ b/crates/node/tests/dividing.rs
@@ -15,9 +15,15 @@
 async fn a_wide_job_is_divided_among_data_centres() {
     let run_time = Duration::from_millis(300);
     let mut platform = Platform::start(1, run_time).await;
-    let plan = ExecutorPlan { life: "i-w".to_owned(), run_time, ..ExecutorPlan::default() };
+    let plan = ExecutorPlan {
+        life: "i-w".to_owned(),
+        run_time,
+        ..ExecutorPlan::default()
+    };
     let west = ExecutorStandIn::start(plan).await;
-    platform.store.put("servers", "i-w", &west.entry("svc", "west", "ready"));
+    platform
+        .store
+        .put("servers", "i-w", &west.entry("svc", "west", "ready"));
     platform.executors.push(west);
     let east_node = platform.start_node(platform.node_settings("vm-e")).await;
     let settings = NodeSettings {
@@ -34,8 +40,17 @@
     }
     let begun = Instant::now();
     let answer = post_job(&east_node, "5c0e7a21d94b36f8", &job(4, 300)).await;
-    assert_eq!(answer, (200, json!({ "State": "completed" })), "{}", east_node.log_lines());
-    assert!(begun.elapsed() < Duration::from_millis(540), "{:?}", begun.elapsed());
+    assert_eq!(
+        answer,
+        (200, json!({ "State": "completed" })),
+        "{}",
+        east_node.log_lines()
+    );
+    assert!(
+        begun.elapsed() < Duration::from_millis(540),
+        "{:?}",
+        begun.elapsed()
+    );
     let mut tasks = Vec::new();
     for executor in &platform.executors {
         let runs = executor.runs();
