Serve counters and histograms of a node

Cause: the metrics address of a node had nothing; counts of refusals and retries could only be had from logs.

Ruled out: opentelemetry counters on the path of each run, whose labels are allocated anew with each count.

Change: counters are atomics read when the page is asked for; histograms of job time, queue wait and run time. `/metrics` beside readiness.

Whether "Ready/metrics" is what the deploy file wants under `metrics` is a question in docs/PLATFORM.md.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -15,7 +15,7 @@
 use jobs::{JobOutcome, JobRequest, JobTerms, PoolId, RefusalKind, RouteRule, StepSpec};
 use peer::JobCall;
 use pool::{order_pools, PoolCandidate};
-use telemetry::{EventKind, EventLine};
+use telemetry::EventLine;
 use tokio::time::timeout;
 
 use crate::{owner, state::NodeState};
@@ -294,12 +294,8 @@
         .text("route", &job.rule.name)
         .number("tasks", job.request.task_count());
     let (kind, line) = crate::notes::outcome_line(line, outcome);
-    let kind = if kind == EventKind::Plain {
-        EventKind::Plain
-    } else {
-        EventKind::Kept
-    };
     let took = state.now().saturating_duration_since(job.arrived);
+    crate::metrics::count_answer(&state.metrics, outcome, took);
     let limit = job.deadline.saturating_duration_since(job.arrived);
     state.log(
         kind,
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -19,6 +19,9 @@
     /// The HTTP server cannot be built.
     #[error("cannot build the HTTP server")]
     Server,
+    /// The metrics cannot be built.
+    #[error(transparent)]
+    Metrics(#[from] telemetry::TelemetryError),
     /// Signals cannot be caught.
     #[error("cannot catch signals")]
     Signals(#[from] io::Error),
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -231,6 +231,7 @@
 }
 
 fn note_refused(state: &NodeState, reason: &'static str) {
+    crate::metrics::count_refusal(&state.metrics, reason);
     state.log(
         EventKind::Kept,
         EventLine::new("request_refused").text("reason", reason),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod feeds;
 mod front;
 mod groups;
+mod metrics;
 mod notes;
 mod owner;
 mod peers;
@@ -20,5 +21,6 @@
 
 pub use crate::{
     error::NodeError,
+    metrics::{COUNTERS, TIMES},
     process::{run, start, NodeProcess},
 };
--- a/crates/node/src/notes.rs
+++ b/crates/node/src/notes.rs
@@ -2,10 +2,13 @@
 
 use claims::ClaimNote;
 use jobs::{FenceToken, JobOutcome, PoolId};
-use pool::{PoolNote, StartAnswer};
+use pool::PoolNote;
 use telemetry::{EventKind, EventLine};
 
-use crate::state::NodeState;
+use crate::{
+    metrics::{count_note, start_answer},
+    state::NodeState,
+};
 
 /// Adds an outcome to a line, and says how much the line matters.
 pub(crate) fn outcome_line(line: EventLine, outcome: JobOutcome) -> (EventKind, EventLine) {
@@ -27,6 +30,7 @@
 
 /// Logs what a pool decided or learned.
 pub(crate) fn log_pool(state: &NodeState, id: &PoolId, fence: FenceToken, note: &PoolNote) {
+    count_note(&state.metrics, note);
     let (kind, line) = pool_line(note);
     state.log(kind, line.text("pool", id).number("fence", fence.0));
 }
@@ -181,17 +185,6 @@
     }
 }
 
-fn start_answer(answer: StartAnswer) -> &'static str {
-    match answer {
-        StartAnswer::Started(_) => "started",
-        StartAnswer::Outrun(_) => "outrun",
-        StartAnswer::Late(_) => "late",
-        StartAnswer::NoRoom(_) => "no_room",
-        StartAnswer::NotAllowed(_) => "not_allowed",
-        StartAnswer::Failed(failure) => failure.as_str(),
-    }
-}
-
 /// Logs what the claim keeper learned.
 pub(crate) fn log_claim(state: &NodeState, note: &ClaimNote) {
     let line = match note {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -27,6 +27,7 @@
 use crate::{
     directory::WorkerDirectory,
     feeds, front, groups,
+    metrics::new_metrics,
     owner::{self, PoolPort},
     peers::{self, BeatSender, OwnerLinks},
     ready,
@@ -198,6 +199,7 @@
         links: OwnerLinks::default(),
         lost_peers: RefCell::new(FastMap::default()),
         log: RefCell::new(log),
+        metrics: new_metrics()?,
         leaving: Cell::new(false),
         open_requests: Cell::new(0),
         stop_limit: Cell::new(None),
--- a/crates/node/src/ready.rs
+++ b/crates/node/src/ready.rs
@@ -1,15 +1,19 @@
-//! What the platform's balancer asks.
+//! What the platform's balancer asks, and the metrics.
 
 use std::{convert::Infallible, rc::Rc};
 
-use actix_http::{body::BoxBody, HttpService, Request, Response, StatusCode};
+use actix_http::{body::BoxBody, header, HttpService, Request, Response, StatusCode};
 use actix_service::{Service as _, ServiceFactory as _};
 use kernel::TaskSet;
 use platform_adapter::READY_PATH;
+use telemetry::{EventKind, EventLine};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{entry::can_serve, state::NodeState, NodeError};
 
+/// Where the metrics are.
+const METRICS_PATH: &str = "/metrics";
+
 /// Answers for as long as the future is polled.
 ///
 /// # Errors
@@ -41,6 +45,9 @@
 }
 
 fn answer(state: &NodeState, request: &Request) -> Response<BoxBody> {
+    if request.path() == METRICS_PATH {
+        return metrics_page(state);
+    }
     if request.path() != READY_PATH {
         return Response::new(StatusCode::NOT_FOUND).map_into_boxed_body();
     }
@@ -52,6 +59,20 @@
     Response::new(status).map_into_boxed_body()
 }
 
+fn metrics_page(state: &NodeState) -> Response<BoxBody> {
+    match state.metrics.render() {
+        Ok(page) => Response::build(StatusCode::OK)
+            .insert_header((header::CONTENT_TYPE, "text/plain; version=0.0.4"))
+            .body(page)
+            .map_into_boxed_body(),
+        Err(error) => {
+            let line = EventLine::new("metrics_not_written").text("error", error);
+            state.log(EventKind::Kept, line);
+            Response::new(StatusCode::INTERNAL_SERVER_ERROR).map_into_boxed_body()
+        }
+    }
+}
+
 /// Whether this node should get new connections: it knows the configuration, can have a job run, and is not stopping.
 fn is_ready(state: &NodeState) -> bool {
     state.table.borrow().is_some() && !state.leaving.get() && can_serve(state)
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -13,7 +13,7 @@
 use model::{DataCentreId, FastMap};
 use platform_adapter::{StoreClient, WorkerClient};
 use settings::NodeSettings;
-use telemetry::{EventKind, EventLine, EventLog};
+use telemetry::{EventKind, EventLine, EventLog, NodeMetrics};
 use tokio::sync::Notify;
 
 use crate::{directory::WorkerDirectory, owner::OwnedPool, peers::OwnerLinks};
@@ -42,6 +42,7 @@
     /// Woken when a process is not heard any more.
     pub(crate) lost_peers: RefCell<FastMap<NodeId, Rc<Notify>>>,
     pub(crate) log: RefCell<EventLog>,
+    pub(crate) metrics: NodeMetrics,
     pub(crate) leaving: Cell<bool>,
     pub(crate) open_requests: Cell<usize>,
     /// When the process ends, once it is stopping.
--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -99,3 +99,24 @@
         "{runs:?}"
     );
 }
+
+/// Every series is there from the start, so that a rate over it is right from its first count.
+#[actix_rt::test]
+async fn metrics_tell_what_was_answered() {
+    let platform = Platform::start(2, Duration::from_millis(20)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    post_job(&node, ID, &job(2, 20)).await;
+    let path = "/metrics";
+    let url = format!("http://{}{path}", node.ready_address());
+    let mut answer = Client::default().get(url).send().await.unwrap();
+    let page = String::from_utf8(answer.body().await.unwrap().to_vec()).unwrap();
+    for series in [
+        r#"node_answers_total{outcome="completed"} 1"#,
+        r#"node_refusals_total{reason="too_late"} 0"#,
+        r#"node_run_ends_total{cause="done"} 2"#,
+        "node_queue_wait_seconds_count 2",
+        "node_job_seconds_count 1",
+    ] {
+        assert!(page.contains(series), "{series} is not in\n{page}");
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -11,6 +11,8 @@
     events::{EventKind, EventLine, EventLog},
     explain::{ExplainEvent, ExplainHistory, ExplainReport, SubmissionNote},
     logs::{init_logs, LogControl},
-    metrics::{CounterKind, GaugeKind, MetricSet, TimeKind},
+    metrics::{
+        CounterFamily, CounterKind, GaugeKind, MetricSet, NodeMetrics, TimeFamily, TimeKind,
+    },
 };
 pub use settings::{LogLevel, LogPart, LogSettings};
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -2,10 +2,12 @@
 
 mod catalogue;
 mod customers;
+mod node;
 mod set;
 
 pub use self::{
     catalogue::{metric_page, CounterKind, GaugeKind, MetricLine, MetricType, TimeKind, CATALOGUE},
     customers::{CustomerLabels, MAX_CUSTOMER_LABELS, OTHER_CUSTOMERS},
+    node::{CounterFamily, NodeMetrics, TimeFamily},
     set::MetricSet,
 };
--- /dev/null
+++ b/crates/telemetry/src/metrics/node.rs
@@ -0,0 +1,134 @@
+//! The instruments of a node.
+//!
+//! Counters are plain atomics that are read when the page is asked for: a count on a busy path costs nanoseconds and
+//! no allocation. Label sets are closed, and every series is there from the start with 0.
+
+use std::{
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+use opentelemetry::{metrics::Histogram, metrics::MeterProvider as _, KeyValue};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use super::set::TIME_BUCKETS;
+use crate::TelemetryError;
+
+/// A family of counters that differ by one label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CounterFamily {
+    /// The name in the exposition.
+    pub name: &'static str,
+    /// What it tells.
+    pub meaning: &'static str,
+    /// The label.
+    pub label: &'static str,
+    /// The label's values.
+    pub values: &'static [&'static str],
+}
+
+/// A histogram of times, in seconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimeFamily {
+    /// The name in the exposition.
+    pub name: &'static str,
+    /// What it tells.
+    pub meaning: &'static str,
+}
+
+/// The metrics of one node.
+pub struct NodeMetrics {
+    registry: Registry,
+    // The instruments report to the provider, so it lives as long as they do.
+    _provider: SdkMeterProvider,
+    counters: Vec<(CounterFamily, Arc<[AtomicU64]>)>,
+    times: Vec<(TimeFamily, Histogram<f64>)>,
+}
+
+impl NodeMetrics {
+    /// Builds the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exporter cannot be registered.
+    pub fn new(counters: &[CounterFamily], times: &[TimeFamily]) -> Result<Self, TelemetryError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_units()
+            .without_counter_suffixes()
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("cairnpaddle");
+        let mut counted = Vec::new();
+        for family in counters {
+            let cells: Arc<[AtomicU64]> = family.values.iter().map(|_| AtomicU64::new(0)).collect();
+            let (shown, family) = (cells.clone(), *family);
+            let _reported_by_the_provider = meter
+                .u64_observable_counter(family.name)
+                .with_description(family.meaning)
+                .with_callback(move |observer| {
+                    for (value, cell) in family.values.iter().zip(shown.iter()) {
+                        let label = KeyValue::new(family.label, *value);
+                        observer.observe(cell.load(Ordering::Relaxed), &[label]);
+                    }
+                })
+                .build();
+            counted.push((family, cells));
+        }
+        let timed = times.iter().map(|family| {
+            let histogram = meter
+                .f64_histogram(family.name)
+                .with_description(family.meaning)
+                .with_unit("s")
+                .with_boundaries(TIME_BUCKETS.to_vec())
+                .build();
+            (*family, histogram)
+        });
+        Ok(Self {
+            times: timed.collect(),
+            counters: counted,
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts one. A family or value that was not announced is a mistake in the code, which tests find; here it counts
+    /// nothing.
+    pub fn count(&self, name: &str, value: &str) {
+        let Some((family, cells)) = self.counters.iter().find(|(family, _)| family.name == name)
+        else {
+            debug_assert!(false, "no counter {name}");
+            return;
+        };
+        let place = family.values.iter().position(|known| *known == value);
+        debug_assert!(place.is_some(), "no value {value} of {name}");
+        if let Some(cell) = place.and_then(|place| cells.get(place)) {
+            cell.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Records a time.
+    pub fn time(&self, name: &str, span: Duration) {
+        let found = self.times.iter().find(|(family, _)| family.name == name);
+        debug_assert!(found.is_some(), "no histogram {name}");
+        if let Some((_, histogram)) = found {
+            histogram.record(span.as_secs_f64(), &[]);
+        }
+    }
+
+    /// The metrics as Prometheus text.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a metric cannot be written as text.
+    pub fn render(&self) -> Result<String, TelemetryError> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
--- a/crates/telemetry/src/metrics/set.rs
+++ b/crates/telemetry/src/metrics/set.rs
@@ -22,7 +22,7 @@
 use crate::TelemetryError;
 
 /// Upper bounds of the histograms' buckets, in seconds: dense around the 50 ms to 1 s that most tasks take.
-const TIME_BUCKETS: [f64; 16] = [
+pub(super) const TIME_BUCKETS: [f64; 16] = [
     0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 2.5, 5.0, 10.0, 60.0,
 ];
 
