Hand a stopping owner's idle workers to its successor at once

Ruled out: taking all workers at once, which ends what runs on them.

Change: an owner that stops names the workers that its jobs use; a successor claims at once and takes the others, then each as it is let go.

A test of two nodes and one of the keeper.

--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use jobs::{FenceToken, PoolId};
+use jobs::{FenceToken, LifeId, PoolId};
 use model::FastMap;
 use pool::PoolLoad;
 use xxhash_rust::xxh3::xxh3_64;
@@ -69,8 +69,8 @@
     Unowned,
     /// Its owner has started again and forgotten it.
     OwnerRestarted,
-    /// Its owner leaves and has let go of it.
-    OwnerLeft,
+    /// Its owner is about to stop. It finishes its jobs on the workers that they use, and leaves the others.
+    OwnerLeaving,
     /// Connections to its owner are refused: the process is gone.
     OwnerGone,
     /// Nobody hears its owner.
@@ -83,7 +83,7 @@
         match self {
             Self::Unowned => "unowned",
             Self::OwnerRestarted => "owner_restarted",
-            Self::OwnerLeft => "owner_left",
+            Self::OwnerLeaving => "owner_leaving",
             Self::OwnerGone => "owner_gone",
             Self::OwnerSilent => "owner_silent",
         }
@@ -352,6 +352,19 @@
         })
     }
 
+    /// The workers of a pool that a former owner still uses while it stops. Once it is not heard any more, none.
+    pub fn held_workers(&self, now: Instant, pool: &PoolId) -> Vec<LifeId> {
+        let mut held = Vec::new();
+        for peer in self.heard.values() {
+            if !peer.beat.leaving || !self.is_fresh(now, peer) {
+                continue;
+            }
+            let news = peer.beat.pools.iter().filter(|news| news.pool == *pool);
+            held.extend(news.flat_map(|news| news.held.iter().cloned()));
+        }
+        held
+    }
+
     /// The pools that are known, nearest first.
     pub fn pools(&self) -> Vec<PoolId> {
         let mut pools: Vec<PoolId> = self.pools.keys().cloned().collect();
@@ -479,8 +492,7 @@
             return Some(ClaimReason::OwnerGone);
         }
         if let Some(peer) = heard.filter(|peer| self.is_fresh(now, peer)) {
-            let owns = peer.beat.pools.iter().any(|news| news.pool == *pool);
-            return (peer.beat.leaving && !owns).then_some(ClaimReason::OwnerLeft);
+            return peer.beat.leaving.then_some(ClaimReason::OwnerLeaving);
         }
         let listening = now < self.started + self.settings.listen_first;
         if listening || self.heard_by_others(now, claim) || self.may_be_cut_off(now, owner) {
--- a/crates/claims/src/view.rs
+++ b/crates/claims/src/view.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, sync::Arc};
 
-use jobs::{FenceToken, PoolId};
+use jobs::{FenceToken, LifeId, PoolId};
 use model::DataCentreId;
 use pool::PoolLoad;
 use serde::{Deserialize, Serialize};
@@ -33,6 +33,8 @@
     pub fence: FenceToken,
     /// What it can take.
     pub load: PoolLoad,
+    /// The workers that it still uses, if it is about to stop. Its successor takes the others already.
+    pub held: Vec<LifeId>,
 }
 
 /// A sign of life.
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -187,9 +187,7 @@
     };
     let any = state.directory.borrow().has_pool(&pool);
     state.keeper.borrow_mut().on_workers(&pool, any);
-    owner::with_pool(state, &pool, |pool, now| {
-        pool.drop_worker(now, &record.life)
-    });
+    owner::drop_worker(state, &pool, &record.life);
 }
 
 fn take_members(state: &NodeState, page: FeedPage) {
--- a/crates/node/src/groups.rs
+++ b/crates/node/src/groups.rs
@@ -58,9 +58,7 @@
     state.directory.borrow_mut().set_groups(centre, row.groups);
     for (pool, worker) in moved {
         if let Some(pool) = pool {
-            owner::with_pool(state, &pool, |pool, now| {
-                pool.drop_worker(now, &worker.life)
-            });
+            owner::drop_worker(state, &pool, &worker.life);
         }
     }
     for worker in workers {
@@ -74,7 +72,7 @@
         return;
     };
     state.keeper.borrow_mut().on_workers(&pool, true);
-    owner::with_pool(state, &pool, |pool, now| pool.put_worker(now, record));
+    owner::put_worker(state, &pool, record);
 }
 
 /// Writes numbers that are missing or too small, for as long as the process runs.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -7,7 +7,7 @@
 
 use claims::{ClaimAction, ClaimRow, NodeId};
 use futures::future::{select, Either, LocalBoxFuture};
-use jobs::{FenceToken, JobId, JobOutcome, PoolId, RefusalKind};
+use jobs::{FenceToken, JobId, JobOutcome, LifeId, PoolId, RefusalKind, WorkerRecord};
 use model::FastMap;
 use peer::{JobCall, PoolService};
 use platform::RowVersion;
@@ -31,6 +31,8 @@
 pub(crate) struct OwnedPool {
     pub(crate) pool: WorkerPool,
     waiters: FastMap<WaiterId, oneshot::Sender<JobOutcome>>,
+    /// Workers that a former owner still uses.
+    awaited: FastMap<LifeId, WorkerRecord>,
 }
 
 /// Does something with a pool, if this node owns it, and carries out what comes of it.
@@ -145,7 +147,8 @@
         .borrow()
         .get(id)
         .map(|owned| owned.pool.fence().0);
-    if held.is_some_and(|held| held < version.0) {
+    // An owner that is stopping finishes its jobs beside its successor, on the workers that they use.
+    if held.is_some_and(|held| held < version.0) && !state.leaving.get() {
         release(state, id, "claimed_by_another");
     }
     // A claim whose answer was lost shows up here.
@@ -164,6 +167,7 @@
     let owned = OwnedPool {
         pool: WorkerPool::new(start, state.now()),
         waiters: FastMap::default(),
+        awaited: FastMap::default(),
     };
     state.pools.borrow_mut().insert(id.clone(), owned);
     let workers = state.directory.borrow().of_pool(id);
@@ -173,10 +177,62 @@
         .number("workers", workers.len() as u64);
     state.log(EventKind::Kept, line);
     for worker in workers {
+        put_worker(state, id, worker);
+    }
+}
+
+/// Tells a pool of a worker, or keeps it for later while a former owner uses it: a look under the higher fence would
+/// turn away that owner's orders and end its jobs.
+pub(crate) fn put_worker(state: &Rc<NodeState>, id: &PoolId, worker: WorkerRecord) {
+    let held = state.keeper.borrow().held_workers(state.now(), id);
+    if let Some(owned) = state.pools.borrow_mut().get_mut(id) {
+        let known = owned.pool.worker_lives().contains(&worker.life);
+        if !known && !state.leaving.get() && held.contains(&worker.life) {
+            owned.awaited.insert(worker.life.clone(), worker);
+            return;
+        }
+        // A pool that is being handed over gets no worker back that it has let go of.
+        if !known && state.leaving.get() {
+            return;
+        }
+    }
+    with_pool(state, id, |pool, now| pool.put_worker(now, worker));
+}
+
+/// Takes the workers that former owners have let go of.
+pub(crate) fn take_awaited(state: &Rc<NodeState>, id: &PoolId) {
+    let awaits = state
+        .pools
+        .borrow()
+        .get(id)
+        .is_some_and(|owned| !owned.awaited.is_empty());
+    if !awaits {
+        return;
+    }
+    let held = state.keeper.borrow().held_workers(state.now(), id);
+    let mut free = Vec::new();
+    if let Some(owned) = state.pools.borrow_mut().get_mut(id) {
+        owned.awaited.retain(|life, worker| {
+            let stays = held.contains(life);
+            if !stays {
+                free.push(worker.clone());
+            }
+            stays
+        });
+    }
+    for worker in free {
         with_pool(state, id, |pool, now| pool.put_worker(now, worker));
     }
 }
 
+/// A worker is gone for good.
+pub(crate) fn drop_worker(state: &Rc<NodeState>, id: &PoolId, life: &LifeId) {
+    if let Some(owned) = state.pools.borrow_mut().get_mut(id) {
+        owned.awaited.remove(life);
+    }
+    with_pool(state, id, |pool, now| pool.drop_worker(now, life));
+}
+
 /// Carries out what the claim keeper asks for.
 pub(crate) fn act_on_claims(state: &Rc<NodeState>, actions: Vec<ClaimAction>) {
     for action in actions {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -167,6 +167,11 @@
         pool: id.clone(),
         fence: owned.pool.fence(),
         load: owned.pool.load(),
+        held: if state.leaving.get() {
+            owned.pool.worker_lives()
+        } else {
+            Vec::new()
+        },
     });
     Heartbeat {
         node: keeper.me().node.clone(),
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -358,6 +358,14 @@
     owner::act_on_claims(state, actions);
     peers::connect_owners(state);
     each_pool(state, pool::WorkerPool::tick);
+    if state.leaving.get() {
+        each_pool(state, |pool, _| pool.release_idle());
+        return;
+    }
+    let pools: Vec<_> = state.pools.borrow().keys().cloned().collect();
+    for id in pools {
+        owner::take_awaited(state, &id);
+    }
 }
 
 fn each_pool(state: &Rc<NodeState>, act: impl Fn(&mut pool::WorkerPool, Instant)) {
--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -100,3 +100,39 @@
     drop(node);
     assert_eq!(call.await.unwrap().0, 504);
 }
+
+/// The owner of the workers is told to stop while a long job runs on one of two workers. A second node takes the other
+/// worker at once and serves with it; the long job goes on where it is. Neither caller notices the stop.
+#[actix_rt::test]
+async fn a_stopping_owner_leaves_idle_workers_to_its_successor_and_finishes_its_jobs() {
+    let platform = Platform::start(2, Duration::from_millis(1_400)).await;
+    let owner = platform.start_node(settings(&platform)).await;
+    let successor = platform.start_node(platform.node_settings("vm-2")).await;
+    let address = owner.customer_address();
+    let long = actix_rt::spawn(async move {
+        send(
+            &Client::default(),
+            address,
+            "POST",
+            "/hold/00000000000000d1",
+            &job(1, 1_400),
+        )
+        .await
+    });
+    actix_rt::time::sleep(Duration::from_millis(200)).await;
+    let stopping = actix_rt::spawn(async move { owner.stop().await });
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let address = successor.customer_address();
+    let (client, body) = (Client::default(), job(1, 1_400));
+    let other = send(&client, address, "POST", "/hold/00000000000000d2", &body);
+    let completed = (200, json!({ "State": "completed" }));
+    assert_eq!(other.await, completed, "{}", successor.log_lines());
+    assert_eq!(long.await.unwrap(), completed);
+    stopping.await.unwrap();
+    let runs: Vec<_> = platform
+        .executors
+        .iter()
+        .flat_map(|executor| executor.runs())
+        .collect();
+    assert_eq!(runs.len(), 2, "nothing was stopped and run again: {runs:?}");
+}
--- a/crates/peer/schema/pool.capnp
+++ b/crates/peer/schema/pool.capnp
@@ -63,6 +63,8 @@
   capacity @2 :UInt64;
   free @3 :UInt64;
   backlogMicros @4 :UInt64;
+  held @5 :List(Text);
+  # Workers that an owner about to stop still uses.
 }
 
 struct Heartbeat {
--- a/crates/peer/src/pool_capnp.rs
+++ b/crates/peer/src/pool_capnp.rs
@@ -2332,11 +2332,19 @@
         pub fn get_backlog_micros(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_held(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_held(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2434,6 +2442,22 @@
         pub fn set_backlog_micros(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_held(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_held(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_held(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_held(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2445,59 +2469,66 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 113] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(105, 73, 105, 30, 32, 124, 235, 228),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(97, 89, 227, 244, 162, 200, 183, 209),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 111, 111, 108, 78),
             ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 111, 111, 108, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2540,6 +2571,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 108, 100, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2548,6 +2591,7 @@
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2561,9 +2605,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,1,3,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,1,3,5,0];
         pub(crate) const TYPE_ID: u64 = 0xe4eb_7c20_1e69_4969;
     }
 }
--- a/crates/peer/src/pool_message.rs
+++ b/crates/peer/src/pool_message.rs
@@ -8,8 +8,8 @@
 };
 use claims::{Heartbeat, NodeId, PoolNews};
 use jobs::{
-    CpuMillis, FenceToken, JobId, JobOutcome, JobRequest, JobTerms, MemoryMegabytes, PoolId,
-    RefusalKind, ResourceDemand, ServiceId, StepSpec,
+    CpuMillis, FenceToken, JobId, JobOutcome, JobRequest, JobTerms, LifeId, MemoryMegabytes,
+    PoolId, RefusalKind, ResourceDemand, ServiceId, StepSpec,
 };
 use model::DataCentreId;
 use pool::PoolLoad;
@@ -41,6 +41,10 @@
         wire.set_capacity(news.load.capacity);
         wire.set_free(news.load.free);
         wire.set_backlog_micros(micros(news.load.backlog));
+        let mut held = wire.init_held(length(news.held.len()));
+        for (place, life) in news.held.iter().enumerate() {
+            held.set(length(place), life.as_str());
+        }
     }
     let mut bytes = Vec::new();
     // Writing to a vector does not fail.
@@ -62,7 +66,12 @@
     }
     let mut pools = Vec::new();
     for wire in root.get_pools()? {
+        let mut held = Vec::new();
+        for life in wire.get_held()? {
+            held.push(LifeId::from(text(life)?));
+        }
         pools.push(PoolNews {
+            held,
             pool: pool_id(wire.get_pool())?,
             fence: FenceToken(wire.get_fence()),
             load: PoolLoad {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -114,6 +114,20 @@
         self.accepting = false;
     }
 
+    /// Lets go of workers that its jobs do not use, so that its successor takes them. As long as tasks wait, all are
+    /// kept: the next free place may be on any of them.
+    pub fn release_idle(&mut self) {
+        if self.accepting || self.queue.jobs().next().is_some() {
+            return;
+        }
+        self.workers.retain(|_, worker| !worker.is_idle());
+    }
+
+    /// The workers that it has.
+    pub fn worker_lives(&self) -> Vec<LifeId> {
+        self.workers.keys().cloned().collect()
+    }
+
     /// Takes a job for a waiting entry, or answers it with a refusal. The same job again joins the first.
     pub fn submit(
         &mut self,
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -202,6 +202,11 @@
         self.slowness += SPEED_WEIGHT * (sample - self.slowness);
     }
 
+    /// Whether nothing of its owner's is on it or on the way to it.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.runs.is_empty() && self.orders.is_empty() && !self.order_in_flight
+    }
+
     /// Whether it needs a look now.
     pub(crate) fn wants_look(&self, now: Instant, idle_ack: Duration) -> bool {
         if self.look_in_flight || self.look_pause.is_some_and(|pause| now < pause) {
