Hand pools back to their data centre and to idle machines

Ruled out: forbidding claims from elsewhere, which leaves a pool without an owner while its data centre has no process.

Change: an owner hands over a pool whose data centre has a process that has been up for 4 s, or one that would own far fewer pools a core, in the way of a planned stop; if nobody takes it within 3 s it is kept.

A test of the keeper.

--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -69,8 +69,8 @@
     Unowned,
     /// Its owner has started again and forgotten it.
     OwnerRestarted,
-    /// Its owner is about to stop. It finishes its jobs on the workers that they use, and leaves the others.
-    OwnerLeaving,
+    /// Its owner hands it over. It finishes its jobs on the workers that they use, and leaves the others.
+    OwnerYields,
     /// Connections to its owner are refused: the process is gone.
     OwnerGone,
     /// Nobody hears its owner.
@@ -83,7 +83,7 @@
         match self {
             Self::Unowned => "unowned",
             Self::OwnerRestarted => "owner_restarted",
-            Self::OwnerLeaving => "owner_leaving",
+            Self::OwnerYields => "owner_yields",
             Self::OwnerGone => "owner_gone",
             Self::OwnerSilent => "owner_silent",
         }
@@ -120,6 +120,8 @@
 struct HeardPeer {
     beat: Heartbeat,
     at: Instant,
+    /// Since when this life of it has been heard without a pause.
+    since: Instant,
     silent: bool,
     /// Its port is closed since its last sign of life.
     refused: bool,
@@ -291,12 +293,16 @@
             );
         }
         let node = beat.node.clone();
+        let unbroken =
+            known.filter(|known| !known.silent && known.beat.incarnation == beat.incarnation);
+        let since = unbroken.map_or(now, |known| known.since);
         let (at, silent, refused) = (now, false, false);
         self.heard.insert(
             node,
             HeardPeer {
                 beat,
                 at,
+                since,
                 silent,
                 refused,
             },
@@ -346,25 +352,63 @@
             address: claim.row.address,
             fence: FenceToken(claim.version),
             here,
-            alive: here || current.is_some_and(|peer| !peer.beat.leaving),
+            alive: here
+                || current.is_some_and(|peer| !peer.beat.leaving)
+                    && news.is_none_or(|news| !news.yielding),
             load: news.map(|news| news.load).unwrap_or_default(),
             heard: current.map(|peer| peer.at),
         })
     }
 
-    /// The workers of a pool that a former owner still uses while it stops. Once it is not heard any more, none.
+    /// The workers of a pool that a former owner still uses while it hands it over. Once it is not heard, none.
     pub fn held_workers(&self, now: Instant, pool: &PoolId) -> Vec<LifeId> {
         let mut held = Vec::new();
-        for peer in self.heard.values() {
-            if !peer.beat.leaving || !self.is_fresh(now, peer) {
-                continue;
-            }
+        for peer in self.heard.values().filter(|peer| self.is_fresh(now, peer)) {
             let news = peer.beat.pools.iter().filter(|news| news.pool == *pool);
             held.extend(news.flat_map(|news| news.held.iter().cloned()));
         }
         held
     }
 
+    /// A pool of this process that another process suits better: one of the pool's data centre if this one is
+    /// elsewhere, or one that would own far fewer pools a core. After planned stops all pools would otherwise stay
+    /// where they went, also in other data centres, which lose them when they are cut off.
+    pub fn pool_to_yield(&self, now: Instant) -> Option<PoolId> {
+        if self.leaving || now < self.started + self.settings.settle {
+            return None;
+        }
+        let mut mine = Vec::new();
+        for (pool, watch) in &self.pools {
+            let Some(claim) = watch.claim.as_ref().filter(|claim| self.is_mine(claim)) else {
+                continue;
+            };
+            if now < claim.since + self.settings.settle {
+                return None;
+            }
+            mine.push(pool);
+        }
+        mine.sort();
+        let owned = mine.len();
+        mine.into_iter()
+            .find(|pool| self.suits_another(now, pool, owned))
+            .cloned()
+    }
+
+    fn suits_another(&self, now: Instant, pool: &PoolId, owned: usize) -> bool {
+        let away = pool.data_centre != self.me.data_centre;
+        let mine = owned as f64 / self.me.cores.max(LEAST_CORES);
+        self.heard.values().any(|peer| {
+            let beat = &peer.beat;
+            let near = beat.data_centre == pool.data_centre;
+            let settled = now >= peer.since + self.settings.settle;
+            if !near || !settled || beat.leaving || !self.is_fresh(now, peer) {
+                return false;
+            }
+            let theirs = (beat.pools.len() as f64 + 1.0) / beat.cores.max(LEAST_CORES);
+            away || theirs * UNEVEN < mine
+        })
+    }
+
     /// The pools that are known, nearest first.
     pub fn pools(&self) -> Vec<PoolId> {
         let mut pools: Vec<PoolId> = self.pools.keys().cloned().collect();
@@ -492,7 +536,9 @@
             return Some(ClaimReason::OwnerGone);
         }
         if let Some(peer) = heard.filter(|peer| self.is_fresh(now, peer)) {
-            return peer.beat.leaving.then_some(ClaimReason::OwnerLeaving);
+            let news = peer.beat.pools.iter().find(|news| news.pool == *pool);
+            let yields = peer.beat.leaving || news.is_some_and(|news| news.yielding);
+            return yields.then_some(ClaimReason::OwnerYields);
         }
         let listening = now < self.started + self.settings.listen_first;
         if listening || self.heard_by_others(now, claim) || self.may_be_cut_off(now, owner) {
@@ -595,5 +641,9 @@
 /// Heartbeats to another data centre that may go missing before a process counts as silent.
 const FAR_BEATS_MISSED: u32 = 3;
 
+/// How many times as many pools a core a process owns before it hands one over. A handover costs some ten calls a
+/// worker.
+const UNEVEN: f64 = 1.5;
+
 /// The least processor share that is taken for true, in cores.
 const LEAST_CORES: f64 = 0.01;
--- a/crates/claims/src/view.rs
+++ b/crates/claims/src/view.rs
@@ -33,7 +33,9 @@
     pub fence: FenceToken,
     /// What it can take.
     pub load: PoolLoad,
-    /// The workers that it still uses, if it is about to stop. Its successor takes the others already.
+    /// Whether its owner hands it over: because it is about to stop, or because another suits it better.
+    pub yielding: bool,
+    /// The workers that it still uses while it hands the pool over. Its successor takes the others already.
     pub held: Vec<LifeId>,
 }
 
--- a/crates/claims/tests/keeper.rs
+++ b/crates/claims/tests/keeper.rs
@@ -55,6 +55,7 @@
                 pool: pool(name),
                 fence: FenceToken(7),
                 load: PoolLoad::default(),
+                yielding: false,
                 held: Vec::new(),
             })
             .collect(),
@@ -275,6 +276,32 @@
     );
 }
 
+/// After planned stops a pool may have an owner in another data centre. It goes back when a process of its own data
+/// centre has been up for a while; two equal processes there do not push it to and fro.
+#[test]
+fn a_pool_goes_back_to_its_data_centre() {
+    let (me, near) = (member("west-1", 1), member("east-1", 2));
+    let mut watch = Watch::new(&me);
+    watch.owns("east", &me, 7);
+    watch.pass(millis(3_000), &[beat(&near, &[], &[])]);
+    assert_eq!(
+        watch.keeper.pool_to_yield(watch.now),
+        None,
+        "it has just begun"
+    );
+    watch.pass(millis(3_000), &[beat(&near, &[], &[])]);
+    assert_eq!(watch.keeper.pool_to_yield(watch.now), Some(pool("east")));
+    let (me, other) = (member("east-1", 1), member("east-2", 2));
+    let mut watch = Watch::new(&me);
+    watch.owns("east", &me, 7);
+    watch.pass(millis(9_000), &[beat(&other, &[], &[])]);
+    assert_eq!(
+        watch.keeper.pool_to_yield(watch.now),
+        None,
+        "as good here as there"
+    );
+}
+
 /// All processes start at once and nobody owns the pool: one takes it, the others see that it has.
 #[test]
 fn of_many_that_start_at_once_one_claims_first() {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -147,8 +147,8 @@
         .borrow()
         .get(id)
         .map(|owned| owned.pool.fence().0);
-    // An owner that is stopping finishes its jobs beside its successor, on the workers that they use.
-    if held.is_some_and(|held| held < version.0) && !state.leaving.get() {
+    // An owner that hands its pool over finishes its jobs beside its successor, on the workers that they use.
+    if held.is_some_and(|held| held < version.0) && !state.hands_over(id) {
         release(state, id, "claimed_by_another");
     }
     // A claim whose answer was lost shows up here.
@@ -187,12 +187,12 @@
     let held = state.keeper.borrow().held_workers(state.now(), id);
     if let Some(owned) = state.pools.borrow_mut().get_mut(id) {
         let known = owned.pool.worker_lives().contains(&worker.life);
-        if !known && !state.leaving.get() && held.contains(&worker.life) {
+        if !known && !state.hands_over(id) && held.contains(&worker.life) {
             owned.awaited.insert(worker.life.clone(), worker);
             return;
         }
         // A pool that is being handed over gets no worker back that it has let go of.
-        if !known && state.leaving.get() {
+        if !known && state.hands_over(id) {
             return;
         }
     }
@@ -225,6 +225,52 @@
     }
 }
 
+/// How long a pool is offered to a process that suits it better before it is kept after all.
+const YIELD_LIMIT: Duration = Duration::from_millis(3_000);
+
+/// Hands over what is being handed over, or begins to, or gives it up when nobody takes it.
+pub(crate) fn keep_yielding(state: &Rc<NodeState>) {
+    let now = state.now();
+    let yielding = state.yielding.borrow().clone();
+    let Some((id, since)) = yielding else {
+        let wanted = state.keeper.borrow().pool_to_yield(now);
+        if let Some(id) = wanted.filter(|id| state.pools.borrow().contains_key(id)) {
+            state.log(
+                EventKind::Kept,
+                EventLine::new("pool_yielded").text("pool", &id),
+            );
+            *state.yielding.borrow_mut() = Some((id.clone(), now));
+            with_pool(state, &id, |pool, _| pool.stop_accepting());
+        }
+        return;
+    };
+    let mine = state
+        .keeper
+        .borrow()
+        .owner(now, &id)
+        .is_some_and(|owner| owner.here);
+    if !mine {
+        let open = state
+            .pools
+            .borrow()
+            .get(&id)
+            .map_or(0, |owned| owned.pool.open_jobs());
+        if open == 0 {
+            release(state, &id, "yielded");
+            *state.yielding.borrow_mut() = None;
+        }
+        return;
+    }
+    if now >= since + YIELD_LIMIT {
+        *state.yielding.borrow_mut() = None;
+        with_pool(state, &id, |pool, _| pool.accept_again());
+        let workers = state.directory.borrow().of_pool(&id);
+        for worker in workers {
+            put_worker(state, &id, worker);
+        }
+    }
+}
+
 /// A worker is gone for good.
 pub(crate) fn drop_worker(state: &Rc<NodeState>, id: &PoolId, life: &LifeId) {
     if let Some(owned) = state.pools.borrow_mut().get_mut(id) {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -167,7 +167,8 @@
         pool: id.clone(),
         fence: owned.pool.fence(),
         load: owned.pool.load(),
-        held: if state.leaving.get() {
+        yielding: state.hands_over(id),
+        held: if state.hands_over(id) {
             owned.pool.worker_lives()
         } else {
             Vec::new()
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -201,6 +201,7 @@
         log: RefCell::new(log),
         metrics: new_metrics()?,
         leaving: Cell::new(false),
+        yielding: RefCell::default(),
         open_requests: Cell::new(0),
         stop_limit: Cell::new(None),
         close_idle: Rc::default(),
@@ -358,10 +359,11 @@
     owner::act_on_claims(state, actions);
     peers::connect_owners(state);
     each_pool(state, pool::WorkerPool::tick);
+    each_pool(state, |pool, _| pool.release_idle());
     if state.leaving.get() {
-        each_pool(state, |pool, _| pool.release_idle());
         return;
     }
+    owner::keep_yielding(state);
     let pools: Vec<_> = state.pools.borrow().keys().cloned().collect();
     for id in pools {
         owner::take_awaited(state, &id);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -44,6 +44,8 @@
     pub(crate) log: RefCell<EventLog>,
     pub(crate) metrics: NodeMetrics,
     pub(crate) leaving: Cell<bool>,
+    /// A pool that is being handed over to a process that suits it better, and since when.
+    pub(crate) yielding: RefCell<Option<(PoolId, Instant)>>,
     pub(crate) open_requests: Cell<usize>,
     /// When the process ends, once it is stopping.
     pub(crate) stop_limit: Cell<Option<Instant>>,
@@ -75,6 +77,15 @@
         time_since_boot().saturating_sub(self.last_tick.get()) > PAUSE_LIMIT
     }
 
+    /// Whether the pool is being handed over: its jobs end here, new ones go to its next owner.
+    pub(crate) fn hands_over(&self, pool: &PoolId) -> bool {
+        let yielding = self.yielding.borrow();
+        self.leaving.get()
+            || yielding
+                .as_ref()
+                .is_some_and(|(yielded, _)| yielded == pool)
+    }
+
     /// Woken when the process is not heard any more.
     pub(crate) fn lost_peer(&self, node: &NodeId) -> Rc<Notify> {
         self.lost_peers
--- a/crates/peer/schema/pool.capnp
+++ b/crates/peer/schema/pool.capnp
@@ -64,7 +64,8 @@
   free @3 :UInt64;
   backlogMicros @4 :UInt64;
   held @5 :List(Text);
-  # Workers that an owner about to stop still uses.
+  # Workers that an owner still uses while it hands its pool over.
+  yielding @6 :Bool;
 }
 
 struct Heartbeat {
--- a/crates/peer/src/pool_message.rs
+++ b/crates/peer/src/pool_message.rs
@@ -41,6 +41,7 @@
         wire.set_capacity(news.load.capacity);
         wire.set_free(news.load.free);
         wire.set_backlog_micros(micros(news.load.backlog));
+        wire.set_yielding(news.yielding);
         let mut held = wire.init_held(length(news.held.len()));
         for (place, life) in news.held.iter().enumerate() {
             held.set(length(place), life.as_str());
@@ -72,6 +73,7 @@
         }
         pools.push(PoolNews {
             held,
+            yielding: wire.get_yielding(),
             pool: pool_id(wire.get_pool())?,
             fence: FenceToken(wire.get_fence()),
             load: PoolLoad {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -114,6 +114,11 @@
         self.accepting = false;
     }
 
+    /// Takes new jobs again: nobody took the pool over.
+    pub fn accept_again(&mut self) {
+        self.accepting = true;
+    }
+
     /// Lets go of workers that its jobs do not use, so that its successor takes them. As long as tasks wait, all are
     /// kept: the next free place may be on any of them.
     pub fn release_idle(&mut self) {
