Count places that are being cleared as free soon

Cause: a job that came while a cancelled job's runs were being stopped was refused as too late: the forecast gave those runs their whole time.

Ruled out: the test's own timing (three runs, the same answer).

Change: a run that was told to stop is expected to end within 50 ms. The test of the new owner no longer needs the second job; the case has its own test, which fails without the change (429).

--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -100,6 +100,22 @@
     );
 }
 
+/// A customer leaves and another comes at the same moment. The places of the first one's tasks are being cleared, which
+/// takes 50 ms; the second must not be refused as if they went on to their end.
+#[actix_rt::test]
+async fn places_that_are_being_cleared_count_as_free_soon() {
+    let platform = Platform::start(1, Duration::from_millis(900)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    let body = job(2, 900);
+    let first = post_job(&node, "00000000000000a1", &body);
+    assert!(tokio::time::timeout(Duration::from_millis(200), first)
+        .await
+        .is_err());
+    actix_rt::time::sleep(Duration::from_millis(15)).await;
+    let second = post_job(&node, "00000000000000a2", &body).await;
+    assert_eq!(second.0, 200, "{}", node.log_lines());
+}
+
 /// Every series is there from the start, so that a rate over it is right from its first count.
 #[actix_rt::test]
 async fn metrics_tell_what_was_answered() {
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -158,12 +158,6 @@
 async fn a_new_owner_stops_what_it_finds() {
     let platform = Platform::start(1, Duration::from_millis(5_000)).await;
     let former = platform.start_node(platform.node_settings("vm-1")).await;
-    let body = job(2, 1_500);
-    let call = post_job(&former, "00000000000000e1", &body);
-    assert!(tokio::time::timeout(Duration::from_millis(300), call)
-        .await
-        .is_err());
-    // The customer that gave up above has cancelled its job; this one stays until the owner dies.
     let address = former.customer_address();
     let kept = actix_rt::spawn(async move {
         support::send(
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -13,13 +13,16 @@
     forecast::{PoolForecast, WaitingGroup, WorkerForecast},
     placement::{can_hold, is_sluggish, PlacementAsk},
     queue::{latest_start, QueueEntry},
-    worker::{RunLedger, WorkerLedger},
+    worker::{RunLedger, RunPhase, WorkerLedger},
 };
 
 /// What a run that takes longer than predicted is expected to take still, as a share of its predicted time. Estimates
 /// are off by 40%.
 const OVERDUE_SHARE: f64 = 0.25;
 
+/// How long a run takes to end after it was told to stop: what workers promise.
+const STOP_TIME: Duration = Duration::from_millis(50);
+
 impl WorkerPool {
     /// Decides whether a job is admitted, and gives the refusal if it is not.
     pub(super) fn admit(
@@ -229,6 +232,9 @@
 }
 
 fn time_left(run: &RunLedger, slowness: f64, now: Instant) -> Duration {
+    if run.phase == RunPhase::Stopping {
+        return STOP_TIME;
+    }
     let took = now.saturating_duration_since(run.placed);
     let predicted = run.predicted.mul_f64(slowness);
     let left = predicted.saturating_sub(took);
