Replay a cancellation beside an arrival in simulated time

Ruled out: nothing further.

Change: the case is replayed in the simulated pool, where both come in the same millisecond. Without the change it fails (refused as too late), with it it passes; both were run before this was written.

Figures: none beyond the test.

Conclusion: the node's test stays as one of the whole path.

--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use jobs::{JobId, JobOutcome};
+use pool::WaiterId;
 use support::{credit, summary, WorkerFault, World};
 
 /// A calm minute: nothing waits long and nothing is refused.
@@ -52,3 +54,23 @@
     println!("credit {total:.3}");
     assert!(total > 0.80, "{total:.3}");
 }
+
+/// A customer leaves and another comes at the same moment. The places of the first one's tasks are being cleared, which
+/// takes 50 ms; the second must not be refused as if they went on to their end.
+#[test]
+fn places_that_are_being_cleared_count_as_free_soon() {
+    let mut world = World::new(1, 1);
+    let (first, second) = (JobId(1), JobId(2));
+    world.submit_sized(1, first, vec![900.0, 900.0], 900.0, 6_800);
+    world.run_for(100);
+    let now = world.instant();
+    world.pool.cancel(now, first, WaiterId(first.0));
+    world.submit_sized(1, second, vec![900.0, 900.0], 900.0, 6_800);
+    world.run_for(1_500);
+    let results: Vec<_> = world
+        .results
+        .iter()
+        .map(|result| (result.id, result.outcome))
+        .collect();
+    assert_eq!(results, [(second, JobOutcome::Completed)]);
+}
