--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -17,7 +17,7 @@
     future::{select, Either},
     StreamExt as _,
 };
-use jobs::{longest_chain, BodyLimits, JobId, JobOutcome, RefusalKind, RouteRule};
+use jobs::{longest_chain, BodyLimits, JobId, JobOutcome, RefusalKind, RouteRule, UnsupportedNeed};
 use kernel::TaskSet;
 use platform_adapter::{
     decode_job, encode_outcome, encode_pending, EncodedAnswer, DEADLINE_HEADER,
@@ -186,7 +186,14 @@
             return plain(StatusCode::BAD_REQUEST, "{}");
         }
     };
-    let unsupported = request.unsupported;
+    let advised = rule.advised.then_some(UnsupportedNeed::Advice);
+    let unsupported = request.unsupported.or(advised);
+    if let Some(need) = unsupported {
+        let line = EventLine::new("need_not_served")
+            .text("job", id)
+            .text("need", need.as_str());
+        state.log(EventKind::Kept, line);
+    }
     let job = EntryJob {
         request: Arc::new(request),
         rule,
--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -68,6 +68,20 @@
     assert_eq!(pending, (200, json!({ "Pending": 0 })));
 }
 
+/// A queue whose steps may run only where an adviser allows it is not served by this build. Its customers are told at
+/// once that nothing ran, and the log names the need.
+#[actix_rt::test]
+async fn a_job_of_an_advised_queue_is_refused_with_its_reason_in_the_log() {
+    let platform = Platform::start(1, Duration::from_millis(10)).await;
+    let mut config = support::config(7);
+    config["Routes"][0]["Advice"] = json!({ "DecideMs": 5, "PeriodMs": 1, "ValidMs": 3_000 });
+    platform.store.put("op", "config", &config);
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    assert_eq!(post_job(&node, ID, &job(1, 10)).await.0, 503);
+    assert!(node.log_lines().contains(r#""event":"need_not_served""#));
+    assert!(platform.executors[0].runs().is_empty());
+}
+
 /// A process that has just started does not know the configuration yet. A customer that reaches it is told that
 /// nothing ran and when to come back, and not that there is no such queue.
 #[actix_rt::test]
--- a/crates/pool/src/pool/looks.rs
+++ b/crates/pool/src/pool/looks.rs
@@ -296,10 +296,10 @@
         if let Some((predicted, projected)) = slowest {
             worker.learn_speed(predicted, projected);
         }
+        // Runs that stand still together are one trouble of their worker, and cost one pause.
+        let pause = (!stalled.is_empty()).then(|| worker.health.suspend(now));
         for (task, run, took, percent) in stalled {
             stop_run(worker, task, run);
-            let pause = worker.health.suspend(now);
-            let life = life.clone();
             self.notes.push(PoolNote::Stalled {
                 task,
                 run,
@@ -307,8 +307,10 @@
                 took,
                 percent,
             });
+        }
+        if let Some(pause) = pause {
             self.notes.push(PoolNote::Suspended {
-                life,
+                life: life.clone(),
                 cause: SuspensionCause::Stalled,
                 pause,
             });
