Make closed sets in one way, and hold the node's metrics page to the code

Cause: two macros and eight enums wrote out the same text forms; the labels of the node's metrics repeated them.

Ruled out: one catalogue for all roles; a node shares no series with the others.

Change: `model::text_set` replaces both macros and the enums' own code; label values come from the sets. METRICS-NODE.md has a test of its own.

--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -6,7 +6,7 @@
 };
 
 use jobs::{FenceToken, LifeId, PoolId};
-use model::FastMap;
+use model::{text_set, FastMap, WrongReason};
 use pool::PoolLoad;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -62,31 +62,19 @@
     },
 }
 
-/// Why a pool can be claimed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClaimReason {
-    /// Nobody owns it.
-    Unowned,
-    /// Its owner has started again and forgotten it.
-    OwnerRestarted,
-    /// Its owner hands it over. It finishes its jobs on the workers that they use, and leaves the others.
-    OwnerYields,
-    /// Connections to its owner are refused: the process is gone.
-    OwnerGone,
-    /// Nobody hears its owner.
-    OwnerSilent,
-}
-
-impl ClaimReason {
-    /// The text form in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Unowned => "unowned",
-            Self::OwnerRestarted => "owner_restarted",
-            Self::OwnerYields => "owner_yields",
-            Self::OwnerGone => "owner_gone",
-            Self::OwnerSilent => "owner_silent",
-        }
+text_set! {
+    /// Why a pool can be claimed.
+    ClaimReason, "reason of a claim", WrongReason {
+        /// Nobody owns it.
+        Unowned => "unowned",
+        /// Its owner has started again and forgotten it.
+        OwnerRestarted => "owner_restarted",
+        /// Its owner hands it over. It finishes its jobs on the workers that they use, and leaves the others.
+        OwnerYields => "owner_yields",
+        /// Connections to its owner are refused: the process is gone.
+        OwnerGone => "owner_gone",
+        /// Nobody hears its owner.
+        OwnerSilent => "owner_silent",
     }
 }
 
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -39,10 +39,7 @@
 use telemetry::{GaugeKind, MetricSet};
 use tokio::sync::oneshot;
 
-use self::{
-    grants::UsableGrant,
-    notes::{seconds, EventNotes},
-};
+use self::{grants::UsableGrant, notes::EventNotes};
 
 pub(crate) use messages::{
     BodyClaimed, EndsReported, OutcomeAsked, RequestPassed, SlotsTold, StopBegun, StopState,
@@ -253,7 +250,7 @@
         metrics.gauge(GaugeKind::ContractHead, self.contracts.head().0 as f64);
         if let Some(heard) = self.contracts_heard {
             let age = self.clock.now().saturating_duration_since(heard);
-            metrics.gauge(GaugeKind::ContractAge, seconds(age));
+            metrics.gauge(GaugeKind::ContractAge, age.as_secs_f64());
         }
     }
 
--- a/crates/entry/src/control/notes.rs
+++ b/crates/entry/src/control/notes.rs
@@ -1,9 +1,6 @@
 //! What the authority notes, as metrics and as the history that `explain` shows.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Instant};
 
 use authority::{AuthorityEvent, DispatcherKey};
 use model::{ByteSize, FastMap, SubmissionId, SubmissionOutcome, VmId};
@@ -140,8 +137,3 @@
         }
     }
 }
-
-/// A length of time in seconds, for a gauge.
-pub(crate) fn seconds(span: Duration) -> f64 {
-    span.as_secs_f64()
-}
--- a/crates/jobs/src/request.rs
+++ b/crates/jobs/src/request.rs
@@ -1,6 +1,8 @@
 //! A job as its customer hands it in, and how it ends.
 
-use std::{fmt, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
+
+use model::{text_set, WrongReason};
 
 use crate::{JobId, ResourceDemand, ServiceId};
 
@@ -28,34 +30,21 @@
     pub most_per_worker: Option<u32>,
 }
 
-/// A need that this build does not serve yet. Such a job is refused before anything of it starts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum UnsupportedNeed {
-    /// The job has to be kept in the store and outlive the processes that run it.
-    KeptJob,
-    /// Tasks that run until the job is cancelled.
-    LastingJob,
-    /// Occurrences at given times.
-    TimedJob,
-    /// Tasks that work only together.
-    Gang,
-    /// Tasks that take the room that others leave unused.
-    Filler,
-    /// Tasks that may run only where an adviser allows it.
-    Advice,
-}
-
-impl UnsupportedNeed {
-    /// The text form in logs and answers.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::KeptJob => "kept_job",
-            Self::LastingJob => "lasting_job",
-            Self::TimedJob => "timed_job",
-            Self::Gang => "gang",
-            Self::Filler => "filler",
-            Self::Advice => "advice",
-        }
+text_set! {
+    /// A need that this build does not serve yet. Such a job is refused before anything of it starts.
+    UnsupportedNeed, "need", WrongReason {
+        /// The job has to be kept in the store and outlive the processes that run it.
+        KeptJob => "kept_job",
+        /// Tasks that run until the job is cancelled.
+        LastingJob => "lasting_job",
+        /// Occurrences at given times.
+        TimedJob => "timed_job",
+        /// Tasks that work only together.
+        Gang => "gang",
+        /// Tasks that take the room that others leave unused.
+        Filler => "filler",
+        /// Tasks that may run only where an adviser allows it.
+        Advice => "advice",
     }
 }
 
@@ -119,54 +108,21 @@
     pub firm: bool,
 }
 
-/// Why a job was refused before anything of it ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum RefusalKind {
-    /// Its predicted end is too late to help its customer.
-    TooLate,
-    /// The queue's bound is reached.
-    QueueFull,
-    /// No worker can ever hold one of its tasks.
-    NoRoomEver,
-    /// The pool's owner is not ready, or it is leaving.
-    NotServing,
-    /// No owner can be reached.
-    Unreachable,
-    /// A job with this id is already running here.
-    AlreadyRunning,
-    /// The job needs something that is not served.
-    Unsupported,
-}
-
-impl RefusalKind {
-    /// Every value, in a fixed order.
-    pub const ALL: &'static [Self] = &[
-        Self::TooLate,
-        Self::QueueFull,
-        Self::NoRoomEver,
-        Self::NotServing,
-        Self::Unreachable,
-        Self::AlreadyRunning,
-        Self::Unsupported,
-    ];
-
-    /// The text form in logs, metrics and answers.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::TooLate => "too_late",
-            Self::QueueFull => "queue_full",
-            Self::NoRoomEver => "no_room_ever",
-            Self::NotServing => "not_serving",
-            Self::Unreachable => "unreachable",
-            Self::AlreadyRunning => "already_running",
-            Self::Unsupported => "unsupported",
-        }
-    }
-}
-
-impl fmt::Display for RefusalKind {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
+text_set! {
+    /// Why a job was refused before anything of it ran.
+    RefusalKind, "refusal", WrongReason {
+        /// Its predicted end is too late to help its customer.
+        TooLate => "too_late",
+        /// The queue's bound is reached.
+        QueueFull => "queue_full",
+        /// No worker can ever hold one of its tasks.
+        NoRoomEver => "no_room_ever",
+        /// The pool's owner is not ready, or it is leaving.
+        NotServing => "not_serving",
+        /// No owner can be reached.
+        Unreachable => "unreachable",
+        /// The job needs something that is not served.
+        Unsupported => "unsupported",
     }
 }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use model::DataCentreId;
+use model::{text_set, DataCentreId, WrongReason};
 
 use crate::{LifeId, ResourceDemand, RunNumber, ServiceId, TaskId};
 
@@ -49,31 +49,19 @@
     pub percent: u8,
 }
 
-/// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndCause {
-    /// Its work is done.
-    Done,
-    /// It failed, by its own fault or the worker's.
-    Failed,
-    /// It was told to stop.
-    Stopped,
-    /// Its lease ran out.
-    Lapsed,
-    /// It ended with its gang: another member ended, or the others did not come.
-    Gang,
-}
-
-impl EndCause {
-    /// The text form in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Done => "done",
-            Self::Failed => "failed",
-            Self::Stopped => "stopped",
-            Self::Lapsed => "lapsed",
-            Self::Gang => "gang",
-        }
+text_set! {
+    /// How a run ended.
+    EndCause, "end of a run", WrongReason {
+        /// Its work is done.
+        Done => "done",
+        /// It failed, by its own fault or the worker's.
+        Failed => "failed",
+        /// It was told to stop.
+        Stopped => "stopped",
+        /// Its lease ran out.
+        Lapsed => "lapsed",
+        /// It ended with its gang: another member ended, or the others did not come.
+        Gang => "gang",
     }
 }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,6 +11,7 @@
 mod outcome;
 mod reason;
 mod submission;
+mod text_set;
 
 pub use crate::{
     bytes::{split_for_messages, ByteSize, Payload, MAX_MESSAGE_PAYLOADS, MAX_PAYLOAD_BYTES},
--- a/crates/model/src/reason.rs
+++ b/crates/model/src/reason.rs
@@ -1,11 +1,11 @@
 //! Reasons: closed sets with one stable text each. The text is what callers get, what labels the counter and what
 //! the log says.
 
-use std::{fmt, str::FromStr};
-
 use thiserror::Error;
 
-/// A text that names no reason of its set.
+use crate::text_set;
+
+/// A text that names no value of its set.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("not a {set}: {text:?}")]
 pub struct WrongReason {
@@ -15,50 +15,9 @@
     pub text: String,
 }
 
-macro_rules! reasons {
-    ($(#[$doc:meta])* $name:ident, $set:literal { $($(#[$vdoc:meta])* $variant:ident => $text:literal,)+ }) => {
-        $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        pub enum $name {
-            $($(#[$vdoc])* $variant,)+
-        }
-
-        impl $name {
-            /// Every reason of the set, in a fixed order.
-            pub const ALL: &'static [Self] = &[$(Self::$variant,)+];
-
-            /// The stable text.
-            pub const fn as_str(self) -> &'static str {
-                match self {
-                    $(Self::$variant => $text,)+
-                }
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(self.as_str())
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = WrongReason;
-
-            fn from_str(s: &str) -> Result<Self, WrongReason> {
-                for reason in Self::ALL {
-                    if reason.as_str() == s {
-                        return Ok(*reason);
-                    }
-                }
-                Err(WrongReason { set: $set, text: s.to_owned() })
-            }
-        }
-    };
-}
-
-reasons! {
+text_set! {
     /// Why a submission was refused. Each means that nothing of it ran.
-    RefusalReason, "refusal reason" {
+    RefusalReason, "refusal reason", WrongReason {
         /// The customer has no contract.
         UnknownCustomer => "unknown_customer",
         /// The customer's contract is retired.
@@ -98,9 +57,9 @@
     }
 }
 
-reasons! {
+text_set! {
     /// Why a task may be placed again. Each is a definite not-run.
-    RetryReason, "retry reason" {
+    RetryReason, "retry reason", WrongReason {
         /// The endpoint said that it is busy.
         EndpointBusy => "endpoint_busy",
         /// The endpoint said that it is leaving.
@@ -124,9 +83,9 @@
     }
 }
 
-reasons! {
+text_set! {
     /// Why a job or request failed.
-    FailureReason, "failure reason" {
+    FailureReason, "failure reason", WrongReason {
         /// A task ran and said that it failed.
         TaskFailed => "task_failed",
         /// A task of the job could not be completed before the deadline.
@@ -140,9 +99,9 @@
     }
 }
 
-reasons! {
+text_set! {
     /// Why an outcome is unknown.
-    UnknownReason, "unknown reason" {
+    UnknownReason, "unknown reason", WrongReason {
         /// The connection broke after bytes of the task were sent.
         ConnectionLost => "connection_lost",
         /// The answer was cut short, or echoed another attempt.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,6 @@
 
 pub use crate::{
     error::NodeError,
-    metrics::{COUNTERS, TIMES},
+    metrics::{counter_families, TIMES},
     process::{run, start, NodeProcess},
 };
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,86 +1,84 @@
 //! What a node counts and times.
 
-use jobs::JobOutcome;
-use pool::{PoolNote, StartAnswer};
+use jobs::{EndCause, JobOutcome, RefusalKind};
+use pool::{CallFailure, PoolNote, RunLoss, StartAnswer, SuspensionCause};
 use telemetry::{CounterFamily, NodeMetrics, TelemetryError, TimeFamily};
 
-const ANSWERS: CounterFamily = CounterFamily {
-    name: "node_answers_total",
-    meaning: "Jobs answered to customers, by outcome",
-    label: "outcome",
-    values: &["completed", "failed", "refused", "given_up"],
-};
-
-const REFUSALS: CounterFamily = CounterFamily {
-    name: "node_refusals_total",
-    meaning: "Requests refused before anything of them ran, by reason",
-    label: "reason",
-    values: &[
-        "too_late",
-        "queue_full",
-        "no_room_ever",
-        "not_serving",
-        "unreachable",
-        "already_running",
-        "unsupported",
-        "process_paused",
-        "no_configuration",
-    ],
-};
-
-const ADMISSIONS: CounterFamily = CounterFamily {
-    name: "node_admissions_total",
-    meaning: "Jobs that reached a pool that this node owns, by decision",
-    label: "decision",
-    values: &["admitted", "refused"],
-};
-
-const RUN_ENDS: CounterFamily = CounterFamily {
-    name: "node_run_ends_total",
-    meaning: "Runs that workers listed as ended, by cause",
-    label: "cause",
-    values: &["done", "failed", "stopped", "lapsed", "gang"],
-};
-
-const RETRIES: CounterFamily = CounterFamily {
-    name: "node_retries_total",
-    meaning: "Tasks that wait for a place again, by why their run is over",
-    label: "reason",
-    values: &[
-        "failed",
-        "stopped",
-        "lapsed",
-        "gang",
-        "turned_away",
-        "new_life",
-        "lease_over",
-        "not_there",
-    ],
-};
-
-const STARTS_NOT_DONE: CounterFamily = CounterFamily {
-    name: "node_starts_not_done_total",
-    meaning: "Starts that a worker did not answer with success, by answer",
-    label: "answer",
-    values: &[
-        "outrun",
-        "late",
-        "no_room",
-        "not_allowed",
-        "no_answer",
-        "new_life",
-        "fenced_out",
-        "unhealthy",
-        "malformed",
-    ],
-};
-
-const SUSPENSIONS: CounterFamily = CounterFamily {
-    name: "node_suspensions_total",
-    meaning: "Workers that get no new runs for a while, by cause",
-    label: "cause",
-    values: &["failing", "stalled", "silent", "unhealthy"],
-};
+const ANSWERS: &str = "node_answers_total";
+const REFUSALS: &str = "node_refusals_total";
+const ADMISSIONS: &str = "node_admissions_total";
+const RUN_ENDS: &str = "node_run_ends_total";
+const RETRIES: &str = "node_retries_total";
+const STARTS_NOT_DONE: &str = "node_starts_not_done_total";
+const SUSPENSIONS: &str = "node_suspensions_total";
+
+/// Refusals for which no job was read.
+pub(crate) const UNREAD_REFUSALS: [&str; 2] = ["process_paused", "no_configuration"];
+
+/// Answers to a start, beside failures of its call.
+const START_ANSWERS: [&str; 4] = ["outrun", "late", "no_room", "not_allowed"];
+
+/// Every counter family, in the order of the page. Labels are the texts that the log has too.
+pub fn counter_families() -> Vec<CounterFamily> {
+    let family = |name, meaning, label, values| CounterFamily {
+        name,
+        meaning,
+        label,
+        values,
+    };
+    let refusals = RefusalKind::ALL.iter().map(|kind| kind.as_str());
+    let ends = || EndCause::ALL.iter().map(|cause| cause.as_str());
+    let losses = RunLoss::ALL.iter().map(|loss| loss.as_str());
+    let failures = CallFailure::ALL.iter().map(|failure| failure.as_str());
+    let suspensions = SuspensionCause::ALL.iter().map(|cause| cause.as_str());
+    vec![
+        family(
+            ANSWERS,
+            "Jobs answered to customers, by outcome",
+            "outcome",
+            vec!["completed", "failed", "refused", "given_up"],
+        ),
+        family(
+            REFUSALS,
+            "Requests refused before anything of them ran, by reason",
+            "reason",
+            refusals.chain(UNREAD_REFUSALS).collect(),
+        ),
+        family(
+            ADMISSIONS,
+            "Jobs that reached a pool that this node owns, by decision",
+            "decision",
+            vec!["admitted", "refused"],
+        ),
+        family(
+            RUN_ENDS,
+            "Runs that workers listed as ended, by cause",
+            "cause",
+            ends().collect(),
+        ),
+        family(
+            RETRIES,
+            "Tasks that wait for a place again, by why their run is over",
+            "reason",
+            ends()
+                .filter(|cause| *cause != EndCause::Done.as_str())
+                .chain(losses)
+                .collect(),
+        ),
+        family(
+            STARTS_NOT_DONE,
+            "Starts that a worker did not answer with success, by answer",
+            "answer",
+            START_ANSWERS.into_iter().chain(failures).collect(),
+        ),
+        family(
+            SUSPENSIONS,
+            "Workers that get no new runs for a while, by cause",
+            "cause",
+            suspensions.collect(),
+        ),
+    ]
+}
 
 const JOB_TIME: TimeFamily = TimeFamily {
     name: "node_job_seconds",
@@ -97,27 +95,16 @@
     meaning: "Time from the placing of a run to its listed end",
 };
 
-/// Every counter family, in the order of the page.
-pub const COUNTERS: &[CounterFamily] = &[
-    ANSWERS,
-    REFUSALS,
-    ADMISSIONS,
-    RUN_ENDS,
-    RETRIES,
-    STARTS_NOT_DONE,
-    SUSPENSIONS,
-];
-
 /// Every histogram, in the order of the page.
 pub const TIMES: &[TimeFamily] = &[JOB_TIME, QUEUE_WAIT, RUN_TIME];
 
 pub(crate) fn new_metrics() -> Result<NodeMetrics, TelemetryError> {
-    NodeMetrics::new(COUNTERS, TIMES)
+    NodeMetrics::new(&counter_families(), TIMES)
 }
 
 /// Counts a refusal that no job was read for.
 pub(crate) fn count_refusal(metrics: &NodeMetrics, reason: &str) {
-    metrics.count(REFUSALS.name, reason);
+    metrics.count(REFUSALS, reason);
 }
 
 pub(crate) fn count_answer(metrics: &NodeMetrics, outcome: JobOutcome, took: std::time::Duration) {
@@ -126,11 +113,11 @@
         JobOutcome::Failed => "failed",
         JobOutcome::GivenUp => "given_up",
         JobOutcome::Refused { kind, .. } => {
-            metrics.count(REFUSALS.name, kind.as_str());
+            metrics.count(REFUSALS, kind.as_str());
             "refused"
         }
     };
-    metrics.count(ANSWERS.name, name);
+    metrics.count(ANSWERS, name);
     metrics.time(JOB_TIME.name, took);
 }
 
@@ -142,27 +129,23 @@
             } else {
                 "admitted"
             };
-            metrics.count(ADMISSIONS.name, decision);
+            metrics.count(ADMISSIONS, decision);
         }
         PoolNote::Placed { waited, .. } => metrics.time(QUEUE_WAIT.name, *waited),
         PoolNote::Ended { cause, took, .. } => {
-            metrics.count(RUN_ENDS.name, cause.as_str());
+            metrics.count(RUN_ENDS, cause.as_str());
             metrics.time(RUN_TIME.name, *took);
-            if *cause != jobs::EndCause::Done {
-                metrics.count(RETRIES.name, cause.as_str());
+            if *cause != EndCause::Done {
+                metrics.count(RETRIES, cause.as_str());
             }
         }
         PoolNote::RunLost { loss, .. } => {
-            let reason = match loss {
-                pool::RunLoss::Lapsed => "lease_over",
-                loss => loss.as_str(),
-            };
-            metrics.count(RETRIES.name, reason);
+            metrics.count(RETRIES, loss.as_str());
         }
         PoolNote::StartTrouble { answer, .. } => {
-            metrics.count(STARTS_NOT_DONE.name, start_answer(*answer));
+            metrics.count(STARTS_NOT_DONE, start_answer(*answer));
         }
-        PoolNote::Suspended { cause, .. } => metrics.count(SUSPENSIONS.name, cause.as_str()),
+        PoolNote::Suspended { cause, .. } => metrics.count(SUSPENSIONS, cause.as_str()),
         _ => (),
     }
 }
--- /dev/null
+++ b/crates/node/tests/metrics_page.rs
@@ -0,0 +1,22 @@
+//! The page of a node's metrics and the code say the same.
+
+use std::fmt::Write as _;
+
+use node::{counter_families, TIMES};
+
+#[test]
+fn page_and_code_say_the_same() {
+    let page = include_str!("../../../docs/METRICS-NODE.md");
+    let mut counters = String::new();
+    for family in counter_families() {
+        let values = family.values.join(", ");
+        let (name, label, meaning) = (family.name, family.label, family.meaning);
+        writeln!(counters, "| `{name}` | {label} | {values} | {meaning} |").unwrap();
+    }
+    let mut times = String::new();
+    for family in TIMES {
+        writeln!(times, "| `{}` | {} |", family.name, family.meaning).unwrap();
+    }
+    assert!(page.contains(&counters), "the page should have\n{counters}");
+    assert!(page.contains(&times), "the page should have\n{times}");
+}
--- a/crates/peer/src/pool_message.rs
+++ b/crates/peer/src/pool_message.rs
@@ -9,7 +9,7 @@
 use claims::{Heartbeat, NodeId, PoolNews};
 use jobs::{
     CpuMillis, FenceToken, JobId, JobOutcome, JobRequest, JobTerms, LifeId, MemoryMegabytes,
-    PoolId, RefusalKind, ResourceDemand, ServiceId, StepSpec,
+    PoolId, ResourceDemand, ServiceId, StepSpec,
 };
 use model::DataCentreId;
 use pool::PoolLoad;
@@ -211,9 +211,9 @@
         outcome::GivenUp(()) => Ok(JobOutcome::GivenUp),
         outcome::Refused(refusal) => {
             let refusal = refusal?;
-            let name = text(refusal.get_kind())?;
-            let kind = RefusalKind::ALL.iter().find(|kind| kind.as_str() == name);
-            let kind = *kind.ok_or_else(|| PeerError::BadMessage(format!("refusal {name:?}")))?;
+            let kind = text(refusal.get_kind())?.parse();
+            let kind =
+                kind.map_err(|e: model::WrongReason| PeerError::BadMessage(e.to_string()))?;
             let retry_after = Duration::from_micros(refusal.get_retry_after_micros());
             Ok(JobOutcome::Refused {
                 kind,
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -6,6 +6,7 @@
     EndCause, FenceToken, JobId, JobOutcome, LifeId, RunNumber, TaskId, TaskText, WorkerClock,
     WorkerListing,
 };
+use model::{text_set, WrongReason};
 
 /// One call of an entry that waits for a job's outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -62,31 +63,19 @@
     pub wait: Duration,
 }
 
-/// Why a call got no answer that counts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallFailure {
-    /// No answer came in time, or the connection broke: it may have been carried out, or may be later.
-    NoAnswer,
-    /// The worker is of another life: what ran in the life that was meant is over.
-    NewLife,
-    /// Another owner has used a higher fence.
-    FencedOut,
-    /// The worker says that it did nothing because it is unhealthy.
-    Unhealthy,
-    /// The worker cannot read the call.
-    Malformed,
-}
-
-impl CallFailure {
-    /// The text form in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::NoAnswer => "no_answer",
-            Self::NewLife => "new_life",
-            Self::FencedOut => "fenced_out",
-            Self::Unhealthy => "unhealthy",
-            Self::Malformed => "malformed",
-        }
+text_set! {
+    /// Why a call got no answer that counts.
+    CallFailure, "failure of a call", WrongReason {
+        /// No answer came in time, or the connection broke: it may have been carried out, or may be later.
+        NoAnswer => "no_answer",
+        /// The worker is of another life: what ran in the life that was meant is over.
+        NewLife => "new_life",
+        /// Another owner has used a higher fence.
+        FencedOut => "fenced_out",
+        /// The worker says that it did nothing because it is unhealthy.
+        Unhealthy => "unhealthy",
+        /// The worker cannot read the call.
+        Malformed => "malformed",
     }
 }
 
@@ -139,53 +128,31 @@
     LetGo,
 }
 
-/// Why a run record went without an end from the worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunLoss {
-    /// The worker turned the start away.
-    TurnedAway,
-    /// The worker has a new life.
-    NewLife,
-    /// The worker was silent until the lease surely was over.
-    Lapsed,
-    /// A look that was sent afterwards does not show it.
-    NotThere,
-}
-
-impl RunLoss {
-    /// The text form in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::TurnedAway => "turned_away",
-            Self::NewLife => "new_life",
-            Self::Lapsed => "lapsed",
-            Self::NotThere => "not_there",
-        }
+text_set! {
+    /// Why a run record went without an end from the worker.
+    RunLoss, "loss of a run", WrongReason {
+        /// The worker turned the start away.
+        TurnedAway => "turned_away",
+        /// The worker has a new life.
+        NewLife => "new_life",
+        /// The worker was silent until the lease surely was over.
+        LeaseOver => "lease_over",
+        /// A look that was sent afterwards does not show it.
+        NotThere => "not_there",
     }
 }
 
-/// Why a worker gets no new runs for a while.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SuspensionCause {
-    /// Runs of different jobs failed in a row.
-    Failing,
-    /// A run made no progress.
-    Stalled,
-    /// Orders went unanswered.
-    Silent,
-    /// It said that it is unhealthy.
-    Unhealthy,
-}
-
-impl SuspensionCause {
-    /// The text form in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Failing => "failing",
-            Self::Stalled => "stalled",
-            Self::Silent => "silent",
-            Self::Unhealthy => "unhealthy",
-        }
+text_set! {
+    /// Why a worker gets no new runs for a while.
+    SuspensionCause, "suspension", WrongReason {
+        /// Runs of different jobs failed in a row.
+        Failing => "failing",
+        /// A run made no progress.
+        Stalled => "stalled",
+        /// Orders went unanswered.
+        Silent => "silent",
+        /// It said that it is unhealthy.
+        Unhealthy => "unhealthy",
     }
 }
 
@@ -327,30 +294,18 @@
     },
 }
 
-/// What changed about a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WorkerChange {
-    /// It is new here.
-    Added,
-    /// It will leave.
-    Draining,
-    /// It takes runs again.
-    Ready,
-    /// It is gone from the directory.
-    Unlisted,
-    /// It is forgotten.
-    Forgotten,
-}
-
-impl WorkerChange {
-    /// The text form in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Added => "added",
-            Self::Draining => "draining",
-            Self::Ready => "ready",
-            Self::Unlisted => "unlisted",
-            Self::Forgotten => "forgotten",
-        }
+text_set! {
+    /// What changed about a worker.
+    WorkerChange, "change of a worker", WrongReason {
+        /// It is new here.
+        Added => "added",
+        /// It will leave.
+        Draining => "draining",
+        /// It takes runs again.
+        Ready => "ready",
+        /// It is gone from the directory.
+        Unlisted => "unlisted",
+        /// It is forgotten.
+        Forgotten => "forgotten",
     }
 }
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -189,7 +189,7 @@
             }
         }
         for life in lapsed {
-            self.lose_all_runs(now, &life, crate::action::RunLoss::Lapsed);
+            self.lose_all_runs(now, &life, crate::action::RunLoss::LeaseOver);
         }
     }
 }
--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log.rs
@@ -1,60 +1,19 @@
 //! What is logged.
 
-use std::{collections::BTreeMap, fmt, str::FromStr};
+use std::collections::BTreeMap;
 
+use model::text_set;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::number::bounded;
 
-macro_rules! named_set {
-    ($(#[$doc:meta])* $name:ident, $set:literal { $($(#[$vdoc:meta])* $variant:ident => $text:literal,)+ }) => {
-        $(#[$doc])*
-        #[derive(
-            Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
-        )]
-        #[serde(rename_all = "snake_case")]
-        pub enum $name {
-            $($(#[$vdoc])* $variant,)+
-        }
-
-        impl $name {
-            /// Every value, in a fixed order.
-            pub const ALL: &'static [Self] = &[$(Self::$variant,)+];
-
-            /// The text form, the same as in JSON.
-            pub const fn as_str(self) -> &'static str {
-                match self {
-                    $(Self::$variant => $text,)+
-                }
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(self.as_str())
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = WrongLogName;
-
-            fn from_str(s: &str) -> Result<Self, WrongLogName> {
-                for value in Self::ALL {
-                    if value.as_str() == s {
-                        return Ok(*value);
-                    }
-                }
-                Err(WrongLogName { set: $set, text: s.to_owned() })
-            }
-        }
-    };
-}
-
-named_set! {
+text_set! {
     /// The least severe messages that are logged.
-    LogLevel, "log level" {
+    #[derive(Serialize, Deserialize, JsonSchema)]
+    #[serde(rename_all = "snake_case")]
+    LogLevel, "log level", WrongLogName {
         /// Nothing.
         Off => "off",
         /// What an operator has to look at.
@@ -70,9 +29,11 @@
     }
 }
 
-named_set! {
+text_set! {
     /// A part of the system, with a log level and a prefix of its own.
-    LogPart, "log part" {
+    #[derive(Serialize, Deserialize, JsonSchema)]
+    #[serde(rename_all = "snake_case")]
+    LogPart, "log part", WrongLogName {
         /// The entry's control state.
         Entry => "entry",
         /// The dispatcher's control state.
--- a/crates/telemetry/src/metrics/node.rs
+++ b/crates/telemetry/src/metrics/node.rs
@@ -19,7 +19,7 @@
 use crate::TelemetryError;
 
 /// A family of counters that differ by one label.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CounterFamily {
     /// The name in the exposition.
     pub name: &'static str,
@@ -28,7 +28,7 @@
     /// The label.
     pub label: &'static str,
     /// The label's values.
-    pub values: &'static [&'static str],
+    pub values: Vec<&'static str>,
 }
 
 /// A histogram of times, in seconds.
@@ -69,13 +69,14 @@
         let mut counted = Vec::new();
         for family in counters {
             let cells: Arc<[AtomicU64]> = family.values.iter().map(|_| AtomicU64::new(0)).collect();
-            let (shown, family) = (cells.clone(), *family);
+            let (shown, family) = (cells.clone(), family.clone());
+            let (label, values) = (family.label, family.values.clone());
             let _reported_by_the_provider = meter
                 .u64_observable_counter(family.name)
                 .with_description(family.meaning)
                 .with_callback(move |observer| {
-                    for (value, cell) in family.values.iter().zip(shown.iter()) {
-                        let label = KeyValue::new(family.label, *value);
+                    for (value, cell) in values.iter().zip(shown.iter()) {
+                        let label = KeyValue::new(label, *value);
                         observer.observe(cell.load(Ordering::Relaxed), &[label]);
                     }
                 })
