Lose one worker to another owner and not the whole pool

Cause: read in the last look: a single worker that answered with a higher fence made its owner let go of the whole pool, while the claim stayed its own, so that nobody would have served the pool again. It can happen when workers are divided anew and an owner hears of it late.

Ruled out: keeping the worker's tasks to place them elsewhere; they may run on until the other owner stops them.

Change: the worker goes and the jobs with runs there are given up; without any worker left the pool is let go and claimed anew. Dividing a step stands apart from the calls, with a test.

--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -121,6 +121,8 @@
     version: u64,
     /// When this process learned of it.
     since: Instant,
+    /// Whether this process had it and has let go of it.
+    let_go: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -235,11 +237,24 @@
             row,
             version,
             since,
+            let_go: false,
         });
         watch.open_since = None;
         watch.attempt = ClaimAttempt::None;
     }
 
+    /// This process has let go of a pool although the claim is its own. It does not count as the owner any more, and
+    /// whoever comes first claims the pool anew.
+    pub fn on_let_go(&mut self, pool: &PoolId) {
+        if let Some(claim) = self
+            .pools
+            .get_mut(pool)
+            .and_then(|watch| watch.claim.as_mut())
+        {
+            claim.let_go = true;
+        }
+    }
+
     /// Whether a data centre has workers: a pool without any needs no owner.
     pub fn on_workers(&mut self, pool: &PoolId, has_workers: bool) {
         let known = self.pools.contains_key(pool);
@@ -587,7 +602,8 @@
     }
 
     fn is_mine(&self, claim: &Claim) -> bool {
-        claim.row.node == self.me.node && claim.row.incarnation == self.me.incarnation
+        let own = claim.row.node == self.me.node;
+        own && claim.row.incarnation == self.me.incarnation && !claim.let_go
     }
 
     fn is_fresh(&self, now: Instant, peer: &HeardPeer) -> bool {
--- a/crates/claims/tests/keeper.rs
+++ b/crates/claims/tests/keeper.rs
@@ -302,6 +302,20 @@
     );
 }
 
+/// All workers of a pool were taken by other owners while the claim stayed. The owner lets go; if it went on counting as
+/// the owner, nobody would ever serve the pool again.
+#[test]
+fn a_pool_that_was_let_go_is_claimed_anew() {
+    let me = member("east-1", 1);
+    let mut watch = Watch::new(&me);
+    watch.owns("east", &me, 7);
+    watch.pass(millis(3_000), &[]);
+    assert_eq!(watch.claims, []);
+    watch.keeper.on_let_go(&pool("east"));
+    watch.pass(millis(300), &[]);
+    assert!(watch.first_claim().is_some());
+}
+
 /// All processes start at once and nobody owns the pool: one takes it, the others see that it has.
 #[test]
 fn of_many_that_start_at_once_one_claims_first() {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -14,7 +14,7 @@
 };
 use jobs::{JobOutcome, JobRequest, JobTerms, PoolId, RefusalKind, RouteRule, StepSpec};
 use peer::JobCall;
-use pool::{order_pools, PoolCandidate};
+use pool::{divide_step, order_pools, PoolCandidate};
 use telemetry::EventLine;
 use tokio::time::timeout;
 
@@ -74,32 +74,19 @@
     }
 }
 
-/// Divides the tasks of a job of one step among pools as each offered, if together they can take all.
-///
-/// Load it is made for: wide jobs of short tasks, when each pool has places for some of their tasks only. Harm
-/// prevented: they are refused while places stay free that no other job needs at the moment.
+/// The parts of a job of one step, as the pools offered to take them, if together they can take all.
 fn divide(request: &JobRequest, offers: Vec<PartOffer>) -> Option<Vec<JobPart>> {
     let [step] = request.steps.as_slice() else {
         return None;
     };
+    let fits: Vec<u32> = offers.iter().map(|offer| offer.fits).collect();
+    let steps = divide_step(step, &fits)?;
     let mut parts = Vec::new();
-    let mut first = step.first;
-    let mut left = step.count;
-    for PartOffer { pool, owner, fits } in offers {
-        let count = fits.min(left);
-        if count == 0 {
-            continue;
-        }
-        let step = StepSpec {
-            count,
-            first,
-            ..step.clone()
-        };
-        parts.push(JobPart { pool, owner, step });
-        first += count;
-        left -= count;
+    for (offer, step) in offers.into_iter().zip(steps) {
+        let PartOffer { pool, owner, .. } = offer;
+        parts.extend(step.map(|step| JobPart { pool, owner, step }));
     }
-    (left == 0).then_some(parts)
+    Some(parts)
 }
 
 /// Runs the parts of a job. It is complete when all are; once one is not, the others are cancelled.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -66,6 +66,7 @@
     }
     drop(pools);
     if let_go {
+        state.keeper.borrow_mut().on_let_go(id);
         release(state, id, "fenced_out");
     }
 }
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -124,7 +124,7 @@
         /// How it ended.
         outcome: JobOutcome,
     },
-    /// Another owner has the pool: let go of it.
+    /// Other owners have all its workers: let go of the pool.
     LetGo,
 }
 
@@ -307,5 +307,7 @@
         Unlisted => "unlisted",
         /// It is forgotten.
         Forgotten => "forgotten",
+        /// Another owner has it.
+        TakenOver => "taken_over",
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -31,5 +31,5 @@
     admission::PoolLoad,
     pool::{PoolStart, WorkerPool},
     settings::PoolSettings,
-    shift::{order_pools, PoolCandidate},
+    shift::{divide_step, order_pools, PoolCandidate},
 };
--- a/crates/pool/src/pool/answers.rs
+++ b/crates/pool/src/pool/answers.rs
@@ -7,7 +7,7 @@
 use super::{stop_run, WorkerPool};
 use crate::{
     action::{
-        CallFailure, PoolAction, PoolNote, RunLoss, StartAnswer, StartOrder, StopAnswer, StopOrder,
+        CallFailure, PoolNote, RunLoss, StartAnswer, StartOrder, StopAnswer, StopOrder,
         SuspensionCause,
     },
     worker::{RunPhase, WaitingOrder, WorkerLedger},
@@ -49,7 +49,7 @@
             }
             StartAnswer::Failed(CallFailure::NoAnswer) => self.try_again(now, life, *task, *run),
             StartAnswer::Failed(CallFailure::NewLife) => self.forget_life(now, life),
-            StartAnswer::Failed(CallFailure::FencedOut) => self.actions.push(PoolAction::LetGo),
+            StartAnswer::Failed(CallFailure::FencedOut) => self.lose_worker(now, life),
         }
         self.schedule(now);
         self.keep_watch(now);
@@ -73,7 +73,7 @@
                 }
             }
             StopAnswer::Failed(CallFailure::NewLife) => self.forget_life(now, life),
-            StopAnswer::Failed(CallFailure::FencedOut) => self.actions.push(PoolAction::LetGo),
+            StopAnswer::Failed(CallFailure::FencedOut) => self.lose_worker(now, life),
             StopAnswer::Failed(
                 CallFailure::NoAnswer | CallFailure::Unhealthy | CallFailure::Malformed,
             ) => {
--- a/crates/pool/src/pool/looks.rs
+++ b/crates/pool/src/pool/looks.rs
@@ -6,7 +6,10 @@
 
 use super::{stop_run, WorkerPool};
 use crate::{
-    action::{CallFailure, LookAnswer, LookOrder, PoolAction, PoolNote, RunLoss, SuspensionCause},
+    action::{
+        CallFailure, LookAnswer, LookOrder, PoolAction, PoolNote, RunLoss, SuspensionCause,
+        WorkerChange,
+    },
     job::WaitingTask,
     worker::{RunLedger, RunPhase, WaitingOrder, WorkerLedger},
 };
@@ -66,7 +69,7 @@
         worker.look_in_flight = false;
         match answer {
             Ok(listing) => self.take_listing(now, sent, order, listing),
-            Err(CallFailure::FencedOut) => self.actions.push(PoolAction::LetGo),
+            Err(CallFailure::FencedOut) => self.lose_worker(now, life),
             Err(CallFailure::NewLife) => self.forget_life(now, life),
             Err(CallFailure::NoAnswer | CallFailure::Unhealthy | CallFailure::Malformed) => {
                 self.miss_look(now, life);
@@ -364,7 +367,22 @@
     pub(super) fn forget_life(&mut self, now: Instant, life: &LifeId) {
         self.lose_all_runs(now, life, RunLoss::NewLife);
         if self.workers.remove(life).is_some() {
-            self.note_worker(life.clone(), crate::action::WorkerChange::Forgotten);
+            self.note_worker(life.clone(), WorkerChange::Forgotten);
+        }
+    }
+
+    /// Another owner has the worker. It stops what runs there, but not before this owner could start the same tasks
+    /// elsewhere; so the jobs that have runs there are given up, and the other workers and jobs go on.
+    pub(super) fn lose_worker(&mut self, now: Instant, life: &LifeId) {
+        let Some(worker) = self.workers.remove(life) else {
+            return;
+        };
+        self.note_worker(life.clone(), WorkerChange::TakenOver);
+        for run in &worker.runs {
+            self.finish(now, run.task.job, JobOutcome::GivenUp);
+        }
+        if self.workers.is_empty() {
+            self.actions.push(PoolAction::LetGo);
         }
     }
 
--- a/crates/pool/src/shift.rs
+++ b/crates/pool/src/shift.rs
@@ -6,6 +6,7 @@
 //! centres come last: their bytes are paid for and their workers are farther away.
 
 use fastrand::Rng;
+use jobs::StepSpec;
 
 use crate::admission::PoolLoad;
 
@@ -54,3 +55,26 @@
     order.insert(0, best);
     order
 }
+
+/// Divides the tasks of a step among pools, as many to each as it could take in time. None if together they cannot take
+/// all; a pool that gets no task has none.
+///
+/// Load it is made for: wide jobs of short tasks, when each pool has places for some of their tasks only. Harm
+/// prevented: they are refused while places stay free that no other job needs at the moment.
+pub fn divide_step(step: &StepSpec, fits: &[u32]) -> Option<Vec<Option<StepSpec>>> {
+    let mut parts = Vec::new();
+    let mut first = step.first;
+    let mut left = step.count;
+    for fits in fits {
+        let count = (*fits).min(left);
+        let part = StepSpec {
+            count,
+            first,
+            ..step.clone()
+        };
+        parts.push((count > 0).then_some(part));
+        first += count;
+        left -= count;
+    }
+    (left == 0).then_some(parts)
+}
--- a/crates/pool/tests/faults.rs
+++ b/crates/pool/tests/faults.rs
@@ -122,3 +122,41 @@
     world.run_for(450);
     assert_eq!(outcomes(&world), [(JOB, JobOutcome::Completed)]);
 }
+
+/// Another owner takes one worker of the pool, as when workers are divided anew and this owner has not heard of it yet.
+/// The job that runs there is given up, since its tasks may still run; the job on the other worker goes on, and the pool
+/// stays with its owner.
+#[test]
+fn a_worker_that_another_owner_takes_costs_its_own_jobs_only() {
+    let mut world = World::new(1, 2);
+    let (first, second) = (JobId(1), JobId(2));
+    world.submit_sized(1, first, vec![600.0; 2], 600.0, 7_900);
+    world.submit_sized(1, second, vec![600.0; 2], 600.0, 7_900);
+    world.run_for(100);
+    let taken = world.life_of(first);
+    assert_ne!(
+        taken,
+        world.life_of(second),
+        "each job has a worker of its own"
+    );
+    world.take_worker(&taken);
+    world.run_for(1_500);
+    assert_eq!(
+        outcomes(&world),
+        [
+            (first, JobOutcome::GivenUp),
+            (second, JobOutcome::Completed)
+        ]
+    );
+    assert!(!world.let_go);
+    let other = world
+        .workers
+        .keys()
+        .find(|life| **life != taken)
+        .unwrap()
+        .clone();
+    world.take_worker(&other);
+    world.submit_sized(1, JobId(3), vec![600.0], 600.0, 7_900);
+    world.run_for(100);
+    assert!(world.let_go, "no worker is left");
+}
--- a/crates/pool/tests/shift.rs
+++ b/crates/pool/tests/shift.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use pool::{order_pools, PoolCandidate, PoolLoad};
+use jobs::StepSpec;
+use pool::{divide_step, order_pools, PoolCandidate, PoolLoad};
 
 fn candidate(near: bool, free: u64, sent: u64, backlog_ms: u64) -> PoolCandidate {
     let backlog = Duration::from_millis(backlog_ms);
@@ -59,3 +60,26 @@
     ];
     assert_eq!(order_pools(&candidates, &mut Rng::with_seed(1)), [1, 0, 2]);
 }
+
+/// Each task is in exactly one part, and a job is divided only if all of it finds a place.
+#[test]
+fn a_step_is_divided_only_whole() {
+    let step = StepSpec {
+        count: 7,
+        ..StepSpec::default()
+    };
+    let counts = |fits: &[u32]| {
+        let parts = divide_step(&step, fits)?;
+        let parts = parts
+            .into_iter()
+            .map(|part| part.map(|part| (part.first, part.count)));
+        Some(parts.collect::<Vec<_>>())
+    };
+    assert_eq!(counts(&[3, 0, 2]), None);
+    assert_eq!(
+        counts(&[3, 0, 9]),
+        Some(vec![Some((0, 3)), None, Some((3, 4))])
+    );
+    assert_eq!(counts(&[7, 5]), Some(vec![Some((0, 7)), None]));
+    assert_eq!(counts(&[]), None);
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -362,6 +362,20 @@
         }
     }
 
+    /// A worker on which the job runs.
+    pub(crate) fn life_of(&self, job: JobId) -> LifeId {
+        let mut workers = self.workers.iter();
+        let found = workers.find(|(_, worker)| worker.runs.iter().any(|run| run.task.job == job));
+        found.map(|(life, _)| life.clone()).unwrap()
+    }
+
+    /// Another owner takes one worker under a higher fence, and stops what runs there.
+    pub(crate) fn take_worker(&mut self, life: &LifeId) {
+        let worker = self.workers.get_mut(life).unwrap();
+        worker.fence += 1;
+        worker.runs.clear();
+    }
+
     /// A customer's connection breaks: nobody waits for its job any more.
     pub(crate) fn leave(&mut self, id: JobId) {
         let at = self.instant();
