--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -1,102 +1,23 @@
 //! Decides when a pool is claimed.
 
+mod yielding;
+
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
-use jobs::{FenceToken, LifeId, PoolId};
-use model::{text_set, FastMap, WrongReason};
-use pool::PoolLoad;
+use jobs::{FenceToken, PoolId};
+use model::FastMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    action::{ClaimAction, ClaimNote, ClaimReason, OwnerView},
     rows::{ClaimRow, MemberRow},
     settings::ClaimSettings,
     view::{Heartbeat, NodeId},
 };
 
-/// What has to be done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ClaimAction {
-    /// Find out whether a worker of the pool can be reached, and tell `on_probe`.
-    Probe(PoolId),
-    /// Write the claim if its row still has this version; tell `on_claim_end`.
-    Claim {
-        /// The pool.
-        pool: PoolId,
-        /// The version that the row must have; 0 for none.
-        expected: u64,
-    },
-}
-
-/// A change of belief, for the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ClaimNote {
-    /// A process was heard for the first time, or again.
-    PeerHeard(NodeId),
-    /// A process is not heard any more.
-    PeerSilent {
-        /// Which.
-        node: NodeId,
-        /// The age of its last sign of life.
-        age: Duration,
-    },
-    /// A pool has another owner.
-    OwnerChanged {
-        /// The pool.
-        pool: PoolId,
-        /// The owner.
-        node: NodeId,
-        /// Its fence.
-        fence: FenceToken,
-    },
-    /// This process tries to become a pool's owner.
-    Claiming {
-        /// The pool.
-        pool: PoolId,
-        /// Why the known owner does not count.
-        why: ClaimReason,
-        /// The version of the row that is to be replaced.
-        expected: u64,
-    },
-}
-
-text_set! {
-    /// Why a pool can be claimed.
-    ClaimReason, "reason of a claim", WrongReason {
-        /// Nobody owns it.
-        Unowned => "unowned",
-        /// Its owner has started again and forgotten it.
-        OwnerRestarted => "owner_restarted",
-        /// Its owner hands it over. It finishes its jobs on the workers that they use, and leaves the others.
-        OwnerYields => "owner_yields",
-        /// Connections to its owner are refused: the process is gone.
-        OwnerGone => "owner_gone",
-        /// Nobody hears its owner.
-        OwnerSilent => "owner_silent",
-    }
-}
-
-/// A pool's owner, as this process knows it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct OwnerView {
-    /// The owner.
-    pub node: NodeId,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its fence.
-    pub fence: FenceToken,
-    /// Whether it is this process.
-    pub here: bool,
-    /// Whether it gives signs of life and is not about to stop.
-    pub alive: bool,
-    /// What its pool can take, as last heard.
-    pub load: PoolLoad,
-    /// When that was heard, if it was.
-    pub heard: Option<Instant>,
-}
-
 #[derive(Clone, Debug)]
 struct Member {
     row: MemberRow,
@@ -363,55 +284,6 @@
         })
     }
 
-    /// The workers of a pool that a former owner still uses while it hands it over. Once it is not heard, none.
-    pub fn held_workers(&self, now: Instant, pool: &PoolId) -> Vec<LifeId> {
-        let mut held = Vec::new();
-        for peer in self.heard.values().filter(|peer| self.is_fresh(now, peer)) {
-            let news = peer.beat.pools.iter().filter(|news| news.pool == *pool);
-            held.extend(news.flat_map(|news| news.held.iter().cloned()));
-        }
-        held
-    }
-
-    /// A pool of this process that another process suits better: one of the pool's data centre if this one is
-    /// elsewhere, or one that would own far fewer pools a core. After planned stops all pools would otherwise stay
-    /// where they went, also in other data centres, which lose them when they are cut off.
-    pub fn pool_to_yield(&self, now: Instant) -> Option<PoolId> {
-        if self.leaving || now < self.started + self.settings.settle {
-            return None;
-        }
-        let mut mine = Vec::new();
-        for (pool, watch) in &self.pools {
-            let Some(claim) = watch.claim.as_ref().filter(|claim| self.is_mine(claim)) else {
-                continue;
-            };
-            if now < claim.since + self.settings.settle {
-                return None;
-            }
-            mine.push(pool);
-        }
-        mine.sort();
-        let owned = mine.len();
-        mine.into_iter()
-            .find(|pool| self.suits_another(now, pool, owned))
-            .cloned()
-    }
-
-    fn suits_another(&self, now: Instant, pool: &PoolId, owned: usize) -> bool {
-        let away = pool.data_centre != self.me.data_centre;
-        let mine = owned as f64 / self.me.cores.max(LEAST_CORES);
-        self.heard.values().any(|peer| {
-            let beat = &peer.beat;
-            let near = beat.data_centre == pool.data_centre;
-            let settled = now >= peer.since + self.settings.settle;
-            if !near || !settled || beat.leaving || !self.is_fresh(now, peer) {
-                return false;
-            }
-            let theirs = (beat.pools.len() as f64 + 1.0) / beat.cores.max(LEAST_CORES);
-            away || theirs * UNEVEN < mine
-        })
-    }
-
     /// The pools that are known, nearest first.
     pub fn pools(&self) -> Vec<PoolId> {
         let mut pools: Vec<PoolId> = self.pools.keys().cloned().collect();
@@ -645,9 +517,5 @@
 /// Heartbeats to another data centre that may go missing before a process counts as silent.
 const FAR_BEATS_MISSED: u32 = 3;
 
-/// How many times as many pools a core a process owns before it hands one over. A handover costs some ten calls a
-/// worker.
-const UNEVEN: f64 = 1.5;
-
 /// The least processor share that is taken for true, in cores.
 const LEAST_CORES: f64 = 0.01;
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -5,13 +5,15 @@
 //! the one it knows. The store decides between two that do so at once, and the workers turn away orders under a lower
 //! fence, so a wrong suspicion costs a claim and never a task that runs twice.
 
+mod action;
 mod keeper;
 mod rows;
 mod settings;
 mod view;
 
 pub use crate::{
-    keeper::{ClaimAction, ClaimKeeper, ClaimNote, ClaimReason, OwnerView},
+    action::{ClaimAction, ClaimNote, ClaimReason, OwnerView},
+    keeper::ClaimKeeper,
     rows::{ClaimRow, GroupRow, MemberRow},
     settings::ClaimSettings,
     view::{Heartbeat, NodeId, PoolNews},
