Accept connections in one way, and try a refused job out on one picture

Cause: read in the whole diff: four loops that accept connections alike; three sums of a lease's end; three transactions of one row; a refused wide job built the forecast of its pool and queue anew for each number of tasks; each row of the workers' table copied the ids of all workers of its pool and gathered what former owners hold; `ClaimKeeper::hears` that nobody calls; four tests that send a job meanwhile in the same ten lines.

Ruled out: dropping the configuration's services and limits that nothing reads yet. A wrong type in them is an error today and would no longer be.

Change: `kernel::accept_each`, `WorkerClock::plus`, `Transaction::of`, `AdmissionTrial`, `WorkerPool::has_worker`, `post_meanwhile` in the tests. The pause after a failed accept is 50 ms everywhere (20 ms at two places before), and readiness and stand-ins set no-delay too.

Conclusion: kept; behaviour is meant to be the same.

--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -291,13 +291,6 @@
         pools
     }
 
-    /// Whether a process gives signs of life.
-    pub fn hears(&self, now: Instant, node: &NodeId) -> bool {
-        self.heard
-            .get(node)
-            .is_some_and(|peer| self.is_fresh(now, peer))
-    }
-
     /// Whom this process hears.
     pub fn heard_nodes(&self, now: Instant) -> Vec<NodeId> {
         let fresh = self
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,6 +1,6 @@
 //! Workers: what the directory says of one, and what one says of itself.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use model::{text_set, DataCentreId, WrongReason};
 
@@ -38,6 +38,14 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WorkerClock(pub u64);
 
+impl WorkerClock {
+    /// The time `span` later.
+    pub fn plus(self, span: Duration) -> Self {
+        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(millis))
+    }
+}
+
 /// A run that is on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunningRun {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -3,12 +3,14 @@
 //! The kernel knows no service of the product. A part registers its actor's address under a name; other parts find
 //! it by that name and the message type they want to send.
 
+mod accept;
 mod clock;
 mod directory;
 mod signals;
 mod tasks;
 
 pub use crate::{
+    accept::accept_each,
     clock::{ClockSource, ManualClock, SystemClock},
     directory::{KernelError, ServiceDirectory, ServiceName},
     signals::StopSignals,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -18,7 +18,7 @@
     StreamExt as _,
 };
 use jobs::{longest_chain, BodyLimits, JobId, JobOutcome, RefusalKind, RouteRule, UnsupportedNeed};
-use kernel::TaskSet;
+use kernel::accept_each;
 use platform_adapter::{
     decode_job, encode_outcome, encode_pending, EncodedAnswer, DEADLINE_HEADER,
 };
@@ -46,9 +46,6 @@
 /// How long a request's head may take to arrive.
 const HEAD_TIME: Duration = Duration::from_secs(3);
 
-/// The pause after a failed accept, which comes from a lack of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Takes customers' connections for as long as the future is polled.
 ///
 /// # Errors
@@ -81,20 +78,15 @@
         .new_service(())
         .await
         .map_err(|()| NodeError::Server)?;
-    let connections = TaskSet::default();
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            actix_rt::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        // Answers are one small write each; without this the kernel may hold them back.
-        let _best_effort = stream.set_nodelay(true);
+    accept_each(listener, |stream| {
         // A connection that breaks ends its own requests; there is nothing to do beside.
         let connection = service.call(stream);
-        connections.add(actix_rt::spawn(async move {
+        async move {
             let _ended = connection.await;
-        }));
-    }
+        }
+    })
+    .await;
+    Ok(())
 }
 
 /// Counts a request as open for as long as it lives.
--- a/crates/node/src/groups.rs
+++ b/crates/node/src/groups.rs
@@ -130,10 +130,7 @@
         value,
         expected: Some(RowVersion(known)),
     };
-    let transaction = Transaction {
-        part: String::new(),
-        writes: vec![write],
-    };
+    let transaction = Transaction::of(write);
     // Whoever loses the race, or whose answer is lost, hears the number by the feed.
     if let Ok(TransactionEnd::Done { version, .. }) = state.store.transact(&transaction).await {
         state
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -185,16 +185,17 @@
 /// Tells a pool of a worker, or keeps it for later while a former owner uses it: a look under the higher fence would
 /// turn away that owner's orders and end its jobs.
 pub(crate) fn put_worker(state: &Rc<NodeState>, id: &PoolId, worker: WorkerRecord) {
-    let held = state.keeper.borrow().held_workers(state.now(), id);
     if let Some(owned) = state.pools.borrow_mut().get_mut(id) {
-        let known = owned.pool.worker_lives().contains(&worker.life);
-        if !known && !state.hands_over(id) && held.contains(&worker.life) {
-            owned.awaited.insert(worker.life.clone(), worker);
-            return;
-        }
-        // A pool that is being handed over gets no worker back that it has let go of.
-        if !known && state.hands_over(id) {
-            return;
+        if !owned.pool.has_worker(&worker.life) {
+            // A pool that is being handed over gets no worker back that it has let go of.
+            if state.hands_over(id) {
+                return;
+            }
+            let held = state.keeper.borrow().held_workers(state.now(), id);
+            if held.contains(&worker.life) {
+                owned.awaited.insert(worker.life.clone(), worker);
+                return;
+            }
         }
     }
     with_pool(state, id, |pool, now| pool.put_worker(now, worker));
@@ -330,10 +331,7 @@
         value,
         expected: Some(RowVersion(expected)),
     };
-    let transaction = Transaction {
-        part: String::new(),
-        writes: vec![write],
-    };
+    let transaction = Transaction::of(write);
     let answer = state.store.transact(&transaction).await;
     let mut line = EventLine::new("claim_answered")
         .text("pool", pool)
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -301,10 +301,7 @@
             value: serde_json::to_vec(&row).unwrap_or_default(),
             expected: None,
         };
-        let transaction = Transaction {
-            part: String::new(),
-            writes: vec![write],
-        };
+        let transaction = Transaction::of(write);
         let answer = state.store.transact(&transaction).await;
         if let Err(error) = &answer {
             if !failed {
--- a/crates/node/src/ready.rs
+++ b/crates/node/src/ready.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{body::BoxBody, header, HttpService, Request, Response, StatusCode};
 use actix_service::{Service as _, ServiceFactory as _};
-use kernel::TaskSet;
+use kernel::accept_each;
 use platform_adapter::READY_PATH;
 use telemetry::{EventKind, EventLine};
 use tokio::net::{TcpListener, TcpStream};
@@ -31,17 +31,15 @@
         .new_service(())
         .await
         .map_err(|()| NodeError::Server)?;
-    let connections = TaskSet::default();
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            actix_rt::time::sleep(std::time::Duration::from_millis(20)).await;
-            continue;
-        };
+    accept_each(listener, |stream| {
+        // A connection that breaks ends its own requests; there is nothing to do beside.
         let connection = service.call(stream);
-        connections.add(actix_rt::spawn(async move {
+        async move {
             let _ended = connection.await;
-        }));
-    }
+        }
+    })
+    .await;
+    Ok(())
 }
 
 fn answer(state: &NodeState, request: &Request) -> Response<BoxBody> {
--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -7,7 +7,7 @@
 use awc::Client;
 use serde_json::json;
 use settings::NodeSettings;
-use support::{job, send, Platform};
+use support::{job, post_meanwhile, send, Platform};
 
 const GRACE_S: f64 = 2.5;
 
@@ -23,17 +23,7 @@
 async fn a_job_that_runs_when_the_stop_begins_is_answered() {
     let platform = Platform::start(1, Duration::from_millis(700)).await;
     let node = platform.start_node(settings(&platform)).await;
-    let address = node.customer_address();
-    let call = actix_rt::spawn(async move {
-        send(
-            &Client::default(),
-            address,
-            "POST",
-            "/hold/00000000000000a1",
-            &job(2, 700),
-        )
-        .await
-    });
+    let call = post_meanwhile(&node, "00000000000000a1", job(2, 700));
     actix_rt::time::sleep(Duration::from_millis(150)).await;
     node.stop().await;
     assert_eq!(call.await.unwrap(), (200, json!({ "State": "completed" })));
@@ -84,17 +74,7 @@
 async fn a_job_that_outlasts_the_stop_gets_an_answer() {
     let platform = Platform::start(1, Duration::from_millis(3_800)).await;
     let node = platform.start_node(settings(&platform)).await;
-    let address = node.customer_address();
-    let call = actix_rt::spawn(async move {
-        send(
-            &Client::default(),
-            address,
-            "POST",
-            "/hold/00000000000000c1",
-            &job(1, 3_800),
-        )
-        .await
-    });
+    let call = post_meanwhile(&node, "00000000000000c1", job(1, 3_800));
     actix_rt::time::sleep(Duration::from_millis(150)).await;
     node.stop().await;
     drop(node);
@@ -108,17 +88,7 @@
     let platform = Platform::start(2, Duration::from_millis(1_400)).await;
     let owner = platform.start_node(settings(&platform)).await;
     let successor = platform.start_node(platform.node_settings("vm-2")).await;
-    let address = owner.customer_address();
-    let long = actix_rt::spawn(async move {
-        send(
-            &Client::default(),
-            address,
-            "POST",
-            "/hold/00000000000000d1",
-            &job(1, 1_400),
-        )
-        .await
-    });
+    let long = post_meanwhile(&owner, "00000000000000d1", job(1, 1_400));
     actix_rt::time::sleep(Duration::from_millis(200)).await;
     let stopping = actix_rt::spawn(async move { owner.stop().await });
     actix_rt::time::sleep(Duration::from_millis(500)).await;
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -158,17 +158,7 @@
 async fn a_new_owner_stops_what_it_finds() {
     let platform = Platform::start(1, Duration::from_millis(5_000)).await;
     let former = platform.start_node(platform.node_settings("vm-1")).await;
-    let address = former.customer_address();
-    let kept = actix_rt::spawn(async move {
-        support::send(
-            &awc::Client::default(),
-            address,
-            "POST",
-            "/hold/00000000000000e2",
-            &job(2, 1_500),
-        )
-        .await
-    });
+    let kept = support::post_meanwhile(&former, "00000000000000e2", job(2, 1_500));
     actix_rt::time::sleep(Duration::from_millis(300)).await;
     let fence = platform.executors[0].fence();
     drop(former);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -153,3 +153,14 @@
     )
     .await
 }
+
+/// Hands a job in and goes on; the answer comes with the task.
+#[allow(dead_code, reason = "not every test file of this module posts jobs")]
+pub(crate) fn post_meanwhile(
+    node: &NodeProcess,
+    id: &str,
+    body: Value,
+) -> tokio::task::JoinHandle<(u16, Value)> {
+    let (address, path) = (node.customer_address(), format!("/hold/{id}"));
+    actix_rt::spawn(async move { send(&Client::default(), address, "POST", &path, &body).await })
+}
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use capnp_rpc::{rpc_twoparty_capnp::Side, twoparty::VatNetwork, RpcSystem};
-use kernel::TaskSet;
+use kernel::accept_each;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinHandle,
@@ -16,9 +16,6 @@
 /// How long a connect may take. Within a region a connect takes milliseconds; more means that the path is cut.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
-/// How long to wait after a failed accept, which comes from a lack of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// An open connection to a dispatcher. It is closed when this is dropped.
 pub struct PeerLink {
     client: DispatcherClient,
@@ -94,19 +91,15 @@
     listener: TcpListener,
     make: impl Fn() -> (capnp::capability::Client, Box<dyn FnOnce()>),
 ) {
-    let connections = TaskSet::default();
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    accept_each(listener, |stream| {
         let (port, on_closed) = make();
         let system = RpcSystem::new(Box::new(network(stream, Side::Server)), Some(port));
-        connections.add(actix_rt::spawn(async move {
+        async move {
             let _ended = system.await;
             on_closed();
-        }));
-    }
+        }
+    })
+    .await;
 }
 
 /// The largest message that is read, in bytes. What processes send in parts stays far below; an answer that one entry
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -39,29 +39,38 @@
     pub(crate) harms: bool,
 }
 
-/// Tries out the waiting jobs with a new one among them, at place `new` of the order.
-pub(crate) fn forecast_admission(
-    mut forecast: PoolForecast,
-    jobs: &[ForecastJob],
-    new: usize,
-) -> AdmissionForecast {
-    let mut without = forecast.clone();
-    let mut end = Duration::MAX;
-    let mut harms = false;
-    for (place, job) in jobs.iter().enumerate() {
-        let ends = place_job(&mut forecast, job);
-        if place == new {
-            end = ends;
-            continue;
+/// The jobs that wait with a new one among them, to be tried out on the pool's workers.
+#[derive(Clone, Debug)]
+pub(crate) struct AdmissionTrial {
+    pub(crate) pool: PoolForecast,
+    /// In the order in which places will be given.
+    pub(crate) jobs: Vec<ForecastJob>,
+    /// The place of the new one.
+    pub(crate) new: usize,
+}
+
+impl AdmissionTrial {
+    /// Tries them out.
+    pub(crate) fn forecast(&self) -> AdmissionForecast {
+        let mut with = self.pool.clone();
+        let mut without = self.pool.clone();
+        let mut end = Duration::MAX;
+        let mut harms = false;
+        for (place, job) in self.jobs.iter().enumerate() {
+            let ends = place_job(&mut with, job);
+            if place == self.new {
+                end = ends;
+                continue;
+            }
+            // Jobs before the new one have the same end with and without it.
+            let alone = place_job(&mut without, job);
+            let Some(limit) = job.limit.filter(|_| place > self.new) else {
+                continue;
+            };
+            harms |= ends > limit && alone <= limit;
         }
-        // Jobs before the new one have the same end with and without it.
-        let alone = place_job(&mut without, job);
-        let Some(limit) = job.limit.filter(|_| place > new) else {
-            continue;
-        };
-        harms |= ends > limit && alone <= limit;
+        AdmissionForecast { end, harms }
     }
-    AdmissionForecast { end, harms }
 }
 
 fn place_job(forecast: &mut PoolForecast, job: &ForecastJob) -> Duration {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -131,6 +131,11 @@
         self.workers.retain(|_, worker| !worker.is_idle());
     }
 
+    /// Whether it has the worker.
+    pub fn has_worker(&self, life: &LifeId) -> bool {
+        self.workers.contains_key(life)
+    }
+
     /// The workers that it has.
     pub fn worker_lives(&self) -> Vec<LifeId> {
         self.workers.keys().cloned().collect()
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -9,7 +9,7 @@
 use super::{WorkerPool, LONGEST_RETRY, SHORTEST_RETRY};
 use crate::{
     action::PoolNote,
-    admission::{forecast_admission, AdmissionForecast, ForecastJob},
+    admission::{AdmissionTrial, ForecastJob},
     forecast::{PoolForecast, WaitingGroup, WorkerForecast},
     placement::{can_hold, is_sluggish, PlacementAsk},
     queue::{latest_start, QueueEntry},
@@ -32,7 +32,8 @@
         terms: &JobTerms,
     ) -> Option<JobOutcome> {
         let objective = self.objective(request, terms);
-        let forecast = self.forecast(now, request, terms, objective);
+        let trial = self.trial(now, request, terms, objective);
+        let forecast = trial.forecast();
         let predicted = terms.waited.saturating_add(forecast.end);
         let queued: usize = self
             .queue
@@ -62,7 +63,7 @@
         });
         let kind = kind?;
         let fits = match kind {
-            RefusalKind::TooLate => self.count_in_time(now, request, terms, objective),
+            RefusalKind::TooLate => self.count_in_time(trial, request, terms, objective),
             _ => 0,
         };
         Some(JobOutcome::Refused {
@@ -76,7 +77,7 @@
     /// places for all their tasks at once, while all pools together have them.
     fn count_in_time(
         &self,
-        now: Instant,
+        mut trial: AdmissionTrial,
         request: &JobRequest,
         terms: &JobTerms,
         objective: Duration,
@@ -85,16 +86,11 @@
             return 0;
         };
         let limit = objective.mul_f64(self.settings.refuse_beyond);
-        let in_time = |count: u32| {
-            let step = StepSpec {
-                count,
-                ..step.clone()
-            };
-            let part = JobRequest {
-                steps: vec![step],
-                ..request.clone()
-            };
-            let forecast = self.forecast(now, &part, terms, objective);
+        let mut in_time = |count: u32| {
+            for group in &mut trial.jobs[trial.new].groups {
+                group.count = count as usize;
+            }
+            let forecast = trial.forecast();
             terms.waited.saturating_add(forecast.end) <= limit && !forecast.harms
         };
         let (mut fits, mut too_many) = (0, step.count);
@@ -144,13 +140,14 @@
         })
     }
 
-    fn forecast(
+    /// The order in which places would be given with the new job among those that wait.
+    fn trial(
         &self,
         now: Instant,
         request: &JobRequest,
         terms: &JobTerms,
         objective: Duration,
-    ) -> AdmissionForecast {
+    ) -> AdmissionTrial {
         let chain = longest_chain(&request.steps, |spec| self.predict(terms, spec));
         let first = request.steps.iter().filter(|spec| spec.after.is_empty());
         let groups: Vec<WaitingGroup> = first
@@ -189,7 +186,11 @@
                 limit: None,
             },
         );
-        forecast_admission(self.pool_forecast(now, &terms.service), &jobs, place)
+        AdmissionTrial {
+            pool: self.pool_forecast(now, &terms.service),
+            jobs,
+            new: place,
+        }
     }
 
     fn waiting_group(&self, terms: &JobTerms, spec: &StepSpec, count: usize) -> WaitingGroup {
--- a/crates/pool/src/pool/looks.rs
+++ b/crates/pool/src/pool/looks.rs
@@ -419,8 +419,7 @@
     // last told must be what it goes by.
     let renew = !worker.runs.is_empty() && worker.foreign.is_empty() && worker.misses == 0;
     let clock = worker.clock_now(owner_millis).filter(|_| renew);
-    let lease = u64::try_from(settings.lease.as_millis()).unwrap_or(u64::MAX);
-    let lease_end = clock.map(|clock| WorkerClock(clock.0.saturating_add(lease)));
+    let lease_end = clock.map(|clock| clock.plus(settings.lease));
     worker.lease_end = worker.lease_end.max(lease_end.unwrap_or_default());
     LookOrder {
         life: worker.record.life.clone(),
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -175,7 +175,6 @@
     /// Frees what silent workers held once their leases surely are over.
     fn expire_silent(&mut self, now: Instant) {
         let owner_millis = self.millis(now);
-        let margin = u64::try_from(self.settings.lapse_margin.as_millis()).unwrap_or(u64::MAX);
         let mut lapsed = Vec::new();
         for (life, worker) in &self.workers {
             if worker.runs.is_empty() || !worker.is_silent() {
@@ -184,7 +183,7 @@
             let Some(clock) = worker.clock_now(owner_millis) else {
                 continue;
             };
-            if clock.0 >= worker.lease_end.0.saturating_add(margin) {
+            if clock >= worker.lease_end.plus(self.settings.lapse_margin) {
                 lapsed.push(life.clone());
             }
         }
@@ -203,8 +202,7 @@
     lease: std::time::Duration,
 ) -> Option<PoolAction> {
     let clock = worker.clock_now(owner_millis)?;
-    let lease = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
-    let lease_end = jobs::WorkerClock(clock.0.saturating_add(lease));
+    let lease_end = clock.plus(lease);
     let (life, address) = (worker.record.life.clone(), worker.record.address);
     let run = worker.run_mut(task, number)?;
     run.tries += 1;
