Split why and when a pool is claimed from the keeper of claims

The reasons to claim, the delay by rank and their limits stand in keeper/reason.rs now; nothing else changes.

--- a/crates/claims/src/keeper/yielding.rs
+++ b/crates/claims/src/keeper/yielding.rs
@@ -4,7 +4,7 @@
 
 use jobs::{LifeId, PoolId};
 
-use super::{ClaimKeeper, LEAST_CORES};
+use super::{reason::LEAST_CORES, ClaimKeeper};
 
 /// How many times as many pools a core a process owns before it hands one over. A handover costs some ten calls a
 /// worker.
