--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -5,8 +5,9 @@
 use awc::{http::StatusCode, Client};
 use kernel::SystemClock;
 use node::NodeProcess;
-use platform_stand_ins::{ExecutorPlan, ExecutorStandIn, StoreStandIn};
-use serde_json::{json, Value};
+pub(crate) use platform_stand_ins::job_body as job;
+use platform_stand_ins::{config_row, ExecutorPlan, ExecutorStandIn, RoutePlan, StoreStandIn};
+use serde_json::Value;
 use settings::NodeSettings;
 use telemetry::EventLog;
 
@@ -86,26 +87,13 @@
 }
 
 pub(crate) fn config(version: u64) -> Value {
-    json!({
-        "Version": version,
-        "Routes": [{
-            "Name": "r-1", "Host": HOST, "Prefix": "/hold/", "Kind": "non_idempotent",
-            "TimeoutMs": 1500, "GoalMs": 60, "Priority": 0, "Service": "svc", "Attempts": 3,
-            "Stretch": 1.6,
-        }],
-        "Services": [{
-            "Name": "svc", "HealthPath": "/healthz", "MaxConns": 64, "AdmissionCheck": false,
-        }],
-        "Limits": { "MaxBodyBytes": 4096 },
-    })
-}
-
-/// A job of one step that need not be kept.
-pub(crate) fn job(count: u32, estimate_ms: u64) -> Value {
-    json!({
-        "Spec": "text", "Ephemeral": true,
-        "Phases": [{ "Count": count, "Cpu": 6_000, "MemMb": 64, "EstMs": estimate_ms }],
-    })
+    let route = RoutePlan {
+        name: "r-1".to_owned(),
+        host: HOST.to_owned(),
+        prefix: "/hold/".to_owned(),
+        service: "svc".to_owned(),
+    };
+    config_row(version, &[route])
 }
 
 /// Sends a request and gives status and body; 0 when there was no complete answer.
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -27,5 +27,6 @@
     binary::find_binary,
     error::{BinaryError, StepError},
     parse::{parse_script, ScriptError},
+    process::{ChildPlan, ChildProcess, ChildSignal},
     runner::{run_script, RunReport, RunSettings, StepFailure},
 };
--- a/crates/scenario/src/process.rs
+++ b/crates/scenario/src/process.rs
@@ -37,37 +37,55 @@
     }
 }
 
-/// A signal that scenarios send.
+/// A signal that a process of the system is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ChildSignal {
+pub enum ChildSignal {
+    /// Asks it to end.
     Terminate,
+    /// Ends it at once.
     Kill,
+    /// Stops its clock, so to say: it does not run until it is thawed.
     Freeze,
+    /// Lets it run on.
     Thaw,
+    /// Tells it that its settings file has changed.
+    Reload,
 }
 
-/// A process of the system. Dropping it kills it.
-pub(crate) struct ChildProcess {
-    name: ProcessName,
+/// What a process is started with.
+#[derive(Clone, Copy, Debug)]
+pub struct ChildPlan<'a> {
+    /// The program.
+    pub binary: &'a Path,
+    /// The subcommand.
+    pub role: &'a str,
+    /// Its settings file.
+    pub settings: &'a Path,
+    /// Where its output is appended.
+    pub log: &'a Path,
+}
+
+/// A process of the system, under the name `N`. Dropping it kills it.
+pub struct ChildProcess<N> {
+    name: N,
     child: Child,
     cause: ExitCause,
     frozen: bool,
     status: Option<ExitStatus>,
 }
 
-impl ChildProcess {
-    /// Starts `cairnpaddle` in a role; its output goes to `log`.
-    pub(crate) fn start(
-        binary: &Path,
-        name: ProcessName,
-        settings: &Path,
-        log: &Path,
-    ) -> io::Result<Self> {
-        let log = File::options().create(true).append(true).open(log)?;
-        let child = Command::new(binary)
-            .arg(name.role.as_str())
+impl<N: fmt::Display> ChildProcess<N> {
+    /// Starts a process.
+    ///
+    /// # Errors
+    ///
+    /// The log cannot be opened, or the program cannot be run.
+    pub fn start(name: N, plan: ChildPlan<'_>) -> io::Result<Self> {
+        let log = File::options().create(true).append(true).open(plan.log)?;
+        let child = Command::new(plan.binary)
+            .arg(plan.role)
             .arg("--settings")
-            .arg(settings)
+            .arg(plan.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
@@ -81,11 +99,13 @@
         })
     }
 
-    pub(crate) fn name(&self) -> &ProcessName {
+    /// Its name.
+    pub fn name(&self) -> &N {
         &self.name
     }
 
-    pub(crate) fn pid(&self) -> u32 {
+    /// Its process id.
+    pub fn pid(&self) -> u32 {
         self.child.id()
     }
 
@@ -99,7 +119,7 @@
     }
 
     /// Whether it has ended.
-    pub(crate) fn has_ended(&mut self) -> bool {
+    pub fn has_ended(&mut self) -> bool {
         if self.status.is_none() {
             self.status = self.child.try_wait().ok().flatten();
         }
@@ -107,7 +127,11 @@
     }
 
     /// Sends a signal; one to a process that has ended does nothing.
-    pub(crate) fn signal(&mut self, signal: ChildSignal) -> io::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// The system does not take the signal.
+    pub fn signal(&mut self, signal: ChildSignal) -> io::Result<()> {
         if self.has_ended() {
             return Ok(());
         }
@@ -116,6 +140,7 @@
             ChildSignal::Kill => libc::SIGKILL,
             ChildSignal::Freeze => libc::SIGSTOP,
             ChildSignal::Thaw => libc::SIGCONT,
+            ChildSignal::Reload => libc::SIGHUP,
         };
         send_signal(self.child.id(), number)?;
         match signal {
@@ -123,6 +148,7 @@
             ChildSignal::Kill => self.cause = ExitCause::Killed,
             ChildSignal::Freeze => self.frozen = true,
             ChildSignal::Thaw => self.frozen = false,
+            ChildSignal::Reload => (),
         }
         Ok(())
     }
@@ -152,9 +178,9 @@
     }
 }
 
-impl Drop for ChildProcess {
+impl<N> Drop for ChildProcess<N> {
     fn drop(&mut self) {
-        if self.has_ended() {
+        if matches!(self.child.try_wait(), Ok(Some(_))) {
             return;
         }
         // Both fail only where the process has ended by itself meanwhile.
--- a/crates/scenario/src/runner/mod.rs
+++ b/crates/scenario/src/runner/mod.rs
@@ -15,7 +15,7 @@
     error::StepError,
     load::{CallerLoad, DoorState, EntryDoor},
     operator,
-    process::ChildSignal,
+    process::{ChildProcess, ChildSignal, ProcessName},
     promises::{check_promises, BrokenPromise, PromiseLimits},
     record::RunRecord,
     script::{AnswerStatus, ContractLine, Script, ScriptLine, Setup, Statement},
@@ -251,7 +251,7 @@
     }
 }
 
-fn signal_at_end(process: &mut crate::process::ChildProcess, signal: ChildSignal) {
+fn signal_at_end(process: &mut ChildProcess<ProcessName>, signal: ChildSignal) {
     if let Err(error) = process.signal(signal) {
         log::warn!("scenario: {signal:?} to {}: {error}", process.name());
     }
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -17,7 +17,7 @@
     error::StepError,
     places::{PlaceMap, PlaceName, PLATFORM},
     platform_view::{EndpointLinks, PlatformView},
-    process::{ChildProcess, ChildSignal, ProcessName},
+    process::{ChildPlan, ChildProcess, ChildSignal, ProcessName},
     process_files::{self, VmFile},
     record::ExitRecord,
     script::{
@@ -38,8 +38,8 @@
     /// The platform as seen from here, behind a link where a step names it.
     pub(crate) platform: SocketAddr,
     _view: Option<PlatformView>,
-    entry: Option<ChildProcess>,
-    dispatcher: Option<ChildProcess>,
+    entry: Option<ChildProcess<ProcessName>>,
+    dispatcher: Option<ChildProcess<ProcessName>>,
 }
 
 /// An endpoint with its stand-in.
@@ -76,7 +76,7 @@
 }
 
 impl VmNode {
-    pub(crate) fn process(&mut self, role: ProcessRole) -> &mut Option<ChildProcess> {
+    pub(crate) fn process(&mut self, role: ProcessRole) -> &mut Option<ChildProcess<ProcessName>> {
         match role {
             ProcessRole::Entry => &mut self.entry,
             ProcessRole::Dispatcher => &mut self.dispatcher,
@@ -312,7 +312,15 @@
             return Err(StepError::Running(name.to_string()));
         }
         let before = slot.take();
-        let process = ChildProcess::start(&binary, name.clone(), &settings, &log)?;
+        let process = ChildProcess::start(
+            name.clone(),
+            ChildPlan {
+                binary: &binary,
+                role: name.role.as_str(),
+                settings: &settings,
+                log: &log,
+            },
+        )?;
         let pid = process.pid();
         *slot = Some(process);
         self.sources.add(pid, &name.vm);
@@ -374,7 +382,7 @@
     }
 
     /// Every process that is there.
-    pub(crate) fn processes(&mut self) -> Vec<&mut ChildProcess> {
+    pub(crate) fn processes(&mut self) -> Vec<&mut ChildProcess<ProcessName>> {
         let mut list = Vec::new();
         for vm in &mut self.vms {
             list.extend(&mut vm.entry);
--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,292 @@
+//! The promises, checked on what customers and workers saw. Bounds of time hold only where nothing was wrong nearby.
+
+use std::{fmt, time::Duration};
+
+use jobs::{JobId, TaskId};
+use model::{text_set, FastMap, FastSet, WrongReason};
+
+use crate::record::{AttemptEnd, AttemptTrace, JobTrace, RunTrace, SoakRecord};
+
+/// The most runs that fit on a worker at the same time: two of the soak's tasks.
+const ROOM: usize = 2;
+
+/// How long after a fault its effects may last: what the platform allows before it counts a machine as in touch.
+const AFTERMATH: Duration = Duration::from_secs(3);
+
+/// How much later than its deadline an answer may come on a machine that is shared with all stand-ins.
+const ANSWER_SLACK: Duration = Duration::from_millis(700);
+
+/// How long after an end a customer may still hear of it late, or a worker write it down: one step of a stand-in.
+const CLOCK_SLACK: Duration = Duration::from_millis(20);
+
+/// How long after it was said to leave a worker may still get work, and some slack.
+const DRAIN_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// How soon a configuration is in force, and some slack.
+const CONFIG_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// From this time on after its request was sent, a connection that ends without an answer has been cut: before, the
+/// request may have met a connection that was just being closed.
+const CUT_AFTER: Duration = Duration::from_millis(250);
+
+/// How long a start may come after its customer's last answer: a lease of 0.8 s, and some slack. One that a worker
+/// carried out late is turned away by then.
+const START_AFTER_END: Duration = Duration::from_millis(1_300);
+
+/// How long after all faults are mended jobs must be served again.
+const RECOVERY: Duration = Duration::from_secs(6);
+
+text_set! {
+    /// What the system promises.
+    Promise, "promise", WrongReason {
+        /// A worker never has more runs than fit.
+        Room => "room",
+        /// A task never has two runs at the same time.
+        Twice => "twice",
+        /// "Completed" is said only after all tasks were done.
+        Completed => "completed",
+        /// Nothing of a job runs of which "not run" was said.
+        Refused => "refused",
+        /// Each answer comes in time.
+        InTime => "in_time",
+        /// A planned stop cuts no request.
+        Stop => "stop",
+        /// A worker that leaves gets no new work.
+        Drain => "drain",
+        /// A configuration is in force soon.
+        Config => "config",
+        /// A configuration never goes back.
+        ConfigBack => "config_back",
+        /// Nothing starts long after its customer was answered.
+        Orphan => "orphan",
+        /// Jobs are served again once all faults are mended.
+        Recovery => "recovery",
+    }
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// Which.
+    pub promise: Promise,
+    /// How it showed.
+    pub what: String,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.promise, self.what)
+    }
+}
+
+/// All promises that were broken.
+pub fn check_promises(record: &SoakRecord) -> Vec<Broken> {
+    let mut checker = PromiseChecker {
+        record,
+        broken: Vec::new(),
+    };
+    checker.check_room();
+    checker.check_twice();
+    checker.check_answers();
+    checker.check_orphans();
+    checker.check_stops();
+    checker.check_drains();
+    checker.check_config();
+    checker.check_recovery();
+    checker.broken
+}
+
+struct PromiseChecker<'a> {
+    record: &'a SoakRecord,
+    broken: Vec<Broken>,
+}
+
+impl PromiseChecker<'_> {
+    fn fail(&mut self, promise: Promise, what: String) {
+        self.broken.push(Broken { promise, what });
+    }
+
+    fn check_room(&mut self) {
+        for run in &self.record.runs {
+            let here = self.record.runs.iter().filter(|r| r.life == run.life);
+            let beside = here.filter(|r| r.began <= run.began && !has_ended(r, run.began));
+            let count = beside.count();
+            if count > ROOM {
+                let what = format!("{count} runs on life {} at {:?}", run.life, run.began);
+                self.fail(Promise::Room, what);
+            }
+        }
+    }
+
+    fn check_twice(&mut self) {
+        let mut by_task: FastMap<TaskId, Vec<&RunTrace>> = FastMap::default();
+        for run in &self.record.runs {
+            by_task.entry(run.task).or_default().push(run);
+        }
+        for (task, mut runs) in by_task {
+            runs.sort_by_key(|run| run.began);
+            for pair in runs.windows(2) {
+                if !has_ended(pair[0], pair[1].began + CLOCK_SLACK) {
+                    let what = format!(
+                        "{task} as {} and {} at {:?}",
+                        pair[0].run, pair[1].run, pair[1].began
+                    );
+                    self.fail(Promise::Twice, what);
+                }
+            }
+        }
+    }
+
+    fn check_answers(&mut self) {
+        let mut done: FastMap<JobId, FastSet<TaskId>> = FastMap::default();
+        let mut begun: FastSet<JobId> = FastSet::default();
+        for run in &self.record.runs {
+            begun.insert(run.task.job);
+            if run.done {
+                done.entry(run.task.job).or_default().insert(run.task);
+            }
+        }
+        for job in &self.record.jobs {
+            let tasks = done.get(&job.id).map_or(0, FastSet::len);
+            self.check_job(job, tasks, begun.contains(&job.id));
+        }
+    }
+
+    fn check_job(&mut self, job: &JobTrace, done: usize, begun: bool) {
+        let completed = job.ended_with(200);
+        if completed && done < job.tasks as usize {
+            let what = format!("{} with {done} of {} tasks done", job.id, job.tasks);
+            self.fail(Promise::Completed, what);
+        }
+        if begun && job.attempts.iter().all(|attempt| is_refusal(attempt.end)) {
+            self.fail(Promise::Refused, format!("{} ran", job.id));
+        }
+        for attempt in &job.attempts {
+            let took = attempt.ended - attempt.sent;
+            let late = took > job.deadline + ANSWER_SLACK;
+            let from = attempt.sent.saturating_sub(AFTERMATH);
+            if late && self.record.is_in_touch(attempt.node, from, attempt.ended) {
+                let what = format!("{} by node {} after {took:?}", job.id, attempt.node);
+                self.fail(Promise::InTime, what);
+            }
+        }
+    }
+
+    fn check_orphans(&mut self) {
+        let mut last: FastMap<JobId, Duration> = FastMap::default();
+        for job in &self.record.jobs {
+            let ended = job.attempts.iter().map(|attempt| attempt.ended).max();
+            last.insert(job.id, ended.unwrap_or(self.record.ended));
+        }
+        for run in &self.record.runs {
+            let ended = last.get(&run.task.job).copied();
+            if ended.is_none_or(|ended| run.began > ended + START_AFTER_END) {
+                let what = format!("{} began at {:?}, answered {ended:?}", run.task, run.began);
+                self.fail(Promise::Orphan, what);
+            }
+        }
+    }
+
+    fn check_stops(&mut self) {
+        let mut begun: FastMap<JobId, Vec<Duration>> = FastMap::default();
+        for run in &self.record.runs {
+            begun.entry(run.task.job).or_default().push(run.began);
+        }
+        for job in &self.record.jobs {
+            let starts = begun.get(&job.id).map_or(&[][..], Vec::as_slice);
+            for attempt in &job.attempts {
+                if self.is_cut_by_stop(attempt, starts) {
+                    let what = format!("{} cut at node {}", job.id, attempt.node);
+                    self.fail(Promise::Stop, what);
+                }
+            }
+        }
+    }
+
+    /// Whether a planned stop broke off an attempt that had been read: a run of its job began meanwhile, or it had
+    /// waited for long.
+    fn is_cut_by_stop(&self, attempt: &AttemptTrace, starts: &[Duration]) -> bool {
+        if attempt.end != AttemptEnd::Broken {
+            return false;
+        }
+        let stops = self.record.stops.iter();
+        let mut stops = stops.filter(|stop| {
+            stop.node == attempt.node && attempt.ended >= stop.told && attempt.sent <= stop.gone
+        });
+        let waited = attempt.ended - attempt.sent > CUT_AFTER;
+        let mut starts = starts.iter();
+        let began = starts.any(|began| (attempt.sent..=attempt.ended).contains(began));
+        let from = attempt.sent.saturating_sub(AFTERMATH);
+        stops.next().is_some() && (waited || began) && self.record.is_calm(from, attempt.ended)
+    }
+
+    fn check_drains(&mut self) {
+        for drain in &self.record.drains {
+            let limit = drain.said + DRAIN_LIMIT;
+            for run in &self.record.runs {
+                let late = run.life == drain.life && run.began > limit;
+                if late
+                    && self
+                        .record
+                        .is_calm(drain.said.saturating_sub(AFTERMATH), run.began)
+                {
+                    let what = format!("{} on life {} at {:?}", run.task, run.life, run.began);
+                    self.fail(Promise::Drain, what);
+                }
+            }
+        }
+    }
+
+    fn check_config(&mut self) {
+        let mut known: FastMap<(usize, usize), u64> = FastMap::default();
+        for probe in &self.record.probes {
+            let newest = known.entry((probe.node, probe.life)).or_default();
+            if probe.known {
+                *newest = probe.version.max(*newest);
+                continue;
+            }
+            if probe.version <= *newest {
+                let what = format!("node {} lost version {}", probe.node, probe.version);
+                self.fail(Promise::ConfigBack, what);
+                continue;
+            }
+            let late = probe.asked > probe.written + CONFIG_LIMIT;
+            let from = probe.written.saturating_sub(AFTERMATH);
+            if late && self.record.is_in_touch(probe.node, from, probe.asked) {
+                let what = format!("node {} without version {}", probe.node, probe.version);
+                self.fail(Promise::Config, what);
+            }
+        }
+    }
+
+    fn check_recovery(&mut self) {
+        let from = self.record.healed + RECOVERY;
+        let after = self.record.jobs.iter();
+        let after = after.filter(|job| job.attempts.first().is_some_and(|a| a.sent >= from));
+        let (mut all, mut served) = (0, 0);
+        for job in after {
+            all += 1;
+            served += usize::from(job.ended_with(200));
+        }
+        if all == 0 || served * 10 < all * 9 {
+            let what = format!("{served} of {all} jobs served");
+            self.fail(Promise::Recovery, what);
+        }
+    }
+}
+
+impl JobTrace {
+    fn ended_with(&self, status: u16) -> bool {
+        let last = self.attempts.last();
+        last.is_some_and(|attempt| attempt.end == AttemptEnd::Answered(status))
+    }
+}
+
+/// Statuses that say that nothing of the job has run or will.
+fn is_refusal(end: AttemptEnd) -> bool {
+    matches!(end, AttemptEnd::Answered(404 | 429 | 503))
+}
+
+fn has_ended(run: &RunTrace, at: Duration) -> bool {
+    run.ended.is_some_and(|ended| ended <= at)
+}
--- /dev/null
+++ b/crates/soak/src/customers.rs
@@ -0,0 +1,153 @@
+//! Customers: hand jobs in, again where they got no answer, and ask which routes are known.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use awc::Client;
+use fastrand::Rng;
+use jobs::JobId;
+use platform_adapter::DEADLINE_HEADER;
+use platform_stand_ins::job_body;
+
+use crate::{
+    fleet::{added_prefix, HOST, PREFIX},
+    record::{AttemptEnd, AttemptTrace, JobTrace, ProbeTrace, SoakRecord},
+};
+
+/// How long customers wait for an answer.
+const DEADLINE: Duration = Duration::from_millis(2_500);
+
+/// How much longer they wait than they say.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// When a job is handed in again that got no answer: above the leases of workers.
+const RETRY: Duration = Duration::from_millis(1_300);
+
+/// How often at most.
+const MOST_ATTEMPTS: usize = 3;
+
+/// The share of customers that leave early.
+const LEAVERS: f64 = 0.04;
+
+/// How long a probe waits.
+const PROBE_LIMIT: Duration = Duration::from_millis(800);
+
+/// The connections of customers to one node.
+const CLIENTS: usize = 8;
+
+/// What customers share.
+pub(crate) struct CustomerCrowd {
+    began: std::time::Instant,
+    nodes: Vec<SocketAddr>,
+    clients: Vec<Vec<Client>>,
+    pub(crate) record: Rc<RefCell<SoakRecord>>,
+}
+
+impl CustomerCrowd {
+    pub(crate) fn new(
+        began: std::time::Instant,
+        nodes: Vec<SocketAddr>,
+        record: Rc<RefCell<SoakRecord>>,
+    ) -> Self {
+        let clients = nodes
+            .iter()
+            .map(|_| (0..CLIENTS).map(|_| Client::default()).collect());
+        Self {
+            began,
+            clients: clients.collect(),
+            nodes,
+            record,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Hands one job in, up to its last answer.
+    pub(crate) async fn hand_in(&self, mut rng: Rng) {
+        let id = JobId(rng.u64(..));
+        let tasks = rng.u32(1..7);
+        let index = {
+            let mut record = self.record.borrow_mut();
+            record.jobs.push(JobTrace {
+                id,
+                tasks,
+                deadline: DEADLINE,
+                attempts: Vec::new(),
+            });
+            record.jobs.len() - 1
+        };
+        for _ in 0..MOST_ATTEMPTS {
+            let leaves = rng.f64() < LEAVERS;
+            let patience = if leaves {
+                Duration::from_millis(rng.u64(5..300))
+            } else {
+                DEADLINE + PATIENCE
+            };
+            let attempt = self.attempt(&mut rng, id, tasks, patience).await;
+            self.record.borrow_mut().jobs[index].attempts.push(attempt);
+            let unanswered = matches!(
+                attempt.end,
+                AttemptEnd::Broken | AttemptEnd::GaveUp | AttemptEnd::Answered(502 | 504)
+            );
+            if leaves || !unanswered {
+                return;
+            }
+            actix_rt::time::sleep(RETRY).await;
+        }
+    }
+
+    async fn attempt(
+        &self,
+        rng: &mut Rng,
+        id: JobId,
+        tasks: u32,
+        patience: Duration,
+    ) -> AttemptTrace {
+        let node = rng.usize(..self.nodes.len());
+        let client = &self.clients[node][rng.usize(..CLIENTS)];
+        let request = client
+            .post(format!("http://{}{PREFIX}{id}", self.nodes[node]))
+            .insert_header(("Host", HOST))
+            .insert_header((DEADLINE_HEADER, DEADLINE.as_millis().to_string()))
+            .timeout(DEADLINE + PATIENCE * 2);
+        let body = job_body(tasks, 100).to_string();
+        let sent = self.now();
+        let whole = async {
+            let mut answer = request.send_body(body).await.ok()?;
+            let status = answer.status().as_u16();
+            answer.body().await.ok()?;
+            Some(status)
+        };
+        let end = match actix_rt::time::timeout(patience, whole).await {
+            Ok(Some(status)) => AttemptEnd::Answered(status),
+            Ok(None) => AttemptEnd::Broken,
+            Err(_) => AttemptEnd::GaveUp,
+        };
+        AttemptTrace {
+            node,
+            sent,
+            ended: self.now(),
+            end,
+        }
+    }
+
+    /// Asks a node whether it knows the route that came with a version. None without an answer that says so.
+    pub(crate) async fn probe(&self, node: usize, version: u64) -> Option<bool> {
+        let prefix = added_prefix(version);
+        let request = self.clients[node][0]
+            .get(format!("http://{}{prefix}", self.nodes[node]))
+            .insert_header(("Host", HOST))
+            .timeout(PROBE_LIMIT);
+        match request.send().await.ok()?.status().as_u16() {
+            200 => Some(true),
+            404 => Some(false),
+            _ => None,
+        }
+    }
+
+    /// Writes a probe down.
+    pub(crate) fn note_probe(&self, trace: ProbeTrace) {
+        self.record.borrow_mut().probes.push(trace);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,460 @@
+//! The nodes, the workers and the store of a soak, and the links between them.
+
+use std::{
+    fs, io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use platform_stand_ins::{
+    config_row, ExecutorFault, ExecutorPlan, ExecutorStandIn, RoutePlan, StoreFault, StoreStandIn,
+    StoreView,
+};
+use scenario::{ChildPlan, ChildProcess, ChildSignal};
+use settings::NodeSettings;
+use stand_ins::forwarder::{LinkMode, LinkOrder, NetForwarder};
+
+use crate::{
+    plan::SoakPlan,
+    record::{RunTrace, StopTrace},
+    run::SoakError,
+};
+
+/// The host of all routes.
+pub(crate) const HOST: &str = "soak.example";
+
+/// The prefix of the route that all jobs use.
+pub(crate) const PREFIX: &str = "/hold/";
+
+/// The service of all workers.
+const SERVICE: &str = "svc";
+
+/// Nodes and workers are in these by turns.
+const DATA_CENTRES: [&str; 2] = ["east", "west"];
+
+/// How long a node may take to stop, as it is told by its settings.
+const STOP_GRACE: Duration = Duration::from_secs(6);
+
+/// How much longer than that a stop may take here before it counts as hanging.
+const STOP_SLACK: Duration = Duration::from_secs(1);
+
+/// The pause before a node that has stopped is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(100);
+
+/// Run times of workers, by turns, in milliseconds.
+const RUN_TIMES: [u64; 4] = [40, 70, 110, 160];
+
+/// Clocks of workers may be 2% slow.
+const CLOCK_RATES: [f64; 3] = [1.0, 0.98, 0.99];
+
+/// A node.
+pub(crate) struct SoakNode {
+    process: Option<ChildProcess<String>>,
+    /// How often it was started.
+    pub(crate) life: usize,
+    settings: PathBuf,
+    log: PathBuf,
+    pub(crate) customer_address: SocketAddr,
+    /// When it was told to stop.
+    told: Option<Duration>,
+    restart: Option<Duration>,
+    /// When the fault that keeps it down ends.
+    down_until: Duration,
+}
+
+/// A worker's place: one life after another lives there.
+struct WorkerPlace {
+    life: usize,
+    stand_in: Option<ExecutorStandIn>,
+}
+
+/// All of it.
+pub(crate) struct SoakFleet {
+    began: Instant,
+    binary: PathBuf,
+    forwarder: NetForwarder,
+    store: StoreStandIn,
+    /// The store as each node sees it.
+    views: Vec<StoreView>,
+    pub(crate) nodes: Vec<SoakNode>,
+    workers: Vec<WorkerPlace>,
+    lives: usize,
+    runs: Vec<RunTrace>,
+    routes: Vec<RoutePlan>,
+    pub(crate) stops: Vec<StopTrace>,
+    /// Processes that ended without being told to, and stops that hang.
+    pub(crate) died: Vec<String>,
+}
+
+impl SoakFleet {
+    /// Starts everything.
+    pub(crate) async fn start(
+        plan: &SoakPlan,
+        binary: PathBuf,
+        dir: &std::path::Path,
+    ) -> Result<Self, SoakError> {
+        let store = StoreStandIn::start().await;
+        let mut fleet = Self {
+            began: Instant::now(),
+            binary,
+            forwarder: NetForwarder::start()?,
+            store,
+            views: Vec::new(),
+            nodes: Vec::new(),
+            workers: Vec::new(),
+            lives: 0,
+            runs: Vec::new(),
+            routes: vec![route(PREFIX)],
+            stops: Vec::new(),
+            died: Vec::new(),
+        };
+        fleet.write_config();
+        for number in 0..plan.nodes {
+            let view = fleet.store.view().await;
+            let node = fleet.add_node(number, &view, dir)?;
+            fleet.nodes.push(node);
+            fleet.views.push(view);
+        }
+        for _ in 0..plan.workers {
+            fleet.workers.push(WorkerPlace {
+                life: 0,
+                stand_in: None,
+            });
+        }
+        for worker in 0..plan.workers {
+            fleet.start_worker(worker).await?;
+        }
+        for number in 0..plan.nodes {
+            fleet.start_node(number)?;
+        }
+        Ok(fleet)
+    }
+
+    /// The time since the start.
+    pub(crate) fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// When the soak began.
+    pub(crate) fn began(&self) -> Instant {
+        self.began
+    }
+
+    fn add_node(
+        &self,
+        number: usize,
+        view: &StoreView,
+        dir: &std::path::Path,
+    ) -> Result<SoakNode, SoakError> {
+        let ip = node_ip(number);
+        let customer_address = SocketAddr::new(ip, 8_161);
+        let store = self
+            .forwarder
+            .add_link(&store_link(number), view.address())?;
+        let settings = NodeSettings {
+            vm: node_name(number).parse().map_err(SoakError::setup)?,
+            data_centre: centre(number).parse().map_err(SoakError::setup)?,
+            customer_listen: customer_address,
+            ready_listen: SocketAddr::new(ip, 8_167),
+            peer_listen: SocketAddr::new(ip, 7_720),
+            store,
+            stop_grace_s: STOP_GRACE.as_secs_f64(),
+            ..NodeSettings::default()
+        };
+        let path = dir.join(format!("{}.json", node_name(number)));
+        fs::write(
+            &path,
+            serde_json::to_vec_pretty(&settings).map_err(SoakError::setup)?,
+        )?;
+        Ok(SoakNode {
+            process: None,
+            life: 0,
+            settings: path,
+            log: dir.join(format!("{}.log", node_name(number))),
+            customer_address,
+            told: None,
+            restart: None,
+            down_until: Duration::ZERO,
+        })
+    }
+
+    fn start_node(&mut self, number: usize) -> io::Result<()> {
+        let node = &mut self.nodes[number];
+        let plan = ChildPlan {
+            binary: &self.binary,
+            role: "node",
+            settings: &node.settings,
+            log: &node.log,
+        };
+        let process = ChildProcess::start(node_name(number), plan)?;
+        node.process = Some(process);
+        node.life += 1;
+        node.told = None;
+        node.restart = None;
+        Ok(())
+    }
+
+    /// Sees which processes have ended, and starts those that are due.
+    pub(crate) fn watch(&mut self) -> io::Result<()> {
+        let now = self.now();
+        for number in 0..self.nodes.len() {
+            let node = &mut self.nodes[number];
+            let ended = node.process.as_mut().is_some_and(ChildProcess::has_ended);
+            if ended {
+                node.process = None;
+                node.restart = Some((now + RESTART_PAUSE).max(node.down_until));
+                match node.told {
+                    Some(told) => self.stops.push(StopTrace {
+                        node: number,
+                        told,
+                        gone: now,
+                    }),
+                    None => self
+                        .died
+                        .push(format!("node {number} ended by itself at {now:?}")),
+                }
+            }
+            let hangs = node.told.is_some_and(|told| {
+                now > told + STOP_GRACE + STOP_SLACK && now > node.down_until + STOP_GRACE
+            });
+            if hangs && node.process.is_some() {
+                self.died
+                    .push(format!("node {number} did not stop by {now:?}"));
+                self.kill(number, Duration::ZERO);
+            }
+            if self.nodes[number].restart.is_some_and(|due| now >= due) {
+                self.start_node(number)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends a signal to a node's process, if it has one.
+    pub(crate) fn signal(&mut self, number: usize, signal: ChildSignal) -> io::Result<()> {
+        let now = self.now();
+        let node = &mut self.nodes[number];
+        let Some(process) = &mut node.process else {
+            return Ok(());
+        };
+        if signal == ChildSignal::Terminate && node.told.is_none() {
+            node.told = Some(now);
+        }
+        process.signal(signal)
+    }
+
+    /// Notes that a node stands still until then, so that its stop may take longer.
+    pub(crate) fn hold_down(&mut self, number: usize, length: Duration) {
+        let until = self.now() + length;
+        let node = &mut self.nodes[number];
+        node.down_until = node.down_until.max(until);
+    }
+
+    /// Kills a node; it starts again after a while.
+    pub(crate) fn kill(&mut self, number: usize, length: Duration) {
+        self.hold_down(number, length);
+        let node = &mut self.nodes[number];
+        // Dropping it kills it.
+        if node.process.take().is_some() {
+            node.told = None;
+            node.restart = Some(node.down_until);
+        }
+    }
+
+    /// Changes what lies between a node and the store.
+    pub(crate) async fn set_store_link(&self, node: usize, mode: LinkMode) {
+        self.set_link(store_link(node), mode).await;
+    }
+
+    /// Changes what lies between a worker and a node.
+    pub(crate) async fn set_worker_link(&self, worker: usize, node: usize, mode: LinkMode) {
+        let life = self.workers[worker].life;
+        self.set_link(worker_link(life, node), mode).await;
+    }
+
+    async fn set_link(&self, name: String, mode: LinkMode) {
+        let order = LinkOrder {
+            link: Some(name),
+            mode,
+        };
+        // The link of a worker's former life may be gone: there is nothing to change then.
+        let _gone = self.forwarder.order(order).await;
+    }
+
+    /// Changes what is wrong with the store.
+    pub(crate) fn set_store(&self, fault: StoreFault) {
+        self.store.set_fault(fault);
+    }
+
+    /// The store forgets its history.
+    pub(crate) fn forget_history(&self) {
+        self.store.forget_history();
+    }
+
+    /// Changes what is wrong with a worker.
+    pub(crate) fn set_worker(&self, worker: usize, fault: ExecutorFault) {
+        if let Some(stand_in) = &self.workers[worker].stand_in {
+            stand_in.set_fault(fault);
+        }
+    }
+
+    /// A worker's current life.
+    pub(crate) fn worker_life(&self, worker: usize) -> Option<usize> {
+        let place = &self.workers[worker];
+        place.stand_in.as_ref().map(|_| place.life)
+    }
+
+    /// A worker dies: what ran on it is over. Its entry is gone some time later.
+    pub(crate) fn crash(&mut self, worker: usize) {
+        let now = self.now();
+        let began = self.began;
+        let place = &mut self.workers[worker];
+        if let Some(stand_in) = place.stand_in.take() {
+            let runs = run_traces(&stand_in, worker, place.life, began);
+            self.runs.extend(runs.into_iter().map(|run| RunTrace {
+                ended: run.ended.or(Some(now)),
+                ..run
+            }));
+        }
+    }
+
+    /// Removes the entry of a worker that is gone.
+    pub(crate) fn unlist(&self, life: usize) {
+        self.store.remove("servers", &life_name(life));
+    }
+
+    /// A worker says that it will leave.
+    pub(crate) fn say_draining(&self, worker: usize) {
+        let place = &self.workers[worker];
+        let Some(stand_in) = &place.stand_in else {
+            return;
+        };
+        let entry = stand_in.entry(SERVICE, centre(worker), "draining");
+        self.store.put("servers", &life_name(place.life), &entry);
+    }
+
+    /// Starts another life of a worker.
+    pub(crate) async fn start_worker(&mut self, worker: usize) -> Result<(), SoakError> {
+        if self.workers[worker].stand_in.is_some() {
+            return Ok(());
+        }
+        self.lives += 1;
+        let life = self.lives;
+        let plan = ExecutorPlan {
+            life: life_name(life),
+            run_time: Duration::from_millis(RUN_TIMES[worker % RUN_TIMES.len()]),
+            clock: 400_000 + 10_000 * life as u64,
+            clock_rate: CLOCK_RATES[life % CLOCK_RATES.len()],
+        };
+        let stand_in = ExecutorStandIn::start(plan).await;
+        for (node, view) in self.views.iter().enumerate() {
+            let link = worker_link(life, node);
+            let address = self.forwarder.add_link(&link, stand_in.address())?;
+            view.set_address(&life_name(life), address);
+        }
+        let entry = stand_in.entry(SERVICE, centre(worker), "ready");
+        self.store.put("servers", &life_name(life), &entry);
+        self.workers[worker] = WorkerPlace {
+            life,
+            stand_in: Some(stand_in),
+        };
+        Ok(())
+    }
+
+    /// Adds a route to the configuration and gives the version.
+    pub(crate) fn add_route(&mut self) -> u64 {
+        let version = self.version() + 1;
+        self.routes.push(route(&added_prefix(version)));
+        self.write_config();
+        version
+    }
+
+    fn version(&self) -> u64 {
+        self.routes.len() as u64
+    }
+
+    fn write_config(&self) {
+        let row = config_row(self.version(), &self.routes);
+        self.store.put("op", "config", &row);
+    }
+
+    /// All runs so far.
+    pub(crate) fn take_runs(&mut self) -> Vec<RunTrace> {
+        let mut runs = std::mem::take(&mut self.runs);
+        for (worker, place) in self.workers.iter().enumerate() {
+            if let Some(stand_in) = &place.stand_in {
+                runs.extend(run_traces(stand_in, worker, place.life, self.began));
+            }
+        }
+        runs
+    }
+}
+
+/// The prefix of the route that came with a version.
+pub(crate) fn added_prefix(version: u64) -> String {
+    format!("/added-{version}/")
+}
+
+fn route(prefix: &str) -> RoutePlan {
+    RoutePlan {
+        name: format!("r{prefix}"),
+        host: HOST.to_owned(),
+        prefix: prefix.to_owned(),
+        service: SERVICE.to_owned(),
+    }
+}
+
+fn run_traces(
+    stand_in: &ExecutorStandIn,
+    worker: usize,
+    life: usize,
+    began: Instant,
+) -> Vec<RunTrace> {
+    let since = |at: Instant| at.saturating_duration_since(began);
+    let mut traces = Vec::new();
+    for run in stand_in.runs() {
+        // A name that is no task's would be a fault of its own; it shows as a run of a job that nobody sent.
+        let Ok(task) = run.task.parse() else {
+            continue;
+        };
+        traces.push(RunTrace {
+            task,
+            run: run.run,
+            worker,
+            life,
+            began: since(run.began),
+            ended: run.ended.map(|(at, _)| since(at)),
+            done: run.ended.is_some_and(|(_, how)| how == "done"),
+        });
+    }
+    traces
+}
+
+fn centre(number: usize) -> &'static str {
+    DATA_CENTRES[number % DATA_CENTRES.len()]
+}
+
+fn node_name(number: usize) -> String {
+    format!("node-{number}")
+}
+
+fn life_name(life: usize) -> String {
+    format!("i-{life}")
+}
+
+fn store_link(node: usize) -> String {
+    format!("store {}", node_name(node))
+}
+
+fn worker_link(life: usize, node: usize) -> String {
+    format!("{} {}", life_name(life), node_name(node))
+}
+
+/// A loopback address of the node's own, so that the ports of several soaks at once do not meet.
+fn node_ip(number: usize) -> IpAddr {
+    let run = std::process::id();
+    // The casts keep the lowest byte, which is meant.
+    let (high, low) = ((run >> 8) as u8, run as u8);
+    let host = u8::try_from(number + 1).unwrap_or(u8::MAX);
+    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, host))
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,228 @@
+//! Runs a plan and checks what came of it.
+
+use std::{
+    cell::RefCell,
+    fs,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::Duration,
+};
+
+use fastrand::Rng;
+use thiserror::Error;
+
+use crate::{
+    checks::{check_promises, Broken},
+    customers::CustomerCrowd,
+    faults::{carry_out, mend, Mend},
+    fleet::SoakFleet,
+    plan::{FaultKind, FaultStep, SoakPlan},
+    record::{AttemptEnd, ProbeTrace, SoakRecord},
+};
+
+/// How long everything gets to start before the load.
+const START: Duration = Duration::from_millis(2_500);
+
+/// How long the load goes on after the last fault is mended: the promise of recovery, and some jobs after it.
+const RECOVERY: Duration = Duration::from_secs(8);
+
+/// How long the last customers get.
+const LAST_ANSWERS: Duration = Duration::from_secs(4);
+
+/// The time between two looks at what is due.
+const STEP: Duration = Duration::from_millis(10);
+
+/// The time between two rounds of probes.
+const PROBE_BEAT: Duration = Duration::from_millis(250);
+
+/// The seed of the customers is that of the plan with these bits changed, so that they draw other numbers.
+const CUSTOMER_BITS: u64 = 0x5eed_5eed;
+
+/// Why a soak could not be run.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum SoakError {
+    /// A process, file or link could not be made.
+    #[error("the soak could not be set up: {0}")]
+    Setup(String),
+}
+
+impl SoakError {
+    pub(crate) fn setup(cause: impl std::fmt::Display) -> Self {
+        Self::Setup(cause.to_string())
+    }
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Default)]
+pub struct SoakReport {
+    /// Promises that were broken, and processes that ended by themselves or did not stop.
+    pub broken: Vec<String>,
+    /// Jobs handed in.
+    pub jobs: usize,
+    /// Those completed.
+    pub completed: usize,
+    /// Those refused.
+    pub refused: usize,
+    /// Runs of tasks.
+    pub runs: usize,
+    /// Faults.
+    pub faults: usize,
+}
+
+/// Runs one plan with `binary`. Settings, logs of the nodes and the list of faults go to `dir`.
+///
+/// # Errors
+///
+/// Something could not be set up; that the system fails is in the report.
+pub async fn run_soak(plan: &SoakPlan, binary: &Path, dir: &Path) -> Result<SoakReport, SoakError> {
+    fs::create_dir_all(dir)?;
+    let fleet = SoakFleet::start(plan, PathBuf::from(binary), dir).await?;
+    let addresses = fleet.nodes.iter().map(|node| node.customer_address);
+    let record = Rc::new(RefCell::new(SoakRecord::default()));
+    let crowd = CustomerCrowd::new(fleet.began(), addresses.collect(), record.clone());
+    let mut run = SoakRun {
+        plan,
+        fleet,
+        crowd: Rc::new(crowd),
+        record,
+        mends: Vec::new(),
+        versions: Vec::new(),
+        rng: Rng::with_seed(plan.seed ^ CUSTOMER_BITS),
+    };
+    run.go().await?;
+    run.report(dir)
+}
+
+struct SoakRun<'a> {
+    plan: &'a SoakPlan,
+    fleet: SoakFleet,
+    crowd: Rc<CustomerCrowd>,
+    record: Rc<RefCell<SoakRecord>>,
+    mends: Vec<(Duration, Mend)>,
+    /// Versions of the configuration and when they were written.
+    versions: Vec<(u64, Duration)>,
+    rng: Rng,
+}
+
+impl SoakRun<'_> {
+    async fn go(&mut self) -> Result<(), SoakError> {
+        actix_rt::time::sleep(START).await;
+        let begun = self.fleet.now();
+        let mut steps = self.plan.steps();
+        steps.reverse();
+        let (mut next_job, mut next_probe) = (begun, begun);
+        let mut healed = None;
+        loop {
+            actix_rt::time::sleep(STEP).await;
+            let now = self.fleet.now();
+            self.fleet.watch()?;
+            while steps.last().is_some_and(|step| begun + step.at <= now) {
+                let Some(FaultStep { kind, .. }) = steps.pop() else {
+                    break;
+                };
+                self.carry_out(kind).await?;
+            }
+            self.mend_due(now).await?;
+            while now >= next_job {
+                next_job += Duration::from_secs_f64(1.0 / self.plan.rate);
+                let (crowd, rng) = (self.crowd.clone(), self.rng.fork());
+                actix_rt::spawn(async move { crowd.hand_in(rng).await });
+            }
+            if now >= next_probe {
+                next_probe = now + PROBE_BEAT;
+                self.probe_all();
+            }
+            if healed.is_none() && steps.is_empty() && self.mends.is_empty() {
+                healed = Some(now);
+                self.record.borrow_mut().healed = self.last_fault_end(now);
+            }
+            let end = self.record.borrow().healed + RECOVERY;
+            if healed.is_some() && now >= end {
+                break;
+            }
+        }
+        actix_rt::time::sleep(LAST_ANSWERS).await;
+        Ok(())
+    }
+
+    /// A stop may still be under way when the last fault has been mended.
+    fn last_fault_end(&self, now: Duration) -> Duration {
+        let record = self.record.borrow();
+        let ends = record.disturbances.iter().map(|fault| fault.until);
+        ends.max().unwrap_or(now).max(now)
+    }
+
+    async fn carry_out(&mut self, kind: FaultKind) -> Result<(), SoakError> {
+        if kind == FaultKind::Configure {
+            let version = self.fleet.add_route();
+            self.versions.push((version, self.fleet.now()));
+        }
+        let now = self.fleet.now();
+        let trace = carry_out(&mut self.fleet, kind).await?;
+        let mends = trace.mends.into_iter();
+        self.mends
+            .extend(mends.map(|(after, mend)| (now + after, mend)));
+        let mut record = self.record.borrow_mut();
+        record.disturbances.extend(trace.disturbances);
+        record.drains.extend(trace.drains);
+        Ok(())
+    }
+
+    async fn mend_due(&mut self, now: Duration) -> Result<(), SoakError> {
+        let (due, later) = self.mends.drain(..).partition(|(at, _)| *at <= now);
+        self.mends = later;
+        let due: Vec<(Duration, Mend)> = due;
+        for (_, due) in due {
+            mend(&mut self.fleet, due).await?;
+        }
+        Ok(())
+    }
+
+    /// Asks each node for the newest routes.
+    fn probe_all(&self) {
+        let newest = self.versions.iter().rev().take(2);
+        for (version, written) in newest.copied() {
+            for (node, process) in self.fleet.nodes.iter().enumerate() {
+                let (crowd, life) = (self.crowd.clone(), process.life);
+                let asked = self.fleet.now();
+                actix_rt::spawn(async move {
+                    if let Some(known) = crowd.probe(node, version).await {
+                        crowd.note_probe(ProbeTrace {
+                            node,
+                            life,
+                            version,
+                            written,
+                            asked,
+                            known,
+                        });
+                    }
+                });
+            }
+        }
+    }
+
+    fn report(mut self, dir: &Path) -> Result<SoakReport, SoakError> {
+        let mut record = self.record.take();
+        record.runs = self.fleet.take_runs();
+        record.stops = std::mem::take(&mut self.fleet.stops);
+        record.ended = self.fleet.now();
+        let mut faults: Vec<String> = self.plan.steps().iter().map(|s| format!("{s:?}")).collect();
+        faults.extend(record.disturbances.iter().map(|fault| format!("{fault:?}")));
+        fs::write(dir.join("faults.txt"), faults.join("\n"))?;
+        let broken = check_promises(&record);
+        let broken = broken.iter().map(Broken::to_string);
+        let count = |status: &dyn Fn(u16) -> bool| {
+            let ends = record.jobs.iter().filter_map(|job| job.attempts.last());
+            let answered = ends.filter(|a| matches!(a.end, AttemptEnd::Answered(s) if status(s)));
+            answered.count()
+        };
+        Ok(SoakReport {
+            broken: broken.chain(self.fleet.died.iter().cloned()).collect(),
+            jobs: record.jobs.len(),
+            completed: count(&|status| status == 200),
+            refused: count(&|status| status == 429 || status == 503),
+            runs: record.runs.len(),
+            faults: self.plan.steps().len(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,235 @@
+//! Each promise is seen to be broken by a record that breaks it, and kept by one that does not.
+
+use std::time::Duration;
+
+use jobs::{JobId, TaskId};
+use soak::{
+    check_promises, AttemptEnd, AttemptTrace, Disturbance, DrainTrace, FaultScope, JobTrace,
+    ProbeTrace, Promise, RunTrace, SoakRecord, StopTrace,
+};
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn task(index: u32) -> TaskId {
+    TaskId {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+        index,
+    }
+}
+
+fn run(index: u32, life: usize, began: u64, ended: u64) -> RunTrace {
+    RunTrace {
+        task: task(index),
+        run: began,
+        worker: life,
+        life,
+        began: ms(began),
+        ended: Some(ms(ended)),
+        done: true,
+    }
+}
+
+fn attempt(sent: u64, ended: u64, end: AttemptEnd) -> AttemptTrace {
+    AttemptTrace {
+        node: 0,
+        sent: ms(sent),
+        ended: ms(ended),
+        end,
+    }
+}
+
+fn job(attempts: Vec<AttemptTrace>) -> JobTrace {
+    JobTrace {
+        id: JobId(1),
+        tasks: 1,
+        deadline: ms(2_500),
+        attempts,
+    }
+}
+
+/// A soak in which one job was served by two workers, and another one after all faults.
+fn kept() -> SoakRecord {
+    let mut later = job(vec![attempt(9_000, 9_100, AttemptEnd::Answered(200))]);
+    later.id = JobId(2);
+    let mut later_run = run(0, 2, 9_010, 9_090);
+    later_run.task.job = JobId(2);
+    SoakRecord {
+        jobs: vec![
+            job(vec![attempt(1_000, 1_200, AttemptEnd::Answered(200))]),
+            later,
+        ],
+        runs: vec![run(0, 1, 1_050, 1_150), later_run],
+        healed: ms(2_000),
+        ended: ms(20_000),
+        ..SoakRecord::default()
+    }
+}
+
+fn check(change: impl FnOnce(&mut SoakRecord), expected: &[Promise]) {
+    let mut record = kept();
+    change(&mut record);
+    let broken = check_promises(&record);
+    let promises: Vec<Promise> = broken.iter().map(|broken| broken.promise).collect();
+    assert_eq!(promises, expected, "{broken:?}");
+}
+
+fn wrong(scope: FaultScope, from: u64, until: u64) -> Disturbance {
+    Disturbance {
+        scope,
+        planned: false,
+        from: ms(from),
+        until: ms(until),
+    }
+}
+
+#[test]
+fn a_record_that_keeps_all_promises() {
+    check(|_| (), &[]);
+}
+
+#[test]
+fn three_runs_on_a_worker_for_two() {
+    check(
+        |record| {
+            record.jobs[0].tasks = 4;
+            for index in 1..4 {
+                record.runs.push(run(index, 7, 1_050, 1_150));
+            }
+        },
+        &[Promise::Room, Promise::Room, Promise::Room],
+    );
+}
+
+#[test]
+fn a_task_on_two_workers_at_once() {
+    check(
+        |record| record.runs.push(run(0, 3, 1_100, 1_180)),
+        &[Promise::Twice],
+    );
+    check(|record| record.runs.push(run(0, 3, 1_150, 1_180)), &[]);
+}
+
+#[test]
+fn completed_without_all_tasks() {
+    check(|record| record.jobs[0].tasks = 2, &[Promise::Completed]);
+}
+
+#[test]
+fn a_refused_job_that_ran() {
+    let refused = attempt(1_000, 1_200, AttemptEnd::Answered(503));
+    check(
+        |record| record.jobs[0].attempts = vec![refused],
+        &[Promise::Refused],
+    );
+    let unanswered = attempt(500, 900, AttemptEnd::Broken);
+    check(
+        |record| record.jobs[0].attempts = vec![unanswered, refused],
+        &[],
+    );
+}
+
+#[test]
+fn an_answer_after_its_deadline() {
+    let late = attempt(1_000, 4_500, AttemptEnd::Answered(200));
+    check(
+        |record| record.jobs[0].attempts = vec![late],
+        &[Promise::InTime],
+    );
+    check(
+        |record| {
+            record.jobs[0].attempts = vec![late];
+            record.disturbances = vec![wrong(FaultScope::Node(0), 1_500, 2_000)];
+        },
+        &[],
+    );
+}
+
+#[test]
+fn a_request_cut_by_a_planned_stop() {
+    let cut = |record: &mut SoakRecord| {
+        record.jobs[0].attempts = vec![attempt(1_000, 1_400, AttemptEnd::Broken)];
+        record.stops = vec![StopTrace {
+            node: 0,
+            told: ms(900),
+            gone: ms(1_400),
+        }];
+    };
+    check(cut, &[Promise::Stop]);
+    check(
+        |record| {
+            cut(record);
+            // Before anything of the job began, and soon: its connection may just have been closed.
+            record.jobs[0].attempts[0].ended = ms(1_040);
+            record.stops[0].gone = ms(1_040);
+        },
+        &[],
+    );
+    check(
+        |record| {
+            cut(record);
+            record.disturbances = vec![wrong(FaultScope::Worker(3), 1_100, 1_200)];
+        },
+        &[],
+    );
+}
+
+#[test]
+fn work_for_a_worker_that_leaves() {
+    let drain = |said| DrainTrace {
+        life: 2,
+        said: ms(said),
+    };
+    check(
+        |record| record.drains = vec![drain(6_000)],
+        &[Promise::Drain],
+    );
+    check(|record| record.drains = vec![drain(7_000)], &[]);
+}
+
+#[test]
+fn a_configuration_that_comes_late_or_goes_back() {
+    let probe = |asked, known| ProbeTrace {
+        node: 0,
+        life: 1,
+        version: 4,
+        written: ms(5_000),
+        asked: ms(asked),
+        known,
+    };
+    check(
+        |record| record.probes = vec![probe(7_000, false), probe(8_000, true)],
+        &[],
+    );
+    check(
+        |record| record.probes = vec![probe(8_000, false)],
+        &[Promise::Config],
+    );
+    check(
+        |record| record.probes = vec![probe(5_500, true), probe(5_800, false)],
+        &[Promise::ConfigBack],
+    );
+}
+
+#[test]
+fn a_start_long_after_the_answer() {
+    check(
+        |record| record.runs.push(run(0, 3, 2_600, 2_700)),
+        &[Promise::Orphan],
+    );
+}
+
+#[test]
+fn jobs_that_are_not_served_after_all_faults() {
+    check(
+        |record| {
+            let refused = attempt(9_000, 9_010, AttemptEnd::Answered(503));
+            record.jobs[1].attempts = vec![refused];
+            record.runs.pop();
+        },
+        &[Promise::Recovery],
+    );
+}
--- /dev/null
+++ b/crates/soak/tests/soak.rs
@@ -0,0 +1,29 @@
+//! Short soaks of the real program. `cargo run -p xtask -- soak` runs longer ones.
+
+use std::time::Duration;
+
+use scenario::find_binary;
+use soak::{run_soak, SoakPlan};
+
+/// Every fault may come in these seconds, on any node or worker, more than once and over another one. Customers see
+/// answers that are true and in time, workers never too many runs or one task twice, and afterwards all is served.
+#[actix_rt::test]
+async fn a_short_soak_keeps_all_promises() {
+    check(1).await;
+}
+
+async fn check(seed: u64) {
+    let plan = SoakPlan {
+        seed,
+        time: Duration::from_secs(8),
+        nodes: 3,
+        workers: 8,
+        rate: 15.0,
+    };
+    let binary = find_binary().expect("the program");
+    let dir = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+    let report = run_soak(&plan, &binary, &dir).await.expect("a soak");
+    assert!(report.broken.is_empty(), "{report:#?}\nlogs: {dir:?}");
+    assert!(report.completed > report.jobs / 2, "{report:#?}");
+    std::fs::remove_dir_all(&dir).expect("the logs are removed");
+}
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -377,7 +377,7 @@
 }
 
 /// Programs are measured as release builds, next to this one's directory.
-fn program_path(program: &str) -> Result<PathBuf> {
+pub(crate) fn program_path(program: &str) -> Result<PathBuf> {
     let own = env::current_exe()?;
     let target = own.parent().and_then(Path::parent);
     let path = target
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,11 +5,12 @@
 mod http;
 mod ports;
 mod slopes;
+mod soak;
 mod usage;
 
 use bpaf::Bpaf;
 
-use crate::{experiment::ExperimentOptions, slopes::SlopesOptions};
+use crate::{experiment::ExperimentOptions, slopes::SlopesOptions, soak::SoakOptions};
 
 /// Chores of the repository.
 #[derive(Debug, Clone, Bpaf)]
@@ -24,6 +25,9 @@
     /// Measures what processor time, memory and bytes grow with, on real processes on loopback
     #[bpaf(command)]
     Slopes(#[bpaf(external(slopes::slopes_options))] SlopesOptions),
+    /// Runs real nodes under random faults and checks what customers and workers see
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak::soak_options))] SoakOptions),
 }
 
 fn main() -> eyre::Result<()> {
@@ -33,6 +37,7 @@
             actix_rt::System::new().block_on(experiment::run(options))
         }
         TaskCommand::Slopes(options) => actix_rt::System::new().block_on(slopes::run(options)),
+        TaskCommand::Soak(options) => actix_rt::System::new().block_on(soak::run(options)),
     }
 }
 
--- /dev/null
+++ b/xtask/src/soak.rs
@@ -0,0 +1,95 @@
+//! Runs soaks, one seed after another.
+
+use std::{
+    path::PathBuf,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use bpaf::Bpaf;
+use eyre::{bail, Result};
+use soak::{run_soak, SoakPlan};
+
+use crate::fleet::{build_programs, program_path};
+
+/// What to run.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct SoakOptions {
+    /// The first seed; left out, one by the time of day
+    #[bpaf(argument("SEED"))]
+    seed: Option<u64>,
+    /// How many seeds, one after another
+    #[bpaf(argument("COUNT"), fallback(1), display_fallback)]
+    seeds: u64,
+    /// Go on with fresh seeds for so many minutes instead
+    #[bpaf(argument("MINUTES"))]
+    minutes: Option<u64>,
+    /// How long faults go on for each seed, in seconds
+    #[bpaf(argument("SECONDS"), fallback(20), display_fallback)]
+    time: u64,
+    /// Nodes
+    #[bpaf(argument("COUNT"), fallback(4), display_fallback)]
+    nodes: usize,
+    /// Workers
+    #[bpaf(argument("COUNT"), fallback(12), display_fallback)]
+    workers: usize,
+    /// Jobs a second
+    #[bpaf(argument("RATE"), fallback(40.0), display_fallback)]
+    rate: f64,
+    /// Where settings and logs of each seed go
+    #[bpaf(
+        argument("DIR"),
+        fallback(PathBuf::from("target/soak")),
+        debug_fallback
+    )]
+    out: PathBuf,
+}
+
+/// Runs the seeds, prints a line for each, and fails if a promise was broken.
+pub(crate) async fn run(options: SoakOptions) -> Result<()> {
+    build_programs()?;
+    let binary = program_path("cairnpaddle")?;
+    let until = options
+        .minutes
+        .map(|minutes| Instant::now() + Duration::from_secs(60 * minutes));
+    let first = match options.seed {
+        Some(seed) => seed,
+        None => SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs(),
+    };
+    let mut failed = Vec::new();
+    for seed in first.. {
+        let over = match until {
+            Some(until) => Instant::now() >= until,
+            None => seed >= first + options.seeds,
+        };
+        if over {
+            break;
+        }
+        let plan = SoakPlan {
+            seed,
+            time: Duration::from_secs(options.time),
+            nodes: options.nodes,
+            workers: options.workers,
+            rate: options.rate,
+        };
+        let report = run_soak(&plan, &binary, &options.out.join(seed.to_string())).await?;
+        println!(
+            "seed {seed}: {} faults, {} jobs, {} completed, {} refused, {} runs, {} broken",
+            report.faults,
+            report.jobs,
+            report.completed,
+            report.refused,
+            report.runs,
+            report.broken.len()
+        );
+        for broken in &report.broken {
+            println!("  {broken}");
+        }
+        if !report.broken.is_empty() {
+            failed.push(seed);
+        }
+    }
+    if !failed.is_empty() {
+        bail!("promises were broken under seeds {failed:?}");
+    }
+    Ok(())
+}
