Refuse what comes in the last moments of a stop

Cause: a stopping node waits until no request is open and the balancer has turned away, then stays 60 ms for answers that are under way. A request that came in these 60 ms on a connection that was still open was taken, started in a pool of another node, and cut by the end of the process. Traced by the logs of the nodes: job_admission 3 ms before process_stopped, job_abandoned at the end of the process.

Ruled out: the grace period (2.4 of 6 s were used); the workers (no fault was near); connections that are closed while idle (runs had begun).

Change: from the moment in which the node decides to end, requests are answered with 503 and a time to come back, and nothing of them starts.

Test: a_job_that_comes_in_the_last_moment_is_not_cut, which fails without the change (a job ran and got no answer) and passes with it.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -89,6 +89,10 @@
         note_refused(state, "process_paused");
         return not_ready();
     }
+    if state.refusing.get() {
+        note_refused(state, "process_stopped");
+        return not_ready();
+    }
     let Some(table) = state.table.borrow().clone() else {
         note_refused(state, "no_configuration");
         return not_ready();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -13,7 +13,8 @@
 const SUSPENSIONS: &str = "node_suspensions_total";
 
 /// Refusals for which no job was read.
-pub(crate) const UNREAD_REFUSALS: [&str; 2] = ["process_paused", "no_configuration"];
+pub(crate) const UNREAD_REFUSALS: [&str; 3] =
+    ["process_paused", "process_stopped", "no_configuration"];
 
 /// Answers to a start, beside failures of its call.
 const START_ANSWERS: [&str; 4] = ["outrun", "late", "no_room", "not_allowed"];
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -121,6 +121,8 @@
             }
             actix_rt::time::sleep(TICK).await;
         }
+        // A request that comes now would be cut by the end of the process: it is told that nothing of it ran.
+        state.refusing.set(true);
         let cut = state.open_requests.get();
         state.cut.notify_waiters();
         actix_rt::time::sleep(LAST_ANSWERS).await;
@@ -201,6 +203,7 @@
         log: RefCell::new(log),
         metrics: new_metrics()?,
         leaving: Cell::new(false),
+        refusing: Cell::new(false),
         yielding: RefCell::default(),
         open_requests: Cell::new(0),
         stop_limit: Cell::new(None),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -47,6 +47,8 @@
     /// A pool that is being handed over to a process that suits it better, and since when.
     pub(crate) yielding: RefCell<Option<(PoolId, Instant)>>,
     pub(crate) open_requests: Cell<usize>,
+    /// Whether no request is taken any more, since the process is about to end.
+    pub(crate) refusing: Cell<bool>,
     /// When the process ends, once it is stopping.
     pub(crate) stop_limit: Cell<Option<Instant>>,
     /// Woken when customers' idle connections are to be closed.
--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -106,3 +106,41 @@
         .collect();
     assert_eq!(runs.len(), 2, "nothing was stopped and run again: {runs:?}");
 }
+
+/// Customers go on sending jobs to a node until its process is gone, also in the moment after its last open request was
+/// answered. Each of them gets a whole answer, or its connection is refused before anything of its job runs: a job that
+/// is taken then would be cut by the end of the process.
+#[actix_rt::test]
+async fn a_job_that_comes_in_the_last_moment_is_not_cut() {
+    let platform = Platform::start(2, Duration::from_millis(45)).await;
+    let owner = platform.start_node(platform.node_settings("vm-0")).await;
+    assert!(owner.log_lines().contains("pool_taken"));
+    for round in 0..3_u64 {
+        let node = platform.start_node(platform.node_settings("vm-1")).await;
+        let address = node.customer_address();
+        let sending = actix_rt::spawn(async move {
+            let mut calls = Vec::new();
+            for number in 0..50_u64 {
+                let id = format!("{:016x}", 0xe000 + round * 100 + number);
+                let call = {
+                    let id = id.clone();
+                    actix_rt::spawn(async move {
+                        let path = format!("/hold/{id}");
+                        send(&Client::default(), address, "POST", &path, &job(1, 45)).await
+                    })
+                };
+                calls.push((id, call));
+                actix_rt::time::sleep(Duration::from_millis(72)).await;
+            }
+            calls
+        });
+        node.stop().await;
+        drop(node);
+        for (id, call) in sending.await.unwrap() {
+            let (status, _) = call.await.unwrap();
+            let runs = platform.executors.iter().flat_map(|e| e.runs());
+            let ran = runs.filter(|run| run.task.starts_with(&id)).count();
+            assert!(status != 0 || ran == 0, "job {id} ran and got no answer");
+        }
+    }
+}
