--- a/crates/claims/src/keeper/yielding.rs
+++ b/crates/claims/src/keeper/yielding.rs
@@ -21,6 +21,17 @@
         held
     }
 
+    /// Whether a former owner still has the pool, as far as it is heard: it finishes what runs there.
+    pub fn is_shared(&self, now: Instant, pool: &PoolId) -> bool {
+        let version = self.pools.get(pool).and_then(|watch| watch.claim.as_ref());
+        let Some(version) = version.map(|claim| claim.version) else {
+            return false;
+        };
+        let fresh = self.heard.values().filter(|peer| self.is_fresh(now, peer));
+        let mut news = fresh.flat_map(|peer| &peer.beat.pools);
+        news.any(|news| news.pool == *pool && news.fence.0 < version)
+    }
+
     /// A pool of this process that another process suits better: one of the pool's data centre if this one is
     /// elsewhere, or one that would own far fewer pools a core. After planned stops all pools would otherwise stay
     /// where they went, also in other data centres, which lose them when they are cut off.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod demand;
 mod ids;
+mod kept;
 mod request;
 mod route;
 mod worker;
@@ -13,6 +14,7 @@
     ids::{
         FenceToken, JobId, LifeId, PoolId, RunNumber, ServiceId, TaskId, WrongJobId, WrongPoolId,
     },
+    kept::{KeptRow, KeptState, StepRecord},
     request::{
         longest_chain, JobOutcome, JobRequest, JobTerms, RefusalKind, StepSpec, TaskText,
         UnsupportedNeed,
--- a/crates/jobs/src/request.rs
+++ b/crates/jobs/src/request.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use model::{text_set, WrongReason};
+use serde::{Deserialize, Serialize};
 
 use crate::{JobId, ResourceDemand, ServiceId};
 
@@ -10,7 +11,7 @@
 pub type TaskText = Arc<str>;
 
 /// One step of a job: tasks of the same shape that may run at the same time.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepSpec {
     /// The number of tasks.
     pub count: u32,
@@ -33,8 +34,6 @@
 text_set! {
     /// A need that this build does not serve yet. Such a job is refused before anything of it starts.
     UnsupportedNeed, "need", WrongReason {
-        /// The job has to be kept in the store and outlive the processes that run it.
-        KeptJob => "kept_job",
         /// Tasks that run until the job is cancelled.
         LastingJob => "lasting_job",
         /// Occurrences at given times.
@@ -57,6 +56,8 @@
     pub text: TaskText,
     /// The steps.
     pub steps: Vec<StepSpec>,
+    /// Whether it is stored when it is accepted, outlives the processes that run it and is answered before its end.
+    pub kept: bool,
     /// The first need that cannot be served.
     pub unsupported: Option<UnsupportedNeed>,
 }
@@ -136,6 +137,8 @@
     Completed,
     /// A task failed as often as the route allows.
     Failed,
+    /// It is stored and will be run.
+    Accepted,
     /// Nothing of it ran or ever will.
     Refused {
         /// Why.
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -29,6 +29,11 @@
         self.last_failure = Some(now);
     }
 
+    /// Whether entries may be missing whose worker lives.
+    pub(crate) fn is_doubtful(&self, now: Instant) -> bool {
+        self.last_failure.is_some_and(|at| now < at + RETURN_TIME)
+    }
+
     pub(crate) fn put(&mut self, record: WorkerRecord) {
         self.doubtful.remove(&record.life);
         self.workers.insert(record.life.clone(), record);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -79,6 +79,9 @@
     let [step] = request.steps.as_slice() else {
         return None;
     };
+    if request.kept {
+        return None;
+    }
     let fits: Vec<u32> = offers.iter().map(|offer| offer.fits).collect();
     let steps = divide_step(step, &fits)?;
     let mut parts = Vec::new();
@@ -97,7 +100,8 @@
         .collect();
     while let Some(outcome) = running.next().await {
         match outcome {
-            Some(JobOutcome::Completed) => (),
+            // Kept jobs are not divided.
+            Some(JobOutcome::Completed | JobOutcome::Accepted) => (),
             Some(JobOutcome::Failed) => return JobOutcome::Failed,
             // Others of its parts may have begun, so it cannot be said that nothing ran.
             None | Some(JobOutcome::Refused { .. } | JobOutcome::GivenUp) => {
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -11,7 +11,7 @@
 };
 use telemetry::{EventKind, EventLine};
 
-use crate::{groups, owner, state::NodeState};
+use crate::{groups, keeping, owner, state::NodeState};
 
 /// How long a feed of what has to be in force within 2 s waits for a change. A connection that has gone silent is
 /// found after this time and the client's limit.
@@ -30,6 +30,9 @@
 /// The same until the first members are known, which heartbeats need.
 const FIRST_MEMBERS_GAP: Duration = Duration::from_millis(100);
 
+/// The shortest time between two readings of cancelled jobs, which have to be stopped within 3 s.
+const JOBS_GAP: Duration = Duration::from_millis(100);
+
 /// The shortest time between two readings of any other table.
 const FEED_GAP: Duration = Duration::from_millis(15);
 
@@ -83,6 +86,10 @@
         StoreTable::Members if age < MEMBERS_GAP * 3 => FIRST_MEMBERS_GAP,
         StoreTable::Members => MEMBERS_GAP,
         StoreTable::Operator | StoreTable::Claims => FEED_GAP,
+        StoreTable::Jobs
+        | StoreTable::EndedJobs
+        | StoreTable::CancelledJobs
+        | StoreTable::PendingJobs => JOBS_GAP,
     }
 }
 
@@ -107,6 +114,9 @@
         StoreTable::Workers => take_workers(state, page, whole),
         StoreTable::Members => take_members(state, page),
         StoreTable::Claims => take_claims(state, page),
+        StoreTable::CancelledJobs => take_cancelled(state, page),
+        // Read by row or by part, not followed.
+        StoreTable::Jobs | StoreTable::EndedJobs | StoreTable::PendingJobs => (),
     }
 }
 
@@ -139,7 +149,7 @@
     *state.table.borrow_mut() = Some(Rc::new(table));
 }
 
-fn note_unreadable(state: &NodeState, row: &StoredRow, error: &serde_json::Error) {
+pub(crate) fn note_unreadable(state: &NodeState, row: &StoredRow, error: &serde_json::Error) {
     let line = EventLine::new("row_unreadable")
         .text("key", &row.key)
         .number("version", row.version.0)
@@ -207,6 +217,14 @@
     }
 }
 
+fn take_cancelled(state: &Rc<NodeState>, page: FeedPage) {
+    for change in page.changes {
+        if let RowChange::Put(row) = change {
+            keeping::take_cancelled(state, &row);
+        }
+    }
+}
+
 fn take_claims(state: &Rc<NodeState>, page: FeedPage) {
     for change in page.changes {
         let RowChange::Put(row) = change else {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -16,7 +16,8 @@
 };
 use jobs::{longest_chain, BodyLimits, JobId, JobOutcome, RefusalKind, RouteRule, UnsupportedNeed};
 use platform_adapter::{
-    decode_job, encode_outcome, encode_pending, EncodedAnswer, DEADLINE_HEADER,
+    decode_job, encode_outcome, encode_pending, encode_state, EncodedAnswer, StoreError,
+    DEADLINE_HEADER,
 };
 use telemetry::{EventKind, EventLine};
 use tokio::net::TcpListener;
@@ -24,6 +25,7 @@
 use crate::{
     connections,
     entry::{note_answered, run_job, EntryJob},
+    keeping,
     state::NodeState,
     NodeError,
 };
@@ -108,14 +110,19 @@
     let rule = Rc::new(found.rule.clone());
     let method = request.method().clone();
     if found.rest.is_empty() && method == Method::GET {
-        // Jobs that are not kept are answered when they end, so none is ever accepted and not begun.
-        return plain(StatusCode::OK, encode_pending(0));
+        return match keeping::pending(state, &rule.name).await {
+            Ok(count) => plain(StatusCode::OK, encode_pending(count)),
+            Err(error) => store_away(state, "pending", &error),
+        };
     }
     let Ok(id) = found.rest.parse::<JobId>() else {
         return plain(StatusCode::BAD_REQUEST, "{}");
     };
-    if method == Method::GET || method == Method::DELETE {
-        return plain(StatusCode::GONE, "{}");
+    if method == Method::GET {
+        return tell_state(state, id).await;
+    }
+    if method == Method::DELETE {
+        return cancel(state, id).await;
     }
     if method != Method::POST {
         return plain(StatusCode::METHOD_NOT_ALLOWED, "{}");
@@ -128,6 +135,41 @@
     submit(state, id, rule, &body, arrived, deadline).await
 }
 
+/// Tells how far a kept job is, as the store has it. Jobs that are not kept are known to nobody.
+async fn tell_state(state: &NodeState, id: JobId) -> Response<BoxBody> {
+    match keeping::find_row(state, id).await {
+        Ok(Some(found)) => plain(StatusCode::OK, encode_state(found.row.state)),
+        Ok(None) => plain(StatusCode::GONE, "{}"),
+        Err(error) => store_away(state, "job_state", &error),
+    }
+}
+
+async fn cancel(state: &NodeState, id: JobId) -> Response<BoxBody> {
+    let cancelled = keeping::cancel(state, id).await;
+    let line = EventLine::new("job_cancelled").text("job", id);
+    match cancelled {
+        Ok(found) => {
+            state.log(EventKind::Kept, line.text("found", found));
+            let status = if found {
+                StatusCode::OK
+            } else {
+                StatusCode::GONE
+            };
+            plain(status, "{}")
+        }
+        Err(error) => store_away(state, "cancel", &error),
+    }
+}
+
+/// Nothing can be said without the store: the customer asks again.
+fn store_away(state: &NodeState, what: &'static str, error: &StoreError) -> Response<BoxBody> {
+    let line = EventLine::new("store_not_reached")
+        .text("for", what)
+        .text("error", error);
+    state.log(EventKind::Kept, line);
+    not_ready()
+}
+
 async fn submit(
     state: &Rc<NodeState>,
     id: JobId,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod feeds;
 mod front;
 mod groups;
+mod keeping;
 mod metrics;
 mod notes;
 mod owner;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -37,7 +37,7 @@
             ANSWERS,
             "Jobs answered to customers, by outcome",
             "outcome",
-            vec!["completed", "failed", "refused", "given_up"],
+            vec!["completed", "accepted", "failed", "refused", "given_up"],
         ),
         family(
             REFUSALS,
@@ -111,6 +111,7 @@
 pub(crate) fn count_answer(metrics: &NodeMetrics, outcome: JobOutcome, took: std::time::Duration) {
     let name = match outcome {
         JobOutcome::Completed => "completed",
+        JobOutcome::Accepted => "accepted",
         JobOutcome::Failed => "failed",
         JobOutcome::GivenUp => "given_up",
         JobOutcome::Refused { kind, .. } => {
--- a/crates/node/src/notes.rs
+++ b/crates/node/src/notes.rs
@@ -14,6 +14,7 @@
 pub(crate) fn outcome_line(line: EventLine, outcome: JobOutcome) -> (EventKind, EventLine) {
     match outcome {
         JobOutcome::Completed => (EventKind::Plain, line.text("outcome", "completed")),
+        JobOutcome::Accepted => (EventKind::Plain, line.text("outcome", "accepted")),
         JobOutcome::Failed => (EventKind::Kept, line.text("outcome", "failed")),
         JobOutcome::GivenUp => (EventKind::Kept, line.text("outcome", "given_up")),
         JobOutcome::Refused {
@@ -61,6 +62,19 @@
             let line = line.number("harms", u8::from(*harms));
             (kind, line.number("crowds", u8::from(*crowds)))
         }
+        PoolNote::KeptStored { job, version } => {
+            let line = EventLine::new("job_stored").text("job", job);
+            (EventKind::Plain, line.number("version", *version))
+        }
+        PoolNote::KeptFound { job, version } => {
+            let line = EventLine::new("job_found").text("job", job);
+            (EventKind::Kept, line.number("version", *version))
+        }
+        PoolNote::KeptEnded { job, state } => {
+            let line = EventLine::new("kept_job_ended").text("job", job);
+            (EventKind::Plain, line.text("state", state.as_str()))
+        }
+        PoolNote::KeptSuspended => (EventKind::Kept, EventLine::new("kept_jobs_suspended")),
         PoolNote::Placed {
             task,
             run,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -2,6 +2,7 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -16,7 +17,7 @@
 use telemetry::{EventKind, EventLine};
 use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 
-use crate::{notes, state::NodeState};
+use crate::{keeping, notes, state::NodeState};
 
 /// How many workers are tried before a claim. One that answers suffices; three that do not are a cut.
 const PROBED_WORKERS: usize = 3;
@@ -61,6 +62,7 @@
                 }
             }
             PoolAction::LetGo => let_go = true,
+            PoolAction::Keep(order) => keeping::keep(state, id, fence, order),
             action => send(state, id, fence, action),
         }
     }
@@ -95,13 +97,13 @@
                     pool.on_look_answer(now, sent, &order, answer);
                 });
             }
-            PoolAction::Answer { .. } | PoolAction::LetGo => (),
+            PoolAction::Answer { .. } | PoolAction::LetGo | PoolAction::Keep(_) => (),
         }
     });
 }
 
 /// As [`with_pool`], but only while the pool is held under the fence under which the call was sent.
-fn with_fenced(
+pub(crate) fn with_fenced(
     state: &Rc<NodeState>,
     id: &PoolId,
     fence: FenceToken,
@@ -160,6 +162,7 @@
 
 fn take_up(state: &Rc<NodeState>, id: &PoolId, version: RowVersion, store_clock: Duration) {
     let start = PoolStart {
+        home: Arc::from(id.to_string()),
         fence: FenceToken(version.0),
         platform_millis: u64::try_from(store_clock.as_millis()).unwrap_or(u64::MAX),
         far_factor: state.settings.far_factor,
@@ -171,6 +174,7 @@
         awaited: FastMap::default(),
     };
     state.pools.borrow_mut().insert(id.clone(), owned);
+    tell_awaiting(state, id);
     let workers = state.directory.borrow().of_pool(id);
     let line = EventLine::new("pool_taken")
         .text("pool", id)
@@ -201,8 +205,18 @@
     with_pool(state, id, |pool, now| pool.put_worker(now, worker));
 }
 
+/// Tells a pool whether a former owner still finishes jobs of it.
+fn tell_awaiting(state: &Rc<NodeState>, id: &PoolId) {
+    let shared = state.keeper.borrow().is_shared(state.now(), id);
+    let listed = !state.directory.borrow().is_doubtful(state.now());
+    with_pool(state, id, |pool, now| {
+        pool.set_surroundings(now, shared, listed);
+    });
+}
+
 /// Takes the workers that former owners have let go of.
 pub(crate) fn take_awaited(state: &Rc<NodeState>, id: &PoolId) {
+    tell_awaiting(state, id);
     let awaits = state
         .pools
         .borrow()
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     directory::WorkerDirectory,
-    feeds, front, groups,
+    feeds, front, groups, keeping,
     metrics::new_metrics,
     owner::{self, PoolPort},
     peers::{self, BeatSender, OwnerLinks},
@@ -197,6 +197,8 @@
         pools: RefCell::default(),
         group_versions: RefCell::default(),
         sent: RefCell::default(),
+        keeping: RefCell::default(),
+        keeps_jobs: Cell::new(false),
         rng: RefCell::new(fastrand::Rng::new()),
         links: OwnerLinks::default(),
         lost_peers: RefCell::new(FastMap::default()),
@@ -220,6 +222,7 @@
         actix_rt::spawn(refresh_member(state.clone(), claim_settings.refresh)),
         actix_rt::spawn(tick_all(state.clone(), beats)),
         actix_rt::spawn(groups::keep_groups(state.clone())),
+        actix_rt::spawn(keeping::look_after(state.clone())),
         actix_rt::spawn(peers::hear(state.clone(), socket)),
         actix_rt::spawn(peer::serve_pool(
             peers,
@@ -238,6 +241,7 @@
         StoreTable::Workers,
         StoreTable::Members,
         StoreTable::Claims,
+        StoreTable::CancelledJobs,
     ];
     for table in tables {
         tasks.push(actix_rt::spawn(feeds::follow(state.clone(), table)));
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -16,7 +16,7 @@
 use telemetry::{EventKind, EventLine, EventLog, NodeMetrics};
 use tokio::sync::Notify;
 
-use crate::{directory::WorkerDirectory, owner::OwnedPool, peers::OwnerLinks};
+use crate::{directory::WorkerDirectory, keeping::KeepQueue, owner::OwnedPool, peers::OwnerLinks};
 
 /// A tick later than this means that the process stood still: frozen, suspended, or without its share of the
 /// processor. Others count it as gone after about the same time.
@@ -37,6 +37,10 @@
     pub(crate) group_versions: RefCell<FastMap<DataCentreId, u64>>,
     /// What was sent to each pool since its owner was last heard, and when that was; in thousandths of a core.
     pub(crate) sent: RefCell<FastMap<PoolId, (Instant, u64)>>,
+    /// Writes of kept jobs that wait.
+    pub(crate) keeping: RefCell<KeepQueue>,
+    /// Whether a kept job was ever seen. Until then nothing is done for them.
+    pub(crate) keeps_jobs: Cell<bool>,
     pub(crate) rng: RefCell<fastrand::Rng>,
     pub(crate) links: OwnerLinks,
     /// Woken when a process is not heard any more.
--- /dev/null
+++ b/crates/node/tests/kept.rs
@@ -0,0 +1,138 @@
+//! Kept jobs on nodes: what customers are told, and what survives a node.
+
+mod support;
+
+use std::time::Duration;
+
+use awc::Client;
+use node::NodeProcess;
+use platform_stand_ins::{kept_job_body, StoreFault};
+use serde_json::{json, Value};
+use support::{post_job, send, Platform};
+
+const ID: &str = "5c0e7a21d94b36f8";
+
+async fn ask(node: &NodeProcess, method: &str, rest: &str) -> (u16, Value) {
+    let path = format!("/hold/{rest}");
+    let address = node.customer_address();
+    send(&Client::default(), address, method, &path, &Value::Null).await
+}
+
+/// Asks for a job's state until it is the one expected.
+async fn wait_for(node: &NodeProcess, id: &str, expected: &str) {
+    let mut last = (0, Value::Null);
+    for _ in 0..100 {
+        last = ask(node, "GET", id).await;
+        if last == (200, json!({ "State": expected })) {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("{last:?} in place of {expected}: {}", node.log_lines());
+}
+
+fn done_runs(platform: &Platform) -> usize {
+    let runs = platform.executors.iter().flat_map(|e| e.runs());
+    runs.filter(|run| run.ended.is_some_and(|(_, how)| how == "done"))
+        .count()
+}
+
+#[actix_rt::test]
+async fn a_kept_job_is_accepted_and_then_completed() {
+    let platform = Platform::start(2, Duration::from_millis(60)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    assert_eq!(ask(&node, "GET", ID).await.0, 410);
+    let body = kept_job_body(3, 60);
+    assert_eq!(post_job(&node, ID, &body).await, (202, json!({})));
+    wait_for(&node, ID, "completed").await;
+    assert_eq!(done_runs(&platform), 3);
+    // The same job again is the same job.
+    assert_eq!(post_job(&node, ID, &body).await, (202, json!({})));
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(done_runs(&platform), 3);
+    assert_eq!(ask(&node, "DELETE", ID).await.0, 200);
+    wait_for(&node, ID, "completed").await;
+}
+
+/// The node that accepted a job is gone before the job ends. Another one finds it in the store and goes on; its customer
+/// asks there and sees it completed, and no task is done twice.
+#[actix_rt::test]
+async fn a_kept_job_survives_its_node() {
+    let platform = Platform::start(2, Duration::from_millis(700)).await;
+    let first = platform.start_node(platform.node_settings("vm-1")).await;
+    let second = platform.start_node(platform.node_settings("vm-2")).await;
+    assert_eq!(post_job(&first, ID, &kept_job_body(4, 700)).await.0, 202);
+    actix_rt::time::sleep(Duration::from_millis(200)).await;
+    drop(first);
+    wait_for(&second, ID, "completed").await;
+    assert_eq!(done_runs(&platform), 4);
+}
+
+/// A customer cancels a job that runs. What runs is stopped soon, and nothing of it starts again.
+#[actix_rt::test]
+async fn a_cancelled_job_stops_and_stays_cancelled() {
+    let platform = Platform::start(1, Duration::from_millis(2_000)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    assert_eq!(post_job(&node, ID, &kept_job_body(2, 2_000)).await.0, 202);
+    actix_rt::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(ask(&node, "DELETE", ID).await.0, 200);
+    wait_for(&node, ID, "canceled").await;
+    actix_rt::time::sleep(Duration::from_millis(800)).await;
+    let runs = platform.executors[0].runs();
+    assert_eq!(runs.len(), 2);
+    let stopped =
+        |run: &platform_stand_ins::RunRecord| run.ended.is_some_and(|(_, how)| how == "stopped");
+    assert!(runs.iter().all(stopped), "{runs:?}");
+}
+
+/// The store is away. A new job cannot be stored: its customer is told that it was not accepted, and nothing runs. What
+/// cannot be said without the store is not guessed.
+#[actix_rt::test]
+async fn without_the_store_nothing_is_accepted() {
+    let platform = Platform::start(1, Duration::from_millis(50)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    platform.store.set_fault(StoreFault::Busy);
+    assert_eq!(post_job(&node, ID, &kept_job_body(1, 50)).await.0, 503);
+    assert_eq!(ask(&node, "GET", ID).await.0, 503);
+    assert_eq!(ask(&node, "DELETE", ID).await.0, 503);
+    platform.store.set_fault(StoreFault::None);
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    assert!(platform.executors[0].runs().is_empty());
+    assert_eq!(ask(&node, "GET", ID).await.0, 410);
+}
+
+/// The store does what it is told and its answers get lost. The customer gets no answer that says yes or no; once the
+/// store answers again, the job is there once, whoever asks.
+#[actix_rt::test]
+async fn a_lost_answer_of_the_store_is_read_back() {
+    let platform = Platform::start(1, Duration::from_millis(50)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    platform.store.set_fault(StoreFault::AnswersLost);
+    let body = kept_job_body(2, 50);
+    let call = post_job(&node, ID, &body);
+    let waited = tokio::time::timeout(Duration::from_millis(700), call).await;
+    assert!(waited.is_err(), "{waited:?}");
+    platform.store.set_fault(StoreFault::None);
+    wait_for(&node, ID, "completed").await;
+    assert_eq!(done_runs(&platform), 2);
+}
+
+/// Jobs wait for places: the queue says how many, from any node, and none once they have begun.
+#[actix_rt::test]
+async fn jobs_that_have_not_begun_are_counted() {
+    let platform = Platform::start(1, Duration::from_millis(1_200)).await;
+    // With an objective that leaves them time to wait.
+    let mut config = support::config(7);
+    config["Routes"][0]["GoalMs"] = json!(10_000);
+    platform.store.put("op", "config", &config);
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    for number in 0..4 {
+        let id = format!("{:016x}", 0xf0 + number);
+        assert_eq!(post_job(&node, &id, &kept_job_body(1, 1_200)).await.0, 202);
+    }
+    actix_rt::time::sleep(Duration::from_millis(900)).await;
+    assert_eq!(ask(&node, "GET", "").await, (200, json!({ "Pending": 2 })));
+    wait_for(&node, "00000000000000f3", "completed").await;
+    actix_rt::time::sleep(Duration::from_millis(900)).await;
+    assert_eq!(ask(&node, "GET", "").await, (200, json!({ "Pending": 0 })));
+}
--- a/crates/peer/schema/pool.capnp
+++ b/crates/peer/schema/pool.capnp
@@ -1,7 +1,7 @@
 @0xd1b7c8a2f4e35961;
 # The protocol between an entry and the owner of a pool of workers, and the heartbeats of all processes.
 #
-# A job is handed over whole, and its call is answered when the job has ended. A call that is given up, by a release
+# A job is handed over whole, and its call is answered when the job has ended, or when it is stored if it is kept. A call that is given up, by a release
 # or by the loss of its connection, cancels the job.
 
 struct Step {
@@ -36,6 +36,7 @@
   waitedMicros @11 :UInt64;
   pool @12 :Text;
   firm @13 :Bool;
+  kept @14 :Bool;
 }
 
 struct Outcome {
@@ -44,6 +45,7 @@
     failed @1 :Void;
     refused @2 :Refusal;
     givenUp @3 :Void;
+    accepted @4 :Void;
   }
 }
 
--- a/crates/peer/src/pool_capnp.rs
+++ b/crates/peer/src/pool_capnp.rs
@@ -639,6 +639,10 @@
         pub fn get_firm(self) -> bool {
             self.reader.get_bool_field(384)
         }
+        #[inline]
+        pub fn get_kept(self) -> bool {
+            self.reader.get_bool_field(385)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -853,6 +857,14 @@
         pub fn set_firm(&mut self, value: bool)  {
             self.builder.set_bool_field(384, value);
         }
+        #[inline]
+        pub fn get_kept(self) -> bool {
+            self.builder.get_bool_field(385)
+        }
+        #[inline]
+        pub fn set_kept(&mut self, value: bool)  {
+            self.builder.set_bool_field(385, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -864,7 +876,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 235] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 250] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(22, 6, 88, 73, 87, 18, 233, 177),
             ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
@@ -874,111 +886,118 @@
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 128, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 129, 1, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(241, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1100,6 +1119,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 101, 112, 116, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1117,6 +1144,7 @@
                 11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 13 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                14 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1130,15 +1158,15 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,1,13,9,0,12,6,5,4,3,8,2,10,11];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,1,13,9,0,14,12,6,5,4,3,8,2,10,11];
         pub(crate) const TYPE_ID: u64 = 0xb1e9_1257_4958_0616;
     }
 }
 
 pub mod outcome {
-    pub use self::Which::{Completed,Failed,Refused,GivenUp};
+    pub use self::Which::{Completed,Failed,Refused,GivenUp,Accepted};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1228,6 +1256,11 @@
                         ()
                     ))
                 }
+                4 => {
+                    ::core::result::Result::Ok(Accepted(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -1313,6 +1346,10 @@
             self.builder.set_data_field::<u16>(0, 3);
         }
         #[inline]
+        pub fn set_accepted(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 4);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -1335,6 +1372,11 @@
                         ()
                     ))
                 }
+                4 => {
+                    ::core::result::Result::Ok(Accepted(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -1349,52 +1391,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(67, 205, 227, 166, 42, 226, 15, 152),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 89, 227, 244, 162, 200, 183, 209),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 4, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 5, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 79, 117, 116, 99, 111),
             ::capnp::word(109, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 109, 112, 108, 101, 116, 101),
             ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1428,6 +1477,15 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 99, 99, 101, 112, 116, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1435,6 +1493,7 @@
                 1 => <() as ::capnp::introspect::Introspect>::introspect(),
                 2 => <crate::pool_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                4 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1449,8 +1508,8 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,3,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,1,3,2];
         pub(crate) const TYPE_ID: u64 = 0x980f_e22a_a6e3_cd43;
     }
     pub enum Which<A0> {
@@ -1458,6 +1517,7 @@
         Failed(()),
         Refused(A0),
         GivenUp(()),
+        Accepted(()),
     }
     pub type WhichReader<'a,> = Which<::capnp::Result<crate::pool_capnp::refusal::Reader<'a>>>;
     pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::pool_capnp::refusal::Builder<'a>>>;
--- a/crates/peer/src/pool_message.rs
+++ b/crates/peer/src/pool_message.rs
@@ -114,6 +114,7 @@
     wire.set_time_left_micros(micros(terms.time_left));
     wire.set_waited_micros(micros(terms.waited));
     wire.set_firm(terms.firm);
+    wire.set_kept(request.kept);
     let mut steps = wire.init_steps(length(request.steps.len()));
     for (place, spec) in request.steps.iter().enumerate() {
         write_step(steps.reborrow().get(length(place)), spec);
@@ -145,6 +146,7 @@
         id: JobId(wire.get_id()),
         text: Arc::from(text(wire.get_text())?),
         steps,
+        kept: wire.get_kept(),
         unsupported: None,
     };
     let terms = JobTerms {
@@ -190,6 +192,7 @@
     match outcome {
         JobOutcome::Completed => wire.set_completed(()),
         JobOutcome::Failed => wire.set_failed(()),
+        JobOutcome::Accepted => wire.set_accepted(()),
         JobOutcome::GivenUp => wire.set_given_up(()),
         JobOutcome::Refused {
             kind,
@@ -208,6 +211,7 @@
     match wire.which().map_err(capnp::Error::from)? {
         outcome::Completed(()) => Ok(JobOutcome::Completed),
         outcome::Failed(()) => Ok(JobOutcome::Failed),
+        outcome::Accepted(()) => Ok(JobOutcome::Accepted),
         outcome::GivenUp(()) => Ok(JobOutcome::GivenUp),
         outcome::Refused(refusal) => {
             let refusal = refusal?;
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -3,11 +3,13 @@
 use std::{net::SocketAddr, time::Duration};
 
 use jobs::{
-    EndCause, FenceToken, JobId, JobOutcome, LifeId, RunNumber, TaskId, TaskText, WorkerClock,
-    WorkerListing,
+    EndCause, FenceToken, JobId, JobOutcome, KeptState, LifeId, RunNumber, TaskId, TaskText,
+    WorkerClock, WorkerListing,
 };
 use model::{text_set, WrongReason};
 
+use crate::kept::KeepOrder;
+
 /// One call of an entry that waits for a job's outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaiterId(pub u64);
@@ -109,8 +111,10 @@
 pub type LookAnswer = Result<WorkerListing, CallFailure>;
 
 /// Something to send.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum PoolAction {
+    /// Writes a kept job's row.
+    Keep(KeepOrder),
     /// Send a start; its answer goes to `on_start_answer`.
     Start(StartOrder),
     /// Send a stop; its answer goes to `on_stop_answer`.
@@ -287,6 +291,29 @@
         /// The latency objective.
         objective: Duration,
     },
+    /// A kept job is stored.
+    KeptStored {
+        /// The job.
+        job: JobId,
+        /// The version of its row.
+        version: u64,
+    },
+    /// A kept job of a former owner was found in the store.
+    KeptFound {
+        /// The job.
+        job: JobId,
+        /// The version of its row.
+        version: u64,
+    },
+    /// A kept job has ended, and the store has it.
+    KeptEnded {
+        /// The job.
+        job: JobId,
+        /// How.
+        state: KeptState,
+    },
+    /// Kept jobs are stopped: the store was not reached for so long that another owner may have them.
+    KeptSuspended,
     /// Nobody waits for a job any more, or its time is over: what runs of it is stopped.
     JobAbandoned {
         /// The job.
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -53,6 +53,15 @@
     pub(crate) crowds: bool,
 }
 
+impl AdmissionForecast {
+    /// That of a job before which more wait than are tried out.
+    pub(crate) const TOO_LONG: Self = Self {
+        end: Duration::MAX,
+        harms: false,
+        crowds: false,
+    };
+}
+
 /// The jobs that wait with a new one among them, to be tried out on the pool's workers.
 #[derive(Clone, Debug)]
 pub(crate) struct AdmissionTrial {
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -5,9 +5,9 @@
     time::{Duration, Instant},
 };
 
-use jobs::{JobRequest, JobTerms, LifeId, StepSpec};
+use jobs::{CpuMillis, JobRequest, JobTerms, LifeId, StepRecord, StepSpec};
 
-use crate::action::WaiterId;
+use crate::{action::WaiterId, kept::KeptLedger};
 
 /// A task that waits for a place.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -45,9 +45,66 @@
     pub(crate) steps: Vec<StepProgress>,
     /// Whether a start was ever ordered. From then on it is never said that the job has not run.
     pub(crate) ordered: bool,
+    /// What of it is stored, if it is kept.
+    pub(crate) kept: Option<KeptLedger>,
 }
 
 impl JobLedger {
+    /// Whether it is a kept job that is stored.
+    pub(crate) fn is_stored(&self) -> bool {
+        self.kept
+            .as_ref()
+            .is_some_and(|kept| kept.version.is_some())
+    }
+
+    /// Whether a task of a kept job neither waits nor is done.
+    pub(crate) fn lacks(&self, step: usize, index: u32) -> bool {
+        let records = self.kept.as_ref().and_then(|kept| kept.progress.get(step));
+        let done = records.is_some_and(|record| record.done.contains(&index));
+        let waiting = self.steps.get(step).map(|step| step.waiting.iter());
+        let waits = waiting
+            .into_iter()
+            .flatten()
+            .any(|task| task.index == index);
+        !done && !waits
+    }
+
+    /// A task that has a run does not wait.
+    pub(crate) fn leave_out(&mut self, step: usize, index: u32) {
+        if let Some(progress) = self.steps.get_mut(step) {
+            progress.waiting.retain(|task| task.index != index);
+        }
+    }
+
+    /// Counts the tasks of a kept job that are done by its record, where each counts once: one may be done by a run of this
+    /// owner and known to be done by what a former one stored.
+    pub(crate) fn count_done(&mut self) {
+        let records = self.kept.as_ref().map(|kept| kept.progress.iter());
+        for (step, record) in self.steps.iter_mut().zip(records.into_iter().flatten()) {
+            step.done = u32::try_from(record.done.len()).unwrap_or(u32::MAX);
+        }
+    }
+
+    /// Whether it is a kept job that has ended, and its end is being stored.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.kept.as_ref().is_some_and(|kept| kept.end.is_some())
+    }
+
+    /// Takes what the store has of a step: tasks that are done wait no more.
+    pub(crate) fn take_record(&mut self, step: usize, record: &StepRecord) {
+        let Some(progress) = self.steps.get_mut(step) else {
+            return;
+        };
+        progress
+            .waiting
+            .retain(|task| !record.done.contains(&task.index));
+        progress.done = u32::try_from(record.done.len()).unwrap_or(u32::MAX);
+        for task in &mut progress.waiting {
+            task.failures = task.failures.max(record.failures(task.index));
+        }
+        self.ordered |= !record.done.is_empty();
+    }
+
     /// Opens steps whose predecessors are done.
     pub(crate) fn open_steps(&mut self) {
         for step in 0..self.steps.len() {
@@ -78,6 +135,12 @@
             .map(|(step, _)| (step, &self.request.steps[step]))
     }
 
+    /// The least processor room that any task needs which may be placed now.
+    pub(crate) fn least_demand(&self) -> CpuMillis {
+        let waiting = self.open_waiting().map(|(_, spec)| spec.demand.cpu);
+        waiting.min().unwrap_or_default()
+    }
+
     /// The number of tasks that may be placed now.
     pub(crate) fn waiting_count(&self) -> usize {
         self.steps
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -8,7 +8,8 @@
 //! - the demands of a worker's runs, whatever their phase, fit into its room;
 //! - a task has at most one run record in the whole pool;
 //! - a run record goes only when the run surely is over, or can never begin;
-//! - a job is refused only while none of its tasks was ever ordered to start.
+//! - a job is refused only while none of its tasks was ever ordered to start;
+//! - a kept job runs only while it is stored, and an end of it is acknowledged only once that is stored.
 
 mod action;
 mod admission;
@@ -17,6 +18,7 @@
 mod forecast;
 mod health;
 mod job;
+mod kept;
 mod placement;
 mod pool;
 mod queue;
@@ -30,6 +32,7 @@
         StopAnswer, StopOrder, SuspensionCause, WaiterId, WorkerChange,
     },
     admission::PoolLoad,
+    kept::{FoundJob, KeepAnswer, KeepOrder},
     pool::{PoolStart, WorkerPool},
     settings::PoolSettings,
     shift::{divide_step, order_pools, PoolCandidate},
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod answers;
+mod keeping;
 mod looks;
 mod schedule;
 
@@ -51,6 +52,20 @@
     /// The median slowness of its workers, as of the last tick.
     median_slowness: f64,
     accepting: bool,
+    /// Its name, which the rows of its kept jobs have.
+    home: Arc<str>,
+    /// When the last call was sent by which the store has shown that the claim stands.
+    store_contact: Option<Instant>,
+    /// Whether its kept jobs have been read. Until then no end is acknowledged: it may be one of theirs.
+    kept_loaded: bool,
+    /// Kept jobs that ended lately, and when.
+    ended_kept: FastMap<JobId, Instant>,
+    /// Whether a former owner still finishes jobs of it.
+    awaiting: bool,
+    /// Whether all workers that a former owner may have used are known.
+    all_listed: bool,
+    /// Since when none has, at the earliest.
+    alone_since: Instant,
     workers: BTreeMap<LifeId, WorkerLedger>,
     jobs: FastMap<JobId, JobLedger>,
     queue: JobQueue,
@@ -63,6 +78,8 @@
 /// What a new owner starts with.
 #[derive(Clone, Debug)]
 pub struct PoolStart {
+    /// The pool's name.
+    pub home: Arc<str>,
     /// The fence, from the claim.
     pub fence: FenceToken,
     /// The platform's clock, in milliseconds.
@@ -85,6 +102,13 @@
             far_factor: start.far_factor,
             median_slowness: 1.0,
             accepting: true,
+            home: start.home,
+            store_contact: Some(now),
+            kept_loaded: false,
+            ended_kept: FastMap::default(),
+            awaiting: false,
+            all_listed: false,
+            alone_since: now,
             workers: BTreeMap::new(),
             jobs: FastMap::default(),
             queue: JobQueue::default(),
@@ -123,6 +147,8 @@
     /// Takes new jobs again: nobody took the pool over.
     pub fn accept_again(&mut self) {
         self.accepting = true;
+        // It has let go of kept jobs that waited, and finds them in the store.
+        self.unload_kept();
     }
 
     /// Lets go of workers that its jobs do not use, so that its successor takes them. As long as tasks wait, all are
@@ -153,6 +179,10 @@
         terms: JobTerms,
     ) {
         if let Some(job) = self.jobs.get_mut(&request.id) {
+            if job.is_stored() {
+                self.answer(waiter, JobOutcome::Accepted);
+                return;
+            }
             // Another part of the same job belongs to a try that its customer has given up.
             if job.request.steps == request.steps {
                 job.waiters.push(waiter);
@@ -176,7 +206,11 @@
             return;
         }
         let id = request.id;
-        let job = self.open_job(now, waiter, request, terms);
+        if request.kept {
+            self.keep_new(now, waiter, request, terms);
+            return;
+        }
+        let job = self.open_job(now, Some(waiter), request, terms);
         self.jobs.insert(id, job);
         self.enqueue(now, id);
         self.schedule(now);
@@ -188,7 +222,7 @@
             return;
         };
         ledger.waiters.retain(|w| *w != waiter);
-        if ledger.waiters.is_empty() {
+        if ledger.waiters.is_empty() && ledger.kept.is_none() {
             self.abandon(now, job);
         }
     }
@@ -232,6 +266,7 @@
     /// and customers may have come back elsewhere. Starting what still waits here could run a task twice at the same
     /// time, so everything is let go.
     pub fn give_up_all(&mut self, now: Instant) {
+        self.forget_kept(now);
         let open: Vec<JobId> = self.jobs.keys().copied().collect();
         for id in open {
             let ordered = self.jobs[&id].ordered;
@@ -267,7 +302,7 @@
     fn open_job(
         &self,
         now: Instant,
-        waiter: WaiterId,
+        waiter: Option<WaiterId>,
         request: Arc<JobRequest>,
         terms: JobTerms,
     ) -> JobLedger {
@@ -284,9 +319,10 @@
             arrived: now.checked_sub(terms.waited).unwrap_or(now),
             deadline: now + terms.time_left,
             objective: self.objective(&request, &terms),
-            waiters: vec![waiter],
+            waiters: waiter.into_iter().collect(),
             steps: steps.collect(),
             ordered: false,
+            kept: None,
             request,
             terms,
         };
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -11,7 +11,7 @@
 use super::{WorkerPool, LONGEST_RETRY, SHORTEST_RETRY};
 use crate::{
     action::PoolNote,
-    admission::{AdmissionTrial, ForecastJob, ForecastStep},
+    admission::{AdmissionForecast, AdmissionTrial, ForecastJob, ForecastStep},
     arrivals::ArrivedJob,
     forecast::{PoolForecast, WaitingGroup, WorkerForecast},
     placement::{can_hold, is_sluggish, PlacementAsk},
@@ -26,6 +26,11 @@
 /// How long a run takes to end after it was told to stop: what workers promise.
 const STOP_TIME: Duration = Duration::from_millis(50);
 
+/// The most jobs that are tried out, in the order in which they get places. Beyond them a new job is late for certain:
+/// they keep all places for seconds. Each costs some microseconds; with some hundreds of jobs that are kept and late the
+/// trials took all of a quarter core, so that the owner counted as silent and was replaced again and again.
+const MOST_TRIED: usize = 60;
+
 impl WorkerPool {
     /// Decides whether a job is admitted, and gives the refusal if it is not.
     pub(super) fn admit(
@@ -36,7 +41,10 @@
     ) -> Option<JobOutcome> {
         let objective = self.objective(request, terms);
         let trial = self.trial(now, request, terms, objective);
-        let forecast = trial.forecast();
+        let forecast = match &trial {
+            Some(trial) => trial.forecast(),
+            None => AdmissionForecast::TOO_LONG,
+        };
         let predicted = terms.waited.saturating_add(forecast.end);
         let queued: usize = self
             .queue
@@ -68,7 +76,9 @@
         });
         let kind = kind?;
         let fits = match kind {
-            RefusalKind::TooLate => self.count_in_time(trial, request, terms, objective),
+            RefusalKind::TooLate => trial.map_or(0, |trial| {
+                self.count_in_time(trial, request, terms, objective)
+            }),
             _ => 0,
         };
         Some(JobOutcome::Refused {
@@ -177,7 +187,7 @@
         request: &JobRequest,
         terms: &JobTerms,
         objective: Duration,
-    ) -> AdmissionTrial {
+    ) -> Option<AdmissionTrial> {
         let chain = longest_chain(&request.steps, |_, spec| self.predict(terms, spec));
         let arrived = now.checked_sub(terms.waited).unwrap_or(now);
         let entry = QueueEntry {
@@ -190,12 +200,15 @@
         };
         let rank = entry.rank(now);
         let running = self.running_steps(now);
-        let mut jobs = Vec::new();
-        let mut place = 0;
-        for (other, id) in self.unplaced_jobs(now, &terms.service) {
-            place += usize::from(other < rank);
-            jobs.push(self.forecast_job(now, id, &running));
+        let unplaced = self.unplaced_jobs(now, &terms.service);
+        let place = unplaced.partition_point(|(other, _)| *other < rank);
+        if place >= MOST_TRIED {
+            return None;
         }
+        let tried = unplaced.iter().take(MOST_TRIED);
+        let mut jobs: Vec<ForecastJob> = tried
+            .map(|(_, id)| self.forecast_job(now, *id, &running))
+            .collect();
         let steps = request.steps.iter();
         let steps = steps.map(|spec| self.forecast_step(terms, spec, spec.count as usize));
         let new = ForecastJob {
@@ -203,12 +216,12 @@
             limit: None,
         };
         jobs.insert(place, new);
-        AdmissionTrial {
+        Some(AdmissionTrial {
             pool: self.pool_forecast(now, &terms.service),
             jobs,
             new: place,
             expected: self.arrivals.expected_before(now, terms.priority),
-        }
+        })
     }
 
     /// The jobs of a service with tasks that have no place yet, in the order in which they get places. Beside those in
--- a/crates/pool/src/pool/looks.rs
+++ b/crates/pool/src/pool/looks.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use jobs::{EndCause, EndedRun, JobOutcome, LifeId, RunNumber, TaskId, WorkerClock, WorkerListing};
+use jobs::{
+    EndCause, EndedRun, JobId, JobOutcome, KeptState, LifeId, RunNumber, TaskId, WorkerClock,
+    WorkerListing,
+};
 
 use super::{stop_run, WorkerPool};
 use crate::{
@@ -11,6 +14,7 @@
         WorkerChange,
     },
     job::WaitingTask,
+    kept::STORING_PAUSE,
     worker::{RunLedger, RunPhase, WaitingOrder, WorkerLedger},
 };
 
@@ -42,8 +46,9 @@
     /// Sends the looks that are due, and the orders whose pause is over.
     pub(super) fn keep_watch(&mut self, now: Instant) {
         let owner_millis = self.millis(now);
+        let wants_ends = self.has_held_back();
         for worker in self.workers.values_mut() {
-            if !worker.wants_look(now, IDLE_ACK) {
+            if !worker.wants_look(now, IDLE_ACK, wants_ends) {
                 continue;
             }
             let order = look_order(worker, now, owner_millis, self.fence, &self.settings);
@@ -112,6 +117,7 @@
         };
         let new_here = worker.clock.is_none() || worker.misses > 0;
         worker.misses = 0;
+        worker.ends_read |= self.kept_loaded;
         worker.read_clock(owner_millis, listing.clock);
         worker.acknowledged = worker.acknowledged.max(order.last_seen);
         let clock_offset = worker.clock.map_or(0, |clock| clock.offset);
@@ -124,6 +130,7 @@
         for end in &listing.ended {
             self.take_end(now, life, end);
         }
+        self.pause_looks(now, life, &listing);
         self.stop_foreign(life, &listing);
         self.read_progress(now, life, &listing);
         self.drop_missing(now, sent, life, &listing);
@@ -136,11 +143,14 @@
         if end.number <= worker.seen {
             return;
         }
-        worker.seen = end.number;
+        if self.kept_loaded {
+            worker.seen = end.number;
+        }
         let Some(task) = end.task else {
             return;
         };
         let Some(run) = worker.take_run(task, end.run) else {
+            self.take_found_end(now, life, end);
             return;
         };
         worker.last_end = now;
@@ -152,11 +162,24 @@
             cause: end.cause,
             took,
         });
+        let failures = self.record_end(task, life, end);
         match end.cause {
             EndCause::Done => self.complete_task(now, life, &run, took),
-            EndCause::Failed => self.fail_task(now, life, run),
+            EndCause::Failed => self.fail_task(now, life, run, failures),
             EndCause::Stopped | EndCause::Lapsed | EndCause::Gang => self.requeue(now, run),
         }
+        self.store_changes(task.job);
+    }
+
+    /// A worker lists an end again and again until it is acknowledged: while it must not be, looks have a pause.
+    fn pause_looks(&mut self, now: Instant, life: &LifeId, listing: &WorkerListing) {
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        let unread = !self.kept_loaded && !listing.ended.is_empty();
+        if unread || !worker.unstored.is_empty() {
+            worker.look_pause = Some(now + STORING_PAUSE);
+        }
     }
 
     fn complete_task(&mut self, now: Instant, life: &LifeId, run: &RunLedger, took: Duration) {
@@ -172,15 +195,26 @@
         if let Some(step) = job.steps.get_mut(run.task.step as usize) {
             step.done += 1;
         }
+        self.after_done(now, id);
+    }
+
+    /// Opens steps that can begin now, or ends the job if none is left.
+    pub(super) fn after_done(&mut self, now: Instant, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.count_done();
         job.open_steps();
-        if job.is_complete() {
-            self.finish(now, id, JobOutcome::Completed);
-        } else {
-            self.enqueue(now, id);
+        let (complete, kept) = (job.is_complete(), job.kept.is_some());
+        match (complete, kept) {
+            (true, true) => self.end_kept(now, id, KeptState::Completed),
+            (true, false) => self.finish(now, id, JobOutcome::Completed),
+            (false, _) => self.enqueue(now, id),
         }
     }
 
-    fn fail_task(&mut self, now: Instant, life: &LifeId, mut run: RunLedger) {
+    /// Takes a failed run. `counted` failures of the task stand in the record of a kept job.
+    fn fail_task(&mut self, now: Instant, life: &LifeId, mut run: RunLedger, counted: u32) {
         let id = run.task.job;
         let mut blame = true;
         if let Some(worker) = self.workers.get_mut(life) {
@@ -199,6 +233,15 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
+        if job.kept.is_some() {
+            // A kept job's attempts are counted whoever was to blame.
+            if counted >= job.terms.attempts {
+                self.end_kept(now, id, KeptState::Failed);
+            } else {
+                self.requeue(now, run);
+            }
+            return;
+        }
         if run.failures >= job.terms.attempts.max(FEWEST_FAILURES) {
             self.finish(now, id, JobOutcome::Failed);
             return;
@@ -209,10 +252,15 @@
     /// Lets a task wait again whose run surely is over.
     pub(super) fn requeue(&mut self, now: Instant, run: RunLedger) {
         let id = run.task.job;
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.has_ended()) else {
             return;
         };
-        let Some(step) = job.steps.get_mut(run.task.step as usize) else {
+        let place = run.task.step as usize;
+        // Of a kept job that was let go of and found again the task may wait or be done already.
+        if job.kept.is_some() && !job.lacks(place, run.task.index) {
+            return;
+        }
+        let Some(step) = job.steps.get_mut(place) else {
             return;
         };
         step.waiting.push(WaitingTask {
@@ -378,6 +426,13 @@
             return;
         };
         self.note_worker(life.clone(), WorkerChange::TakenOver);
+        let of_kept = |run: &RunLedger| {
+            let job = self.jobs.get(&run.task.job);
+            job.is_some_and(|job| job.kept.is_some())
+        };
+        if worker.runs.iter().any(of_kept) {
+            self.forget_kept(now);
+        }
         for run in &worker.runs {
             self.finish(now, run.task.job, JobOutcome::GivenUp);
         }
@@ -426,7 +481,7 @@
         address: worker.record.address,
         fence,
         lease_end,
-        last_seen: worker.seen,
+        last_seen: worker.acknowledgeable(),
         wait: look_wait(worker, now, settings),
     }
 }
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use jobs::{JobId, JobOutcome, LifeId, RefusalKind};
+use jobs::{CpuMillis, JobId, JobOutcome, LifeId, RefusalKind};
 
 use super::{WorkerPool, SHORTEST_RETRY};
 use crate::{
@@ -16,6 +16,7 @@
     /// Does what is due: deadlines, lapsed leases, looks, orders, places.
     pub fn tick(&mut self, now: Instant) {
         self.end_overdue(now);
+        self.tick_kept(now);
         self.expire_silent(now);
         self.forget_unlisted(now);
         self.find_median();
@@ -27,13 +28,31 @@
     pub(super) fn schedule(&mut self, now: Instant) {
         self.queue.move_late(now);
         let order: Vec<JobId> = self.queue.jobs().collect();
+        let mut most_free = self.most_free();
         for job in order {
-            self.place_tasks(now, job);
+            // With hundreds of waiting jobs and no place free, trying each on each worker is most of an owner's work.
+            if self.jobs[&job].least_demand() > most_free {
+                continue;
+            }
+            if self.place_tasks(now, job) {
+                most_free = self.most_free();
+            }
         }
         self.send_orders(now);
     }
 
-    fn place_tasks(&mut self, now: Instant, id: JobId) {
+    /// The most processor room that is free on any worker that may get runs.
+    fn most_free(&self) -> CpuMillis {
+        let open = self.workers.values().filter(|worker| worker.is_open());
+        let free = open.map(|worker| worker.free_room().cpu);
+        free.max().unwrap_or_default()
+    }
+
+    /// Places what finds a place. Says whether anything did.
+    fn place_tasks(&mut self, now: Instant, id: JobId) -> bool {
+        if !self.may_run(now, &self.jobs[&id]) {
+            return false;
+        }
         let steps: Vec<usize> = self.jobs[&id]
             .open_waiting()
             .map(|(step, _)| step)
@@ -55,6 +74,7 @@
         if placed {
             self.enqueue(now, id);
         }
+        placed
     }
 
     fn find_place(
@@ -151,7 +171,8 @@
     /// Ends jobs whose time is over.
     fn end_overdue(&mut self, now: Instant) {
         let mut ends = Vec::new();
-        for (id, job) in &self.jobs {
+        let unkept = self.jobs.iter().filter(|(_, job)| job.kept.is_none());
+        for (id, job) in unkept {
             let useless = job.arrived + job.objective.mul_f64(self.settings.useless_beyond);
             if !job.ordered && (now >= useless || now >= job.deadline) {
                 let kind = RefusalKind::TooLate;
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -1,7 +1,7 @@
 //! One worker: its room, its runs, its clock and what its silence means.
 
 use std::{
-    collections::VecDeque,
+    collections::{BTreeSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -95,6 +95,10 @@
     pub(crate) seen: u64,
     /// The last end that a look has acknowledged.
     pub(crate) acknowledged: u64,
+    /// Whether it has listed its ends since the pool's kept jobs were read.
+    pub(crate) ends_read: bool,
+    /// Ends that must not be acknowledged before the store has them.
+    pub(crate) unstored: BTreeSet<u64>,
     /// The last lease end that any call carried.
     pub(crate) lease_end: WorkerClock,
     pub(crate) health: WorkerHealth,
@@ -123,6 +127,8 @@
             misses: 0,
             seen: 0,
             acknowledged: 0,
+            ends_read: false,
+            unstored: BTreeSet::new(),
             lease_end: WorkerClock(0),
             health: WorkerHealth::default(),
             slowness: 1.0,
@@ -139,6 +145,12 @@
         free
     }
 
+    /// The last end that may be acknowledged.
+    pub(crate) fn acknowledgeable(&self) -> u64 {
+        let stored = self.unstored.first().map(|end| end - 1);
+        stored.map_or(self.seen, |stored| stored.min(self.seen))
+    }
+
     /// Whether it does not answer.
     pub(crate) fn is_silent(&self) -> bool {
         self.misses >= MISSES_TO_SILENCE
@@ -207,14 +219,14 @@
         self.runs.is_empty() && self.orders.is_empty() && !self.order_in_flight
     }
 
-    /// Whether it needs a look now.
-    pub(crate) fn wants_look(&self, now: Instant, idle_ack: Duration) -> bool {
+    /// Whether it needs a look now. `wants_ends` says that jobs wait for what it has to list.
+    pub(crate) fn wants_look(&self, now: Instant, idle_ack: Duration, wants_ends: bool) -> bool {
         if self.look_in_flight || self.look_pause.is_some_and(|pause| now < pause) {
             return false;
         }
         let unknown = self.clock.is_none() || self.misses > 0;
         let unacknowledged = self.acknowledged < self.seen && now >= self.last_end + idle_ack;
         let held = !self.runs.is_empty() || !self.foreign.is_empty();
-        held || unacknowledged || unknown
+        held || unacknowledged || unknown || (wants_ends && !self.ends_read)
     }
 }
