Split kept jobs by what is stored and what is taken over; publish only what is known

What concerns a former owner stands in pool/takeover.rs now, what pools need from time to time in keeping/care.rs. A pool publishes how many jobs wait only once it has read its rows: before, a new owner published 0 over the count of its predecessor.

--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -4,6 +4,8 @@
 //! to. Writes of a part that wait go together in one transaction: at the users' rates of 150 transactions a second and
 //! part, one write each would carry a fifth of their jobs.
 
+mod care;
+
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -13,12 +15,13 @@
 use model::{FastMap, FastSet};
 use platform::RowVersion;
 use platform_adapter::{
-    RowChange, RowCheck, RowWrite, StoreError, StoreTable, StoredRow, Transaction, TransactionEnd,
+    RowCheck, RowWrite, StoreError, StoreTable, StoredRow, Transaction, TransactionEnd,
 };
 use pool::{FoundJob, KeepAnswer, KeepOrder};
 use telemetry::{EventKind, EventLine};
 use xxhash_rust::xxh3::xxh3_64;
 
+pub(crate) use self::care::{look_after, pending};
 use crate::{owner::with_fenced, state::NodeState};
 
 /// The parts of the store over which rows of jobs are spread. Fewer make larger transactions, more let more of them run
@@ -34,16 +37,6 @@
 /// How long a new job that the store turns away is tried again before it is refused.
 const PATIENCE: Duration = Duration::from_millis(400);
 
-/// The time between two looks at whether a claim still stands, while its pool has kept jobs: three fit into the time for
-/// which an owner goes on without one.
-const CONTACT_BEAT: Duration = Duration::from_millis(300);
-
-/// The time between two readings of a pool's jobs, for those whose write took effect seconds late.
-const READ_BEAT: Duration = Duration::from_secs(5);
-
-/// The shortest time between two writes of how many jobs of a pool have not begun. The number may be 2 s old.
-const PENDING_BEAT: Duration = Duration::from_millis(700);
-
 /// Writes that wait, by part.
 #[derive(Default)]
 pub(crate) struct KeepQueue {
@@ -337,148 +330,3 @@
         crate::owner::with_pool(state, &pool, |pool, now| pool.cancel_kept(now, job));
     }
 }
-
-/// Reads the kept jobs of pools that want it, shows owners that their claims stand, and publishes what has not begun,
-/// for as long as the process runs.
-pub(crate) async fn look_after(state: Rc<NodeState>) {
-    let mut pools: FastMap<PoolId, PoolCare> = FastMap::default();
-    loop {
-        actix_rt::time::sleep(LOOK_BEAT).await;
-        let owned: Vec<PoolId> = state.pools.borrow().keys().cloned().collect();
-        pools.retain(|pool, _| owned.contains(pool));
-        for pool in owned {
-            let care = pools.entry(pool.clone()).or_default();
-            look_after_pool(&state, &pool, care);
-        }
-    }
-}
-
-/// The time between two looks at what pools need.
-const LOOK_BEAT: Duration = Duration::from_millis(20);
-
-/// When something was last done for a pool.
-#[derive(Default)]
-struct PoolCare {
-    fence: FenceToken,
-    read: Option<Instant>,
-    contact: Option<Instant>,
-    published: Option<(Instant, String)>,
-}
-
-fn look_after_pool(state: &Rc<NodeState>, id: &PoolId, care: &mut PoolCare) {
-    let now = state.now();
-    let (fence, wants, has_kept, pending) = {
-        let pools = state.pools.borrow();
-        let Some(owned) = pools.get(id) else {
-            return;
-        };
-        let pool = &owned.pool;
-        (
-            pool.fence(),
-            pool.wants_kept(),
-            pool.has_kept(),
-            pool.pending_jobs(),
-        )
-    };
-    if care.fence != fence {
-        *care = PoolCare {
-            fence,
-            ..PoolCare::default()
-        };
-    }
-    let due = |last: Option<Instant>, beat| last.is_none_or(|at| now >= at + beat);
-    let again = state.keeps_jobs.get() && due(care.read, READ_BEAT);
-    if again || (wants && due(care.read, RETRY_PAUSE)) {
-        care.read = Some(now);
-        actix_rt::spawn(read_jobs(state.clone(), id.clone(), fence));
-    }
-    if has_kept && due(care.contact, CONTACT_BEAT) {
-        care.contact = Some(now);
-        actix_rt::spawn(show_contact(state.clone(), id.clone(), fence));
-    }
-    let pending = serde_json::to_string(&pending).unwrap_or_default();
-    let known = care.published.as_ref();
-    let changed = known.map_or(pending != "[]", |(_, known)| *known != pending);
-    if changed && due(known.map(|(at, _)| *at), PENDING_BEAT) {
-        care.published = Some((now, pending.clone()));
-        actix_rt::spawn(publish(state.clone(), id.clone(), pending));
-    }
-}
-
-async fn read_jobs(state: Rc<NodeState>, id: PoolId, fence: FenceToken) {
-    let reads = (0..PARTS).map(|part| {
-        let state = state.clone();
-        async move {
-            state
-                .store
-                .read_all(StoreTable::Jobs, &part_name(part))
-                .await
-        }
-    });
-    let home = id.to_string();
-    let mut found = Vec::new();
-    for read in futures::future::join_all(reads).await {
-        let page = match read {
-            Ok(page) => page,
-            Err(error) => {
-                let line = EventLine::new("jobs_not_read")
-                    .text("pool", &id)
-                    .text("error", error);
-                state.log(EventKind::Kept, line);
-                return;
-            }
-        };
-        for change in page.changes {
-            let RowChange::Put(row) = change else {
-                continue;
-            };
-            state.keeps_jobs.set(true);
-            found.extend(read_row(&state, &row).filter(|found| *found.row.home == *home));
-        }
-    }
-    with_fenced(&state, &id, fence, |pool, now| pool.load_kept(now, found));
-}
-
-async fn show_contact(state: Rc<NodeState>, id: PoolId, fence: FenceToken) {
-    let sent = state.now();
-    let key = id.to_string();
-    let read = state.store.get(StoreTable::Claims, "", &key);
-    // Without an answer the pool stops its kept jobs by itself.
-    let Ok(Some(row)) = read.await else {
-        return;
-    };
-    if row.version.0 == fence.0 {
-        with_fenced(&state, &id, fence, |pool, _| pool.note_contact(sent));
-    }
-}
-
-async fn publish(state: Rc<NodeState>, id: PoolId, pending: String) {
-    let write = RowWrite {
-        table: StoreTable::PendingJobs,
-        key: id.to_string(),
-        value: pending.into_bytes(),
-        expected: None,
-    };
-    // The next change is written over it.
-    let _unknown = state.store.transact(&Transaction::of(write)).await;
-}
-
-/// How many kept jobs of a route have not begun, as the owners of all pools have published it.
-///
-/// # Errors
-///
-/// The store gave no answer.
-pub(crate) async fn pending(state: &NodeState, route: &str) -> Result<u64, StoreError> {
-    let page = state.store.read_all(StoreTable::PendingJobs, "").await?;
-    let mut sum = 0;
-    for change in page.changes {
-        let RowChange::Put(row) = change else {
-            continue;
-        };
-        let counts = serde_json::from_slice::<Vec<(String, u64)>>(&row.value);
-        let counts = counts.unwrap_or_default();
-        let of_route = counts.iter().filter(|(name, _)| name == route);
-        sum += of_route.map(|(_, count)| count).sum::<u64>();
-    }
-    Ok(sum)
-}
--- a/crates/pool/src/kept.rs
+++ b/crates/pool/src/kept.rs
@@ -106,4 +106,9 @@
         }
         record.failures(index)
     }
+
+    /// Whether the store has all that is known.
+    pub(crate) fn is_all_stored(&self) -> bool {
+        self.version.is_some() && self.writing.is_none() && self.stored >= self.revision
+    }
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -5,6 +5,7 @@
 mod keeping;
 mod looks;
 mod schedule;
+mod takeover;
 
 use std::{
     collections::BTreeMap,
