Log what of kept jobs cannot be encoded, read or published

No error of these paths is turned into nothing without a line: a row or count that cannot be encoded or read, a claim that is not read, a count that is not published. A cancel that cannot be encoded is an error, not an unknown job. Found on reading the change; node tests pass, behaviour otherwise the same.

--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -13,7 +13,7 @@
 
 use jobs::{FenceToken, JobId, KeptRow, KeptState, PoolId};
 use model::{FastMap, FastSet};
-use platform::RowVersion;
+use platform::{CallFailure, RowVersion};
 use platform_adapter::{
     RowCheck, RowWrite, StoreError, StoreTable, StoredRow, Transaction, TransactionEnd,
 };
@@ -51,6 +51,8 @@
     pool: PoolId,
     fence: FenceToken,
     order: KeepOrder,
+    /// The row's bytes.
+    value: Vec<u8>,
     asked: Instant,
     /// Whether an earlier try may have taken effect.
     in_doubt: bool,
@@ -73,7 +75,11 @@
 pub(crate) fn keep(state: &Rc<NodeState>, pool: &PoolId, fence: FenceToken, order: KeepOrder) {
     state.keeps_jobs.set(true);
     let part = part_number(order.job);
+    let Some(value) = encode(state, &order) else {
+        return;
+    };
     let call = KeepCall {
+        value,
         pool: pool.clone(),
         fence,
         order,
@@ -111,7 +117,7 @@
         ..Transaction::default()
     };
     for call in &batch {
-        add_order(&mut transaction, &call.order);
+        add_order(&mut transaction, &call.order, call.value.clone());
     }
     match state.store.transact(&transaction).await {
         Ok(TransactionEnd::Done { version, .. }) => {
@@ -177,9 +183,20 @@
     });
 }
 
-fn add_order(transaction: &mut Transaction, order: &KeepOrder) {
+/// A row's bytes. None, with a line in the log, for one that cannot be encoded, which no decoded job makes.
+fn encode(state: &NodeState, order: &KeepOrder) -> Option<Vec<u8>> {
+    match serde_json::to_vec(&order.row) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            let line = EventLine::new("job_not_encoded").text("job", order.job);
+            state.log(EventKind::Kept, line.text("error", error));
+            None
+        }
+    }
+}
+
+fn add_order(transaction: &mut Transaction, order: &KeepOrder, value: Vec<u8>) {
     let key = order.job.to_string();
-    let value = serde_json::to_vec(&order.row).unwrap_or_default();
     let replaced = RowVersion(order.replaces.unwrap_or(0));
     let absent = RowVersion(0);
     if order.row.state.is_final() {
@@ -306,7 +323,10 @@
             part: part_of(job),
             ..Transaction::default()
         };
-        add_order(&mut transaction, &order);
+        let Some(value) = encode(state, &order) else {
+            return Err(CallFailure::NotBuilt("the job's row".to_owned()).into());
+        };
+        add_order(&mut transaction, &order, value);
         transaction.writes.push(RowWrite {
             table: StoreTable::CancelledJobs,
             key: job.to_string(),
--- a/crates/node/src/keeping/care.rs
+++ b/crates/node/src/keeping/care.rs
@@ -2,6 +2,7 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -11,7 +12,7 @@
 use telemetry::{EventKind, EventLine};
 
 use super::{part_name, read_row, PARTS, RETRY_PAUSE};
-use crate::{owner::with_fenced, state::NodeState};
+use crate::{feeds::note_unreadable, owner::with_fenced, state::NodeState};
 
 /// The time between two looks at whether a claim still stands, while its pool has kept jobs: three fit into the time for
 /// which an owner goes on without one.
@@ -41,13 +42,16 @@
 /// The time between two looks at what pools need.
 const LOOK_BEAT: Duration = Duration::from_millis(20);
 
+/// How many jobs of each route have not begun.
+type WaitingCounts = Vec<(Arc<str>, u64)>;
+
 /// When something was last done for a pool.
 #[derive(Default)]
 struct PoolCare {
     fence: FenceToken,
     read: Option<Instant>,
     contact: Option<Instant>,
-    published: Option<(Instant, String)>,
+    published: Option<(Instant, WaitingCounts)>,
 }
 
 fn look_after_pool(state: &Rc<NodeState>, id: &PoolId, care: &mut PoolCare) {
@@ -82,7 +86,6 @@
         care.contact = Some(now);
         actix_rt::spawn(show_contact(state.clone(), id.clone(), fence));
     }
-    let pending = serde_json::to_string(&pending).unwrap_or_default();
     let known = care.published.as_ref();
     // What a former owner published stays until this one knows better.
     let changed = known.map_or(state.keeps_jobs.get(), |(_, known)| *known != pending);
@@ -130,24 +133,40 @@
     let sent = state.now();
     let key = id.to_string();
     let read = state.store.get(StoreTable::Claims, "", &key);
-    // Without an answer the pool stops its kept jobs by itself.
-    let Ok(Some(row)) = read.await else {
-        return;
+    let row = match read.await {
+        Ok(Some(row)) => row,
+        Ok(None) => return,
+        Err(error) => {
+            // Without an answer for too long the pool stops its kept jobs by itself.
+            let line = EventLine::new("claim_not_read")
+                .text("pool", &id)
+                .text("error", error);
+            return state.log(EventKind::Kept, line);
+        }
     };
     if row.version.0 == fence.0 {
         with_fenced(&state, &id, fence, |pool, _| pool.note_contact(sent));
     }
 }
 
-async fn publish(state: Rc<NodeState>, id: PoolId, pending: String) {
+async fn publish(state: Rc<NodeState>, id: PoolId, pending: WaitingCounts) {
+    let Ok(value) = serde_json::to_vec(&pending) else {
+        let line = EventLine::new("pending_not_encoded").text("pool", &id);
+        return state.log(EventKind::Kept, line);
+    };
     let write = RowWrite {
         table: StoreTable::PendingJobs,
         key: id.to_string(),
-        value: pending.into_bytes(),
+        value,
         expected: None,
     };
-    // The next change is written over it.
-    let _unknown = state.store.transact(&Transaction::of(write)).await;
+    if let Err(error) = state.store.transact(&Transaction::of(write)).await {
+        // The next change is written over it.
+        let line = EventLine::new("pending_not_published")
+            .text("pool", &id)
+            .text("error", error);
+        state.log(EventKind::Kept, line);
+    }
 }
 
 /// How many kept jobs of a route have not begun, as the owners of all pools have published it.
@@ -162,8 +181,13 @@
         let RowChange::Put(row) = change else {
             continue;
         };
-        let counts = serde_json::from_slice::<Vec<(String, u64)>>(&row.value);
-        let counts = counts.unwrap_or_default();
+        let counts = match serde_json::from_slice::<Vec<(String, u64)>>(&row.value) {
+            Ok(counts) => counts,
+            Err(error) => {
+                note_unreadable(state, &row, &error);
+                continue;
+            }
+        };
         let of_route = counts.iter().filter(|(name, _)| name == route);
         sum += of_route.map(|(_, count)| count).sum::<u64>();
     }
