--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -17,6 +17,9 @@
     /// The first seed; left out, one by the time of day
     #[bpaf(argument("SEED"))]
     seed: Option<u64>,
+    /// The seeds that failed once, in place of others
+    #[bpaf(switch)]
+    known: bool,
     /// How many seeds, one after another
     #[bpaf(argument("COUNT"), fallback(1), display_fallback)]
     seeds: u64,
@@ -44,6 +47,16 @@
     out: PathBuf,
 }
 
+/// The seeds that failed once, each with its cause on its line.
+const KNOWN_SEEDS: &str = include_str!("../../crates/soak/known-seeds.txt");
+
+fn known_seeds() -> impl Iterator<Item = u64> {
+    let firsts = KNOWN_SEEDS
+        .lines()
+        .filter_map(|line| line.split(' ').next());
+    firsts.filter_map(|seed| seed.parse().ok())
+}
+
 /// Runs the seeds, prints a line for each, and fails if a promise was broken.
 pub(crate) async fn run(options: SoakOptions) -> Result<()> {
     build_programs()?;
@@ -56,12 +69,13 @@
         None => SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs(),
     };
     let mut failed = Vec::new();
-    for seed in first.. {
-        let over = match until {
-            Some(until) => Instant::now() >= until,
-            None => seed >= first + options.seeds,
-        };
-        if over {
+    let seeds: Box<dyn Iterator<Item = u64>> = match (options.known, until) {
+        (true, _) => Box::new(known_seeds()),
+        (false, Some(_)) => Box::new(first..),
+        (false, None) => Box::new(first..first + options.seeds),
+    };
+    for seed in seeds {
+        if until.is_some_and(|until| Instant::now() >= until) {
             break;
         }
         let plan = SoakPlan {
