Put no more ends of kept jobs into a transaction than the store takes

Found on reading the change. Cause: an end of a job is four entries (two conditions, a write, a removal), and thirty of them are 120 where the store takes 100. All would be turned away together, and again at each try. The stand-in did not count entries, so that no test could show it.

Test: many_ends_at_once_are_stored, red with 30 and green with 25.

Listed, not mended: a row that cannot be read counts as no job.

--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -28,8 +28,9 @@
 /// beside each other; a transaction takes about 12 ms, so eight carry 600 a second.
 const PARTS: u64 = 8;
 
-/// The most writes of one transaction. Each has two conditions; the store takes 100 entries.
-const MOST_WRITES: usize = 30;
+/// The most jobs of one transaction. The store takes 100 entries, and the end of a job is four: two conditions, a write and
+/// a removal. One entry too many turns all of them away, again at each try.
+const MOST_WRITES: usize = 25;
 
 /// The pause after a write that was not answered or was turned away.
 const RETRY_PAUSE: Duration = Duration::from_millis(80);
--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -9,6 +9,7 @@
 use platform_stand_ins::{kept_job_body, StoreFault};
 use serde_json::{json, Value};
 use support::{post_job, send, Platform};
+use xxhash_rust::xxh3::xxh3_64;
 
 const ID: &str = "5c0e7a21d94b36f8";
 
@@ -136,3 +137,29 @@
     actix_rt::time::sleep(Duration::from_millis(900)).await;
     assert_eq!(ask(&node, "GET", "").await, (200, json!({ "Pending": 0 })));
 }
+
+/// Many jobs end while the store is away, and all their ends go to one part of it. Each is shown as completed once the
+/// store is back: more than it takes in one transaction would be turned away, all together and again at each try.
+#[actix_rt::test]
+async fn many_ends_at_once_are_stored() {
+    let platform = Platform::start(18, Duration::from_millis(500)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    let of_one_part = (0..u64::MAX).filter(|id| xxh3_64(&id.to_be_bytes()) % 8 == 0);
+    let ids: Vec<String> = of_one_part
+        .take(34)
+        .map(|id| format!("{id:016x}"))
+        .collect();
+    let calls: Vec<_> = ids
+        .iter()
+        .map(|id| support::post_meanwhile(&node, id, kept_job_body(1, 500)))
+        .collect();
+    for call in calls {
+        assert_eq!(call.await.unwrap().0, 202, "{}", node.log_lines());
+    }
+    platform.store.set_fault(StoreFault::Busy);
+    actix_rt::time::sleep(Duration::from_millis(700)).await;
+    platform.store.set_fault(StoreFault::None);
+    for id in &ids {
+        wait_for(&node, id, "completed").await;
+    }
+}
