--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -144,7 +144,7 @@
 async fn many_ends_at_once_are_stored() {
     let platform = Platform::start(18, Duration::from_millis(500)).await;
     let node = platform.start_node(platform.node_settings("vm-1")).await;
-    let of_one_part = (0..u64::MAX).filter(|id| xxh3_64(&id.to_be_bytes()) % 8 == 0);
+    let of_one_part = (0..u64::MAX).filter(|id| xxh3_64(&id.to_be_bytes()).is_multiple_of(8));
     let ids: Vec<String> = of_one_part
         .take(34)
         .map(|id| format!("{id:016x}"))
