Use only workers whose entry is whole and whose service is known

Cause: an entry by another writer counted as a worker. An unknown state was taken for one that drains, an unknown service or a missing capacity for a worker to look at; a known worker whose entry became unreadable was used on; and one row that is not in the store's encoding failed the whole reading, so that a node that started then never became ready. Each unreadable row was logged at each of its writer's heartbeats.

Ruled out: counting a worker's address that another entry has too as wrong; a new life often has the address of the one before it, whose entry goes later.

--- a/crates/jobs/src/route.rs
+++ b/crates/jobs/src/route.rs
@@ -95,6 +95,12 @@
 }
 
 impl RouteTable {
+    /// Whether a service is named here, by itself or as the one of a route.
+    pub fn names_service(&self, service: &ServiceId) -> bool {
+        let by_itself = self.services.iter().any(|rule| rule.id == *service);
+        by_itself || self.routes.iter().any(|rule| rule.service == *service)
+    }
+
     /// The route with the longest prefix that the path begins with, among those of the host.
     pub fn find<'a>(&'a self, host: &str, path: &'a str) -> Option<RouteMatch<'a>> {
         let mut best: Option<RouteMatch<'a>> = None;
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -10,10 +10,20 @@
 /// away are back within 2 s of its return if their worker lives.
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
 
+/// An entry that names no worker to use.
+pub(crate) struct UnusedEntry {
+    /// What it holds, if it can be read.
+    pub(crate) record: Option<WorkerRecord>,
+    /// Whether the log says so. It does once, not at each of its writer's heartbeats.
+    pub(crate) noted: bool,
+}
+
 /// The workers that the platform lists.
 #[derive(Default)]
 pub(crate) struct WorkerDirectory {
     workers: FastMap<LifeId, WorkerRecord>,
+    /// Entries that name none, for as long as they are listed.
+    unused: FastMap<LifeId, UnusedEntry>,
     /// Entries that were removed soon after the store failed, and when they count as gone.
     doubtful: FastMap<LifeId, Instant>,
     /// When the store last failed a call of this process, on whichever table: the reading of the workers may have waited
@@ -36,11 +46,37 @@
 
     pub(crate) fn put(&mut self, record: WorkerRecord) {
         self.doubtful.remove(&record.life);
+        self.unused.remove(&record.life);
         self.workers.insert(record.life.clone(), record);
     }
 
+    /// Takes an entry as one that names no worker. Gives the worker that it named before.
+    pub(crate) fn set_aside(&mut self, life: LifeId, entry: UnusedEntry) -> Option<WorkerRecord> {
+        self.doubtful.remove(&life);
+        let former = self.workers.remove(&life);
+        self.unused.insert(life, entry);
+        former
+    }
+
+    /// Whether the log says already that the entry names no worker.
+    pub(crate) fn is_noted(&self, life: &LifeId) -> bool {
+        self.unused.get(life).is_some_and(|entry| entry.noted)
+    }
+
+    /// What entries hold that name no worker now and may under another configuration.
+    pub(crate) fn unused_records(&self) -> Vec<WorkerRecord> {
+        let entries = self.unused.values();
+        entries.filter_map(|entry| entry.record.clone()).collect()
+    }
+
+    /// All workers.
+    pub(crate) fn records(&self) -> Vec<WorkerRecord> {
+        self.workers.values().cloned().collect()
+    }
+
     /// Takes an entry as removed. Gives the worker if it counts as gone now.
     pub(crate) fn remove(&mut self, now: Instant, life: &LifeId) -> Option<WorkerRecord> {
+        self.unused.remove(life);
         let until = self.last_failure.map(|at| at + RETURN_TIME);
         if let Some(until) = until.filter(|until| now < *until) {
             if self.workers.contains_key(life) {
@@ -71,6 +107,7 @@
     pub(crate) fn missing_from(&self, seen: &FastSet<LifeId>) -> Vec<LifeId> {
         self.workers
             .keys()
+            .chain(self.unused.keys())
             .filter(|life| !seen.contains(*life))
             .cloned()
             .collect()
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -3,15 +3,14 @@
 use std::{rc::Rc, time::Duration};
 
 use claims::{ClaimRow, GroupRow, MemberRow, NodeId};
-use jobs::{LifeId, PoolId};
-use model::FastSet;
+use jobs::PoolId;
 use platform::RowVersion;
 use platform_adapter::{
-    decode_table, decode_worker, FeedPage, RowChange, StoreError, StoreTable, StoredRow, CONFIG_KEY,
+    decode_table, FeedPage, RowChange, StoreError, StoreTable, StoredRow, CONFIG_KEY,
 };
 use telemetry::{EventKind, EventLine};
 
-use crate::{groups, keeping, owner, state::NodeState};
+use crate::{groups, keeping, owner, state::NodeState, workers};
 
 /// How long a feed of what has to be in force within 2 s waits for a change. A connection that has gone silent is
 /// found after this time and the client's limit.
@@ -111,7 +110,7 @@
 fn take_page(state: &Rc<NodeState>, table: StoreTable, page: FeedPage, whole: bool) {
     match table {
         StoreTable::Operator => take_config(state, page),
-        StoreTable::Workers => take_workers(state, page, whole),
+        StoreTable::Workers => workers::take_page(state, page, whole),
         StoreTable::Members => take_members(state, page),
         StoreTable::Claims => take_claims(state, page),
         StoreTable::CancelledJobs => take_cancelled(state, page),
@@ -120,9 +119,9 @@
     }
 }
 
-fn take_config(state: &NodeState, page: FeedPage) {
+fn take_config(state: &Rc<NodeState>, page: FeedPage) {
     for change in page.changes {
-        let RowChange::Put(row) = change else {
+        let Some(row) = put_row(state, change) else {
             continue;
         };
         if row.key != CONFIG_KEY {
@@ -136,7 +135,7 @@
 }
 
 /// Versions only rise: an answer that was overtaken must not bring an older configuration back.
-fn install_table(state: &NodeState, table: jobs::RouteTable) {
+fn install_table(state: &Rc<NodeState>, table: jobs::RouteTable) {
     let known = state.table.borrow().as_ref().map(|known| known.version);
     if known.is_some_and(|known| known >= table.version) {
         return;
@@ -147,6 +146,20 @@
         .number("former", known.unwrap_or_default().0);
     state.log(EventKind::Kept, line);
     *state.table.borrow_mut() = Some(Rc::new(table));
+    workers::sort_again(state);
+}
+
+/// The row, if it was written and can be read. What cannot be read is logged.
+pub(crate) fn put_row(state: &NodeState, change: RowChange) -> Option<StoredRow> {
+    match change {
+        RowChange::Put(row) => Some(row),
+        RowChange::Removed { .. } => None,
+        RowChange::Unreadable { key, reason } => {
+            let line = EventLine::new("row_unreadable").text("key", &key);
+            state.log(EventKind::Kept, line.text("error", &reason));
+            None
+        }
+    }
 }
 
 pub(crate) fn note_unreadable(state: &NodeState, row: &StoredRow, error: &serde_json::Error) {
@@ -157,48 +170,6 @@
     state.log(EventKind::Kept, line);
 }
 
-fn take_workers(state: &Rc<NodeState>, page: FeedPage, whole: bool) {
-    let mut seen: FastSet<LifeId> = FastSet::default();
-    let mut removed = Vec::new();
-    for change in page.changes {
-        match change {
-            RowChange::Put(row) => {
-                seen.insert(LifeId::from(row.key.as_str()));
-                put_worker(state, &row);
-            }
-            RowChange::Removed { key } => removed.push(LifeId::from(key.as_str())),
-        }
-    }
-    if whole {
-        removed.extend(state.directory.borrow().missing_from(&seen));
-    }
-    for life in removed {
-        let gone = state.directory.borrow_mut().remove(state.now(), &life);
-        if let Some(record) = gone {
-            drop_worker(state, &record);
-        }
-    }
-}
-
-fn put_worker(state: &Rc<NodeState>, row: &StoredRow) {
-    let record = match decode_worker(&row.key, &row.value) {
-        Ok(record) => record,
-        Err(error) => return note_unreadable(state, row, &error),
-    };
-    state.directory.borrow_mut().put(record.clone());
-    groups::place_worker(state, record);
-}
-
-/// Tells that a worker is gone for good.
-pub(crate) fn drop_worker(state: &Rc<NodeState>, record: &jobs::WorkerRecord) {
-    let Some(pool) = state.directory.borrow().pool_of(record) else {
-        return;
-    };
-    let any = state.directory.borrow().has_pool(&pool);
-    state.keeper.borrow_mut().on_workers(&pool, any);
-    owner::drop_worker(state, &pool, &record.life);
-}
-
 fn take_members(state: &NodeState, page: FeedPage) {
     let now = state.now();
     for change in page.changes {
@@ -213,13 +184,14 @@
                     .borrow_mut()
                     .on_member_gone(&NodeId::from(key.as_str()));
             }
+            change @ RowChange::Unreadable { .. } => drop(put_row(state, change)),
         }
     }
 }
 
 fn take_cancelled(state: &Rc<NodeState>, page: FeedPage) {
     for change in page.changes {
-        if let RowChange::Put(row) = change {
+        if let Some(row) = put_row(state, change) {
             keeping::take_cancelled(state, &row);
         }
     }
@@ -227,7 +199,7 @@
 
 fn take_claims(state: &Rc<NodeState>, page: FeedPage) {
     for change in page.changes {
-        let RowChange::Put(row) = change else {
+        let Some(row) = put_row(state, change) else {
             continue;
         };
         if let Some(centre) = groups::centre_of_key(&row.key) {
--- a/crates/node/src/keeping/care.rs
+++ b/crates/node/src/keeping/care.rs
@@ -8,11 +8,15 @@
 
 use jobs::{FenceToken, PoolId};
 use model::FastMap;
-use platform_adapter::{RowChange, RowWrite, StoreError, StoreTable, Transaction};
+use platform_adapter::{RowWrite, StoreError, StoreTable, Transaction};
 use telemetry::{EventKind, EventLine};
 
 use super::{part_name, read_row, PARTS, RETRY_PAUSE};
-use crate::{feeds::note_unreadable, owner::with_fenced, state::NodeState};
+use crate::{
+    feeds::{note_unreadable, put_row},
+    owner::with_fenced,
+    state::NodeState,
+};
 
 /// The time between two looks at whether a claim still stands, while its pool has kept jobs: three fit into the time for
 /// which an owner goes on without one.
@@ -119,7 +123,7 @@
             }
         };
         for change in page.changes {
-            let RowChange::Put(row) = change else {
+            let Some(row) = put_row(&state, change) else {
                 continue;
             };
             state.keeps_jobs.set(true);
@@ -178,7 +182,7 @@
     let page = state.store.read_all(StoreTable::PendingJobs, "").await?;
     let mut sum = 0;
     for change in page.changes {
-        let RowChange::Put(row) = change else {
+        let Some(row) = put_row(state, change) else {
             continue;
         };
         let counts = match serde_json::from_slice::<Vec<(String, u64)>>(&row.value) {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -32,7 +32,7 @@
     peers::{self, BeatSender, OwnerLinks},
     ready,
     state::{time_since_boot, NodeState},
-    NodeError,
+    workers, NodeError,
 };
 
 /// The time between two looks at what is due. Waits that matter to customers end by events, not by this.
@@ -191,6 +191,7 @@
         workers: WorkerClient::new(http, &pool_settings),
         store,
         pool_settings,
+        system_addresses: vec![settings.store, customer_address, ready_address, address],
         table: RefCell::default(),
         keeper: RefCell::new(ClaimKeeper::new(me, claim_settings.clone(), clock.now())),
         directory: RefCell::new(WorkerDirectory::default()),
@@ -349,7 +350,7 @@
     let now = state.now();
     let gone = state.directory.borrow_mut().take_gone(now);
     for record in gone {
-        feeds::drop_worker(state, &record);
+        workers::drop_worker(state, &record);
     }
     let actions = state.keeper.borrow_mut().tick(now);
     let notes = state.keeper.borrow_mut().take_notes();
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -26,6 +27,8 @@
 pub(crate) struct NodeState {
     pub(crate) settings: NodeSettings,
     pub(crate) pool_settings: pool::PoolSettings,
+    /// Where the store and this process listen: no worker does.
+    pub(crate) system_addresses: Vec<SocketAddr>,
     pub(crate) clock: Arc<dyn ClockSource>,
     pub(crate) store: StoreClient,
     pub(crate) workers: WorkerClient,
