Look twice while answers get lost, and send a lost start again at once

Cause: a look that is not answered hides all ends of its worker for up to 370 ms, and a start for 80 ms and a pause of 40 ms, where a job of 60 ms tasks has 96 ms for all that isn't work. With one call in eighteen lost, a third of the jobs of eight tasks meet one.

A longer pause for a worker after one miss: it is closed for 2 ms only, until the next look answers.

Change: for 3 s after a missed answer a look of 40 ms gets a second one beside it; a miss counts only if no later look was answered; listings that were overtaken say nothing of what runs. Starts are given up after 30 ms, and the first retry has no pause.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -55,6 +55,8 @@
     accepting: bool,
     /// Its name, which the rows of its kept jobs have.
     home: Arc<str>,
+    /// When a worker's answer was last missed.
+    lost_answer: Option<Instant>,
     /// When the last call was sent by which the store has shown that the claim stands.
     store_contact: Option<Instant>,
     /// Whether its kept jobs have been read. Until then no end is acknowledged: it may be one of theirs.
@@ -104,6 +106,7 @@
             median_slowness: 1.0,
             accepting: true,
             home: start.home,
+            lost_answer: None,
             store_contact: Some(now),
             kept_loaded: false,
             ended_kept: FastMap::default(),
--- a/crates/pool/src/pool/answers.rs
+++ b/crates/pool/src/pool/answers.rs
@@ -96,8 +96,10 @@
             return;
         }
         if run.tries < self.settings.start_tries {
+            // One that is lost is sent again at once: a pause would only add to what its job waits.
+            let pause = (run.tries > 1).then(|| now + self.settings.retry_pause);
             worker.orders.push_front(WaitingOrder::Start(task, number));
-            worker.order_pause = Some(now + self.settings.retry_pause);
+            worker.order_pause = pause;
             return;
         }
         stop_run(worker, task, number);
--- a/crates/pool/src/pool/looks.rs
+++ b/crates/pool/src/pool/looks.rs
@@ -47,12 +47,14 @@
     pub(super) fn keep_watch(&mut self, now: Instant) {
         let owner_millis = self.millis(now);
         let wants_ends = self.has_held_back();
+        let hedge = self.hedge(now);
         for worker in self.workers.values_mut() {
-            if !worker.wants_look(now, IDLE_ACK, wants_ends) {
+            if !worker.wants_look(now, IDLE_ACK, wants_ends, hedge) {
                 continue;
             }
             let order = look_order(worker, now, owner_millis, self.fence, &self.settings);
-            worker.look_in_flight = true;
+            worker.looks_in_flight += 1;
+            worker.last_look = now;
             worker.look_pause = None;
             self.actions.push(PoolAction::Look(order));
         }
@@ -71,23 +73,35 @@
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
-        worker.look_in_flight = false;
+        worker.looks_in_flight = worker.looks_in_flight.saturating_sub(1);
         match answer {
             Ok(listing) => self.take_listing(now, sent, order, listing),
             Err(CallFailure::FencedOut) => self.lose_worker(now, life),
             Err(CallFailure::NewLife) => self.forget_life(now, life),
             Err(CallFailure::NoAnswer | CallFailure::Unhealthy | CallFailure::Malformed) => {
-                self.miss_look(now, life);
+                self.miss_look(now, sent, life);
             }
         }
         self.schedule(now);
         self.keep_watch(now);
     }
 
-    fn miss_look(&mut self, now: Instant, life: &LifeId) {
+    /// After which time a look gets a second one beside it, if answers get lost.
+    fn hedge(&self, now: Instant) -> Option<Duration> {
+        let lost = self.lost_answer?;
+        let lossy = now < lost + self.settings.loss_memory;
+        lossy.then_some(self.settings.look_hedge)
+    }
+
+    fn miss_look(&mut self, now: Instant, sent: Instant, life: &LifeId) {
+        self.lost_answer = Some(now);
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
+        // A later look was answered: this one was lost, its worker was not.
+        if worker.answered_look.is_some_and(|later| later > sent) {
+            return;
+        }
         worker.misses += 1;
         if !worker.is_silent() {
             return;
@@ -117,6 +131,10 @@
         };
         let new_here = worker.clock.is_none() || worker.misses > 0;
         worker.misses = 0;
+        worker.answered_look = worker.answered_look.max(Some(sent));
+        // Answers to two looks may overtake each other. Ends are numbered; all else holds only in the newest listing.
+        let newest = listing.clock > worker.listed;
+        worker.listed = worker.listed.max(listing.clock);
         worker.ends_read |= self.kept_loaded;
         worker.read_clock(owner_millis, listing.clock);
         worker.acknowledged = worker.acknowledged.max(order.last_seen);
@@ -131,8 +149,10 @@
             self.take_end(now, life, end);
         }
         self.pause_looks(now, life, &listing);
-        self.stop_foreign(life, &listing);
-        self.read_progress(now, life, &listing);
+        if newest {
+            self.stop_foreign(life, &listing);
+            self.read_progress(now, life, &listing);
+        }
         self.drop_missing(now, sent, life, &listing);
     }
 
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -13,8 +13,16 @@
     /// How much longer than its wait a look may take before it counts as unanswered. Round trips within a region take
     /// under 5 ms; a slowed process of the system takes some tens.
     pub look_margin: Duration,
-    /// How long a start or stop may go unanswered before it is sent again. Starting twice under one run number is
-    /// idempotent, so a short limit costs one message.
+    /// While answers get lost, a look that has waited for this long gets a second one beside it, since a lost look hides
+    /// all ends of its worker until it is given up. A wide job of 60 ms tasks has 96 ms in all for what isn't work. With
+    /// one answer in 18 lost, wide jobs earned 0.65 of their credit with it and 0.45 without (pool of 16, three seeds).
+    pub look_hedge: Duration,
+    /// How long after an answer was missed answers count as getting lost. Such troubles last seconds, and a look too many
+    /// costs some microseconds.
+    pub loss_memory: Duration,
+    /// How long a start or stop may go unanswered before it is sent again, some ten round trips. Starting twice under one
+    /// run number is idempotent, so a short limit costs one message. With one answer in 18 lost, wide jobs earned 0.79 of
+    /// their credit at 80 ms, 0.88 at 30 ms and 0.89 at 20 ms (pool of 16, three seeds).
     pub order_timeout: Duration,
     /// Starts of one run that may go unanswered before the run is stopped and the task placed elsewhere.
     pub start_tries: u32,
@@ -45,7 +53,9 @@
             lease: Duration::from_millis(800),
             look_wait: Duration::from_millis(250),
             look_margin: Duration::from_millis(120),
-            order_timeout: Duration::from_millis(80),
+            look_hedge: Duration::from_millis(40),
+            loss_memory: Duration::from_secs(3),
+            order_timeout: Duration::from_millis(30),
             start_tries: 3,
             retry_pause: Duration::from_millis(40),
             lapse_margin: Duration::from_millis(60),
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -86,7 +86,14 @@
     pub(crate) order_in_flight: bool,
     /// No order is sent before.
     pub(crate) order_pause: Option<Instant>,
-    pub(crate) look_in_flight: bool,
+    /// Looks that are not answered yet.
+    pub(crate) looks_in_flight: usize,
+    /// When the last look was sent.
+    pub(crate) last_look: Instant,
+    /// When the latest of the looks that were answered was sent.
+    pub(crate) answered_look: Option<Instant>,
+    /// Its clock in the newest listing.
+    pub(crate) listed: WorkerClock,
     /// No look is sent before.
     pub(crate) look_pause: Option<Instant>,
     /// Looks in a row without an answer.
@@ -111,6 +118,9 @@
 /// may be a single lost connection.
 pub(crate) const MISSES_TO_SILENCE: u32 = 2;
 
+/// The most looks at one worker without an answer: two lost ones in a row are one in 300 where one in 18 is lost.
+const MOST_LOOKS: usize = 2;
+
 impl WorkerLedger {
     pub(crate) fn new(record: WorkerRecord, now: Instant) -> Self {
         Self {
@@ -122,7 +132,10 @@
             orders: VecDeque::new(),
             order_in_flight: false,
             order_pause: None,
-            look_in_flight: false,
+            looks_in_flight: 0,
+            last_look: now,
+            answered_look: None,
+            listed: WorkerClock(0),
             look_pause: None,
             misses: 0,
             seen: 0,
@@ -219,11 +232,22 @@
         self.runs.is_empty() && self.orders.is_empty() && !self.order_in_flight
     }
 
-    /// Whether it needs a look now. `wants_ends` says that jobs wait for what it has to list.
-    pub(crate) fn wants_look(&self, now: Instant, idle_ack: Duration, wants_ends: bool) -> bool {
-        if self.look_in_flight || self.look_pause.is_some_and(|pause| now < pause) {
+    /// Whether it needs a look now. `wants_ends` says that jobs wait for what it has to list, `hedge` after which time a
+    /// look without an answer gets a second one beside it.
+    pub(crate) fn wants_look(
+        &self,
+        now: Instant,
+        idle_ack: Duration,
+        wants_ends: bool,
+        hedge: Option<Duration>,
+    ) -> bool {
+        if self.look_pause.is_some_and(|pause| now < pause) {
             return false;
         }
+        if self.looks_in_flight > 0 {
+            let hedged = hedge.is_some_and(|hedge| now >= self.last_look + hedge);
+            return hedged && self.looks_in_flight < MOST_LOOKS && !self.runs.is_empty();
+        }
         let unknown = self.clock.is_none() || self.misses > 0;
         let unacknowledged = self.acknowledged < self.seen && now >= self.last_end + idle_ack;
         let held = !self.runs.is_empty() || !self.foreign.is_empty();
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -134,3 +134,31 @@
     assert!(first > 0.55, "{first:.3}");
     assert!(total > 0.68, "{total:.3}");
 }
+
+/// One call in eighteen to a worker gets no answer, looks among them; starts of which that is true are carried out
+/// seconds later. A task that has ended is not known to have until some look is answered, so its job is late and its
+/// place is idle; a start that went astray is late by as long as it takes to be missed.
+#[test]
+fn lost_answers_delay_few_jobs() {
+    let mut wide = 0.0;
+    let mut total = 0.0;
+    for seed in 0..3 {
+        let mut world = World::new(seed, 16);
+        world.traffic(3_000, [0.8, 0.8, 0.8]);
+        for worker in world.workers.values_mut() {
+            worker.fault = WorkerFault {
+                answers_lost: 0.055,
+                late: 0.055,
+                ..WorkerFault::default()
+            };
+        }
+        world.traffic(15_000, [0.8, 0.8, 0.8]);
+        world.run_for(6_000);
+        println!("{}", summary(&world.results));
+        wide += kind_credit(&world.results, 0) / 3.0;
+        total += credit(&world.results) / 3.0;
+    }
+    println!("wide {wide:.3} all {total:.3}");
+    assert!(wide > 0.86, "{wide:.3}");
+    assert!(total > 0.94, "{total:.3}");
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -75,7 +75,8 @@
     ends: Vec<EndedRun>,
     /// The last end that was acknowledged: it and those before are forgotten.
     forgotten: u64,
-    waiting: Option<(LookOrder, u64, u64)>,
+    /// Looks that wait for an end: when each was sent, and until when it waits.
+    waiting: Vec<(LookOrder, u64, u64)>,
 }
 
 enum Event {
@@ -270,7 +271,7 @@
             runs: Vec::new(),
             ends: Vec::new(),
             forgotten: 0,
-            waiting: None,
+            waiting: Vec::new(),
         };
         self.workers.insert(record.life, worker);
         self.carry_out();
@@ -619,7 +620,7 @@
 
     fn take_start(&mut self, order: StartOrder) {
         let settings = PoolSettings::default();
-        let give_up = u64::try_from(settings.order_timeout.as_millis()).unwrap();
+        let give_up = millis(settings.order_timeout);
         let none = StartAnswer::Failed(CallFailure::NoAnswer);
         let life = order.life.clone();
         let Some(fault) = self.workers.get(&life).map(|worker| worker.fault) else {
@@ -722,7 +723,7 @@
 
     fn take_look(&mut self, order: LookOrder) {
         let now = self.now;
-        let wait = u64::try_from(order.wait.as_millis()).unwrap();
+        let wait = millis(order.wait);
         let sent = now - ONE_WAY;
         let Some(worker) = self
             .workers
@@ -730,7 +731,8 @@
             .filter(|w| !w.fault.silent)
         else {
             let none = Err(CallFailure::NoAnswer);
-            return self.post(wait + 120, Event::LookAnswer(order, sent, none));
+            let margin = millis(PoolSettings::default().look_margin);
+            return self.post(wait + margin, Event::LookAnswer(order, sent, none));
         };
         if order.fence.0 < worker.fence {
             let fenced = Err(CallFailure::FencedOut);
@@ -742,7 +744,7 @@
         if let Some(lease_end) = order.lease_end {
             worker.lease_end = worker.lease_end.max(lease_end.0.min(clock + LONGEST_LEASE));
         }
-        worker.waiting = Some((order, sent, now + wait));
+        worker.waiting.push((order, sent, now + wait));
     }
 
     fn step_workers(&mut self) {
@@ -751,25 +753,31 @@
         for life in lives {
             let worker = self.workers.get_mut(&life).unwrap();
             worker.work(now);
-            let Some((order, sent, until)) = worker.waiting.take() else {
-                continue;
-            };
-            let seen = order.last_seen.max(worker.forgotten);
-            let news = worker.ends.iter().any(|end| end.number > seen);
-            if !news && now < until {
-                worker.waiting = Some((order, sent, until));
-                continue;
-            }
-            let listing = worker.listing(now, order.last_seen);
-            if self.lost(&life) {
-                let none = Err(CallFailure::NoAnswer);
-                self.post(120, Event::LookAnswer(order, sent, none));
-            } else {
-                self.post(ONE_WAY, Event::LookAnswer(order, sent, Ok(listing)));
+            for (order, sent, until) in std::mem::take(&mut worker.waiting) {
+                self.answer_look(&life, order, sent, until);
             }
         }
     }
 
+    fn answer_look(&mut self, life: &LifeId, order: LookOrder, sent: u64, until: u64) {
+        let now = self.now;
+        let worker = self.workers.get_mut(life).unwrap();
+        let seen = order.last_seen.max(worker.forgotten);
+        let news = worker.ends.iter().any(|end| end.number > seen);
+        if !news && now < until {
+            worker.waiting.push((order, sent, until));
+            return;
+        }
+        let listing = worker.listing(now, order.last_seen);
+        if self.lost(life) {
+            let none = Err(CallFailure::NoAnswer);
+            let margin = millis(PoolSettings::default().look_margin);
+            self.post(until + margin - now, Event::LookAnswer(order, sent, none));
+        } else {
+            self.post(ONE_WAY, Event::LookAnswer(order, sent, Ok(listing)));
+        }
+    }
+
     /// What must hold at every moment: no worker over its room, no task twice at the same time.
     fn check(&self) {
         let mut tasks = BTreeMap::new();
@@ -863,6 +871,10 @@
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap()
+}
+
 fn pool_start(fence: u64) -> PoolStart {
     PoolStart {
         home: Arc::from("east/0"),
