Switch mechanisms off one by one, by a setting

Cause: what a mechanism is worth could only be found with an edited copy. Change: model::Mechanism is the closed set; `switched_off` in a node's settings and in PoolSettings names those that do not work. Suspending a worker stood in four places and is one function now. No behaviour changes while nothing is switched off; the tests of pool, node and settings pass.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod endpoint;
 mod ids;
+mod mechanism;
 mod outcome;
 mod reason;
 mod submission;
@@ -25,6 +26,7 @@
         AttemptId, CustomerId, DataCentreId, EndpointId, IdempotencyKey, IncarnationId,
         SubmissionId, TaskIndex, TaskKind, TicketId, VmId, WrongId,
     },
+    mechanism::{Mechanism, SwitchedOff},
     outcome::{AttemptEnd, SubmissionOutcome, TaskResult},
     reason::{FailureReason, RefusalReason, RetryReason, UnknownReason, WrongReason},
     submission::{KeyedRun, SubmissionBody, SubmissionKind, TaskBody, TaskOffer},
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,6 +13,7 @@
     StreamExt as _,
 };
 use jobs::{JobOutcome, JobRequest, JobTerms, PoolId, RefusalKind, RouteRule, StepSpec};
+use model::Mechanism;
 use peer::JobCall;
 use pool::{divide_step, order_pools, PoolCandidate};
 use telemetry::EventLine;
@@ -68,18 +69,18 @@
         last = outcome;
         offers.push(PartOffer { pool, owner, fits });
     }
-    match divide(&job.request, offers) {
+    match divide(state, &job.request, offers) {
         Some(parts) => run_parts(state, job, &parts).await,
         None => last,
     }
 }
 
 /// The parts of a job of one step, as the pools offered to take them, if together they can take all.
-fn divide(request: &JobRequest, offers: Vec<PartOffer>) -> Option<Vec<JobPart>> {
+fn divide(state: &NodeState, request: &JobRequest, offers: Vec<PartOffer>) -> Option<Vec<JobPart>> {
     let [step] = request.steps.as_slice() else {
         return None;
     };
-    if request.kept {
+    if request.kept || !state.has(Mechanism::Dividing) {
         return None;
     }
     let fits: Vec<u32> = offers.iter().map(|offer| offer.fits).collect();
@@ -138,6 +139,11 @@
         .iter()
         .map(|(pool, owner)| candidate(state, pool, owner))
         .collect();
+    let blind = !state.has(Mechanism::PoolChoice);
+    let candidates = match blind {
+        true => candidates.iter().map(PoolCandidate::unheard).collect(),
+        false => candidates,
+    };
     let order = order_pools(&candidates, &mut state.rng.borrow_mut());
     let mut ordered: Vec<Option<(PoolId, OwnerView)>> = pools.drain(..).map(Some).collect();
     order
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -9,7 +9,7 @@
 use claims::{ClaimAction, ClaimRow, NodeId};
 use futures::future::{select, Either, LocalBoxFuture};
 use jobs::{FenceToken, JobId, JobOutcome, LifeId, PoolId, RefusalKind, WorkerRecord};
-use model::FastMap;
+use model::{FastMap, Mechanism};
 use peer::{JobCall, PoolService};
 use platform::RowVersion;
 use platform_adapter::{RowWrite, StoreTable, Transaction, TransactionEnd};
@@ -250,6 +250,7 @@
     let yielding = state.yielding.borrow().clone();
     let Some((id, since)) = yielding else {
         let wanted = state.keeper.borrow().pool_to_yield(now);
+        let wanted = wanted.filter(|_| state.has(Mechanism::Yielding));
         if let Some(id) = wanted.filter(|id| state.pools.borrow().contains_key(id)) {
             state.log(
                 EventKind::Kept,
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -170,6 +170,7 @@
         lease: PoolSettings::default()
             .lease
             .min(settings.longest_lease_ms.duration()),
+        switched_off: settings.switched_off.iter().copied().collect(),
         ..PoolSettings::default()
     };
     let store = StoreClient::new(http.clone(), settings.store, STORE_LIMIT);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -11,7 +11,7 @@
 use claims::{ClaimKeeper, NodeId};
 use jobs::{PoolId, RouteTable};
 use kernel::ClockSource;
-use model::{DataCentreId, FastMap};
+use model::{DataCentreId, FastMap, Mechanism};
 use platform_adapter::{StoreClient, WorkerClient};
 use settings::NodeSettings;
 use telemetry::{EventKind, EventLine, EventLog, NodeMetrics};
@@ -72,6 +72,11 @@
         self.clock.now()
     }
 
+    /// Whether a mechanism is switched on.
+    pub(crate) fn has(&self, mechanism: Mechanism) -> bool {
+        self.pool_settings.switched_off.allows(mechanism)
+    }
+
     pub(crate) fn node(&self) -> NodeId {
         self.keeper.borrow().me().node.clone()
     }
--- a/crates/pool/src/health.rs
+++ b/crates/pool/src/health.rs
@@ -64,18 +64,15 @@
         *self = Self::default();
     }
 
-    /// A run failed. Says how long the worker is suspended, if it is now. Several failures of one job count once: a
-    /// job that can never be done must not cost a sound worker its runs.
-    pub(crate) fn fail(&mut self, now: Instant, job: JobId) -> Option<Duration> {
+    /// A run failed. Says whether the worker should be suspended. Several failures of one job count once: a job that can
+    /// never be done must not cost a sound worker its runs.
+    pub(crate) fn fail(&mut self, job: JobId) -> bool {
         if self.last_failed != Some(job) {
             self.failures += 1;
             self.last_failed = Some(job);
         }
         let suspended = self.state != HealthState::Sound;
-        if self.failures < FAILURES_TO_SUSPEND && !suspended {
-            return None;
-        }
-        Some(self.suspend(now))
+        suspended || self.failures >= FAILURES_TO_SUSPEND
     }
 
     /// Suspends it, each time in a row for longer.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -17,10 +17,10 @@
     longest_chain, FenceToken, JobId, JobOutcome, JobRequest, JobTerms, LifeId, RefusalKind,
     RunNumber, WorkerRecord, WorkerState,
 };
-use model::FastMap;
+use model::{FastMap, Mechanism};
 
 use crate::{
-    action::{PoolAction, PoolNote, WaiterId, WorkerChange},
+    action::{PoolAction, PoolNote, SuspensionCause, WaiterId, WorkerChange},
     admission::PoolLoad,
     arrivals::ArrivalBook,
     estimate::EstimateBook,
@@ -356,7 +356,8 @@
             job: id,
             priority: job.terms.priority,
             arrived: job.arrived,
-            begun: job.ordered,
+            begun: job.ordered && self.has(Mechanism::BegunFirst),
+            by_arrival: !self.has(Mechanism::LatestStart),
             latest_start: latest_start(job.arrived, job.objective, left),
             useless: job.arrived + job.objective.mul_f64(self.settings.useless_beyond),
         }
@@ -431,7 +432,32 @@
         }
     }
 
+    /// Whether a mechanism is switched on.
+    fn has(&self, mechanism: Mechanism) -> bool {
+        self.settings.switched_off.allows(mechanism)
+    }
+
+    /// Leaves a worker alone for a while.
+    fn suspend(&mut self, now: Instant, life: &LifeId, cause: SuspensionCause) {
+        if !self.has(Mechanism::Suspension) {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        let pause = worker.health.suspend(now);
+        self.notes.push(PoolNote::Suspended {
+            life: life.clone(),
+            cause,
+            pause,
+        });
+    }
+
     fn find_median(&mut self) {
+        if !self.has(Mechanism::SluggishWorkers) {
+            self.median_slowness = f64::INFINITY;
+            return;
+        }
         let open = self.workers.values().filter(|worker| worker.is_open());
         let mut slowness: Vec<f64> = open.map(|worker| worker.slowness).collect();
         slowness.sort_by(f64::total_cmp);
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -6,7 +6,7 @@
     longest_chain, JobId, JobOutcome, JobRequest, JobTerms, RefusalKind, ServiceId, StepSpec,
 };
 
-use model::FastMap;
+use model::{FastMap, Mechanism};
 
 use super::{WorkerPool, LONGEST_RETRY, SHORTEST_RETRY};
 use crate::{
@@ -53,11 +53,13 @@
             .sum();
         let too_late = objective.mul_f64(self.settings.refuse_beyond);
         let too_late = too_late.min(terms.waited + terms.time_left);
+        let late = predicted > too_late && self.has(Mechanism::LateRefusal);
+        let harms = forecast.harms && self.has(Mechanism::HarmCheck);
         let kind = if !self.accepting {
             Some(RefusalKind::NotServing)
         } else if !self.can_ever_hold(request, terms) {
             Some(RefusalKind::NoRoomEver)
-        } else if !terms.firm && (predicted > too_late || forecast.harms || forecast.crowds) {
+        } else if !terms.firm && (late || harms || forecast.crowds) {
             Some(RefusalKind::TooLate)
         } else if queued + request.steps.len() > self.settings.most_queued {
             Some(RefusalKind::QueueFull)
@@ -146,6 +148,9 @@
     }
 
     pub(super) fn predict(&self, terms: &JobTerms, spec: &StepSpec) -> Duration {
+        if !self.has(Mechanism::RunTimes) {
+            return spec.estimate;
+        }
         self.estimates.predict(&terms.route, spec.estimate)
     }
 
@@ -196,6 +201,7 @@
             arrived,
             begun: false,
             latest_start: latest_start(arrived, objective, chain),
+            by_arrival: !self.has(Mechanism::LatestStart),
             useless: arrived + objective.mul_f64(self.settings.useless_beyond),
         };
         let rank = entry.rank(now);
@@ -216,11 +222,15 @@
             limit: None,
         };
         jobs.insert(place, new);
+        let expected = match self.has(Mechanism::KeptRoom) {
+            true => self.arrivals.expected_before(now, terms.priority),
+            false => Vec::new(),
+        };
         Some(AdmissionTrial {
             pool: self.pool_forecast(now, &terms.service),
             jobs,
             new: place,
-            expected: self.arrivals.expected_before(now, terms.priority),
+            expected,
         })
     }
 
--- a/crates/pool/src/pool/answers.rs
+++ b/crates/pool/src/pool/answers.rs
@@ -103,12 +103,7 @@
             return;
         }
         stop_run(worker, task, number);
-        let pause = worker.health.suspend(now);
-        self.notes.push(PoolNote::Suspended {
-            life: life.clone(),
-            cause: SuspensionCause::Silent,
-            pause,
-        });
+        self.suspend(now, life, SuspensionCause::Silent);
     }
 
     /// The worker did nothing for this call. If that was the only try, the run can never begin.
@@ -116,7 +111,6 @@
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
-        let pause = worker.health.suspend(now);
         let only_try = worker
             .run_mut(task, number)
             .is_some_and(|run| run.tries == 1);
@@ -126,11 +120,7 @@
             stop_run(worker, task, number);
             None
         };
-        self.notes.push(PoolNote::Suspended {
-            life: life.clone(),
-            cause: SuspensionCause::Unhealthy,
-            pause,
-        });
+        self.suspend(now, life, SuspensionCause::Unhealthy);
         if let Some(run) = lost {
             self.note_lost(&run, life, RunLoss::TurnedAway);
             self.requeue(now, run);
--- a/crates/pool/src/pool/looks.rs
+++ b/crates/pool/src/pool/looks.rs
@@ -7,6 +7,8 @@
     WorkerListing,
 };
 
+use model::Mechanism;
+
 use super::{stop_run, WorkerPool};
 use crate::{
     action::{
@@ -88,7 +90,9 @@
 
     /// After which time a look gets a second one beside it, if answers get lost.
     fn hedge(&self, now: Instant) -> Option<Duration> {
-        let lost = self.lost_answer?;
+        let lost = self
+            .lost_answer
+            .filter(|_| self.has(Mechanism::HedgedLooks))?;
         let lossy = now < lost + self.settings.loss_memory;
         lossy.then_some(self.settings.look_hedge)
     }
@@ -203,9 +207,12 @@
     }
 
     fn complete_task(&mut self, now: Instant, life: &LifeId, run: &RunLedger, took: Duration) {
+        let learns = self.has(Mechanism::Speeds);
         if let Some(worker) = self.workers.get_mut(life) {
             worker.health.succeed();
-            worker.learn_speed(run.predicted, took);
+            if learns {
+                worker.learn_speed(run.predicted, took);
+            }
         }
         let id = run.task.job;
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -240,12 +247,8 @@
         if let Some(worker) = self.workers.get_mut(life) {
             // A failure on a worker that fails everything says nothing about the task.
             blame = worker.health.is_sound();
-            if let Some(pause) = worker.health.fail(now, id) {
-                self.notes.push(PoolNote::Suspended {
-                    life: life.clone(),
-                    cause: SuspensionCause::Failing,
-                    pause,
-                });
+            if worker.health.fail(id) {
+                self.suspend(now, life, SuspensionCause::Failing);
             }
         }
         run.failures += u32::from(blame);
@@ -332,6 +335,7 @@
     }
 
     fn read_progress(&mut self, now: Instant, life: &LifeId, listing: &WorkerListing) {
+        let learns = self.has(Mechanism::Speeds);
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
@@ -364,11 +368,15 @@
                 }
             }
         }
-        if let Some((predicted, projected)) = slowest {
+        if let Some((predicted, projected)) = slowest.filter(|_| learns) {
             worker.learn_speed(predicted, projected);
         }
-        // Runs that stand still together are one trouble of their worker, and cost one pause.
-        let pause = (!stalled.is_empty()).then(|| worker.health.suspend(now));
+        if stalled.is_empty() || !self.has(Mechanism::StallStop) {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
         for (task, run, took, percent) in stalled {
             stop_run(worker, task, run);
             self.notes.push(PoolNote::Stalled {
@@ -379,13 +387,8 @@
                 percent,
             });
         }
-        if let Some(pause) = pause {
-            self.notes.push(PoolNote::Suspended {
-                life: life.clone(),
-                cause: SuspensionCause::Stalled,
-                pause,
-            });
-        }
+        // Runs that stand still together are one trouble of their worker, and cost one pause.
+        self.suspend(now, life, SuspensionCause::Stalled);
     }
 
     /// Drops run records that the listing proves to be over, or never to begin.
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -43,6 +43,8 @@
     pub(crate) begun: bool,
     /// The latest start that is still in time.
     pub(crate) latest_start: Instant,
+    /// Whether jobs whose start can still be in time go by arrival.
+    pub(crate) by_arrival: bool,
     /// When its end is not worth anything any more.
     pub(crate) useless: Instant,
 }
@@ -66,7 +68,7 @@
             } else {
                 0
             },
-            at: if in_time {
+            at: if in_time && !self.by_arrival {
                 self.latest_start
             } else {
                 self.arrived
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use model::SwitchedOff;
+
 /// Times and limits of a pool.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoolSettings {
@@ -45,6 +47,8 @@
     pub stall_after: f64,
     /// Added to `stall_after`, so that short tasks are not stopped for a late look.
     pub stall_margin: Duration,
+    /// What does not work, for experiments.
+    pub switched_off: SwitchedOff,
 }
 
 impl Default for PoolSettings {
@@ -65,6 +69,7 @@
             packing: 0.85,
             stall_after: 2.5,
             stall_margin: Duration::from_millis(60),
+            switched_off: SwitchedOff::default(),
         }
     }
 }
--- a/crates/pool/src/shift.rs
+++ b/crates/pool/src/shift.rs
@@ -22,6 +22,14 @@
 }
 
 impl PoolCandidate {
+    /// The candidate as it would be known if its owner published nothing.
+    pub fn unheard(&self) -> Self {
+        Self {
+            near: self.near,
+            ..Self::default()
+        }
+    }
+
     /// The room that is expected to be free, less what waits. Lower than zero where more waits than is free.
     fn expected_room(&self) -> i64 {
         let waiting = self.load.backlog.as_secs_f64() * self.load.capacity as f64;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use model::{DataCentreId, VmId};
+use model::{DataCentreId, Mechanism, VmId};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +38,8 @@
     pub cores: f64,
     /// How workers get their orders. Default `call`.
     pub orders: OrderPath,
+    /// Mechanisms that are switched off, to find what each is worth. Default none; in service none is.
+    pub switched_off: Vec<Mechanism>,
 }
 
 /// How workers get their orders.
@@ -65,6 +67,7 @@
             far_factor: 2.0,
             cores: 1.0,
             orders: OrderPath::Call,
+            switched_off: Vec::new(),
         }
     }
 }
