Allow three orders in flight at a worker

Cause: the second task of a wide job on a worker waits for the first one's answer, some 20 ms on a link of 2 Mbit/s.

--- a/crates/pool/src/pool/answers.rs
+++ b/crates/pool/src/pool/answers.rs
@@ -23,7 +23,6 @@
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
-        worker.order_in_flight = false;
         if let Some(clock) = answer_clock(answer) {
             worker.read_clock(owner_millis, clock);
         }
@@ -31,6 +30,11 @@
         if let Some(run) = worker.run_mut(*task, *run) {
             run.under_way = run.under_way.saturating_sub(1);
             (tries, under_way) = (run.tries, run.under_way);
+            let counted = run.overdue == 0;
+            run.overdue = run.overdue.saturating_sub(1);
+            worker.orders_in_flight -= usize::from(counted && worker.orders_in_flight > 0);
+        } else {
+            worker.orders_in_flight = worker.orders_in_flight.saturating_sub(1);
         }
         if !matches!(answer, StartAnswer::Started(_)) {
             self.notes.push(PoolNote::StartTrouble {
@@ -78,11 +82,10 @@
             return;
         }
         let tries = run.tries;
+        run.overdue += 1;
+        worker.orders_in_flight = worker.orders_in_flight.saturating_sub(1);
         self.repeats -= 1.0;
         self.answers.miss();
-        if let Some(worker) = self.workers.get_mut(&order.life) {
-            worker.order_in_flight = false;
-        }
         self.notes.push(PoolNote::StartTrouble {
             task: order.task,
             run: order.run,
@@ -117,7 +120,7 @@
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
-        worker.order_in_flight = false;
+        worker.orders_in_flight = worker.orders_in_flight.saturating_sub(1);
         match answer {
             StopAnswer::Stopped(clock) => {
                 worker.read_clock(owner_millis, clock);
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -9,7 +9,7 @@
     action::{PoolAction, PoolNote, StartOrder, StopOrder},
     job::WaitingTask,
     placement::{choose_worker, PlacementAsk},
-    worker::{RunLedger, RunPhase, WaitingOrder, WorkerLedger},
+    worker::{RunLedger, RunPhase, WaitingOrder, WorkerLedger, MOST_ORDERS},
 };
 
 impl WorkerPool {
@@ -127,6 +127,7 @@
             start_until: jobs::WorkerClock(0),
             tries: 0,
             under_way: 0,
+            overdue: 0,
             predicted: self.predict(&job.terms, spec),
             estimate: spec.estimate,
             percent: 0,
@@ -181,24 +182,23 @@
             limit: self.settings.order_give_up,
         };
         for worker in self.workers.values_mut() {
-            if worker.orders.is_empty() || worker.order_in_flight {
-                continue;
-            }
             if worker.order_pause.is_some_and(|pause| now < pause) {
                 continue;
             }
             worker.order_pause = None;
-            while let Some(order) = worker.orders.pop_front() {
+            while worker.orders_in_flight < MOST_ORDERS {
+                let Some(order) = worker.orders.pop_front() else {
+                    break;
+                };
                 let action = match order {
                     WaitingOrder::Start(task, run) => start_action(worker, task, run, &frame),
                     WaitingOrder::Stop(task, run) => stop_action(worker, task, run, &frame),
                 };
                 if let Some(action) = action {
-                    worker.order_in_flight = true;
+                    worker.orders_in_flight += 1;
                     let repeats = self.repeats + self.settings.repeat_share;
                     self.repeats = repeats.min(REPEATS_AT_ONCE);
                     self.actions.push(action);
-                    break;
                 }
             }
         }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -47,6 +47,8 @@
     pub(crate) tries: u32,
     /// Starts of it that have no answer yet.
     pub(crate) under_way: u32,
+    /// Those of them that are overdue, which count as in flight no more.
+    pub(crate) overdue: u32,
     /// What the run would take on a worker of mean speed.
     pub(crate) predicted: Duration,
     pub(crate) estimate: Duration,
@@ -58,8 +60,11 @@
     pub(crate) failed_on: Vec<jobs::LifeId>,
 }
 
-/// An order that waits for its turn. Each worker has one order in flight, so that it needs one connection for orders
-/// beside that for looks.
+/// The most orders in flight at one worker, each on a connection of its own beside that for looks: as many as a worker has
+/// places for wide tasks. With one, the second task of a job on a worker waits for the first one's answer.
+pub(crate) const MOST_ORDERS: usize = 3;
+
+/// An order that waits for its turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WaitingOrder {
     Start(TaskId, RunNumber),
@@ -85,7 +90,7 @@
     /// Runs of former owners that were told to stop.
     pub(crate) foreign: Vec<(TaskId, RunNumber)>,
     pub(crate) orders: VecDeque<WaitingOrder>,
-    pub(crate) order_in_flight: bool,
+    pub(crate) orders_in_flight: usize,
     /// No order is sent before.
     pub(crate) order_pause: Option<Instant>,
     /// Looks that are not answered yet.
@@ -132,7 +137,7 @@
             runs: Vec::new(),
             foreign: Vec::new(),
             orders: VecDeque::new(),
-            order_in_flight: false,
+            orders_in_flight: 0,
             order_pause: None,
             looks_in_flight: 0,
             last_look: now,
@@ -231,7 +236,7 @@
 
     /// Whether nothing of its owner's is on it or on the way to it.
     pub(crate) fn is_idle(&self) -> bool {
-        self.runs.is_empty() && self.orders.is_empty() && !self.order_in_flight
+        self.runs.is_empty() && self.orders.is_empty() && self.orders_in_flight == 0
     }
 
     /// Whether it needs a look now. `wants_ends` says that jobs wait for what it has to list, `hedge` after which time a
