--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -32,6 +32,10 @@
 /// How long an owner has for saying what it could take. Later it helps no wide job of short tasks.
 const OFFER_LIMIT: Duration = Duration::from_millis(80);
 
+/// How many times the room of a job the pools are expected to have together that are asked for offers. What is known of
+/// them is up to half a second old.
+const ROOM_ASKED: u64 = 2;
+
 /// A job as it came in.
 pub(crate) struct EntryJob {
     pub(crate) request: Arc<JobRequest>,
@@ -48,6 +52,15 @@
     fits: u32,
 }
 
+/// A pool that can be asked.
+struct AskedPool {
+    pool: PoolId,
+    owner: OwnerView,
+    near: bool,
+    /// The room that it is expected to have, in thousandths of a core.
+    room: i64,
+}
+
 /// A part of a job for one pool.
 struct JobPart {
     pool: PoolId,
@@ -67,8 +80,8 @@
         fits: 0,
     };
     let mut offers = Vec::new();
-    let mut pools = pools_in_order(state, &job.request).into_iter().take(MOST_ASKED);
-    for (pool, owner) in pools.by_ref() {
+    let mut pools = pools_in_order(state, &job.request).into_iter();
+    for AskedPool { pool, owner, .. } in pools.by_ref() {
         let Some(outcome) = ask_in_time(state, job, &pool, &owner, None).await else {
             continue;
         };
@@ -79,8 +92,7 @@
         offers.push(PartOffer { pool, owner, fits });
         break;
     }
-    let here = &state.settings.data_centre;
-    let (near, far): (Vec<_>, Vec<_>) = pools.partition(|(pool, _)| pool.data_centre == *here);
+    let (near, far) = worth_asking(&job.request, pools.collect());
     for pools in [near, far] {
         if can_divide(state, &job.request) && offers_suffice(&job.request, &offers) {
             break;
@@ -101,6 +113,28 @@
     }
 }
 
+/// The pools that are asked for an offer, those of this data centre apart: as many as seem to have the room for the job
+/// twice over. Of the others an answer is known: they are full.
+fn worth_asking(
+    request: &JobRequest,
+    pools: Vec<AskedPool>,
+) -> (Vec<AskedPool>, Vec<AskedPool>) {
+    let demands = request.steps.iter().map(|step| step.demand.cpu.0);
+    let one = demands.min().unwrap_or_default().max(1);
+    let wanted = request.task_count().saturating_mul(ROOM_ASKED);
+    let mut found = 0;
+    let mut worth = Vec::new();
+    for pool in pools {
+        let fits = u64::try_from(pool.room).unwrap_or_default() / one;
+        if fits == 0 || found >= wanted || worth.len() >= MOST_ASKED {
+            continue;
+        }
+        found += fits;
+        worth.push(pool);
+    }
+    worth.into_iter().partition(|pool| pool.near)
+}
+
 fn takes_all(request: &JobRequest, offer: &PartOffer) -> bool {
     u64::from(offer.fits) >= request.task_count()
 }
@@ -109,9 +143,9 @@
 async fn gather_offers(
     state: &Rc<NodeState>,
     job: &EntryJob,
-    pools: Vec<(PoolId, OwnerView)>,
+    pools: Vec<AskedPool>,
 ) -> Vec<PartOffer> {
-    let asked = pools.into_iter().map(|(pool, owner)| async move {
+    let asked = pools.into_iter().map(|AskedPool { pool, owner, .. }| async move {
         let call = job_call(state, job, &pool, state.now(), None);
         let fits = if owner.here {
             owner::offer_here(state, &call)
@@ -192,7 +226,7 @@
 }
 
 /// The pools whose owners can take a job, in the order in which they are asked.
-fn pools_in_order(state: &NodeState, request: &JobRequest) -> Vec<(PoolId, OwnerView)> {
+fn pools_in_order(state: &NodeState, request: &JobRequest) -> Vec<AskedPool> {
     let mut pools = reached_pools(state);
     let candidates: Vec<PoolCandidate> = pools
         .iter()
@@ -204,11 +238,17 @@
         false => candidates,
     };
     let order = order_pools(&candidates, first_demand(request), &mut state.rng.borrow_mut());
-    let mut ordered: Vec<Option<(PoolId, OwnerView)>> = pools.drain(..).map(Some).collect();
-    order
-        .into_iter()
-        .filter_map(|place| ordered[place].take())
-        .collect()
+    let mut pools: Vec<Option<(PoolId, OwnerView)>> = pools.drain(..).map(Some).collect();
+    let ordered = order.into_iter().filter_map(|place| {
+        let (pool, owner) = pools[place].take()?;
+        Some(AskedPool {
+            pool,
+            owner,
+            near: candidates[place].near,
+            room: candidates[place].expected_room(),
+        })
+    });
+    ordered.collect()
 }
 
 /// What the tasks need that can start at once, in thousandths of a core.
--- a/crates/pool/src/shift.rs
+++ b/crates/pool/src/shift.rs
@@ -34,7 +34,7 @@
     }
 
     /// The room that is expected to be free, less what waits. Lower than zero where more waits than is free.
-    fn expected_room(&self) -> i64 {
+    pub fn expected_room(&self) -> i64 {
         let waiting = self.load.backlog.as_secs_f64() * self.load.capacity as f64;
         // The cast saturates.
         let taken = (waiting as i64).saturating_add_unsigned(self.sent);
