Tell strained paths and the lag of starts in the log; windows of at least six

Hypothesis: refusals come from the lag that admission adds. Refuted by the log: 204 of 3,459 refusals, most are places that are taken longer than the work lasts.

--- a/crates/node/src/notes.rs
+++ b/crates/node/src/notes.rs
@@ -42,6 +42,7 @@
             job,
             refusal,
             predicted,
+            lag,
             objective,
             queued,
             harms,
@@ -57,11 +58,25 @@
             let line = line
                 .text("outcome", outcome)
                 .millis("predicted_ms", *predicted);
+            let line = line.millis("lag_ms", *lag);
             let line = line.millis("objective_ms", *objective);
             let line = line.number("queued_tasks", *queued as u64);
             let line = line.number("harms", u8::from(*harms));
             (kind, line.number("crowds", u8::from(*crowds)))
         }
+        PoolNote::Strained {
+            strained,
+            smoothed,
+            least,
+            window,
+        } => {
+            let event = if *strained { "path_strained" } else { "path_quiet" };
+            let line = EventLine::new(event)
+                .millis("answer_ms", *smoothed)
+                .millis("least_ms", *least)
+                .number("window", *window as u64);
+            (EventKind::Kept, line)
+        }
         PoolNote::KeptStored { job, version } => {
             let line = EventLine::new("job_stored").text("job", job);
             (EventKind::Plain, line.number("version", *version))
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -184,6 +184,8 @@
         refusal: Option<jobs::RefusalKind>,
         /// The predicted time from the customer's request to the job's end.
         predicted: Duration,
+        /// The part of it that starts take because answers come late.
+        lag: Duration,
         /// The latency objective.
         objective: Duration,
         /// The tasks that waited.
@@ -263,6 +265,17 @@
         /// Where.
         life: LifeId,
     },
+    /// Answers to starts come much later than at the least, or no longer do.
+    Strained {
+        /// Whether they do now.
+        strained: bool,
+        /// What an answer takes now.
+        smoothed: Duration,
+        /// What one has taken at least.
+        least: Duration,
+        /// How many starts may be under way.
+        window: usize,
+    },
     /// A worker gets no new runs for a while.
     Suspended {
         /// Which.
--- a/crates/pool/src/answer_time.rs
+++ b/crates/pool/src/answer_time.rs
@@ -28,6 +28,7 @@
     least: Option<f64>,
     /// Overdue calls since the last answer.
     overdue: u32,
+    strained: bool,
 }
 
 impl AnswerTimes {
@@ -35,6 +36,14 @@
     pub(crate) fn take(&mut self, took: Duration) {
         let took = took.as_secs_f64();
         self.overdue = 0;
+        self.take_sample(took);
+        let bound = self.strain_bound();
+        // Half of the bound before it counts as quiet again, so that it does not change with each answer.
+        let bound = if self.strained { bound.mul_f64(0.8) } else { bound };
+        self.strained = self.smoothed() > bound;
+    }
+
+    fn take_sample(&mut self, took: f64) {
         self.least = Some(self.least.map_or(took, |least| least.min(took)));
         let Some(smoothed) = self.smoothed else {
             self.smoothed = Some(took);
@@ -63,10 +72,17 @@
         Duration::try_from_secs_f64(self.smoothed.unwrap_or(0.0)).unwrap_or_default()
     }
 
+    /// What an answer has taken at least.
+    pub(crate) fn least(&self) -> Duration {
+        Duration::try_from_secs_f64(self.least.unwrap_or(0.0)).unwrap_or_default()
+    }
+
     /// Whether answers come so late that something on the owner's own side is full, and not a worker gone.
     pub(crate) fn is_strained(&self) -> bool {
-        let least = self.least.unwrap_or(0.0);
-        let least = Duration::try_from_secs_f64(least * STRAIN_FACTOR).unwrap_or_default();
-        self.smoothed() > least.max(STRAIN_TIME)
+        self.strained
+    }
+
+    fn strain_bound(&self) -> Duration {
+        self.least().mul_f64(STRAIN_FACTOR).max(STRAIN_TIME)
     }
 }
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -73,6 +73,7 @@
             job: request.id,
             refusal: kind,
             predicted,
+            lag,
             objective,
             queued,
             harms: forecast.harms,
--- a/crates/pool/src/pool/answers.rs
+++ b/crates/pool/src/pool/answers.rs
@@ -105,10 +105,19 @@
     }
 
     fn learn_answer_time(&mut self, now: Instant, took: Duration) {
+        let was = self.answers.is_strained();
         self.answers.take(took);
         let (strained, under_way) = (self.answers.is_strained(), self.starts_under_way());
         self.window
             .take(now, strained, self.answers.smoothed(), under_way);
+        if strained != was {
+            self.notes.push(PoolNote::Strained {
+                strained,
+                smoothed: self.answers.smoothed(),
+                least: self.answers.least(),
+                window: self.window.size(),
+            });
+        }
     }
 
     /// Takes the answer to a stop.
--- a/crates/pool/src/start_window.rs
+++ b/crates/pool/src/start_window.rs
@@ -11,7 +11,7 @@
 const FIRST_WINDOW: f64 = 48.0;
 
 /// The fewest: with fewer a job's tasks would go one after another.
-const LEAST_WINDOW: f64 = 3.0;
+const LEAST_WINDOW: f64 = 6.0;
 
 /// The most, beyond what a pool of a few dozen workers has places for.
 const MOST_WINDOW: f64 = 512.0;
