A stopping owner serves on while nobody can succeed it; pause between claims that are turned away

A stopping owner stopped taking jobs at its first moment and let its pool go when the last one had ended, also while the store was away and nobody could claim it (twelve workers without an owner for 2.7 s). A claim that the store turned away was followed by the next 42 ms later. Change: pools take jobs during a stop for as long as the store fails and 2.5 s of the time to stop are left, and owners that leave count as alive while they do; claims that are turned away wait 100 ms, doubled up to 800 ms. Tests, red before: node/tests/stopping.rs (503 for the first job, 200 now); claims/tests/keeper.rs did not build before; 10 s of refusals gave one claim each 20 ms by the rule as it was, at most 18 now.

--- a/crates/claims/src/action.rs
+++ b/crates/claims/src/action.rs
@@ -25,6 +25,15 @@
     },
 }
 
+/// How an attempt to claim ended at the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimEnd {
+    /// The store decided: the claim is won, or another was faster.
+    Answered,
+    /// The store did not decide, or its answer is not known.
+    TurnedAway,
+}
+
 /// A change of belief, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimNote {
--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -12,7 +12,7 @@
 use model::{DataCentreId, FastMap};
 
 use crate::{
-    action::{ClaimAction, ClaimNote, ClaimReason, OwnerView},
+    action::{ClaimAction, ClaimEnd, ClaimNote, ClaimReason, OwnerView},
     rows::{ClaimRow, MemberRow},
     settings::ClaimSettings,
     strength::VmStrength,
@@ -53,6 +53,8 @@
     /// Since when the pool could be claimed, and why.
     open_since: Option<(Instant, ClaimReason)>,
     attempt: ClaimAttempt,
+    /// Claims in a row that the store turned away.
+    turned_away: u32,
     has_workers: bool,
 }
 
@@ -70,6 +72,8 @@
     Unreachable(Instant),
     /// The claim is on its way to the store.
     Writing(Instant),
+    /// The store turned it away; the next one waits until then.
+    Paused(Instant),
 }
 
 /// Watches members and claims, and says when this process should claim a pool.
@@ -258,9 +262,22 @@
     }
 
     /// An attempt to claim has ended; if it succeeded, `on_claim` was told before.
-    pub fn on_claim_end(&mut self, pool: &PoolId) {
-        if let Some(watch) = self.pools.get_mut(pool) {
-            watch.attempt = ClaimAttempt::None;
+    pub fn on_claim_end(&mut self, now: Instant, pool: &PoolId, end: ClaimEnd) {
+        let Some(watch) = self.pools.get_mut(pool) else {
+            return;
+        };
+        match end {
+            ClaimEnd::Answered => {
+                watch.attempt = ClaimAttempt::None;
+                watch.turned_away = 0;
+            }
+            ClaimEnd::TurnedAway => {
+                let doubled = 2_u32.saturating_pow(watch.turned_away.min(8));
+                let pause = self.settings.claim_pause * doubled;
+                let pause = pause.min(self.settings.longest_claim_pause);
+                watch.attempt = ClaimAttempt::Paused(now + pause);
+                watch.turned_away += 1;
+            }
         }
     }
 
@@ -278,8 +295,9 @@
             address: claim.row.address,
             fence: FenceToken(claim.version),
             here,
+            // One that is about to stop serves on while nobody can take its pool over.
             alive: here
-                || current.is_some_and(|peer| !peer.beat.leaving)
+                || current.is_some_and(|peer| !peer.beat.leaving || news.is_some())
                     && news.is_none_or(|news| !news.yielding),
             load: news.map(|news| news.load).unwrap_or_default(),
             heard: current.map(|peer| peer.at),
@@ -351,7 +369,12 @@
         // One at a time: with each pool that it gets, the next is more likely another's.
         let busy = self.pools.values().any(|watch| {
             let attempt = watch.attempt;
-            !matches!(attempt, ClaimAttempt::None | ClaimAttempt::Unreachable(_))
+            let idle = ClaimAttempt::None;
+            let waits = matches!(
+                attempt,
+                ClaimAttempt::Unreachable(_) | ClaimAttempt::Paused(_)
+            );
+            attempt != idle && !waits
         });
         let watch = self.pools.get_mut(pool)?;
         let Some(reason) = reason.filter(|_| watch.has_workers) else {
@@ -388,6 +411,12 @@
                 }
                 None
             }
+            ClaimAttempt::Paused(until) => {
+                if now >= until {
+                    watch.attempt = ClaimAttempt::None;
+                }
+                None
+            }
             ClaimAttempt::None => None,
         }
     }
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -13,7 +13,7 @@
 mod view;
 
 pub use crate::{
-    action::{ClaimAction, ClaimNote, ClaimReason, OwnerView},
+    action::{ClaimAction, ClaimEnd, ClaimNote, ClaimReason, OwnerView},
     keeper::ClaimKeeper,
     rows::{ClaimRow, GroupRow, GroupSpread, MemberRow},
     settings::ClaimSettings,
--- a/crates/claims/src/settings.rs
+++ b/crates/claims/src/settings.rs
@@ -24,6 +24,10 @@
     pub settle: Duration,
     /// How long after workers could not be reached they are tried again.
     pub probe_pause: Duration,
+    /// How long after the store has turned a claim away the next one goes out; doubled each time in a row.
+    pub claim_pause: Duration,
+    /// The most that it is doubled to: outages last seconds, and a pool must not lack an owner for much longer than they do.
+    pub longest_claim_pause: Duration,
     /// How much later each further candidate claims, so that usually one does: two round trips to the store.
     pub rank_delay: Duration,
     /// How much later candidates of other data centres claim. They reach the workers over longer ways.
@@ -48,6 +52,8 @@
             listen_first: Duration::from_millis(1_500),
             settle: Duration::from_millis(4_000),
             probe_pause: Duration::from_millis(1_000),
+            claim_pause: Duration::from_millis(100),
+            longest_claim_pause: Duration::from_millis(800),
             rank_delay: Duration::from_millis(120),
             far_delay: Duration::from_millis(700),
             isolated_delay: Duration::from_millis(9_500),
--- a/crates/claims/tests/keeper.rs
+++ b/crates/claims/tests/keeper.rs
@@ -6,8 +6,8 @@
 };
 
 use claims::{
-    ClaimAction, ClaimKeeper, ClaimRow, ClaimSettings, Heartbeat, LinkRate, MemberRow, NodeId,
-    PoolNews,
+    ClaimAction, ClaimEnd, ClaimKeeper, ClaimRow, ClaimSettings, Heartbeat, LinkRate, MemberRow,
+    NodeId, PoolNews,
 };
 use jobs::{FenceToken, LifeId, PoolId};
 use model::DataCentreId;
@@ -74,6 +74,8 @@
     now: Instant,
     passed: Duration,
     reachable: bool,
+    /// How the store answers claims.
+    claim_end: ClaimEnd,
     probes: usize,
     claims: Vec<(String, Duration)>,
 }
@@ -86,6 +88,7 @@
             now,
             passed: Duration::ZERO,
             reachable: true,
+            claim_end: ClaimEnd::Answered,
             probes: 0,
             claims: Vec::new(),
         }
@@ -118,7 +121,7 @@
                     }
                     ClaimAction::Claim { pool, .. } => {
                         self.claims.push((pool.to_string(), self.passed));
-                        self.keeper.on_claim_end(&pool);
+                        self.keeper.on_claim_end(self.now, &pool, self.claim_end);
                     }
                 }
             }
@@ -345,3 +348,23 @@
     assert!(firsts[0] <= millis(60), "{firsts:?}");
     assert!(firsts[1] >= firsts[0] + millis(80), "{firsts:?}");
 }
+
+/// The store turns every write away for ten seconds while a pool has no owner. Each claim costs probes of workers and a
+/// write that the store has to turn away; one each 42 ms from every process of a fleet keeps it busy. Once it answers, the
+/// pool still has to get its owner soon.
+#[test]
+fn claims_that_are_turned_away_come_ever_less_often() {
+    let me = member("east-1", 1);
+    let mut watch = Watch::new(&me);
+    watch.keeper.on_workers(&pool("east"), true);
+    watch.claim_end = ClaimEnd::TurnedAway;
+    watch.pass(millis(10_000), &[]);
+    let tries = watch.claims.len();
+    assert!(tries <= 18, "{tries} claims in 10 s");
+    watch.claim_end = ClaimEnd::Answered;
+    watch.claims.clear();
+    let begun = watch.passed;
+    watch.pass(millis(1_000), &[]);
+    let first = watch.first_claim().expect("a claim");
+    assert!(first <= begun + millis(900), "after {:?}", first - begun);
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -10,6 +10,10 @@
 /// away are back within 2 s of its return if their worker lives.
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
 
+/// How long a failed call says that the store is away: feeds that fail try again each 0.12 s, and their calls take 0.5 s at
+/// most.
+const FAILING_TIME: Duration = Duration::from_millis(800);
+
 /// An entry that names no worker to use.
 pub(crate) struct UnusedEntry {
     /// What it holds, if it can be read.
@@ -39,6 +43,11 @@
         self.last_failure = Some(now);
     }
 
+    /// Whether the store failed a call just now.
+    pub(crate) fn is_failing(&self, now: Instant) -> bool {
+        self.last_failure.is_some_and(|at| now < at + FAILING_TIME)
+    }
+
     /// Whether entries may be missing whose worker lives.
     pub(crate) fn is_doubtful(&self, now: Instant) -> bool {
         self.last_failure.is_some_and(|at| now < at + RETURN_TIME)
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use claims::{ClaimAction, ClaimRow, NodeId};
+use claims::{ClaimAction, ClaimEnd, ClaimRow, NodeId};
 use futures::future::{select, Either, LocalBoxFuture};
 use jobs::{FenceToken, JobId, JobOutcome, LifeId, PoolId, RefusalKind, WorkerRecord};
 use model::{FastMap, Mechanism};
@@ -356,6 +356,10 @@
     };
     let transaction = Transaction::of(write);
     let answer = state.store.transact(&transaction).await;
+    let end = match &answer {
+        Ok(_) => ClaimEnd::Answered,
+        Err(_) => ClaimEnd::TurnedAway,
+    };
     let mut line = EventLine::new("claim_answered")
         .text("pool", pool)
         .number("expected", expected);
@@ -368,7 +372,8 @@
         // It may still take effect: then the claims' feed shows it.
         Err(error) => line = line.text("outcome", "unknown").text("error", error),
     }
-    state.keeper.borrow_mut().on_claim_end(pool);
+    let now = state.now();
+    state.keeper.borrow_mut().on_claim_end(now, pool, end);
     state.log(EventKind::Kept, line);
 }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -169,7 +169,7 @@
         pool: id.clone(),
         fence: owned.pool.fence(),
         load: owned.pool.load(),
-        yielding: state.hands_over(id),
+        yielding: !owned.pool.is_accepting(),
         held: if state.hands_over(id) {
             owned.pool.worker_lives()
         } else {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -49,6 +49,9 @@
 /// and a little more.
 const TURN_AWAY: Duration = Duration::from_millis(2_200);
 
+/// What a pool's last jobs have of the time to stop: most tasks take under 2 s.
+const LAST_JOBS: Duration = Duration::from_millis(2_500);
+
 /// What is left of the time to stop for the last answers to travel.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
@@ -105,11 +108,8 @@
             EventKind::Kept,
             EventLine::new("process_stopping").millis("grace_ms", grace),
         );
-        let pools: Vec<_> = state.pools.borrow().keys().cloned().collect();
-        for pool in &pools {
-            owner::with_pool(state, pool, |pool, _| pool.stop_accepting());
-        }
         while state.now() < limit {
+            stop_succeeded(state, limit);
             release_idle(state);
             if state.now() >= begun + TURN_AWAY {
                 // New connections go elsewhere by now, so whoever is closed out gets another node.
@@ -135,13 +135,29 @@
     }
 }
 
+/// Takes no more jobs for pools that another process can take over. While the store is away none can: a pool that took no
+/// jobs would have no owner until the store is back, which left twelve workers idle for 2.7 s. Its last jobs have to end in
+/// the time to stop.
+fn stop_succeeded(state: &Rc<NodeState>, limit: Instant) {
+    let now = state.now();
+    let store_away = state.directory.borrow().is_failing(now);
+    if store_away && now + LAST_JOBS < limit {
+        return;
+    }
+    each_pool(state, |pool, _| {
+        if pool.is_accepting() {
+            pool.stop_accepting();
+        }
+    });
+}
+
 /// Lets go of pools whose jobs have ended, so that their next owner can take them.
 fn release_idle(state: &Rc<NodeState>) {
     let idle: Vec<_> = {
         let pools = state.pools.borrow();
         let idle = pools
             .iter()
-            .filter(|(_, owned)| owned.pool.open_jobs() == 0);
+            .filter(|(_, owned)| !owned.pool.is_accepting() && owned.pool.open_jobs() == 0);
         idle.map(|(id, _)| id.clone()).collect()
     };
     for id in idle {
--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -5,6 +5,7 @@
 use std::{rc::Rc, time::Duration};
 
 use awc::Client;
+use platform_stand_ins::StoreFault;
 use serde_json::json;
 use settings::NodeSettings;
 use support::{job, post_meanwhile, send, Platform};
@@ -144,3 +145,27 @@
         }
     }
 }
+
+/// The owner of the workers is told to stop while the store is away, so that nobody can take its pool over. Customers of
+/// another node are served on by it; if it refused at once they would find no owner until the store is back.
+#[actix_rt::test]
+async fn a_stopping_owner_serves_on_while_nobody_can_succeed_it() {
+    let platform = Platform::start(2, Duration::from_millis(20)).await;
+    let owner = platform.start_node(platform.node_settings("vm-1")).await;
+    assert!(owner.log_lines().contains("pool_taken"));
+    let other = platform.start_node(platform.node_settings("vm-2")).await;
+    platform.store.set_fault(StoreFault::Busy);
+    actix_rt::time::sleep(Duration::from_millis(1_600)).await;
+    let stopping = actix_rt::spawn(async move { owner.stop().await });
+    for number in 0..8_u64 {
+        actix_rt::time::sleep(Duration::from_millis(150)).await;
+        let id = format!("{:016x}", 0xf100 + number);
+        let answer = support::post_job(&other, &id, &job(1, 20)).await;
+        assert_eq!(answer.0, 200, "job {number}: {}", other.log_lines());
+    }
+    platform.store.set_fault(StoreFault::None);
+    actix_rt::time::sleep(Duration::from_millis(2_000)).await;
+    let answer = support::post_job(&other, "000000000000f1ff", &job(1, 20)).await;
+    assert_eq!(answer.0, 200, "{}", other.log_lines());
+    stopping.await.unwrap();
+}
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -163,6 +163,11 @@
         self.accepting = false;
     }
 
+    /// Whether it takes new jobs.
+    pub fn is_accepting(&self) -> bool {
+        self.accepting
+    }
+
     /// Takes new jobs again: nobody took the pool over.
     pub fn accept_again(&mut self) {
         self.accepting = true;
