Claim pools anew when a data centre's workers are divided anew

Cause, found by reading: a worker that changes its pool turns away an owner whose fence is lower than what it has seen; it was lost to both pools. Change: owners let go of the data centre's pools and claim them anew, which gives higher fences; kept jobs wait as after an outage of the directory.

--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -33,6 +33,8 @@
     /// When the store last failed a call of this process, on whichever table: the reading of the workers may have waited
     /// all through an outage without noticing it.
     last_failure: Option<Instant>,
+    /// When workers were last divided anew.
+    last_divided: Option<Instant>,
     /// Into how many groups the workers of each data centre are divided.
     groups: FastMap<DataCentreId, GroupRow>,
 }
@@ -48,9 +50,15 @@
         self.last_failure.is_some_and(|at| now < at + FAILING_TIME)
     }
 
-    /// Whether entries may be missing whose worker lives.
+    /// Workers were divided anew: for a while runs of a pool may be left on workers of another.
+    pub(crate) fn note_divided(&mut self, now: Instant) {
+        self.last_divided = Some(now);
+    }
+
+    /// Whether workers may be missing on which a pool's runs are left.
     pub(crate) fn is_doubtful(&self, now: Instant) -> bool {
-        self.last_failure.is_some_and(|at| now < at + RETURN_TIME)
+        let last = self.last_failure.max(self.last_divided);
+        last.is_some_and(|at| now < at + RETURN_TIME)
     }
 
     pub(crate) fn put(&mut self, record: WorkerRecord) {
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -223,7 +223,7 @@
                     let mut versions = state.group_versions.borrow_mut();
                     versions.insert(centre.clone(), row.version.0);
                     drop(versions);
-                    groups::take_groups(state, centre, groups);
+                    groups::take_groups(state, centre, groups, row.version);
                 }
                 Err(error) => note_unreadable(state, &row, &error),
             }
--- a/crates/node/src/groups.rs
+++ b/crates/node/src/groups.rs
@@ -11,7 +11,7 @@
 };
 
 use claims::{plan_groups, GroupRow};
-use jobs::WorkerRecord;
+use jobs::{PoolId, WorkerRecord};
 use model::{DataCentreId, FastMap};
 use platform::RowVersion;
 use platform_adapter::{RowWrite, StoreTable, Transaction, TransactionEnd};
@@ -47,7 +47,12 @@
 }
 
 /// Takes what the store says, and moves workers to the pools where they belong now.
-pub(crate) fn take_groups(state: &Rc<NodeState>, centre: DataCentreId, row: GroupRow) {
+pub(crate) fn take_groups(
+    state: &Rc<NodeState>,
+    centre: DataCentreId,
+    row: GroupRow,
+    version: RowVersion,
+) {
     let former = state.directory.borrow().groups(&centre);
     if former == Some(row) {
         return;
@@ -63,6 +68,9 @@
         .iter()
         .map(|w| (state.directory.borrow().pool_of(w), w))
         .collect();
+    if let Some(former) = former {
+        claim_anew(state, &centre, former.groups.max(row.groups), row, version);
+    }
     state.directory.borrow_mut().set_groups(centre, row);
     for (pool, worker) in moved {
         if let Some(pool) = pool {
@@ -74,6 +82,38 @@
     }
 }
 
+/// Lets go of a data centre's pools, to claim those anew that still have workers.
+///
+/// A worker that changes its pool turns away an owner whose fence is lower than what it has seen, and was then lost to both.
+/// Each claim that is made after the new number's row has a higher fence than all before it.
+fn claim_anew(
+    state: &Rc<NodeState>,
+    centre: &DataCentreId,
+    pools: u32,
+    row: GroupRow,
+    version: RowVersion,
+) {
+    state.directory.borrow_mut().note_divided(state.now());
+    for group in 0..pools {
+        let pool = PoolId {
+            data_centre: centre.clone(),
+            group,
+        };
+        let fence = state
+            .pools
+            .borrow()
+            .get(&pool)
+            .map(|owned| owned.pool.fence());
+        if fence.is_some_and(|fence| fence.0 < version.0) {
+            state.keeper.borrow_mut().on_let_go(&pool);
+            owner::release(state, &pool, "divided_anew");
+        }
+        if group >= row.groups {
+            state.keeper.borrow_mut().on_workers(&pool, false);
+        }
+    }
+}
+
 /// Tells a worker to the pool that it belongs to.
 pub(crate) fn place_worker(state: &Rc<NodeState>, record: WorkerRecord) {
     let Some(pool) = state.directory.borrow().pool_of(&record) else {
@@ -184,6 +224,6 @@
             .group_versions
             .borrow_mut()
             .insert(centre.clone(), version.0);
-        take_groups(state, centre.clone(), row);
+        take_groups(state, centre.clone(), row, version);
     }
 }
