--- a/crates/pool/src/pool/answers.rs
+++ b/crates/pool/src/pool/answers.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant};
 
 use jobs::{LifeId, RunNumber, TaskId, WorkerClock};
-
 use model::Mechanism;
 
 use super::{stop_run, WorkerPool};
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant};
 
 use jobs::{CpuMillis, JobId, JobOutcome, LifeId, RefusalKind};
-
 use model::Mechanism;
 
 use super::{WorkerPool, REPEATS_AT_ONCE, SHORTEST_RETRY};
