--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -342,6 +342,12 @@
             .map(move |m| (&m.row, m.row.data_centre == *here))
     }
 
+    /// Whether a pool could be claimed now, by this process or another.
+    pub fn sees_open_claims(&self) -> bool {
+        let mut pools = self.pools.values();
+        pools.any(|watch| watch.open_since.is_some())
+    }
+
     /// What the VMs of a data centre can carry, this one's among them.
     pub fn strengths(&self, centre: &DataCentreId) -> Vec<VmStrength> {
         let others = self.members.values().map(|member| &member.row);
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -100,7 +100,8 @@
 /// Only owners of pools need each change of the workers' table at once. In a fleet of 300 VMs and 3,000 workers each VM got
 /// 1.5 MB/s of heartbeats of workers by it and spent most of half a core on them, owners or not.
 async fn rest(state: &Rc<NodeState>, table: StoreTable, age: Duration) {
-    let idle = state.pools.borrow().is_empty() && age >= FIRST_LISTING;
+    let open = state.keeper.borrow().sees_open_claims();
+    let idle = state.pools.borrow().is_empty() && age >= FIRST_LISTING && !open;
     if table != StoreTable::Workers || !idle {
         actix_rt::time::sleep(feed_gap(table, age)).await;
         return;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -331,7 +331,6 @@
         let state = state.clone();
         match action {
             ClaimAction::Probe(pool) => {
-                state.wake_workers.notify_one();
                 actix_rt::spawn(async move {
                     let reachable = probe(&state, &pool).await;
                     let now = state.now();
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -410,6 +410,10 @@
         }
         crate::notes::log_claim(state, &note);
     }
+    // Whoever may take a pool over soon needs its workers as they are now.
+    if state.keeper.borrow().sees_open_claims() {
+        state.wake_workers.notify_one();
+    }
     owner::act_on_claims(state, actions);
     owner::fill_pools(state);
     peers::connect_owners(state);
--- a/crates/node/tests/groups.rs
+++ b/crates/node/tests/groups.rs
@@ -30,4 +30,6 @@
         let after = post_job(&node, &id, &job(12, 200)).await;
         assert_eq!(after.0, 200, "{groups} pools: {}", node.log_lines());
     }
+    let runs = platform.executors.iter().map(|e| e.runs().len());
+    assert_eq!(runs.sum::<usize>(), 4 * 12, "each task ran once");
 }
