--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -98,7 +98,7 @@
 /// Waits until a table is to be read again.
 ///
 /// Only owners of pools need each change of the workers' table at once. In a fleet of 300 VMs and 3,000 workers each VM got
-/// 1.5 MB/s of heartbeats of workers by it and spent most of half a core on them, owners or not.
+/// 1.5 MB/s by it, owners or not, and used more than half of its processor share.
 async fn rest(state: &Rc<NodeState>, table: StoreTable, age: Duration) {
     let open = state.keeper.borrow().sees_open_claims();
     let idle = state.pools.borrow().is_empty() && age >= FIRST_LISTING && !open;
