--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -375,13 +375,10 @@
         let limit = self.settings.attempt_limit;
         // One at a time: with each pool that it gets, the next is more likely another's.
         let busy = self.pools.values().any(|watch| {
-            let attempt = watch.attempt;
-            let idle = ClaimAttempt::None;
-            let waits = matches!(
-                attempt,
-                ClaimAttempt::Unreachable(_) | ClaimAttempt::Paused(_)
-            );
-            attempt != idle && !waits
+            matches!(
+                watch.attempt,
+                ClaimAttempt::Probing(_) | ClaimAttempt::Reachable | ClaimAttempt::Writing(_)
+            )
         });
         let watch = self.pools.get_mut(pool)?;
         let Some(reason) = reason.filter(|_| watch.has_workers) else {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -144,11 +144,7 @@
     if store_away && now + LAST_JOBS < limit {
         return;
     }
-    each_pool(state, |pool, _| {
-        if pool.is_accepting() {
-            pool.stop_accepting();
-        }
-    });
+    each_pool(state, |pool, _| pool.stop_accepting());
 }
 
 /// Lets go of pools whose jobs have ended, so that their next owner can take them.
--- a/crates/node/tests/dividing.rs
+++ b/crates/node/tests/dividing.rs
@@ -29,6 +29,17 @@
     platform.start_node(settings).await
 }
 
+/// Five data centres with a node each, of which the first knows the owners of all pools.
+async fn five_centres(run_time: Duration) -> (Platform, Vec<NodeProcess>) {
+    let mut platform = Platform::start(0, run_time).await;
+    let mut nodes = Vec::new();
+    for centre in ["a", "b", "c", "d", "e"] {
+        nodes.push(add_centre(&mut platform, centre, run_time).await);
+    }
+    wait_for_links(&nodes[0], 4).await;
+    (platform, nodes)
+}
+
 /// Waits until a node has links to the owners of so many other pools.
 async fn wait_for_links(node: &NodeProcess, links: usize) {
     for _ in 0..500 {
@@ -47,12 +58,7 @@
 #[actix_rt::test]
 async fn a_job_is_divided_among_as_many_pools_as_it_takes() {
     let run_time = Duration::from_millis(300);
-    let mut platform = Platform::start(0, run_time).await;
-    let mut nodes = Vec::new();
-    for centre in ["a", "b", "c", "d", "e"] {
-        nodes.push(add_centre(&mut platform, centre, run_time).await);
-    }
-    wait_for_links(&nodes[0], 4).await;
+    let (_platform, nodes) = five_centres(run_time).await;
     // Each owner publishes its load with its next heartbeat.
     actix_rt::time::sleep(Duration::from_millis(600)).await;
     let begun = Instant::now();
@@ -86,12 +92,7 @@
 #[actix_rt::test]
 async fn a_text_travels_only_to_where_its_job_runs() {
     let run_time = Duration::from_millis(300);
-    let mut platform = Platform::start(0, run_time).await;
-    let mut nodes = Vec::new();
-    for centre in ["a", "b", "c", "d", "e"] {
-        nodes.push(add_centre(&mut platform, centre, run_time).await);
-    }
-    wait_for_links(&nodes[0], 4).await;
+    let (_platform, nodes) = five_centres(run_time).await;
     actix_rt::time::sleep(Duration::from_millis(600)).await;
     let before = peer_bytes(&nodes[0]).await;
     let mut job = job(9, 300);
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -7,7 +7,10 @@
 use telemetry::{TrafficBook, TrafficKind};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    net::{TcpListener, TcpStream},
+    net::{
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        TcpListener, TcpStream,
+    },
     task::JoinHandle,
     time::timeout,
 };
@@ -122,9 +125,7 @@
 type StreamNetwork<R> = VatNetwork<futures::io::BufReader<Compat<R>>>;
 
 pub(crate) fn network(stream: TcpStream, side: Side) -> StreamNetwork<impl AsyncRead + Unpin> {
-    // Messages are small and answers are waited for; without this the kernel holds them back for up to 40 ms.
-    let _best_effort = stream.set_nodelay(true);
-    let (reader, writer) = stream.into_split();
+    let (reader, writer) = split(stream);
     half_network(reader, writer, side)
 }
 
@@ -134,8 +135,7 @@
     side: Side,
     book: Arc<TrafficBook>,
 ) -> StreamNetwork<impl AsyncRead + Unpin> {
-    let _best_effort = stream.set_nodelay(true);
-    let (reader, writer) = stream.into_split();
+    let (reader, writer) = split(stream);
     let received = book.clone();
     let reader = InspectReader::new(reader, move |bytes: &[u8]| {
         received.receive(TrafficKind::Peers, bytes.len());
@@ -146,6 +146,12 @@
     half_network(reader, writer, side)
 }
 
+fn split(stream: TcpStream) -> (OwnedReadHalf, OwnedWriteHalf) {
+    // Messages are small and answers are waited for; without this the kernel holds them back for up to 40 ms.
+    let _best_effort = stream.set_nodelay(true);
+    stream.into_split()
+}
+
 fn half_network<R, W>(reader: R, writer: W, side: Side) -> StreamNetwork<R>
 where
     R: AsyncRead + Unpin + 'static,
--- a/crates/pool/src/pool/looks.rs
+++ b/crates/pool/src/pool/looks.rs
@@ -55,11 +55,14 @@
             if !worker.wants_look(now, IDLE_ACK, wants_ends, hedge) {
                 continue;
             }
-            let order = look_order(worker, now, owner_millis, self.fence, &self.settings);
-            let order = LookOrder {
-                limit: order.wait + margin,
-                ..order
-            };
+            let order = look_order(
+                worker,
+                now,
+                owner_millis,
+                self.fence,
+                &self.settings,
+                margin,
+            );
             worker.looks_in_flight += 1;
             worker.last_look = now;
             worker.look_pause = None;
@@ -511,6 +514,7 @@
     owner_millis: u64,
     fence: jobs::FenceToken,
     settings: &crate::PoolSettings,
+    margin: Duration,
 ) -> LookOrder {
     // Runs of a former owner are not renewed, and a worker that does not answer is left to its lease: what it was
     // last told must be what it goes by.
@@ -518,14 +522,15 @@
     let clock = worker.clock_now(owner_millis).filter(|_| renew);
     let lease_end = clock.map(|clock| clock.plus(settings.lease));
     worker.lease_end = worker.lease_end.max(lease_end.unwrap_or_default());
+    let wait = look_wait(worker, now, settings);
     LookOrder {
         life: worker.record.life.clone(),
         address: worker.record.address,
         fence,
         lease_end,
         last_seen: worker.acknowledgeable(),
-        wait: look_wait(worker, now, settings),
-        limit: Duration::ZERO,
+        wait,
+        limit: wait + margin,
     }
 }
 
