Admit jobs again where all workers failed or looked slow

Cause: found by a test of evacuations with random faults. A pool whose workers are all suspended, or all look several times slower than they are, forecasts that no job can be in time, refuses all, and so gets no run that would show otherwise: for ever. Change: without a sound worker those whose pause is over count as room; what an idle worker has shown of being slow beyond 1.4 is halved each second.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -301,7 +301,7 @@
         return PoolCandidate {
             near,
             here: state.has(Mechanism::OwnPool),
-            load: owned.pool.load(),
+            load: owned.pool.load(state.now()),
             sent: 0,
         };
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -168,7 +168,7 @@
     let news = pools.iter().map(|(id, owned)| PoolNews {
         pool: id.clone(),
         fence: owned.pool.fence(),
-        load: owned.pool.load(),
+        load: owned.pool.load(now),
         yielding: !owned.pool.is_accepting(),
         held: if state.hands_over(id) {
             owned.pool.worker_lives()
--- a/crates/pool/src/health.rs
+++ b/crates/pool/src/health.rs
@@ -59,6 +59,11 @@
         self.state == HealthState::Sound && self.failures == 0
     }
 
+    /// Whether its pause is over and a run has to show whether it is sound again.
+    pub(crate) fn is_on_trial(&self, now: Instant) -> bool {
+        matches!(self.state, HealthState::Suspended { until } if now >= until)
+    }
+
     /// A run was done.
     pub(crate) fn succeed(&mut self) {
         *self = Self::default();
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -311,9 +311,9 @@
     }
 
     /// What the pool can take.
-    pub fn load(&self) -> PoolLoad {
+    pub fn load(&self, now: Instant) -> PoolLoad {
         let mut load = PoolLoad::default();
-        for worker in self.workers.values().filter(|worker| worker.is_usable()) {
+        for worker in self.expected_workers(now) {
             load.capacity += worker.record.room.cpu.0;
             load.free += worker.free_room().cpu.0;
         }
@@ -326,6 +326,18 @@
         load
     }
 
+    /// The workers on which jobs can expect to run: the sound ones. If there is none, those that have to be tried out: a
+    /// pool that admits nothing for want of a sound worker would never find out that one is sound again.
+    fn expected_workers(&self, now: Instant) -> Vec<&WorkerLedger> {
+        let workers = self.workers.values();
+        let sound: Vec<_> = workers.filter(|worker| worker.is_usable()).collect();
+        if !sound.is_empty() {
+            return sound;
+        }
+        let workers = self.workers.values();
+        workers.filter(|worker| worker.is_on_trial(now)).collect()
+    }
+
     fn open_job(
         &self,
         now: Instant,
@@ -476,7 +488,10 @@
         });
     }
 
-    fn find_median(&mut self) {
+    fn find_median(&mut self, now: Instant) {
+        for worker in self.workers.values_mut() {
+            worker.fade_slowness(now);
+        }
         if !self.has(Mechanism::SluggishWorkers) {
             self.median_slowness = f64::INFINITY;
             return;
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -94,7 +94,7 @@
         };
         Some(JobOutcome::Refused {
             kind,
-            retry_after: self.load().backlog.clamp(SHORTEST_RETRY, LONGEST_RETRY),
+            retry_after: self.load(now).backlog.clamp(SHORTEST_RETRY, LONGEST_RETRY),
             fits,
         })
     }
@@ -358,8 +358,7 @@
     }
 
     fn pool_forecast(&self, now: Instant, service: &ServiceId) -> PoolForecast {
-        let workers = self.workers.values();
-        let workers = workers.filter(|worker| worker.is_usable());
+        let workers = self.expected_workers(now).into_iter();
         let workers = workers.filter(|worker| worker.record.service == *service);
         let (sluggish, sound): (Vec<_>, Vec<_>) =
             workers.partition(|worker| is_sluggish(worker, self.median_slowness));
--- a/crates/pool/src/pool/looks.rs
+++ b/crates/pool/src/pool/looks.rs
@@ -233,7 +233,7 @@
         if let Some(worker) = self.workers.get_mut(life) {
             worker.health.succeed();
             if learns {
-                worker.learn_speed(run.predicted, took);
+                worker.learn_speed(now, run.predicted, took);
             }
         }
         let id = run.task.job;
@@ -391,7 +391,7 @@
             }
         }
         if let Some((predicted, projected)) = slowest.filter(|_| learns) {
-            worker.learn_speed(predicted, projected);
+            worker.learn_speed(now, predicted, projected);
         }
         if stalled.is_empty() || !self.has(Mechanism::StallStop) {
             return;
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -26,7 +26,7 @@
         self.tick_kept(now);
         self.expire_silent(now);
         self.forget_unlisted(now);
-        self.find_median();
+        self.find_median(now);
         self.schedule(now);
         self.keep_watch(now);
     }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -18,6 +18,15 @@
 /// The bounds of a worker's slowness. Beyond the upper one it makes no difference how slow it is.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 12.0);
 
+/// How long a worker stands idle before what it has shown of being slow begins to be forgotten.
+const SLOWNESS_MEMORY: Duration = Duration::from_millis(1_000);
+
+/// Slowness up to this is kept: workers differ by as much for good.
+const KEPT_SLOWNESS: f64 = 1.4;
+
+/// What is left of the slowness beyond that after each such time.
+const SLOWNESS_LEFT: f64 = 0.5;
+
 /// Where a run is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -116,6 +125,8 @@
     /// Its run times against predicted ones.
     pub(crate) slowness: f64,
     pub(crate) last_end: Instant,
+    /// When its slowness was last learnt, or forgotten in part.
+    slowness_at: Instant,
 }
 
 /// Looks in a row without an answer that make a worker silent: it gets no new runs and its leases run out. One miss
@@ -151,6 +162,7 @@
             health: WorkerHealth::default(),
             slowness: 1.0,
             last_end: now,
+            slowness_at: now,
         }
     }
 
@@ -188,6 +200,11 @@
         self.is_open() && self.health.is_sound()
     }
 
+    /// Whether it would count as such room if a run that tries it out were done.
+    pub(crate) fn is_on_trial(&self, now: Instant) -> bool {
+        self.is_open() && self.runs.is_empty() && self.health.is_on_trial(now)
+    }
+
     pub(crate) fn run_mut(&mut self, task: TaskId, run: RunNumber) -> Option<&mut RunLedger> {
         self.runs
             .iter_mut()
@@ -223,15 +240,27 @@
     }
 
     /// Learns its speed from a run that was done, or from one that is slower than its kind so far.
-    pub(crate) fn learn_speed(&mut self, predicted: Duration, took: Duration) {
+    pub(crate) fn learn_speed(&mut self, now: Instant, predicted: Duration, took: Duration) {
         if predicted.is_zero() {
             return;
         }
+        self.slowness_at = now;
         let sample = took.as_secs_f64() / predicted.as_secs_f64();
         let sample = sample.clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1);
         self.slowness += SPEED_WEIGHT * (sample - self.slowness);
     }
 
+    /// Forgets in part that it was slow, if it stands idle. Failure prevented: after calls have been late for a while all
+    /// workers of a pool look too slow for any job, every job is refused, and no run can show that they are not.
+    pub(crate) fn fade_slowness(&mut self, now: Instant) {
+        let idle = self.runs.is_empty() && now >= self.slowness_at + SLOWNESS_MEMORY;
+        if !idle || self.slowness <= KEPT_SLOWNESS {
+            return;
+        }
+        self.slowness_at = now;
+        self.slowness = KEPT_SLOWNESS + (self.slowness - KEPT_SLOWNESS) * SLOWNESS_LEFT;
+    }
+
     /// An order has become overdue.
     pub(crate) fn set_overdue(&mut self) {
         self.orders_in_flight = self.orders_in_flight.saturating_sub(1);
