Start nothing in a data centre that is evacuated

Change: the operators' rows are read in one place (node/src/operator.rs); which data centres are evacuated is decided by versions, so that rows read whole after a lost history, which may be seconds old, end nothing that is newer; readings older than what is known are passed over for every table. A pool that is evacuated refuses, offers nothing, lets waiting jobs go at once (refused where nothing of them was ordered, else given up) and sends no start: all ways to one end in send_orders. Entries ask only pools of other data centres, drawn as near ones are; a part that its pool refuses goes to other pools in place of giving the whole job up. Kept jobs wait for the return.

--- a/crates/jobs/src/request.rs
+++ b/crates/jobs/src/request.rs
@@ -123,6 +123,8 @@
         NoRoomEver => "no_room_ever",
         /// The pool's owner is not ready, or it is leaving.
         NotServing => "not_serving",
+        /// Its data centre is evacuated: nothing starts there.
+        Evacuated => "evacuated",
         /// No owner can be reached.
         Unreachable => "unreachable",
         /// The job needs something that is not served.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -8,9 +8,9 @@
 
 use claims::OwnerView;
 use futures::{
-    future::{select, Either},
+    future::{select, Either, LocalBoxFuture},
     stream::FuturesUnordered,
-    StreamExt as _,
+    FutureExt as _, StreamExt as _,
 };
 use jobs::{JobOutcome, JobRequest, JobTerms, PoolId, RefusalKind, RouteRule, StepSpec};
 use model::Mechanism;
@@ -80,11 +80,7 @@
 /// without the job's text: asked outright one after another, each costs a round trip and the bytes of the whole job. In a
 /// fleet whose links carry 2 Mbit/s these bytes alone filled the owners' links.
 pub(crate) async fn run_job(state: &Rc<NodeState>, job: &EntryJob) -> JobOutcome {
-    let mut last = JobOutcome::Refused {
-        kind: RefusalKind::Unreachable,
-        retry_after: NO_OWNER_RETRY,
-        fits: 0,
-    };
+    let mut last = nowhere(state);
     let mut offers = Vec::new();
     let mut pools = pools_in_order(state, &job.request).into_iter();
     for AskedPool { pool, owner, .. } in pools.by_ref() {
@@ -119,6 +115,19 @@
     }
 }
 
+/// The refusal of a job for which no pool can be asked.
+fn nowhere(state: &NodeState) -> JobOutcome {
+    let kind = match reached_pools(state).is_empty() {
+        true => RefusalKind::Unreachable,
+        false => RefusalKind::Evacuated,
+    };
+    JobOutcome::Refused {
+        kind,
+        retry_after: NO_OWNER_RETRY,
+        fits: 0,
+    }
+}
+
 /// The pools that are asked for an offer, those of this data centre apart. Where the link is busy only those that seem to
 /// have room, and no more than seem to have it twice over: of the others an answer is likely known.
 fn worth_asking(
@@ -202,10 +211,60 @@
 
 /// Runs the parts of a job. It is complete when all are; once one is not, the others are cancelled.
 async fn run_parts(state: &Rc<NodeState>, job: &EntryJob, parts: &[JobPart]) -> JobOutcome {
-    let mut running: FuturesUnordered<_> = parts
+    let runs = parts
         .iter()
-        .map(|part| ask_in_time(state, job, &part.pool, &part.owner, Some(part.step.clone())))
-        .collect();
+        .map(|part| run_part(state, job, part, parts).boxed_local());
+    all_complete(runs.collect()).await
+}
+
+/// Runs one part. Nothing of it ran if its pool refuses it, as one does whose data centre is evacuated meanwhile, or has
+/// become another's: pools that have no part of the job take it if together they can. Given up at once, the job would be
+/// lost to its customer with most of its tasks under way.
+async fn run_part(
+    state: &Rc<NodeState>,
+    job: &EntryJob,
+    part: &JobPart,
+    all: &[JobPart],
+) -> Option<JobOutcome> {
+    let step = part.step.clone();
+    let outcome = ask_in_time(state, job, &part.pool, &part.owner, Some(step.clone())).await;
+    if !matches!(outcome, None | Some(JobOutcome::Refused { .. })) {
+        return outcome;
+    }
+    let request = JobRequest {
+        steps: vec![step],
+        ..(*job.request).clone()
+    };
+    let job = EntryJob {
+        request: Arc::new(request),
+        rule: job.rule.clone(),
+        ..*job
+    };
+    let mut pools = pools_in_order(state, &job.request);
+    pools.retain(|asked| all.iter().all(|part| part.pool != asked.pool));
+    let (near, far) = worth_asking(state, &job.request, pools);
+    let mut offers = gather_offers(state, &job, near).await;
+    if !offers_suffice(&job.request, &offers) {
+        offers.extend(gather_offers(state, &job, far).await);
+    }
+    let parts = divide(state, &job.request, offers)?;
+    let runs = parts.iter().map(|part| {
+        ask_in_time(
+            state,
+            &job,
+            &part.pool,
+            &part.owner,
+            Some(part.step.clone()),
+        )
+        .boxed_local()
+    });
+    Some(all_complete(runs.collect()).await)
+}
+
+/// How a job ends whose parts are under way.
+async fn all_complete(
+    mut running: FuturesUnordered<LocalBoxFuture<'_, Option<JobOutcome>>>,
+) -> JobOutcome {
     while let Some(outcome) = running.next().await {
         match outcome {
             // Kept jobs are not divided.
@@ -241,7 +300,7 @@
 
 /// The pools whose owners can take a job, in the order in which they are asked.
 fn pools_in_order(state: &NodeState, request: &JobRequest) -> Vec<AskedPool> {
-    let mut pools = reached_pools(state);
+    let mut pools = open_pools(state);
     let candidates: Vec<PoolCandidate> = pools
         .iter()
         .map(|(pool, owner)| candidate(state, pool, owner))
@@ -277,6 +336,14 @@
         .sum()
 }
 
+/// The reached pools whose workers get starts.
+fn open_pools(state: &NodeState) -> Vec<(PoolId, OwnerView)> {
+    let evacuations = state.evacuations.borrow();
+    let mut pools = reached_pools(state);
+    pools.retain(|(pool, _)| !evacuations.contains(&pool.data_centre));
+    pools
+}
+
 /// The pools whose owners are alive and connected.
 fn reached_pools(state: &NodeState) -> Vec<(PoolId, OwnerView)> {
     let now = state.now();
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -5,13 +5,11 @@
 use claims::{ClaimRow, GroupRow, MemberRow, NodeId};
 use jobs::PoolId;
 use platform::RowVersion;
-use platform_adapter::{
-    decode_table, FeedPage, RowChange, StoreError, StoreTable, StoredRow, CONFIG_KEY,
-};
+use platform_adapter::{FeedPage, RowChange, StoreError, StoreTable, StoredRow};
 use pool::UsualWait;
 use telemetry::{EventKind, EventLine};
 
-use crate::{groups, keeping, owner, state::NodeState, workers};
+use crate::{groups, keeping, operator, owner, state::NodeState, workers};
 
 /// How long a feed of what has to be in force within 2 s waits for a change. A connection that has gone silent is
 /// found after this time and the client's limit.
@@ -43,16 +41,24 @@
 /// The shortest time between two readings of any other table.
 const FEED_GAP: Duration = Duration::from_millis(15);
 
+/// The pause after a reading that shows rows older than those that are known. A store that has lost its history does so for
+/// seconds, and the workers' table is large.
+const STALE_PAUSE: Duration = Duration::from_millis(400);
+
 /// The pause after a reading that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
 /// Follows a table for as long as the process runs. The history may be gone at any time; then all is read again.
+///
+/// What is read then may be older than what is known. Believed, it would end evacuations that have just begun, and bring
+/// workers back that have left; so it is passed over until the store is as far as it was.
 pub(crate) async fn follow(state: Rc<NodeState>, table: StoreTable) {
     let urgent = table == StoreTable::Operator;
     let wait = if urgent { URGENT_WAIT } else { FEED_WAIT };
     let begun = state.now();
     let mut after: Option<RowVersion> = None;
     let mut lost_since = None;
+    let mut newest = RowVersion(0);
     loop {
         if table == StoreTable::Workers {
             let now = state.now();
@@ -68,7 +74,13 @@
                     note_regained(&state, table, since);
                 }
                 let whole = after.is_none();
-                after = Some(page.version.max(after.unwrap_or(RowVersion(0))));
+                if page.version < newest {
+                    note_stale(&state, table, page.version, newest);
+                    actix_rt::time::sleep(STALE_PAUSE).await;
+                    continue;
+                }
+                newest = page.version;
+                after = Some(newest);
                 take_page(&state, table, page, whole);
                 if table == StoreTable::Workers {
                     let now = state.now();
@@ -123,6 +135,14 @@
     }
 }
 
+fn note_stale(state: &NodeState, table: StoreTable, shown: RowVersion, known: RowVersion) {
+    let line = EventLine::new("stale_rows")
+        .text("table", table.as_str())
+        .number("shown", shown.0)
+        .number("known", known.0);
+    state.log(EventKind::Kept, line);
+}
+
 fn note_lost(state: &NodeState, table: StoreTable, error: &StoreError) {
     let line = EventLine::new("store_lost")
         .text("table", table.as_str())
@@ -140,7 +160,7 @@
 
 fn take_page(state: &Rc<NodeState>, table: StoreTable, page: FeedPage, whole: bool) {
     match table {
-        StoreTable::Operator => take_config(state, page),
+        StoreTable::Operator => operator::take_page(state, page, whole),
         StoreTable::Workers => workers::take_page(state, page, whole),
         StoreTable::Members => take_members(state, page),
         StoreTable::Claims => take_claims(state, page),
@@ -150,36 +170,6 @@
     }
 }
 
-fn take_config(state: &Rc<NodeState>, page: FeedPage) {
-    for change in page.changes {
-        let Some(row) = put_row(state, change) else {
-            continue;
-        };
-        if row.key != CONFIG_KEY {
-            continue;
-        }
-        match decode_table(&row.value) {
-            Ok(table) => install_table(state, table),
-            Err(error) => note_unreadable(state, &row, &error),
-        }
-    }
-}
-
-/// Versions only rise: an answer that was overtaken must not bring an older configuration back.
-fn install_table(state: &Rc<NodeState>, table: jobs::RouteTable) {
-    let known = state.table.borrow().as_ref().map(|known| known.version);
-    if known.is_some_and(|known| known >= table.version) {
-        return;
-    }
-    let line = EventLine::new("configuration_taken")
-        .number("version", table.version.0)
-        .number("routes", table.routes.len() as u64)
-        .number("former", known.unwrap_or_default().0);
-    state.log(EventKind::Kept, line);
-    *state.table.borrow_mut() = Some(Rc::new(table));
-    workers::sort_again(state);
-}
-
 /// The row, if it was written and can be read. What cannot be read is logged.
 pub(crate) fn put_row(state: &NodeState, change: RowChange) -> Option<StoredRow> {
     match change {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod keeping;
 mod metrics;
 mod notes;
+mod operator;
 mod owner;
 mod peers;
 mod process;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -11,6 +11,7 @@
 const RETRIES: &str = "node_retries_total";
 const STARTS_NOT_DONE: &str = "node_starts_not_done_total";
 const SUSPENSIONS: &str = "node_suspensions_total";
+const EVACUATIONS: &str = "node_evacuations_total";
 const CALLS: &str = "node_traffic_calls_total";
 const SENT_BYTES: &str = "node_traffic_sent_bytes_total";
 const RECEIVED_BYTES: &str = "node_traffic_received_bytes_total";
@@ -82,6 +83,12 @@
             "cause",
             suspensions.collect(),
         ),
+        family(
+            EVACUATIONS,
+            "Evacuations of data centres that this node has read, by change",
+            "change",
+            vec!["begun", "ended"],
+        ),
         family(
             CALLS,
             "Calls, datagrams and customers' requests, by what they are for; between entries and owners none are counted",
@@ -184,6 +191,15 @@
     }
 }
 
+/// Counts that a data centre is evacuated or was taken back.
+pub(crate) fn count_evacuation(metrics: &NodeMetrics, evacuated: bool) {
+    let change = match evacuated {
+        true => "begun",
+        false => "ended",
+    };
+    metrics.count(EVACUATIONS, change);
+}
+
 /// The text form of an answer to a start, in logs and metrics.
 pub(crate) fn start_answer(answer: StartAnswer) -> &'static str {
     match answer {
--- a/crates/node/src/notes.rs
+++ b/crates/node/src/notes.rs
@@ -81,6 +81,16 @@
                 .number("window", *window as u64);
             (EventKind::Kept, line)
         }
+        PoolNote::Evacuation {
+            evacuated,
+            running,
+            withdrawn,
+        } => {
+            let line = EventLine::new("pool_evacuation")
+                .text("evacuated", evacuated)
+                .number("running", *running as u64);
+            (EventKind::Kept, line.number("withdrawn", *withdrawn as u64))
+        }
         PoolNote::KeptStored { job, version } => {
             let line = EventLine::new("job_stored").text("job", job);
             (EventKind::Plain, line.number("version", *version))
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -174,6 +174,7 @@
         fence: FenceToken(version.0),
         platform_millis: u64::try_from(store_clock.as_millis()).unwrap_or(u64::MAX),
         far_factor: state.settings.far_factor,
+        evacuated: state.evacuations.borrow().contains(&id.data_centre),
         settings: state.pool_settings.clone(),
     };
     let owned = OwnedPool {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -212,6 +212,7 @@
         table: RefCell::default(),
         keeper: RefCell::new(ClaimKeeper::new(me, claim_settings.clone(), clock.now())),
         directory: RefCell::new(WorkerDirectory::default()),
+        evacuations: RefCell::default(),
         pools: RefCell::default(),
         group_versions: RefCell::default(),
         sent: RefCell::default(),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -13,6 +13,7 @@
 use kernel::ClockSource;
 use model::{DataCentreId, FastMap, Mechanism};
 use platform_adapter::{StoreClient, WorkerClient};
+use pool::EvacuationBook;
 use settings::NodeSettings;
 use telemetry::{EventKind, EventLine, EventLog, NodeMetrics, TrafficBook};
 use tokio::sync::Notify;
@@ -40,6 +41,7 @@
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
     pub(crate) keeper: RefCell<ClaimKeeper>,
     pub(crate) directory: RefCell<WorkerDirectory>,
+    pub(crate) evacuations: RefCell<EvacuationBook>,
     pub(crate) pools: RefCell<FastMap<PoolId, OwnedPool>>,
     /// Versions of the rows that divide workers into groups.
     pub(crate) group_versions: RefCell<FastMap<DataCentreId, u64>>,
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -338,6 +338,15 @@
         /// How.
         state: KeptState,
     },
+    /// Its data centre is evacuated, or was taken back.
+    Evacuation {
+        /// Whether it is evacuated now.
+        evacuated: bool,
+        /// Runs that go on.
+        running: usize,
+        /// Starts that were ordered and are taken back.
+        withdrawn: usize,
+    },
     /// Kept jobs are stopped: the store was not reached for so long that another owner may have them.
     KeptSuspended,
     /// Nobody waits for a job any more, or its time is over: what runs of it is stopped.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -3,12 +3,13 @@
 //!
 //! One pool has one owner at a time, under a fence. The owner knows each worker's room exactly, because every start
 //! goes through it. Everything here is a state machine: time is passed in, and what has to be sent comes out as
-//! [`PoolAction`]s. Four invariants hold at any moment:
+//! [`PoolAction`]s. These invariants hold at any moment:
 //!
 //! - the demands of a worker's runs, whatever their phase, fit into its room;
 //! - a task has at most one run record in the whole pool;
 //! - a run record goes only when the run surely is over, or can never begin;
 //! - a job is refused only while none of its tasks was ever ordered to start;
+//! - no start leaves for a worker of a data centre that is evacuated;
 //! - a kept job runs only while it is stored, and an end of it is acknowledged only once that is stored.
 
 mod action;
@@ -16,6 +17,7 @@
 mod answer_time;
 mod arrivals;
 mod estimate;
+mod evacuation;
 mod forecast;
 mod health;
 mod job;
@@ -35,6 +37,7 @@
         StopAnswer, StopOrder, SuspensionCause, WaiterId, WorkerChange,
     },
     admission::PoolLoad,
+    evacuation::{EvacuationBook, EvacuationChange},
     kept::{FoundJob, KeepAnswer, KeepOrder},
     pool::{PoolStart, WorkerPool},
     settings::PoolSettings,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod answers;
+mod evacuating;
 mod keeping;
 mod looks;
 mod schedule;
@@ -59,6 +60,8 @@
     /// The median slowness of its workers, as of the last tick.
     median_slowness: f64,
     accepting: bool,
+    /// Whether its data centre is evacuated: its workers get no start.
+    evacuated: bool,
     /// Offers made just now: when, and of how many tasks.
     offered: Vec<(Instant, u32)>,
     /// Its name, which the rows of its kept jobs have.
@@ -103,6 +106,8 @@
     pub platform_millis: u64,
     /// How many times as long a task takes away from its data's rack.
     pub far_factor: f64,
+    /// Whether its data centre is evacuated.
+    pub evacuated: bool,
     /// Times and limits.
     pub settings: PoolSettings,
 }
@@ -119,6 +124,7 @@
             far_factor: start.far_factor,
             median_slowness: 1.0,
             accepting: true,
+            evacuated: start.evacuated,
             offered: Vec::new(),
             home: start.home,
             lost_answer: None,
@@ -313,6 +319,9 @@
     /// What the pool can take.
     pub fn load(&self, now: Instant) -> PoolLoad {
         let mut load = PoolLoad::default();
+        if self.evacuated {
+            return load;
+        }
         for worker in self.expected_workers(now) {
             load.capacity += worker.record.room.cpu.0;
             load.free += worker.free_room().cpu.0;
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -65,6 +65,8 @@
         let harms = forecast.harms && self.has(Mechanism::HarmCheck);
         let kind = if !self.accepting {
             Some(RefusalKind::NotServing)
+        } else if self.evacuated {
+            Some(RefusalKind::Evacuated)
         } else if !self.can_ever_hold(request, terms) {
             Some(RefusalKind::NoRoomEver)
         } else if !terms.firm && (late || harms || forecast.crowds) {
@@ -101,7 +103,7 @@
 
     /// How many tasks of a job the pool could take in time now: all, or of a job of one step some. Nothing is promised.
     pub fn offer(&mut self, now: Instant, request: &JobRequest, terms: &JobTerms) -> u32 {
-        if !self.accepting || !self.can_ever_hold(request, terms) {
+        if !self.accepting || self.evacuated || !self.can_ever_hold(request, terms) {
             return 0;
         }
         let objective = self.objective(request, terms);
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -24,6 +24,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.end_overdue(now);
         self.tick_kept(now);
+        self.leave_evacuated(now);
         self.expire_silent(now);
         self.forget_unlisted(now);
         self.find_median(now);
@@ -33,6 +34,10 @@
 
     /// Places waiting tasks in the queue's order for as long as places are free.
     pub(super) fn schedule(&mut self, now: Instant) {
+        if self.evacuated {
+            self.send_orders(now);
+            return;
+        }
         self.queue.move_late(now);
         let order: Vec<JobId> = self.queue.jobs().collect();
         let mut most_free = self.most_free();
@@ -206,6 +211,7 @@
                 false => overdue,
             },
         };
+        let mut withdrawn = Vec::new();
         for worker in self.workers.values_mut() {
             if worker.order_pause.is_some_and(|pause| now < pause) {
                 continue;
@@ -216,6 +222,10 @@
                     break;
                 };
                 let action = match order {
+                    WaitingOrder::Start(task, run) if self.evacuated => {
+                        withdrawn.push((worker.record.life.clone(), task, run));
+                        continue;
+                    }
                     WaitingOrder::Start(task, run) => start_action(worker, task, run, &frame),
                     WaitingOrder::Stop(task, run) => stop_action(worker, task, run, &frame),
                 };
@@ -227,6 +237,10 @@
                 }
             }
         }
+        if !withdrawn.is_empty() {
+            self.withdraw_starts(now, withdrawn);
+            self.send_orders(now);
+        }
     }
 
     /// Ends jobs whose time is over.
--- a/crates/pool/src/shift.rs
+++ b/crates/pool/src/shift.rs
@@ -68,11 +68,13 @@
         return order;
     }
     let near = candidates.iter().filter(|candidate| candidate.near).count();
-    if near < 2 {
+    // Without a near one the far ones are drawn from: all entries of an evacuated data centre would flood the same pool.
+    let drawn = if near > 0 { near } else { order.len() };
+    if drawn < 2 {
         return order;
     }
-    let first = rng.usize(..near);
-    let second = rng.usize(..near - 1);
+    let first = rng.usize(..drawn);
+    let second = rng.usize(..drawn - 1);
     let second = second + usize::from(second >= first);
     // Those before are sorted by room, so the earlier of the two has more.
     let best = order.remove(first.min(second));
--- /dev/null
+++ b/crates/pool/tests/evacuation.rs
@@ -0,0 +1,162 @@
+//! A data centre is evacuated: its workers get no start by any way until it is taken back, and callers are told the truth
+//! about what waits.
+
+mod support;
+
+use jobs::{JobId, JobOutcome, RefusalKind};
+use model::DataCentreId;
+use pool::{EvacuationBook, EvacuationChange, PoolLoad};
+use support::{WorkerFault, World};
+
+const ONE_PLACE: u64 = 16_000;
+
+fn outcome(world: &World, id: JobId) -> Option<JobOutcome> {
+    let result = world.results.iter().find(|result| result.id == id);
+    result.map(|result| result.outcome)
+}
+
+fn is_refused(outcome: Option<JobOutcome>) -> bool {
+    matches!(
+        outcome,
+        Some(JobOutcome::Refused {
+            kind: RefusalKind::Evacuated,
+            ..
+        })
+    )
+}
+
+/// One job runs and another waits for its place when the data centre is evacuated. The first caller gets its answer; the
+/// second is told at once that nothing of it ran, which is true; a third finds the pool closed. After the data centre is
+/// taken back a fourth is served.
+#[test]
+fn what_runs_goes_on_and_what_waits_is_refused() {
+    let mut world = World::new(1, 1);
+    let [first, second, third, fourth] = [1, 2, 3, 4].map(JobId);
+    world.submit_sized(1, first, vec![300.0], 300.0, ONE_PLACE);
+    world.run_for(50);
+    world.submit_sized(1, second, vec![900.0], 900.0, ONE_PLACE);
+    world.run_for(10);
+    let starts = world.starts_sent;
+    world.set_evacuated(true);
+    assert!(is_refused(outcome(&world, second)));
+    world.submit_sized(1, third, vec![300.0], 300.0, ONE_PLACE);
+    assert!(is_refused(outcome(&world, third)));
+    assert_eq!(world.offer(4, 100, 6_800), 0);
+    assert_eq!(world.pool.load(world.instant()), PoolLoad::default());
+    world.run_for(1_000);
+    assert_eq!(outcome(&world, first), Some(JobOutcome::Completed));
+    assert_eq!(world.starts_sent, starts);
+    world.set_evacuated(false);
+    world.submit_sized(1, fourth, vec![300.0], 300.0, ONE_PLACE);
+    world.run_for(1_000);
+    assert_eq!(outcome(&world, fourth), Some(JobOutcome::Completed));
+}
+
+/// A job of two tasks has place for one. When the data centre is evacuated the second may not start, and as the first has
+/// begun nobody can say that nothing ran: the caller is told at once that it is unknown, and does not wait for the return.
+#[test]
+fn a_job_that_has_begun_and_cannot_end_is_given_up_at_once() {
+    let mut world = World::new(1, 1);
+    let wide = JobId(1);
+    world.submit_sized(1, wide, vec![300.0; 2], 100.0, ONE_PLACE);
+    world.run_for(50);
+    let starts = world.starts_sent;
+    world.set_evacuated(true);
+    assert_eq!(outcome(&world, wide), Some(JobOutcome::GivenUp));
+    world.run_for(1_000);
+    assert_eq!(world.starts_sent, starts);
+    assert_eq!(world.running(), 0, "nobody waits for it");
+}
+
+/// Starts get no answer when the data centre is evacuated. They are not sent again, whether they were carried out or not;
+/// they are stopped. A run that fails is not started again either.
+#[test]
+fn starts_without_an_answer_are_not_sent_again() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 4);
+        for worker in world.workers.values_mut() {
+            worker.fault = WorkerFault {
+                answers_lost: 0.3,
+                late: 0.5,
+                fails: seed % 3 == 0,
+                ..WorkerFault::default()
+            };
+        }
+        world.traffic(1_000, [0.6, 0.6, 0.6]);
+        let starts = world.starts_sent;
+        world.set_evacuated(true);
+        world.traffic(3_000, [0.3, 0.3, 0.3]);
+        assert_eq!(world.starts_sent, starts, "seed {seed}");
+        world.set_evacuated(false);
+        for worker in world.workers.values_mut() {
+            worker.fault = WorkerFault::default();
+        }
+        world.run_for(8_000);
+        let before = world.results.len();
+        world.traffic(3_000, [0.3, 0.3, 0.3]);
+        world.run_for(8_000);
+        let served = world.results[before..].iter();
+        let served = served.filter(|r| r.outcome == JobOutcome::Completed);
+        assert!(served.count() > 0, "seed {seed}: nothing after the return");
+        assert_eq!(world.open_jobs(), 0, "seed {seed}: jobs without an answer");
+    }
+}
+
+/// A kept job was accepted before the evacuation. It waits, since its caller was told that it will run, and runs after the
+/// return.
+#[test]
+fn a_kept_job_waits_for_the_return() {
+    let mut world = World::new(1, 1);
+    world.keeps = true;
+    let kept = JobId(1);
+    world.submit_sized(1, kept, vec![300.0; 2], 100.0, ONE_PLACE);
+    world.run_for(60);
+    let starts = world.starts_sent;
+    world.set_evacuated(true);
+    world.run_for(2_000);
+    assert_eq!(world.starts_sent, starts);
+    world.set_evacuated(false);
+    world.run_for(2_000);
+    let (row, _) = &world.rows[&kept];
+    assert!(row.state.is_final(), "{:?}", row.state);
+}
+
+/// A new owner of the pool is told of the evacuation before it knows a worker.
+#[test]
+fn a_new_owner_starts_nothing() {
+    let mut world = World::new(1, 2);
+    world.traffic(500, [0.5, 0.5, 0.5]);
+    world.set_evacuated(true);
+    world.change_owner();
+    let starts = world.starts_sent;
+    world.traffic(2_000, [0.5, 0.5, 0.5]);
+    assert_eq!(world.starts_sent, starts);
+}
+
+fn centre(name: &str) -> DataCentreId {
+    name.parse().unwrap()
+}
+
+fn changed(begun: &[&str], ended: &[&str]) -> EvacuationChange {
+    EvacuationChange {
+        begun: begun.iter().map(|name| centre(name)).collect(),
+        ended: ended.iter().map(|name| centre(name)).collect(),
+    }
+}
+
+/// Rows are read whole after the history was lost, as of version 20. What began after that is not shown, and has not ended
+/// for it; what began before and is not shown has.
+#[test]
+fn an_older_reading_does_not_end_a_newer_evacuation() {
+    let mut book = EvacuationBook::default();
+    assert!(book.begin(centre("east"), 10));
+    assert!(!book.begin(centre("east"), 10));
+    assert!(book.begin(centre("west"), 30));
+    let change = book.take_whole(vec![(centre("north"), 15)], 20);
+    assert_eq!(change, changed(&["north"], &["east"]));
+    assert!(book.contains(&centre("west")));
+    assert!(!book.contains(&centre("east")));
+    assert!(book.end(&centre("west")));
+    assert!(!book.end(&centre("west")));
+    assert_eq!(book.take_whole(Vec::new(), 40), changed(&[], &["north"]));
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -207,6 +207,7 @@
     open_calls: BTreeSet<CallNumber>,
     /// Starts that were sent.
     pub(crate) starts_sent: u64,
+    evacuated: bool,
     pub(crate) let_go: bool,
 }
 
@@ -296,6 +297,7 @@
             into: WorldLink::default(),
             open_calls: BTreeSet::new(),
             starts_sent: 0,
+            evacuated: false,
             let_go: false,
         };
         world.pool.load_kept(origin, Vec::new());
@@ -350,7 +352,11 @@
     pub(crate) fn replace_owner(&mut self) {
         self.fence += 1;
         let at = self.instant();
-        self.pool = WorkerPool::new(pool_start(self.fence), at);
+        let start = PoolStart {
+            evacuated: self.evacuated,
+            ..pool_start(self.fence)
+        };
+        self.pool = WorkerPool::new(start, at);
         self.open.clear();
         let records: Vec<_> = self.workers.values().map(|w| w.record.clone()).collect();
         for record in records {
@@ -541,6 +547,14 @@
         self.carry_out();
     }
 
+    /// The pool's data centre is evacuated, or taken back.
+    pub(crate) fn set_evacuated(&mut self, evacuated: bool) {
+        let at = self.instant();
+        self.evacuated = evacuated;
+        self.pool.set_evacuated(at, evacuated);
+        self.carry_out();
+    }
+
     /// The jobs that wait for an answer.
     pub(crate) fn open_ids(&self) -> Vec<JobId> {
         self.open.keys().copied().collect()
@@ -1008,6 +1022,7 @@
         fence: FenceToken(fence),
         platform_millis: fence * 1_000_000,
         far_factor: 3.0,
+        evacuated: false,
         settings: PoolSettings::default(),
     }
 }
