Know workers that start again under their id

Taken for the same life, its first ends would be acknowledged unheard, its clock misread, and what died with it kept as running. Change: a life is an id and its birth, which only a worker's own listing makes known; an entry that names another has the worker asked first. Runs that the new life lists are its own; those whose starts were all answered died; those with a copy at large are stopped there before their tasks run again. Ends are acknowledged only once, just after they were listed. The fence of a reborn worker is raised to the newest version of the store up to which no later claim of the pool was made, so that what was meant for its former life is turned away. Ruled out: telling lives apart by clocks (late answers and suspended processes look the same) or by which birth is greater (clocks jump). Found by the new tests on the way: an idle worker's unacknowledged ends were acknowledged to its next life.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,6 +21,7 @@
     },
     route::{BodyLimits, RouteMatch, RouteRule, RouteTable, ServiceRule, TableVersion},
     worker::{
-        EndCause, EndedRun, RunningRun, WorkerClock, WorkerListing, WorkerRecord, WorkerState,
+        BirthTime, EndCause, EndedRun, RunningRun, WorkerClock, WorkerListing, WorkerRecord,
+        WorkerState,
     },
 };
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,6 +1,6 @@
 //! Workers: what the directory says of one, and what one says of itself.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, num::ParseIntError, str::FromStr, sync::Arc, time::Duration};
 
 use model::{text_set, DataCentreId, WrongReason};
 
@@ -15,11 +15,32 @@
     Draining,
 }
 
+/// When a worker's life began, in milliseconds since 1970 by a clock that may jump. It tells lives under one id apart; it does
+/// not say which is later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BirthTime(pub u64);
+
+impl fmt::Display for BirthTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for BirthTime {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, ParseIntError> {
+        s.parse().map(Self)
+    }
+}
+
 /// A worker's entry in the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerRecord {
     /// Which life of the worker this is.
     pub life: LifeId,
+    /// Which life under that id, if it says so.
+    pub born: Option<BirthTime>,
     /// Whose tasks it runs.
     pub service: ServiceId,
     /// Where it listens.
@@ -91,6 +112,8 @@
 pub struct WorkerListing {
     /// The worker's clock when it answered.
     pub clock: WorkerClock,
+    /// Which life under its id answered, if it says so.
+    pub born: Option<BirthTime>,
     /// What runs.
     pub running: Vec<RunningRun>,
     /// What ended after the last end that was acknowledged.
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -163,7 +163,11 @@
         StoreTable::Operator => operator::take_page(state, page, whole),
         StoreTable::Workers => workers::take_page(state, page, whole),
         StoreTable::Members => take_members(state, page),
-        StoreTable::Claims => take_claims(state, page),
+        StoreTable::Claims => {
+            let version = page.version.0;
+            take_claims(state, page);
+            owner::note_sole_owner(state, version);
+        }
         StoreTable::CancelledJobs => take_cancelled(state, page),
         // Read by row or by part, not followed.
         StoreTable::Jobs | StoreTable::EndedJobs | StoreTable::PendingJobs => (),
--- a/crates/node/src/notes.rs
+++ b/crates/node/src/notes.rs
@@ -81,6 +81,14 @@
                 .number("window", *window as u64);
             (EventKind::Kept, line)
         }
+        PoolNote::WorkerReborn { life, born, runs } => {
+            let line = EventLine::new("worker_reborn").text("worker", life);
+            let line = match born {
+                Some(born) => line.text("born", born),
+                None => line,
+            };
+            (EventKind::Kept, line.number("runs", *runs as u64))
+        }
         PoolNote::Evacuation {
             evacuated,
             running,
--- a/crates/node/tests/entries.rs
+++ b/crates/node/tests/entries.rs
@@ -86,6 +86,22 @@
         name: "labels of another type",
         damage: |entry| entry["Labels"] = json!("a"),
     },
+    EntryCase {
+        name: "a birth of another type",
+        damage: |entry| entry["born"] = json!("1764751000000"),
+    },
+    EntryCase {
+        name: "a birth before 1970",
+        damage: |entry| entry["born"] = json!(-1),
+    },
+    EntryCase {
+        name: "a birth that is no whole number",
+        damage: |entry| entry["born"] = json!(1_764_751_000_000.5),
+    },
+    EntryCase {
+        name: "a birth of null",
+        damage: |entry| entry["born"] = Value::Null,
+    },
     EntryCase {
         name: "not an object",
         damage: |entry| *entry = json!("i-0"),
--- /dev/null
+++ b/crates/node/tests/rebirth.rs
@@ -0,0 +1,78 @@
+//! Workers that die and start again under their id, as a node meets them.
+
+mod support;
+
+use std::time::Duration;
+
+use node::NodeProcess;
+use platform_stand_ins::{ExecutorPlan, ExecutorStandIn};
+use serde_json::json;
+use support::{job, post_job, post_meanwhile, Platform, CENTRE};
+
+const RUN_TIME: Duration = Duration::from_millis(150);
+
+async fn start_named(platform: &Platform, life: &str) -> ExecutorStandIn {
+    let plan = ExecutorPlan {
+        life: life.to_owned(),
+        run_time: RUN_TIME,
+        born: Some(1_764_751_000_000),
+        ..ExecutorPlan::default()
+    };
+    let executor = ExecutorStandIn::start(plan).await;
+    tell(platform, life, &executor);
+    executor
+}
+
+fn tell(platform: &Platform, life: &str, executor: &ExecutorStandIn) {
+    let entry = executor.entry("svc", CENTRE, "ready");
+    platform.store.put("servers", life, &entry);
+}
+
+async fn complete_jobs(node: &NodeProcess, first: u64) {
+    for number in first..first + 4 {
+        let id = format!("{number:016x}");
+        let status = post_job(node, &id, &job(2, 150)).await.0;
+        assert_eq!(status, 200, "{id}\n{}", node.log_lines());
+    }
+}
+
+/// The only worker dies with a caller's tasks on it and is back under its id, its clock far behind. The caller's tasks run again
+/// there and it gets its answer; later callers get theirs, before the directory tells of the new life and after.
+#[actix_rt::test]
+async fn a_reborn_worker_serves_on() {
+    let platform = Platform::start(0, RUN_TIME).await;
+    let worker = start_named(&platform, "i-0").await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    complete_jobs(&node, 0x100).await;
+    let cut = post_meanwhile(&node, "00000000000000a0", job(2, 400));
+    actix_rt::time::sleep(RUN_TIME / 2).await;
+    worker.start_again(1_764_750_999_000);
+    assert_eq!(cut.await.unwrap().0, 200, "{}", node.log_lines());
+    complete_jobs(&node, 0x200).await;
+    tell(&platform, "i-0", &worker);
+    actix_rt::time::sleep(Duration::from_millis(400)).await;
+    complete_jobs(&node, 0x300).await;
+    // Idle when it dies, and told of at once.
+    worker.start_again(1_764_751_002_000);
+    tell(&platform, "i-0", &worker);
+    actix_rt::time::sleep(Duration::from_millis(400)).await;
+    complete_jobs(&node, 0x400).await;
+    assert_eq!(node.log_lines().matches("worker_reborn").count(), 2);
+    let died = worker.runs();
+    let died = died
+        .iter()
+        .filter(|run| matches!(run.ended, Some((_, "died"))));
+    assert_eq!(died.count(), 2);
+}
+
+/// A look's answer names a birth that is no whole number. It is no listing that can be believed; once the worker lists itself
+/// rightly it serves.
+#[actix_rt::test]
+async fn workers_that_do_not_tell_their_birth_serve_as_before() {
+    let platform = Platform::start(1, RUN_TIME).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    complete_jobs(&node, 0x100).await;
+    assert!(!node.log_lines().contains("worker_reborn"));
+    let entry = platform.executors[0].entry("svc", CENTRE, "ready");
+    assert_eq!(entry["born"], json!(null));
+}
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -55,6 +55,8 @@
     pub task: TaskId,
     /// The run.
     pub run: RunNumber,
+    /// When it is sent.
+    pub sent: Instant,
     /// After this time without an answer it counts as not answered.
     pub limit: Duration,
 }
@@ -70,7 +72,7 @@
     pub fence: FenceToken,
     /// The lease's new end, if it is to be renewed.
     pub lease_end: Option<WorkerClock>,
-    /// The last end that is taken note of.
+    /// The last end that is taken note of; 0 if the worker knows it already.
     pub last_seen: u64,
     /// How long the worker may wait for an end before it answers.
     pub wait: Duration,
@@ -338,6 +340,15 @@
         /// How.
         state: KeptState,
     },
+    /// A worker has started again under its id.
+    WorkerReborn {
+        /// Which.
+        life: LifeId,
+        /// Its new life, if it says so.
+        born: Option<jobs::BirthTime>,
+        /// The runs that were known on it.
+        runs: usize,
+    },
     /// Its data centre is evacuated, or was taken back.
     Evacuation {
         /// Whether it is evacuated now.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -5,9 +5,12 @@
 mod evacuating;
 mod keeping;
 mod looks;
+mod rebirth;
 mod schedule;
 mod takeover;
 
+pub(crate) use rebirth::remember_former;
+
 use std::{
     collections::BTreeMap,
     sync::Arc,
@@ -86,6 +89,8 @@
     all_listed: bool,
     /// Since when none has, at the earliest.
     alone_since: Instant,
+    /// Up to which version of the store no later claim of the pool was made.
+    sole_until: u64,
     workers: BTreeMap<LifeId, WorkerLedger>,
     jobs: FastMap<JobId, JobLedger>,
     queue: JobQueue,
@@ -137,6 +142,7 @@
             awaiting: false,
             all_listed: false,
             alone_since: now,
+            sole_until: 0,
             workers: BTreeMap::new(),
             jobs: FastMap::default(),
             queue: JobQueue::default(),
@@ -265,7 +271,7 @@
         let life = record.life.clone();
         let Some(worker) = self.workers.get_mut(&life) else {
             self.workers
-                .insert(life.clone(), WorkerLedger::new(record, now));
+                .insert(life.clone(), WorkerLedger::new(record, self.fence, now));
             self.note_worker(life, WorkerChange::Added);
             self.keep_watch(now);
             return;
@@ -275,12 +281,13 @@
             WorkerState::Ready => WorkerChange::Ready,
         };
         let changed = worker.record.state != record.state || worker.unlisted.is_some();
-        worker.record = record;
+        worker.take_record(now, record);
         worker.unlisted = None;
         if changed {
             self.note_worker(life, change);
             self.schedule(now);
         }
+        self.keep_watch(now);
     }
 
     /// A worker is not in the directory any more: it gets no new runs, and is forgotten when it has none.
--- a/crates/pool/src/pool/answers.rs
+++ b/crates/pool/src/pool/answers.rs
@@ -24,11 +24,15 @@
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
-        if let Some(clock) = answer_clock(answer) {
+        // An answer to an order that was sent before the worker was found to be reborn may be its former life's.
+        let of_this_life = order.sent >= worker.life_since;
+        if let Some(clock) = answer_clock(answer).filter(|_| of_this_life) {
             worker.read_clock(owner_millis, clock);
         }
+        let fenced_anew = order.fence < worker.fence;
         let (mut tries, mut under_way) = (0, 0);
         if let Some(run) = worker.run_mut(*task, *run) {
+            run.answered += u32::from(answer != StartAnswer::Failed(CallFailure::NoAnswer));
             run.under_way = run.under_way.saturating_sub(1);
             (tries, under_way) = (run.tries, run.under_way);
         }
@@ -45,6 +49,7 @@
         }
         match answer {
             // A run that was outrun was carried out by an earlier copy of this start and has ended; its end is listed.
+            StartAnswer::Started(_) | StartAnswer::Outrun(_) if !of_this_life => (),
             StartAnswer::Started(_) | StartAnswer::Outrun(_) => {
                 confirm(worker, *task, *run, now);
                 self.learn_answer_time(now, now.saturating_duration_since(order.sent));
@@ -60,6 +65,9 @@
             StartAnswer::Failed(CallFailure::NoAnswer) if under_way > 0 => (),
             StartAnswer::Failed(CallFailure::NoAnswer) => self.try_again(now, life, *task, *run),
             StartAnswer::Failed(CallFailure::NewLife) => self.forget_life(now, life),
+            StartAnswer::Failed(CallFailure::FencedOut) if fenced_anew => {
+                self.try_again(now, life, *task, *run);
+            }
             StartAnswer::Failed(CallFailure::FencedOut) => self.lose_worker(now, life),
         }
         self.schedule(now);
@@ -136,7 +144,13 @@
             return;
         };
         worker.end_order(false);
+        let of_this_life = order.sent >= worker.life_since;
+        let fenced_anew = order.fence < worker.fence;
         match answer {
+            // It may be the former life's: the new one has to be told.
+            StopAnswer::Stopped(_) if !of_this_life => {
+                worker.orders.push_back(WaitingOrder::Stop(*task, *run));
+            }
             StopAnswer::Stopped(clock) => {
                 worker.read_clock(owner_millis, clock);
                 if let Some(run) = worker.run_mut(*task, *run) {
@@ -144,6 +158,9 @@
                 }
             }
             StopAnswer::Failed(CallFailure::NewLife) => self.forget_life(now, life),
+            StopAnswer::Failed(CallFailure::FencedOut) if fenced_anew => {
+                worker.orders.push_back(WaitingOrder::Stop(*task, *run));
+            }
             StopAnswer::Failed(CallFailure::FencedOut) => self.lose_worker(now, life),
             StopAnswer::Failed(
                 CallFailure::NoAnswer | CallFailure::Unhealthy | CallFailure::Malformed,
--- a/crates/pool/src/pool/looks.rs
+++ b/crates/pool/src/pool/looks.rs
@@ -55,14 +55,7 @@
             if !worker.wants_look(now, IDLE_ACK, wants_ends, hedge) {
                 continue;
             }
-            let order = look_order(
-                worker,
-                now,
-                owner_millis,
-                self.fence,
-                &self.settings,
-                margin,
-            );
+            let order = look_order(worker, now, owner_millis, &self.settings, margin);
             worker.looks_in_flight += 1;
             worker.last_look = now;
             worker.look_pause = None;
@@ -86,6 +79,8 @@
         worker.looks_in_flight = worker.looks_in_flight.saturating_sub(1);
         match answer {
             Ok(listing) => self.take_listing(now, sent, order, listing),
+            // Its fence was raised meanwhile, by this owner.
+            Err(CallFailure::FencedOut) if order.fence < worker.fence => (),
             Err(CallFailure::FencedOut) => self.lose_worker(now, life),
             Err(CallFailure::NewLife) => self.forget_life(now, life),
             Err(CallFailure::NoAnswer | CallFailure::Unhealthy | CallFailure::Malformed) => {
@@ -150,11 +145,15 @@
         order: &LookOrder,
         listing: WorkerListing,
     ) {
+        if !self.check_life(now, sent, order, &listing) {
+            return;
+        }
         let owner_millis = self.millis(now);
         let life = &order.life;
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
+        worker.note_listing(now, order.fence);
         let new_here = worker.clock.is_none() || worker.misses > 0;
         worker.misses = 0;
         worker.answered_look = worker.answered_look.max(Some(sent));
@@ -512,7 +511,6 @@
     worker: &mut WorkerLedger,
     now: Instant,
     owner_millis: u64,
-    fence: jobs::FenceToken,
     settings: &crate::PoolSettings,
     margin: Duration,
 ) -> LookOrder {
@@ -526,9 +524,9 @@
     LookOrder {
         life: worker.record.life.clone(),
         address: worker.record.address,
-        fence,
+        fence: worker.fence,
         lease_end,
-        last_seen: worker.acknowledgeable(),
+        last_seen: worker.news_of_ends(now),
         wait,
         limit: wait + margin,
     }
@@ -538,7 +536,7 @@
     if !worker.foreign.is_empty() {
         return FOREIGN_WAIT;
     }
-    if worker.clock.is_none() || worker.misses > 0 || worker.runs.is_empty() {
+    if !worker.is_open() || worker.runs.is_empty() {
         return Duration::ZERO;
     }
     let mut wait = settings.look_wait;
--- /dev/null
+++ b/crates/pool/src/pool/rebirth.rs
@@ -0,0 +1,165 @@
+//! Workers that start again under their id.
+//!
+//! Failure prevented: a worker that died and came back knows nothing of before, and its counts begin anew. Taken for the same
+//! life, its first ends would be acknowledged by the numbers of the former one and never be listed; its clock would be read
+//! wrongly; runs that died with it would count as running; and a start of the former life that is still on its way would run
+//! beside the one that replaced it.
+//!
+//! Only what a worker itself lists says which life it is. Its entry in the directory may be older or newer, so one that names
+//! another life has the worker asked, and nothing started there until it has answered. An answer to a look that was sent
+//! before this life was found is of a former one.
+
+use std::time::Instant;
+
+use jobs::{BirthTime, JobOutcome, LifeId, RunNumber, TaskId, WorkerListing};
+
+use super::WorkerPool;
+use crate::{
+    action::{LookOrder, PoolNote, RunLoss},
+    worker::{LifeVerdict, RunLedger},
+};
+
+/// What is to become of a run that was known before a worker's new life was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FormerRun {
+    /// The new life lists it: its start came after the rebirth.
+    Listed,
+    /// It was never sent.
+    Unsent,
+    /// A copy of its start has no answer, and may yet be carried out by the new life. A stop that is answered rules that out.
+    AtLarge,
+    /// It died with its worker.
+    Dead,
+    /// It died with its worker, or the new life has ended it and has forgotten that end, since the look acknowledged as many
+    /// of the former life.
+    Unknown,
+}
+
+impl WorkerPool {
+    /// Whether a listing is of the life that is known. Makes the one that it is of known, if that is a new one.
+    pub(super) fn check_life(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        order: &LookOrder,
+        listing: &WorkerListing,
+    ) -> bool {
+        let Some(worker) = self.workers.get_mut(&order.life) else {
+            return false;
+        };
+        match worker.judge_life(listing.born, sent) {
+            LifeVerdict::Known => true,
+            LifeVerdict::Former => false,
+            LifeVerdict::New => {
+                self.begin_life(now, order, listing);
+                true
+            }
+        }
+    }
+
+    /// No other claim of the pool was made up to this version of the store, so that every later owner's fence is higher.
+    pub fn note_sole_owner(&mut self, version: u64) {
+        self.sole_until = self.sole_until.max(version);
+    }
+
+    fn begin_life(&mut self, now: Instant, order: &LookOrder, listing: &WorkerListing) {
+        let life = &order.life;
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        let last_listed = worker.answered_look;
+        worker.begin_life(now, listing.born, self.sole_until);
+        let fates: Vec<(TaskId, RunNumber, FormerRun)> = worker
+            .runs
+            .iter()
+            .map(|run| {
+                let fate = former_run(run, order, listing, last_listed);
+                (run.task, run.run, fate)
+            })
+            .collect();
+        for job in self.jobs.values_mut() {
+            if let Some(kept) = &mut job.kept {
+                // The former life's ends need no acknowledgement any more.
+                kept.ends.retain(|end| end.life != *life);
+            }
+        }
+        self.notes.push(PoolNote::WorkerReborn {
+            life: life.clone(),
+            born: listing.born,
+            runs: fates.len(),
+        });
+        for (task, run, fate) in fates {
+            self.end_former(now, life, task, run, fate);
+        }
+    }
+
+    fn end_former(
+        &mut self,
+        now: Instant,
+        life: &LifeId,
+        task: TaskId,
+        number: RunNumber,
+        fate: FormerRun,
+    ) {
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        match fate {
+            FormerRun::Listed => (),
+            FormerRun::AtLarge => worker.stop_at_large(task, number),
+            FormerRun::Unsent => {
+                self.withdraw_starts(now, vec![(life.clone(), task, number)]);
+            }
+            FormerRun::Dead | FormerRun::Unknown => {
+                let Some(run) = worker.take_run(task, number) else {
+                    return;
+                };
+                self.note_lost(&run, life, RunLoss::NewLife);
+                let kept = self
+                    .jobs
+                    .get(&task.job)
+                    .is_some_and(|job| job.kept.is_some());
+                if fate == FormerRun::Unknown && !kept {
+                    self.finish(now, task.job, JobOutcome::GivenUp);
+                } else {
+                    self.requeue(now, run);
+                }
+            }
+        }
+    }
+}
+
+fn former_run(
+    run: &RunLedger,
+    order: &LookOrder,
+    listing: &WorkerListing,
+    last_listed: Option<Instant>,
+) -> FormerRun {
+    let runs = listing.running.iter();
+    let mut running = runs.filter(|r| r.task == Some(run.task) && r.run == run.run);
+    let ends = listing.ended.iter();
+    let mut ended = ends.filter(|end| end.task == Some(run.task) && end.run == run.run);
+    if running.next().is_some() || ended.next().is_some() {
+        FormerRun::Listed
+    } else if run.tries == 0 {
+        FormerRun::Unsent
+    } else if run.tries > run.answered {
+        FormerRun::AtLarge
+    } else if order.last_seen > 0 && run.confirmed > last_listed {
+        FormerRun::Unknown
+    } else {
+        FormerRun::Dead
+    }
+}
+
+/// How many former lives of a worker are remembered, to know entries that still name one.
+pub(crate) const FORMER_LIVES: usize = 8;
+
+/// Adds a former life, and forgets the oldest beyond the bound.
+pub(crate) fn remember_former(former: &mut Vec<Option<BirthTime>>, born: Option<BirthTime>) {
+    former.retain(|known| *known != born);
+    if former.len() == FORMER_LIVES {
+        former.remove(0);
+    }
+    former.push(born);
+}
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -138,6 +138,7 @@
             stop_acked: None,
             start_until: jobs::WorkerClock(0),
             tries: 0,
+            answered: 0,
             under_way: 0,
             predicted: self.predict(&job.terms, spec),
             estimate: spec.estimate,
@@ -201,7 +202,6 @@
         let overdue = self.order_limit();
         let most_orders = self.most_orders();
         let frame = OrderFrame {
-            fence: self.fence,
             now,
             owner_millis: self.millis(now),
             lease: self.settings.lease,
@@ -291,7 +291,6 @@
 
 /// What all orders have that are sent at one time.
 struct OrderFrame {
-    fence: jobs::FenceToken,
     now: Instant,
     owner_millis: u64,
     lease: Duration,
@@ -317,7 +316,7 @@
     Some(PoolAction::Start(StartOrder {
         life,
         address,
-        fence: frame.fence,
+        fence: worker.fence,
         task,
         run: number,
         text,
@@ -341,9 +340,10 @@
     Some(PoolAction::Stop(StopOrder {
         life: worker.record.life.clone(),
         address: worker.record.address,
-        fence: frame.fence,
+        fence: worker.fence,
         task,
         run,
+        sent: frame.now,
         // Stopping twice is idempotent, and a place waits for it.
         limit: frame.overdue,
     }))
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -6,10 +6,11 @@
 };
 
 use jobs::{
-    JobId, ResourceDemand, RunNumber, TaskId, TaskText, WorkerClock, WorkerRecord, WorkerState,
+    BirthTime, FenceToken, JobId, ResourceDemand, RunNumber, TaskId, TaskText, WorkerClock,
+    WorkerRecord, WorkerState,
 };
 
-use crate::health::WorkerHealth;
+use crate::{health::WorkerHealth, pool::remember_former};
 
 /// The weight of a new sample of a worker's speed: a worker sees about ten ends a second and may turn slow at any
 /// moment, so about five samples matter.
@@ -18,6 +19,9 @@
 /// The bounds of a worker's slowness. Beyond the upper one it makes no difference how slow it is.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 12.0);
 
+/// The shortest time in which a worker that dies is back.
+const SHORTEST_REBIRTH: Duration = Duration::from_millis(50);
+
 /// How long a worker stands idle before what it has shown of being slow begins to be forgotten.
 const SLOWNESS_MEMORY: Duration = Duration::from_millis(1_000);
 
@@ -54,6 +58,8 @@
     /// The last lease end that a start carried: later on the worker's clock no copy of it is carried out.
     pub(crate) start_until: WorkerClock,
     pub(crate) tries: u32,
+    /// Starts of it that were answered, in whatever way.
+    pub(crate) answered: u32,
     /// Starts of it that have no answer yet.
     pub(crate) under_way: u32,
     /// What the run would take on a worker of mean speed.
@@ -81,10 +87,34 @@
     pub(crate) offset: i64,
 }
 
+/// Which life of a worker a listing is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LifeVerdict {
+    /// The one that is known.
+    Known,
+    /// An earlier one: the listing says nothing about now.
+    Former,
+    /// One that was not known.
+    New,
+}
+
 /// One worker.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerLedger {
     pub(crate) record: WorkerRecord,
+    /// Which life under its id its last listing was of.
+    pub(crate) born: Option<BirthTime>,
+    /// When that was found. Orders that were sent before may have reached an earlier one.
+    pub(crate) life_since: Instant,
+    /// Earlier lives, the latest last.
+    former: Vec<Option<BirthTime>>,
+    /// Since when its entry names another life than its listings.
+    misnamed: Option<Instant>,
+    /// The fence of orders to it: the owner's, or a later version of the store once it has been reborn, so that what is still
+    /// on its way to its former life is turned away.
+    pub(crate) fence: FenceToken,
+    /// Whether it has to see that fence.
+    fence_due: bool,
     /// When it went missing from the directory.
     pub(crate) unlisted: Option<Instant>,
     /// Known once it has answered a look under this fence.
@@ -105,6 +135,8 @@
     pub(crate) last_look: Instant,
     /// When the latest of the looks that were answered was sent.
     pub(crate) answered_look: Option<Instant>,
+    /// When its last listing came.
+    listed_at: Option<Instant>,
     /// Its clock in the newest listing.
     pub(crate) listed: WorkerClock,
     /// No look is sent before.
@@ -137,9 +169,15 @@
 const MOST_LOOKS: usize = 2;
 
 impl WorkerLedger {
-    pub(crate) fn new(record: WorkerRecord, now: Instant) -> Self {
+    pub(crate) fn new(record: WorkerRecord, fence: FenceToken, now: Instant) -> Self {
         Self {
             record,
+            born: None,
+            life_since: now,
+            former: Vec::new(),
+            misnamed: None,
+            fence,
+            fence_due: false,
             unlisted: None,
             clock: None,
             runs: Vec::new(),
@@ -151,6 +189,7 @@
             looks_in_flight: 0,
             last_look: now,
             answered_look: None,
+            listed_at: None,
             listed: WorkerClock(0),
             look_pause: None,
             misses: 0,
@@ -175,6 +214,95 @@
         free
     }
 
+    /// Which life of it a listing is of that answers a look sent at `sent`.
+    pub(crate) fn judge_life(&mut self, born: Option<BirthTime>, sent: Instant) -> LifeVerdict {
+        if self.answered_look.is_none() {
+            self.born = born;
+        }
+        if born != self.born {
+            let later = sent >= self.life_since;
+            return if later {
+                LifeVerdict::New
+            } else {
+                LifeVerdict::Former
+            };
+        }
+        if self.misnamed.is_some_and(|since| sent >= since) {
+            // Its entry is older than its listing.
+            remember_former(&mut self.former, self.record.born);
+            self.misnamed = None;
+        }
+        LifeVerdict::Known
+    }
+
+    /// It has another life, which knows nothing of before.
+    pub(crate) fn begin_life(&mut self, now: Instant, born: Option<BirthTime>, fence: u64) {
+        remember_former(&mut self.former, self.born);
+        self.former.retain(|former| *former != born);
+        self.born = born;
+        self.life_since = now;
+        self.fence = self.fence.max(FenceToken(fence));
+        self.fence_due = true;
+        self.misnamed = None;
+        self.clock = None;
+        self.listed = WorkerClock(0);
+        self.lease_end = WorkerClock(0);
+        self.seen = 0;
+        self.acknowledged = 0;
+        self.ends_read = false;
+        self.unstored.clear();
+        self.foreign.clear();
+        self.health = WorkerHealth::default();
+        for run in &mut self.runs {
+            // By the former life's clock. Only a listing or a stop tells that it is over.
+            run.start_until = WorkerClock(u64::MAX);
+        }
+    }
+
+    /// Stops a run of which a start may still come to this life. What the former one answered does not count.
+    pub(crate) fn stop_at_large(&mut self, task: TaskId, number: RunNumber) {
+        self.orders
+            .retain(|order| *order != WaitingOrder::Start(task, number));
+        let Some(run) = self.run_mut(task, number) else {
+            return;
+        };
+        run.phase = RunPhase::Stopping;
+        run.confirmed = None;
+        run.stop_acked = None;
+        self.orders.push_back(WaitingOrder::Stop(task, number));
+    }
+
+    /// Takes its entry in the directory.
+    pub(crate) fn take_record(&mut self, now: Instant, record: WorkerRecord) {
+        let named = record.born;
+        let known = self.answered_look.is_none() || named.is_none() || named == self.born;
+        if known || self.former.contains(&named) {
+            self.misnamed = None;
+        } else if self.misnamed.is_none() || self.record.born != named {
+            self.misnamed = Some(now);
+        }
+        self.record = record;
+    }
+
+    /// A listing of its present life came, to a look with this fence.
+    pub(crate) fn note_listing(&mut self, now: Instant, fence: FenceToken) {
+        self.listed_at = Some(now);
+        if fence == self.fence {
+            self.fence_due = false;
+        }
+    }
+
+    /// What a look acknowledges: what the worker has listed just now and has not heard of. Anything else may reach a later
+    /// life, which would forget its first ends unheard. Older ends are listed once more first.
+    pub(crate) fn news_of_ends(&self, now: Instant) -> u64 {
+        let up_to = self.acknowledgeable();
+        let fresh = self.listed_at.is_some_and(|at| now < at + SHORTEST_REBIRTH);
+        match fresh && self.misses == 0 && up_to > self.acknowledged {
+            true => up_to,
+            false => 0,
+        }
+    }
+
     /// The last end that may be acknowledged.
     pub(crate) fn acknowledgeable(&self) -> u64 {
         let stored = self.unstored.first().map(|end| end - 1);
@@ -192,6 +320,7 @@
             && self.unlisted.is_none()
             && self.clock.is_some()
             && self.misses == 0
+            && self.misnamed.is_none()
             && self.foreign.is_empty()
     }
 
@@ -295,10 +424,15 @@
             return false;
         }
         if self.looks_in_flight > 0 {
+            let again = self.misnamed.is_some_and(|since| self.last_look < since) || self.fence_due;
+            if again && self.looks_in_flight < MOST_LOOKS {
+                return true;
+            }
             let hedged = hedge.is_some_and(|hedge| now >= self.last_look + hedge);
             return hedged && self.looks_in_flight < MOST_LOOKS && !self.runs.is_empty();
         }
-        let unknown = self.clock.is_none() || self.misses > 0;
+        let unknown =
+            self.clock.is_none() || self.misses > 0 || self.misnamed.is_some() || self.fence_due;
         let unacknowledged = self.acknowledged < self.seen && now >= self.last_end + idle_ack;
         let held = !self.runs.is_empty() || !self.foreign.is_empty();
         held || unacknowledged || unknown || (wants_ends && !self.ends_read)
--- /dev/null
+++ b/crates/pool/tests/rebirth.rs
@@ -0,0 +1,193 @@
+//! Workers die and start again under their id. Checked at every millisecond: no worker holds more than its room, no task runs
+//! twice at the same time.
+
+mod support;
+
+use jobs::{JobId, JobOutcome, LifeId};
+use support::{WorkerFault, World};
+
+const WHOLE_WORKER: u64 = 16_000;
+
+fn named_world(seed: u64, workers: usize) -> World {
+    let mut world = World::new(seed, workers);
+    world.name_births();
+    world.run_for(100);
+    world
+}
+
+fn only_life(world: &World) -> LifeId {
+    world.workers.keys().next().cloned().unwrap()
+}
+
+fn outcome(world: &World, id: JobId) -> Option<JobOutcome> {
+    let result = world.results.iter().find(|result| result.id == id);
+    result.map(|result| result.outcome)
+}
+
+/// Ends some jobs, so that the worker's ends have numbers above 1.
+fn end_some(world: &mut World, first: u64) {
+    for number in first..first + 5 {
+        let id = JobId(number);
+        world.submit_sized(2, id, vec![40.0], 40.0, WHOLE_WORKER);
+        world.run_for(150);
+        assert_eq!(outcome(world, id), Some(JobOutcome::Completed), "{number}");
+    }
+}
+
+/// The worker dies with a task on it and is back at once. Its listing no longer has the run; the task runs again in the new
+/// life, and its end has the number 1, which the former life's ends have long passed. The caller gets its answer.
+#[test]
+fn a_task_that_died_with_its_worker_runs_again() {
+    let mut world = named_world(1, 1);
+    end_some(&mut world, 10);
+    let (job, life) = (JobId(1), only_life(&world));
+    world.submit_sized(1, job, vec![300.0], 300.0, WHOLE_WORKER);
+    world.run_for(100);
+    world.rebirth(&life);
+    world.run_for(1_200);
+    assert_eq!(outcome(&world, job), Some(JobOutcome::Completed));
+    end_some(&mut world, 20);
+}
+
+/// An idle worker dies and is back, and nobody is told. The next job's start reaches the new life, whose first end must be
+/// heard: acknowledged by the former life's numbers it would never be listed, and the caller would wait for nothing.
+#[test]
+fn the_first_ends_of_a_new_life_are_heard() {
+    let mut world = named_world(1, 1);
+    for round in 1..8 {
+        end_some(&mut world, round * 100);
+        world.run_for(2_000);
+        let life = only_life(&world);
+        world.rebirth(&life);
+    }
+    end_some(&mut world, 1_000);
+}
+
+/// The directory tells of a new life before the worker has listed anything. Nothing starts there until it has: a moment
+/// later it serves.
+#[test]
+fn a_new_life_in_the_directory_is_asked_first() {
+    let mut world = named_world(1, 1);
+    end_some(&mut world, 10);
+    let life = only_life(&world);
+    world.rebirth(&life);
+    world.tell_all();
+    world.run_for(20);
+    end_some(&mut world, 20);
+}
+
+/// The directory still tells of the former life, as it does for up to a heartbeat, after the worker has listed its new one. The
+/// worker goes on serving: an older entry must not stop it, however often it is told.
+#[test]
+fn an_older_entry_does_not_stop_a_worker() {
+    let mut world = named_world(1, 1);
+    let older: Vec<_> = world.workers.values().map(|w| w.record.clone()).collect();
+    let life = only_life(&world);
+    world.rebirth(&life);
+    end_some(&mut world, 10);
+    for round in 2..6 {
+        let at = world.instant();
+        for record in &older {
+            world.pool.put_worker(at, record.clone());
+        }
+        world.run_for(20);
+        end_some(&mut world, round * 10);
+        world.tell_all();
+    }
+}
+
+/// Starts get no answer, the worker dies, and seconds later it is handed the starts that were meant for its former life, whose
+/// leases its new clock cannot judge. By then it has been shown a fence that is higher than theirs, and does nothing for them.
+#[test]
+fn late_starts_of_a_former_life_do_nothing() {
+    for seed in 0..20 {
+        let mut world = named_world(seed, 3);
+        for worker in world.workers.values_mut() {
+            worker.fault.late = 0.6;
+        }
+        world.traffic(600, [0.3, 0.3, 0.3]);
+        world.pool.note_sole_owner(500);
+        for worker in world.workers.values_mut() {
+            worker.fault = WorkerFault::default();
+        }
+        let lives: Vec<_> = world.workers.keys().cloned().collect();
+        for life in &lives {
+            world.rebirth(life);
+        }
+        world.tell_all();
+        world.run_for(14_000);
+        assert_eq!(world.open_jobs(), 0, "seed {seed}");
+        assert_eq!(world.running(), 0, "seed {seed}");
+        for worker in world.workers.values() {
+            assert_eq!(worker.shown_fence(), 500, "seed {seed}");
+        }
+    }
+}
+
+/// Workers are reborn again and again among lost answers, silence and failures; some of it the directory tells late. Every job
+/// gets an answer and nothing is left running.
+#[test]
+fn no_task_runs_twice_while_workers_are_reborn() {
+    for seed in 0..60 {
+        let mut world = named_world(seed, 6);
+        for round in 0..8 {
+            let lives: Vec<_> = world.workers.keys().cloned().collect();
+            for life in lives {
+                let fault = WorkerFault {
+                    silent: world.rng.u32(0..6) == 0,
+                    answers_lost: if world.rng.bool() { 0.2 } else { 0.0 },
+                    fails: world.rng.u32(0..8) == 0,
+                    ..WorkerFault::default()
+                };
+                world.workers.get_mut(&life).unwrap().fault = fault;
+                if world.rng.u32(0..3) == 0 {
+                    world.rebirth(&life);
+                }
+                let pause = world.rng.u64(0..40);
+                world.traffic(pause, [0.4, 0.4, 0.4]);
+            }
+            if world.rng.bool() {
+                world.tell_all();
+            }
+            if round % 3 == 2 {
+                world.pool.note_sole_owner(2_000 + round);
+            }
+            world.traffic(500, [0.4, 0.4, 0.4]);
+        }
+        for worker in world.workers.values_mut() {
+            worker.fault = WorkerFault::default();
+        }
+        world.tell_all();
+        world.run_for(14_000);
+        assert_eq!(world.open_jobs(), 0, "seed {seed}: jobs without an answer");
+        assert_eq!(world.running(), 0, "seed {seed}: left running");
+        let done = world.results.iter();
+        let done = done.filter(|r| r.outcome == JobOutcome::Completed).count();
+        assert!(done > 0, "seed {seed}: nothing was served");
+    }
+}
+
+/// Kept jobs, whose ends stand for good once they are acknowledged, while workers are reborn and nothing else is wrong. No task
+/// starts after its end, and all jobs end.
+#[test]
+fn ends_of_kept_jobs_stand() {
+    for seed in 0..40 {
+        let mut world = named_world(seed, 4);
+        world.keeps = true;
+        world.ends_stand = true;
+        for _ in 0..10 {
+            let lives: Vec<_> = world.workers.keys().cloned().collect();
+            let life = &lives[world.rng.usize(0..lives.len())];
+            world.rebirth(life);
+            let pause = world.rng.u64(0..400);
+            world.traffic(pause, [0.3, 0.3, 0.3]);
+            if world.rng.bool() {
+                world.tell_all();
+            }
+        }
+        world.run_for(14_000);
+        let open = world.rows.values().filter(|(row, _)| !row.state.is_final());
+        assert_eq!(open.count(), 0, "seed {seed}: kept jobs that never end");
+        assert_eq!(world.running(), 0, "seed {seed}: left running");
+    }
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -11,9 +11,9 @@
 
 use fastrand::Rng;
 use jobs::{
-    CpuMillis, EndCause, EndedRun, FenceToken, JobId, JobOutcome, JobRequest, JobTerms, KeptRow,
-    LifeId, MemoryMegabytes, ResourceDemand, RunNumber, RunningRun, ServiceId, StepSpec, TaskId,
-    WorkerClock, WorkerListing, WorkerRecord, WorkerState,
+    BirthTime, CpuMillis, EndCause, EndedRun, FenceToken, JobId, JobOutcome, JobRequest, JobTerms,
+    KeptRow, LifeId, MemoryMegabytes, ResourceDemand, RunNumber, RunningRun, ServiceId, StepSpec,
+    TaskId, WorkerClock, WorkerListing, WorkerRecord, WorkerState,
 };
 use pool::{
     CallFailure, FoundJob, KeepAnswer, KeepOrder, LookAnswer, LookOrder, PoolAction, PoolSettings,
@@ -68,6 +68,9 @@
     pub(crate) record: WorkerRecord,
     pub(crate) fault: WorkerFault,
     pub(crate) speed: f64,
+    born: Option<BirthTime>,
+    /// Calls with lower numbers went to a former life, and were lost with their connections.
+    first_call: CallNumber,
     clock_offset: u64,
     fence: u64,
     lease_end: u64,
@@ -204,7 +207,11 @@
     out: WorldLink,
     into: WorldLink,
     /// Calls that have no answer yet.
-    open_calls: BTreeSet<CallNumber>,
+    open_calls: BTreeMap<CallNumber, FenceToken>,
+    /// Tasks of which an end as done was acknowledged.
+    noted: BTreeSet<TaskId>,
+    /// Whether no start of them may follow, as for kept jobs while no lease lapses.
+    pub(crate) ends_stand: bool,
     /// Starts that were sent.
     pub(crate) starts_sent: u64,
     evacuated: bool,
@@ -249,6 +256,7 @@
 pub(crate) fn worker_record(number: usize, cpu: u64) -> WorkerRecord {
     WorkerRecord {
         life: LifeId::from(format!("i-{number:02}").as_str()),
+        born: None,
         service: ServiceId::from(SERVICE),
         address: ([127, 0, 0, 1], 9_000).into(),
         data_centre: "east".parse().unwrap(),
@@ -295,7 +303,9 @@
             waiting_rows: Vec::new(),
             out: WorldLink::default(),
             into: WorldLink::default(),
-            open_calls: BTreeSet::new(),
+            open_calls: BTreeMap::new(),
+            noted: BTreeSet::new(),
+            ends_stand: false,
             starts_sent: 0,
             evacuated: false,
             let_go: false,
@@ -318,6 +328,8 @@
             record: record.clone(),
             fault: WorkerFault::default(),
             speed,
+            born: record.born,
+            first_call: 0,
             clock_offset,
             fence: 0,
             lease_end: 0,
@@ -475,6 +487,8 @@
             firm: false,
         };
         let came = self.now;
+        // A customer that hands a job in again has it run again.
+        self.noted.retain(|task| task.job != id);
         self.known.insert(id, (steps.clone(), cpu));
         self.open.insert(
             id,
@@ -532,6 +546,46 @@
         found.map(|(life, _)| life.clone()).unwrap()
     }
 
+    /// All workers say of themselves when their lives began.
+    pub(crate) fn name_births(&mut self) {
+        let mut named = Vec::new();
+        for worker in self.workers.values_mut() {
+            worker.born = Some(BirthTime(1_000_000));
+            worker.record.born = worker.born;
+            named.push(worker.record.clone());
+        }
+        self.tell_records(named);
+    }
+
+    /// A worker dies and starts again under its id. Its clock may be ahead of the former one or behind. Looks that wait there
+    /// break; the directory does not tell yet.
+    pub(crate) fn rebirth(&mut self, life: &LifeId) {
+        let (born, clock_offset) = (self.rng.u64(1_000..9_000_000), self.rng.u64(0..900_000));
+        let worker = self.workers.get_mut(life).unwrap();
+        let broken = std::mem::take(&mut worker.waiting);
+        worker.start_again(born, clock_offset);
+        worker.first_call = self.serial + 1;
+        for (call, order, sent, _) in broken {
+            let none = Err(CallFailure::NoAnswer);
+            self.post(ONE_WAY, Event::LookAnswer(call, order, sent, none));
+        }
+    }
+
+    /// The directory tells what workers say of themselves.
+    pub(crate) fn tell_all(&mut self) {
+        let records = self.workers.values().map(|worker| worker.record.clone());
+        let records = records.collect();
+        self.tell_records(records);
+    }
+
+    fn tell_records(&mut self, records: Vec<WorkerRecord>) {
+        let at = self.instant();
+        for record in records {
+            self.pool.put_worker(at, record);
+        }
+        self.carry_out();
+    }
+
     /// Another owner takes one worker under a higher fence, and stops what runs there.
     pub(crate) fn take_worker(&mut self, life: &LifeId) {
         let worker = self.workers.get_mut(life).unwrap();
@@ -654,7 +708,7 @@
 
     fn open_call(&mut self) -> CallNumber {
         self.serial += 1;
-        self.open_calls.insert(self.serial);
+        self.open_calls.insert(self.serial, self.pool.fence());
         self.serial
     }
 
@@ -741,20 +795,19 @@
     fn take_answer(&mut self, event: Event) {
         let at = self.instant();
         let fence = self.pool.fence();
-        let (call, of_fence) = match &event {
+        let call = match &event {
             Event::StartOverdue(call, order) => {
-                let open = self.open_calls.contains(call);
-                if open && order.fence == fence {
+                if self.open_calls.get(call) == Some(&fence) {
                     self.pool.on_start_overdue(at, order);
                 }
                 return;
             }
-            Event::StartAnswer(call, order, _) => (*call, order.fence),
-            Event::StopAnswer(call, order, _) => (*call, order.fence),
-            Event::LookAnswer(call, order, _, _) => (*call, order.fence),
+            Event::StartAnswer(call, ..)
+            | Event::StopAnswer(call, ..)
+            | Event::LookAnswer(call, ..) => *call,
             _ => return,
         };
-        if !self.open_calls.remove(&call) || of_fence != fence {
+        if self.open_calls.remove(&call) != Some(fence) {
             return;
         }
         match event {
@@ -785,7 +838,8 @@
         let Some(fault) = self.workers.get(&life).map(|worker| worker.fault) else {
             return;
         };
-        if fault.silent {
+        let late = &*order.text == "late";
+        if fault.silent || !late && self.is_lost_call(&life, call) {
             return;
         }
         if self.rng.f64() < fault.late {
@@ -801,6 +855,10 @@
         }
     }
 
+    fn is_lost_call(&self, life: &LifeId, call: CallNumber) -> bool {
+        self.workers[life].first_call > call
+    }
+
     fn start_run(&mut self, order: &StartOrder) -> StartAnswer {
         let (steps, cpu) = self.known[&order.task.job].clone();
         let now = self.now;
@@ -827,6 +885,11 @@
         worker.lease_end = worker
             .lease_end
             .max(order.lease_end.0.min(clock.0 + LONGEST_LEASE));
+        assert!(
+            !self.ends_stand || !self.noted.contains(&order.task),
+            "{} starts after its end",
+            order.task
+        );
         let work = steps[order.task.step as usize][order.task.index as usize];
         worker.runs.push(WorldRun {
             task: order.task,
@@ -845,6 +908,7 @@
             .workers
             .get_mut(&life)
             .filter(|worker| !worker.fault.silent && !worker.fault.stops_lost)
+            .filter(|worker| call >= worker.first_call)
         else {
             return;
         };
@@ -871,7 +935,7 @@
         let Some(worker) = self
             .workers
             .get_mut(&order.life)
-            .filter(|w| !w.fault.silent)
+            .filter(|w| !w.fault.silent && call >= w.first_call)
         else {
             return;
         };
@@ -881,6 +945,11 @@
         }
         worker.fence = order.fence.0;
         worker.forgotten = worker.forgotten.max(order.last_seen);
+        let noted = worker
+            .ends
+            .iter()
+            .filter(|end| end.number <= order.last_seen && end.cause == EndCause::Done);
+        self.noted.extend(noted.filter_map(|end| end.task));
         let clock = now + worker.clock_offset;
         if let Some(lease_end) = order.lease_end {
             worker.lease_end = worker.lease_end.max(lease_end.0.min(clock + LONGEST_LEASE));
@@ -943,6 +1012,23 @@
 }
 
 impl WorldWorker {
+    /// Starts again under its id, as `born`, and knows nothing of before. Calls that are under way to it break.
+    fn start_again(&mut self, born: u64, clock_offset: u64) {
+        self.born = Some(BirthTime(born));
+        self.record.born = self.born;
+        self.clock_offset = clock_offset;
+        self.fence = 0;
+        self.lease_end = 0;
+        self.runs.clear();
+        self.ends.clear();
+        self.forgotten = 0;
+    }
+
+    /// The highest fence that it has seen.
+    pub(crate) fn shown_fence(&self) -> u64 {
+        self.fence
+    }
+
     /// What runs on it now.
     pub(crate) fn run_count(&self) -> usize {
         self.runs.len()
@@ -1001,6 +1087,7 @@
         });
         WorkerListing {
             clock: WorkerClock(now + self.clock_offset),
+            born: self.born,
             running: running.collect(),
             ended: self
                 .ends
