Divide open pools among all candidates at once

Change: each process divides all pools that are open among all candidates in the same way (strongest for its pools first) and claims those that fall to it at once; the others wait by their places as before.

--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -1,6 +1,7 @@
 //! Decides when a pool is claimed.
 
 mod reason;
+mod succession;
 mod yielding;
 
 use std::{
@@ -363,25 +364,58 @@
         if self.leaving {
             return actions;
         }
-        for pool in self.pools() {
-            actions.extend(self.watch_pool(now, &pool));
+        let pools = self.pools();
+        let reasons: Vec<Option<ClaimReason>> = pools
+            .iter()
+            .map(|pool| {
+                self.claim_reason(now, pool)
+                    .filter(|_| self.has_workers(pool))
+            })
+            .collect();
+        let open = pools.iter().zip(&reasons);
+        let open = open.filter(|(_, reason)| reason.is_some());
+        let open: Vec<PoolId> = open.map(|(pool, _)| pool.clone()).collect();
+        let ranks = match open.is_empty() {
+            true => FastMap::default(),
+            false => self.claim_ranks(now, &open),
+        };
+        for (pool, reason) in pools.iter().zip(reasons) {
+            let rank = ranks.get(pool).copied().unwrap_or_default();
+            actions.extend(self.watch_pool(now, pool, reason, rank));
         }
         actions
     }
 
-    fn watch_pool(&mut self, now: Instant, pool: &PoolId) -> Option<ClaimAction> {
-        let reason = self.claim_reason(now, pool);
-        let delay = self.claim_delay(now, pool);
+    fn has_workers(&self, pool: &PoolId) -> bool {
+        self.pools.get(pool).is_some_and(|watch| watch.has_workers)
+    }
+
+    /// Candidates come one after another. `rank` is this process's place among them.
+    fn watch_pool(
+        &mut self,
+        now: Instant,
+        pool: &PoolId,
+        reason: Option<ClaimReason>,
+        rank: u32,
+    ) -> Option<ClaimAction> {
+        let far = self.me.data_centre != pool.data_centre;
+        let far_delay = if far {
+            self.settings.far_delay
+        } else {
+            Duration::ZERO
+        };
+        let delay = self.settings.rank_delay * rank + far_delay;
         let limit = self.settings.attempt_limit;
-        // One at a time: with each pool that it gets, the next is more likely another's.
-        let busy = self.pools.values().any(|watch| {
-            matches!(
-                watch.attempt,
-                ClaimAttempt::Probing(_) | ClaimAttempt::Reachable | ClaimAttempt::Writing(_)
-            )
-        });
+        // Beside those that fall to it one at a time: with each pool that it gets, the next is more likely another's.
+        let busy = rank > 0
+            && self.pools.values().any(|watch| {
+                matches!(
+                    watch.attempt,
+                    ClaimAttempt::Probing(_) | ClaimAttempt::Reachable | ClaimAttempt::Writing(_)
+                )
+            });
         let watch = self.pools.get_mut(pool)?;
-        let Some(reason) = reason.filter(|_| watch.has_workers) else {
+        let Some(reason) = reason else {
             watch.open_since = None;
             watch.attempt = ClaimAttempt::None;
             return None;
--- a/crates/claims/src/keeper/reason.rs
+++ b/crates/claims/src/keeper/reason.rs
@@ -1,15 +1,14 @@
-//! Why a process claims a pool, and how long it leaves that to others.
+//! Why a process claims a pool.
 //!
 //! A claim that is not needed costs its pool's jobs, one that comes late costs those that arrive meanwhile. So a silent
 //! owner is replaced only by a process that hears others, or hears of nobody who hears the owner.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use jobs::PoolId;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Claim, ClaimKeeper};
-use crate::{action::ClaimReason, rows::MemberRow, view::NodeId};
+use crate::{action::ClaimReason, view::NodeId};
 
 impl ClaimKeeper {
     pub(super) fn claim_reason(&self, now: Instant, pool: &PoolId) -> Option<ClaimReason> {
@@ -69,41 +68,4 @@
         let fresh_row = refreshed.is_some_and(|at| now < at + self.settings.isolated_delay);
         fresh_row && self.heard_nodes(now).is_empty()
     }
-
-    /// How long after a pool could be claimed this process does so: candidates come one after another, those of the
-    /// pool's data centre first.
-    pub(super) fn claim_delay(&self, now: Instant, pool: &PoolId) -> Duration {
-        let mut rank = 0;
-        let owned = self.pools.values().filter_map(|watch| watch.claim.as_ref());
-        let owned = owned.filter(|claim| self.is_mine(claim)).count();
-        let mine = candidate_order(pool, &self.me, owned);
-        for member in self.members.values() {
-            let candidate = self.heard.get(&member.row.node);
-            let candidate = candidate.filter(|p| self.is_fresh(now, p) && !p.beat.leaving);
-            // Before the first heartbeats all members count, so that one claims and not all.
-            let starting = now < self.started + self.settings.far_limit;
-            if candidate.is_none() && !starting {
-                continue;
-            }
-            let owned = candidate.map_or(0, |peer| peer.beat.pools.len());
-            rank += u32::from(candidate_order(pool, &member.row, owned) < mine);
-        }
-        let far = self.me.data_centre != pool.data_centre;
-        let far_delay = if far {
-            self.settings.far_delay
-        } else {
-            Duration::ZERO
-        };
-        self.settings.rank_delay * rank + far_delay
-    }
-}
-
-/// The order in which processes claim a pool: those of its data centre first, then by how much of
-/// what they can carry their pools would take, then by hash. Machines differ fourfold and more.
-fn candidate_order(pool: &PoolId, row: &MemberRow, owned: usize) -> (bool, u64, u64) {
-    let weight = xxh3_64(format!("{pool}/{}", row.node).as_bytes());
-    let share = (owned as f64 + 1.0) / row.strength().0;
-    // The cast saturates; millionths tell any two machines apart that differ.
-    let share = (share * 1_000_000.0) as u64;
-    (row.data_centre != pool.data_centre, share, weight)
 }
--- /dev/null
+++ b/crates/claims/src/keeper/succession.rs
@@ -0,0 +1,88 @@
+//! Which process claims which pool.
+//!
+//! Load it is made for: all processes start at once, or one that owned several pools is lost, and several pools have no owner.
+//! Harm prevented: claimed one after another, each after a pause in which the store's answer may arrive, the last pool has no
+//! owner for as long as all others took. So every process divides all pools that are open among all candidates in the same
+//! way, and claims those that fall to it at once.
+
+use std::time::Instant;
+
+use jobs::PoolId;
+use model::{DataCentreId, FastMap};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::ClaimKeeper;
+use crate::{rows::MemberRow, view::NodeId};
+
+/// A process that could own pools.
+struct ClaimCandidate<'a> {
+    node: &'a NodeId,
+    data_centre: &'a DataCentreId,
+    /// What it can carry, in runs a second.
+    strength: f64,
+    /// The pools that it has, and those that fall to it.
+    pools: f64,
+}
+
+/// Lower comes first: processes of the pool's data centre, then those of whose strength their pools would take least, then by
+/// hash. Machines differ fourfold and more.
+type CandidateOrder = (bool, u64, u64);
+
+impl ClaimCandidate<'_> {
+    fn order(&self, pool: &PoolId) -> CandidateOrder {
+        let weight = xxh3_64(format!("{pool}/{}", self.node).as_bytes());
+        let share = (self.pools + 1.0) / self.strength;
+        // The cast saturates; millionths tell any two machines apart that differ.
+        let share = (share * 1_000_000.0) as u64;
+        (*self.data_centre != pool.data_centre, share, weight)
+    }
+}
+
+impl ClaimKeeper {
+    /// This process's place among the candidates for each of these pools, 0 for the first. All processes that know the same
+    /// divide the pools in the same way; where they do not, the store decides between two claims.
+    pub(super) fn claim_ranks(&self, now: Instant, open: &[PoolId]) -> FastMap<PoolId, u32> {
+        let mut candidates = self.candidates(now);
+        let mut ranks = FastMap::default();
+        for pool in open {
+            let orders = candidates.iter().map(|candidate| candidate.order(pool));
+            let orders: Vec<CandidateOrder> = orders.collect();
+            // This process is the first of them.
+            let rank = orders.iter().filter(|order| **order < orders[0]).count();
+            ranks.insert(pool.clone(), u32::try_from(rank).unwrap_or(u32::MAX));
+            let first = (0..orders.len()).min_by_key(|place| orders[*place]);
+            if let Some(first) = first {
+                candidates[first].pools += 1.0;
+            }
+        }
+        ranks
+    }
+
+    /// The processes that could claim, this one first.
+    fn candidates(&self, now: Instant) -> Vec<ClaimCandidate<'_>> {
+        let owned = self.pools.values().filter_map(|watch| watch.claim.as_ref());
+        let owned = owned.filter(|claim| self.is_mine(claim)).count();
+        let mut candidates = vec![candidate(&self.me, owned)];
+        for member in self.members.values() {
+            let heard = self.heard.get(&member.row.node);
+            let heard = heard.filter(|p| self.is_fresh(now, p) && !p.beat.leaving);
+            // Before the first heartbeats all members count, so that one claims and not all.
+            let starting = now < self.started + self.settings.far_limit;
+            if heard.is_none() && !starting {
+                continue;
+            }
+            let owned = heard.map_or(0, |peer| peer.beat.pools.len());
+            candidates.push(candidate(&member.row, owned));
+        }
+        candidates
+    }
+}
+
+fn candidate(row: &MemberRow, owned: usize) -> ClaimCandidate<'_> {
+    ClaimCandidate {
+        node: &row.node,
+        data_centre: &row.data_centre,
+        strength: row.strength().0,
+        pools: owned as f64,
+    }
+}
--- a/crates/claims/tests/keeper.rs
+++ b/crates/claims/tests/keeper.rs
@@ -369,3 +369,34 @@
     let first = watch.first_claim().expect("a claim");
     assert!(first <= begun + millis(900), "after {:?}", first - begun);
 }
+
+/// All processes start at once and none of eight pools has an owner. Each pool is claimed at once and by one process: claimed one
+/// after another, callers of the last would be refused for half a second longer than those of the first.
+#[test]
+fn many_pools_are_claimed_at_once() {
+    let members: Vec<MemberRow> = (1..=6)
+        .map(|number| member(&format!("east-{number}"), number))
+        .collect();
+    let pools: Vec<PoolId> = (0..8)
+        .map(|group| PoolId {
+            group,
+            ..pool("east")
+        })
+        .collect();
+    let mut claims = Vec::new();
+    for me in &members {
+        let mut watch = Watch::new(me);
+        for pool in &pools {
+            watch.keeper.on_workers(pool, true);
+        }
+        for other in members.iter().filter(|other| other.node != me.node) {
+            watch.keeper.on_member(watch.now, other.clone());
+        }
+        // Two ticks: a worker is tried, then the claim goes out.
+        watch.pass(millis(40), &[]);
+        claims.extend(watch.claims.iter().map(|(pool, _)| pool.clone()));
+    }
+    claims.sort();
+    let expected: Vec<String> = pools.iter().map(PoolId::to_string).collect();
+    assert_eq!(claims, expected);
+}
