Divide workers among the strongest VMs together, not by equal shares

Cause: each data centre of the shifted deployment had ten pools of eleven or twelve workers, since two strong VMs just miss an equal share of the planned work; jobs of eight tasks half a worker wide find no places in a pool of twenty-three. Change: the fewest strongest VMs that together carry the planned work; a weak one is not added for the last fifth of it. At most 64 workers a pool (32 before).

--- a/crates/claims/src/strength.rs
+++ b/crates/claims/src/strength.rs
@@ -21,12 +21,19 @@
 /// customers beside.
 const PLANNED_SHARE: f64 = 0.4;
 
+/// The share of the planned work that suffices if the next owner would be weak: its small pool would take the places of wide
+/// jobs from all.
+const CARRIED_SHARE: f64 = 0.8;
+
+/// An owner is weak below this share of what the strongest carries.
+const WEAK_OWNER: f64 = 0.5;
+
 /// The least share of a processor and of a link that are taken for true, in cores and bytes a second.
 const LEAST_CORES: f64 = 0.01;
 const LEAST_LINK: f64 = 1_000.0;
 
 /// The most workers of one pool. Larger ones place hardly better, and a lost owner leaves as many workers without one.
-const MOST_WORKERS: usize = 32;
+const MOST_WORKERS: usize = 64;
 
 /// What a VM can carry, in runs a second.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -48,19 +55,27 @@
     }
 }
 
-/// Into how many pools so many workers are divided among VMs: the fewest whose owners, the strongest VMs, each carry
-/// theirs. One for each VM if no number suffices.
+/// Into how many pools so many workers are divided among VMs: the fewest whose owners, the strongest VMs, together carry
+/// nearly all. One for each VM if no number suffices.
+///
+/// Together, since a strong VM may own several. Asked that the weakest owner carry an equal share, three strong VMs that just
+/// miss it made way for a dozen weak ones, whose small pools have no place for wide jobs of tasks half a worker wide.
 pub fn plan_groups(workers: usize, vms: &[VmStrength]) -> u32 {
     let mut vms = vms.to_vec();
     vms.sort_by(|a, b| b.0.total_cmp(&a.0));
     let fewest = workers.div_ceil(MOST_WORKERS).max(1);
     let load = workers as f64 * WORKER_RUNS;
-    let mut planned = fewest;
-    for (groups, weakest) in (1..).zip(&vms) {
-        planned = groups.max(fewest);
-        if load / groups as f64 <= weakest.0 * PLANNED_SHARE {
+    let strongest = vms.first().map_or(0.0, |vm| vm.0);
+    let mut planned = 0;
+    let mut carried = 0.0;
+    for vm in &vms {
+        let weak = vm.0 < strongest * WEAK_OWNER;
+        if carried >= load || (weak && carried >= load * CARRIED_SHARE) {
             break;
         }
+        planned += 1;
+        carried += vm.0 * PLANNED_SHARE;
     }
+    let planned = planned.max(fewest);
     u32::try_from(planned.min(workers.max(1))).unwrap_or(u32::MAX)
 }
