Let workers of the soak start again under their ids

Mends the soak, which did not build since executors of the stand-ins have births. Rebirths come from a generator of their own, so that a seed's other faults stay; seeds that failed before are played without.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -22,6 +22,9 @@
 /// How long a dead worker's entry stays: three heartbeats of the platform, shortened.
 const ENTRY_TIME: Duration = Duration::from_millis(1_500);
 
+/// How long a worker's entry still tells of its former life.
+const HEARTBEAT_TIME: Duration = Duration::from_millis(700);
+
 /// How long it takes after a new life until nodes have begun to use it, and after a start until a node serves.
 const START_TIME: Duration = Duration::from_millis(1_500);
 
@@ -36,6 +39,7 @@
     Unlist(usize),
     Leave(usize),
     Rebirth(usize),
+    Tell(usize),
 }
 
 /// What follows from a fault.
@@ -129,6 +133,15 @@
                 mends.push((length, Mend::Rebirth(worker)));
             }
         }
+        FaultKind::StartAgain(worker) => {
+            note(
+                FaultScope::Worker(worker),
+                false,
+                HEARTBEAT_TIME + START_TIME,
+            );
+            fleet.start_again(worker);
+            mends.push((HEARTBEAT_TIME, Mend::Tell(worker)));
+        }
         FaultKind::Drain(worker) => {
             if let Some(life) = fleet.worker_life(worker) {
                 fleet.say_draining(worker);
@@ -165,6 +178,7 @@
             }
         }
         Mend::Rebirth(worker) => fleet.start_worker(worker).await?,
+        Mend::Tell(worker) => fleet.tell_worker(worker),
     }
     Ok(())
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -48,6 +48,12 @@
 /// Clocks of workers may be 2% slow.
 const CLOCK_RATES: [f64; 3] = [1.0, 0.98, 0.99];
 
+/// When the first worker's life begins, in Unix milliseconds.
+const FIRST_BIRTH: u64 = 1_764_751_000_000;
+
+/// By how much every other rebirth seems later, so that clocks seem to be set back between them.
+const BIRTH_JUMP: u64 = 60_000;
+
 /// A node.
 pub(crate) struct SoakNode {
     process: Option<ChildProcess<String>>,
@@ -80,6 +86,8 @@
     pub(crate) nodes: Vec<SoakNode>,
     workers: Vec<WorkerPlace>,
     lives: usize,
+    /// Workers that started again under their ids.
+    rebirths: u64,
     runs: Vec<RunTrace>,
     routes: Vec<RoutePlan>,
     pub(crate) stops: Vec<StopTrace>,
@@ -104,6 +112,7 @@
             nodes: Vec::new(),
             workers: Vec::new(),
             lives: 0,
+            rebirths: 0,
             runs: Vec::new(),
             routes: vec![route(PREFIX)],
             stops: Vec::new(),
@@ -318,6 +327,29 @@
         }
     }
 
+    /// A worker dies and starts again under its id. Its entry tells of it later.
+    pub(crate) fn start_again(&mut self, worker: usize) {
+        self.rebirths += 1;
+        if let Some(stand_in) = &self.workers[worker].stand_in {
+            // Clocks may have been set back meanwhile.
+            let jump = if self.rebirths % 2 == 0 {
+                0
+            } else {
+                BIRTH_JUMP
+            };
+            stand_in.start_again(FIRST_BIRTH + self.rebirths + jump);
+        }
+    }
+
+    /// A worker writes its entry.
+    pub(crate) fn tell_worker(&self, worker: usize) {
+        let place = &self.workers[worker];
+        if let Some(stand_in) = &place.stand_in {
+            let entry = stand_in.entry(SERVICE, centre(worker), "ready");
+            self.store.put("servers", &life_name(place.life), &entry);
+        }
+    }
+
     /// Removes the entry of a worker that is gone.
     pub(crate) fn unlist(&self, life: usize) {
         self.store.remove("servers", &life_name(life));
@@ -345,6 +377,7 @@
             run_time: Duration::from_millis(RUN_TIMES[worker % RUN_TIMES.len()]),
             clock: 400_000 + 10_000 * life as u64,
             clock_rate: CLOCK_RATES[life % CLOCK_RATES.len()],
+            born: Some(FIRST_BIRTH + life as u64),
         };
         let stand_in = ExecutorStandIn::start(plan).await;
         for (node, view) in self.views.iter().enumerate() {
@@ -352,12 +385,11 @@
             let address = self.forwarder.add_link(&link, stand_in.address())?;
             view.set_address(&life_name(life), address);
         }
-        let entry = stand_in.entry(SERVICE, centre(worker), "ready");
-        self.store.put("servers", &life_name(life), &entry);
         self.workers[worker] = WorkerPlace {
             life,
             stand_in: Some(stand_in),
         };
+        self.tell_worker(worker);
         Ok(())
     }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -19,6 +19,8 @@
     pub workers: usize,
     /// Jobs a second.
     pub rate: f64,
+    /// Whether workers start again under their ids. Seeds that failed before there was that are played without.
+    pub rebirths: bool,
 }
 
 impl Default for SoakPlan {
@@ -29,6 +31,7 @@
             nodes: 4,
             workers: 12,
             rate: 40.0,
+            rebirths: true,
         }
     }
 }
@@ -58,6 +61,8 @@
     Worker(usize, ExecutorFault, Duration),
     /// A worker dies, and another life of it comes after a while.
     Crash(usize, Duration),
+    /// A worker dies and starts again at once, under its id.
+    StartAgain(usize),
     /// A worker says that it leaves, then does; another life of it comes after a while.
     Drain(usize),
     /// The configuration gets one more route.
@@ -85,6 +90,9 @@
 /// The bounds of the time between two pieces of planned work.
 const PLANNED_GAPS: (u64, u64) = (100, 2_000);
 
+/// The bounds of the time between two workers that start again under their ids.
+const REBIRTH_GAPS: (u64, u64) = (500, 4_000);
+
 impl SoakPlan {
     /// The faults, in order of time.
     pub fn steps(&self) -> Vec<FaultStep> {
@@ -101,9 +109,23 @@
             steps.push(FaultStep { at, kind });
             at += Duration::from_millis(rng.u64(gaps.0..gaps.1));
         }
+        if self.rebirths && !planned {
+            // From a generator of their own: a seed's other faults stay what they were.
+            self.add_rebirths(&mut rng.fork(), &mut steps);
+        }
         steps
     }
 
+    fn add_rebirths(&self, rng: &mut Rng, steps: &mut Vec<FaultStep>) {
+        let mut at = Duration::ZERO;
+        while at < self.time {
+            at += Duration::from_millis(rng.u64(REBIRTH_GAPS.0..REBIRTH_GAPS.1));
+            let kind = FaultKind::StartAgain(rng.usize(..self.workers));
+            steps.push(FaultStep { at, kind });
+        }
+        steps.sort_by_key(|step| step.at);
+    }
+
     fn draw_planned(&self, rng: &mut Rng) -> FaultKind {
         match rng.u32(..10) {
             0..4 => FaultKind::Stop(rng.usize(..self.nodes)),
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -14,6 +14,7 @@
 
 async fn check(seed: u64) {
     let plan = SoakPlan {
+        rebirths: true,
         seed,
         time: Duration::from_secs(8),
         nodes: 3,
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -79,6 +79,7 @@
             break;
         }
         let plan = SoakPlan {
+            rebirths: !options.known,
             seed,
             time: Duration::from_secs(options.time),
             nodes: options.nodes,
