Divide workers anew only when their owners cannot carry them

Change: the number of pools changes only when the present owners' full strength does not carry the planned work at 0.8. Test: a_division_stands_while_its_owners_can_carry_it.

--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -17,6 +17,6 @@
     keeper::ClaimKeeper,
     rows::{ClaimRow, GroupRow, GroupSpread, MemberRow, RouteWait},
     settings::ClaimSettings,
-    strength::{plan_groups, VmStrength},
+    strength::{is_outgrown, plan_groups, VmStrength},
     view::{Heartbeat, LinkRate, NodeDigest, NodeId, PoolNews},
 };
--- a/crates/claims/src/strength.rs
+++ b/crates/claims/src/strength.rs
@@ -25,6 +25,9 @@
 /// jobs from all.
 const CARRIED_SHARE: f64 = 0.8;
 
+/// The share of their strength up to which the owners of a division may be planned to work once it stands.
+const OUTGROWN_SHARE: f64 = 0.8;
+
 /// An owner is weak below this share of what the strongest carries.
 const WEAK_OWNER: f64 = 0.5;
 
@@ -79,3 +82,16 @@
     let planned = planned.max(fewest);
     u32::try_from(planned.min(workers.max(1))).unwrap_or(u32::MAX)
 }
+
+/// Whether workers have become more than the owners of so many pools can carry.
+///
+/// Load it is made for: workers are added by a quarter while a division stands. Harm prevented: dividing anew moves workers
+/// between owners, and lets go of all jobs of the data centre, some hundreds at once; a plan that would only be better for
+/// the new number of workers is not worth that.
+pub fn is_outgrown(workers: usize, vms: &[VmStrength], groups: u32) -> bool {
+    let mut vms = vms.to_vec();
+    vms.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let owners = vms.iter().take(groups as usize);
+    let carried: f64 = owners.map(|vm| vm.0).sum();
+    workers as f64 * WORKER_RUNS > carried * OUTGROWN_SHARE
+}
--- a/crates/claims/tests/groups.rs
+++ b/crates/claims/tests/groups.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use claims::{plan_groups, GroupRow, GroupSpread, LinkRate, VmStrength};
+use claims::{is_outgrown, plan_groups, GroupRow, GroupSpread, LinkRate, VmStrength};
 use jobs::LifeId;
 
 fn vms(count: usize, cores: f64, megabits: f64) -> Vec<VmStrength> {
@@ -46,6 +46,19 @@
     check(145, &mixed, 4);
 }
 
+/// A quarter more workers come to two strong owners. A plan made now would have five pools, and dividing anew would let go of all
+/// that runs; the two can carry them, so their callers notice nothing. Where a number was made from the first worker that was
+/// listed, its owner cannot.
+#[test]
+fn a_division_stands_while_its_owners_can_carry_it() {
+    let mut mixed = vms(2, 0.5, 200.0);
+    mixed.extend(vms(11, 0.12, 25.0));
+    assert!(plan_groups(150, &mixed) > 2);
+    assert!(!is_outgrown(150, &mixed, 2));
+    assert!(is_outgrown(240, &mixed, 2));
+    assert!(is_outgrown(24, &vms(4, 0.12, 2.0), 1));
+}
+
 /// No VM is known yet, or none suffices: there is still a pool for the workers.
 #[test]
 fn there_is_always_a_pool() {
--- a/crates/node/src/groups.rs
+++ b/crates/node/src/groups.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use claims::{plan_groups, GroupRow};
+use claims::{is_outgrown, plan_groups, GroupRow, VmStrength};
 use jobs::{PoolId, WorkerRecord};
 use model::{DataCentreId, FastMap};
 use platform::RowVersion;
@@ -19,9 +19,6 @@
 
 use crate::{owner, state::NodeState};
 
-/// How many times as many groups have to be planned as there are before there are more of them.
-const GROWTH: u32 = 2;
-
 /// How long after its start a process waits for all workers to be listed before it writes a number.
 const FIRST_WAIT: Duration = Duration::from_millis(500);
 
@@ -150,7 +147,7 @@
             if groups.is_none() && !listed.have_settled(state.now(), &centre, workers, vms.len()) {
                 continue;
             }
-            if let Some(wanted) = wanted_groups(plan_groups(workers, &vms), groups) {
+            if let Some(wanted) = wanted_groups(workers, &vms, groups) {
                 write_groups(&state, &centre, wanted).await;
             }
         }
@@ -193,9 +190,12 @@
 }
 
 /// The number that a data centre should have, if it is not what it has.
-fn wanted_groups(planned: u32, groups: Option<u32>) -> Option<u32> {
-    let enough = groups.is_some_and(|groups| planned <= groups.saturating_mul(GROWTH));
-    (!enough).then_some(planned)
+fn wanted_groups(workers: usize, vms: &[VmStrength], groups: Option<u32>) -> Option<u32> {
+    let planned = plan_groups(workers, vms);
+    match groups {
+        None => Some(planned),
+        Some(groups) => (planned > groups && is_outgrown(workers, vms, groups)).then_some(planned),
+    }
 }
 
 async fn write_groups(state: &Rc<NodeState>, centre: &DataCentreId, groups: u32) {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -332,7 +332,7 @@
         self.rebirths += 1;
         if let Some(stand_in) = &self.workers[worker].stand_in {
             // Clocks may have been set back meanwhile.
-            let jump = if self.rebirths % 2 == 0 {
+            let jump = if self.rebirths.is_multiple_of(2) {
                 0
             } else {
                 BIRTH_JUMP
