Tell owners often and others seldom who lives

Change: ten a second only where one of the two owns a pool; between others the interval grows with the data centre's processes, to a second. Signs of life name only the owners that are heard. Owners and entries are missed as soon as before. Tests: claims/tests/beats.rs.

--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -1,9 +1,12 @@
 //! Decides when a pool is claimed.
 
+mod beating;
 mod reason;
 mod succession;
 mod yielding;
 
+pub use beating::BeatPace;
+
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -17,7 +20,7 @@
     rows::{ClaimRow, MemberRow},
     settings::ClaimSettings,
     strength::VmStrength,
-    view::{Heartbeat, NodeDigest, NodeId},
+    view::{Heartbeat, NodeId},
 };
 
 #[derive(Clone, Debug)]
@@ -86,6 +89,10 @@
     members: FastMap<NodeId, Member>,
     heard: FastMap<NodeId, HeardPeer>,
     pools: FastMap<PoolId, PoolWatch>,
+    /// Who owns pools, and since when.
+    owners: FastMap<NodeId, Instant>,
+    /// The other processes of the data centre.
+    near_members: u32,
     notes: Vec<ClaimNote>,
 }
 
@@ -100,6 +107,8 @@
             members: FastMap::default(),
             heard: FastMap::default(),
             pools: FastMap::default(),
+            owners: FastMap::default(),
+            near_members: 0,
             notes: Vec::new(),
         }
     }
@@ -137,11 +146,13 @@
                 refreshed: now,
             },
         );
+        self.count_near();
     }
 
     /// A member's row is gone.
     pub fn on_member_gone(&mut self, node: &NodeId) {
         self.members.remove(node);
+        self.count_near();
     }
 
     /// A claim's row, as read from the store.
@@ -168,6 +179,7 @@
         });
         watch.open_since = None;
         watch.attempt = ClaimAttempt::None;
+        self.find_owners();
     }
 
     /// This process has let go of a pool although the claim is its own. It does not count as the owner any more, and
@@ -180,6 +192,7 @@
         {
             claim.let_go = true;
         }
+        self.find_owners();
     }
 
     /// Whether a data centre has workers: a pool without any needs no owner.
@@ -223,7 +236,9 @@
                     refreshed: now,
                 },
             );
+            self.count_near();
         }
+        let known = self.heard.get(&beat.node);
         let node = beat.node.clone();
         let unbroken =
             known.filter(|known| !known.silent && known.beat.incarnation == beat.incarnation);
@@ -313,36 +328,6 @@
         pools
     }
 
-    /// Whom this process hears.
-    pub fn heard_nodes(&self, now: Instant) -> Vec<NodeDigest> {
-        let fresh = self
-            .heard
-            .iter()
-            .filter(|(_, peer)| self.is_fresh(now, peer));
-        fresh.map(|(node, _)| node.digest()).collect()
-    }
-
-    /// How often heartbeats go to other data centres. With many processes less often: each one hears all others.
-    pub fn far_beat(&self) -> Duration {
-        let members = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
-        self.settings
-            .far_beat
-            .max(self.settings.far_beat_a_member * members)
-    }
-
-    /// How often heartbeats go to processes of the same data centre.
-    pub fn near_beat(&self) -> Duration {
-        self.settings.near_beat
-    }
-
-    /// The other members and whether each is in the same data centre.
-    pub fn peers(&self) -> impl Iterator<Item = (&MemberRow, bool)> + '_ {
-        let here = &self.me.data_centre;
-        self.members
-            .values()
-            .map(move |m| (&m.row, m.row.data_centre == *here))
-    }
-
     /// Whether a pool could be claimed now, by this process or another.
     pub fn sees_open_claims(&self) -> bool {
         let mut pools = self.pools.values();
@@ -465,12 +450,7 @@
     }
 
     fn is_fresh(&self, now: Instant, peer: &HeardPeer) -> bool {
-        let near = peer.beat.data_centre == self.me.data_centre;
-        let limit = if near {
-            self.settings.near_limit
-        } else {
-            self.far_beat() * FAR_BEATS_MISSED + self.settings.near_beat
-        };
+        let limit = self.silence_limit(now, peer);
         now < peer.at + limit && !peer.refused
     }
 
--- /dev/null
+++ b/crates/claims/src/keeper/beating.rs
@@ -0,0 +1,130 @@
+//! How often processes tell each other that they live, and how long one may be silent.
+//!
+//! Load it is made for: hundreds of processes, of which a few dozen own pools. Harm prevented: told ten times a second to each
+//! other process of a data centre, signs of life grow with the square of the processes, and most of what a large fleet's
+//! processors do is to hear who is still there. Only two silences have to be noticed at once: an owner's, whose pool stands
+//! still, and that of an entry whose jobs an owner runs. So owners tell and are told often, and the others seldom.
+
+use std::time::{Duration, Instant};
+
+use model::FastMap;
+
+use super::{ClaimKeeper, HeardPeer, FAR_BEATS_MISSED};
+use crate::{
+    rows::MemberRow,
+    view::{NodeDigest, NodeId},
+};
+
+/// Processes of a data centre among which those without pools tell each other as often as owners do.
+const OFTEN_TOLD: u32 = 4;
+
+/// Signs of life between processes without pools that may go missing before one counts as silent.
+const IDLE_BEATS_MISSED: u32 = 3;
+
+/// How often one process tells another that it lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BeatPace {
+    /// In one data centre, and one of the two owns a pool.
+    Owner,
+    /// In one data centre, and none does.
+    Idle,
+    /// In another data centre.
+    Far,
+}
+
+impl BeatPace {
+    /// All, in the order of their numbers.
+    pub const ALL: [Self; 3] = [Self::Owner, Self::Idle, Self::Far];
+}
+
+impl ClaimKeeper {
+    /// The time between two signs of life.
+    pub fn beat(&self, pace: BeatPace) -> Duration {
+        match pace {
+            BeatPace::Owner => self.settings.near_beat,
+            BeatPace::Idle => self.idle_beat(),
+            BeatPace::Far => self.far_beat(),
+        }
+    }
+
+    /// The other members, and how often each is told.
+    pub fn peers(&self) -> impl Iterator<Item = (&MemberRow, BeatPace)> + '_ {
+        let mine = self.owners.contains_key(&self.me.node);
+        self.members.values().map(move |member| {
+            let row = &member.row;
+            let pace = if row.data_centre != self.me.data_centre {
+                BeatPace::Far
+            } else if mine || self.owners.contains_key(&row.node) {
+                BeatPace::Owner
+            } else {
+                BeatPace::Idle
+            };
+            (row, pace)
+        })
+    }
+
+    /// The owners that this process hears: others ask for nobody else.
+    pub fn heard_owners(&self, now: Instant) -> Vec<NodeDigest> {
+        let heard = self.heard.iter();
+        let heard = heard
+            .filter(|(node, peer)| self.owners.contains_key(*node) && self.is_fresh(now, peer));
+        heard.map(|(node, _)| node.digest()).collect()
+    }
+
+    pub(super) fn hears_nobody(&self, now: Instant) -> bool {
+        !self.heard.values().any(|peer| self.is_fresh(now, peer))
+    }
+
+    /// With many processes less often: each one hears all others.
+    fn far_beat(&self) -> Duration {
+        let members = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        self.settings
+            .far_beat
+            .max(self.settings.far_beat_a_member * members)
+    }
+
+    fn idle_beat(&self) -> Duration {
+        let settings = &self.settings;
+        let beat = settings.near_beat * self.near_members / OFTEN_TOLD;
+        beat.clamp(settings.near_beat, settings.longest_idle_beat)
+    }
+
+    /// How long a process may be silent.
+    pub(super) fn silence_limit(&self, now: Instant, peer: &HeardPeer) -> Duration {
+        let settings = &self.settings;
+        if peer.beat.data_centre != self.me.data_centre {
+            return self.far_beat() * FAR_BEATS_MISSED + settings.near_beat;
+        }
+        let idle = self.idle_beat();
+        // Whoever has just become an owner is told often only once the others know.
+        let long_owner = |node: &NodeId| {
+            self.owners
+                .get(node)
+                .is_some_and(|since| now >= *since + idle * 2)
+        };
+        let often = long_owner(&self.me.node) || long_owner(&peer.beat.node);
+        match often {
+            true => settings.near_limit,
+            false => settings.near_limit + idle * IDLE_BEATS_MISSED,
+        }
+    }
+
+    /// Finds out again who owns pools, and since when.
+    pub(super) fn find_owners(&mut self) {
+        let mut owners: FastMap<NodeId, Instant> = FastMap::default();
+        for claim in self.pools.values().filter_map(|watch| watch.claim.as_ref()) {
+            if claim.let_go {
+                continue;
+            }
+            let since = owners.entry(claim.row.node.clone()).or_insert(claim.since);
+            *since = claim.since.min(*since);
+        }
+        self.owners = owners;
+    }
+
+    pub(super) fn count_near(&mut self) {
+        let rows = self.members.values().map(|member| &member.row);
+        let near = rows.filter(|row| row.data_centre == self.me.data_centre);
+        self.near_members = u32::try_from(near.count()).unwrap_or(u32::MAX);
+    }
+}
--- a/crates/claims/src/keeper/reason.rs
+++ b/crates/claims/src/keeper/reason.rs
@@ -66,6 +66,6 @@
     fn may_be_cut_off(&self, now: Instant, owner: &NodeId) -> bool {
         let refreshed = self.members.get(owner).map(|member| member.refreshed);
         let fresh_row = refreshed.is_some_and(|at| now < at + self.settings.isolated_delay);
-        fresh_row && self.heard_nodes(now).is_empty()
+        fresh_row && self.hears_nobody(now)
     }
 }
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use crate::{
     action::{ClaimAction, ClaimEnd, ClaimNote, ClaimReason, OwnerView},
-    keeper::ClaimKeeper,
+    keeper::{BeatPace, ClaimKeeper},
     rows::{ClaimRow, GroupRow, GroupSpread, MemberRow, RouteWait},
     settings::ClaimSettings,
     strength::{is_outgrown, plan_groups, VmStrength},
--- a/crates/claims/src/settings.rs
+++ b/crates/claims/src/settings.rs
@@ -7,6 +7,8 @@
 pub struct ClaimSettings {
     /// The time between two heartbeats to processes of the same data centre.
     pub near_beat: Duration,
+    /// The most that the time grows to between two heartbeats of processes without pools, as processes become more.
+    pub longest_idle_beat: Duration,
     /// The time between two heartbeats to other data centres, whose bytes are paid for.
     pub far_beat: Duration,
     /// Added to `far_beat` for each process beyond what it covers: at 32 processes one hears 28 heartbeats a second from
@@ -45,6 +47,7 @@
     fn default() -> Self {
         Self {
             near_beat: Duration::from_millis(100),
+            longest_idle_beat: Duration::from_millis(1_000),
             far_beat: Duration::from_millis(400),
             far_beat_a_member: Duration::from_millis(25),
             near_limit: Duration::from_millis(420),
--- /dev/null
+++ b/crates/claims/tests/beats.rs
@@ -0,0 +1,151 @@
+//! How many signs of life a fleet exchanges, and how soon a silence is noticed.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use claims::{
+    BeatPace, ClaimKeeper, ClaimNote, ClaimRow, ClaimSettings, Heartbeat, LinkRate, MemberRow,
+    NodeId,
+};
+use jobs::PoolId;
+use model::DataCentreId;
+
+const CENTRES: usize = 5;
+
+/// One owner among so many processes.
+const OWNER_ONE_IN: usize = 6;
+
+fn centre(number: usize) -> DataCentreId {
+    format!("dc-{}", number % CENTRES).parse().unwrap()
+}
+
+fn member(number: usize) -> MemberRow {
+    let port = u16::try_from(number).unwrap();
+    MemberRow {
+        node: NodeId::from(format!("vm-{number}").as_str()),
+        incarnation: 10,
+        data_centre: centre(number),
+        cores: 0.25,
+        link: LinkRate::default(),
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        refreshes: 1,
+        waits: Vec::new(),
+    }
+}
+
+/// A process among so many, each `OWNER_ONE_IN`th of which owns a pool.
+fn keeper(me: usize, count: usize, now: Instant) -> ClaimKeeper {
+    let mut keeper = ClaimKeeper::new(member(me), ClaimSettings::default(), now);
+    for number in 0..count {
+        keeper.on_member(now, member(number));
+        if number % OWNER_ONE_IN == 0 {
+            let owner = member(number);
+            let row = ClaimRow {
+                node: owner.node,
+                incarnation: owner.incarnation,
+                address: owner.address,
+            };
+            let pool = PoolId {
+                data_centre: owner.data_centre,
+                group: u32::try_from(number).unwrap(),
+            };
+            keeper.on_claim(now, pool, row, 7);
+        }
+    }
+    keeper
+}
+
+/// Datagrams that it sends a second.
+fn sent(keeper: &ClaimKeeper) -> f64 {
+    let peers = keeper.peers();
+    let rates = peers.map(|(_, pace)| 1.0 / keeper.beat(pace).as_secs_f64());
+    rates.sum()
+}
+
+/// Compares what a fleet sends with what it would if all processes of a data centre told each other as often as owners do: at
+/// most `share` of it on the mean.
+fn check(count: usize, share: f64) {
+    let now = Instant::now();
+    let mut all = 0.0;
+    let mut mesh = 0.0;
+    for me in 0..count {
+        let keeper = keeper(me, count, now);
+        all += sent(&keeper);
+        let near = keeper.peers().filter(|(_, pace)| *pace != BeatPace::Far);
+        let far = keeper.peers().filter(|(_, pace)| *pace == BeatPace::Far);
+        mesh += near.count() as f64 / keeper.beat(BeatPace::Owner).as_secs_f64();
+        mesh += far.count() as f64 / keeper.beat(BeatPace::Far).as_secs_f64();
+    }
+    let count = count as f64;
+    println!(
+        "{count} processes: {:.1} a second each of {:.1}",
+        all / count,
+        mesh / count
+    );
+    assert!(all <= mesh * share, "{all:.1} of {mesh:.1}");
+}
+
+/// Each datagram costs some tens of microseconds at each end. What a process sends must not grow with its fleet as a full mesh
+/// does: from a few dozen processes on at least a third of that is saved, and more than half among hundreds.
+#[test]
+fn signs_of_life_do_not_grow_with_the_square_of_the_fleet() {
+    check(30, 1.0);
+    check(100, 0.67);
+    check(300, 0.5);
+}
+
+fn beat(member: &MemberRow) -> Heartbeat {
+    Heartbeat {
+        node: member.node.clone(),
+        incarnation: member.incarnation,
+        data_centre: member.data_centre.clone(),
+        cores: member.cores,
+        link: member.link,
+        leaving: false,
+        hears: Vec::new(),
+        pools: Vec::new(),
+    }
+}
+
+/// How long after its last sign of life `other` counts as silent at `me`.
+fn silence(me: usize, other: usize) -> Duration {
+    let count = 60 * CENTRES;
+    let begun = Instant::now();
+    let mut keeper = keeper(me, count, begun);
+    let mut now = begun;
+    let step = Duration::from_millis(20);
+    while now < begun + Duration::from_secs(5) {
+        keeper.on_heartbeat(now, beat(&member(other)), member(other).address);
+        keeper.tick(now);
+        now += step;
+    }
+    let last = now - step;
+    keeper.take_notes();
+    loop {
+        keeper.tick(now);
+        let notes = keeper.take_notes();
+        let silent = notes
+            .iter()
+            .any(|note| matches!(note, ClaimNote::PeerSilent { .. }));
+        if silent {
+            return now - last;
+        }
+        now += step;
+    }
+}
+
+/// An owner falls silent, or an entry whose jobs an owner runs: its caller comes back elsewhere 1.3 s later, when nothing of the
+/// job may run any more. That between two processes without pools may take longer; it is never taken for one too soon.
+#[test]
+fn silences_that_matter_are_noticed_at_once() {
+    let (owner, other_owner) = (0, 30);
+    let (entry, other_entry) = (5, 10);
+    let soon = Duration::from_millis(460);
+    assert!(silence(entry, owner) <= soon);
+    assert!(silence(owner, entry) <= soon);
+    assert!(silence(owner, other_owner) <= soon);
+    let idle = keeper(entry, 60 * CENTRES, Instant::now()).beat(BeatPace::Idle);
+    assert!(silence(entry, other_entry) >= idle * 3);
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use claims::{Heartbeat, NodeId, PoolNews};
+use claims::{BeatPace, Heartbeat, NodeId, PoolNews};
 use model::FastMap;
 use peer::{connect_pool, decode_heartbeat, encode_heartbeat, PeerError, PoolLink};
 use telemetry::{EventKind, EventLine, TrafficKind};
@@ -114,44 +114,41 @@
 /// Sends heartbeats, each as often as its receiver's distance asks.
 pub(crate) struct BeatSender {
     socket: Rc<UdpSocket>,
-    near_at: Cell<Option<Instant>>,
-    far_at: Cell<Option<Instant>>,
+    /// When those of each pace were last told.
+    told: Cell<[Option<Instant>; BeatPace::ALL.len()]>,
 }
 
 impl BeatSender {
     pub(crate) fn new(socket: Rc<UdpSocket>) -> Self {
         Self {
             socket,
-            near_at: Cell::new(None),
-            far_at: Cell::new(None),
+            told: Cell::default(),
         }
     }
 
     pub(crate) fn tick(&self, state: &NodeState) {
         let now = state.now();
-        let (near_beat, far_beat) = {
-            let keeper = state.keeper.borrow();
-            (keeper.near_beat(), keeper.far_beat())
-        };
-        let due = |at: &Cell<Option<Instant>>, beat| at.get().is_none_or(|at| now >= at + beat);
-        let (near, far) = (due(&self.near_at, near_beat), due(&self.far_at, far_beat));
-        if near {
-            self.near_at.set(Some(now));
-        }
-        if far {
-            self.far_at.set(Some(now));
+        let mut told = self.told.get();
+        let mut due = [false; BeatPace::ALL.len()];
+        for pace in BeatPace::ALL {
+            let place = pace as usize;
+            let beat = state.keeper.borrow().beat(pace);
+            due[place] = told[place].is_none_or(|at| now >= at + beat);
+            if due[place] {
+                told[place] = Some(now);
+            }
         }
-        if near || far {
-            self.send(state, near, far);
+        self.told.set(told);
+        if due.contains(&true) {
+            self.send(state, due);
         }
     }
 
-    fn send(&self, state: &NodeState, near: bool, far: bool) {
+    fn send(&self, state: &NodeState, due: [bool; BeatPace::ALL.len()]) {
         let bytes = encode_heartbeat(&heartbeat(state));
         let keeper = state.keeper.borrow();
-        for (member, is_near) in keeper.peers() {
-            let due = if is_near { near } else { far };
-            if due {
+        for (member, pace) in keeper.peers() {
+            if due[pace as usize] {
                 // A heartbeat that cannot be sent is one that is lost; the next one follows.
                 let _lost = self.socket.try_send_to(&bytes, member.address);
                 state.traffic.call(TrafficKind::Heartbeats);
@@ -183,7 +180,7 @@
         cores: keeper.me().cores,
         link: keeper.me().link,
         leaving: state.leaving.get(),
-        hears: keeper.heard_nodes(now),
+        hears: keeper.heard_owners(now),
         pools: news.collect(),
     }
 }
