Listen for an owner before taking a pool that is reached again

Change: a process whose last try did not reach a pool's workers listens for as long as the owner may be silent before it claims. Test: a_pool_that_is_reached_again_is_left_to_an_owner_that_lives, red before.

--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -57,6 +57,8 @@
     /// Since when the pool could be claimed, and why.
     open_since: Option<(Instant, ClaimReason)>,
     attempt: ClaimAttempt,
+    /// Its workers could not be reached when they were last tried.
+    unreachable: bool,
     /// Claims in a row that the store turned away.
     turned_away: u32,
     has_workers: bool,
@@ -72,6 +74,8 @@
     Probing(Instant),
     /// A worker was reached.
     Reachable,
+    /// One was reached that could not be before. Until then this process listens whether the owner lives.
+    Listening(Instant),
     /// None could be reached.
     Unreachable(Instant),
     /// The claim is on its way to the store.
@@ -265,19 +269,37 @@
 
     /// Whether a worker of the pool could be reached.
     pub fn on_probe(&mut self, now: Instant, pool: &PoolId, reachable: bool) {
+        let listening = self.listening_time(pool);
         let Some(watch) = self.pools.get_mut(pool) else {
             return;
         };
         if !matches!(watch.attempt, ClaimAttempt::Probing(_)) {
             return;
         }
-        watch.attempt = if reachable {
-            ClaimAttempt::Reachable
-        } else {
-            ClaimAttempt::Unreachable(now)
+        let healed = reachable && watch.unreachable;
+        watch.unreachable = !reachable;
+        watch.attempt = match (reachable, healed) {
+            (false, _) => ClaimAttempt::Unreachable(now),
+            (true, false) => ClaimAttempt::Reachable,
+            (true, true) => ClaimAttempt::Listening(now + listening),
         };
     }
 
+    /// How long this process listens for the owner of a pool once a cut between the two seems to have healed.
+    ///
+    /// Failure prevented: a data centre that was cut off takes the pools of all others the moment that it reaches their
+    /// workers again, and they take its pools, since the next sign of life of an owner that is far away comes up to a second
+    /// later. All jobs of both sides are cut.
+    fn listening_time(&self, pool: &PoolId) -> Duration {
+        let claim = self.pools.get(pool).and_then(|watch| watch.claim.as_ref());
+        let peer = claim.and_then(|claim| self.heard.get(&claim.row.node));
+        let near = peer.is_some_and(|peer| peer.beat.data_centre == self.me.data_centre);
+        match near {
+            true => self.settings.near_limit,
+            false => self.far_limit(),
+        }
+    }
+
     /// An attempt to claim has ended; if it succeeded, `on_claim` was told before.
     pub fn on_claim_end(&mut self, now: Instant, pool: &PoolId, end: ClaimEnd) {
         let Some(watch) = self.pools.get_mut(pool) else {
@@ -403,6 +425,7 @@
         let Some(reason) = reason else {
             watch.open_since = None;
             watch.attempt = ClaimAttempt::None;
+            watch.unreachable = false;
             return None;
         };
         let (since, _) = *watch.open_since.get_or_insert((now, reason));
@@ -434,7 +457,7 @@
                 }
                 None
             }
-            ClaimAttempt::Paused(until) => {
+            ClaimAttempt::Listening(until) | ClaimAttempt::Paused(until) => {
                 if now >= until {
                     watch.attempt = ClaimAttempt::None;
                 }
--- a/crates/claims/src/keeper/beating.rs
+++ b/crates/claims/src/keeper/beating.rs
@@ -83,6 +83,11 @@
             .max(self.settings.far_beat_a_member * members)
     }
 
+    /// How long a process of another data centre may be silent.
+    pub(super) fn far_limit(&self) -> Duration {
+        self.far_beat() * FAR_BEATS_MISSED + self.settings.near_beat
+    }
+
     fn idle_beat(&self) -> Duration {
         let settings = &self.settings;
         let beat = settings.near_beat * self.near_members / OFTEN_TOLD;
@@ -93,7 +98,7 @@
     pub(super) fn silence_limit(&self, now: Instant, peer: &HeardPeer) -> Duration {
         let settings = &self.settings;
         if peer.beat.data_centre != self.me.data_centre {
-            return self.far_beat() * FAR_BEATS_MISSED + settings.near_beat;
+            return self.far_limit();
         }
         let idle = self.idle_beat();
         // Whoever has just become an owner is told often only once the others know.
--- a/crates/claims/tests/keeper.rs
+++ b/crates/claims/tests/keeper.rs
@@ -242,6 +242,29 @@
     assert!(watch.probes <= 8, "{} probes in 6 s", watch.probes);
 }
 
+/// A data centre was cut off and is reached again: first its workers, and most of a second later, with its next sign of life, its
+/// owner, which has served them all the while. Taken from it in between, all jobs there would be cut, and as the other side does
+/// the same, all jobs everywhere.
+#[test]
+fn a_pool_that_is_reached_again_is_left_to_an_owner_that_lives() {
+    let (owner, peer) = (member("west-1", 1), member("east-2", 2));
+    for lives in [true, false] {
+        let mut watch = Watch::new(&member("east-1", 3));
+        watch.keeper.on_member(watch.now, owner.clone());
+        watch.keeper.on_member(watch.now, peer.clone());
+        watch.owns("west", &owner, 7);
+        let beats = [beat(&peer, &[], &[]), beat(&owner, &[], &["west"])];
+        watch.pass(millis(3_000), &beats);
+        watch.reachable = false;
+        watch.pass(millis(6_000), &beats[..1]);
+        watch.reachable = true;
+        watch.pass(millis(1_000), &beats[..1]);
+        assert_eq!(watch.claims, []);
+        watch.pass(millis(5_000), if lives { &beats } else { &beats[..1] });
+        assert_eq!(watch.claims.is_empty(), lives);
+    }
+}
+
 /// A partial cut: this process does not hear the owner, others do. Once it has taken the pool and lost it again, it
 /// listens to them, or the two would take it from each other all the time.
 #[test]
