--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -5,7 +5,7 @@
 //! predicted end is too late is refused at once, so that its customer can turn elsewhere and the places serve jobs
 //! that will be in time. So is one that would make a job late that was admitted before: what was promised goes first.
 
-use std::time::Duration;
+use std::{cell::OnceCell, time::Duration};
 
 use crate::{
     arrivals::ExpectedJob,
@@ -63,40 +63,83 @@
 }
 
 /// The jobs that wait with a new one among them, to be tried out on the pool's workers.
-#[derive(Clone, Debug)]
+///
+/// Jobs before the new one are tried out once, and those behind it without it once: what differs from one number of its tasks
+/// to the next is only what follows from them.
+#[derive(Debug)]
 pub(crate) struct AdmissionTrial {
-    pub(crate) pool: PoolForecast,
-    /// In the order in which places will be given.
-    pub(crate) jobs: Vec<ForecastJob>,
-    /// The place of the new one.
-    pub(crate) new: usize,
+    /// The pool with the jobs before the new one in their places.
+    before: PoolForecast,
+    /// The new one.
+    new: ForecastJob,
+    /// Those behind it, in the order in which places will be given.
+    behind: Vec<ForecastJob>,
+    /// Their ends without the new one, once that is asked for.
+    alone: OnceCell<Vec<Duration>>,
     /// Jobs for which the new one has to leave room.
-    pub(crate) expected: Vec<ExpectedJob>,
+    expected: Vec<ExpectedJob>,
 }
 
 impl AdmissionTrial {
-    /// Tries them out.
+    /// Tries out the jobs before the new one.
+    pub(crate) fn new(
+        mut pool: PoolForecast,
+        before: &[ForecastJob],
+        new: ForecastJob,
+        behind: Vec<ForecastJob>,
+        expected: Vec<ExpectedJob>,
+    ) -> Self {
+        for job in before {
+            place_job(&mut pool, job);
+        }
+        Self {
+            before: pool,
+            new,
+            behind,
+            alone: OnceCell::new(),
+            expected,
+        }
+    }
+
+    /// Tries out the new job as a whole.
     pub(crate) fn forecast(&self) -> AdmissionForecast {
-        let mut with = self.pool.clone();
-        let mut without = self.pool.clone();
-        let mut end = Duration::MAX;
-        let mut harms = false;
-        let mut crowds = false;
-        for (place, job) in self.jobs.iter().enumerate() {
+        self.forecast_of(&self.new)
+    }
+
+    /// Tries out so many tasks of each of its steps.
+    pub(crate) fn forecast_part(&self, count: usize) -> AdmissionForecast {
+        let mut part = self.new.clone();
+        for step in &mut part.steps {
+            step.waiting.count = count;
+        }
+        self.forecast_of(&part)
+    }
+
+    fn forecast_of(&self, job: &ForecastJob) -> AdmissionForecast {
+        let mut with = self.before.clone();
+        let end = place_job(&mut with, job);
+        let crowds = self.crowds_out(&with);
+        let harms = self.harms(with);
+        AdmissionForecast { end, harms, crowds }
+    }
+
+    /// Whether a job behind the new one would be late because of it.
+    fn harms(&self, mut with: PoolForecast) -> bool {
+        let alone = self.alone.get_or_init(|| {
+            let mut without = self.before.clone();
+            let ends = self.behind.iter().map(|job| place_job(&mut without, job));
+            ends.collect()
+        });
+        for (job, alone) in self.behind.iter().zip(alone) {
             let ends = place_job(&mut with, job);
-            if place == self.new {
-                end = ends;
-                crowds = self.crowds_out(&with);
-                continue;
+            if job
+                .limit
+                .is_some_and(|limit| ends > limit && *alone <= limit)
+            {
+                return true;
             }
-            // Jobs before the new one have the same end with and without it.
-            let alone = place_job(&mut without, job);
-            let Some(limit) = job.limit.filter(|_| place > self.new) else {
-                continue;
-            };
-            harms |= ends > limit && alone <= limit;
         }
-        AdmissionForecast { end, harms, crowds }
+        false
     }
 
     /// Whether a job for which room is kept would be late on places as they are given up to the new one.
--- a/crates/pool/src/forecast.rs
+++ b/crates/pool/src/forecast.rs
@@ -6,11 +6,13 @@
 
 use std::time::Duration;
 
+/// A time from now, in microseconds: a forecast adds and compares some ten thousand of them.
+type Micros = u64;
+
 /// A change of a worker's free room.
 #[derive(Clone, Copy, Debug)]
 struct RoomChange {
-    /// From now.
-    at: Duration,
+    at: Micros,
     /// In thousandths of a core.
     by: i64,
 }
@@ -28,6 +30,22 @@
     changes: Vec<RoomChange>,
 }
 
+/// When a task would begin and end on a worker.
+#[derive(Clone, Copy, Debug)]
+struct TaskTimes {
+    from: Micros,
+    end: Micros,
+}
+
+/// A task as the forecast counts.
+#[derive(Clone, Copy, Debug)]
+struct TaskAsk {
+    cpu: u64,
+    /// On a worker of mean speed, in microseconds.
+    work: f64,
+    earliest: Micros,
+}
+
 impl WorkerForecast {
     pub(crate) fn new(free: u64, room: u64, slowness: f64) -> Self {
         Self {
@@ -40,33 +58,33 @@
 
     /// Adds a run that takes room now.
     pub(crate) fn add_running(&mut self, left: Duration, cpu: u64) {
-        self.change(left, cpu.cast_signed());
+        self.change(micros(left), cpu.cast_signed());
     }
 
-    fn change(&mut self, at: Duration, by: i64) {
+    fn change(&mut self, at: Micros, by: i64) {
         // What ends at a moment makes room for what begins then.
         let before = |change: &RoomChange| (change.at, change.by <= 0) <= (at, by <= 0);
         let place = self.changes.partition_point(before);
         self.changes.insert(place, RoomChange { at, by });
     }
 
-    /// From when on, but not before `earliest`, there is room for a task for as long as it runs, if ever.
-    fn room_from(&self, ask: &WaitingGroup, earliest: Duration) -> Option<Duration> {
+    /// From when on, but not before the earliest, there is room for a task for as long as it runs, if ever.
+    fn room_from(&self, ask: &TaskAsk) -> Option<Micros> {
         if ask.cpu > self.room {
             return None;
         }
         let (cpu, run_time) = (ask.cpu.cast_signed(), self.run_time(ask));
         let mut free = self.free;
-        let mut from: Option<Duration> = None;
+        let mut from: Option<Micros> = None;
         let mut changes = self.changes.iter().peekable();
-        while let Some(change) = changes.next_if(|change| change.at <= earliest) {
+        while let Some(change) = changes.next_if(|change| change.at <= ask.earliest) {
             free += change.by;
         }
         if free >= cpu {
-            from = Some(earliest);
+            from = Some(ask.earliest);
         }
         for change in changes {
-            if from.is_some_and(|from| change.at >= from + run_time) {
+            if from.is_some_and(|from| change.at >= from.saturating_add(run_time)) {
                 return from;
             }
             free += change.by;
@@ -79,21 +97,25 @@
         from
     }
 
-    fn run_time(&self, ask: &WaitingGroup) -> Duration {
-        ask.work.mul_f64(self.slowness)
+    fn run_time(&self, ask: &TaskAsk) -> Micros {
+        // The cast saturates.
+        (ask.work * self.slowness) as Micros
+    }
+
+    fn times(&self, ask: &TaskAsk) -> Option<TaskTimes> {
+        let from = self.room_from(ask)?;
+        let end = from.saturating_add(self.run_time(ask));
+        Some(TaskTimes { from, end })
     }
 
-    /// Puts a task on it and gives its end.
-    fn put(&mut self, from: Duration, ask: &WaitingGroup) -> Duration {
-        let end = from + self.run_time(ask);
-        let cpu = ask.cpu.cast_signed();
-        if from.is_zero() {
+    fn put(&mut self, times: TaskTimes, cpu: u64) {
+        let cpu = cpu.cast_signed();
+        if times.from == 0 {
             self.free -= cpu;
         } else {
-            self.change(from, -cpu);
+            self.change(times.from, -cpu);
         }
-        self.change(end, cpu);
-        end
+        self.change(times.end, cpu);
     }
 }
 
@@ -116,22 +138,32 @@
     /// Places a group, none of it before `earliest`, and gives the end of its last task, counted from now. None if a
     /// task never fits.
     pub(crate) fn place(&mut self, group: &WaitingGroup, earliest: Duration) -> Option<Duration> {
-        let mut last = earliest;
+        if group.count == 0 {
+            return Some(earliest);
+        }
+        let ask = TaskAsk {
+            cpu: group.cpu,
+            work: group.work.as_secs_f64() * 1e6,
+            earliest: micros(earliest),
+        };
+        // Only the worker that got a task has to be looked at again for the next one.
+        let times = self.workers.iter().map(|worker| worker.times(&ask));
+        let mut times: Vec<Option<TaskTimes>> = times.collect();
+        let mut last = ask.earliest;
         for _ in 0..group.count {
-            let mut best: Option<(Duration, Duration, usize)> = None;
-            for (number, worker) in self.workers.iter().enumerate() {
-                let Some(from) = worker.room_from(group, earliest) else {
-                    continue;
-                };
-                let end = from + worker.run_time(group);
-                if best.is_none_or(|(sooner, _, _)| end < sooner) {
-                    best = Some((end, from, number));
-                }
+            let ends = times.iter().enumerate();
+            let ends = ends.filter_map(|(number, times)| Some((times.as_ref()?.end, number)));
+            let (end, number) = ends.min()?;
+            if let Some(chosen) = times[number] {
+                self.workers[number].put(chosen, ask.cpu);
             }
-            let (_, from, number) = best?;
-            let end = self.workers[number].put(from, group);
+            times[number] = self.workers[number].times(&ask);
             last = last.max(end);
         }
-        Some(last)
+        Some(Duration::from_micros(last))
     }
 }
+
+fn micros(time: Duration) -> Micros {
+    Micros::try_from(time.as_micros()).unwrap_or(Micros::MAX)
+}
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -16,7 +16,7 @@
     forecast::{PoolForecast, WaitingGroup, WorkerForecast},
     placement::{can_hold, is_sluggish, PlacementAsk},
     queue::{latest_start, QueueEntry, QueueRank},
-    worker::{RunLedger, RunPhase, WorkerLedger},
+    worker::{RunLedger, RunPhase, WorkerLedger, SLOWNESS_BOUNDS},
 };
 
 /// What a run that takes longer than predicted is expected to take still, as a share of its predicted time. Estimates
@@ -43,13 +43,18 @@
         terms: &JobTerms,
     ) -> Option<JobOutcome> {
         let objective = self.objective(request, terms);
-        let trial = self.trial(now, request, terms, objective);
+        let tasks = usize::try_from(request.task_count()).unwrap_or(usize::MAX);
+        let lag = self.start_lag(tasks);
+        let too_late = objective.mul_f64(self.settings.refuse_beyond);
+        let too_late = too_late.min(terms.waited + terms.time_left);
+        let trial = match self.may_be_in_time(request, terms, lag, too_late) {
+            true => self.trial(now, request, terms, objective),
+            false => None,
+        };
         let forecast = match &trial {
             Some(trial) => trial.forecast(),
             None => AdmissionForecast::TOO_LONG,
         };
-        let tasks = usize::try_from(request.task_count()).unwrap_or(usize::MAX);
-        let lag = self.start_lag(tasks);
         let predicted = terms
             .waited
             .saturating_add(forecast.end)
@@ -59,8 +64,6 @@
             .jobs()
             .map(|job| self.jobs[&job].waiting_count())
             .sum();
-        let too_late = objective.mul_f64(self.settings.refuse_beyond);
-        let too_late = too_late.min(terms.waited + terms.time_left);
         let late = predicted > too_late && self.has(Mechanism::LateRefusal);
         let harms = forecast.harms && self.has(Mechanism::HarmCheck);
         let kind = if !self.accepting {
@@ -90,7 +93,7 @@
         let kind = kind?;
         let fits = match kind {
             RefusalKind::TooLate => trial.map_or(0, |trial| {
-                self.count_in_time(trial, request, terms, objective)
+                self.count_in_time(&trial, request, terms, objective)
             }),
             _ => 0,
         };
@@ -107,14 +110,17 @@
             return 0;
         }
         let objective = self.objective(request, terms);
+        let limit = objective.mul_f64(self.settings.refuse_beyond);
+        if !self.may_be_in_time(request, terms, self.start_lag(1), limit) {
+            return 0;
+        }
         let Some(trial) = self.trial(now, request, terms, objective) else {
             return 0;
         };
         let forecast = trial.forecast();
-        let limit = objective.mul_f64(self.settings.refuse_beyond);
         let fits = match self.is_in_time(&forecast, request.task_count(), terms, limit) {
             true => u32::try_from(request.task_count()).unwrap_or(u32::MAX),
-            false => self.count_in_time(trial, request, terms, objective),
+            false => self.count_in_time(&trial, request, terms, objective),
         };
         self.leave_offered(now, fits)
     }
@@ -144,6 +150,23 @@
         end.saturating_add(lag) <= limit && !forecast.harms && !forecast.crowds
     }
 
+    /// Whether a job can be in time at all: not if starts alone take too long. Tried out all the same, hundreds of jobs that
+    /// come at once to an owner that falls behind keep it from catching up.
+    fn may_be_in_time(
+        &self,
+        request: &JobRequest,
+        terms: &JobTerms,
+        lag: Duration,
+        limit: Duration,
+    ) -> bool {
+        if terms.firm || !self.has(Mechanism::LateRefusal) {
+            return true;
+        }
+        let chain = longest_chain(&request.steps, |_, spec| self.predict(terms, spec));
+        let soonest = chain.mul_f64(SLOWNESS_BOUNDS.0);
+        terms.waited.saturating_add(soonest).saturating_add(lag) <= limit
+    }
+
     fn note_arrival(
         &mut self,
         now: Instant,
@@ -171,7 +194,7 @@
     /// places for all their tasks at once, while all pools together have them.
     fn count_in_time(
         &self,
-        mut trial: AdmissionTrial,
+        trial: &AdmissionTrial,
         request: &JobRequest,
         terms: &JobTerms,
         objective: Duration,
@@ -180,13 +203,15 @@
             return 0;
         };
         let limit = objective.mul_f64(self.settings.refuse_beyond);
-        let mut in_time = |count: u32| {
-            for step in &mut trial.jobs[trial.new].steps {
-                step.waiting.count = count as usize;
-            }
-            self.is_in_time(&trial.forecast(), u64::from(count), terms, limit)
+        let in_time = |count: u32| {
+            let forecast = trial.forecast_part(count as usize);
+            self.is_in_time(&forecast, u64::from(count), terms, limit)
         };
-        let (mut fits, mut too_many) = (0, step.count);
+        // Where places are short mostly not even one fits.
+        if !in_time(1) {
+            return 0;
+        }
+        let (mut fits, mut too_many) = (1, step.count);
         while fits + 1 < too_many {
             let middle = fits + (too_many - fits) / 2;
             if in_time(middle) {
@@ -263,16 +288,16 @@
             return None;
         }
         let tried = unplaced.iter().take(MOST_TRIED);
-        let mut jobs: Vec<ForecastJob> = tried
+        let mut behind: Vec<ForecastJob> = tried
             .map(|(_, id)| self.forecast_job(now, *id, &running))
             .collect();
+        let before: Vec<ForecastJob> = behind.drain(..place).collect();
         let steps = request.steps.iter();
         let steps = steps.map(|spec| self.forecast_step(terms, spec, spec.count as usize));
         let new = ForecastJob {
             steps: steps.collect(),
             limit: None,
         };
-        jobs.insert(place, new);
         // On a full path jobs of the first priority are late for the path and not for want of places: room kept for them
         // stands empty. Fleets with links of 2 Mbit/s served 0.59 of a loaded day's credit with it and 0.62 without.
         let keeps_room = self.has(Mechanism::KeptRoom) && !self.is_strained();
@@ -280,12 +305,8 @@
             true => self.arrivals.expected_before(now, terms.priority),
             false => Vec::new(),
         };
-        Some(AdmissionTrial {
-            pool: self.pool_forecast(now, &terms.service),
-            jobs,
-            new: place,
-            expected,
-        })
+        let pool = self.pool_forecast(now, &terms.service);
+        Some(AdmissionTrial::new(pool, &before, new, behind, expected))
     }
 
     /// The jobs of a service with tasks that have no place yet, in the order in which they get places. Beside those in
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -17,7 +17,7 @@
 const SPEED_WEIGHT: f64 = 0.2;
 
 /// The bounds of a worker's slowness. Beyond the upper one it makes no difference how slow it is.
-const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 12.0);
+pub(crate) const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 12.0);
 
 /// The shortest time in which a worker that dies is back.
 const SHORTEST_REBIRTH: Duration = Duration::from_millis(50);
