Read the list of all workers only where a pool is owned or about to be

Change: VMs without pools read it each 15 s, and at once only where they are among the first three candidates of a pool that is open. Ruled out here: one reader a data centre that passes changes on (a new message between VMs; left open). Tests: node/tests/store.rs (a new owner reads before it uses workers) holds.

--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -56,6 +56,8 @@
     claim: Option<Claim>,
     /// Since when the pool could be claimed, and why.
     open_since: Option<(Instant, ClaimReason)>,
+    /// This process's place among those that could claim it.
+    rank: u32,
     attempt: ClaimAttempt,
     /// Its workers could not be reached when they were last tried.
     unreachable: bool,
@@ -350,10 +352,10 @@
         pools
     }
 
-    /// Whether a pool could be claimed now, by this process or another.
-    pub fn sees_open_claims(&self) -> bool {
+    /// Whether this process is among the first that would claim a pool which could be claimed now.
+    pub fn may_claim_soon(&self) -> bool {
         let mut pools = self.pools.values();
-        pools.any(|watch| watch.open_since.is_some())
+        pools.any(|watch| watch.open_since.is_some() && watch.rank <= SOON_RANK)
     }
 
     /// What the VMs of a data centre can carry, this one's among them.
@@ -429,6 +431,7 @@
             return None;
         };
         let (since, _) = *watch.open_since.get_or_insert((now, reason));
+        watch.rank = rank;
         match watch.attempt {
             ClaimAttempt::None if now >= since + delay && !busy => {
                 watch.attempt = ClaimAttempt::Probing(now);
@@ -493,5 +496,8 @@
     }
 }
 
+/// The last place among the candidates of a pool that is ready to claim it. Each that is reads the list of all workers anew.
+const SOON_RANK: u32 = 2;
+
 /// Heartbeats to another data centre that may go missing before a process counts as silent.
 const FAR_BEATS_MISSED: u32 = 3;
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -22,8 +22,9 @@
 /// some 30 times a second at 48 workers; a worker that drains has to be left alone within 2 s.
 const WORKERS_GAP: Duration = Duration::from_millis(250);
 
-/// The time between two readings of the workers' table by a process without pools. Well within the store's history.
-const IDLE_WORKERS_GAP: Duration = Duration::from_millis(5_000);
+/// The time between two readings of the workers' table by a process without pools. Each brings nearly all rows, since workers
+/// write theirs more often; whoever is about to take a pool over reads it anyhow. Within the store's history.
+const IDLE_WORKERS_GAP: Duration = Duration::from_millis(15_000);
 
 /// How long after its start a process reads as often as an owner: it may be one at any moment, and all workers have to be
 /// listed before they are divided.
@@ -109,10 +110,10 @@
 
 /// Waits until a table is to be read again.
 ///
-/// Only owners of pools need each change of the workers' table at once. In a fleet of 300 VMs and 3,000 workers each VM got
-/// 1.5 MB/s by it, owners or not, and used more than half of its processor share.
+/// Only owners of pools need each change of the workers' table at once. Read by all, it is most of what the VMs of a large
+/// fleet receive, and takes most of their processor time.
 async fn rest(state: &Rc<NodeState>, table: StoreTable, age: Duration) {
-    let open = state.keeper.borrow().sees_open_claims();
+    let open = state.keeper.borrow().may_claim_soon();
     let idle = state.pools.borrow().is_empty() && age >= FIRST_LISTING && !open;
     if table != StoreTable::Workers || !idle {
         actix_rt::time::sleep(feed_gap(table, age)).await;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -408,7 +408,7 @@
         crate::notes::log_claim(state, &note);
     }
     // Whoever may take a pool over soon needs its workers as they are now.
-    if state.keeper.borrow().sees_open_claims() {
+    if state.keeper.borrow().may_claim_soon() {
         state.wake_workers.notify_one();
     }
     owner::act_on_claims(state, actions);
