Let jobs wait for owners that a new process is about to know

Change: in the first 2 s of a process a job waits up to 0.3 s for any owner; a worker that is asked for the first time counts as room that jobs can expect.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -17,13 +17,22 @@
 use peer::JobCall;
 use pool::{divide_step, order_pools, PoolCandidate};
 use telemetry::EventLine;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{owner, state::NodeState};
 
 /// When a customer may come back while no owner of a pool can be reached: an owner is replaced within a second.
 const NO_OWNER_RETRY: Duration = Duration::from_secs(1);
 
+/// How long after its start a process expects pools to get their owners.
+const STARTING_TIME: Duration = Duration::from_millis(2_000);
+
+/// How long a job waits for that.
+const OWNER_WAIT: Duration = Duration::from_millis(300);
+
+/// The time between two looks whether there is one.
+const OWNER_LOOK: Duration = Duration::from_millis(10);
+
 /// The most pools that are asked for one job. The nearest takes it unless it is full; each further one costs a round trip
 /// of a few milliseconds, of the 96 that a wide job of 60 ms tasks has for all but its work. Four pools of 12 workers at
 /// 1.3 times their traffic: worth 0.694 when three are asked, 0.702 when as many are as it takes (two seeds of five days).
@@ -80,6 +89,7 @@
 /// without the job's text: asked outright one after another, each costs a round trip and the bytes of the whole job. In a
 /// fleet whose links carry 2 Mbit/s these bytes alone filled the owners' links.
 pub(crate) async fn run_job(state: &Rc<NodeState>, job: &EntryJob) -> JobOutcome {
+    await_owner(state, job).await;
     let mut last = nowhere(state);
     let mut offers = Vec::new();
     let mut pools = pools_in_order(state, &job.request).into_iter();
@@ -115,6 +125,19 @@
     }
 }
 
+/// Waits for the owner of a pool while the process is new.
+///
+/// Load it answers: all processes start again at once, and customers who waited come at that moment. Pools have owners some
+/// tenths of a second later, in time for most jobs; refused at once, all of these would be lost to their customers.
+async fn await_owner(state: &Rc<NodeState>, job: &EntryJob) {
+    let until = (job.arrived + OWNER_WAIT)
+        .min(state.started + STARTING_TIME)
+        .min(job.deadline);
+    while reached_pools(state).is_empty() && state.now() < until {
+        sleep(OWNER_LOOK).await;
+    }
+}
+
 /// The refusal of a job for which no pool can be asked.
 fn nowhere(state: &NodeState) -> JobOutcome {
     let kind = match reached_pools(state).is_empty() {
--- /dev/null
+++ b/crates/node/tests/starting.rs
@@ -0,0 +1,37 @@
+//! What customers get from a node that has just started.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{job, post_job, start_node, Platform};
+
+/// All nodes are gone at once and start again. A caller reaches one that knows the configuration, and that no pool has an owner
+/// yet; it will have one within a tenth of a second. The caller gets its answer and is not sent away.
+#[actix_rt::test]
+async fn a_job_waits_until_pools_have_owners() {
+    let platform = Platform::start(1, Duration::from_millis(10)).await;
+    let former = platform.start_node(platform.node_settings("vm-1")).await;
+    drop(former);
+    let node = start_node(platform.node_settings("vm-1")).await;
+    while !node.log_lines().contains("configuration_taken") {
+        actix_rt::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert!(!node.log_lines().contains("pool_taken"));
+    let answer = post_job(&node, "00000000000000a1", &job(2, 200)).await;
+    assert_eq!(answer.0, 200, "{}", node.log_lines());
+}
+
+/// There are no workers, so no pool ever has an owner. Callers are told soon that nothing ran.
+#[actix_rt::test]
+async fn a_job_does_not_wait_for_ever() {
+    let platform = Platform::start(0, Duration::from_millis(10)).await;
+    let node = start_node(platform.node_settings("vm-1")).await;
+    while !node.log_lines().contains("configuration_taken") {
+        actix_rt::time::sleep(Duration::from_millis(1)).await;
+    }
+    let begun = std::time::Instant::now();
+    let answer = post_job(&node, "00000000000000a1", &job(2, 200)).await;
+    assert_eq!(answer.0, 503);
+    assert!(begun.elapsed() < Duration::from_millis(600));
+}
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -324,9 +324,14 @@
             && self.foreign.is_empty()
     }
 
-    /// Whether it counts as room that jobs can expect to use.
+    /// Whether it counts as room that jobs can expect to use. So does one that is being asked for the first time, as all are that
+    /// a new owner has: it answers within milliseconds, and until then each job would be refused for want of workers.
     pub(crate) fn is_usable(&self) -> bool {
-        self.is_open() && self.health.is_sound()
+        let asked_first = self.answered_look.is_none()
+            && self.misses == 0
+            && self.record.state == WorkerState::Ready
+            && self.unlisted.is_none();
+        (self.is_open() || asked_first) && self.health.is_sound()
     }
 
     /// Whether it would count as such room if a run that tries it out were done.
