Serve late jobs where most of a pool is idle

Change: a job that will be late, but within what is still worth something to its customer, is admitted where its start need not wait and two fifths of the pool's room are free and nothing waits. Test: a_late_job_is_served_by_an_idle_pool_alone.

--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -29,6 +29,15 @@
 /// How long a run takes to end after it was told to stop: what workers promise.
 const STOP_TIME: Duration = Duration::from_millis(50);
 
+/// The share of a pool that has to be free for a job that will be late.
+const IDLE_SHARE: f64 = 0.4;
+
+/// How many times its predicted time such a job may take from its start: it must not wait for a place.
+const UNHURRIED: f64 = 1.3;
+
+/// The share of the time within which an answer is worth anything that a late job may be predicted to take.
+const STILL_USEFUL: f64 = 0.85;
+
 /// The most jobs that are tried out, in the order in which they get places. Beyond them a new job is late for certain:
 /// they keep all places for seconds. Each costs some microseconds; with some hundreds of jobs that are kept and late the
 /// trials took all of a quarter core, so that the owner counted as silent and was replaced again and again.
@@ -47,7 +56,8 @@
         let lag = self.start_lag(tasks);
         let too_late = objective.mul_f64(self.settings.refuse_beyond);
         let too_late = too_late.min(terms.waited + terms.time_left);
-        let trial = match self.may_be_in_time(request, terms, lag, too_late) {
+        let may = self.may_be_in_time(request, terms, lag, too_late) || self.has_idle_share(now);
+        let trial = match may {
             true => self.trial(now, request, terms, objective),
             false => None,
         };
@@ -65,6 +75,8 @@
             .map(|job| self.jobs[&job].waiting_count())
             .sum();
         let late = predicted > too_late && self.has(Mechanism::LateRefusal);
+        let late =
+            late && !self.is_welcome_late(now, request, terms, &forecast, predicted, objective);
         let harms = forecast.harms && self.has(Mechanism::HarmCheck);
         let kind = if !self.accepting {
             Some(RefusalKind::NotServing)
@@ -150,6 +162,33 @@
         end.saturating_add(lag) <= limit && !forecast.harms && !forecast.crowds
     }
 
+    /// Whether a job that will be late is served all the same: its start need not wait, most of the pool is idle, and its answer is
+    /// still worth something to its customer.
+    ///
+    /// Load it answers: all processes were gone, and customers who waited for them come at once. Refused for what they have
+    /// waited, they come back later still, while places stand empty.
+    fn is_welcome_late(
+        &self,
+        now: Instant,
+        request: &JobRequest,
+        terms: &JobTerms,
+        forecast: &AdmissionForecast,
+        predicted: Duration,
+        objective: Duration,
+    ) -> bool {
+        let chain = longest_chain(&request.steps, |_, spec| self.predict(terms, spec));
+        let waits = forecast.end > chain.mul_f64(UNHURRIED);
+        let useful = objective.mul_f64(self.settings.useless_beyond * STILL_USEFUL);
+        let useful = useful.min(terms.waited + terms.time_left);
+        !waits && predicted <= useful && self.has_idle_share(now)
+    }
+
+    /// Whether so much of the pool is free that a late job takes nobody's place.
+    fn has_idle_share(&self, now: Instant) -> bool {
+        let load = self.load(now);
+        load.backlog.is_zero() && load.free as f64 >= load.capacity as f64 * IDLE_SHARE
+    }
+
     /// Whether a job can be in time at all: not if starts alone take too long. Tried out all the same, hundreds of jobs that
     /// come at once to an owner that falls behind keep it from catching up.
     fn may_be_in_time(
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -279,3 +279,23 @@
     let outcomes: Vec<_> = world.results.iter().map(|result| result.outcome).collect();
     assert_eq!(outcomes, [JobOutcome::Completed, JobOutcome::Completed]);
 }
+
+/// All processes were gone for a second. A customer who waited comes to an idle pool: its answer will be late, and is still worth
+/// something. It is served; refused, it would come back a second later to the same idle pool. Where most places are taken it is
+/// refused, since it would take one that another's job in time needs.
+#[test]
+fn a_late_job_is_served_by_an_idle_pool_alone() {
+    for (busy, served) in [(0, true), (7, false)] {
+        let mut world = World::new(1, 4);
+        for number in 0..busy {
+            world.submit_sized(1, JobId(100 + number), vec![900.0], 900.0, 6_800);
+        }
+        world.run_for(20);
+        world.waited = 400;
+        world.submit_sized(2, JobId(1), vec![200.0; 2], 200.0, 6_800);
+        world.run_for(400);
+        let of_job = world.results.iter().find(|result| result.id == JobId(1));
+        let completed = of_job.unwrap().outcome == JobOutcome::Completed;
+        assert_eq!(completed, served, "{busy} places taken");
+    }
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -214,6 +214,8 @@
     pub(crate) ends_stand: bool,
     /// Starts that were sent.
     pub(crate) starts_sent: u64,
+    /// How long jobs that are handed in have been under way, in milliseconds.
+    pub(crate) waited: u64,
     evacuated: bool,
     pub(crate) let_go: bool,
 }
@@ -307,6 +309,7 @@
             noted: BTreeSet::new(),
             ends_stand: false,
             starts_sent: 0,
+            waited: 4,
             evacuated: false,
             let_go: false,
         };
@@ -483,7 +486,7 @@
             stretch: 1.6,
             goal: Duration::from_millis(60),
             time_left: Duration::from_secs_f64((1_500.0 + 5.0 * chain) / 1000.0),
-            waited: Duration::from_millis(4),
+            waited: Duration::from_millis(self.waited),
             firm: false,
         };
         let came = self.now;
