--- a/crates/claims/src/strength.rs
+++ b/crates/claims/src/strength.rs
@@ -1,20 +1,19 @@
 //! What a VM can carry, and into how many pools a data centre's workers are divided so that their owners can.
 //!
 //! Load it is made for: VMs whose processor or link is small against the work of a data centre. Harm prevented: with
-//! pools of one size everywhere a single owner's link fills while those beside it stand empty; with links of 2 Mbit/s
-//! and pools of 24 workers 0.007 of the jobs were served on a calm day, where the links together carry it fourfold.
+//! pools of one size everywhere a single owner's link fills while those beside it stand empty, and hardly any job is served
+//! though the links together carry several times as many.
 
 use crate::{rows::MemberRow, view::LinkRate};
 
-/// Processor time of a run at its owner, its entry's part and idle cost included, in core-seconds: 268,000 runs of one
-/// day on 47 VMs took 0.56 ms each with all that was idle, 0.34 ms on 7 busier ones.
+/// Processor time of a run at its owner, its entry's part and idle cost included, in core-seconds.
 const RUN_CORES: f64 = 0.000_4;
 
-/// Bytes of a run on its owner's link, in the busier direction: a start of some 900 bytes, a look, its part of the job
-/// that came, and of heartbeats and the store's feeds.
+/// Bytes of a run on its owner's link, in the busier direction: a start, a look, its part of the job that came, and of heartbeats
+/// and the store's feeds.
 const RUN_BYTES: f64 = 1_500.0;
 
-/// Runs that a worker of a dozen cores begins a second under full load, before any load is seen.
+/// Runs that a worker begins a second, before any load is seen.
 const WORKER_RUNS: f64 = 10.0;
 
 /// The share of what a VM can carry that its pool may take as planned. Bursts are nearly twofold, and a VM serves
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -33,9 +33,8 @@
 /// The time between two looks whether there is one.
 const OWNER_LOOK: Duration = Duration::from_millis(10);
 
-/// The most pools that are asked for one job. The nearest takes it unless it is full; each further one costs a round trip
-/// of a few milliseconds, of the 96 that a wide job of 60 ms tasks has for all but its work. Four pools of 12 workers at
-/// 1.3 times their traffic: worth 0.694 when three are asked, 0.702 when as many are as it takes (two seeds of five days).
+/// The most pools that are asked for one job. The nearest takes it unless it is full; each further one costs a round trip of a few
+/// milliseconds, which a wide job of short tasks can spare only so often.
 const MOST_ASKED: usize = 6;
 
 /// How long an owner has for saying what it could take. Later it helps no wide job of short tasks.
@@ -45,8 +44,8 @@
 /// them is up to half a second old.
 const ROOM_ASKED: u64 = 2;
 
-/// The share of the link from which on offers are asked for sparingly. They cost some 600 bytes each; on links that carry
-/// hundreds of times as many as are asked for, asking all refuses fewer jobs.
+/// The share of the link from which on offers are asked for sparingly. On links that carry hundreds of times as many as are asked
+/// for, asking all refuses fewer jobs.
 const BUSY_LINK: f64 = 0.45;
 
 /// A job as it came in.
@@ -86,8 +85,8 @@
 /// Runs a job to its end: whole in one pool if one takes it, else divided among pools that can take it together.
 ///
 /// One pool is asked outright. If it refuses, the others are asked what they could take, all of a distance at once and
-/// without the job's text: asked outright one after another, each costs a round trip and the bytes of the whole job. In a
-/// fleet whose links carry 2 Mbit/s these bytes alone filled the owners' links.
+/// without the job's text: asked outright one after another, each costs a round trip and the bytes of the whole job, which
+/// alone fill narrow links.
 pub(crate) async fn run_job(state: &Rc<NodeState>, job: &EntryJob) -> JobOutcome {
     await_owner(state, job).await;
     let mut last = nowhere(state);
--- a/crates/pool/src/arrivals.rs
+++ b/crates/pool/src/arrivals.rs
@@ -5,8 +5,7 @@
 //! then finds every place of the next tenth of a second promised, and is refused.
 //!
 //! Room is kept only while jobs of that priority are being refused, and the more, the larger the share of them: kept
-//! always, it would cost other jobs in every short burst. Pool of 16 workers at twice its traffic, three seeds: jobs of
-//! the first priority in time 40% without, 59% with it; credit of all kinds 0.647 and 0.710.
+//! always, it would cost other jobs in every short burst.
 
 use std::time::{Duration, Instant};
 
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -139,7 +139,7 @@
 
     /// What is left of an offer beside those made just now, whose jobs may come at any moment: entries that divide jobs by
     /// the same offers would give the pool several times what it has places for, and tasks without a place wait until their
-    /// jobs are of no use. Of 61,000 jobs of a loaded day on 47 VMs 273 were given up without this and 79 with it.
+    /// jobs are of no use.
     fn leave_offered(&mut self, now: Instant, fits: u32) -> u32 {
         self.offered.retain(|(at, _)| now < *at + OFFER_TIME);
         let before: u32 = self.offered.iter().map(|(_, fits)| *fits).sum();
@@ -338,7 +338,7 @@
             limit: None,
         };
         // On a full path jobs of the first priority are late for the path and not for want of places: room kept for them
-        // stands empty. Fleets with links of 2 Mbit/s served 0.59 of a loaded day's credit with it and 0.62 without.
+        // stands empty.
         let keeps_room = self.has(Mechanism::KeptRoom) && !self.is_strained();
         let expected = match keeps_room {
             true => self.arrivals.expected_before(now, terms.priority),
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -187,9 +187,8 @@
     }
 
     /// How many orders may be in flight at one worker, each on a connection of its own beside that for looks. Where an
-    /// answer takes long, the second task of a job on a worker would wait for the first one's: with links of 2 Mbit/s wide
-    /// jobs earned 0.67 of their credit with one order and 0.73 with three. Where answers are quick one order is better,
-    /// since what has not been sent can be taken back.
+    /// answer takes long, the second task of a job on a worker would wait for the first one's. Where answers are quick one
+    /// order is better, since what has not been sent can be taken back.
     fn most_orders(&self) -> usize {
         match self.answers.smoothed() > SLOW_ANSWER {
             true => SLOW_ORDERS,
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -19,16 +19,15 @@
     /// a lease, which it renews.
     pub longest_look_margin: Duration,
     /// While answers get lost, a look that has waited for this long gets a second one beside it, since a lost look hides
-    /// all ends of its worker until it is given up. A wide job of 60 ms tasks has 96 ms in all for what isn't work. With
-    /// one answer in 18 lost, wide jobs earned 0.65 of their credit with it and 0.45 without (pool of 16, three seeds).
+    /// all ends of its worker until it is given up, and a wide job of short tasks has a tenth of a second in all for what isn't
+    /// work.
     pub look_hedge: Duration,
     /// How long after an answer was missed answers count as getting lost. Such troubles last seconds, and a look too many
     /// costs some microseconds.
     pub loss_memory: Duration,
     /// The least time that a start may go unanswered before it is sent again, some ten round trips; answers that come
     /// later on the whole lengthen it. Starting twice under one run number is idempotent, so a short limit costs one
-    /// message. With one answer in 18 lost, wide jobs earned 0.79 of their credit at 80 ms, 0.88 at 30 ms and 0.89 at
-    /// 20 ms (pool of 16, three seeds).
+    /// message.
     pub order_timeout: Duration,
     /// The most that the same time grows to: a start that is carried out later is of no use to most jobs.
     pub longest_order_timeout: Duration,
@@ -46,15 +45,13 @@
     /// Added to a lease's end on a worker's clock before the run counts as over: the clock's drift of 2% over a lease
     /// and the time to end.
     pub lapse_margin: Duration,
-    /// A job whose predicted end is beyond this many times its objective is refused. Of 1.0, 1.2 and 1.6, 1.0 earned most
-    /// (mean worth of ten days with trouble 0.673, 0.657 and 0.631): work on late jobs makes others late.
+    /// A job whose predicted end is beyond this many times its objective is refused: work on late jobs makes others late.
     pub refuse_beyond: f64,
     /// Beyond this many times its objective an answer is worth nothing to its customer.
     pub useless_beyond: f64,
     /// The most tasks that wait. At 200 bytes a task this bounds the queue's memory to a few megabytes.
     pub most_queued: usize,
-    /// The share of a pool's processor room that tasks of mixed sizes fill, for the published backlog: with two or
-    /// three places of 6.8 cores on workers of 16 or 24, 13.6 and 20.4 are used.
+    /// The share of a pool's processor room that tasks of mixed sizes fill, for the published backlog.
     pub packing: f64,
     /// A run is looked at for a stall once it takes this many times its predicted time.
     pub stall_after: f64,
--- a/crates/pool/src/shift.rs
+++ b/crates/pool/src/shift.rs
@@ -47,8 +47,7 @@
 /// The places of the candidates in the order in which they are asked for a job that needs so many thousandths of a core.
 ///
 /// A pool of the entry's own process comes first if it has the room: what it publishes is exact, and the job's bytes stay
-/// off the links. In a fleet of 18 VMs with links of 2 Mbit/s a VM sent 15 KB/s to others with it and 31 KB/s without, on a
-/// calm day.
+/// off the links.
 pub fn order_pools(candidates: &[PoolCandidate], demand: u64, rng: &mut Rng) -> Vec<usize> {
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     order.sort_by_key(|place| {
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -165,7 +165,7 @@
 /// may be a single lost connection.
 pub(crate) const MISSES_TO_SILENCE: u32 = 2;
 
-/// The most looks at one worker without an answer: two lost ones in a row are one in 300 where one in 18 is lost.
+/// The most looks at one worker without an answer: two in a row are seldom lost.
 const MOST_LOOKS: usize = 2;
 
 impl WorkerLedger {
