--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -219,6 +219,18 @@
     );
 }
 
+/// Hands in jobs of one task, one after another, all of which have to be served.
+fn serves_narrow_jobs(world: &mut World) {
+    let before = world.results.len();
+    for number in 0..12 {
+        world.submit_sized(2, JobId(number), vec![200.0], 200.0, 6_800);
+        world.run_for(400);
+    }
+    let outcomes = world.results[before..].iter().map(|result| result.outcome);
+    let refused = outcomes.filter(|outcome| *outcome != JobOutcome::Completed);
+    assert_eq!(refused.count(), 0, "{}", summary(&world.results[before..]));
+}
+
 /// All workers of a pool fail all that they start for a while, so that each gets nothing new until a run has shown that it is
 /// sound again. Jobs have to be admitted for that: refused for want of a sound worker, they would be for ever.
 #[test]
@@ -232,18 +244,11 @@
         worker.fault = WorkerFault::default();
     }
     world.run_for(8_000);
-    let before = world.results.len();
-    for number in 0..12 {
-        world.submit_sized(2, JobId(number), vec![200.0], 200.0, 6_800);
-        world.run_for(400);
-    }
-    let outcomes = world.results[before..].iter().map(|result| result.outcome);
-    let refused = outcomes.filter(|outcome| *outcome != JobOutcome::Completed);
-    assert_eq!(refused.count(), 0, "{}", summary(&world.results[before..]));
+    serves_narrow_jobs(&mut world);
 }
 
-/// Calls to all workers are late for a second, so that each run seems to take several times as long as it should. When calls
-/// are quick again, jobs must be admitted: refused because all workers look slow, they would be for ever.
+/// All workers of a pool take several times as long as they should for a while, and are then as quick as before. Jobs have to be
+/// admitted for that to be seen: refused because all workers look slow, they would be for ever.
 #[test]
 fn a_pool_whose_workers_all_looked_slow_serves_again() {
     let mut world = World::new(1, 4);
@@ -255,14 +260,7 @@
         worker.fault = WorkerFault::default();
     }
     world.run_for(8_000);
-    let before = world.results.len();
-    for number in 0..12 {
-        world.submit_sized(2, JobId(number), vec![200.0], 200.0, 6_800);
-        world.run_for(400);
-    }
-    let outcomes = world.results[before..].iter().map(|result| result.outcome);
-    let refused = outcomes.filter(|outcome| *outcome != JobOutcome::Completed);
-    assert_eq!(refused.count(), 0, "{}", summary(&world.results[before..]));
+    serves_narrow_jobs(&mut world);
 }
 
 /// A worker lists a task of which a few percent are done, while what has passed since its start was ordered is mostly the way of
