Wait for a long answer before a taken pool gets its workers

Ruled out: idle nodes reading less often alone (read each 5 s they could be 5 s late, too). Change: silence says that nothing has changed only of a list that was current when it was asked for; and whoever asks after a long time does not wait for changes.

--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -72,11 +72,15 @@
     }
 
     /// Whether it holds what is listed now, as owners of pools need it: it was read just now, or there are no changes, of
-    /// which the store would have told by now.
+    /// which the store would have told by now. That is believed only of what was read just before: of a long time the store
+    /// has so much to tell that its answer takes longer on its way, and a worker that has begun to drain would get runs.
     pub(crate) fn is_current(&self, now: Instant) -> bool {
         let read = self.last_read.is_some_and(|at| now < at + CURRENT_TIME);
-        let unchanged = self.asked.is_some_and(|at| now >= at + ANSWER_TIME);
-        read || unchanged && self.last_read.is_some()
+        let unchanged = self
+            .asked
+            .zip(self.last_read)
+            .is_some_and(|(asked, read)| now >= asked + ANSWER_TIME && asked < read + CURRENT_TIME);
+        read || unchanged
     }
 
     /// Workers were divided anew: for a while runs of a pool may be left on workers of another.
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -64,9 +64,15 @@
     let mut lost_since = None;
     let mut newest = RowVersion(0);
     loop {
+        let mut wait = wait;
         if table == StoreTable::Workers {
             let now = state.now();
-            state.directory.borrow_mut().note_asked(now);
+            let mut directory = state.directory.borrow_mut();
+            if !directory.is_current(now) {
+                // Whoever waits for it needs to know at once that there is nothing new.
+                wait = Duration::ZERO;
+            }
+            directory.note_asked(now);
         }
         let read = match after {
             None => state.store.read_all(table, "").await,
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -205,6 +205,17 @@
 /// dies. The process that takes the pool over last read before that: it must not start anything on the worker that drains.
 #[actix_rt::test]
 async fn a_new_owner_reads_the_workers_before_it_uses_them() {
+    take_over_beside_a_draining_worker(StoreFault::None).await;
+}
+
+/// The same while the store has so much to tell that its answers are on their way for a third of a second: that nothing has come
+/// yet does not say that nothing has changed.
+#[actix_rt::test]
+async fn a_new_owner_waits_for_a_long_answer() {
+    take_over_beside_a_draining_worker(StoreFault::Slow(Duration::from_millis(350))).await;
+}
+
+async fn take_over_beside_a_draining_worker(fault: StoreFault) {
     let platform = Platform::start(2, Duration::from_millis(10)).await;
     let owner = platform.start_node(platform.node_settings("vm-1")).await;
     let other = platform.start_node(platform.node_settings("vm-2")).await;
@@ -212,6 +223,7 @@
     let leaving = platform.executors[0].entry("svc", support::CENTRE, "draining");
     platform.store.put("servers", "i-0", &leaving);
     drop(owner);
+    platform.store.set_fault(fault);
     let mut served = 0;
     for number in 0..60_u64 {
         let id = format!("{:016x}", 0xe100 + number);
