--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -16,8 +16,7 @@
 /// After which time without an answer there are no changes: the store's answers take 4 to 16 ms.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
 
-/// How long a failed call says that the store is away: feeds that fail try again each 0.12 s, and their calls take 0.5 s at
-/// most.
+/// How long a failed call says that the store is away: longer than a feed that failed pauses and tries again.
 const FAILING_TIME: Duration = Duration::from_millis(800);
 
 /// An entry that names no worker to use.
--- a/crates/pool/src/evacuation.rs
+++ b/crates/pool/src/evacuation.rs
@@ -31,14 +31,10 @@
 
     /// A row is there. Says whether its data centre was not evacuated before.
     pub fn begin(&mut self, centre: DataCentreId, version: u64) -> bool {
-        let known = self.evacuated.entry(centre);
-        let mut new = false;
-        let newest = known.or_insert_with(|| {
-            new = true;
-            version
-        });
-        *newest = version.max(*newest);
-        new
+        let known = self.evacuated.get(&centre).copied();
+        self.evacuated
+            .insert(centre, version.max(known.unwrap_or_default()));
+        known.is_none()
     }
 
     /// A row was removed. Says whether its data centre was evacuated.
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -9,8 +9,6 @@
 mod schedule;
 mod takeover;
 
-pub(crate) use rebirth::remember_former;
-
 use std::{
     collections::BTreeMap,
     sync::Arc,
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -69,11 +69,7 @@
             .waited
             .saturating_add(forecast.end)
             .saturating_add(lag);
-        let queued: usize = self
-            .queue
-            .jobs()
-            .map(|job| self.jobs[&job].waiting_count())
-            .sum();
+        let queued = self.waiting_tasks();
         let late = predicted > too_late && self.has(Mechanism::LateRefusal);
         let late =
             late && !self.is_welcome_late(now, request, terms, &forecast, predicted, objective);
@@ -176,7 +172,7 @@
         predicted: Duration,
         objective: Duration,
     ) -> bool {
-        let chain = longest_chain(&request.steps, |_, spec| self.predict(terms, spec));
+        let chain = self.predict_chain(request, terms);
         let waits = forecast.end > chain.mul_f64(UNHURRIED);
         let useful = objective.mul_f64(self.settings.useless_beyond * STILL_USEFUL);
         let useful = useful.min(terms.waited + terms.time_left);
@@ -201,7 +197,7 @@
         if terms.firm || !self.has(Mechanism::LateRefusal) {
             return true;
         }
-        let chain = longest_chain(&request.steps, |_, spec| self.predict(terms, spec));
+        let chain = self.predict_chain(request, terms);
         let soonest = chain.mul_f64(SLOWNESS_BOUNDS.0);
         terms.waited.saturating_add(soonest).saturating_add(lag) <= limit
     }
@@ -269,8 +265,13 @@
         self.estimates.predict(&terms.route, spec.estimate)
     }
 
+    /// The predicted time of the longest chain of a job's steps.
+    fn predict_chain(&self, request: &JobRequest, terms: &JobTerms) -> Duration {
+        longest_chain(&request.steps, |_, spec| self.predict(terms, spec))
+    }
+
     pub(super) fn objective(&self, request: &JobRequest, terms: &JobTerms) -> Duration {
-        let chain = longest_chain(&request.steps, |_, spec| self.predict(terms, spec));
+        let chain = self.predict_chain(request, terms);
         chain.mul_f64(terms.stretch) + terms.goal
     }
 
@@ -308,7 +309,7 @@
         terms: &JobTerms,
         objective: Duration,
     ) -> Option<AdmissionTrial> {
-        let chain = longest_chain(&request.steps, |_, spec| self.predict(terms, spec));
+        let chain = self.predict_chain(request, terms);
         let arrived = now.checked_sub(terms.waited).unwrap_or(now);
         let entry = QueueEntry {
             job: request.id,
--- a/crates/pool/src/pool/rebirth.rs
+++ b/crates/pool/src/pool/rebirth.rs
@@ -11,7 +11,7 @@
 
 use std::time::Instant;
 
-use jobs::{BirthTime, JobOutcome, LifeId, RunNumber, TaskId, WorkerListing};
+use jobs::{JobOutcome, LifeId, RunNumber, TaskId, WorkerListing};
 
 use super::WorkerPool;
 use crate::{
@@ -151,15 +151,3 @@
         FormerRun::Dead
     }
 }
-
-/// How many former lives of a worker are remembered, to know entries that still name one.
-pub(crate) const FORMER_LIVES: usize = 8;
-
-/// Adds a former life, and forgets the oldest beyond the bound.
-pub(crate) fn remember_former(former: &mut Vec<Option<BirthTime>>, born: Option<BirthTime>) {
-    former.retain(|known| *known != born);
-    if former.len() == FORMER_LIVES {
-        former.remove(0);
-    }
-    former.push(born);
-}
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -171,17 +171,18 @@
         runs.filter(|run| run.phase == RunPhase::Ordered).count()
     }
 
+    /// Tasks that wait for a place and may be placed now.
+    pub(super) fn waiting_tasks(&self) -> usize {
+        let jobs = self.queue.jobs();
+        jobs.map(|job| self.jobs[&job].waiting_count()).sum()
+    }
+
     /// How long the tasks of a new job take to be started beside those under way, at the pace at which answers come now.
     pub(super) fn start_lag(&self, tasks: usize) -> Duration {
         if !self.is_strained() {
             return Duration::ZERO;
         }
-        let waiting: usize = self
-            .queue
-            .jobs()
-            .map(|job| self.jobs[&job].waiting_count())
-            .sum();
-        let ahead = self.starts_under_way() + waiting + tasks;
+        let ahead = self.starts_under_way() + self.waiting_tasks() + tasks;
         let rounds = ahead as f64 / self.window.size().max(1) as f64;
         self.answers.smoothed().mul_f64(rounds)
     }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -10,7 +10,7 @@
     WorkerRecord, WorkerState,
 };
 
-use crate::{health::WorkerHealth, pool::remember_former};
+use crate::health::WorkerHealth;
 
 /// The weight of a new sample of a worker's speed: a worker sees about ten ends a second and may turn slow at any
 /// moment, so about five samples matter.
@@ -19,6 +19,9 @@
 /// The bounds of a worker's slowness. Beyond the upper one it makes no difference how slow it is.
 pub(crate) const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 12.0);
 
+/// How many former lives of a worker are remembered, to know entries that still name one.
+const FORMER_LIVES: usize = 8;
+
 /// The shortest time in which a worker that dies is back.
 const SHORTEST_REBIRTH: Duration = Duration::from_millis(50);
 
@@ -229,7 +232,7 @@
         }
         if self.misnamed.is_some_and(|since| sent >= since) {
             // Its entry is older than its listing.
-            remember_former(&mut self.former, self.record.born);
+            self.remember_former(self.record.born);
             self.misnamed = None;
         }
         LifeVerdict::Known
@@ -237,7 +240,7 @@
 
     /// It has another life, which knows nothing of before.
     pub(crate) fn begin_life(&mut self, now: Instant, born: Option<BirthTime>, fence: u64) {
-        remember_former(&mut self.former, self.born);
+        self.remember_former(self.born);
         self.former.retain(|former| *former != born);
         self.born = born;
         self.life_since = now;
@@ -259,6 +262,15 @@
         }
     }
 
+    /// Adds a former life, and forgets the oldest beyond the bound.
+    fn remember_former(&mut self, born: Option<BirthTime>) {
+        self.former.retain(|known| *known != born);
+        if self.former.len() == FORMER_LIVES {
+            self.former.remove(0);
+        }
+        self.former.push(born);
+    }
+
     /// Stops a run of which a start may still come to this life. What the former one answered does not count.
     pub(crate) fn stop_at_large(&mut self, task: TaskId, number: RunNumber) {
         self.orders
@@ -314,12 +326,15 @@
         self.misses >= MISSES_TO_SILENCE
     }
 
+    /// Whether it is listed as taking runs, and no look is missed.
+    fn takes_runs(&self) -> bool {
+        self.record.state == WorkerState::Ready && self.unlisted.is_none() && self.misses == 0
+    }
+
     /// Whether it may get new runs, health apart.
     pub(crate) fn is_open(&self) -> bool {
-        self.record.state == WorkerState::Ready
-            && self.unlisted.is_none()
+        self.takes_runs()
             && self.clock.is_some()
-            && self.misses == 0
             && self.misnamed.is_none()
             && self.foreign.is_empty()
     }
@@ -327,10 +342,7 @@
     /// Whether it counts as room that jobs can expect to use. So does one that is being asked for the first time, as all are that
     /// a new owner has: it answers within milliseconds, and until then each job would be refused for want of workers.
     pub(crate) fn is_usable(&self) -> bool {
-        let asked_first = self.answered_look.is_none()
-            && self.misses == 0
-            && self.record.state == WorkerState::Ready
-            && self.unlisted.is_none();
+        let asked_first = self.answered_look.is_none() && self.takes_runs();
         (self.is_open() || asked_first) && self.health.is_sound()
     }
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -343,9 +343,13 @@
 
     /// A worker writes its entry.
     pub(crate) fn tell_worker(&self, worker: usize) {
+        self.write_entry(worker, "ready");
+    }
+
+    fn write_entry(&self, worker: usize, state: &str) {
         let place = &self.workers[worker];
         if let Some(stand_in) = &place.stand_in {
-            let entry = stand_in.entry(SERVICE, centre(worker), "ready");
+            let entry = stand_in.entry(SERVICE, centre(worker), state);
             self.store.put("servers", &life_name(place.life), &entry);
         }
     }
@@ -357,12 +361,7 @@
 
     /// A worker says that it will leave.
     pub(crate) fn say_draining(&self, worker: usize) {
-        let place = &self.workers[worker];
-        let Some(stand_in) = &place.stand_in else {
-            return;
-        };
-        let entry = stand_in.entry(SERVICE, centre(worker), "draining");
-        self.store.put("servers", &life_name(place.life), &entry);
+        self.write_entry(worker, "draining");
     }
 
     /// Starts another life of a worker.
