Follow a worker's room as it shrinks and grows

Cause: placement went by the newest room, but starts that were placed before left afterwards and were repeated, the forecast took room that ends on an overfull worker for free, and a queued job that no worker could hold any more waited for its deadline.

A job of which nothing was ordered and that no worker can hold is refused with no_room_ever at once. The forecast counts below zero. Entries with a negative, fractional, null or absurd room name no worker. Log line worker_resized, counter node_room_changes_total.

Default for runs above the room: none is stopped.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -11,6 +11,7 @@
 const RETRIES: &str = "node_retries_total";
 const STARTS_NOT_DONE: &str = "node_starts_not_done_total";
 const SUSPENSIONS: &str = "node_suspensions_total";
+const ROOM_CHANGES: &str = "node_room_changes_total";
 const CRASHES: &str = "node_crashes_total";
 const EVACUATIONS: &str = "node_evacuations_total";
 const CALLS: &str = "node_traffic_calls_total";
@@ -84,6 +85,12 @@
             "cause",
             suspensions.collect(),
         ),
+        family(
+            ROOM_CHANGES,
+            "Changes of a worker's room while it ran, by whether it holds what it held before",
+            "change",
+            vec!["grown", "shrunk"],
+        ),
         family(
             CRASHES,
             "Workers lost with runs, by what followed: their tasks are suspects, the losses have one cause, the worker lives; and \
@@ -194,6 +201,10 @@
         PoolNote::StartTrouble { answer, .. } => {
             metrics.count(STARTS_NOT_DONE, start_answer(*answer));
         }
+        PoolNote::WorkerResized { former, room, .. } => {
+            let grown = room.holds(former);
+            metrics.count(ROOM_CHANGES, if grown { "grown" } else { "shrunk" });
+        }
         PoolNote::CrashSuspected { common, .. } => {
             let finding = if *common { "common" } else { "suspected" };
             metrics.count(CRASHES, finding);
--- a/crates/node/src/notes.rs
+++ b/crates/node/src/notes.rs
@@ -89,6 +89,21 @@
             };
             (EventKind::Kept, line.number("runs", *runs as u64))
         }
+        PoolNote::WorkerResized {
+            life,
+            former,
+            room,
+            withdrawn,
+        } => {
+            let line = EventLine::new("worker_resized")
+                .text("worker", life)
+                .text("cpu", room.cpu)
+                .text("memory", room.memory)
+                .number("accelerators", room.accelerators)
+                .text("former_cpu", former.cpu)
+                .text("former_memory", former.memory);
+            (EventKind::Kept, line.number("withdrawn", *withdrawn as u64))
+        }
         PoolNote::CrashSuspected {
             life,
             died,
--- a/crates/node/tests/entries.rs
+++ b/crates/node/tests/entries.rs
@@ -82,6 +82,22 @@
         name: "a capacity of another type",
         damage: |entry| entry["Capacity"] = json!({ "Cpu": "16000", "MemMb": 32_768, "Gpu": 0 }),
     },
+    EntryCase {
+        name: "a negative capacity",
+        damage: |entry| entry["Capacity"]["Cpu"] = json!(-16_000),
+    },
+    EntryCase {
+        name: "a capacity of null",
+        damage: |entry| entry["Capacity"]["MemMb"] = Value::Null,
+    },
+    EntryCase {
+        name: "a capacity that is no whole number",
+        damage: |entry| entry["Capacity"]["Cpu"] = json!(16_000.5),
+    },
+    EntryCase {
+        name: "a capacity beyond any machine's",
+        damage: |entry| entry["Capacity"]["Cpu"] = json!(u64::MAX),
+    },
     EntryCase {
         name: "labels of another type",
         damage: |entry| entry["Labels"] = json!("a"),
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -6,8 +6,8 @@
 };
 
 use jobs::{
-    EndCause, FenceToken, JobId, JobOutcome, KeptState, LifeId, RunNumber, TaskId, TaskText,
-    WorkerClock, WorkerListing,
+    EndCause, FenceToken, JobId, JobOutcome, KeptState, LifeId, ResourceDemand, RunNumber, TaskId,
+    TaskText, WorkerClock, WorkerListing,
 };
 use model::{text_set, WrongReason};
 
@@ -349,6 +349,17 @@
         /// The runs that were known on it.
         runs: usize,
     },
+    /// A worker has another room.
+    WorkerResized {
+        /// Which.
+        life: LifeId,
+        /// Its room before.
+        former: ResourceDemand,
+        /// Its room now.
+        room: ResourceDemand,
+        /// Starts that were ordered and are taken back.
+        withdrawn: usize,
+    },
     /// A worker was lost with runs, one of which may be the cause.
     CrashSuspected {
         /// Which.
--- a/crates/pool/src/forecast.rs
+++ b/crates/pool/src/forecast.rs
@@ -20,7 +20,8 @@
 /// A worker in the forecast.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WorkerForecast {
-    /// Processor room that nothing takes now, in thousandths of a core.
+    /// Processor room that nothing takes now, in thousandths of a core. Below zero on a worker that has shrunk: what ends there
+    /// does not make room at once.
     free: i64,
     /// Processor room in all.
     room: u64,
@@ -47,9 +48,10 @@
 }
 
 impl WorkerForecast {
-    pub(crate) fn new(free: u64, room: u64, slowness: f64) -> Self {
+    pub(crate) fn new(room: u64, used: u64, slowness: f64) -> Self {
+        let signed = |room: u64| i64::try_from(room).unwrap_or(i64::MAX);
         Self {
-            free: free.cast_signed(),
+            free: signed(room).saturating_sub(signed(used)),
             room,
             slowness,
             changes: Vec::new(),
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -7,6 +7,7 @@
 mod keeping;
 mod looks;
 mod rebirth;
+mod resizing;
 mod schedule;
 mod takeover;
 
@@ -292,10 +293,16 @@
             WorkerState::Ready => WorkerChange::Ready,
         };
         let changed = worker.record.state != record.state || worker.unlisted.is_some();
+        let (former, room) = (worker.record.room, record.room);
         worker.take_record(now, record);
         worker.unlisted = None;
         if changed {
-            self.note_worker(life, change);
+            self.note_worker(life.clone(), change);
+        }
+        if former != room {
+            self.resize(now, &life, former);
+        }
+        if changed || former != room {
             self.schedule(now);
         }
         self.keep_watch(now);
@@ -341,8 +348,8 @@
             return load;
         }
         for worker in self.expected_workers(now) {
-            load.capacity += worker.record.room.cpu.0;
-            load.free += worker.free_room().cpu.0;
+            load.capacity = load.capacity.saturating_add(worker.record.room.cpu.0);
+            load.free = load.free.saturating_add(worker.free_room().cpu.0);
         }
         let work: f64 = self.queue.jobs().map(|job| self.waiting_work(job)).sum();
         let cores = load.capacity as f64 / 1000.0 * self.settings.packing;
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -286,7 +286,7 @@
         steps.sum()
     }
 
-    fn can_ever_hold(&self, request: &JobRequest, terms: &JobTerms) -> bool {
+    pub(super) fn can_ever_hold(&self, request: &JobRequest, terms: &JobTerms) -> bool {
         request.steps.iter().all(|spec| {
             let ask = PlacementAsk {
                 job: request.id,
@@ -438,8 +438,8 @@
 }
 
 fn worker_forecast(worker: &WorkerLedger, now: Instant) -> WorkerForecast {
-    let free = worker.free_room().cpu.0;
-    let mut forecast = WorkerForecast::new(free, worker.record.room.cpu.0, worker.slowness);
+    let room = worker.record.room.cpu.0;
+    let mut forecast = WorkerForecast::new(room, worker.used_room().cpu.0, worker.slowness);
     for run in &worker.runs {
         forecast.add_running(time_left(run, worker.slowness, now), run.demand.cpu.0);
     }
--- /dev/null
+++ b/crates/pool/src/pool/resizing.rs
@@ -0,0 +1,69 @@
+//! Workers whose room shrinks or grows while they run.
+//!
+//! Failure prevented: a start that was placed before its worker shrank leaves afterwards and brings it over its room. What runs
+//! there goes on: a worker over its room gets nothing new until its runs fit again.
+
+use std::time::Instant;
+
+use jobs::{JobId, JobOutcome, LifeId, RefusalKind, ResourceDemand, RunNumber, TaskId};
+
+use super::{WorkerPool, SHORTEST_RETRY};
+use crate::{action::PoolNote, worker::WorkerLedger};
+
+impl WorkerPool {
+    /// Follows a change of a worker's room.
+    pub(super) fn resize(&mut self, now: Instant, life: &LifeId, former: ResourceDemand) {
+        let Some(worker) = self.workers.get(life) else {
+            return;
+        };
+        let room = worker.record.room;
+        let withdrawn = starts_over_room(worker);
+        self.notes.push(PoolNote::WorkerResized {
+            life: life.clone(),
+            former,
+            room,
+            withdrawn: withdrawn.len(),
+        });
+        let withdrawn = withdrawn.into_iter();
+        let withdrawn = withdrawn.map(|(task, run)| (life.clone(), task, run));
+        self.withdraw_starts(now, withdrawn.collect());
+        if !room.holds(&former) {
+            self.refuse_homeless(now);
+        }
+    }
+
+    /// Tells the callers of jobs that no worker can hold any more, and of which nothing was ordered.
+    fn refuse_homeless(&mut self, now: Instant) {
+        let queued = self.queue.jobs();
+        let homeless = queued.filter(|id| {
+            let job = &self.jobs[id];
+            let can_wait = job.ordered || job.kept.is_some();
+            !can_wait && !self.can_ever_hold(&job.request, &job.terms)
+        });
+        let homeless: Vec<JobId> = homeless.collect();
+        for id in homeless {
+            let outcome = JobOutcome::Refused {
+                kind: RefusalKind::NoRoomEver,
+                retry_after: SHORTEST_RETRY,
+                fits: 0,
+            };
+            self.finish(now, id, outcome);
+        }
+    }
+}
+
+/// The starts that were never sent and do not fit into a worker's room beside its other runs, the latest first.
+fn starts_over_room(worker: &WorkerLedger) -> Vec<(TaskId, RunNumber)> {
+    let mut used = worker.used_room();
+    let mut over = Vec::new();
+    for run in worker.runs.iter().rev() {
+        if worker.record.room.holds(&used) {
+            break;
+        }
+        if run.tries == 0 {
+            used = used.minus(&run.demand);
+            over.push((run.task, run.run));
+        }
+    }
+    over
+}
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -228,7 +228,7 @@
                     break;
                 };
                 let action = match order {
-                    WaitingOrder::Start(task, run) if self.evacuated => {
+                    WaitingOrder::Start(task, run) if self.evacuated || worker.is_over_room() => {
                         withdrawn.push((worker.record.life.clone(), task, run));
                         continue;
                     }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -210,13 +210,23 @@
         }
     }
 
-    /// The room that no run takes.
-    pub(crate) fn free_room(&self) -> ResourceDemand {
-        let mut free = self.record.room;
+    /// The room that runs take, what is being stopped included.
+    pub(crate) fn used_room(&self) -> ResourceDemand {
+        let mut used = ResourceDemand::default();
         for run in &self.runs {
-            free = free.minus(&run.demand);
+            used = used.plus(&run.demand);
         }
-        free
+        used
+    }
+
+    /// The room that no run takes.
+    pub(crate) fn free_room(&self) -> ResourceDemand {
+        self.record.room.minus(&self.used_room())
+    }
+
+    /// Whether its runs take more than its room, which has shrunk.
+    pub(crate) fn is_over_room(&self) -> bool {
+        !self.record.room.holds(&self.used_room())
     }
 
     /// Which life of it a listing is of that answers a look sent at `sent`.
--- /dev/null
+++ b/crates/pool/tests/room.rs
@@ -0,0 +1,141 @@
+//! Workers whose room shrinks and grows while they run. Checked at each start: what runs on the worker, what is being stopped
+//! included, fits with it into the room that its owner was told of.
+
+mod support;
+
+use jobs::{JobId, JobOutcome, LifeId, RefusalKind};
+use support::{WorkerFault, World};
+
+const WHOLE_WORKER: u64 = 16_000;
+const QUARTER_WORKER: u64 = 4_000;
+
+fn first_life(world: &World) -> LifeId {
+    world.workers.keys().next().cloned().unwrap()
+}
+
+fn outcome(world: &World, id: JobId) -> Option<JobOutcome> {
+    let result = world.results.iter().find(|result| result.id == id);
+    result.map(|result| result.outcome)
+}
+
+fn is_refused(outcome: Option<JobOutcome>, wanted: RefusalKind) -> bool {
+    matches!(outcome, Some(JobOutcome::Refused { kind, .. }) if kind == wanted)
+}
+
+/// Guards against starts that were placed before a worker shrank and leave afterwards.
+#[test]
+fn starts_that_wait_are_taken_back() {
+    let mut world = World::new(1, 1);
+    let (job, life) = (JobId(1), first_life(&world));
+    world.submit_sized(1, job, vec![300.0; 4], 300.0, QUARTER_WORKER);
+    world.resize(&life, QUARTER_WORKER);
+    world.run_for(100);
+    assert_eq!(world.workers[&life].run_count(), 1);
+    world.resize(&life, WHOLE_WORKER);
+    world.run_for(800);
+    assert_eq!(outcome(&world, job), Some(JobOutcome::Completed));
+}
+
+/// Guards against a start without an answer that is sent again to a worker which has shrunk meanwhile.
+#[test]
+fn lost_starts_are_not_repeated_beyond_the_room() {
+    let mut world = World::new(2, 1);
+    let (first, second) = (JobId(1), JobId(2));
+    let life = first_life(&world);
+    world.submit_sized(1, first, vec![600.0], 600.0, 8_000);
+    world.run_for(20);
+    world.workers.get_mut(&life).unwrap().fault.silent = true;
+    world.submit_sized(1, second, vec![600.0], 600.0, 8_000);
+    world.run_for(10);
+    world.resize(&life, 8_000);
+    world.workers.get_mut(&life).unwrap().fault.silent = false;
+    world.run_for(4_000);
+    assert_eq!(outcome(&world, first), Some(JobOutcome::Completed));
+}
+
+/// Guards against a job that waits until its deadline for a place which no worker has any more: its caller is told at once.
+#[test]
+fn a_job_that_no_worker_can_hold_any_more_is_refused() {
+    let mut world = World::new(3, 1);
+    let [running, waiting, small] = [1, 2, 3].map(JobId);
+    let life = first_life(&world);
+    world.submit_sized(1, running, vec![300.0], 300.0, WHOLE_WORKER);
+    world.submit_sized(1, waiting, vec![900.0], 900.0, WHOLE_WORKER);
+    world.run_for(20);
+    world.resize(&life, 8_000);
+    assert!(is_refused(
+        outcome(&world, waiting),
+        RefusalKind::NoRoomEver
+    ));
+    world.submit_sized(1, small, vec![900.0], 900.0, QUARTER_WORKER);
+    world.run_for(3_000);
+    assert_eq!(outcome(&world, running), Some(JobOutcome::Completed));
+    assert_eq!(outcome(&world, small), Some(JobOutcome::Completed));
+}
+
+/// Guards against a job that is admitted for room which comes free on a worker that is over its room: it would be late.
+#[test]
+fn room_that_is_owed_is_not_promised() {
+    let mut world = World::new(4, 1);
+    let life = first_life(&world);
+    world.submit_sized(1, JobId(1), vec![60.0], 60.0, 8_000);
+    world.submit_sized(1, JobId(2), vec![900.0], 900.0, 8_000);
+    world.run_for(20);
+    world.resize(&life, 8_000);
+    world.submit_sized(1, JobId(3), vec![60.0], 60.0, 8_000);
+    assert!(is_refused(outcome(&world, JobId(3)), RefusalKind::TooLate));
+}
+
+/// Guards against a worker without room, or with more than any worker has, that costs more than its own places.
+#[test]
+fn any_room_is_borne() {
+    for cpu in [0, 1, WHOLE_WORKER, 1 << 50, u64::MAX] {
+        let mut world = World::new(5, 3);
+        let life = first_life(&world);
+        world.resize(&life, cpu);
+        for number in 0..20 {
+            world.submit_sized(2, JobId(number), vec![200.0], 200.0, QUARTER_WORKER);
+            world.run_for(120);
+        }
+        world.run_for(1_000);
+        for number in 0..20 {
+            let outcome = outcome(&world, JobId(number));
+            assert_eq!(outcome, Some(JobOutcome::Completed), "{cpu}, job {number}");
+        }
+    }
+}
+
+/// Guards against any order of changes, faults and owners in which a start goes beyond a room.
+#[test]
+fn no_start_goes_beyond_a_room_that_flaps() {
+    for seed in 0..60 {
+        let mut world = World::new(seed, 6);
+        for _ in 0..12 {
+            let lives: Vec<_> = world.workers.keys().cloned().collect();
+            for life in lives {
+                if world.rng.bool() {
+                    let cpu = world.rng.u64(0..24) * 1_000;
+                    world.resize(&life, cpu);
+                }
+                let fault = WorkerFault {
+                    silent: world.rng.u32(0..8) == 0,
+                    answers_lost: if world.rng.bool() { 0.3 } else { 0.0 },
+                    late: if world.rng.u32(0..4) == 0 { 0.3 } else { 0.0 },
+                    stops_lost: world.rng.u32(0..8) == 0,
+                    ..WorkerFault::default()
+                };
+                world.workers.get_mut(&life).unwrap().fault = fault;
+                world.traffic(60, [0.6, 0.6, 0.6]);
+            }
+            if world.rng.u32(0..6) == 0 {
+                world.change_owner();
+            }
+        }
+        for worker in world.workers.values_mut() {
+            worker.fault = WorkerFault::default();
+        }
+        world.run_for(14_000);
+        assert_eq!(world.open_jobs(), 0, "seed {seed}: jobs without an answer");
+        assert_eq!(world.running(), 0, "seed {seed}: left running");
+    }
+}
