Let processes without pools read no list of workers

Cause: every node read each heartbeat of every worker (workers x nodes) and every member's row each second (the square of the nodes): on the fleet 16 KB/s of members and up to 218 KB/s of workers at each of 208 nodes that own nothing.

Change, decided in claims/src/keeper/reading.rs: owners, the first candidates for an open pool and two that stand by in each data centre follow the workers; the others read them when a pool falls to them, and take for granted until then that its groups have workers. More of them come after 2 s while a data centre is not divided. Rows of members are written by owners each 4 s as before, by others so rarely that all write two a second; read each 4 s, each 0.9 s by a process that hears nobody. A claim shows as much as its owner's row. A start reads its own former row, not all. Calls and bytes at the store are counted by table (traffic line, metrics).

Ruled out: gating the feed of cancelled jobs, since a cancel between a pool's first kept job and the first reading would be missed.

--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -1,6 +1,7 @@
 //! Decides when a pool is claimed.
 
 mod beating;
+mod reading;
 mod reason;
 mod succession;
 mod yielding;
@@ -224,7 +225,8 @@
             self.notes.push(ClaimNote::PeerHeard(beat.node.clone()));
         }
         // A process that has just started is known by its heartbeat sooner than by its row.
-        if !self.members.contains_key(&beat.node) {
+        let member = self.members.get(&beat.node);
+        if member.is_none_or(|member| member.row.incarnation < beat.incarnation) {
             let row = MemberRow {
                 node: beat.node.clone(),
                 incarnation: beat.incarnation,
--- a/crates/claims/src/keeper/reason.rs
+++ b/crates/claims/src/keeper/reason.rs
@@ -8,7 +8,7 @@
 use jobs::PoolId;
 
 use super::{Claim, ClaimKeeper};
-use crate::{action::ClaimReason, view::NodeId};
+use crate::action::ClaimReason;
 
 impl ClaimKeeper {
     pub(super) fn claim_reason(&self, now: Instant, pool: &PoolId) -> Option<ClaimReason> {
@@ -38,7 +38,7 @@
             return yields.then_some(ClaimReason::OwnerYields);
         }
         let listening = now < self.started + self.settings.listen_first;
-        if listening || self.heard_by_others(now, claim) || self.may_be_cut_off(now, owner) {
+        if listening || self.heard_by_others(now, claim) || self.may_be_cut_off(now, claim) {
             return None;
         }
         Some(ClaimReason::OwnerSilent)
@@ -63,9 +63,11 @@
     }
 
     /// Whether this process hears nobody while the owner refreshes its row: then this process is the one cut off.
-    fn may_be_cut_off(&self, now: Instant, owner: &NodeId) -> bool {
-        let refreshed = self.members.get(owner).map(|member| member.refreshed);
-        let fresh_row = refreshed.is_some_and(|at| now < at + self.settings.isolated_delay);
+    fn may_be_cut_off(&self, now: Instant, claim: &Claim) -> bool {
+        let member = self.members.get(&claim.row.node);
+        // A claim shows as much as a row: whoever has just become an owner has not written its row lately.
+        let shown = member.map(|member| member.refreshed).max(Some(claim.since));
+        let fresh_row = shown.is_some_and(|at| now < at + self.settings.isolated_delay);
         fresh_row && self.hears_nobody(now)
     }
 }
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -82,6 +82,11 @@
         read || unchanged
     }
 
+    /// Whether it was ever read.
+    pub(crate) fn was_read(&self) -> bool {
+        self.last_read.is_some()
+    }
+
     /// Workers were divided anew: for a while runs of a pool may be left on workers of another.
     pub(crate) fn note_divided(&mut self, now: Instant) {
         self.last_divided = Some(now);
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -11,9 +11,9 @@
 
 use crate::{groups, keeping, operator, owner, state::NodeState, workers};
 
-/// How long a feed of what has to be in force within 2 s waits for a change. A connection that has gone silent is
-/// found after this time and the client's limit.
-const URGENT_WAIT: Duration = Duration::from_millis(1_200);
+/// How long the feed of what operators write waits for a change, as a share of the time in which that has to be in force. A
+/// connection that has gone silent is found after this time and the client's limit.
+const URGENT_SHARE: f64 = 0.6;
 
 /// How long any other feed waits for a change.
 const FEED_WAIT: Duration = Duration::from_millis(3_000);
@@ -34,11 +34,23 @@
 const LATER_LISTING: Duration = Duration::from_millis(1_500);
 
 /// The shortest time between two readings of the members' table, of which heartbeats tell earlier.
-const MEMBERS_GAP: Duration = Duration::from_millis(900);
+const MEMBERS_GAP: Duration = Duration::from_millis(4_000);
+
+/// The same for a process that hears nobody: the rows alone tell it who lives.
+const ALONE_MEMBERS_GAP: Duration = Duration::from_millis(900);
 
 /// The same until the first members are known, which heartbeats need.
 const FIRST_MEMBERS_GAP: Duration = Duration::from_millis(100);
 
+/// How long after the start that is.
+const FIRST_MEMBERS_TIME: Duration = Duration::from_millis(2_700);
+
+/// How long a process that has just started waits for the members' rows before it takes itself for one that stands by.
+const READER_SETTLING: Duration = Duration::from_millis(300);
+
+/// The time between two looks at whether a process has to read the list of workers.
+const READER_BEAT: Duration = Duration::from_millis(50);
+
 /// The shortest time between two readings of cancelled jobs, which have to be stopped within 3 s.
 const JOBS_GAP: Duration = Duration::from_millis(100);
 
@@ -58,8 +70,15 @@
 /// workers back that have left; so it is passed over until the store is as far as it was.
 pub(crate) async fn follow(state: Rc<NodeState>, table: StoreTable) {
     let urgent = table == StoreTable::Operator;
-    let wait = if urgent { URGENT_WAIT } else { FEED_WAIT };
+    let limit = state.settings.config_limit_ms.duration();
+    let wait = match urgent {
+        true => limit.mul_f64(URGENT_SHARE),
+        false => FEED_WAIT,
+    };
     let begun = state.now();
+    if table == StoreTable::Workers {
+        wait_to_read(&state, begun).await;
+    }
     let mut after: Option<RowVersion> = None;
     let mut lost_since = None;
     let mut newest = RowVersion(0);
@@ -122,24 +141,61 @@
 /// Only owners of pools need each change of the workers' table at once. Read by all, it is most of what the VMs of a large
 /// fleet receive, and takes most of their processor time.
 async fn rest(state: &Rc<NodeState>, table: StoreTable, age: Duration) {
-    let open = state.keeper.borrow().may_claim_soon();
     let listing = match state.directory.borrow().is_divided() {
         true => LATER_LISTING,
         false => FIRST_LISTING,
     };
-    let idle = state.pools.borrow().is_empty() && age >= listing && !open;
-    if table != StoreTable::Workers || !idle {
-        actix_rt::time::sleep(feed_gap(table, age)).await;
+    if table != StoreTable::Workers {
+        actix_rt::time::sleep(feed_gap(state, table, age)).await;
         return;
     }
+    let begun = state.now();
+    let beat = match age < listing || owns_soon(state) {
+        true => WORKERS_GAP,
+        false => IDLE_WORKERS_GAP,
+    };
     // Whoever is about to take a pool over is woken.
-    let _either = tokio::time::timeout(IDLE_WORKERS_GAP, state.wake_workers.notified()).await;
+    let _either = tokio::time::timeout(beat, state.wake_workers.notified()).await;
+    if beat == WORKERS_GAP {
+        // However often it is woken.
+        let passed = state.now().saturating_duration_since(begun);
+        actix_rt::time::sleep(WORKERS_GAP.saturating_sub(passed)).await;
+    }
+    wait_to_read(state, begun).await;
 }
 
-fn feed_gap(table: StoreTable, age: Duration) -> Duration {
+/// Whether a process owns a pool or is among the first that would claim one.
+fn owns_soon(state: &NodeState) -> bool {
+    !state.pools.borrow().is_empty() || state.keeper.borrow().may_claim_soon()
+}
+
+/// Waits until this process needs the list of workers: it owns a pool, is about to, stands by or is asked for it.
+async fn wait_to_read(state: &Rc<NodeState>, begun: std::time::Instant) {
+    loop {
+        let divided = {
+            let directory = state.directory.borrow();
+            directory.groups(&state.settings.data_centre).is_some()
+        };
+        let now = state.now();
+        let stands_by = state.keeper.borrow().stands_by(now, divided);
+        let settles = now >= begun + READER_SETTLING;
+        if owns_soon(state) || (stands_by && settles) {
+            return;
+        }
+        let asked = tokio::time::timeout(READER_BEAT, state.wake_workers.notified()).await;
+        if asked.is_ok() {
+            return;
+        }
+    }
+}
+
+fn feed_gap(state: &NodeState, table: StoreTable, age: Duration) -> Duration {
     match table {
         StoreTable::Workers => WORKERS_GAP,
-        StoreTable::Members if age < MEMBERS_GAP * 3 => FIRST_MEMBERS_GAP,
+        StoreTable::Members if age < FIRST_MEMBERS_TIME => FIRST_MEMBERS_GAP,
+        StoreTable::Members if state.keeper.borrow().needs_members(state.now()) => {
+            ALONE_MEMBERS_GAP
+        }
         StoreTable::Members => MEMBERS_GAP,
         StoreTable::Operator | StoreTable::Claims => FEED_GAP,
         StoreTable::Jobs
--- a/crates/node/src/groups.rs
+++ b/crates/node/src/groups.rs
@@ -68,6 +68,7 @@
     if let Some(former) = former {
         claim_anew(state, &centre, former.groups.max(row.groups), row, version);
     }
+    expect_workers(state, &centre, row);
     state.directory.borrow_mut().set_groups(centre, row);
     for (pool, worker) in moved {
         if let Some(pool) = pool {
@@ -79,6 +80,19 @@
     }
 }
 
+/// Takes for granted, until the list of workers is read, that each group has some: most processes do not read it before a pool
+/// falls to them.
+fn expect_workers(state: &Rc<NodeState>, centre: &DataCentreId, row: GroupRow) {
+    if state.directory.borrow().was_read() {
+        return;
+    }
+    for group in 0..row.groups {
+        let data_centre = centre.clone();
+        let pool = PoolId { data_centre, group };
+        state.keeper.borrow_mut().on_workers(&pool, true);
+    }
+}
+
 /// Lets go of a data centre's pools, to claim those anew that still have workers.
 ///
 /// A worker that changes its pool turns away an owner whose fence is lower than what it has seen, and was then lost to both.
@@ -127,6 +141,9 @@
     loop {
         actix_rt::time::sleep(LOOK_BEAT).await;
         let age = state.now().saturating_duration_since(begun);
+        if !state.directory.borrow().is_current(state.now()) {
+            continue;
+        }
         let counts = state.directory.borrow().counts();
         for (centre, workers) in counts {
             let near = centre == state.settings.data_centre;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -22,6 +22,11 @@
 /// How many workers are tried before a claim. One that answers suffices; three that do not are a cut.
 const PROBED_WORKERS: usize = 3;
 
+/// How long a process that has not read the list of workers waits for it before it claims one of their pools, and how often it
+/// looks.
+const LISTING_LIMIT: Duration = Duration::from_millis(350);
+const LISTING_LOOK: Duration = Duration::from_millis(10);
+
 /// How long a worker has for taking a connection before a claim.
 const PROBE_LIMIT: Duration = Duration::from_millis(200);
 
@@ -356,8 +361,18 @@
     }
 }
 
+/// Has the list of workers read, if it is not known which are the pool's.
+async fn list_workers(state: &Rc<NodeState>, pool: &PoolId) {
+    let limit = state.now() + LISTING_LIMIT;
+    while state.directory.borrow().of_pool(pool).is_empty() && state.now() < limit {
+        state.wake_workers.notify_one();
+        actix_rt::time::sleep(LISTING_LOOK).await;
+    }
+}
+
 /// Whether any of a few workers of the pool takes a connection.
 async fn probe(state: &Rc<NodeState>, pool: &PoolId) -> bool {
+    list_workers(state, pool).await;
     let workers = state.directory.borrow().of_pool(pool);
     let mut tries = Vec::new();
     for worker in workers.iter().take(PROBED_WORKERS) {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -11,9 +11,7 @@
 use claims::{ClaimKeeper, ClaimNote, ClaimSettings, LinkRate, MemberRow, NodeId, RouteWait};
 use kernel::{ClockSource, SystemClock};
 use model::FastMap;
-use platform_adapter::{
-    HttpCaller, RowChange, RowWrite, StoreClient, StoreTable, Transaction, WorkerClient,
-};
+use platform_adapter::{HttpCaller, RowWrite, StoreClient, StoreTable, Transaction, WorkerClient};
 use pool::PoolSettings;
 use settings::NodeSettings;
 use telemetry::{EventKind, EventLine, EventLog, TrafficBook};
@@ -45,6 +43,9 @@
 /// The longest time for a call to the store. Its answers take 4 to 16 ms; beyond this the connection counts as silent.
 const STORE_LIMIT: Duration = Duration::from_millis(500);
 
+/// The time between two looks at whether the member's row has to be written: an owner's is sooner than another's.
+const REFRESH_LOOK: Duration = Duration::from_millis(500);
+
 /// The time between two writes of the log.
 const LOG_BEAT: Duration = Duration::from_millis(200);
 
@@ -247,7 +248,7 @@
     state.log(EventKind::Kept, line);
     let beats = BeatSender::new(socket.clone());
     let mut tasks = vec![
-        actix_rt::spawn(refresh_member(state.clone(), claim_settings.refresh)),
+        actix_rt::spawn(refresh_member(state.clone())),
         actix_rt::spawn(tick_all(state.clone(), beats)),
         actix_rt::spawn(groups::keep_groups(state.clone())),
         actix_rt::spawn(keeping::look_after(state.clone())),
@@ -308,21 +309,12 @@
         .unwrap_or_default()
         .as_millis();
     let by_clock = u64::try_from(millis).unwrap_or(u64::MAX);
-    let read = store.read_all(StoreTable::Members, "");
-    let Ok(Ok(page)) = tokio::time::timeout(FORMER_ROW_LIMIT, read).await else {
+    let read = store.get(StoreTable::Members, "", vm);
+    let Ok(Ok(Some(row))) = tokio::time::timeout(FORMER_ROW_LIMIT, read).await else {
         return by_clock;
     };
-    for change in page.changes {
-        let RowChange::Put(row) = change else {
-            continue;
-        };
-        if row.key != vm {
-            continue;
-        }
-        let former = serde_json::from_slice::<MemberRow>(&row.value).ok();
-        return by_clock.max(former.map_or(0, |former| former.incarnation + 1));
-    }
-    by_clock
+    let former = serde_json::from_slice::<MemberRow>(&row.value).ok();
+    by_clock.max(former.map_or(0, |former| former.incarnation + 1))
 }
 
 /// What this process has learnt of customers' times.
@@ -336,7 +328,7 @@
 }
 
 /// Writes this process's row, and again every while.
-async fn refresh_member(state: Rc<NodeState>, beat: Duration) {
+async fn refresh_member(state: Rc<NodeState>) {
     let mut row = state.keeper.borrow().me().clone();
     let mut failed = false;
     loop {
@@ -358,7 +350,14 @@
         }
         failed = answer.is_err();
         let first = row.refreshes < 3 && failed;
-        actix_rt::time::sleep(if first { TICK } else { beat }).await;
+        if first {
+            actix_rt::time::sleep(TICK).await;
+            continue;
+        }
+        let written = state.now();
+        while state.now() < written + state.keeper.borrow().refresh_beat() {
+            actix_rt::time::sleep(REFRESH_LOOK).await;
+        }
     }
 }
 
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -25,7 +25,7 @@
         }
     }
 
-    /// Writes a line when one is due: of each kind the bytes a second, out/in.
+    /// Writes a line when one is due: of each kind the bytes a second, out/in, and the calls.
     pub(crate) fn tick(&mut self, state: &Rc<NodeState>, now: Instant) {
         let passed = now.saturating_duration_since(self.at);
         if passed < TRAFFIC_BEAT {
@@ -37,7 +37,9 @@
         for (kind, told) in TrafficKind::ALL.iter().zip(&mut self.told) {
             let count = state.traffic.count(*kind);
             let (sent, received) = (count.sent - told.sent, count.received - told.received);
-            let rates = format_args!("{}/{}", a_second(sent), a_second(received)).to_string();
+            let (sent, received) = (a_second(sent), a_second(received));
+            let calls = count.calls - told.calls;
+            let rates = format!("{sent}/{received}/{calls}");
             line = line.text(kind.as_str(), rates);
             *told = count;
         }
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -47,6 +47,7 @@
     }
     if whole {
         removed.extend(state.directory.borrow().missing_from(&seen));
+        forget_expected(state);
     }
     for life in removed {
         let gone = state.directory.borrow_mut().remove(state.now(), &life);
@@ -56,6 +57,15 @@
     }
 }
 
+/// Pools that were taken to have workers before any were known have none if none are listed.
+fn forget_expected(state: &Rc<NodeState>) {
+    let pools = state.keeper.borrow().pools();
+    for pool in pools {
+        let any = state.directory.borrow().has_pool(&pool);
+        state.keeper.borrow_mut().on_workers(&pool, any);
+    }
+}
+
 /// Looks again at which entries name a worker, after the configuration has changed.
 pub(crate) fn sort_again(state: &Rc<NodeState>) {
     let unused = state.directory.borrow().unused_records();
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -32,6 +32,8 @@
     pub stop_grace_s: f64,
     /// The longest lease that workers grant. Default 1000.
     pub longest_lease_ms: DurationMs,
+    /// Within which time what operators write has to be in force. Default 2000.
+    pub config_limit_ms: DurationMs,
     /// How many times as long a task takes away from its data's rack. Default 2.
     pub far_factor: f64,
     /// The processor share of the VM, in cores. VMs with more own more pools. Default 1.
@@ -66,6 +68,7 @@
             store: loopback(8070),
             stop_grace_s: 6.0,
             longest_lease_ms: DurationMs(1_000),
+            config_limit_ms: DurationMs(2_000),
             far_factor: 2.0,
             cores: 1.0,
             link_mbps: 1_000.0,
@@ -94,6 +97,9 @@
         if self.longest_lease_ms.0 < 100 {
             return fault("longest_lease_ms", "must be at least 100");
         }
+        if !(500..=600_000).contains(&self.config_limit_ms.0) {
+            return fault("config_limit_ms", "must be at least 500 and at most 600000");
+        }
         if self.orders == OrderPath::Heartbeat {
             return fault("orders", "`heartbeat` is not supported; use `call`");
         }
--- a/crates/telemetry/src/traffic.rs
+++ b/crates/telemetry/src/traffic.rs
@@ -20,8 +20,16 @@
         Peers => "peers",
         /// Heartbeats between processes.
         Heartbeats => "heartbeats",
-        /// The platform's store.
-        Store => "store",
+        /// The store: what operators write.
+        StoreOperator => "store_operator",
+        /// The store: the list of workers.
+        StoreWorkers => "store_workers",
+        /// The store: the processes of the system.
+        StoreMembers => "store_members",
+        /// The store: who owns which pool.
+        StoreClaims => "store_claims",
+        /// The store: kept jobs.
+        StoreJobs => "store_jobs",
         /// Customers' requests.
         Customers => "customers",
     }
