Keep counts of listed workers by data centre

Cause: whether all data centres are divided, and their counts each 250 ms, walked all workers and copied each one's data centre. Change: counts follow each entry that is put or taken out. The test of readers starts its nodes side by side.

--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -53,6 +53,8 @@
     version: u64,
     /// A digest of what `workers` holds, in whatever order it came.
     digest: u64,
+    /// How many workers each data centre has.
+    counts: FastMap<DataCentreId, usize>,
     /// Since when changes are asked for without an answer.
     asked: Option<Instant>,
     /// When workers were last divided anew.
@@ -150,20 +152,22 @@
     pub(crate) fn put(&mut self, record: WorkerRecord) {
         self.doubtful.remove(&record.life);
         self.unused.remove(&record.life);
+        self.take_out(&record.life);
         self.digest = self.digest.wrapping_add(digest_of(&record));
-        let former = self.workers.insert(record.life.clone(), record);
-        self.leave_digest(former.as_ref());
+        match self.counts.get_mut(&record.data_centre) {
+            Some(count) => *count += 1,
+            None => drop(self.counts.insert(record.data_centre.clone(), 1)),
+        }
+        self.workers.insert(record.life.clone(), record);
     }
 
     fn take_out(&mut self, life: &LifeId) -> Option<WorkerRecord> {
-        let record = self.workers.remove(life);
-        self.leave_digest(record.as_ref());
-        record
-    }
-
-    fn leave_digest(&mut self, record: Option<&WorkerRecord>) {
-        let digest = record.map_or(0, digest_of);
-        self.digest = self.digest.wrapping_sub(digest);
+        let record = self.workers.remove(life)?;
+        self.digest = self.digest.wrapping_sub(digest_of(&record));
+        if let Some(count) = self.counts.get_mut(&record.data_centre) {
+            *count -= 1;
+        }
+        Some(record)
     }
 
     /// Takes an entry as one that names no worker. Gives the worker that it named before.
@@ -240,8 +244,8 @@
 
     /// Whether it is agreed for each data centre with workers how they are divided.
     pub(crate) fn is_divided(&self) -> bool {
-        let mut workers = self.workers.values();
-        workers.all(|worker| self.groups.contains_key(&worker.data_centre))
+        let mut counts = self.counts.iter();
+        counts.all(|(centre, count)| *count == 0 || self.groups.contains_key(centre))
     }
 
     /// The pool of a worker. It follows from its entry, so that all processes agree without asking.
@@ -269,11 +273,10 @@
 
     /// How many workers each data centre has.
     pub(crate) fn counts(&self) -> FastMap<DataCentreId, usize> {
-        let mut counts: FastMap<DataCentreId, usize> = FastMap::default();
-        for worker in self.workers.values() {
-            *counts.entry(worker.data_centre.clone()).or_default() += 1;
-        }
+        let counts = self.counts.iter().filter(|(_, count)| **count > 0);
         counts
+            .map(|(centre, count)| (centre.clone(), *count))
+            .collect()
     }
 
     /// All workers of a data centre.
--- a/crates/node/tests/reading.rs
+++ b/crates/node/tests/reading.rs
@@ -17,14 +17,14 @@
 
 /// VMs so weak that each gets a pool of its own.
 async fn weak_owners(platform: &Platform) -> Vec<NodeProcess> {
-    let mut nodes = Vec::new();
-    for number in 0..NODES {
+    let starts = (0..NODES).map(|number| {
         let settings = NodeSettings {
             cores: 0.01,
             ..platform.node_settings(&format!("vm-{number}"))
         };
-        nodes.push(support::start_node(settings).await);
-    }
+        platform.start_node(settings)
+    });
+    let nodes = futures::future::join_all(starts).await;
     let owns = |node: &NodeProcess| node.log_lines().contains("pool_taken");
     for _ in 0..600 {
         if nodes.iter().filter(|node| owns(node)).count() >= OWNERS {
