--- a/crates/claims/src/keeper/reading.rs
+++ b/crates/claims/src/keeper/reading.rs
@@ -20,8 +20,9 @@
 /// Processes without pools that stand by in each data centre: its next owners, two of which may be lost at once.
 const STANDBYS: usize = 2;
 
-/// How long after its start a data centre may be without a division of its workers before more processes than those read them.
-const DIVIDING_TIME: Duration = Duration::from_millis(2_000);
+/// How long after its start a data centre may be without a division of its workers before more processes than those read them:
+/// longer than it takes until all workers of a large fleet are listed.
+const DIVIDING_TIME: Duration = Duration::from_millis(5_000);
 
 /// After which time each further one does: those before it may be refused by the store.
 const NEXT_READER: Duration = Duration::from_millis(200);
