--- a/crates/pool/tests/crash.rs
+++ b/crates/pool/tests/crash.rs
@@ -5,7 +5,7 @@
 
 use jobs::{JobId, JobOutcome, KeptState, LifeId, StepRecord};
 use pool::PoolNote;
-use support::{crashing::CrashReturn, credit, World, KINDS};
+use support::{crashing::CrashReturn, results::credit, World, KINDS};
 
 const HALF_WORKER: u64 = 8_000;
 const WHOLE_WORKER: u64 = 16_000;
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -4,7 +4,10 @@
 
 use jobs::{JobId, JobOutcome};
 use pool::WaiterId;
-use support::{credit, kind_credit, summary, WorkerFault, World};
+use support::{
+    results::{credit, kind_credit, summary},
+    WorkerFault, World,
+};
 
 /// A calm minute: nothing waits long and nothing is refused.
 #[test]
--- a/crates/pool/tests/narrow_link.rs
+++ b/crates/pool/tests/narrow_link.rs
@@ -4,7 +4,10 @@
 
 use model::Mechanism;
 use pool::PoolSettings;
-use support::{credit, summary, World};
+use support::{
+    results::{credit, summary},
+    World,
+};
 
 /// Bytes a second of a link that carries some 110 starts a second with their looks: the usual traffic takes half of it.
 const LINK: f64 = 250_000.0;
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -4,6 +4,9 @@
 #![allow(dead_code, reason = "not every test file uses all of it")]
 
 pub(crate) mod crashing;
+mod link;
+pub(crate) mod results;
+mod worker;
 
 use std::{
     collections::{BTreeMap, BTreeSet, BinaryHeap},
@@ -13,9 +16,9 @@
 
 use fastrand::Rng;
 use jobs::{
-    BirthTime, CpuMillis, EndCause, EndedRun, FenceToken, JobId, JobOutcome, JobRequest, JobTerms,
-    KeptRow, LifeId, MemoryMegabytes, ResourceDemand, RunNumber, RunningRun, ServiceId, StepSpec,
-    TaskId, WorkerClock, WorkerListing, WorkerRecord, WorkerState,
+    BirthTime, CpuMillis, EndCause, FenceToken, JobId, JobOutcome, JobRequest, JobTerms, KeptRow,
+    LifeId, MemoryMegabytes, ResourceDemand, ServiceId, StepSpec, TaskId, WorkerClock,
+    WorkerRecord, WorkerState,
 };
 use pool::{
     CallFailure, FoundJob, KeepAnswer, KeepOrder, LookAnswer, LookOrder, PoolAction, PoolNote,
@@ -23,6 +26,10 @@
 };
 
 use crashing::CrashPlan;
+use link::{WorldLink, ANSWER_BYTES, LISTING_BYTES, LOOK_BYTES, START_BYTES, STOP_BYTES};
+use results::JobResult;
+use worker::WorldRun;
+pub(crate) use worker::{WorkerFault, WorldWorker};
 
 /// The longest lease that a worker grants, in milliseconds.
 const LONGEST_LEASE: u64 = 1_000;
@@ -38,58 +45,6 @@
 /// The time between two signs of the store, in milliseconds.
 const CONTACT_BEAT: u64 = 300;
 
-/// What is wrong with a worker.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct WorkerFault {
-    /// It gets no calls, and its answers get lost.
-    pub(crate) silent: bool,
-    /// The share of its answers that get lost.
-    pub(crate) answers_lost: f64,
-    /// Stops do not reach it.
-    pub(crate) stops_lost: bool,
-    /// The share of starts that are left unanswered and carried out seconds later.
-    pub(crate) late: f64,
-    /// It fails whatever it runs.
-    pub(crate) fails: bool,
-    /// Its runs make no progress.
-    pub(crate) hangs: bool,
-    /// How many times as long its runs take.
-    pub(crate) slow: Option<f64>,
-}
-
-/// A run on a worker.
-#[derive(Clone, Debug)]
-struct WorldRun {
-    task: TaskId,
-    run: RunNumber,
-    cpu: u64,
-    work: f64,
-    done: f64,
-}
-
-/// A simulated worker.
-pub(crate) struct WorldWorker {
-    pub(crate) record: WorkerRecord,
-    pub(crate) fault: WorkerFault,
-    pub(crate) speed: f64,
-    born: Option<BirthTime>,
-    /// Calls with lower numbers went to a former life, and were lost with their connections.
-    first_call: CallNumber,
-    /// Whether its room has changed, so that it may hold more than it has room for.
-    resized: bool,
-    /// Until when it starts: no call reaches it.
-    starting_until: u64,
-    clock_offset: u64,
-    fence: u64,
-    lease_end: u64,
-    runs: Vec<WorldRun>,
-    ends: Vec<EndedRun>,
-    /// The last end that was acknowledged: it and those before are forgotten.
-    forgotten: u64,
-    /// Looks that wait for an end: the call, when it was sent, and until when it waits.
-    waiting: Vec<(CallNumber, LookOrder, u64, u64)>,
-}
-
 /// Identifies a call: at most one answer to it counts.
 type CallNumber = u64;
 
@@ -104,33 +59,6 @@
     Keep(KeepOrder),
 }
 
-/// The bytes of calls and of their answers on a link, heads included.
-const START_BYTES: u64 = 900;
-const LOOK_BYTES: u64 = 300;
-const STOP_BYTES: u64 = 270;
-const ANSWER_BYTES: u64 = 120;
-const LISTING_BYTES: u64 = 250;
-
-/// One direction of the owner's link: what is sent stands in a queue.
-#[derive(Clone, Copy, Debug, Default)]
-struct WorldLink {
-    /// Bytes a millisecond; none for a link that never fills.
-    rate: Option<f64>,
-    /// When all that was sent has left, in milliseconds.
-    free: f64,
-}
-
-impl WorldLink {
-    /// How long something takes from now until it has left the link.
-    fn take(&mut self, now: u64, bytes: u64) -> u64 {
-        let Some(rate) = self.rate else {
-            return 0;
-        };
-        self.free = self.free.max(now as f64) + bytes as f64 / rate;
-        (self.free - now as f64).ceil() as u64
-    }
-}
-
 struct Message {
     at: u64,
     serial: u64,
@@ -154,30 +82,6 @@
     }
 }
 
-/// How a job went.
-#[derive(Clone, Debug)]
-pub(crate) struct JobResult {
-    pub(crate) id: JobId,
-    pub(crate) kind: usize,
-    pub(crate) came: u64,
-    pub(crate) ended: u64,
-    pub(crate) outcome: JobOutcome,
-    /// What its objective is, from the true work, in milliseconds.
-    pub(crate) objective: f64,
-}
-
-impl JobResult {
-    /// 1 in time, a fifth up to three times the objective, nothing otherwise.
-    pub(crate) fn credit(&self) -> f64 {
-        let took = (self.ended - self.came) as f64;
-        match self.outcome {
-            JobOutcome::Completed if took <= self.objective => 1.0,
-            JobOutcome::Completed if took <= 3.0 * self.objective => 0.2,
-            _ => 0.0,
-        }
-    }
-}
-
 struct OpenJob {
     kind: usize,
     came: u64,
@@ -1070,94 +974,6 @@
     }
 }
 
-impl WorldWorker {
-    /// Starts again under its id, as `born`, and knows nothing of before. Calls that are under way to it break.
-    fn start_again(&mut self, born: u64, clock_offset: u64) {
-        self.born = Some(BirthTime(born));
-        self.record.born = self.born;
-        self.clock_offset = clock_offset;
-        self.fence = 0;
-        self.lease_end = 0;
-        self.runs.clear();
-        self.ends.clear();
-        self.forgotten = 0;
-    }
-
-    /// The highest fence that it has seen.
-    pub(crate) fn shown_fence(&self) -> u64 {
-        self.fence
-    }
-
-    /// What runs on it now.
-    pub(crate) fn run_count(&self) -> usize {
-        self.runs.len()
-    }
-
-    /// The tasks of which a run ended as done, one entry a run.
-    pub(crate) fn done_tasks(&self) -> Vec<TaskId> {
-        let done = self.ends.iter().filter(|end| end.cause == EndCause::Done);
-        done.filter_map(|end| end.task).collect()
-    }
-
-    fn work(&mut self, now: u64) {
-        let clock = now + self.clock_offset;
-        let fault = self.fault;
-        let speed = if fault.hangs {
-            0.0
-        } else {
-            self.speed / fault.slow.unwrap_or(1.0)
-        };
-        let lapsed = clock > self.lease_end;
-        let mut ended = Vec::new();
-        for run in &mut self.runs {
-            run.done += speed;
-            if lapsed {
-                ended.push((run.task, run.run, EndCause::Lapsed));
-            } else if run.done >= run.work {
-                let cause = if fault.fails {
-                    EndCause::Failed
-                } else {
-                    EndCause::Done
-                };
-                ended.push((run.task, run.run, cause));
-            }
-        }
-        for (task, run, cause) in ended {
-            self.runs.retain(|r| r.task != task || r.run != run);
-            self.end(task, run, cause);
-        }
-    }
-
-    fn end(&mut self, task: TaskId, run: RunNumber, cause: EndCause) {
-        let number = self.ends.len() as u64 + 1;
-        self.ends.push(EndedRun {
-            number,
-            task: Some(task),
-            run,
-            cause,
-        });
-    }
-
-    fn listing(&self, now: u64, seen: u64) -> WorkerListing {
-        let running = self.runs.iter().map(|run| RunningRun {
-            task: Some(run.task),
-            run: run.run,
-            percent: (run.done / run.work * 100.0).min(99.0) as u8,
-        });
-        WorkerListing {
-            clock: WorkerClock(now + self.clock_offset),
-            born: self.born,
-            running: running.collect(),
-            ended: self
-                .ends
-                .iter()
-                .filter(|end| end.number > seen.max(self.forgotten))
-                .cloned()
-                .collect(),
-        }
-    }
-}
-
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap()
 }
@@ -1172,42 +988,3 @@
         settings: PoolSettings::default(),
     }
 }
-
-/// What callers got, per kind and in all.
-pub(crate) fn summary(results: &[JobResult]) -> String {
-    let mut lines = String::new();
-    for (kind, plan) in KINDS.iter().enumerate() {
-        let of_kind: Vec<_> = results
-            .iter()
-            .filter(|result| result.kind == kind)
-            .collect();
-        let count = |test: &dyn Fn(&JobResult) -> bool| of_kind.iter().filter(|r| test(r)).count();
-        let in_time = count(&|r| r.credit() == 1.0);
-        let late = count(&|r| r.credit() > 0.0 && r.credit() < 1.0);
-        let refused = count(&|r| matches!(r.outcome, JobOutcome::Refused { .. }));
-        let all = of_kind.len();
-        let rest = all - in_time - late - refused;
-        let name = plan.name;
-        lines +=
-            &format!("{name}: {all} in time {in_time} late {late} refused {refused} lost {rest}\n");
-    }
-    lines + &format!("credit {:.3}\n", credit(results))
-}
-
-/// The credit earned of that owed; each kind of job counts the same in all.
-pub(crate) fn credit(results: &[JobResult]) -> f64 {
-    let kinds = 0..KINDS.len();
-    let sum: f64 = kinds.map(|kind| kind_credit(results, kind)).sum();
-    sum / KINDS.len() as f64
-}
-
-/// The credit that one kind of job earned of that owed.
-pub(crate) fn kind_credit(results: &[JobResult], kind: usize) -> f64 {
-    let of_kind = results.iter().filter(|result| result.kind == kind);
-    let (mut earned, mut owed) = (0.0, 0.0);
-    for result in of_kind {
-        earned += result.credit();
-        owed += 1.0;
-    }
-    earned / f64::max(owed, 1.0)
-}
--- /dev/null
+++ b/crates/pool/tests/support/results.rs
@@ -0,0 +1,68 @@
+//! What callers got, and what it is worth.
+
+use jobs::{JobId, JobOutcome};
+
+use super::KINDS;
+
+/// How a job went.
+#[derive(Clone, Debug)]
+pub(crate) struct JobResult {
+    pub(crate) id: JobId,
+    pub(crate) kind: usize,
+    pub(crate) came: u64,
+    pub(crate) ended: u64,
+    pub(crate) outcome: JobOutcome,
+    /// What its objective is, from the true work, in milliseconds.
+    pub(crate) objective: f64,
+}
+
+impl JobResult {
+    /// 1 in time, a fifth up to three times the objective, nothing otherwise.
+    pub(crate) fn credit(&self) -> f64 {
+        let took = (self.ended - self.came) as f64;
+        match self.outcome {
+            JobOutcome::Completed if took <= self.objective => 1.0,
+            JobOutcome::Completed if took <= 3.0 * self.objective => 0.2,
+            _ => 0.0,
+        }
+    }
+}
+
+/// What callers got, per kind and in all.
+pub(crate) fn summary(results: &[JobResult]) -> String {
+    let mut lines = String::new();
+    for (kind, plan) in KINDS.iter().enumerate() {
+        let of_kind: Vec<_> = results
+            .iter()
+            .filter(|result| result.kind == kind)
+            .collect();
+        let count = |test: &dyn Fn(&JobResult) -> bool| of_kind.iter().filter(|r| test(r)).count();
+        let in_time = count(&|r| r.credit() == 1.0);
+        let late = count(&|r| r.credit() > 0.0 && r.credit() < 1.0);
+        let refused = count(&|r| matches!(r.outcome, JobOutcome::Refused { .. }));
+        let all = of_kind.len();
+        let rest = all - in_time - late - refused;
+        let name = plan.name;
+        lines +=
+            &format!("{name}: {all} in time {in_time} late {late} refused {refused} lost {rest}\n");
+    }
+    lines + &format!("credit {:.3}\n", credit(results))
+}
+
+/// The credit earned of that owed; each kind of job counts the same in all.
+pub(crate) fn credit(results: &[JobResult]) -> f64 {
+    let kinds = 0..KINDS.len();
+    let sum: f64 = kinds.map(|kind| kind_credit(results, kind)).sum();
+    sum / KINDS.len() as f64
+}
+
+/// The credit that one kind of job earned of that owed.
+pub(crate) fn kind_credit(results: &[JobResult], kind: usize) -> f64 {
+    let of_kind = results.iter().filter(|result| result.kind == kind);
+    let (mut earned, mut owed) = (0.0, 0.0);
+    for result in of_kind {
+        earned += result.credit();
+        owed += 1.0;
+    }
+    earned / f64::max(owed, 1.0)
+}
