Empty workers for suspects at each look, not at each event

Cause: each event of a pool walked all tasks that anything spoke against in the last minute, up to some 1,500, for 60 s after a wave of crashes.

--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -30,6 +30,7 @@
         self.forget_unlisted(now);
         self.find_median(now);
         self.forget_crashes(now);
+        self.clear_for_suspects(now);
         self.schedule(now);
         self.keep_watch(now);
     }
@@ -41,7 +42,6 @@
             return;
         }
         self.queue.move_late(now);
-        self.clear_for_suspects(now);
         let order: Vec<JobId> = self.queue.jobs().collect();
         let mut most_free = self.most_free();
         for job in order {
