Tell where a node's list of workers comes from

Which owner reads for a data centre showed nowhere: a line worker_list when that changes, at most one a second, and node_worker_lists_total. No decision changes.

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -93,8 +93,7 @@
                 after = Some(newest);
                 take_page(&state, table, page, whole);
                 if table == StoreTable::Workers {
-                    let now = state.now();
-                    state.directory.borrow_mut().note_read(now, newest.0);
+                    listing::note_read(&state, newest);
                 }
                 let age = state.now().saturating_duration_since(begun);
                 rest(&state, table, age).await;
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -9,10 +9,12 @@
 };
 
 use claims::ListTurn;
+use model::{text_set, WrongReason};
 use platform::RowVersion;
+use telemetry::{EventKind, EventLine};
 use tokio::time::timeout;
 
-use crate::state::NodeState;
+use crate::{metrics::count_list, state::NodeState};
 
 /// The shortest time between two readings. Some 30 rows a second change at 48 workers; a worker that drains has to be left
 /// alone within 2 s.
@@ -37,6 +39,19 @@
 /// The time between two looks at whether the list is needed.
 const NEED_BEAT: Duration = Duration::from_millis(50);
 
+/// The shortest time between two lines about where the list comes from.
+const TOLD_GAP: Duration = Duration::from_millis(1_000);
+
+text_set! {
+    /// Where the list of workers comes from.
+    ListSource, "source of the list of workers", WrongReason {
+        /// This process has read it.
+        Read => "read",
+        /// Another process has read it, and knows what is known here.
+        Confirmed => "confirmed",
+    }
+}
+
 /// Waits until this process needs the list: it owns a pool, is about to, stands by or is asked for it.
 pub(crate) async fn wait_to_read(state: &Rc<NodeState>, begun: Instant) {
     loop {
@@ -74,11 +89,34 @@
         ListTurn::Read => None,
         ListTurn::Confirmed { version, at } => {
             directory.note_confirmed(at, version);
+            note_source(state, ListSource::Confirmed, version);
             Some(RowVersion(version))
         }
     }
 }
 
+/// Notes that the list was read.
+pub(crate) fn note_read(state: &NodeState, version: RowVersion) {
+    let now = state.now();
+    state.directory.borrow_mut().note_read(now, version.0);
+    note_source(state, ListSource::Read, version.0);
+}
+
+/// Counts where the list came from, and tells the log where that changes. While much changes it does so several times a second.
+fn note_source(state: &NodeState, source: ListSource, version: u64) {
+    count_list(&state.metrics, source);
+    let now = state.now();
+    let told = state.list_source.get();
+    if told.is_some_and(|(told, at)| told == source || now < at + TOLD_GAP) {
+        return;
+    }
+    state.list_source.set(Some((source, now)));
+    let line = EventLine::new("worker_list")
+        .text("source", source.as_str())
+        .number("version", version);
+    state.log(EventKind::Kept, line);
+}
+
 /// Waits until the next look after a confirmation.
 pub(crate) async fn rest_confirmed(state: &Rc<NodeState>) {
     rest_for(state, CONFIRMED_GAP).await;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,6 +4,8 @@
 use pool::{CallFailure, PoolNote, RunLoss, StartAnswer, SuspensionCause};
 use telemetry::{CounterFamily, NodeMetrics, TelemetryError, TimeFamily, TrafficBook, TrafficKind};
 
+use crate::listing::ListSource;
+
 const ANSWERS: &str = "node_answers_total";
 const REFUSALS: &str = "node_refusals_total";
 const ADMISSIONS: &str = "node_admissions_total";
@@ -11,6 +13,7 @@
 const RETRIES: &str = "node_retries_total";
 const STARTS_NOT_DONE: &str = "node_starts_not_done_total";
 const SUSPENSIONS: &str = "node_suspensions_total";
+const LISTS: &str = "node_worker_lists_total";
 const ROOM_CHANGES: &str = "node_room_changes_total";
 const CRASHES: &str = "node_crashes_total";
 const EVACUATIONS: &str = "node_evacuations_total";
@@ -85,6 +88,12 @@
             "cause",
             suspensions.collect(),
         ),
+        family(
+            LISTS,
+            "Lists of workers that were read or confirmed by another node's reading, by where they came from",
+            "source",
+            ListSource::ALL.iter().map(|source| source.as_str()).collect(),
+        ),
         family(
             ROOM_CHANGES,
             "Changes of a worker's room while it ran, by whether it holds what it held before",
@@ -225,6 +234,11 @@
     metrics.count(EVACUATIONS, change);
 }
 
+/// Counts where a list of workers came from.
+pub(crate) fn count_list(metrics: &NodeMetrics, source: ListSource) {
+    metrics.count(LISTS, source.as_str());
+}
+
 /// The text form of an answer to a start, in logs and metrics.
 pub(crate) fn start_answer(answer: StartAnswer) -> &'static str {
     match answer {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -221,6 +221,7 @@
         group_versions: RefCell::default(),
         sent: RefCell::default(),
         waits: RefCell::default(),
+        list_source: Cell::new(None),
         wake_workers: Notify::new(),
         unfilled: RefCell::default(),
         keeping: RefCell::default(),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -19,8 +19,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    directory::WorkerDirectory, keeping::KeepQueue, owner::OwnedPool, peers::OwnerLinks,
-    traffic::LinkUse,
+    directory::WorkerDirectory, keeping::KeepQueue, listing::ListSource, owner::OwnedPool,
+    peers::OwnerLinks, traffic::LinkUse,
 };
 
 /// A tick later than this means that the process stood still: frozen, suspended, or without its share of the
@@ -49,6 +49,8 @@
     pub(crate) sent: RefCell<FastMap<PoolId, (Instant, u64)>>,
     /// With how much time customers' requests come.
     pub(crate) waits: RefCell<pool::WaitBook>,
+    /// Where the list of workers came from when the log was last told, and when that was.
+    pub(crate) list_source: Cell<Option<(ListSource, Instant)>>,
     /// Woken when the workers' table has to be read now.
     pub(crate) wake_workers: Notify,
     /// Pools that were taken over before the workers' table was read again.
