Read on at once where the store told only a part of the changes

The part counted as the whole, so the new owner took its workers as current and used them. A process that reads seldom has always been able to hit this; one reader a data centre made it more likely. Ruled out: a stale store, a frozen process, a late answer.

Change: an answer of 250 changes or more is read on without a pause, and the list does not count as current before one brings fewer. The stand-in tells 500 at a time.

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -40,6 +40,10 @@
 /// seconds, and the workers' table is large.
 const STALE_PAUSE: Duration = Duration::from_millis(400);
 
+/// Changes from which on an answer may be a part of them: the store tells some hundreds at a time. What is read on at once counts
+/// as current only when little is left: a part that was taken for all had starts leave for workers that were about to go.
+const PARTIAL_PAGE: usize = 250;
+
 /// The pause after a reading that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -59,10 +63,11 @@
         listing::wait_to_read(&state, begun).await;
     }
     let mut after: Option<RowVersion> = None;
+    let mut partial = false;
     let mut lost_since = None;
     let mut newest = RowVersion(0);
     loop {
-        if table == StoreTable::Workers && after.is_some() {
+        if table == StoreTable::Workers && after.is_some() && !partial {
             if let Some(version) = listing::take_confirmation(&state) {
                 newest = newest.max(version);
                 after = Some(newest);
@@ -91,7 +96,11 @@
                 }
                 newest = page.version;
                 after = Some(newest);
+                partial = !whole && page.changes.len() >= PARTIAL_PAGE;
                 take_page(&state, table, page, whole);
+                if partial {
+                    continue;
+                }
                 if table == StoreTable::Workers {
                     listing::note_read(&state, newest);
                 }
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -236,3 +236,23 @@
     assert_eq!(platform.executors[0].runs().len(), 0);
     assert!(other.log_lines().contains("pool_taken"));
 }
+
+/// Guards against a part of the changes that is taken for all of them: a store that has much to tell tells it in several
+/// answers, and a worker that began to drain comes last.
+#[actix_rt::test]
+async fn a_change_behind_many_others_is_found_at_once() {
+    let platform = Platform::start(1, Duration::from_millis(10)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    let other = platform.executors[0].entry("unknown", support::CENTRE, "ready");
+    for number in 0..1_700 {
+        platform
+            .store
+            .put("servers", &format!("o-{number}"), &other);
+    }
+    let entry = platform.executors[0].entry("svc", support::CENTRE, "draining");
+    platform.store.put("servers", "i-0", &entry);
+    settle().await;
+    let answer = post_job(&node, "00000000000000d1", &job(1, 10)).await;
+    assert_ne!(answer.0, 200);
+    assert_eq!(platform.executors[0].runs(), Vec::new());
+}
