--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -483,6 +483,17 @@
         now < peer.at + limit && !peer.refused
     }
 
+    /// A process that is heard and does not stop.
+    fn staying(&self, now: Instant, node: &NodeId) -> Option<&HeardPeer> {
+        let heard = self.heard.get(node);
+        heard.filter(|peer| self.is_fresh(now, peer) && !peer.beat.leaving)
+    }
+
+    /// Before the first heartbeats all members count, heard or not.
+    fn is_starting(&self, now: Instant) -> bool {
+        now < self.started + self.settings.far_limit
+    }
+
     fn note_silent(&mut self, now: Instant) {
         let mut silent = Vec::new();
         for (node, peer) in &self.heard {
--- a/crates/claims/src/keeper/beating.rs
+++ b/crates/claims/src/keeper/beating.rs
@@ -71,7 +71,8 @@
         heard.map(|(node, _)| node.digest()).collect()
     }
 
-    pub(super) fn hears_nobody(&self, now: Instant) -> bool {
+    /// Whether no other process is heard: then the rows of the store alone tell who lives.
+    pub fn hears_nobody(&self, now: Instant) -> bool {
         !self.heard.values().any(|peer| self.is_fresh(now, peer))
     }
 
--- a/crates/claims/src/keeper/reading.rs
+++ b/crates/claims/src/keeper/reading.rs
@@ -101,9 +101,8 @@
     fn reading_rank(&self, now: Instant) -> u32 {
         let owners = self.members.values().map(|member| &member.row);
         let owners = owners.filter(|row| {
-            let heard = self.heard.get(&row.node);
-            let heard = heard.is_some_and(|peer| self.is_fresh(now, peer) && !peer.beat.leaving);
-            heard && self.is_near(&row.data_centre) && self.owners.contains_key(&row.node)
+            let owns = self.is_near(&row.data_centre) && self.owners.contains_key(&row.node);
+            owns && self.staying(now, &row.node).is_some()
         });
         let owns = self.owners.contains_key(&self.me.node);
         let mine = order(&self.me);
@@ -136,11 +135,6 @@
         beat.min(LONGEST_REFRESH.max(refresh))
     }
 
-    /// Whether the members' rows have to be read often: of a process that it does not hear they alone tell.
-    pub fn needs_members(&self, now: Instant) -> bool {
-        self.hears_nobody(now)
-    }
-
     /// This process's place among those of its data centre that own no pool, the strongest first.
     fn standby_rank(&self, now: Instant) -> usize {
         let mine = order(&self.me);
@@ -155,11 +149,8 @@
         *centre == self.me.data_centre
     }
 
-    /// Before the first heartbeats all members count.
     fn may_stand_by(&self, now: Instant, row: &MemberRow) -> bool {
-        let starting = now < self.started + self.settings.far_limit;
-        let heard = self.heard.get(&row.node);
-        starting || heard.is_some_and(|peer| self.is_fresh(now, peer) && !peer.beat.leaving)
+        self.is_starting(now) || self.staying(now, &row.node).is_some()
     }
 }
 
--- a/crates/claims/src/keeper/succession.rs
+++ b/crates/claims/src/keeper/succession.rs
@@ -64,11 +64,9 @@
         let owned = owned.filter(|claim| self.is_mine(claim)).count();
         let mut candidates = vec![candidate(&self.me, owned)];
         for member in self.members.values() {
-            let heard = self.heard.get(&member.row.node);
-            let heard = heard.filter(|p| self.is_fresh(now, p) && !p.beat.leaving);
-            // Before the first heartbeats all members count, so that one claims and not all.
-            let starting = now < self.started + self.settings.far_limit;
-            if heard.is_none() && !starting {
+            let heard = self.staying(now, &member.row.node);
+            // While it starts all count, so that one claims and not all.
+            if heard.is_none() && !self.is_starting(now) {
                 continue;
             }
             let owned = heard.map_or(0, |peer| peer.beat.pools.len());
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -152,6 +152,10 @@
     pub(crate) fn put(&mut self, record: WorkerRecord) {
         self.doubtful.remove(&record.life);
         self.unused.remove(&record.life);
+        // Most entries are mere signs of life.
+        if self.workers.get(&record.life) == Some(&record) {
+            return;
+        }
         self.take_out(&record.life);
         self.digest = self.digest.wrapping_add(digest_of(&record));
         match self.counts.get_mut(&record.data_centre) {
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -127,25 +127,25 @@
 
 /// Waits until a table is to be read again.
 async fn rest(state: &Rc<NodeState>, table: StoreTable, age: Duration) {
-    match table {
-        StoreTable::Workers => listing::rest(state, age).await,
-        _ => actix_rt::time::sleep(feed_gap(state, table, age)).await,
-    }
-}
-
-fn feed_gap(state: &NodeState, table: StoreTable, age: Duration) -> Duration {
-    match table {
-        StoreTable::Workers => listing::WORKERS_GAP,
-        StoreTable::Members if age < FIRST_MEMBERS_TIME => FIRST_MEMBERS_GAP,
-        StoreTable::Members if state.keeper.borrow().needs_members(state.now()) => {
-            ALONE_MEMBERS_GAP
-        }
-        StoreTable::Members => MEMBERS_GAP,
+    let gap = match table {
+        StoreTable::Workers => return listing::rest(state, age).await,
+        StoreTable::Members => members_gap(state, age),
         StoreTable::Operator | StoreTable::Claims => FEED_GAP,
         StoreTable::Jobs
         | StoreTable::EndedJobs
         | StoreTable::CancelledJobs
         | StoreTable::PendingJobs => JOBS_GAP,
+    };
+    actix_rt::time::sleep(gap).await;
+}
+
+fn members_gap(state: &NodeState, age: Duration) -> Duration {
+    if age < FIRST_MEMBERS_TIME {
+        return FIRST_MEMBERS_GAP;
+    }
+    match state.keeper.borrow().hears_nobody(state.now()) {
+        true => ALONE_MEMBERS_GAP,
+        false => MEMBERS_GAP,
     }
 }
 
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -18,7 +18,7 @@
 
 /// The shortest time between two readings. Some 30 rows a second change at 48 workers; a worker that drains has to be left
 /// alone within 2 s.
-pub(crate) const WORKERS_GAP: Duration = Duration::from_millis(250);
+const WORKERS_GAP: Duration = Duration::from_millis(250);
 
 /// The time between two looks at what others have read.
 const CONFIRMED_GAP: Duration = Duration::from_millis(100);
--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -199,9 +199,13 @@
 
     /// A task is done: nothing speaks against it any more.
     pub(crate) fn clear(&mut self, task: TaskId) {
-        if self.standings.contains_key(&task) {
-            self.drop_tasks(|other| other == task);
+        if !self.standings.contains_key(&task) {
+            return;
+        }
+        for loss in &mut self.losses {
+            loss.tasks.retain(|lost| lost.task != task);
         }
+        self.stand_anew();
     }
 
     /// Forgets what is long ago and concerns no job that `is_open`.
@@ -354,13 +358,6 @@
         named
     }
 
-    fn drop_tasks(&mut self, is_meant: impl Fn(TaskId) -> bool) {
-        for loss in &mut self.losses {
-            loss.tasks.retain(|lost| !is_meant(lost.task));
-        }
-        self.stand_anew();
-    }
-
     fn stand_anew(&mut self) {
         self.losses.retain(|loss| !loss.tasks.is_empty());
         self.standings.clear();
--- a/crates/pool/src/pool/crashing.rs
+++ b/crates/pool/src/pool/crashing.rs
@@ -11,24 +11,24 @@
 };
 use model::{FastSet, Mechanism};
 
-use super::WorkerPool;
+use super::{schedule::task_id, WorkerPool};
 use crate::{
     action::PoolNote,
     crash::{LostTask, PoolShape, TaskCaution, WorkerLoss},
-    worker::{RunLedger, WorkerLedger},
+    worker::WorkerLedger,
 };
 
 /// The share of a pool's workers that are emptied for suspects at the most.
 const CLEARED_SHARE: usize = 8;
 
 impl WorkerPool {
-    /// Notes that a worker was lost with runs, of which it may have died. Gives the tasks that are named now; the caller gives
-    /// their jobs up once it has put the runs away.
+    /// Notes that a worker was lost with tasks that may have begun, of one of which it may have died. Gives the tasks that are
+    /// named now; the caller gives their jobs up once it has put the runs away.
     pub(super) fn note_crash(
         &mut self,
         now: Instant,
         life: &LifeId,
-        runs: &[RunLedger],
+        begun: impl Iterator<Item = TaskId>,
         died: bool,
     ) -> Vec<TaskId> {
         let Some(worker) = self.workers.get(life) else {
@@ -39,8 +39,7 @@
         if leaves || !self.has(Mechanism::CrashBlame) {
             return Vec::new();
         }
-        let begun = runs.iter().filter(|run| run.tries > 0);
-        let tasks: Vec<LostTask> = begun.filter_map(|run| self.lost_task(run.task)).collect();
+        let tasks: Vec<LostTask> = begun.filter_map(|task| self.lost_task(task)).collect();
         if tasks.is_empty() {
             return Vec::new();
         }
@@ -99,14 +98,9 @@
             return;
         }
         let mut culprits = Vec::new();
-        for (step, record) in (0..).zip(steps) {
+        for (step, record) in steps.iter().enumerate() {
             for death in &record.deaths {
-                let task = TaskId {
-                    job: id,
-                    occurrence: 0,
-                    step,
-                    index: death.task,
-                };
+                let task = task_id(id, step, death.task);
                 let loss = WorkerLoss {
                     life: death.life.clone(),
                     born: death.born,
--- a/crates/pool/src/pool/looks.rs
+++ b/crates/pool/src/pool/looks.rs
@@ -467,7 +467,8 @@
         worker.foreign.clear();
         worker.orders.clear();
         let died = loss == RunLoss::NewLife;
-        let culprits = self.note_crash(now, life, &runs, died);
+        let begun = runs.iter().filter(|run| run.tries > 0);
+        let culprits = self.note_crash(now, life, begun.map(|run| run.task), died);
         for run in runs {
             self.note_lost(&run, life, loss);
             self.requeue(now, run);
--- a/crates/pool/src/pool/rebirth.rs
+++ b/crates/pool/src/pool/rebirth.rs
@@ -76,10 +76,10 @@
                 (run.task, run.run, fate)
             })
             .collect();
-        let died = worker.runs.iter().zip(&fates);
-        let died = died.filter(|(_, (_, _, fate))| *fate != FormerRun::Listed);
-        let died: Vec<RunLedger> = died.map(|(run, _)| run.clone()).collect();
-        let culprits = self.note_crash(now, life, &died, true);
+        let begun = fates
+            .iter()
+            .filter(|(_, _, fate)| !matches!(fate, FormerRun::Listed | FormerRun::Unsent));
+        let culprits = self.note_crash(now, life, begun.map(|(task, _, _)| *task), true);
         if let Some(worker) = self.workers.get_mut(life) {
             worker.begin_life(now, listing.born, self.sole_until);
         }
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -295,7 +295,7 @@
     }
 }
 
-fn task_id(job: JobId, step: usize, index: u32) -> TaskId {
+pub(super) fn task_id(job: JobId, step: usize, index: u32) -> TaskId {
     TaskId {
         job,
         occurrence: 0,
