The clock interface tells the time since boot too

A node notices that its machine was suspended by the time since boot, which it read from the system directly, so no test could suspend a node. No change of behaviour.

--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -32,7 +32,7 @@
     owner::{self, PoolPort},
     peers::{self, HeartbeatSender, OwnerLinks},
     ready,
-    state::{time_since_boot, NodeState},
+    state::NodeState,
     traffic::TrafficLogger,
     workers, NodeError,
 };
@@ -253,7 +253,7 @@
         stop_deadline: Cell::new(None),
         close_idle: Rc::default(),
         cut_requests: Notify::new(),
-        last_tick: Cell::new(time_since_boot()),
+        last_tick: Cell::new(clock.since_boot()),
         next_waiter_id: Cell::new(0),
         settings,
         started: clock.now(),
@@ -385,15 +385,12 @@
     loop {
         actix_rt::time::sleep(tick_interval(&state)).await;
         if state.has_paused() {
-            let line = EventLine::new("process_paused").millis(
-                "for_ms",
-                time_since_boot().saturating_sub(state.last_tick.get()),
-            );
+            let line = EventLine::new("process_paused").millis("for_ms", state.since_last_tick());
             state.log(EventKind::Important, line);
             for_each_pool(&state, pool::WorkerPool::give_up_all);
             state.directory.borrow_mut().forget_reads();
         }
-        state.last_tick.set(time_since_boot());
+        state.last_tick.set(state.clock.since_boot());
         tick(&state);
         heartbeats.tick(&state);
         let now = state.now();
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -107,7 +107,13 @@
     /// Returns whether the process has paused and its timers have not run since. Its state is then older than other
     /// processes assume.
     pub(crate) fn has_paused(&self) -> bool {
-        time_since_boot().saturating_sub(self.last_tick.get()) > PAUSE_THRESHOLD
+        self.since_last_tick() > PAUSE_THRESHOLD
+    }
+
+    /// Returns the time since the last tick, including time in which the machine was suspended.
+    pub(crate) fn since_last_tick(&self) -> Duration {
+        let now = self.clock.since_boot();
+        now.saturating_sub(self.last_tick.get())
     }
 
     /// Returns whether the pool is being handed over: its jobs finish here, and new jobs go to its next owner.
@@ -128,20 +134,3 @@
             .clone()
     }
 }
-
-/// Returns the time since boot. Unlike the monotonic clock it includes the time in which the machine was suspended.
-pub(crate) fn time_since_boot() -> Duration {
-    let mut time = libc::timespec {
-        tv_sec: 0,
-        tv_nsec: 0,
-    };
-    // SAFETY: `time` is a valid, writable timespec, and the clock's number is a constant of the platform.
-    let result = unsafe { libc::clock_gettime(libc::CLOCK_BOOTTIME, &raw mut time) };
-    if result != 0 {
-        // The call fails only for a clock that the kernel does not have.
-        return Duration::ZERO;
-    }
-    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
-    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
-    Duration::new(seconds, nanos)
-}
