The times that keep two attempts apart are derived from one sum

A customer without an answer submits its job again after a pause that the sheet names, and all that its last attempt started has to be over by then. Nothing held the sum of the times on that way together: the lease of workers was a constant, and how long an owner goes on without its entry came from heartbeats, which grow with the fleet.

`AttemptTimes` derives both leases from the customers' pause (a new setting, from the sheet) and the longest lease of workers, so that their sum stays below the pause.

--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -16,6 +16,9 @@
         #[source]
         cause: io::Error,
     },
+    /// Customers come back too soon after an attempt without an answer: its runs could not be over by then.
+    #[error("customer_retry_ms is too short for the leases of runs")]
+    RetryTooShort,
     /// The HTTP server cannot be built.
     #[error("cannot build the HTTP server")]
     Server,
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -14,7 +14,7 @@
 use kernel::{ClockSource, SystemClock};
 use model::FastMap;
 use platform_adapter::{HttpClient, RowWrite, StoreClient, StoreTable, Transaction, WorkerClient};
-use pool::PoolSettings;
+use pool::{AttemptTimes, PoolSettings};
 use settings::NodeSettings;
 use telemetry::{EventKind, EventLine, EventLog, TrafficCounters};
 use tokio::{
@@ -193,10 +193,13 @@
     let socket = Rc::new(socket.map_err(|cause| NodeError::Listen { address, cause })?);
     let traffic = Arc::new(TrafficCounters::default());
     let http = HttpClient::new(traffic.clone());
+    let attempt_times = AttemptTimes::derive(
+        settings.customer_retry_ms.duration(),
+        settings.longest_lease_ms.duration(),
+    );
+    let attempt_times = attempt_times.ok_or(NodeError::RetryTooShort)?;
     let pool_settings = PoolSettings {
-        lease: PoolSettings::default()
-            .lease
-            .min(settings.longest_lease_ms.duration()),
+        lease: attempt_times.worker_lease,
         switched_off: settings.switched_off.iter().copied().collect(),
         ..PoolSettings::default()
     };
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -23,6 +23,7 @@
 mod admission;
 mod answer_time;
 mod arrivals;
+mod attempt_times;
 mod crash;
 mod estimate;
 mod evacuation;
@@ -45,6 +46,7 @@
         StartOrder, StopAnswer, StopOrder, SuspensionCause, WaiterId, WorkerChange,
     },
     admission::PoolLoad,
+    attempt_times::AttemptTimes,
     evacuation::{EvacuationChange, EvacuationSet},
     kept::{FoundJob, KeptWrite, KeptWriteResult},
     pool::{PoolInit, WorkerPool},
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -33,6 +33,8 @@
     pub stop_grace_s: f64,
     /// The longest lease that workers grant. Default 1000.
     pub longest_lease_ms: DurationMs,
+    /// How long a customer waits after an attempt without an answer before it submits the job again. Default 1300.
+    pub customer_retry_ms: DurationMs,
     /// The time within which configuration that operators write has to be in force. Default 2000.
     pub config_limit_ms: DurationMs,
     /// The factor by which the run time of a task grows on a worker outside the rack of the task's data. Default 2.
@@ -72,6 +74,7 @@
             store: loopback(8070),
             stop_grace_s: 6.0,
             longest_lease_ms: DurationMs(1_000),
+            customer_retry_ms: DurationMs(1_300),
             config_limit_ms: DurationMs(2_000),
             far_factor: 2.0,
             cores: 1.0,
