Owners see how old a job call is when it arrives

A job call that was held up, because its owner was frozen or the path was cut, is admitted on arrival as if it were new. Nothing showed that: the call did not say when it was sent, and its time left counts from its arrival.

Heartbeats now tell the sender's time since boot. A job call states this bound at its sending, so its receiver compares two times of its own clock. The owner logs the age of each call (`job_call_arrived`) and counts it (`node_job_call_age_seconds`).

No decision uses the age yet. A call to an owner without a known clock is not sent, as without a link; an owner counts as alive only once it is heard, so that does not occur.

--- a/crates/claims/src/action.rs
+++ b/crates/claims/src/action.rs
@@ -9,7 +9,7 @@
 use model::{text_enum, UnknownVariant};
 use pool::PoolLoad;
 
-use crate::view::NodeId;
+use crate::{peer_clock::PeerClock, view::NodeId};
 
 /// An action that the claim controller asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,4 +100,6 @@
     pub load: PoolLoad,
     /// When the owner's last heartbeat arrived; `None` for this process and for a silent owner.
     pub heard_at: Option<Instant>,
+    /// What is known of the owner's clock; `None` for this process and for a silent owner.
+    pub clock: Option<PeerClock>,
 }
--- a/crates/claims/src/controller.rs
+++ b/crates/claims/src/controller.rs
@@ -20,6 +20,7 @@
 use crate::{
     action::{ClaimAction, ClaimEvent, ClaimOutcome, ClaimReason, OwnerView},
     capacity::VmCapacity,
+    peer_clock::PeerClock,
     rows::{ClaimRow, MemberRow},
     settings::ClaimSettings,
     view::{Heartbeat, NodeId},
@@ -38,6 +39,7 @@
 struct HeardPeer {
     heartbeat: Heartbeat,
     heard_at: Instant,
+    clock: PeerClock,
     /// Since when heartbeats of this incarnation have arrived without a silence.
     heard_since: Instant,
     silent: bool,
@@ -258,11 +260,15 @@
             .filter(|known| !known.silent && known.heartbeat.incarnation == heartbeat.incarnation);
         let heard_since = unbroken.map_or(now, |known| known.heard_since);
         let (heard_at, silent, refused) = (now, false, false);
+        let former = known.filter(|known| known.heartbeat.incarnation == heartbeat.incarnation);
+        let heard_clock = PeerClock::new(now, heartbeat.clock);
+        let clock = former.map_or(heard_clock, |known| known.clock.later(heard_clock, now));
         self.heard_peers.insert(
             node,
             HeardPeer {
                 heartbeat,
                 heard_at,
+                clock,
                 heard_since,
                 silent,
                 refused,
@@ -354,6 +360,7 @@
                     && news.is_none_or(|news| !news.yielding),
             load: news.map(|news| news.load).unwrap_or_default(),
             heard_at: current.map(|peer| peer.heard_at),
+            clock: current.map(|peer| peer.clock),
         })
     }
 
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -12,6 +12,7 @@
 mod action;
 mod capacity;
 mod controller;
+mod peer_clock;
 mod rows;
 mod settings;
 mod view;
@@ -20,6 +21,7 @@
     action::{ClaimAction, ClaimEvent, ClaimOutcome, ClaimReason, OwnerView},
     capacity::{is_outgrown, plan_groups, VmCapacity},
     controller::{ClaimController, HeartbeatClass, KnownList, PollDecision},
+    peer_clock::PeerClock,
     rows::{ClaimRow, GroupRow, GroupSpread, MemberRow, PublishedBudget},
     settings::ClaimSettings,
     view::{Heartbeat, LinkRate, ListReading, NodeDigest, NodeId, PoolNews},
--- a/crates/claims/src/view.rs
+++ b/crates/claims/src/view.rs
@@ -100,6 +100,8 @@
     pub link: LinkRate,
     /// Whether the sender is about to stop. It keeps its pools until their jobs have ended.
     pub leaving: bool,
+    /// The sender's time since boot, including time in which its machine was suspended.
+    pub clock: Duration,
     /// The sender's last reading of the list of workers, if it has a recent one.
     pub reading: Option<ListReading>,
     /// The pool owners that the sender hears.
--- a/crates/claims/tests/claim_controller.rs
+++ b/crates/claims/tests/claim_controller.rs
@@ -52,6 +52,7 @@
         cores: member.cores,
         link: member.link,
         leaving: false,
+        clock: Duration::ZERO,
         reading: None,
         hears: hears
             .iter()
--- a/crates/claims/tests/heartbeats.rs
+++ b/crates/claims/tests/heartbeats.rs
@@ -116,6 +116,7 @@
         cores: member.cores,
         link: member.link,
         leaving: false,
+        clock: Duration::ZERO,
         reading: None,
         hears: Vec::new(),
         pools: Vec::new(),
--- a/crates/claims/tests/reading.rs
+++ b/crates/claims/tests/reading.rs
@@ -171,6 +171,7 @@
             cores: row.cores,
             link: row.link,
             leaving: false,
+            clock: Duration::ZERO,
             reading: age.map(|age| ListReading {
                 version: self.known.version,
                 age,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -473,6 +473,7 @@
             waited: job.age + now.saturating_duration_since(job.arrived),
             firm,
         },
+        sent_at: Duration::ZERO,
     }
 }
 
@@ -481,12 +482,13 @@
     state: &Rc<NodeState>,
     pool: &PoolId,
     owner: &OwnerView,
-    call: JobCall,
+    mut call: JobCall,
 ) -> Option<JobOutcome> {
     if owner.here {
         return Some(owner::run_locally(state.clone(), pool.clone(), call).await);
     }
     let link = state.links.get(owner.address)?;
+    call.sent_at = owner.clock?.lower_bound(state.now());
     record_sent_demand(state, pool, owner, &call);
     let lost = std::pin::pin!(link.lost.notified());
     let run = std::pin::pin!(link.link.run(&call));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -151,8 +151,18 @@
     meaning: "Time from the placing of a run to its listed end",
 };
 
+const CALL_AGE_FAMILY: TimeFamily = TimeFamily {
+    name: "node_job_call_age_seconds",
+    meaning: "Time from an entry's sending of a job to its arrival at the owner, or more",
+};
+
 /// Every histogram family, in the order of the page.
-pub const TIME_FAMILIES: &[TimeFamily] = &[JOB_TIME_FAMILY, QUEUE_WAIT_FAMILY, RUN_TIME_FAMILY];
+pub const TIME_FAMILIES: &[TimeFamily] = &[
+    JOB_TIME_FAMILY,
+    QUEUE_WAIT_FAMILY,
+    RUN_TIME_FAMILY,
+    CALL_AGE_FAMILY,
+];
 
 pub(crate) fn new_metrics() -> Result<NodeMetrics, TelemetryError> {
     NodeMetrics::new(&counter_families(), TIME_FAMILIES)
@@ -231,6 +241,11 @@
     }
 }
 
+/// Records the age of a job call that has arrived.
+pub(crate) fn time_call_age(metrics: &NodeMetrics, age: std::time::Duration) {
+    metrics.time(CALL_AGE_FAMILY.name, age);
+}
+
 /// Counts that an evacuation of a data centre has begun or ended.
 pub(crate) fn count_evacuation(metrics: &NodeMetrics, evacuated: bool) {
     let change = match evacuated {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -17,7 +17,7 @@
 use telemetry::{EventKind, EventLine};
 use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 
-use crate::{event_lines, kept_jobs, state::NodeState};
+use crate::{event_lines, kept_jobs, metrics, state::NodeState};
 
 /// The most workers of a pool that are probed before it is claimed. One that accepts a connection suffices; three
 /// that do not mean that this node is cut off from the pool.
@@ -537,6 +537,7 @@
 
     fn run(&self, call: JobCall) -> LocalBoxFuture<'static, JobOutcome> {
         let state = self.state.clone();
+        record_arrival(&state, &call);
         Box::pin(async move {
             if state.has_paused() {
                 return JobOutcome::Refused {
@@ -562,6 +563,17 @@
     }
 }
 
+/// Logs and counts the age of a job call.
+fn record_arrival(state: &NodeState, call: &JobCall) {
+    let age = state.clock.since_boot().saturating_sub(call.sent_at);
+    metrics::time_call_age(&state.metrics, age);
+    let line = EventLine::new("job_call_arrived")
+        .text("job", call.request.id)
+        .text("entry", &call.entry)
+        .millis("age_ms", age);
+    state.log(EventKind::Routine, line);
+}
+
 fn log_entry_lost(state: &NodeState, entry: &NodeId) {
     let line = EventLine::new("job_cancelled")
         .text("why", "entry_silent")
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -183,6 +183,7 @@
         cores: controller.own_row().cores,
         link: controller.own_row().link,
         leaving: state.leaving.get(),
+        clock: state.clock.since_boot(),
         reading: state.directory.borrow().recent_read(now),
         hears: controller.heard_owners(now),
         pools: news.collect(),
--- a/crates/peer/schema/pool.capnp
+++ b/crates/peer/schema/pool.capnp
@@ -51,6 +51,8 @@
   # Whether this is a part of a job that is divided among pools. It is not refused because of its predicted end.
   kept @14 :Bool;
   # Whether the job is stored when it is accepted, and answered before its end.
+  sentAtMicros @15 :UInt64;
+  # The receiver's time since boot when the call was sent, or less: what the sender knows from the receiver's heartbeats.
 }
 
 struct Outcome {
@@ -113,6 +115,8 @@
   # The rate of the sender's network link in each direction, in bytes per second.
   reading @8 :ListReading;
   # The sender's own last reading of the list of workers; left out if it has no recent one.
+  clockMicros @9 :UInt64;
+  # The sender's time since boot, including time in which it was suspended. Calls to the sender state this time.
 }
 
 struct ListReading {
--- a/crates/peer/src/pool_capnp.rs
+++ b/crates/peer/src/pool_capnp.rs
@@ -643,11 +643,15 @@
         pub fn get_kept(self) -> bool {
             self.reader.get_bool_field(385)
         }
+        #[inline]
+        pub fn get_sent_at_micros(self) -> u64 {
+            self.reader.get_data_field::<u64>(7)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -865,6 +869,14 @@
         pub fn set_kept(&mut self, value: bool)  {
             self.builder.set_bool_field(385, value);
         }
+        #[inline]
+        pub fn get_sent_at_micros(self) -> u64 {
+            self.builder.get_data_field::<u64>(7)
+        }
+        #[inline]
+        pub fn set_sent_at_micros(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(7, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -876,128 +888,135 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 250] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 266] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(22, 6, 88, 73, 87, 18, 233, 177),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(97, 89, 227, 244, 162, 200, 183, 209),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 128, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 129, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1127,6 +1146,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 116, 65, 116, 77, 105),
+            ::capnp::word(99, 114, 111, 115, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1145,6 +1173,7 @@
                 12 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 13 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 14 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1158,9 +1187,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,1,13,9,0,14,12,6,5,4,3,8,2,10,11];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,1,13,9,0,14,12,6,5,15,4,3,8,2,10,11];
         pub(crate) const TYPE_ID: u64 = 0xb1e9_1257_4958_0616;
     }
 }
@@ -3232,11 +3261,15 @@
         pub fn has_reading(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_clock_micros(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3398,6 +3431,14 @@
         pub fn has_reading(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_clock_micros(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_clock_micros(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3412,87 +3453,94 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 163] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 179] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(125, 71, 25, 184, 48, 16, 141, 132),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(97, 89, 227, 244, 162, 200, 183, 209),
             ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3576,6 +3624,15 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 111, 99, 107, 77, 105, 99),
+            ::capnp::word(114, 111, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3588,6 +3645,7 @@
                 6 => <f64 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <f64 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <crate::pool_capnp::list_reading::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3601,9 +3659,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,3,1,2,7,0,4,8];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,6,5,3,1,2,7,0,4,8];
         pub(crate) const TYPE_ID: u64 = 0x848d_1030_b819_477d;
     }
 }
--- a/crates/peer/src/pool_link.rs
+++ b/crates/peer/src/pool_link.rs
@@ -1,6 +1,6 @@
 //! Connections between entries and pool owners.
 
-use std::{future::Future, net::SocketAddr, rc::Rc, sync::Arc};
+use std::{future::Future, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use capnp_rpc::{rpc_twoparty_capnp::Side, RpcSystem};
 use claims::NodeId;
@@ -28,6 +28,8 @@
     pub request: Arc<JobRequest>,
     /// The terms of its route, and how long its customer waits.
     pub terms: JobTerms,
+    /// The receiver's time since boot when the call was sent, or less. Zero if the call is not sent.
+    pub sent_at: Duration,
 }
 
 /// The calls that a pool owner answers.
--- a/crates/peer/src/pool_message.rs
+++ b/crates/peer/src/pool_message.rs
@@ -27,6 +27,7 @@
     root.set_node(&*heartbeat.node.0);
     root.set_incarnation(heartbeat.incarnation);
     root.set_leaving(heartbeat.leaving);
+    root.set_clock_micros(micros(heartbeat.clock));
     root.set_cores(heartbeat.cores);
     root.set_link_bytes(heartbeat.link.0);
     root.set_data_centre(heartbeat.data_centre.as_str());
@@ -108,6 +109,7 @@
         cores: root.get_cores(),
         link: LinkRate(root.get_link_bytes()),
         leaving: root.get_leaving(),
+        clock: Duration::from_micros(root.get_clock_micros()),
         reading,
         hears,
         pools,
@@ -120,8 +122,10 @@
         pool,
         request,
         terms,
+        sent_at,
     } = call;
     wire.set_id(request.id.0);
+    wire.set_sent_at_micros(micros(*sent_at));
     wire.set_entry(&*entry.0);
     wire.set_pool(pool.to_string());
     wire.set_text(&*request.text);
@@ -187,6 +191,7 @@
         pool,
         request: Arc::new(request),
         terms,
+        sent_at: Duration::from_micros(wire.get_sent_at_micros()),
     })
 }
 
