An owner runs an attempt only while its entry confirms it

Customers saw one task run twice at the same time: a customer whose entry was lost, or cut off from the owner, submits its job again 1.3 s later, while the owner still ran the first attempt.

Cause: the owner ended a lost entry's jobs when heartbeats of it stopped. That takes 1.3 s between data centres with 8 members and longer in larger fleets, and never happens if the entry was silent already when its job came. And a job call that was held up, by a frozen owner or a cut path, was admitted on arrival as if it were new.

Now each attempt runs under a lease. A job call or a renewal confirms, as of its sending on the owner's clock, all calls that are open on its connection; the entry sends one at least every third of the lease, and none for short jobs or on busy links. The owner ends an attempt as soon as it is unconfirmed for `AttemptTimes::entry_lease` (`entry_unconfirmed`), and refuses a call that is older (`job_call_expired`). The time that a call was under way counts as part of its customer's wait. As the lease counts from the sending, by one clock, neither a silent connection nor a held-up message lengthens it; as a late renewal does not revive an attempt whose lease was over, neither does a frozen owner. A tick that is late makes the owner look at the leases again, since timers stand still while a machine is suspended. Together with the leases of the workers all is over within the customer's pause, which `AttemptTimes` derives and its test checks.

This replaces the signal of lost peers; silence still closes links.

--- a/crates/claims/src/controller.rs
+++ b/crates/claims/src/controller.rs
@@ -364,6 +364,11 @@
         })
     }
 
+    /// What is known of a peer's clock; `None` if it was never heard.
+    pub fn peer_clock(&self, node: &NodeId) -> Option<PeerClock> {
+        self.heard_peers.get(node).map(|peer| peer.clock)
+    }
+
     /// The known pools, those of this data centre first.
     pub fn pools(&self) -> Vec<PoolId> {
         let mut pools: Vec<PoolId> = self.pools.keys().cloned().collect();
--- a/crates/claims/src/controller/heartbeats.rs
+++ b/crates/claims/src/controller/heartbeats.rs
@@ -2,9 +2,9 @@
 //!
 //! Designed for hundreds of processes, a few dozen of which own pools. If each process sent ten heartbeats a
 //! second to every other process of its data centre, heartbeats would grow with the square of the number of
-//! processes, and receiving them would take most of a large fleet's processor time. Only two silences have to
-//! be detected at once: that of an owner, whose pool stands still, and that of an entry whose jobs an owner
-//! runs. So owners send and receive heartbeats often, and other processes seldom.
+//! processes, and receiving them would take most of a large fleet's processor time. Only the silence of an owner
+//! has to be detected at once, because its pool stands still. So owners send and receive heartbeats often, and
+//! other processes seldom. How long the jobs of a lost entry go on depends on leases, not on heartbeats.
 
 use std::time::{Duration, Instant};
 
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -7,11 +7,7 @@
 };
 
 use claims::OwnerView;
-use futures::{
-    future::{select, Either, LocalBoxFuture},
-    stream::FuturesUnordered,
-    FutureExt as _, StreamExt as _,
-};
+use futures::{future::LocalBoxFuture, stream::FuturesUnordered, FutureExt as _, StreamExt as _};
 use jobs::{JobOutcome, JobRequest, JobTerms, PoolId, RefusalKind, RouteRule, StepSpec};
 use model::Mechanism;
 use peer::JobCall;
@@ -490,14 +486,7 @@
     let link = state.links.get(owner.address)?;
     call.sent_at = owner.clock?.lower_bound(state.now());
     record_sent_demand(state, pool, owner, &call);
-    let lost = std::pin::pin!(link.lost.notified());
-    let run = std::pin::pin!(link.link.run(&call));
-    match select(run, lost).await {
-        Either::Left((Ok(outcome), _)) => Some(outcome),
-        // The job may be running at the owner. The owner stops it, or the leases of its runs end, before the customer's
-        // next try.
-        Either::Left((Err(_), _)) | Either::Right(_) => Some(JobOutcome::GivenUp),
-    }
+    Some(link.run(state.now(), &call).await)
 }
 
 fn log_submission(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 mod operator;
 mod owner;
 mod peers;
+mod pool_port;
 mod process;
 mod ready;
 mod state;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -6,18 +6,18 @@
     time::{Duration, Instant},
 };
 
-use claims::{ClaimAction, ClaimOutcome, ClaimRow, NodeId};
-use futures::future::{select, Either, LocalBoxFuture};
+use claims::{ClaimAction, ClaimOutcome, ClaimRow};
+use futures::future::{select, Either};
 use jobs::{FenceToken, InstanceId, JobId, JobOutcome, PoolId, RefusalKind, WorkerRecord};
 use model::{FastMap, Mechanism};
-use peer::{JobCall, PoolService};
+use peer::JobCall;
 use platform::RowVersion;
 use platform_adapter::{RowWrite, StoreTable, Transaction, TransactionOutcome};
 use pool::{PoolAction, PoolInit, WaiterId, WorkerPool};
 use telemetry::{EventKind, EventLine};
 use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 
-use crate::{event_lines, kept_jobs, metrics, state::NodeState};
+use crate::{event_lines, kept_jobs, state::NodeState};
 
 /// The most workers of a pool that are probed before it is claimed. One that accepts a connection suffices; three
 /// that do not mean that this node is cut off from the pool.
@@ -34,6 +34,13 @@
 /// The retry delay for customers that were refused because a pool has no owner at the moment.
 const NOT_SERVING_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The outcome of a job that reaches a node that does not serve its pool.
+pub(crate) const NOT_SERVING: JobOutcome = JobOutcome::Refused {
+    kind: RefusalKind::NotServing,
+    retry_after: NOT_SERVING_RETRY_AFTER,
+    fits: 0,
+};
+
 /// A pool that this node owns, with the callers that wait for the outcomes of its jobs.
 pub(crate) struct OwnedPool {
     pub(crate) pool: WorkerPool,
@@ -480,11 +487,6 @@
 
 /// Runs a job in a pool that this node owns.
 pub(crate) async fn run_locally(state: Rc<NodeState>, id: PoolId, call: JobCall) -> JobOutcome {
-    let not_serving = JobOutcome::Refused {
-        kind: RefusalKind::NotServing,
-        retry_after: NOT_SERVING_RETRY_AFTER,
-        fits: 0,
-    };
     let waiter = WaiterId(state.next_waiter_id.get());
     state.next_waiter_id.set(waiter.0 + 1);
     let (sender, receiver) = oneshot::channel();
@@ -492,7 +494,7 @@
     let fence = {
         let mut pools = state.pools.borrow_mut();
         let Some(owned) = pools.get_mut(&id) else {
-            return not_serving;
+            return NOT_SERVING;
         };
         owned.waiters.insert(waiter, sender);
         owned.pool.fence()
@@ -514,11 +516,6 @@
     outcome
 }
 
-/// The pool service that this node provides to the entries of other nodes.
-pub(crate) struct PoolPort {
-    pub(crate) state: Rc<NodeState>,
-}
-
 /// Returns how many tasks of a job a pool of this node could take in time now, or 0 if this node does not own the
 /// pool or has just paused.
 pub(crate) fn offer_locally(state: &Rc<NodeState>, call: &JobCall) -> u32 {
@@ -529,54 +526,3 @@
         _ => 0,
     }
 }
-
-impl PoolService for PoolPort {
-    fn offer(&self, call: JobCall) -> u32 {
-        offer_locally(&self.state, &call)
-    }
-
-    fn run(&self, call: JobCall) -> LocalBoxFuture<'static, JobOutcome> {
-        let state = self.state.clone();
-        record_arrival(&state, &call);
-        Box::pin(async move {
-            if state.has_paused() {
-                return JobOutcome::Refused {
-                    kind: RefusalKind::NotServing,
-                    retry_after: NOT_SERVING_RETRY_AFTER,
-                    fits: 0,
-                };
-            }
-            let pool = call.pool.clone();
-            let lost = state.peer_lost_signal(&call.entry);
-            let entry = call.entry.clone();
-            let run = std::pin::pin!(run_locally(state.clone(), pool, call));
-            let lost = std::pin::pin!(lost.notified());
-            match select(run, lost).await {
-                Either::Left((outcome, _)) => outcome,
-                // The entry is silent: its customer has been told to try again or soon will be.
-                Either::Right(_) => {
-                    log_entry_lost(&state, &entry);
-                    JobOutcome::GivenUp
-                }
-            }
-        })
-    }
-}
-
-/// Logs and counts the age of a job call.
-fn record_arrival(state: &NodeState, call: &JobCall) {
-    let age = state.clock.since_boot().saturating_sub(call.sent_at);
-    metrics::time_call_age(&state.metrics, age);
-    let line = EventLine::new("job_call_arrived")
-        .text("job", call.request.id)
-        .text("entry", &call.entry)
-        .millis("age_ms", age);
-    state.log(EventKind::Routine, line);
-}
-
-fn log_entry_lost(state: &NodeState, entry: &NodeId) {
-    let line = EventLine::new("job_cancelled")
-        .text("why", "entry_silent")
-        .text("entry", entry);
-    state.log(EventKind::Important, line);
-}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -2,16 +2,19 @@
 
 use std::{
     cell::{Cell, RefCell},
+    future::Future,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use claims::{Heartbeat, HeartbeatClass, NodeId, PoolNews};
+use futures::future::{select, Either};
+use jobs::JobOutcome;
 use model::FastMap;
-use peer::{connect_pool, decode_heartbeat, encode_heartbeat, PeerError, PoolLink};
+use peer::{connect_pool, decode_heartbeat, encode_heartbeat, JobCall, PeerError, PoolLink};
 use telemetry::{EventKind, EventLine, TrafficKind};
-use tokio::{net::UdpSocket, sync::Notify};
+use tokio::{net::UdpSocket, sync::Notify, task::yield_now};
 
 use crate::state::NodeState;
 
@@ -27,7 +30,69 @@
     node: NodeId,
     pub(crate) link: PoolLink,
     /// Notified when the connection breaks or its node goes silent.
-    pub(crate) lost: Rc<Notify>,
+    lost: Rc<Notify>,
+    /// The jobs that were sent to the owner and whose outcomes this node waits for.
+    open_calls: Cell<usize>,
+    /// When the owner was last sent a job or a renewal, both of which confirm all open calls.
+    confirmed_at: Cell<Instant>,
+}
+
+impl OwnerLink {
+    fn new(node: NodeId, link: PoolLink, lost: Rc<Notify>, now: Instant) -> Self {
+        Self {
+            node,
+            link,
+            lost,
+            open_calls: Cell::new(0),
+            confirmed_at: Cell::new(now),
+        }
+    }
+
+    /// Sends a job to the owner and waits for its outcome. Dropping the future cancels the job.
+    pub(crate) async fn run(&self, now: Instant, call: &JobCall) -> JobOutcome {
+        self.confirmed_at.set(now);
+        let _open = OpenCall::new(&self.open_calls);
+        let lost = std::pin::pin!(self.lost.notified());
+        let run = std::pin::pin!(self.link.run(call));
+        match select(run, lost).await {
+            Either::Left((Ok(outcome), _)) => outcome,
+            // The job may be running at the owner. The owner stops it, or the leases of its runs end, before the
+            // customer's next try.
+            Either::Left((Err(_), _)) | Either::Right(_) => JobOutcome::GivenUp,
+        }
+    }
+
+    /// Returns whether open calls have to be confirmed by `until`.
+    fn needs_renewal(&self, until: Instant, interval: Duration) -> bool {
+        self.open_calls.get() > 0 && until >= self.confirmed_at.get() + interval
+    }
+
+    /// Confirms all open calls. The returned future waits for the answer. None if there is nothing to confirm.
+    fn renew(&self, state: &NodeState) -> Option<impl Future<Output = Result<(), PeerError>>> {
+        if self.open_calls.get() == 0 {
+            return None;
+        }
+        let now = state.now();
+        let clock = state.claim_controller.borrow().peer_clock(&self.node)?;
+        self.confirmed_at.set(now);
+        Some(self.link.renew(clock.lower_bound(now)))
+    }
+}
+
+/// Counts a call as open for as long as it lives.
+struct OpenCall<'a>(&'a Cell<usize>);
+
+impl<'a> OpenCall<'a> {
+    fn new(open_calls: &'a Cell<usize>) -> Self {
+        open_calls.set(open_calls.get() + 1);
+        Self(open_calls)
+    }
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 /// Connections to owners by address.
@@ -80,6 +145,29 @@
     }
 }
 
+/// Confirms the open calls on links over which nothing else has confirmed them recently, if that is due by `until`.
+pub(crate) fn renew_links(state: &Rc<NodeState>, until: Instant) {
+    let interval = state.attempt_times.confirmation_interval();
+    for link in state.links.open.borrow().values() {
+        if !link.needs_renewal(until, interval) {
+            continue;
+        }
+        let (state, link) = (state.clone(), link.clone());
+        actix_rt::spawn(async move {
+            // If this process was frozen, customers may have left meanwhile. The ends of their connections are handled
+            // first, which drops their calls, so that the renewal does not confirm them.
+            yield_now().await;
+            let renewal = link.renew(&state);
+            // A connection that has gone silent is closed by dropping its last link, so this task must not hold one.
+            drop(link);
+            if let Some(renewal) = renewal {
+                // If the connection breaks, the calls end with it.
+                let _lost = renewal.await;
+            }
+        });
+    }
+}
+
 async fn connect(state: Rc<NodeState>, node: NodeId, address: SocketAddr) {
     let lost = Rc::new(Notify::new());
     let on_closed = {
@@ -97,7 +185,7 @@
         Ok(link) => {
             let line = EventLine::new("link_opened").text("peer", &node);
             state.log(EventKind::Important, line);
-            let link = Rc::new(OwnerLink { node, link, lost });
+            let link = Rc::new(OwnerLink::new(node, link, lost, state.now()));
             state.links.open.borrow_mut().insert(address, link);
         }
         Err(error) => {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -12,7 +12,6 @@
     ClaimController, ClaimEvent, ClaimSettings, LinkRate, MemberRow, NodeId, PublishedBudget,
 };
 use kernel::{ClockSource, SystemClock};
-use model::FastMap;
 use platform_adapter::{HttpClient, RowWrite, StoreClient, StoreTable, Transaction, WorkerClient};
 use pool::{AttemptTimes, PoolSettings};
 use settings::NodeSettings;
@@ -21,7 +20,7 @@
     net::{TcpListener, UdpSocket},
     signal::unix::{signal, SignalKind},
     sync::Notify,
-    task::JoinHandle,
+    task::{yield_now, JoinHandle},
 };
 
 use crate::{
@@ -29,8 +28,9 @@
     directory::WorkerDirectory,
     feeds, groups, kept_jobs,
     metrics::new_metrics,
-    owner::{self, PoolPort},
+    owner,
     peers::{self, HeartbeatSender, OwnerLinks},
+    pool_port::PoolPort,
     ready,
     state::NodeState,
     traffic::TrafficLogger,
@@ -43,6 +43,9 @@
 /// The tick interval of a process without pools: half of the shortest heartbeat interval.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// A tick is late after this many of its intervals. Less than that is part of the reaction time of an owner.
+const LATE_TICK_FACTOR: u32 = 2;
+
 /// The timeout of a call to the store. The store answers in 4 to 16 ms; beyond this limit the connection counts as
 /// silent.
 const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -93,6 +96,11 @@
         self.customer_address
     }
 
+    /// The address that other nodes connect to.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.state.claim_controller.borrow().own_row().address
+    }
+
     /// The address of the readiness check and the metrics.
     pub fn ready_address(&self) -> SocketAddr {
         self.ready_address
@@ -224,6 +232,7 @@
         worker_client: WorkerClient::new(http),
         store,
         pool_settings,
+        attempt_times,
         system_addresses: vec![settings.store, customer_address, ready_address, address],
         route_table: RefCell::default(),
         claim_controller: RefCell::new(ClaimController::new(
@@ -244,7 +253,7 @@
         has_kept_jobs: Cell::new(false),
         rng: RefCell::new(fastrand::Rng::new()),
         links: OwnerLinks::default(),
-        peer_lost_signals: RefCell::new(FastMap::default()),
+        late_tick: Notify::new(),
         log: RefCell::new(log),
         metrics: new_metrics()?,
         traffic,
@@ -270,13 +279,7 @@
         actix_rt::spawn(groups::maintain_groups(state.clone())),
         actix_rt::spawn(kept_jobs::maintain_pools(state.clone())),
         actix_rt::spawn(peers::receive_heartbeats(state.clone(), socket)),
-        actix_rt::spawn(peer::serve_pool(
-            peers,
-            state.traffic.clone(),
-            Rc::new(PoolPort {
-                state: state.clone(),
-            }),
-        )),
+        actix_rt::spawn(serve_entries(state.clone(), peers)),
         actix_rt::spawn(log_server_failure(
             state.clone(),
             customer_server::serve(state.clone(), customers),
@@ -309,6 +312,11 @@
     listener.map_err(|cause| NodeError::Listen { address, cause })
 }
 
+async fn serve_entries(state: Rc<NodeState>, listener: TcpListener) {
+    let traffic = state.traffic.clone();
+    peer::serve_pool(listener, traffic, move || PoolPort::new(state.clone())).await;
+}
+
 async fn log_server_failure(
     state: Rc<NodeState>,
     server: impl std::future::Future<Output = Result<(), NodeError>>,
@@ -386,7 +394,13 @@
     let mut logged: Option<Instant> = None;
     let mut traffic = TrafficLogger::new(state.now());
     loop {
-        actix_rt::time::sleep(tick_interval(&state)).await;
+        let interval = tick_interval(&state);
+        actix_rt::time::sleep(interval).await;
+        if state.since_last_tick() > interval * LATE_TICK_FACTOR {
+            state.late_tick.notify_waiters();
+            // Attempts whose lease ended meanwhile are over before anything else is sent for them.
+            yield_now().await;
+        }
         if state.has_paused() {
             let line = EventLine::new("process_paused").millis("for_ms", state.since_last_tick());
             state.log(EventKind::Important, line);
@@ -434,7 +448,6 @@
     for event in events {
         if let ClaimEvent::PeerSilent { node, .. } = &event {
             state.links.close(node);
-            state.peer_lost_signal(node).notify_waiters();
         }
         crate::event_lines::log_claim_event(state, &event);
     }
@@ -445,6 +458,7 @@
     owner::run_claim_actions(state, actions);
     owner::populate_pools(state);
     peers::connect_owners(state);
+    peers::renew_links(state, now + tick_interval(state));
     for_each_pool(state, pool::WorkerPool::tick);
     for_each_pool(state, |pool, _| pool.release_idle_workers());
     if state.leaving.get() {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -31,6 +31,7 @@
 pub(crate) struct NodeState {
     pub(crate) settings: NodeSettings,
     pub(crate) pool_settings: pool::PoolSettings,
+    pub(crate) attempt_times: pool::AttemptTimes,
     /// The addresses on which the store and this process listen. No worker can have one of these.
     pub(crate) system_addresses: Vec<SocketAddr>,
     pub(crate) clock: Arc<dyn ClockSource>,
@@ -62,8 +63,8 @@
     pub(crate) has_kept_jobs: Cell<bool>,
     pub(crate) rng: RefCell<fastrand::Rng>,
     pub(crate) links: OwnerLinks,
-    /// Signals that are notified when a process goes silent, by process.
-    pub(crate) peer_lost_signals: RefCell<FastMap<NodeId, Rc<Notify>>>,
+    /// Notified when a tick was late. The machine may have been suspended, in which timers stand still.
+    pub(crate) late_tick: Notify,
     pub(crate) log: RefCell<EventLog>,
     pub(crate) metrics: NodeMetrics,
     pub(crate) traffic: Arc<TrafficCounters>,
@@ -124,13 +125,4 @@
                 .as_ref()
                 .is_some_and(|(yielded, _)| yielded == pool)
     }
-
-    /// Returns the signal that is notified when the process goes silent.
-    pub(crate) fn peer_lost_signal(&self, node: &NodeId) -> Rc<Notify> {
-        self.peer_lost_signals
-            .borrow_mut()
-            .entry(node.clone())
-            .or_default()
-            .clone()
-    }
 }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use awc::{http::StatusCode, Client};
-use kernel::SystemClock;
+use kernel::{ClockSource, SystemClock};
 use node::NodeProcess;
 #[allow(
     unused_imports,
@@ -75,9 +75,16 @@
 
 /// Starts a node. A port that the system assigns for TCP may be in use for UDP, so up to 20 ports are tried.
 pub(crate) async fn start_node(settings: NodeSettings) -> NodeProcess {
+    start_node_with_clock(settings, Arc::new(SystemClock)).await
+}
+
+pub(crate) async fn start_node_with_clock(
+    settings: NodeSettings,
+    clock: Arc<dyn ClockSource>,
+) -> NodeProcess {
     for _ in 0..20 {
         let log = EventLog::in_memory();
-        if let Ok(node) = node::start(settings.clone(), Arc::new(SystemClock), log).await {
+        if let Ok(node) = node::start(settings.clone(), clock.clone(), log).await {
             return node;
         }
     }
--- a/crates/peer/schema/pool.capnp
+++ b/crates/peer/schema/pool.capnp
@@ -2,7 +2,9 @@
 # The protocol between an entry and the owner of a pool of workers, and the heartbeats of all processes.
 #
 # A job is sent as a whole, or in parts if it is divided among pools. The call is answered when the job has ended or, if
-# the job is kept, when it is stored. A call that the caller drops, or whose connection is lost, cancels the job.
+# the job is kept, when it is stored. A call that the caller drops, or whose connection is lost, cancels the job. So does
+# the end of its lease: a call or a renewal confirms, as of its time of sending, all calls that are open on its
+# connection, and the owner ends those that are not confirmed for the length of the lease.
 
 struct Step {
   # A step of a job: tasks with the same demand.
@@ -29,7 +31,7 @@
 struct Job {
   id @0 :UInt64;
   entry @1 :Text;
-  # The process that sends the job. Its jobs are cancelled when no heartbeats of it arrive any more.
+  # The process that sends the job.
   text @2 :Text;
   # The text that each task's worker gets.
   steps @3 :List(Step);
@@ -80,6 +82,8 @@
   # Runs a job to its end.
   offer @1 (job :Job) -> (fits :UInt32);
   # Returns how many of a job's tasks the pool could currently run in time. Reserves nothing. The job has no text.
+  renew @2 (sentAtMicros :UInt64) -> ();
+  # Confirms all calls of `run` that are open on this connection. The time is one of the receiver's clock, as in a job.
 }
 
 struct PoolNews {
--- a/crates/peer/src/pool_capnp.rs
+++ b/crates/peer/src/pool_capnp.rs
@@ -1824,6 +1824,8 @@
     pub type RunResults<> = ::capnp::capability::Results<crate::pool_capnp::pool_port::run_results::Owned>;
     pub type OfferParams<> = ::capnp::capability::Params<crate::pool_capnp::pool_port::offer_params::Owned>;
     pub type OfferResults<> = ::capnp::capability::Results<crate::pool_capnp::pool_port::offer_results::Owned>;
+    pub type RenewParams<> = ::capnp::capability::Params<crate::pool_capnp::pool_port::renew_params::Owned>;
+    pub type RenewResults<> = ::capnp::capability::Results<crate::pool_capnp::pool_port::renew_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1879,10 +1881,14 @@
         pub fn offer_request(&self) -> ::capnp::capability::Request<crate::pool_capnp::pool_port::offer_params::Owned,crate::pool_capnp::pool_port::offer_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
         }
+        pub fn renew_request(&self) -> ::capnp::capability::Request<crate::pool_capnp::pool_port::renew_params::Owned,crate::pool_capnp::pool_port::renew_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn run(self: ::capnp::capability::Rc<Self>, _: RunParams<>, _: RunResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method pool_port::Server::run not implemented".to_string()))) }
         fn offer(self: ::capnp::capability::Rc<Self>, _: OfferParams<>, _: OfferResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method pool_port::Server::offer not implemented".to_string()))) }
+        fn renew(self: ::capnp::capability::Rc<Self>, _: RenewParams<>, _: RenewResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method pool_port::Server::renew not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1914,6 +1920,7 @@
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::run(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::offer(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::renew(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -2748,6 +2755,368 @@
             pub(crate) const TYPE_ID: u64 = 0xd700_b7b6_b116_e528;
         }
     }
+
+    pub mod renew_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_sent_at_micros(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_sent_at_micros(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_sent_at_micros(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(60, 58, 173, 36, 50, 43, 155, 239),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 111, 111, 108, 80),
+                ::capnp::word(111, 114, 116, 46, 114, 101, 110, 101),
+                ::capnp::word(119, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 110, 116, 65, 116, 77, 105),
+                ::capnp::word(99, 114, 111, 115, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xef9b_2b32_24ad_3a3c;
+        }
+    }
+
+    pub mod renew_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(100, 28, 248, 92, 93, 14, 226, 139),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 111, 111, 108, 80),
+                ::capnp::word(111, 114, 116, 46, 114, 101, 110, 101),
+                ::capnp::word(119, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x8be2_0e5d_5cf8_1c64;
+        }
+    }
 }
 
 pub mod pool_news {
--- a/crates/peer/src/pool_link.rs
+++ b/crates/peer/src/pool_link.rs
@@ -13,7 +13,7 @@
 use crate::{
     link::{counted_network, dial},
     pool_capnp::pool_port,
-    pool_message::{read_job, read_outcome, write_job, write_outcome},
+    pool_message::{micros, read_job, read_outcome, write_job, write_outcome},
     PeerError,
 };
 
@@ -32,13 +32,16 @@
     pub sent_at: Duration,
 }
 
-/// The calls that a pool owner answers.
+/// The calls that a pool owner answers on one connection.
 pub trait PoolService: 'static {
     /// Runs a job to its end. Dropping the returned future cancels the job.
     fn run(&self, call: JobCall) -> LocalBoxFuture<'static, JobOutcome>;
 
     /// The number of the job's tasks that the pool could currently run in time. This reserves nothing.
     fn offer(&self, call: JobCall) -> u32;
+
+    /// Confirms the jobs that run on this connection, as of this process's time since boot `sent_at`.
+    fn renew(&self, sent_at: Duration);
 }
 
 /// An open connection to a pool owner. Dropping it closes the connection.
@@ -80,6 +83,21 @@
         let promise = request.send().promise;
         async move { Ok(promise.await?.get()?.get_fits()) }
     }
+
+    /// Confirms all jobs that were sent on this link and still run. `sent_at` is the owner's time since boot, or less.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn renew(&self, sent_at: Duration) -> impl Future<Output = Result<(), PeerError>> {
+        let mut request = self.port.renew_request();
+        request.get().set_sent_at_micros(micros(sent_at));
+        let promise = request.send().promise;
+        async move {
+            promise.await?;
+            Ok(())
+        }
+    }
 }
 
 /// Copies a job without its text, which makes up most of its bytes and is only needed by workers.
@@ -118,14 +136,15 @@
     Ok(PoolLink { port, task })
 }
 
-/// Accepts connections from entries for as long as the future is polled.
-pub async fn serve_pool(
+/// Accepts connections from entries for as long as the future is polled. `make_service` creates the service of each
+/// connection.
+pub async fn serve_pool<S: PoolService>(
     listener: TcpListener,
     traffic: Arc<TrafficCounters>,
-    service: Rc<impl PoolService>,
+    make_service: impl Fn() -> S + Clone,
 ) {
     serve_connections(listener, move |stream| {
-        let port: pool_port::Client = capnp_rpc::new_client(PoolAdapter(service.clone()));
+        let port: pool_port::Client = capnp_rpc::new_client(PoolAdapter(make_service()));
         let network = counted_network(stream, Side::Server, traffic.clone());
         let system = RpcSystem::new(Box::new(network), Some(port.client));
         async move {
@@ -136,7 +155,7 @@
     .await;
 }
 
-struct PoolAdapter<S>(Rc<S>);
+struct PoolAdapter<S>(S);
 
 impl<S: PoolService> pool_port::Server for PoolAdapter<S> {
     fn run(
@@ -171,4 +190,14 @@
             Ok(())
         }
     }
+
+    fn renew(
+        self: Rc<Self>,
+        params: pool_port::RenewParams,
+        _: pool_port::RenewResults,
+    ) -> impl Future<Output = Result<(), capnp::Error>> + 'static {
+        let sent_at = params.get().map(|params| params.get_sent_at_micros());
+        let renewed = sent_at.map(|micros| self.0.renew(Duration::from_micros(micros)));
+        std::future::ready(renewed)
+    }
 }
--- a/crates/peer/src/pool_message.rs
+++ b/crates/peer/src/pool_message.rs
@@ -272,7 +272,7 @@
     parsed.map_err(|e: jobs::InvalidPoolId| PeerError::BadMessage(e.to_string()))
 }
 
-fn micros(time: Duration) -> u64 {
+pub(crate) fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
--- a/crates/pool/src/attempt_times.rs
+++ b/crates/pool/src/attempt_times.rs
@@ -22,6 +22,9 @@
 /// The time that an owner takes to act on the end of a lease: one tick and the work of a slowed process.
 const REACTION_TIME: Duration = Duration::from_millis(40);
 
+/// The number of confirmations that an entry sends within a lease, so that one may be lost or late.
+const CONFIRMATIONS_PER_LEASE: u32 = 3;
+
 /// The times that keep two attempts of one customer apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptTimes {
@@ -47,6 +50,11 @@
         })
     }
 
+    /// The longest time between two confirmations of an attempt by its entry.
+    pub fn confirmation_interval(&self) -> Duration {
+        self.entry_lease / CONFIRMATIONS_PER_LEASE
+    }
+
     /// The longest time from an entry's last confirmation of an attempt to the end of its last run, if the owner reaches
     /// neither the entry nor the worker any more.
     pub fn longest_overrun(&self) -> Duration {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -23,6 +23,7 @@
 mod admission;
 mod answer_time;
 mod arrivals;
+mod attempt_lease;
 mod attempt_times;
 mod crash;
 mod estimate;
@@ -46,6 +47,7 @@
         StartOrder, StopAnswer, StopOrder, SuspensionCause, WaiterId, WorkerChange,
     },
     admission::PoolLoad,
+    attempt_lease::{AttemptLease, LeaseTerm},
     attempt_times::AttemptTimes,
     evacuation::{EvacuationChange, EvacuationSet},
     kept::{FoundJob, KeptWrite, KeptWriteResult},
