A pause of the process is noticed before any pool is changed

Cause: only the tick noticed a pause. The answers of workers that were read between the wake and the next tick (up to 20 ms, after a suspension always, since the tick's timer has not advanced) went to the pool, which placed and started waiting tasks and sent polls that renew leases.

Now every update of a pool passes pause::notice, which handles an unnoticed pause first, as the tick did: it logs process_paused, has all pools let their jobs go and forgets the reads of the directory. A start whose task is first polled after a pause is not sent but reported as unanswered; its run is being stopped by then. Calls to workers only come from pools, so none for work from before a pause leaves unless it was already on its way; a start carries the end of its lease. The deciding part is kernel::PauseMonitor, without I/O. has_paused(), by which job calls are refused, now holds until the next tick also if the pause was noticed before it, so it is no weaker than it was.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,4 +1,5 @@
-//! A directory of services by name, helpers for starting and stopping a process, and the clock interface.
+//! A directory of services by name, helpers for starting and stopping a process, the clock interface and the
+//! monitor of pauses.
 //!
 //! This crate depends on no service of the product. A component registers its actor's address under a name; other
 //! components find it by that name and the actor's type.
@@ -6,6 +7,7 @@
 mod accept;
 mod clock;
 mod directory;
+mod pause;
 mod signals;
 mod tasks;
 
@@ -13,6 +15,7 @@
     accept::serve_connections,
     clock::{ClockSource, ManualClock, SystemClock},
     directory::{DirectoryError, ServiceDirectory, ServiceName},
+    pause::{PauseCount, PauseMonitor},
     signals::StopSignals,
     tasks::TaskSet,
 };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod operator;
 mod owner;
+mod pause;
 mod peers;
 mod pool_port;
 mod process;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -13,11 +13,11 @@
 use peer::JobCall;
 use platform::RowVersion;
 use platform_adapter::{RowWrite, StoreTable, Transaction, TransactionOutcome};
-use pool::{PoolAction, PoolInit, WaiterId, WorkerPool};
+use pool::{CallFailure, PoolAction, PoolInit, StartAnswer, WaiterId, WorkerPool};
 use telemetry::{EventKind, EventLine};
 use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 
-use crate::{event_lines, kept_jobs, state::NodeState};
+use crate::{event_lines, kept_jobs, pause, state::NodeState};
 
 /// The most workers of a pool that are probed before it is claimed. One that accepts a connection suffices; three
 /// that do not mean that this node is cut off from the pool.
@@ -49,12 +49,14 @@
     deferred_workers: FastMap<InstanceId, WorkerRecord>,
 }
 
-/// Applies `update` to a pool if this node owns it, then logs the pool's events and carries out its actions.
+/// Applies `update` to a pool if this node owns it, then logs the pool's events and carries out its actions. If the
+/// process has paused, the pool lets its jobs go before that.
 pub(crate) fn with_pool(
     state: &Rc<NodeState>,
     id: &PoolId,
     update: impl FnOnce(&mut WorkerPool, Instant),
 ) {
+    pause::notice(state);
     let now = state.now();
     let mut pools = state.pools.borrow_mut();
     let Some(owned) = pools.get_mut(id) else {
@@ -86,12 +88,28 @@
     }
 }
 
+/// Applies `update` to all pools that this node owns.
+pub(crate) fn for_each_pool(state: &Rc<NodeState>, update: impl Fn(&mut WorkerPool, Instant)) {
+    let pools: Vec<_> = state.pools.borrow().keys().cloned().collect();
+    for id in pools {
+        with_pool(state, &id, &update);
+    }
+}
+
 /// Sends a call to a worker and passes the answer to the pool that requested it.
 fn send_worker_call(state: &Rc<NodeState>, id: &PoolId, fence: FenceToken, action: PoolAction) {
     let (state, id) = (state.clone(), id.clone());
     let sent = state.now();
+    let decided = state.pauses.borrow().count();
     actix_rt::spawn(async move {
         match action {
+            // The process paused between the decision and its first turn here. The job was let go meanwhile.
+            PoolAction::Start(order) if pause::notice(&state) != decided => {
+                let answer = StartAnswer::Failed(CallFailure::NoAnswer);
+                with_fenced_pool(&state, &id, fence, |p, now| {
+                    p.on_start_answer(now, &order, answer)
+                });
+            }
             PoolAction::Start(order) => {
                 let answer = std::pin::pin!(state.worker_client.start(&order));
                 let overdue = std::pin::pin!(actix_rt::time::sleep(order.overdue_after));
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -11,7 +11,7 @@
 use claims::{
     ClaimController, ClaimEvent, ClaimSettings, LinkRate, MemberRow, NodeId, PublishedBudget,
 };
-use kernel::{ClockSource, SystemClock};
+use kernel::{ClockSource, PauseMonitor, SystemClock};
 use platform_adapter::{HttpClient, RowWrite, StoreClient, StoreTable, Transaction, WorkerClient};
 use pool::{AttemptTimes, PoolSettings};
 use settings::NodeSettings;
@@ -28,7 +28,8 @@
     directory::WorkerDirectory,
     feeds, groups, kept_jobs,
     metrics::new_metrics,
-    owner,
+    owner::{self, for_each_pool},
+    pause::{self, PAUSE_THRESHOLD},
     peers::{self, HeartbeatSender, OwnerLinks},
     pool_port::PoolPort,
     ready,
@@ -265,7 +266,7 @@
         stop_deadline: Cell::new(None),
         close_idle: Rc::default(),
         cut_requests: Notify::new(),
-        last_tick: Cell::new(clock.since_boot()),
+        pauses: RefCell::new(PauseMonitor::new(PAUSE_THRESHOLD, clock.since_boot())),
         next_waiter_id: Cell::new(0),
         settings,
         started: clock.now(),
@@ -401,13 +402,8 @@
             // Attempts whose lease ended meanwhile are over before anything else is sent for them.
             yield_now().await;
         }
-        if state.has_paused() {
-            let line = EventLine::new("process_paused").millis("for_ms", state.since_last_tick());
-            state.log(EventKind::Important, line);
-            for_each_pool(&state, pool::WorkerPool::give_up_all);
-            state.directory.borrow_mut().forget_reads();
-        }
-        state.last_tick.set(state.clock.since_boot());
+        pause::notice(&state);
+        state.pauses.borrow_mut().tick(state.clock.since_boot());
         tick(&state);
         heartbeats.tick(&state);
         let now = state.now();
@@ -471,13 +467,6 @@
     }
 }
 
-fn for_each_pool(state: &Rc<NodeState>, update: impl Fn(&mut pool::WorkerPool, Instant)) {
-    let pools: Vec<_> = state.pools.borrow().keys().cloned().collect();
-    for id in pools {
-        owner::with_pool(state, &id, &update);
-    }
-}
-
 /// Runs a node until SIGTERM or SIGINT ends it.
 ///
 /// # Errors
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -10,7 +10,7 @@
 
 use claims::{ClaimController, NodeId};
 use jobs::{PoolId, RouteTable};
-use kernel::ClockSource;
+use kernel::{ClockSource, PauseMonitor};
 use model::{DataCentreId, FastMap, Mechanism};
 use platform_adapter::{StoreClient, WorkerClient};
 use pool::EvacuationSet;
@@ -23,10 +23,6 @@
     owner::OwnedPool, peers::OwnerLinks, traffic::LinkUse,
 };
 
-/// A tick that is later than this means that the process has paused: it was frozen or suspended, or got no share of
-/// the processor. Other processes regard it as gone after about the same time.
-pub(crate) const PAUSE_THRESHOLD: Duration = Duration::from_millis(450);
-
 /// The state that the modules of a node share.
 pub(crate) struct NodeState {
     pub(crate) settings: NodeSettings,
@@ -82,8 +78,7 @@
     pub(crate) close_idle: Rc<Notify>,
     /// Notified when open requests must be answered because the process ends.
     pub(crate) cut_requests: Notify,
-    /// The time since boot at the last tick, including time in which the machine was suspended.
-    pub(crate) last_tick: Cell<Duration>,
+    pub(crate) pauses: RefCell<PauseMonitor>,
     pub(crate) next_waiter_id: Cell<u64>,
 }
 
@@ -108,13 +103,14 @@
     /// Returns whether the process has paused and its timers have not run since. Its state is then older than other
     /// processes assume.
     pub(crate) fn has_paused(&self) -> bool {
-        self.since_last_tick() > PAUSE_THRESHOLD
+        let now = self.clock.since_boot();
+        self.pauses.borrow().has_paused(now)
     }
 
     /// Returns the time since the last tick, including time in which the machine was suspended.
     pub(crate) fn since_last_tick(&self) -> Duration {
         let now = self.clock.since_boot();
-        now.saturating_sub(self.last_tick.get())
+        self.pauses.borrow().since_tick(now)
     }
 
     /// Returns whether the pool is being handed over: its jobs finish here, and new jobs go to its next owner.
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -61,8 +61,21 @@
     }
 
     /// Starts a node and waits until it is ready.
+    #[allow(
+        dead_code,
+        reason = "not every test file starts nodes on the system's clock"
+    )]
     pub(crate) async fn start_node(&self, settings: NodeSettings) -> NodeProcess {
-        let node = start_node(settings).await;
+        self.start_node_on(settings, Arc::new(SystemClock)).await
+    }
+
+    /// Starts a node on the given clock and waits until it is ready.
+    pub(crate) async fn start_node_on(
+        &self,
+        settings: NodeSettings,
+        clock: Arc<dyn ClockSource>,
+    ) -> NodeProcess {
+        let node = start_node_with_clock(settings, clock).await;
         for _ in 0..400 {
             if is_ready(&node).await {
                 return node;
@@ -73,11 +86,15 @@
     }
 }
 
-/// Starts a node. A port that the system assigns for TCP may be in use for UDP, so up to 20 ports are tried.
+#[allow(
+    dead_code,
+    reason = "not every test file starts nodes that are not ready"
+)]
 pub(crate) async fn start_node(settings: NodeSettings) -> NodeProcess {
     start_node_with_clock(settings, Arc::new(SystemClock)).await
 }
 
+/// Starts a node. A port that the system assigns for TCP may be in use for UDP, so up to 20 ports are tried.
 pub(crate) async fn start_node_with_clock(
     settings: NodeSettings,
     clock: Arc<dyn ClockSource>,
