An entry that paused submits nothing more for the jobs it had taken

Cause: an entry went on after each wait as if no time had passed. It read the refusal or the offers that had waited in its sockets, and submitted the job or its parts to the next owners.

Now a request remembers how many pauses had been noticed when it arrived. Each submission and each round of offers compares that count first, with no wait in between, and notices a pause itself. Where no pool took anything of the job, the customer gets a refusal, "not run", to come again after 1 s. A divided job of which a part may have begun is given up, as it was.

--- a/crates/node/src/customer_server.rs
+++ b/crates/node/src/customer_server.rs
@@ -17,6 +17,7 @@
 use jobs::{
     critical_path, JobId, JobOutcome, RefusalKind, RequestLimits, RouteRule, UnsupportedNeed,
 };
+use kernel::PauseCount;
 use model::Mechanism;
 use platform_adapter::{
     decode_job, encode_outcome, encode_pending, encode_state, EncodedResponse, StoreError,
@@ -28,7 +29,7 @@
 use crate::{
     connections,
     entry::{log_answer, run_job, EntryJob},
-    kept_jobs,
+    kept_jobs, pause,
     state::NodeState,
     NodeError,
 };
@@ -101,8 +102,18 @@
     response
 }
 
+/// When a request arrived.
+struct ArrivalMark {
+    at: Instant,
+    /// How many pauses of this process had been noticed by then.
+    pauses: PauseCount,
+}
+
 async fn route_request(state: &Rc<NodeState>, mut request: Request) -> Response<BoxBody> {
-    let arrived = state.now();
+    let arrival = ArrivalMark {
+        at: state.now(),
+        pauses: pause::notice(state),
+    };
     // A request that waited in its socket while this process was paused may by now be running elsewhere as its
     // customer's next try. It has not run here, so it is refused.
     if state.has_paused() {
@@ -153,7 +164,7 @@
     state
         .traffic
         .record_received(TrafficKind::Customers, body.len());
-    submit(state, id, rule, &body, arrived, stated_deadline).await
+    submit(state, id, rule, &body, arrival, stated_deadline).await
 }
 
 /// Answers with the state of a kept job according to the store. No process knows the state of jobs that are not
@@ -201,10 +212,10 @@
     id: JobId,
     rule: Rc<RouteRule>,
     body: &[u8],
-    arrived: Instant,
+    arrival: ArrivalMark,
     stated_deadline: Option<Duration>,
 ) -> Response<BoxBody> {
-    let deadline = arrived + stated_deadline.unwrap_or(DEFAULT_DEADLINE);
+    let deadline = arrival.at + stated_deadline.unwrap_or(DEFAULT_DEADLINE);
     let request = match decode_job(id, body) {
         Ok(request) => request,
         Err(error) => {
@@ -230,7 +241,8 @@
     let job = EntryJob {
         request: Arc::new(request),
         rule,
-        arrived,
+        arrived: arrival.at,
+        pauses: arrival.pauses,
         age,
         deadline,
     };
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -9,13 +9,14 @@
 use claims::OwnerView;
 use futures::{future::LocalBoxFuture, stream::FuturesUnordered, FutureExt as _, StreamExt as _};
 use jobs::{JobOutcome, JobRequest, JobTerms, PoolId, RefusalKind, RouteRule, StepSpec};
+use kernel::PauseCount;
 use model::Mechanism;
 use peer::JobCall;
 use pool::{divide_step, order_pools, PoolCandidate};
 use telemetry::EventLine;
 use tokio::time::{sleep, timeout};
 
-use crate::{owner, state::NodeState};
+use crate::{owner, pause, state::NodeState};
 
 /// The retry delay for customers while no owner of a pool can be reached. An owner is replaced within a second.
 const NO_OWNER_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -46,11 +47,20 @@
 /// the offer requests that are sent, all pools are asked, because fewer jobs are then refused.
 const BUSY_LINK_SHARE: f64 = 0.45;
 
+/// The refusal of a job that the process held up by a pause before any pool took it.
+const HELD_UP_REFUSAL: JobOutcome = JobOutcome::Refused {
+    kind: RefusalKind::NotServing,
+    retry_after: Duration::from_secs(1),
+    fits: 0,
+};
+
 /// A customer's job as it arrived.
 pub(crate) struct EntryJob {
     pub(crate) request: Arc<JobRequest>,
     pub(crate) rule: Rc<RouteRule>,
     pub(crate) arrived: Instant,
+    /// How many pauses of this process had been noticed by then.
+    pub(crate) pauses: PauseCount,
     /// A lower bound on the time for which the customer had been trying before this request arrived, because an
     /// earlier connection was cut or no process could take the job.
     pub(crate) age: Duration,
@@ -122,12 +132,24 @@
         }
         offers.extend(more);
     }
+    if is_held_up(state, job) {
+        return HELD_UP_REFUSAL;
+    }
     match divide_job(state, &job.request, offers) {
         Some(parts) => run_parts(state, job, &parts).await,
         None => last_refusal,
     }
 }
 
+/// Returns whether the process has paused since the job arrived.
+///
+/// The customer may have given up on this process and run the job elsewhere. An answer of an owner that waited in its
+/// socket must not lead to another submission then. Each submission and each round of offers checks this first, with
+/// no wait in between, so only a call that was already made can be delayed further.
+fn is_held_up(state: &Rc<NodeState>, job: &EntryJob) -> bool {
+    pause::notice(state) != job.pauses
+}
+
 /// Waits for a pool to get an owner while the process is new.
 ///
 /// When all processes restart at once under load, the customers whose requests were interrupted retry at that moment.
@@ -185,12 +207,16 @@
     u64::from(offer.fits) >= request.task_count()
 }
 
-/// Asks the owners of several pools at once for offers. Owners that do not answer in time offer nothing.
+/// Asks the owners of several pools at once for offers. Owners that do not answer in time offer nothing. No owner is
+/// asked for a job that was held up.
 async fn collect_offers(
     state: &Rc<NodeState>,
     job: &EntryJob,
     pools: Vec<EligiblePool>,
 ) -> Vec<PartOffer> {
+    if is_held_up(state, job) {
+        return Vec::new();
+    }
     let requests = pools
         .into_iter()
         .map(|EligiblePool { pool, owner, .. }| async move {
@@ -316,7 +342,7 @@
 }
 
 /// Submits a job or a part of it to one owner and waits at most as long as the customer does. None if the job
-/// cannot have reached the owner.
+/// cannot have reached the owner. A job that was held up is refused.
 async fn submit_before_deadline(
     state: &Rc<NodeState>,
     job: &EntryJob,
@@ -324,6 +350,9 @@
     owner: &OwnerView,
     part: Option<StepSpec>,
 ) -> Option<JobOutcome> {
+    if is_held_up(state, job) {
+        return Some(HELD_UP_REFUSAL);
+    }
     let now = state.now();
     let time_left = job.deadline.saturating_duration_since(now);
     let call = job_call(state, job, pool, now, part);
--- a/crates/node/tests/pauses.rs
+++ b/crates/node/tests/pauses.rs
@@ -11,6 +11,8 @@
 };
 
 use kernel::{ClockSource, SystemClock};
+use platform_stand_ins::{WorkerPlan, WorkerStandIn};
+use settings::NodeSettings;
 use support::{job, spawn_post_job, Platform};
 
 /// Longer than any pause that a node takes for a busy moment.
@@ -68,3 +70,36 @@
     assert_eq!(answer.await.unwrap().0, 504, "{log}");
     assert!(log.contains("process_paused"), "{log}");
 }
+
+/// Guards against going on to the next pools with a job whose first pool refused it before the entry paused.
+#[actix_rt::test]
+async fn a_suspended_entry_asks_no_further_pool() {
+    let mut platform = Platform::start(1, Duration::from_millis(300)).await;
+    let clock = Arc::new(SuspendableClock::default());
+    let settings = platform.node_settings("vm-e");
+    let entry = platform.start_node_on(settings, clock.clone()).await;
+    let plan = WorkerPlan {
+        id: "i-west".to_owned(),
+        run_time: Duration::from_millis(300),
+        ..WorkerPlan::default()
+    };
+    let worker = WorkerStandIn::start(plan).await;
+    let row = worker.entry("svc", "west", "ready");
+    platform.store.put("servers", "i-west", &row);
+    platform.workers.push(worker);
+    let settings = NodeSettings {
+        data_centre: "west".parse().unwrap(),
+        ..platform.node_settings("vm-w")
+    };
+    let other = platform.start_node(settings).await;
+    wait_until(|| entry.log_lines().contains("link_opened")).await;
+    wait_until(|| other.log_lines().contains("worker_answers")).await;
+    sleep_ms(600).await;
+    let answer = spawn_post_job(&entry, "5c0e7a21d94b3702", job(4, 300));
+    wait_until(|| entry.log_lines().contains("job_asked")).await;
+    clock.suspend(PAUSE);
+    let status = answer.await.unwrap().0;
+    let log = entry.log_lines();
+    let runs: usize = platform.workers.iter().map(|w| w.runs().len()).sum();
+    assert_eq!((status, runs), (503, 0), "{log}");
+}
