A node that wakes refuses all customers' requests that waited meanwhile

Cause: requests were refused after a pause only if they were read before the tick that noticed it. Those on connections that still waited in the accept queue, or that were read a turn later, were taken for new.

Now requests are refused (503, Retry-After, process_paused) until the customers' accept queue has been found empty, which the operating system is asked after the pause was noticed (kernel::AcceptDrain), and two ticks have followed. Between two ticks the process polls its sockets, and tasks run in the order in which they woke, so all bytes that waited are read by then; the reason is at READING_TICKS. An idle node that owns a pool serves again in under 450 ms from the end of a suspension (a_suspended_entry_soon_serves_again). Job calls and offers are refused as long, since they ask has_paused() too.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -12,7 +12,7 @@
 mod tasks;
 
 pub use crate::{
-    accept::serve_connections,
+    accept::{serve_connections, serve_with_drain, AcceptDrain},
     clock::{ClockSource, ManualClock, SystemClock},
     directory::{DirectoryError, ServiceDirectory, ServiceName},
     pause::{PauseCount, PauseMonitor},
--- a/crates/kernel/src/pause.rs
+++ b/crates/kernel/src/pause.rs
@@ -2,11 +2,20 @@
 
 use std::time::Duration;
 
+/// The ticks after the accept queue was found empty until all that waited in sockets has been read.
+///
+/// Connections accepted by the first of them have a task each. Between two ticks the process waits for a timer, and
+/// so polls its sockets: every socket with unread bytes wakes its task before the timer wakes the tick, and tasks run
+/// in the order in which they woke. So at the second tick all these bytes have been read. Ticks serve better than a
+/// time, which a process that gets too little processor time may spend without reading.
+const READING_TICKS: u32 = 2;
+
 /// How many pauses of the process were noticed. What began under another count was held up by a pause.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PauseCount(u64);
 
-/// Notices pauses by the time since the last tick of the process.
+/// Notices pauses by the time since the last tick of the process, and when all that waited in sockets meanwhile has
+/// been read.
 ///
 /// All times are times since boot ([`ClockSource::since_boot`](crate::ClockSource::since_boot)), which include
 /// suspensions of the machine.
@@ -15,8 +24,8 @@
     threshold: Duration,
     last_tick: Duration,
     count: PauseCount,
-    /// Whether there was a tick since the last pause was noticed.
-    has_ticked: bool,
+    /// The ticks, with an empty accept queue, after which all that waited in sockets has been read.
+    reading_ticks: u32,
 }
 
 impl PauseMonitor {
@@ -26,7 +35,7 @@
             threshold,
             last_tick: now,
             count: PauseCount::default(),
-            has_ticked: true,
+            reading_ticks: 0,
         }
     }
 
@@ -38,14 +47,16 @@
         }
         self.last_tick = now;
         self.count.0 += 1;
-        self.has_ticked = false;
+        self.reading_ticks = READING_TICKS;
         Some(pause)
     }
 
-    /// Records a tick.
-    pub fn tick(&mut self, now: Duration) {
-        self.last_tick = now;
-        self.has_ticked = true;
+    /// Records a tick. `is_draining` tells whether the accept queue has not been found empty since the last pause.
+    pub fn tick(&mut self, now: Duration, is_draining: bool) {
+        self.last_tick = self.last_tick.max(now);
+        if !is_draining {
+            self.reading_ticks = self.reading_ticks.saturating_sub(1);
+        }
     }
 
     /// How many pauses were noticed.
@@ -53,9 +64,10 @@
         self.count
     }
 
-    /// Returns whether the process has paused and did not tick since, whether or not the pause was noticed.
+    /// Returns whether what is read now may have been sent before the end of a pause, whether or not the pause was
+    /// noticed.
     pub fn has_paused(&self, now: Duration) -> bool {
-        !self.has_ticked || self.since_tick(now) > self.threshold
+        self.reading_ticks > 0 || self.since_tick(now) > self.threshold
     }
 
     /// The time since the last tick, or since a pause was noticed after it.
--- a/crates/kernel/tests/pause.rs
+++ b/crates/kernel/tests/pause.rs
@@ -20,17 +20,26 @@
     assert_ne!(monitor.count(), count);
 }
 
-/// Guards against taking a busy moment for a pause, and a pause for over before the next tick.
+/// Guards against taking a busy moment for a pause.
 #[test]
-fn a_pause_is_over_with_the_next_tick() {
+fn a_late_tick_is_no_pause() {
     let clock = ManualClock::default();
     let mut monitor = PauseMonitor::new(THRESHOLD, clock.since_boot());
     clock.advance(THRESHOLD);
     assert_eq!(monitor.notice(clock.since_boot()), None);
     assert!(!monitor.has_paused(clock.since_boot()));
+}
+
+/// Guards against taking what waited in sockets for new before it has been read, and against never taking it again.
+#[test]
+fn a_pause_is_over_once_the_waiting_bytes_are_read() {
+    let clock = ManualClock::default();
+    let mut monitor = PauseMonitor::new(THRESHOLD, clock.since_boot());
     clock.advance(PAUSE);
-    assert!(monitor.notice(clock.since_boot()).is_some());
-    assert!(monitor.has_paused(clock.since_boot()));
-    monitor.tick(clock.since_boot());
-    assert!(!monitor.has_paused(clock.since_boot()));
+    assert_eq!(monitor.notice(clock.since_boot()), Some(PAUSE));
+    for (is_draining, paused) in [(true, true), (true, true), (false, true), (false, false)] {
+        clock.advance(Duration::from_millis(20));
+        monitor.tick(clock.since_boot(), is_draining);
+        assert_eq!(monitor.has_paused(clock.since_boot()), paused);
+    }
 }
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -9,7 +9,7 @@
 use actix_service::{Service as _, ServiceFactory as _};
 use futures::future::LocalBoxFuture;
 use jobs::RequestLimits;
-use kernel::serve_connections;
+use kernel::serve_with_drain;
 use telemetry::{EventKind, EventLine};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -35,7 +35,8 @@
     let limits = limits(&state);
     let first = build(&state, limits, answer.clone()).await?;
     let current = Rc::new(RefCell::new((limits, first)));
-    serve_connections(listener, move |stream| {
+    let drain = &state.accept_drain;
+    serve_with_drain(listener, drain, |stream| {
         let (state, current, answer) = (state.clone(), current.clone(), answer.clone());
         async move {
             rebuild_if_changed(&state, &current, answer).await;
--- a/crates/node/src/customer_server.rs
+++ b/crates/node/src/customer_server.rs
@@ -114,8 +114,9 @@
         at: state.now(),
         pauses: pause::notice(state),
     };
-    // A request that waited in its socket while this process was paused may by now be running elsewhere as its
-    // customer's next try. It has not run here, so it is refused.
+    // A request that waited in its socket or in the accept queue while this process was paused may by now be running
+    // elsewhere as its customer's next try. It has not run here, so it is refused. New requests are refused with it
+    // until all that waited has been read, which takes a few ticks.
     if state.has_paused() {
         log_refusal(state, "process_paused");
         return not_ready();
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -11,7 +11,7 @@
 use claims::{
     ClaimController, ClaimEvent, ClaimSettings, LinkRate, MemberRow, NodeId, PublishedBudget,
 };
-use kernel::{ClockSource, PauseMonitor, SystemClock};
+use kernel::{AcceptDrain, ClockSource, PauseMonitor, SystemClock};
 use platform_adapter::{HttpClient, RowWrite, StoreClient, StoreTable, Transaction, WorkerClient};
 use pool::{AttemptTimes, PoolSettings};
 use settings::NodeSettings;
@@ -267,6 +267,7 @@
         close_idle: Rc::default(),
         cut_requests: Notify::new(),
         pauses: RefCell::new(PauseMonitor::new(PAUSE_THRESHOLD, clock.since_boot())),
+        accept_drain: AcceptDrain::default(),
         next_waiter_id: Cell::new(0),
         settings,
         started: clock.now(),
@@ -402,8 +403,7 @@
             // Attempts whose lease ended meanwhile are over before anything else is sent for them.
             yield_now().await;
         }
-        pause::notice(&state);
-        state.pauses.borrow_mut().tick(state.clock.since_boot());
+        pause::record_tick(&state);
         tick(&state);
         heartbeats.tick(&state);
         let now = state.now();
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -10,7 +10,7 @@
 
 use claims::{ClaimController, NodeId};
 use jobs::{PoolId, RouteTable};
-use kernel::{ClockSource, PauseMonitor};
+use kernel::{AcceptDrain, ClockSource, PauseMonitor};
 use model::{DataCentreId, FastMap, Mechanism};
 use platform_adapter::{StoreClient, WorkerClient};
 use pool::EvacuationSet;
@@ -79,6 +79,8 @@
     /// Notified when open requests must be answered because the process ends.
     pub(crate) cut_requests: Notify,
     pub(crate) pauses: RefCell<PauseMonitor>,
+    /// Pending while customers' connections from before the end of a pause may wait to be accepted.
+    pub(crate) accept_drain: AcceptDrain,
     pub(crate) next_waiter_id: Cell<u64>,
 }
 
@@ -100,8 +102,8 @@
         self.log.borrow_mut().add(kind, line);
     }
 
-    /// Returns whether the process has paused and its timers have not run since. Its state is then older than other
-    /// processes assume.
+    /// Returns whether the process has paused and may not have read all that was sent before it woke. Its state is then
+    /// older than other processes assume.
     pub(crate) fn has_paused(&self) -> bool {
         let now = self.clock.since_boot();
         self.pauses.borrow().has_paused(now)
--- a/crates/node/tests/pauses.rs
+++ b/crates/node/tests/pauses.rs
@@ -3,17 +3,21 @@
 mod support;
 
 use std::{
+    io::{Read as _, Write as _},
+    net::TcpStream,
     sync::{
         atomic::{AtomicU64, Ordering},
+        mpsc::{channel, Sender},
         Arc,
     },
+    thread::JoinHandle,
     time::{Duration, Instant},
 };
 
 use kernel::{ClockSource, SystemClock};
 use platform_stand_ins::{WorkerPlan, WorkerStandIn};
 use settings::NodeSettings;
-use support::{job, spawn_post_job, Platform};
+use support::{job, post_job, spawn_post_job, Platform, HOST};
 
 /// Longer than any pause that a node takes for a busy moment.
 const PAUSE: Duration = Duration::from_millis(700);
@@ -103,3 +107,75 @@
     let runs: usize = platform.workers.iter().map(|w| w.runs().len()).sum();
     assert_eq!((status, runs), (503, 0), "{log}");
 }
+
+/// Guards against refusing new customers for longer than it takes to read what waited.
+#[actix_rt::test]
+async fn a_suspended_entry_soon_serves_again() {
+    let platform = Platform::start(1, Duration::from_millis(10)).await;
+    let clock = Arc::new(SuspendableClock::default());
+    let settings = platform.node_settings("vm-1");
+    let node = platform.start_node_on(settings, clock.clone()).await;
+    sleep_ms(300).await;
+    clock.suspend(PAUSE);
+    let woken = Instant::now();
+    let mut refused = 0;
+    while post_job(&node, "5c0e7a21d94b3704", &job(1, 10)).await.0 != 200 {
+        refused += 1;
+        sleep_ms(5).await;
+    }
+    let took = woken.elapsed();
+    assert!(refused > 0, "{}", node.log_lines());
+    assert!(took < Duration::from_millis(450), "{took:?}");
+}
+
+/// Sends a job, reports that, and returns the head of the answer.
+fn post_blocking(mut stream: TcpStream, id: u32, sent: &Sender<()>) -> String {
+    let body = job(1, 50).to_string();
+    let length = body.len();
+    let head = format!("POST /hold/5c0e7a21d94c{id:04x} HTTP/1.1\r\nHost: {HOST}\r\n");
+    let text = format!("{head}X-Deadline-Ms: 4000\r\nContent-Length: {length}\r\n\r\n{body}");
+    stream.write_all(text.as_bytes()).unwrap();
+    sent.send(()).unwrap();
+    let limit = Some(Duration::from_secs(5));
+    stream.set_read_timeout(limit).unwrap();
+    let mut answer = [0; 1_024];
+    let length = stream.read(&mut answer).unwrap_or(0);
+    String::from_utf8_lossy(&answer[..length]).to_lowercase()
+}
+
+/// Guards against taking jobs for new that waited in the accept queue or in sockets while the process was frozen.
+#[actix_rt::test]
+async fn a_frozen_entry_refuses_the_jobs_that_waited() {
+    let platform = Platform::start(2, Duration::from_millis(50)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    let address = node.customer_address();
+    let connect = move || TcpStream::connect(address).unwrap();
+    let open: Vec<TcpStream> = (0..20).map(|_| connect()).collect();
+    sleep_ms(300).await;
+    // From here the process does not run until all have sent their jobs and the pause is over.
+    let (sent, all_sent) = channel();
+    let streams = open.into_iter().map(Some).chain((0..20).map(|_| None));
+    let mut customers = Vec::new();
+    for (id, stream) in (0..).zip(streams) {
+        let sent = sent.clone();
+        customers.push(std::thread::spawn(move || {
+            post_blocking(stream.unwrap_or_else(connect), id, &sent)
+        }));
+    }
+    assert_eq!(all_sent.iter().take(40).count(), 40);
+    std::thread::sleep(PAUSE);
+    wait_until(|| customers.iter().all(JoinHandle::is_finished)).await;
+    for customer in customers {
+        let answer = customer.join().unwrap();
+        assert!(answer.starts_with("http/1.1 503"), "{answer}");
+        assert!(answer.contains("retry-after: 1"), "{answer}");
+    }
+    let runs: usize = platform.workers.iter().map(|w| w.runs().len()).sum();
+    let log = node.log_lines();
+    let refusals = log.lines().filter(|line| line.contains("request_refused"));
+    let refusals = refusals.filter(|line| line.contains("process_paused"));
+    assert_eq!((runs, refusals.count()), (0, 40), "{log}");
+    sleep_ms(1_000).await;
+    let answer = post_job(&node, "5c0e7a21d94b3703", &job(1, 50)).await;
+    assert_eq!(answer.0, 200, "{}", node.log_lines());
+}
