An owner's answer to a renewal tells its clock

An entry knows an owner's clock from heartbeats, as a bound that loses 2% of the time since the best one. Between data centres of a fleet of 236 processes heartbeats are 5.9 s apart, so that the bound falls behind by 118 ms, and by 236 ms after one lost heartbeat: with the interval of renewals and the path both ways little of the lease of 444 ms is left, and a long job of a living entry could be ended. (Computed from the settings; no run of such a fleet was done.)

The answer to a renewal now carries the owner's time, and the link keeps the best bound of both sources. It belongs to the connection, so no other incarnation can come between.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -513,7 +513,7 @@
         return Some(owner::run_locally(state.clone(), pool.clone(), call).await);
     }
     let link = state.links.get(owner.address)?;
-    call.sent_at = owner.clock?.lower_bound(state.now());
+    call.sent_at = link.owner_clock(state.now(), owner.clock?);
     record_sent_demand(state, pool, owner, &call);
     Some(link.run(state.now(), &call).await)
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use claims::{Heartbeat, HeartbeatClass, NodeId, PoolNews};
+use claims::{Heartbeat, HeartbeatClass, NodeId, PeerClock, PoolNews};
 use futures::future::{select, Either};
 use jobs::JobOutcome;
 use model::FastMap;
@@ -35,6 +35,9 @@
     open_calls: Cell<usize>,
     /// When the owner was last sent a job or a renewal, both of which confirm all open calls.
     confirmed_at: Cell<Instant>,
+    /// What the answers to renewals told of the owner's clock. Between data centres of a large fleet, heartbeats are
+    /// seconds apart, and the bound that they give alone would use up much of a lease.
+    clock: Cell<Option<PeerClock>>,
 }
 
 impl OwnerLink {
@@ -45,9 +48,26 @@
             lost,
             open_calls: Cell::new(0),
             confirmed_at: Cell::new(now),
+            clock: Cell::new(None),
         }
     }
 
+    /// The owner's time since boot at `now`, or less: the better of what its heartbeats and its answers on this link
+    /// told.
+    pub(crate) fn owner_clock(&self, now: Instant, heard: PeerClock) -> Duration {
+        let answered = self.clock.get();
+        let best = answered.map_or(heard, |answered| heard.later(answered, now));
+        best.lower_bound(now)
+    }
+
+    /// Records the owner's clock from its answer to a renewal.
+    fn record_clock(&self, now: Instant, clock: Duration) {
+        let answered = PeerClock::new(now, clock);
+        let former = self.clock.get();
+        let clock = former.map_or(answered, |former| former.later(answered, now));
+        self.clock.set(Some(clock));
+    }
+
     /// Sends a job to the owner and waits for its outcome. Dropping the future cancels the job.
     pub(crate) async fn run(&self, now: Instant, call: &JobCall) -> JobOutcome {
         self.confirmed_at.set(now);
@@ -68,14 +88,17 @@
     }
 
     /// Confirms all open calls. The returned future waits for the answer. None if there is nothing to confirm.
-    fn renew(&self, state: &NodeState) -> Option<impl Future<Output = Result<(), PeerError>>> {
+    fn renew(
+        &self,
+        state: &NodeState,
+    ) -> Option<impl Future<Output = Result<Duration, PeerError>>> {
         if self.open_calls.get() == 0 {
             return None;
         }
         let now = state.now();
-        let clock = state.claim_controller.borrow().peer_clock(&self.node)?;
+        let heard = state.claim_controller.borrow().peer_clock(&self.node)?;
         self.confirmed_at.set(now);
-        Some(self.link.renew(clock.lower_bound(now)))
+        Some(self.link.renew(self.owner_clock(now, heard)))
     }
 }
 
@@ -157,12 +180,16 @@
             // If this process was frozen, customers may have left meanwhile. The ends of their connections are handled
             // first, which drops their calls, so that the renewal does not confirm them.
             yield_now().await;
-            let renewal = link.renew(&state);
+            let Some(renewal) = link.renew(&state) else {
+                return;
+            };
             // A connection that has gone silent is closed by dropping its last link, so this task must not hold one.
+            let weak_link = Rc::downgrade(&link);
             drop(link);
-            if let Some(renewal) = renewal {
-                // If the connection breaks, the calls end with it.
-                let _lost = renewal.await;
+            let answer = renewal.await;
+            // If the connection has broken, the calls have ended with it.
+            if let (Ok(clock), Some(link)) = (answer, weak_link.upgrade()) {
+                link.record_clock(state.now(), clock);
             }
         });
     }
--- a/crates/node/src/pool_port.rs
+++ b/crates/node/src/pool_port.rs
@@ -47,10 +47,12 @@
         owner::offer_locally(&self.state, &call)
     }
 
-    fn renew(&self, sent_at: Duration) {
+    fn renew(&self, sent_at: Duration) -> Duration {
+        let now = self.state.clock.since_boot();
         let mut lease = self.lease.get();
-        lease.confirm(self.state.clock.since_boot(), sent_at);
+        lease.confirm(now, sent_at);
         self.lease.set(lease);
+        now
     }
 
     fn run(&self, call: JobCall) -> LocalBoxFuture<'static, JobOutcome> {
--- a/crates/node/tests/leases.rs
+++ b/crates/node/tests/leases.rs
@@ -171,6 +171,17 @@
     assert!(overrun < millis(200), "{overrun:?}");
 }
 
+/// Guards against a bound of the owner's clock that only heartbeats raise, which are seconds apart in large fleets.
+#[actix_rt::test]
+async fn an_answer_to_a_renewal_tells_the_owners_clock() {
+    let (_platform, _owner, link) = owner_and_link(millis(50)).await;
+    let sent = clock();
+    let answered = link.renew(sent).await.unwrap();
+    // The protocol has whole microseconds.
+    assert!(answered + Duration::from_micros(1) > sent);
+    assert!(answered <= clock());
+}
+
 /// The system's clock on a machine that can be suspended for a while.
 #[derive(Default)]
 struct SuspendedClock {
--- a/crates/peer/schema/pool.capnp
+++ b/crates/peer/schema/pool.capnp
@@ -82,8 +82,9 @@
   # Runs a job to its end.
   offer @1 (job :Job) -> (fits :UInt32);
   # Returns how many of a job's tasks the pool could currently run in time. Reserves nothing. The job has no text.
-  renew @2 (sentAtMicros :UInt64) -> ();
-  # Confirms all calls of `run` that are open on this connection. The time is one of the receiver's clock, as in a job.
+  renew @2 (sentAtMicros :UInt64) -> (clockMicros :UInt64);
+  # Confirms all calls of `run` that are open on this connection. Both times are of the receiver's clock since boot: the
+  # time of sending, as in a job, and the present time.
 }
 
 struct PoolNews {
--- a/crates/peer/src/pool_capnp.rs
+++ b/crates/peer/src/pool_capnp.rs
@@ -3014,11 +3014,15 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_clock_micros(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3068,6 +3072,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_clock_micros(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_clock_micros(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3079,17 +3091,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(100, 28, 248, 92, 93, 14, 226, 139),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
@@ -3097,9 +3109,29 @@
                 ::capnp::word(111, 114, 116, 46, 114, 101, 110, 101),
                 ::capnp::word(119, 36, 82, 101, 115, 117, 108, 116),
                 ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 108, 111, 99, 107, 77, 105, 99),
+                ::capnp::word(114, 111, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -3111,9 +3143,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0x8be2_0e5d_5cf8_1c64;
         }
     }
--- a/crates/peer/src/pool_link.rs
+++ b/crates/peer/src/pool_link.rs
@@ -40,8 +40,9 @@
     /// The number of the job's tasks that the pool could currently run in time. This reserves nothing.
     fn offer(&self, call: JobCall) -> u32;
 
-    /// Confirms the jobs that run on this connection, as of this process's time since boot `sent_at`.
-    fn renew(&self, sent_at: Duration);
+    /// Confirms the jobs that run on this connection, as of this process's time since boot `sent_at`. Returns the
+    /// present time since boot.
+    fn renew(&self, sent_at: Duration) -> Duration;
 }
 
 /// An open connection to a pool owner. Dropping it closes the connection.
@@ -85,17 +86,18 @@
     }
 
     /// Confirms all jobs that were sent on this link and still run. `sent_at` is the owner's time since boot, or less.
+    /// Returns the owner's time since boot when it answered.
     ///
     /// # Errors
     ///
     /// The connection broke.
-    pub fn renew(&self, sent_at: Duration) -> impl Future<Output = Result<(), PeerError>> {
+    pub fn renew(&self, sent_at: Duration) -> impl Future<Output = Result<Duration, PeerError>> {
         let mut request = self.port.renew_request();
         request.get().set_sent_at_micros(micros(sent_at));
         let promise = request.send().promise;
         async move {
-            promise.await?;
-            Ok(())
+            let micros = promise.await?.get()?.get_clock_micros();
+            Ok(Duration::from_micros(micros))
         }
     }
 }
@@ -194,10 +196,10 @@
     fn renew(
         self: Rc<Self>,
         params: pool_port::RenewParams,
-        _: pool_port::RenewResults,
+        mut results: pool_port::RenewResults,
     ) -> impl Future<Output = Result<(), capnp::Error>> + 'static {
         let sent_at = params.get().map(|params| params.get_sent_at_micros());
         let renewed = sent_at.map(|micros| self.0.renew(Duration::from_micros(micros)));
-        std::future::ready(renewed)
+        std::future::ready(renewed.map(|clock| results.get().set_clock_micros(micros(clock))))
     }
 }
