The test of a new incarnation's clock uses the controller's simulation

It built a controller and its rows by hand. The same checks stand beside the other tests of the controller, with a third heartbeat that must not lower the bound. Seen to fail with the clock of the former incarnation kept (90 s in place of 0.8 s).

--- a/crates/claims/tests/claim_controller.rs
+++ b/crates/claims/tests/claim_controller.rs
@@ -449,3 +449,29 @@
     let expected: Vec<String> = pools.iter().map(PoolId::to_string).collect();
     assert_eq!(claims, expected);
 }
+
+/// Guards against the clock of a machine's former boot, far above that of its present one.
+#[test]
+fn the_clock_of_a_new_incarnation_starts_anew() {
+    let mut owner = member("east-1", 1);
+    let mut sim = ControllerSim::new(&member("east-2", 3));
+    let mut hear = |sim: &mut ControllerSim, incarnation, clock| {
+        owner.incarnation = incarnation;
+        let heartbeat = Heartbeat {
+            clock,
+            ..heartbeat(&owner, &[], &["east"])
+        };
+        let now = sim.now;
+        sim.controller.on_heartbeat(now, heartbeat, address(1));
+        sim.set_owner("east", &owner, incarnation);
+        let clock = sim.controller.owner(now, &pool("east")).unwrap().clock;
+        clock.unwrap().lower_bound(now)
+    };
+    assert_eq!(hear(&mut sim, 10, millis(90_000)), millis(90_000));
+    assert_eq!(hear(&mut sim, 11, millis(800)), millis(800));
+    assert_eq!(hear(&mut sim, 11, millis(700)), millis(800));
+    owner.incarnation = 12;
+    sim.set_owner("east", &owner, 12);
+    let clock = sim.controller.owner(sim.now, &pool("east")).unwrap().clock;
+    assert_eq!(clock, None, "not heard yet");
+}
--- a/crates/claims/tests/peer_clock.rs
+++ b/crates/claims/tests/peer_clock.rs
@@ -1,14 +1,8 @@
 //! What a process knows of a peer's clock.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use claims::{
-    ClaimController, ClaimRow, ClaimSettings, Heartbeat, LinkRate, MemberRow, NodeId, PeerClock,
-};
-use jobs::PoolId;
+use claims::PeerClock;
 
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -92,51 +86,3 @@
         millis(10_000) + millis(980)
     );
 }
-
-fn heartbeat(incarnation: u64, clock: Duration) -> Heartbeat {
-    Heartbeat {
-        node: NodeId::from("east-1"),
-        incarnation,
-        data_centre: "east".parse().unwrap(),
-        cores: 0.25,
-        link: LinkRate::default(),
-        leaving: false,
-        clock,
-        reading: None,
-        hears: Vec::new(),
-        pools: Vec::new(),
-    }
-}
-
-/// Guards against the clock of a machine's former boot, far above that of its present one.
-#[test]
-fn a_new_incarnation_starts_anew() {
-    let now = Instant::now();
-    let address = SocketAddr::from(([10, 0, 0, 1], 1));
-    let own_row = MemberRow {
-        node: NodeId::from("east-2"),
-        incarnation: 10,
-        data_centre: "east".parse().unwrap(),
-        cores: 0.25,
-        link: LinkRate::default(),
-        address,
-        refreshes: 1,
-        waits: Vec::new(),
-    };
-    let mut controller = ClaimController::new(own_row, ClaimSettings::default(), now);
-    let pool: PoolId = "east/0".parse().unwrap();
-    let row = ClaimRow {
-        node: NodeId::from("east-1"),
-        incarnation: 11,
-        address,
-    };
-    controller.on_claim(now, pool.clone(), row, 7);
-    let clock_of_owner = |controller: &ClaimController| {
-        let owner = controller.owner(now, &pool).unwrap();
-        owner.clock.map(|clock| clock.lower_bound(now))
-    };
-    controller.on_heartbeat(now, heartbeat(10, millis(90_000)), address);
-    assert_eq!(clock_of_owner(&controller), None);
-    controller.on_heartbeat(now, heartbeat(11, millis(800)), address);
-    assert_eq!(clock_of_owner(&controller), Some(millis(800)));
-}
