The log shows how long an attempt's runs outlive it

Callers saw two runs of one task at once. Nothing in the log or the metrics told how long the runs of a job go on after the job has ended at its owner, which is the time that must stay below a customer's pause.

An owner now remembers when a job ended of which run records are left, and reports when the last record is removed: the log line attempt_over with after_ms, and the histogram node_attempt_overrun_seconds. The removal of a run costs one look-up in a map of the jobs that are ending; workers are searched only for those jobs. No decision depends on it.

--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -297,6 +297,10 @@
                 line.number("stopped_runs", *stopped as u64),
             )
         }
+        PoolEvent::AttemptOver { job, took } => {
+            let line = EventLine::new("attempt_over").text("job", job);
+            (EventKind::Important, line.millis("after_ms", *took))
+        }
     }
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -156,12 +156,18 @@
     meaning: "Time from an entry's sending of a job to its arrival at the owner, or more",
 };
 
+const OVERRUN_FAMILY: TimeFamily = TimeFamily {
+    name: "node_attempt_overrun_seconds",
+    meaning: "Time from the end of a job at its owner to the end of the last of its runs, if any was left",
+};
+
 /// Every histogram family, in the order of the page.
 pub const TIME_FAMILIES: &[TimeFamily] = &[
     JOB_TIME_FAMILY,
     QUEUE_WAIT_FAMILY,
     RUN_TIME_FAMILY,
     CALL_AGE_FAMILY,
+    OVERRUN_FAMILY,
 ];
 
 pub(crate) fn new_metrics() -> Result<NodeMetrics, TelemetryError> {
@@ -234,6 +240,7 @@
             let finding = if *common { "common" } else { "suspected" };
             metrics.count(CRASHES, finding);
         }
+        PoolEvent::AttemptOver { took, .. } => metrics.time(OVERRUN_FAMILY.name, *took),
         PoolEvent::CrashCleared { .. } => metrics.count(CRASHES, "cleared"),
         PoolEvent::CrashCulprit { .. } => metrics.count(CRASHES, "culprit"),
         PoolEvent::WorkerSuspended { cause, .. } => metrics.count(SUSPENSIONS, cause.as_str()),
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -403,6 +403,13 @@
         /// The number of runs that are stopped.
         stopped: usize,
     },
+    /// The last run of a job that ended before its runs is over.
+    AttemptOver {
+        /// The job that had ended.
+        job: JobId,
+        /// The time since the job ended at its owner.
+        took: Duration,
+    },
 }
 
 text_enum! {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod answers;
 mod crash_blame;
+mod ended_attempts;
 mod evacuating;
 mod kept_jobs;
 mod polls;
@@ -103,6 +104,8 @@
     crashes: CrashTracker,
     /// Workers that are being emptied so that crash suspects can run alone on them.
     reserved_for_suspects: Vec<InstanceId>,
+    /// Ended jobs of which run records are left, and when each ended.
+    ended_attempts: FastMap<JobId, Instant>,
     estimates: EstimateCorrections,
     arrivals: ArrivalStats,
     actions: Vec<PoolAction>,
@@ -158,6 +161,7 @@
             queue: JobQueue::default(),
             crashes: CrashTracker::default(),
             reserved_for_suspects: Vec::new(),
+            ended_attempts: FastMap::default(),
             estimates: EstimateCorrections::default(),
             arrivals: ArrivalStats::default(),
             actions: Vec::new(),
@@ -249,11 +253,7 @@
         // Runs of an earlier attempt at the same job are still ending. Starting the job now would
         // run a task twice at the same time; the customer's next attempt comes after they have
         // ended.
-        if self
-            .workers
-            .values()
-            .any(|worker| worker.run_count_of(request.id) > 0)
-        {
+        if self.has_runs_of(request.id) {
             self.answer(waiter, JobOutcome::GivenUp);
             return;
         }
@@ -490,6 +490,7 @@
                 stopped += usize::from(stop_run(worker, task, run));
             }
         }
+        self.watch_ended_attempt(now, id);
         if stopped > 0 {
             self.send_orders(now);
         }
@@ -518,6 +519,7 @@
         for instance in gone {
             self.workers.remove(&instance);
             self.report_worker_change(instance, WorkerChange::Forgotten);
+            self.report_attempts_over(now);
         }
     }
 
--- a/crates/pool/src/pool/answers.rs
+++ b/crates/pool/src/pool/answers.rs
@@ -255,7 +255,7 @@
         };
         self.suspend(now, instance, SuspensionCause::Unhealthy);
         if let Some(run) = lost {
-            self.record_lost_run(&run, instance, RunLoss::Rejected);
+            self.record_lost_run(now, &run, instance, RunLoss::Rejected);
             self.requeue(now, run);
         }
     }
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -226,6 +226,7 @@
             cause: end.cause,
             took,
         });
+        self.report_attempt_over(now, task.job);
         let failures = self.record_end(task, instance, end);
         match end.cause {
             EndCause::Done => self.complete_task(now, instance, &run, took),
@@ -482,7 +483,7 @@
             lost.extend(worker.remove_run(task, run));
         }
         for run in lost {
-            self.record_lost_run(&run, instance, RunLoss::NotListed);
+            self.record_lost_run(now, &run, instance, RunLoss::NotListed);
             self.requeue(now, run);
         }
     }
@@ -499,7 +500,7 @@
         let begun = runs.iter().filter(|run| run.starts_sent > 0);
         let culprits = self.record_worker_loss(now, instance, begun.map(|run| run.task), died);
         for run in runs {
-            self.record_lost_run(&run, instance, loss);
+            self.record_lost_run(now, &run, instance, loss);
             self.requeue(now, run);
         }
         self.fail_culprit_jobs(now, culprits);
@@ -532,6 +533,7 @@
         for run in &worker.runs {
             self.finish(now, run.task.job, JobOutcome::GivenUp);
         }
+        self.report_attempts_over(now);
         if self.workers.is_empty() {
             self.actions.push(PoolAction::ReleasePool);
         }
@@ -539,6 +541,7 @@
 
     pub(super) fn record_lost_run(
         &mut self,
+        now: Instant,
         run: &TrackedRun,
         instance: &InstanceId,
         loss: RunLoss,
@@ -549,6 +552,7 @@
             instance: instance.clone(),
             loss,
         });
+        self.report_attempt_over(now, run.task.job);
     }
 }
 
--- a/crates/pool/src/pool/restart.rs
+++ b/crates/pool/src/pool/restart.rs
@@ -127,7 +127,7 @@
                 let Some(run) = worker.remove_run(task, number) else {
                     return;
                 };
-                self.record_lost_run(&run, instance, RunLoss::NewIncarnation);
+                self.record_lost_run(now, &run, instance, RunLoss::NewIncarnation);
                 if fate == FormerRunFate::Unknown && !self.is_kept(task.job) {
                     self.finish(now, task.job, JobOutcome::GivenUp);
                 } else {
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -115,6 +115,7 @@
         });
         let complete = job.is_complete();
         let progress = job.kept.as_ref().map(|kept| kept.progress.clone());
+        self.ended_attempts.remove(&id);
         self.jobs.insert(id, job);
         self.events.push(PoolEvent::KeptFound { job: id, version });
         if complete {
