--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -15,6 +15,7 @@
 mod parse;
 mod places;
 mod platform_view;
+pub mod ports;
 mod process;
 mod process_settings;
 pub mod record;
--- a/crates/scenario/src/testbed.rs
+++ b/crates/scenario/src/testbed.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs, io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
 };
 
@@ -17,6 +17,7 @@
     error::StepError,
     places::{PlaceMap, PlaceName, PLATFORM},
     platform_view::{EndpointLinks, PlatformView},
+    ports::PortHold,
     process::{ChildPlan, ChildProcess, ChildSignal, ProcessName},
     process_settings::{self, VmSettings},
     record::ExitRecord,
@@ -26,6 +27,9 @@
     sources::SourceList,
 };
 
+/// The ports of a VM: for callers, peers and probes.
+const VM_PORTS: usize = 3;
+
 /// A VM with its addresses and its two processes.
 pub(crate) struct VmNode {
     pub(crate) name: Label,
@@ -122,8 +126,12 @@
                 testbed.add_endpoints(line)?;
             }
         }
-        for place in testbed.places.vms.clone() {
-            testbed.add_vm(place)?;
+        let places = testbed.places.vms.clone();
+        // Held until all VMs have theirs, so that none is chosen twice.
+        let hold = PortHold::new(places.len() * VM_PORTS)?;
+        let mut addresses = hold.addresses()?.into_iter();
+        for place in places {
+            testbed.add_vm(place, &mut addresses)?;
         }
         testbed.publish_vms();
         Ok(testbed)
@@ -148,7 +156,11 @@
         Ok(())
     }
 
-    fn add_vm(&mut self, place: PlaceName) -> io::Result<()> {
+    fn add_vm(
+        &mut self,
+        place: PlaceName,
+        addresses: &mut impl Iterator<Item = SocketAddr>,
+    ) -> io::Result<()> {
         let PlaceName { name, data_centre } = place;
         let mut endpoint_links = EndpointLinks::default();
         for index in 0..self.endpoints.len() {
@@ -169,7 +181,11 @@
         if self.places.is_linked(&name, PLATFORM) {
             platform = self.add_link(&name, PLATFORM, platform)?;
         }
-        let [caller, peer, admin] = free_addresses()?;
+        let mut next_address = || {
+            let address = addresses.next();
+            address.ok_or_else(|| io::Error::other("no port is left for a VM"))
+        };
+        let (caller, peer, admin) = (next_address()?, next_address()?, next_address()?);
         let announced = self.add_peer_links(&name, peer)?;
         self.vms.push(VmNode {
             name,
@@ -449,17 +465,5 @@
     })
 }
 
-/// Returns three free loopback addresses. All are bound at the same time, so that they differ, and then released, so
-/// another process could still take one.
-fn free_addresses() -> io::Result<[SocketAddr; 3]> {
-    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
-    let listeners = [bind()?, bind()?, bind()?];
-    Ok([
-        listeners[0].local_addr()?,
-        listeners[1].local_addr()?,
-        listeners[2].local_addr()?,
-    ])
-}
-
 /// A map keyed by scenario names.
 pub(crate) type NameMap<V> = FastMap<Label, V>;
