The random soak freezes owners while their customers come again

The users saw two runs of one task; the soak never did. Its runs took 0.1 s, owners were rarely frozen for longer than the 1.3 s after which customers come again, another node took their pools over meanwhile, and customers of a frozen node kept their connections.

Owners are now frozen for 0.3 to 3 s beside the other faults, with the store silent, half of a frozen node's customers lose their connections, and 15% of the jobs are one run of 0.9 s.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -200,7 +200,12 @@
             let ended = job.attempts.iter().map(|attempt| attempt.ended).max();
             last_ends.insert(job.id, ended.unwrap_or(self.record.ended));
         }
+        let open_attempts = self.open_attempts();
         for run in &self.record.runs {
+            let open_since = open_attempts.get(&run.task.job);
+            if open_since.is_some_and(|sent| run.began >= *sent) {
+                continue;
+            }
             let ended = last_ends.get(&run.task.job).copied();
             if ended.is_none_or(|ended| run.began > ended + ORPHAN_START_LIMIT) {
                 let details = format!(
@@ -212,6 +217,13 @@
         }
     }
 
+    /// Returns when the attempts that have not ended were sent, by job.
+    fn open_attempts(&self) -> FastMap<JobId, Duration> {
+        let jobs = self.record.jobs.iter();
+        jobs.filter_map(|job| Some((job.id, job.open_since?)))
+            .collect()
+    }
+
     fn check_stray_starts(&mut self) {
         let Some(limit) = self.record.stray_limit else {
             return;
@@ -223,6 +235,9 @@
             let Some(job) = jobs.get(&run.task.job) else {
                 continue;
             };
+            if job.open_since.is_some_and(|sent| run.began >= sent) {
+                continue;
+            }
             let earlier = job.attempts.iter().filter(|a| a.sent <= run.began);
             let Some(ended) = earlier.map(|a| a.ended).max() else {
                 continue;
--- a/crates/soak/src/customers.rs
+++ b/crates/soak/src/customers.rs
@@ -4,9 +4,11 @@
 
 use awc::Client;
 use fastrand::Rng;
+use futures::future::{self, Either};
 use jobs::JobId;
 use platform_adapter::DEADLINE_HEADER;
 use platform_stand_ins::{job_body, timed_job_body};
+use tokio::sync::Notify;
 
 use crate::{
     fleet::{added_prefix, HOST, PREFIX},
@@ -41,6 +43,8 @@
     plan: CustomerPlan,
     nodes: Vec<SocketAddr>,
     clients: Vec<Vec<Client>>,
+    /// Notified when connections to a node break, by node.
+    resets: Vec<Notify>,
     pub(crate) record: Rc<RefCell<SoakRecord>>,
 }
 
@@ -58,6 +62,7 @@
             began,
             plan,
             clients: clients.collect(),
+            resets: nodes.iter().map(|_| Notify::new()).collect(),
             nodes,
             record,
         }
@@ -70,8 +75,7 @@
     /// Submits one job, with retries, until it gets a final answer, its customer leaves early, or no attempt is left.
     pub(crate) async fn submit_job(&self, mut rng: Rng) {
         let id = JobId(rng.u64(..));
-        let tasks = rng.u32(1..=self.plan.max_tasks);
-        let body = self.draw_body(&mut rng, tasks);
+        let (tasks, body) = self.draw_job(&mut rng);
         let mut node = rng.usize(..self.nodes.len());
         let index = {
             let mut record = self.record.borrow_mut();
@@ -80,6 +84,7 @@
                 tasks,
                 deadline: DEADLINE,
                 attempts: Vec::new(),
+                open_since: None,
             });
             record.jobs.len() - 1
         };
@@ -90,8 +95,13 @@
             } else {
                 DEADLINE + CLIENT_WAIT_MARGIN
             };
+            self.record.borrow_mut().jobs[index].open_since = Some(self.now());
             let attempt = self.attempt(&mut rng, node, id, &body, wait_limit).await;
-            self.record.borrow_mut().jobs[index].attempts.push(attempt);
+            {
+                let mut record = self.record.borrow_mut();
+                record.jobs[index].open_since = None;
+                record.jobs[index].attempts.push(attempt);
+            }
             let unanswered = matches!(
                 attempt.end,
                 AttemptEnd::Broken | AttemptEnd::GaveUp | AttemptEnd::Answered(502 | 504)
@@ -104,12 +114,14 @@
         }
     }
 
-    fn draw_body(&self, rng: &mut Rng, tasks: u32) -> String {
+    /// Draws the number of tasks of a job and its body.
+    fn draw_job(&self, rng: &mut Rng) -> (u32, String) {
+        let tasks = rng.u32(1..=self.plan.max_tasks);
         if rng.f64() >= self.plan.long_share {
-            return job_body(tasks, SHORT_ESTIMATE_MS).to_string();
+            return (tasks, job_body(tasks, SHORT_ESTIMATE_MS).to_string());
         }
         let run_time_ms = u64::try_from(self.plan.long_run.as_millis()).unwrap_or(u64::MAX);
-        timed_job_body(tasks, run_time_ms).to_string()
+        (1, timed_job_body(1, run_time_ms).to_string())
     }
 
     /// Returns a node other than `node`, unless it is the only one.
@@ -140,9 +152,19 @@
             answer.body().await.ok()?;
             Some(status)
         };
-        let end = match actix_rt::time::timeout(wait_limit, complete_answer).await {
-            Ok(Some(status)) => AttemptEnd::Answered(status),
-            Ok(None) => AttemptEnd::Broken,
+        let is_reset = rng.f64() < self.plan.reset_share;
+        let reset = async {
+            match is_reset {
+                true => self.resets[node].notified().await,
+                false => future::pending().await,
+            }
+        };
+        let complete_answer = std::pin::pin!(complete_answer);
+        let reset = std::pin::pin!(reset);
+        let answer_or_reset = future::select(complete_answer, reset);
+        let end = match actix_rt::time::timeout(wait_limit, answer_or_reset).await {
+            Ok(Either::Left((Some(status), _))) => AttemptEnd::Answered(status),
+            Ok(Either::Left((None, _)) | Either::Right(_)) => AttemptEnd::Broken,
             Err(_) => AttemptEnd::GaveUp,
         };
         AttemptTrace {
@@ -153,6 +175,11 @@
         }
     }
 
+    /// Breaks the connections of a share of the attempts that are under way at a node.
+    pub(crate) fn reset_connections(&self, node: usize) {
+        self.resets[node].notify_waiters();
+    }
+
     /// Asks a node whether it knows the route added by `version`. Returns `None` if the answer does not show it.
     pub(crate) async fn probe(&self, node: usize, version: u64) -> Option<bool> {
         let prefix = added_prefix(version);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -28,10 +28,16 @@
 /// How long it takes until nodes use a newly started worker, and until a newly started node serves.
 const START_TIME: Duration = Duration::from_millis(1_500);
 
+/// The connections of customers to a frozen node break after the freeze's length divided by this: late enough for some
+/// requests to arrive before, and early enough for their customers to come again before the node wakes.
+const RESET_FRACTION: u32 = 3;
+
 /// An action that ends a fault or continues it, due some time after the injection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum FollowUp {
     Thaw(usize),
+    /// Breaks connections of customers to a node.
+    ResetCustomers(usize),
     HealStoreLink(usize),
     HealWorkerLink(usize, usize),
     HealStore,
@@ -89,12 +95,12 @@
             let owners = fleet.pool_owners()?;
             if let Some(node) = owners.get(number % owners.len().max(1)).copied() {
                 add_disturbance(FaultScope::Node(node), false, length);
-                follow_ups.push(freeze_node(fleet, node, length)?);
+                follow_ups.extend(freeze_node(fleet, node, length)?);
             }
         }
         FaultKind::Freeze(node, length) => {
             add_disturbance(FaultScope::Node(node), false, length);
-            follow_ups.push(freeze_node(fleet, node, length)?);
+            follow_ups.extend(freeze_node(fleet, node, length)?);
         }
         FaultKind::Reload(node) => fleet.signal_node(node, ChildSignal::Reload)?,
         FaultKind::StoreLink(node, mode, length) => {
@@ -168,15 +174,18 @@
     })
 }
 
-/// Freezes a node and returns the follow-up that thaws it.
+/// Freezes a node and returns the follow-ups: its customers' connections break, and it is thawed.
 fn freeze_node(
     fleet: &mut SoakFleet,
     node: usize,
     length: Duration,
-) -> io::Result<(Duration, FollowUp)> {
+) -> io::Result<[(Duration, FollowUp); 2]> {
     fleet.extend_down_time(node, length);
     fleet.signal_node(node, ChildSignal::Freeze)?;
-    Ok((length, FollowUp::Thaw(node)))
+    Ok([
+        (length / RESET_FRACTION, FollowUp::ResetCustomers(node)),
+        (length, FollowUp::Thaw(node)),
+    ])
 }
 
 /// Runs one follow-up of a fault.
@@ -185,6 +194,8 @@
     follow_up: FollowUp,
 ) -> Result<(), SoakError> {
     match follow_up {
+        // The customers are not part of the fleet; the caller breaks their connections.
+        FollowUp::ResetCustomers(_) => (),
         FollowUp::Thaw(node) => fleet.signal_node(node, ChildSignal::Thaw)?,
         FollowUp::HealStoreLink(node) => fleet.set_store_link(node, LinkMode::Pass).await,
         FollowUp::HealWorkerLink(worker, node) => {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -22,6 +22,9 @@
     /// Whether workers are restarted under their ids. Known seeds are replayed without it, since they failed in runs
     /// that had no such restarts.
     pub worker_restarts: bool,
+    /// Whether owners of pools are frozen beside the other faults. Known seeds are replayed without it, like
+    /// `worker_restarts`.
+    pub owner_freezes: bool,
     /// Which faults are injected.
     pub faults: FaultMix,
     /// What customers submit, and what they do without an answer.
@@ -64,23 +67,37 @@
 /// What customers submit, and what they do without an answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CustomerPlan {
-    /// The most tasks of a job.
+    /// The most tasks of a job that is not long.
     pub max_tasks: u32,
-    /// The share of jobs whose runs take [`CustomerPlan::long_run`] on every worker.
+    /// The share of jobs whose only run takes [`CustomerPlan::long_run`] on every worker.
     pub long_share: f64,
-    /// How long the runs of long jobs take.
+    /// How long the run of a long job takes.
     pub long_run: Duration,
     /// The share of attempts that customers abandon early.
     pub early_leave_share: f64,
+    /// The share of attempts whose connection breaks if their node is frozen.
+    pub reset_share: f64,
 }
 
 impl Default for CustomerPlan {
     fn default() -> Self {
         Self {
             max_tasks: 6,
-            long_share: 0.0,
+            long_share: 0.15,
             long_run: Duration::from_millis(900),
             early_leave_share: 0.04,
+            reset_share: 0.5,
+        }
+    }
+}
+
+impl CustomerPlan {
+    /// Only jobs with the workers' own run times, and no broken connections, as in the runs in which known seeds failed.
+    pub fn short_jobs() -> Self {
+        Self {
+            long_share: 0.0,
+            reset_share: 0.0,
+            ..Self::default()
         }
     }
 }
@@ -94,6 +111,7 @@
             workers: 12,
             rate: 40.0,
             worker_restarts: true,
+            owner_freezes: true,
             faults: FaultMix::All,
             customers: CustomerPlan::default(),
             stray_limit: None,
@@ -159,6 +177,9 @@
 /// Bounds of the time between two pieces of planned work, in milliseconds.
 const PLANNED_GAPS_MS: (u64, u64) = (100, 2_000);
 
+/// Bounds of the time between the starts of two freezes of owners, in milliseconds.
+const OWNER_FREEZE_GAPS_MS: (u64, u64) = (1_500, 4_500);
+
 /// How much longer than a freeze the store is silent, so that the woken owner has time to read its sockets.
 const SILENCE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -188,6 +209,9 @@
             // Restarts use a forked generator, so that the other faults of a seed stay the same.
             self.add_worker_restarts(&mut rng.fork(), &mut steps);
         }
+        if self.owner_freezes && !planned_only {
+            self.add_owner_freezes(&mut rng.fork(), &mut steps);
+        }
         steps
     }
 
@@ -225,6 +249,24 @@
         steps.sort_by_key(|step| step.at);
     }
 
+    fn add_owner_freezes(&self, rng: &mut Rng, steps: &mut Vec<FaultStep>) {
+        let lengths_ms = FreezePlan::default().lengths_ms;
+        let mut at = Duration::ZERO;
+        loop {
+            at += Duration::from_millis(rng.u64(OWNER_FREEZE_GAPS_MS.0..OWNER_FREEZE_GAPS_MS.1));
+            if at >= self.fault_duration {
+                break;
+            }
+            let length = Duration::from_millis(rng.u64(lengths_ms.0..lengths_ms.1));
+            let kind = FaultKind::FreezeOwner(rng.usize(..self.nodes), length);
+            steps.push(FaultStep { at, kind });
+            // Otherwise another node takes the pool over, and workers turn the woken owner's starts away.
+            let kind = FaultKind::Store(StoreFault::Silent, length + SILENCE_MARGIN);
+            steps.push(FaultStep { at, kind });
+        }
+        steps.sort_by_key(|step| step.at);
+    }
+
     fn draw_planned_work(&self, rng: &mut Rng) -> FaultKind {
         match rng.u32(..10) {
             0..4 => FaultKind::Stop(rng.usize(..self.nodes)),
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -61,8 +61,10 @@
     pub tasks: u32,
     /// How long the customer waits for each answer.
     pub deadline: Duration,
-    /// The attempts, one after another.
+    /// The ended attempts, one after another.
     pub attempts: Vec<AttemptTrace>,
+    /// When an attempt that has not ended was sent.
+    pub open_since: Option<Duration>,
 }
 
 /// One run of a task as the worker observed it.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -185,6 +185,9 @@
         self.follow_ups = later;
         let due: Vec<(Duration, FollowUp)> = due;
         for (_, due) in due {
+            if let FollowUp::ResetCustomers(node) = due {
+                self.simulator.reset_connections(node);
+            }
             run_follow_up(&mut self.fleet, due).await?;
         }
         Ok(())
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -48,6 +48,7 @@
         tasks: 1,
         deadline: ms(2_500),
         attempts,
+        open_since: None,
     }
 }
 
@@ -269,6 +270,20 @@
     );
 }
 
+#[test]
+fn a_run_of_an_attempt_under_way_at_the_end() {
+    let open_since = |record: &mut SoakRecord, sent| {
+        record.runs.push(run(0, 3, 2_600, 2_700));
+        record.stray_limit = Some(ms(100));
+        record.jobs[0].open_since = Some(ms(sent));
+    };
+    check(|record| open_since(record, 2_590), &[]);
+    check(
+        |record| open_since(record, 2_650),
+        &[SoakInvariant::Orphan, SoakInvariant::Stray],
+    );
+}
+
 #[test]
 fn jobs_not_served_after_all_faults() {
     check(
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -7,7 +7,7 @@
 
 use bpaf::Bpaf;
 use eyre::{bail, Result};
-use soak::{run_soak, SoakPlan};
+use soak::{run_soak, CustomerPlan, SoakPlan};
 
 use crate::fleet::{build_programs, program_path};
 
@@ -81,6 +81,11 @@
         }
         let plan = SoakPlan {
             worker_restarts: !options.known,
+            owner_freezes: !options.known,
+            customers: match options.known {
+                true => CustomerPlan::short_jobs(),
+                false => CustomerPlan::default(),
+            },
             seed,
             fault_duration: Duration::from_secs(options.time),
             nodes: options.nodes,
