An owner looks at the leases of attempts before anything renews their runs

What callers may see: a task runs beside its customer's next attempt.

Cause: the end of an attempt's lease was noticed by a timer. An owner that stood still for less than a pause (450 ms; 90 ms are usual where a processor's share is a quota) handles the answers of workers before its timers when it goes on. An answer leads to the next poll, which renewed the run of an attempt whose lease was over for another 0.8 s. If its stop was then not heard, the run outlived the customer's 1.3 s.

Now `with_pool`, through which every change of a pool goes, cancels the attempts whose lease is over before it does anything else, by the clock and not by a timer. It also reads the time before it looks for a pause, so that a freeze between the two cannot lengthen what is granted.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -510,7 +510,7 @@
     mut call: JobCall,
 ) -> Option<JobOutcome> {
     if owner.here {
-        return Some(owner::run_locally(state.clone(), pool.clone(), call).await);
+        return Some(owner::run_locally(state.clone(), pool.clone(), call, None).await);
     }
     let link = state.links.get(owner.address)?;
     call.sent_at = link.owner_clock(state.now(), owner.clock?);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -17,7 +17,7 @@
 use telemetry::{EventKind, EventLine};
 use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 
-use crate::{event_lines, kept_jobs, pause, state::NodeState};
+use crate::{event_lines, kept_jobs, pause, pool_port::LeaseWatch, state::NodeState};
 
 /// The most workers of a pool that are probed before it is claimed. One that accepts a connection suffices; three
 /// that do not mean that this node is cut off from the pool.
@@ -45,23 +45,45 @@
 pub(crate) struct OwnedPool {
     pub(crate) pool: WorkerPool,
     waiters: FastMap<WaiterId, oneshot::Sender<JobOutcome>>,
+    /// The attempts of other nodes' entries, by their waiters.
+    leased_attempts: FastMap<WaiterId, (JobId, LeaseWatch)>,
     /// Workers that a former owner still uses. They are added to the pool once that owner has released them.
     deferred_workers: FastMap<InstanceId, WorkerRecord>,
 }
 
-/// Applies `update` to a pool if this node owns it, then logs the pool's events and carries out its actions. If the
-/// process has paused, the pool lets its jobs go before that.
+impl OwnedPool {
+    /// Cancels the attempts whose lease is over. `since_boot` is the time since boot.
+    ///
+    /// Their timers may fire only after an answer of a worker was handled, if the process stood still for less than a
+    /// pause. That answer would then lead to a poll that renews their runs for a whole lease.
+    fn cancel_lapsed_attempts(&mut self, now: Instant, since_boot: Duration) {
+        let pool = &mut self.pool;
+        self.leased_attempts.retain(|waiter, (job, watch)| {
+            let runs_on = watch.time_left(since_boot).is_some();
+            if !runs_on {
+                pool.cancel(now, *job, *waiter);
+            }
+            runs_on
+        });
+    }
+}
+
+/// Applies `update` to a pool if this node owns it, then logs the pool's events and carries out its actions. Before
+/// that, the pool lets go of all jobs if the process has paused, and of the attempts whose lease is over.
 pub(crate) fn with_pool(
     state: &Rc<NodeState>,
     id: &PoolId,
     update: impl FnOnce(&mut WorkerPool, Instant),
 ) {
-    pause::notice(state);
+    // Read first: what is granted counts from before the checks, so a freeze after them cannot lengthen it.
     let now = state.now();
+    pause::notice(state);
+    let since_boot = state.clock.since_boot();
     let mut pools = state.pools.borrow_mut();
     let Some(owned) = pools.get_mut(id) else {
         return;
     };
+    owned.cancel_lapsed_attempts(now, since_boot);
     update(&mut owned.pool, now);
     let fence = owned.pool.fence();
     for event in owned.pool.take_events() {
@@ -229,6 +251,7 @@
     let owned = OwnedPool {
         pool: WorkerPool::new(init, state.now()),
         waiters: FastMap::default(),
+        leased_attempts: FastMap::default(),
         deferred_workers: FastMap::default(),
     };
     state.pools.borrow_mut().insert(id.clone(), owned);
@@ -490,12 +513,13 @@
 
 impl Drop for JobCancelGuard {
     fn drop(&mut self) {
-        if self.answered {
-            return;
-        }
         let (job, waiter) = (self.job, self.waiter);
         if let Some(owned) = self.state.pools.borrow_mut().get_mut(&self.pool) {
             owned.waiters.remove(&waiter);
+            owned.leased_attempts.remove(&waiter);
+        }
+        if self.answered {
+            return;
         }
         with_fenced_pool(&self.state, &self.pool, self.fence, |p, now| {
             p.cancel(now, job, waiter)
@@ -503,8 +527,13 @@
     }
 }
 
-/// Runs a job in a pool that this node owns.
-pub(crate) async fn run_locally(state: Rc<NodeState>, id: PoolId, call: JobCall) -> JobOutcome {
+/// Runs a job in a pool that this node owns. `watch` tells until when the attempt of another node's entry may run.
+pub(crate) async fn run_locally(
+    state: Rc<NodeState>,
+    id: PoolId,
+    call: JobCall,
+    watch: Option<LeaseWatch>,
+) -> JobOutcome {
     let waiter = WaiterId(state.next_waiter_id.get());
     state.next_waiter_id.set(waiter.0 + 1);
     let (sender, receiver) = oneshot::channel();
@@ -515,6 +544,9 @@
             return NOT_SERVING;
         };
         owned.waiters.insert(waiter, sender);
+        if let Some(watch) = watch {
+            owned.leased_attempts.insert(waiter, (job, watch));
+        }
         owned.pool.fence()
     };
     let mut guard = JobCancelGuard {
--- a/crates/node/src/pool_port.rs
+++ b/crates/node/src/pool_port.rs
@@ -68,8 +68,10 @@
         }
         let attempt = LeasedAttempt {
             state,
-            lease: self.lease.clone(),
-            term,
+            watch: LeaseWatch {
+                lease: self.lease.clone(),
+                term,
+            },
             job: call.request.id,
             entry: call.entry.clone(),
         };
@@ -84,11 +86,24 @@
     call
 }
 
+/// Tells whether the lease of an attempt is over.
+#[derive(Clone)]
+pub(crate) struct LeaseWatch {
+    lease: Rc<Cell<AttemptLease>>,
+    term: LeaseTerm,
+}
+
+impl LeaseWatch {
+    /// The time until the attempt ends unless it is confirmed again. None if it is over. `now` is the time since boot.
+    pub(crate) fn time_left(&self, now: Duration) -> Option<Duration> {
+        self.lease.get().time_left(now, self.term)
+    }
+}
+
 /// An attempt that runs only while its entry confirms it.
 struct LeasedAttempt {
     state: Rc<NodeState>,
-    lease: Rc<Cell<AttemptLease>>,
-    term: LeaseTerm,
+    watch: LeaseWatch,
     job: JobId,
     entry: NodeId,
 }
@@ -96,7 +111,8 @@
 impl LeasedAttempt {
     /// Runs the job until it ends or its lease is over. The end of the lease cancels the job and stops its runs.
     async fn run(self, call: JobCall) -> JobOutcome {
-        let run = owner::run_locally(self.state.clone(), call.pool.clone(), call);
+        let watch = Some(self.watch.clone());
+        let run = owner::run_locally(self.state.clone(), call.pool.clone(), call, watch);
         let run = std::pin::pin!(run);
         let lease_end = std::pin::pin!(self.wait_for_lease_end());
         match select(run, lease_end).await {
@@ -117,7 +133,7 @@
 
     fn time_left(&self) -> Option<Duration> {
         let now = self.state.clock.since_boot();
-        self.lease.get().time_left(now, self.term)
+        self.watch.time_left(now)
     }
 
     fn log_end(&self) {
@@ -126,7 +142,10 @@
             .text("why", "entry_unconfirmed")
             .text("job", self.job)
             .text("entry", &self.entry)
-            .millis("unconfirmed_ms", self.lease.get().unconfirmed_time(now));
+            .millis(
+                "unconfirmed_ms",
+                self.watch.lease.get().unconfirmed_time(now),
+            );
         self.state.log(EventKind::Important, line);
     }
 }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -21,6 +21,7 @@
 /// A store and workers, without nodes.
 pub(crate) struct Platform {
     pub(crate) store: StoreStandIn,
+    #[allow(dead_code, reason = "not every test file looks at the workers")]
     pub(crate) workers: Vec<WorkerStandIn>,
 }
 
