A silent connection to an owner is replaced

The owner's heartbeats are datagrams and go on arriving, so nothing closed the connection.

Now a renewal that is unanswered for a whole lease closes its connection: the open calls get their answer at once, and a new connection is opened.

An entry that has just paused also sends no renewal before it has read what waited in its sockets: a customer may have left meanwhile.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -14,7 +14,7 @@
 use model::FastMap;
 use peer::{connect_pool, decode_heartbeat, encode_heartbeat, JobCall, PeerError, PoolLink};
 use telemetry::{EventKind, EventLine, TrafficKind};
-use tokio::{net::UdpSocket, sync::Notify, task::yield_now};
+use tokio::{net::UdpSocket, sync::Notify, task::yield_now, time::timeout};
 
 use crate::state::NodeState;
 
@@ -171,14 +171,18 @@
 /// Confirms the open calls on links over which nothing else has confirmed them recently, if that is due by `until`.
 pub(crate) fn renew_links(state: &Rc<NodeState>, until: Instant) {
     let interval = state.attempt_times.confirmation_interval();
-    for link in state.links.open.borrow().values() {
+    // Customers may have left during a pause. The ends of their connections are handled first, which drops their calls,
+    // so that a renewal does not confirm them.
+    if state.has_paused() {
+        return;
+    }
+    for (address, link) in state.links.open.borrow().iter() {
         if !link.needs_renewal(until, interval) {
             continue;
         }
-        let (state, link) = (state.clone(), link.clone());
+        let (state, address, link) = (state.clone(), *address, link.clone());
         actix_rt::spawn(async move {
-            // If this process was frozen, customers may have left meanwhile. The ends of their connections are handled
-            // first, which drops their calls, so that the renewal does not confirm them.
+            // The same for a process that stood still for less than a pause.
             yield_now().await;
             let Some(renewal) = link.renew(&state) else {
                 return;
@@ -186,15 +190,37 @@
             // A connection that has gone silent is closed by dropping its last link, so this task must not hold one.
             let weak_link = Rc::downgrade(&link);
             drop(link);
-            let answer = renewal.await;
-            // If the connection has broken, the calls have ended with it.
-            if let (Ok(clock), Some(link)) = (answer, weak_link.upgrade()) {
-                link.record_clock(state.now(), clock);
+            let answer = timeout(state.attempt_times.entry_lease, renewal).await;
+            let Some(link) = weak_link.upgrade() else {
+                return;
+            };
+            match answer {
+                Ok(Ok(clock)) => link.record_clock(state.now(), clock),
+                // The connection has broken, and the calls have ended with it.
+                Ok(Err(_)) => (),
+                Err(_) => close_silent_link(&state, address, &link),
             }
         });
     }
 }
 
+/// Closes a connection on which a renewal went unanswered for a whole lease, so that a new one is opened.
+///
+/// A connection may go silent for good without a reset while heartbeats, which are datagrams, still arrive. Every job
+/// that was sent over it would then wait for its whole deadline.
+fn close_silent_link(state: &NodeState, address: SocketAddr, link: &Rc<OwnerLink>) {
+    let mut open = state.links.open.borrow_mut();
+    let is_current = open
+        .get(&address)
+        .is_some_and(|current| Rc::ptr_eq(current, link));
+    if is_current {
+        open.remove(&address);
+    }
+    link.lost.notify_waiters();
+    let line = EventLine::new("link_silent").text("peer", &link.node);
+    state.log(EventKind::Important, line);
+}
+
 async fn connect(state: Rc<NodeState>, node: NodeId, address: SocketAddr) {
     let lost = Rc::new(Notify::new());
     let on_closed = {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -62,11 +62,16 @@
     }
 
     /// Starts a node and waits until it is ready.
+    #[allow(
+        dead_code,
+        reason = "not every test file starts nodes on the system's clock"
+    )]
     pub(crate) async fn start_node(&self, settings: NodeSettings) -> NodeProcess {
         self.start_node_on(settings, Arc::new(SystemClock)).await
     }
 
     /// Starts a node on the given clock and waits until it is ready.
+    #[allow(dead_code, reason = "not every test file starts nodes that are ready")]
     pub(crate) async fn start_node_on(
         &self,
         settings: NodeSettings,
