--- a/crates/soak/src/customers.rs
+++ b/crates/soak/src/customers.rs
@@ -110,7 +110,7 @@
                 return;
             }
             actix_rt::time::sleep(RETRY_DELAY).await;
-            node = self.draw_other_node(&mut rng, node);
+            node = rng.usize(..self.nodes.len());
         }
     }
 
@@ -124,12 +124,6 @@
         (1, timed_job_body(1, run_time_ms).to_string())
     }
 
-    /// Returns a node other than `node`, unless it is the only one.
-    fn draw_other_node(&self, rng: &mut Rng, node: usize) -> usize {
-        let count = self.nodes.len();
-        (node + rng.usize(1..count.max(2))) % count
-    }
-
     async fn attempt(
         &self,
         rng: &mut Rng,
