A shorter customers' pause shortens the leases

A node whose sheet names a pause under 1,106 ms did not start at all: the lease of workers was never shortened to fit. It is now, down to 0.5 s, and the pause may be as short as 0.8 s.

--- a/crates/pool/src/attempt_times.rs
+++ b/crates/pool/src/attempt_times.rs
@@ -10,6 +10,10 @@
 /// The longest lease of the runs on a worker. Longer than three polls.
 const MAX_WORKER_LEASE: Duration = Duration::from_millis(800);
 
+/// The shortest lease of the runs on a worker, unless workers grant no longer one: a poll with its wait, and one answer
+/// that is late.
+const MIN_WORKER_LEASE: Duration = Duration::from_millis(500);
+
 /// The longest lease of an attempt at the owner of a pool. A lost entry's runs occupy capacity for that long.
 const MAX_ENTRY_LEASE: Duration = Duration::from_millis(450);
 
@@ -40,12 +44,18 @@
     /// Derives the leases from the customers' pause and the longest lease that workers grant. None if the pause is too
     /// short for any lease.
     pub fn derive(customer_retry: Duration, longest_worker_lease: Duration) -> Option<Self> {
-        let worker_lease = longest_worker_lease.min(MAX_WORKER_LEASE);
-        let rest = customer_retry.checked_sub(worker_time(worker_lease) + REACTION_TIME)?;
-        let entry_lease = rest.min(MAX_ENTRY_LEASE);
-        (entry_lease >= MIN_ENTRY_LEASE).then_some(Self {
+        let rest = customer_retry.checked_sub(REACTION_TIME + MIN_ENTRY_LEASE)?;
+        let worker_lease = longest_worker_lease
+            .min(MAX_WORKER_LEASE)
+            .min(rest.div_f64(1.0 + WORKER_CLOCK_DRIFT));
+        let shortest = longest_worker_lease.min(MIN_WORKER_LEASE);
+        if worker_lease < shortest {
+            return None;
+        }
+        let rest = customer_retry - worker_time(worker_lease) - REACTION_TIME;
+        Some(Self {
             customer_retry,
-            entry_lease,
+            entry_lease: rest.min(MAX_ENTRY_LEASE),
             worker_lease,
         })
     }
