--- a/crates/claims/tests/heartbeats.rs
+++ b/crates/claims/tests/heartbeats.rs
@@ -150,9 +150,8 @@
     }
 }
 
-/// Guards against late detection of a silent owner, or of a silent entry whose jobs an owner runs: its caller
-/// retries at another node after 1.3 s, when no part of the job may run any more. Between two processes without
-/// pools, detection may take longer but must not come too soon.
+/// Guards against late detection of a silent owner, or by an owner, so that pools stand still and jobs are sent into
+/// silence. Between two processes without pools, detection may take longer but must not come too soon.
 #[test]
 fn silent_owners_and_entries_are_detected_at_once() {
     let (owner, other_owner) = (0, 30);
