--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -46,11 +46,17 @@
     pub(crate) pool: WorkerPool,
     waiters: FastMap<WaiterId, oneshot::Sender<JobOutcome>>,
     /// The attempts of other nodes' entries, by their waiters.
-    leased_attempts: FastMap<WaiterId, (JobId, LeaseWatch)>,
+    leased_attempts: FastMap<WaiterId, LeasedJob>,
     /// Workers that a former owner still uses. They are added to the pool once that owner has released them.
     deferred_workers: FastMap<InstanceId, WorkerRecord>,
 }
 
+/// A job that runs only until the lease of its attempt is over.
+struct LeasedJob {
+    job: JobId,
+    watch: LeaseWatch,
+}
+
 impl OwnedPool {
     /// Cancels the attempts whose lease is over. `since_boot` is the time since boot.
     ///
@@ -58,10 +64,10 @@
     /// pause. That answer would then lead to a poll that renews their runs for a whole lease.
     fn cancel_lapsed_attempts(&mut self, now: Instant, since_boot: Duration) {
         let pool = &mut self.pool;
-        self.leased_attempts.retain(|waiter, (job, watch)| {
-            let runs_on = watch.time_left(since_boot).is_some();
+        self.leased_attempts.retain(|waiter, leased| {
+            let runs_on = leased.watch.time_left(since_boot).is_some();
             if !runs_on {
-                pool.cancel(now, *job, *waiter);
+                pool.cancel(now, leased.job, *waiter);
             }
             runs_on
         });
@@ -545,7 +551,8 @@
         };
         owned.waiters.insert(waiter, sender);
         if let Some(watch) = watch {
-            owned.leased_attempts.insert(waiter, (job, watch));
+            let leased = LeasedJob { job, watch };
+            owned.leased_attempts.insert(waiter, leased);
         }
         owned.pool.fence()
     };
