One refusal for held-up jobs, and one job call for tests of owners

The entry's refusal of a job that a pause held up was the owner's `NOT_SERVING` again, word for word; it is that now. Two test files built the same job call; it stands in their support module, with the same values but for 64 MB of memory in `stalls`, which its worker has. No change of behaviour, no assertion changed.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -47,13 +47,6 @@
 /// the offer requests that are sent, all pools are asked, because fewer jobs are then refused.
 const BUSY_LINK_SHARE: f64 = 0.45;
 
-/// The refusal of a job that the process held up by a pause before any pool took it.
-const HELD_UP_REFUSAL: JobOutcome = JobOutcome::Refused {
-    kind: RefusalKind::NotServing,
-    retry_after: Duration::from_secs(1),
-    fits: 0,
-};
-
 /// A customer's job as it arrived.
 pub(crate) struct EntryJob {
     pub(crate) request: Arc<JobRequest>,
@@ -133,7 +126,7 @@
         offers.extend(more);
     }
     if is_held_up(state, job) {
-        return HELD_UP_REFUSAL;
+        return owner::NOT_SERVING;
     }
     match divide_job(state, &job.request, offers) {
         Some(parts) => run_parts(state, job, &parts).await,
@@ -351,7 +344,7 @@
     part: Option<StepSpec>,
 ) -> Option<JobOutcome> {
     if is_held_up(state, job) {
-        return Some(HELD_UP_REFUSAL);
+        return Some(owner::NOT_SERVING);
     }
     let now = state.now();
     let time_left = job.deadline.saturating_duration_since(now);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -34,7 +34,7 @@
 /// The retry delay for customers that were refused because a pool has no owner at the moment.
 const NOT_SERVING_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The outcome of a job that reaches a node that does not serve its pool.
+/// The outcome of a job that reaches a node that does not serve its pool, or that a pause held up before a pool took it.
 pub(crate) const NOT_SERVING: JobOutcome = JobOutcome::Refused {
     kind: RefusalKind::NotServing,
     retry_after: NOT_SERVING_RETRY_AFTER,
--- a/crates/node/tests/leases.rs
+++ b/crates/node/tests/leases.rs
@@ -10,17 +10,13 @@
     time::{Duration, Instant},
 };
 
-use claims::NodeId;
-use jobs::{
-    CpuMillis, JobId, JobOutcome, JobRequest, JobTerms, MemoryMegabytes, RefusalKind,
-    ResourceDemand, ServiceId, StepSpec,
-};
+use jobs::{JobId, JobOutcome, RefusalKind};
 use kernel::{ClockSource, SystemClock};
 use node::NodeProcess;
 use peer::{JobCall, PoolLink};
 use platform_stand_ins::{WorkerPlan, WorkerStandIn};
 use settings::NodeSettings;
-use support::{job, post_job, start_node_with_clock, Platform, CENTRE};
+use support::{job, job_call, post_job, start_node_with_clock, Platform};
 
 /// The lease that follows from the default pause of customers, with a margin for a busy machine.
 const LEASE_LIMIT: Duration = Duration::from_millis(600);
@@ -57,43 +53,7 @@
 }
 
 fn call(id: u64, sent_at: Duration) -> JobCall {
-    let step = StepSpec {
-        count: 1,
-        first: 0,
-        demand: ResourceDemand {
-            cpu: CpuMillis(6_000),
-            memory: MemoryMegabytes(64),
-            accelerators: 0,
-        },
-        estimate: millis(1_500),
-        after: Vec::new(),
-        required_label: None,
-        data_rack: None,
-        most_per_worker: None,
-    };
-    JobCall {
-        entry: NodeId::from("vm-e"),
-        pool: format!("{CENTRE}/0").parse().unwrap(),
-        request: Arc::new(JobRequest {
-            id: JobId(id),
-            text: Arc::from("text"),
-            steps: vec![step],
-            kept: false,
-            unsupported: None,
-        }),
-        terms: JobTerms {
-            service: ServiceId::from("svc"),
-            route: Arc::from("r-1"),
-            priority: 0,
-            attempts: 1,
-            stretch: 4.0,
-            goal: millis(1_000),
-            time_left: millis(8_000),
-            waited: Duration::ZERO,
-            firm: false,
-        },
-        sent_at,
-    }
+    job_call(id, millis(1_500), millis(8_000), sent_at)
 }
 
 /// Guards against running on for an entry that was lost while its connection went silent.
--- a/crates/node/tests/stalls.rs
+++ b/crates/node/tests/stalls.rs
@@ -13,13 +13,10 @@
     time::{Duration, Instant},
 };
 
-use claims::NodeId;
-use jobs::{CpuMillis, JobId, JobRequest, JobTerms, ResourceDemand, ServiceId, StepSpec};
 use kernel::{ClockSource as _, SystemClock};
-use peer::JobCall;
 use platform_stand_ins::{RunRecord, WorkerPlan, WorkerStandIn};
 use serde_json::Value;
-use support::{start_node_with_clock, Platform, CENTRE};
+use support::{job_call, start_node_with_clock, Platform, CENTRE};
 
 /// How long a customer waits before it submits its job again.
 const CUSTOMER_RETRY: Duration = Duration::from_millis(1_300);
@@ -86,41 +83,6 @@
     let _closed = to.shutdown(std::net::Shutdown::Both);
 }
 
-fn call() -> JobCall {
-    let step = StepSpec {
-        count: 1,
-        demand: ResourceDemand {
-            cpu: CpuMillis(6_000),
-            ..ResourceDemand::default()
-        },
-        estimate: millis(3_500),
-        ..StepSpec::default()
-    };
-    JobCall {
-        entry: NodeId::from("vm-e"),
-        pool: format!("{CENTRE}/0").parse().unwrap(),
-        request: Arc::new(JobRequest {
-            id: JobId(1),
-            text: Arc::from("text"),
-            steps: vec![step],
-            kept: false,
-            unsupported: None,
-        }),
-        terms: JobTerms {
-            service: ServiceId::from("svc"),
-            route: Arc::from("r-1"),
-            priority: 0,
-            attempts: 1,
-            stretch: 4.0,
-            goal: millis(1_000),
-            time_left: millis(15_000),
-            waited: Duration::ZERO,
-            firm: false,
-        },
-        sent_at: SystemClock.since_boot(),
-    }
-}
-
 /// Guards against a poll that an owner sends after a short stall, before it looks at the leases of attempts: it renews
 /// the run of an ended attempt, beside the customer's next one.
 #[actix_rt::test]
@@ -140,7 +102,7 @@
     }
     let link = peer::connect_pool(owner.peer_address(), Arc::default(), || ()).await;
     let link = link.unwrap();
-    let call = call();
+    let call = job_call(1, millis(3_500), millis(15_000), SystemClock.since_boot());
     let run = link.run(&call);
     let stall = async {
         actix_rt::time::sleep(millis(80)).await;
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -3,8 +3,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use awc::{http::StatusCode, Client};
+use claims::NodeId;
+use jobs::{
+    CpuMillis, JobId, JobRequest, JobTerms, MemoryMegabytes, ResourceDemand, ServiceId, StepSpec,
+};
 use kernel::{ClockSource, SystemClock};
 use node::NodeProcess;
+use peer::JobCall;
 #[allow(
     unused_imports,
     reason = "not every test file submits jobs that are not stored"
@@ -182,3 +187,46 @@
     let (address, path) = (node.customer_address(), format!("/hold/{id}"));
     actix_rt::spawn(async move { send(&Client::default(), address, "POST", &path, &body).await })
 }
+
+/// A call by which an entry sends a job of one task to the owner of the first pool.
+#[allow(dead_code, reason = "not every test file speaks to an owner directly")]
+pub(crate) fn job_call(
+    id: u64,
+    estimate: Duration,
+    time_left: Duration,
+    sent_at: Duration,
+) -> JobCall {
+    let step = StepSpec {
+        count: 1,
+        demand: ResourceDemand {
+            cpu: CpuMillis(6_000),
+            memory: MemoryMegabytes(64),
+            accelerators: 0,
+        },
+        estimate,
+        ..StepSpec::default()
+    };
+    JobCall {
+        entry: NodeId::from("vm-e"),
+        pool: format!("{CENTRE}/0").parse().unwrap(),
+        request: Arc::new(JobRequest {
+            id: JobId(id),
+            text: Arc::from("text"),
+            steps: vec![step],
+            kept: false,
+            unsupported: None,
+        }),
+        terms: JobTerms {
+            service: ServiceId::from("svc"),
+            route: Arc::from("r-1"),
+            priority: 0,
+            attempts: 1,
+            stretch: 4.0,
+            goal: Duration::from_millis(1_000),
+            time_left,
+            waited: Duration::ZERO,
+            firm: false,
+        },
+        sent_at,
+    }
+}
