A link keeps its port when its mode changes

Cause: a fault of the stand-in for the network. At each change of mode the forwarder closed a link's listener and bound its port again. A process that is being started holds a copy of all sockets until its program is loaded, and posix_spawn returns a little earlier, so the closed listener still listened: "Address already in use", and the link's task ended unseen.

Change: a link has one socket, bound for as long as the link exists. A mode ends and begins listening on it, so there is no moment at which the port is free or bound twice, whoever holds copies of the socket. The port is named when it is bound: the system takes back one that it chose itself once listening ends. A failed change is now an error of the soak or the scenario. Links that share a listener no longer end with the first connection that cannot be accepted.

--- a/crates/scenario/src/error.rs
+++ b/crates/scenario/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::{io, time::Duration};
 
+use stand_ins::forwarder::LinkError;
 use thiserror::Error;
 
 use crate::script::Label;
@@ -12,6 +13,9 @@
     /// The operating system refused something that the runner needs.
     #[error(transparent)]
     Io(#[from] io::Error),
+    /// A link between two places could not be changed.
+    #[error(transparent)]
+    Link(#[from] LinkError),
     /// No VM of that name, or no VM with a ready entry.
     #[error("no VM {0:?}")]
     UnknownVm(Label),
--- a/crates/scenario/src/testbed.rs
+++ b/crates/scenario/src/testbed.rs
@@ -449,8 +449,7 @@
         mode: LinkMode,
     ) -> Result<(), StepError> {
         let request = LinkRequest { link, mode };
-        let result = self.forwarder.apply(request).await;
-        result.map_err(|error| StepError::UnknownPlace(error.0))
+        Ok(self.forwarder.apply(request).await?)
     }
 }
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -4,7 +4,7 @@
 
 use platform_stand_ins::{StoreFault, WorkerFault};
 use scenario::ChildSignal;
-use stand_ins::forwarder::LinkMode;
+use stand_ins::forwarder::{LinkError, LinkMode};
 
 use crate::{
     fleet::SoakFleet,
@@ -105,12 +105,12 @@
         FaultKind::Reload(node) => fleet.signal_node(node, ChildSignal::Reload)?,
         FaultKind::StoreLink(node, mode, length) => {
             add_disturbance(FaultScope::Node(node), false, length);
-            fleet.set_store_link(node, mode).await;
+            fleet.set_store_link(node, mode).await?;
             follow_ups.push((length, FollowUp::HealStoreLink(node)));
         }
         FaultKind::WorkerLink(worker, node, mode, length) => {
             add_disturbance(FaultScope::Worker(worker), false, length);
-            fleet.set_worker_link(worker, node, mode).await;
+            fleet.set_worker_link(worker, node, mode).await?;
             follow_ups.push((length, FollowUp::HealWorkerLink(worker, node)));
         }
         FaultKind::Store(fault, length) => {
@@ -197,9 +197,9 @@
         // The customers are not part of the fleet; the caller breaks their connections.
         FollowUp::ResetCustomers(_) => (),
         FollowUp::Thaw(node) => fleet.signal_node(node, ChildSignal::Thaw)?,
-        FollowUp::HealStoreLink(node) => fleet.set_store_link(node, LinkMode::Pass).await,
+        FollowUp::HealStoreLink(node) => fleet.set_store_link(node, LinkMode::Pass).await?,
         FollowUp::HealWorkerLink(worker, node) => {
-            fleet.set_worker_link(worker, node, LinkMode::Pass).await;
+            fleet.set_worker_link(worker, node, LinkMode::Pass).await?;
         }
         FollowUp::HealStore => fleet.set_store_fault(StoreFault::None),
         FollowUp::HealWorker(worker) => fleet.set_worker_fault(worker, WorkerFault::None),
@@ -221,3 +221,9 @@
         Self::Setup(cause.to_string())
     }
 }
+
+impl From<LinkError> for SoakError {
+    fn from(cause: LinkError) -> Self {
+        Self::Setup(cause.to_string())
+    }
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -13,7 +13,7 @@
 };
 use scenario::{ChildPlan, ChildProcess, ChildSignal};
 use settings::NodeSettings;
-use stand_ins::forwarder::{LinkMode, LinkRequest, NetForwarder};
+use stand_ins::forwarder::{LinkError, LinkMode, LinkRequest, NetForwarder};
 
 use crate::{
     plan::SoakPlan,
@@ -292,23 +292,31 @@
     }
 
     /// Sets the mode of the link between a node and the store.
-    pub(crate) async fn set_store_link(&self, node: usize, mode: LinkMode) {
-        self.set_link(store_link(node), mode).await;
+    pub(crate) async fn set_store_link(
+        &self,
+        node: usize,
+        mode: LinkMode,
+    ) -> Result<(), LinkError> {
+        self.set_link(store_link(node), mode).await
     }
 
     /// Sets the mode of the link between a worker and a node.
-    pub(crate) async fn set_worker_link(&self, worker: usize, node: usize, mode: LinkMode) {
+    pub(crate) async fn set_worker_link(
+        &self,
+        worker: usize,
+        node: usize,
+        mode: LinkMode,
+    ) -> Result<(), LinkError> {
         let number = self.workers[worker].number;
-        self.set_link(worker_link(number, node), mode).await;
+        self.set_link(worker_link(number, node), mode).await
     }
 
-    async fn set_link(&self, name: String, mode: LinkMode) {
+    async fn set_link(&self, name: String, mode: LinkMode) -> Result<(), LinkError> {
         let request = LinkRequest {
             link: Some(name),
             mode,
         };
-        // The link may no longer exist if it belonged to a replaced worker instance; nothing needs to change then.
-        let _gone = self.forwarder.apply(request).await;
+        self.forwarder.apply(request).await
     }
 
     /// Sets the fault of the store.
--- a/crates/stand-ins/src/forwarder/control.rs
+++ b/crates/stand-ins/src/forwarder/control.rs
@@ -8,7 +8,7 @@
     App, HttpResponse, HttpServer,
 };
 
-use crate::forwarder::{LinkRequest, LinkStatus, SharedLinks};
+use crate::forwarder::{LinkError, LinkRequest, LinkStatus, SharedLinks};
 
 pub(super) fn serve(
     shared: Arc<SharedLinks>,
@@ -42,6 +42,9 @@
 async fn change_link(shared: Data<SharedLinks>, request: Json<LinkRequest>) -> HttpResponse {
     match shared.apply(request.into_inner()).await {
         Ok(()) => HttpResponse::NoContent().finish(),
-        Err(error) => HttpResponse::NotFound().body(error.to_string()),
+        Err(error @ LinkError::Unknown(_)) => HttpResponse::NotFound().body(error.to_string()),
+        Err(error @ LinkError::Failed { .. }) => {
+            HttpResponse::InternalServerError().body(error.to_string())
+        }
     }
 }
--- a/crates/stand-ins/src/forwarder/link.rs
+++ b/crates/stand-ins/src/forwarder/link.rs
@@ -10,17 +10,21 @@
     time::Duration,
 };
 
+use socket2::Socket;
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     sync::{mpsc, oneshot, watch},
 };
 
-use crate::forwarder::{listen::LinkListener, pump, CutConnect, LinkMode, OpenDirection};
+use crate::forwarder::{
+    listen::{LinkListener, ListenMode},
+    pump, CutConnect, LinkMode, OpenDirection,
+};
 
-/// A change of mode; `done` is notified when it is in force.
+/// A change of mode; `done` is notified when it is in force or has failed.
 pub(super) struct LinkCommand {
     pub(super) mode: LinkMode,
-    pub(super) done: oneshot::Sender<()>,
+    pub(super) done: oneshot::Sender<io::Result<()>>,
 }
 
 /// Counters of a link.
@@ -57,7 +61,7 @@
 
 /// The parameters of the task that serves a link.
 pub(super) struct LinkTask {
-    pub(super) listener: std::net::TcpListener,
+    pub(super) socket: Socket,
     pub(super) address: SocketAddr,
     pub(super) target: SocketAddr,
     pub(super) counters: Arc<LinkCounters>,
@@ -67,22 +71,22 @@
 impl LinkTask {
     /// Serves until the link's handle is dropped, which also ends its connections.
     pub(super) async fn run(self) {
-        let address = self.address;
+        let target = self.target;
         if let Err(error) = self.serve().await {
-            log::warn!("net forwarder: link at {address} failed: {error}");
+            log::warn!("net forwarder: link to {target} failed: {error}");
         }
     }
 
     async fn serve(self) -> io::Result<()> {
         let (flow, _) = watch::channel(FlowState::default());
         let Self {
-            listener,
+            socket,
             address,
             target,
             counters,
             mut commands,
         } = self;
-        let mut listener = LinkListener::Open(TcpListener::from_std(listener)?);
+        let mut listener = LinkListener::new(socket, address)?;
         loop {
             tokio::select! {
                 command = commands.recv() => {
@@ -90,10 +94,9 @@
                         return Ok(());
                     };
                     flow.send_modify(|state| apply_mode(state, command.mode));
-                    // The port becomes free only when the previous socket is closed.
-                    drop(listener);
-                    listener = listen_in_mode(command.mode, address).await?;
-                    let _ = command.done.send(());
+                    let result = listener.set_mode(listen_mode(command.mode)).await;
+                    // Fails only if nobody waits for the change any more.
+                    let _ = command.done.send(result);
                 }
                 accepted = listener.accept() => match accepted {
                     Ok(stream) => spawn_forward(stream, target, flow.subscribe(), Arc::clone(&counters)),
@@ -144,15 +147,16 @@
     state.resets = resets + u64::from(mode == LinkMode::Reset);
 }
 
-async fn listen_in_mode(mode: LinkMode, address: SocketAddr) -> io::Result<LinkListener> {
+/// Returns what a link in this mode does with new connections.
+fn listen_mode(mode: LinkMode) -> ListenMode {
     match mode {
-        LinkMode::Pass | LinkMode::Reset | LinkMode::Delay { .. } => LinkListener::open(address),
+        LinkMode::Pass | LinkMode::Reset | LinkMode::Delay { .. } => ListenMode::Open,
         LinkMode::Cut {
             connects: CutConnect::Refuse,
-        } => LinkListener::refusing(address),
+        } => ListenMode::Refusing,
         LinkMode::Cut {
             connects: CutConnect::Hang,
         }
-        | LinkMode::OneWay { .. } => LinkListener::hanging(address).await,
+        | LinkMode::OneWay { .. } => ListenMode::Hanging,
     }
 }
--- a/crates/stand-ins/src/forwarder/mod.rs
+++ b/crates/stand-ins/src/forwarder/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::forwarder::{
     link::{apply_mode, FlowState, LinkCommand, LinkCounters, LinkTask},
+    listen::listen_on_free_port,
     shared::{SharedLinkTask, SourceFlow},
 };
 
@@ -107,10 +108,21 @@
     pub back_bytes: u64,
 }
 
-/// Error for a request that names a link which does not exist.
+/// Error of a change of mode.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("link {0:?} does not exist")]
-pub struct UnknownLink(pub String);
+pub enum LinkError {
+    /// The request names a link that does not exist.
+    #[error("link {0:?} does not exist")]
+    Unknown(String),
+    /// The listener of a link could not be changed.
+    #[error("link {link:?} does not serve: {cause}")]
+    Failed {
+        /// The name of the link.
+        link: String,
+        /// The cause, as text.
+        cause: String,
+    },
+}
 
 /// Finds the name of the source that opened a connection from its source address; `None` if it is unknown.
 pub type SourceFinder = Arc<dyn Fn(SocketAddr) -> Option<String> + Send + Sync>;
@@ -140,6 +152,9 @@
     Flow(watch::Sender<FlowState>),
 }
 
+/// Receives the result of a change of mode.
+type ModeReceiver = oneshot::Receiver<io::Result<()>>;
+
 struct LinkHandle {
     address: SocketAddr,
     target: SocketAddr,
@@ -188,13 +203,11 @@
     ///
     /// No port can be bound.
     pub fn add_link(&self, name: &str, target: SocketAddr) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind((target.ip(), 0))?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
+        let (socket, address) = listen_on_free_port(target.ip())?;
         let counters = Arc::<LinkCounters>::default();
         let (commands, receiver) = mpsc::unbounded_channel();
         let task = LinkTask {
-            listener,
+            socket,
             address,
             target,
             counters: Arc::clone(&counters),
@@ -270,8 +283,8 @@
     ///
     /// # Errors
     ///
-    /// The request names a link that does not exist.
-    pub async fn apply(&self, request: LinkRequest) -> Result<(), UnknownLink> {
+    /// The request names a link that does not exist, or a link cannot listen.
+    pub async fn apply(&self, request: LinkRequest) -> Result<(), LinkError> {
         self.shared.apply(request).await
     }
 
@@ -293,25 +306,29 @@
 }
 
 impl SharedLinks {
-    async fn apply(&self, request: LinkRequest) -> Result<(), UnknownLink> {
-        for done in self.send(&request)? {
-            // Fails only if the link has been closed in the meantime, so there is nothing left to change.
-            let _ = done.await;
+    async fn apply(&self, request: LinkRequest) -> Result<(), LinkError> {
+        for (link, done) in self.send(&request)? {
+            let result = done.await;
+            let result = result.unwrap_or_else(|_| Err(io::Error::other("its task has ended")));
+            result.map_err(|error| LinkError::Failed {
+                link,
+                cause: error.to_string(),
+            })?;
         }
         Ok(())
     }
 
-    fn send(&self, request: &LinkRequest) -> Result<Vec<oneshot::Receiver<()>>, UnknownLink> {
+    fn send(&self, request: &LinkRequest) -> Result<Vec<(String, ModeReceiver)>, LinkError> {
         let mut links = self.lock();
         if let Some(name) = &request.link {
             let link = links
                 .get_mut(name)
-                .ok_or_else(|| UnknownLink(name.clone()))?;
-            return Ok(vec![link.send(request.mode)]);
+                .ok_or_else(|| LinkError::Unknown(name.clone()))?;
+            return Ok(vec![(name.clone(), link.send(request.mode))]);
         }
         let mut receivers = Vec::with_capacity(links.len());
-        for link in links.values_mut() {
-            receivers.push(link.send(request.mode));
+        for (name, link) in links.iter_mut() {
+            receivers.push((name.clone(), link.send(request.mode)));
         }
         Ok(receivers)
     }
@@ -329,7 +346,7 @@
 }
 
 impl LinkHandle {
-    fn send(&mut self, mode: LinkMode) -> oneshot::Receiver<()> {
+    fn send(&mut self, mode: LinkMode) -> ModeReceiver {
         self.mode = match mode {
             LinkMode::Reset => LinkMode::Pass,
             other => other,
@@ -342,7 +359,7 @@
             }
             ModeControl::Flow(flow) => {
                 flow.send_modify(|state| apply_mode(state, mode));
-                let _ = done.send(());
+                let _ = done.send(Ok(()));
             }
         }
         receiver
--- a/crates/stand-ins/src/forwarder/shared.rs
+++ b/crates/stand-ins/src/forwarder/shared.rs
@@ -1,6 +1,6 @@
 //! Several links that share one address, distinguished by the source of a connection.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use model::FastMap;
 use tokio::{
@@ -13,6 +13,9 @@
     SourceFinder,
 };
 
+/// The pause after a connection could not be accepted, for example because no descriptor was left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// The flow state and counters of the link of one source.
 pub(super) struct SourceFlow {
     pub(super) flow: watch::Receiver<FlowState>,
@@ -55,10 +58,18 @@
         let closed = wait_for_close(&flows);
         tokio::pin!(closed);
         loop {
-            let (near, from) = tokio::select! {
-                accepted = listener.accept() => accepted?,
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
                 () = &mut closed => return Ok(()),
             };
+            let (near, from) = match accepted {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    log::warn!("net forwarder: accept failed: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
             let (finder, flows, unknown_source) =
                 (finder.clone(), flows.clone(), unknown_source.clone());
             tokio::spawn(async move {
--- a/crates/stand-ins/tests/forwarder.rs
+++ b/crates/stand-ins/tests/forwarder.rs
@@ -3,12 +3,17 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    process::Command,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
+    thread,
     time::{Duration, Instant},
 };
 
 use stand_ins::forwarder::{
-    CutConnect, LinkMode, LinkRequest, NetForwarder, OpenDirection, UnknownLink,
+    CutConnect, LinkError, LinkMode, LinkRequest, NetForwarder, OpenDirection,
 };
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -19,6 +24,9 @@
 /// How long a connection is watched for silence. Bytes on loopback take less.
 const SILENCE_WINDOW: Duration = Duration::from_millis(150);
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Threads that start processes while a link changes its mode.
+const PROCESS_STARTERS: usize = 4;
+const MODE_CHANGES: usize = 300;
 
 /// Starts a target that echoes each byte.
 async fn echo_target() -> SocketAddr {
@@ -268,7 +276,7 @@
         mode: LinkMode::Pass,
     };
     let error = forwarder.apply(unknown).await.unwrap_err();
-    assert_eq!(error, UnknownLink("a-x".to_owned()));
+    assert_eq!(error, LinkError::Unknown("a-x".to_owned()));
 }
 
 // All processes use the same address for a dispatcher, but a partition may separate only two dispatchers. So with two
@@ -360,3 +368,33 @@
     assert!(took < Duration::from_millis(200), "{took:?}");
     assert_eq!(echoed(&mut searched, "c").await.unwrap(), "c");
 }
+
+/// Guards against a link that ends when its mode changes while the test process starts another one: the new process
+/// holds the link's socket until its program is loaded.
+#[actix_rt::test]
+async fn a_link_keeps_its_port_while_processes_start() {
+    let forwarder = NetForwarder::start().unwrap();
+    let link = forwarder.add_link("a-b", echo_target().await).unwrap();
+    let stopped = Arc::new(AtomicBool::new(false));
+    let starters: Vec<_> = (0..PROCESS_STARTERS)
+        .map(|_| {
+            let stopped = Arc::clone(&stopped);
+            thread::spawn(move || {
+                while !stopped.load(Ordering::Relaxed) {
+                    Command::new("true").status().unwrap();
+                }
+            })
+        })
+        .collect();
+    let connects = CutConnect::Refuse;
+    for _ in 0..MODE_CHANGES {
+        set_mode(&forwarder, LinkMode::Cut { connects }).await;
+        set_mode(&forwarder, LinkMode::Pass).await;
+    }
+    stopped.store(true, Ordering::Relaxed);
+    for starter in starters {
+        starter.join().unwrap();
+    }
+    let mut stream = TcpStream::connect(link).await.unwrap();
+    assert_eq!(echoed(&mut stream, "hello").await.unwrap(), "hello");
+}
