The source of a connection is looked up by both of its addresses

Seen: dispatchers_cut_apart refuses 15 or 16 of 20 jobs as predicted_late after the cut; in data_centres_cut_apart an entry is not ready within 10 s. Both now and then, with soaks or other test runs beside them.

Cause: a fault of the scenarios' testbed. For each connection to an address that several links share it read the kernel's table of all sockets, and took the first line with the connection's local address. After many connections that line is often one of a closed connection from the same port, which belongs to no process; a connection without a VM passed every cut. And with tens of thousands of sockets the search takes seconds, so that each session times out before it is open and is opened again, until the searches pile up.

--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -21,7 +21,8 @@
 pub mod record;
 mod runner;
 pub mod script;
-mod sources;
+mod socket_table;
+pub mod sources;
 mod testbed;
 
 pub use crate::{
--- a/crates/stand-ins/src/forwarder/mod.rs
+++ b/crates/stand-ins/src/forwarder/mod.rs
@@ -124,8 +124,17 @@
     },
 }
 
-/// Finds the name of the source that opened a connection from its source address; `None` if it is unknown.
-pub type SourceFinder = Arc<dyn Fn(SocketAddr) -> Option<String> + Send + Sync>;
+/// The addresses of both ends of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionEnds {
+    /// The address of the side that connected.
+    pub from: SocketAddr,
+    /// The address that it connected to.
+    pub to: SocketAddr,
+}
+
+/// Finds the name of the source that opened a connection; `None` if it is unknown. May block.
+pub type SourceFinder = Arc<dyn Fn(ConnectionEnds) -> Option<String> + Send + Sync>;
 
 /// A forwarder that runs on its own thread. Dropping it closes every link.
 pub struct NetForwarder {
@@ -227,7 +236,8 @@
 
     /// Adds one address for `target` that is shared by several links, one per source, and returns that address.
     /// `links` lists the name of each source with the name of its link; `finder` determines the source of a
-    /// connection. Connections of other sources always pass.
+    /// connection. Connections of sources without a link always pass. Those of unknown sources are closed, since they
+    /// might cross a cut.
     ///
     /// This is for targets that all sources know by the same address. Since the listener is shared, a new connection
     /// over a cut link is accepted and then stays silent, or is closed at once, where a link with a listener of its
--- a/crates/stand-ins/src/forwarder/shared.rs
+++ b/crates/stand-ins/src/forwarder/shared.rs
@@ -10,7 +10,7 @@
 
 use crate::forwarder::{
     link::{spawn_forward, FlowState, LinkCounters},
-    SourceFinder,
+    ConnectionEnds, SourceFinder,
 };
 
 /// The pause after a connection could not be accepted, for example because no descriptor was left.
@@ -47,14 +47,16 @@
             finder,
         } = self;
         let listener = TcpListener::from_std(listener)?;
-        // Connections of an unknown source use a flow of their own, which always passes and lasts as long as this task.
+        let to = listener.local_addr()?;
+        // Connections of a source without a link use a flow of their own, which always passes and lasts as long as this
+        // task.
         let (_pass, pass) = watch::channel(FlowState::default());
-        let unknown_source = SourceFlow {
+        let no_link = SourceFlow {
             flow: pass,
             counters: Arc::default(),
         };
         let flows = Arc::new(flows);
-        let unknown_source = Arc::new(unknown_source);
+        let no_link = Arc::new(no_link);
         let closed = wait_for_close(&flows);
         tokio::pin!(closed);
         loop {
@@ -70,18 +72,18 @@
                     continue;
                 }
             };
-            let (finder, flows, unknown_source) =
-                (finder.clone(), flows.clone(), unknown_source.clone());
+            let ends = ConnectionEnds { from, to };
+            let (finder, flows, no_link) = (finder.clone(), flows.clone(), no_link.clone());
             tokio::spawn(async move {
-                // The search reads tables of the kernel, which takes tens of milliseconds with many sockets. On this
-                // thread it would delay the bytes of all links, and processes would take each other for dead.
-                let source = tokio::task::spawn_blocking(move || finder(from)).await;
-                let source = source.unwrap_or_else(|error| {
-                    log::warn!("net forwarder: cannot find the source of a connection: {error}");
-                    None
-                });
-                let flow = source.and_then(|source| flows.get(&source));
-                forward(near, target, flow.unwrap_or(&unknown_source));
+                // The search blocks. On this thread it would delay the bytes of all links, and processes would take
+                // each other for dead.
+                let source = tokio::task::spawn_blocking(move || finder(ends)).await;
+                let Ok(Some(source)) = source else {
+                    log::warn!("net forwarder: the source of a connection from {from} is unknown");
+                    return;
+                };
+                let flow = flows.get(&source);
+                forward(near, target, flow.unwrap_or(&no_link));
             });
         }
     }
--- a/crates/stand-ins/tests/forwarder.rs
+++ b/crates/stand-ins/tests/forwarder.rs
@@ -13,7 +13,7 @@
 };
 
 use stand_ins::forwarder::{
-    CutConnect, LinkError, LinkMode, LinkRequest, NetForwarder, OpenDirection,
+    ConnectionEnds, CutConnect, LinkError, LinkMode, LinkRequest, NetForwarder, OpenDirection,
 };
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -287,9 +287,9 @@
     let forwarder = NetForwarder::start().unwrap();
     let sources: Arc<Mutex<Vec<(SocketAddr, &str)>>> = Arc::default();
     let known = Arc::clone(&sources);
-    let finder = move |from: SocketAddr| {
+    let finder = move |ends: ConnectionEnds| {
         let known = known.lock().unwrap();
-        let found = known.iter().find(|(address, _)| *address == from);
+        let found = known.iter().find(|(address, _)| *address == ends.from);
         found.map(|(_, name)| (*name).to_owned())
     };
     let names = |source: &str| (source.to_owned(), format!("{source}>target"));
@@ -348,7 +348,7 @@
     let plain = forwarder.add_link("plain", echo_target().await).unwrap();
     let mut open = TcpStream::connect(plain).await.unwrap();
     echoed(&mut open, "a").await.unwrap();
-    let finder = |_: SocketAddr| {
+    let finder = |_: ConnectionEnds| {
         std::thread::sleep(Duration::from_millis(400));
         Some("near".to_owned())
     };
@@ -398,3 +398,16 @@
     let mut stream = TcpStream::connect(link).await.unwrap();
     assert_eq!(echoed(&mut stream, "hello").await.unwrap(), "hello");
 }
+
+/// Guards against a connection that crosses a cut since nobody knows whose it is.
+#[actix_rt::test]
+async fn a_connection_of_an_unknown_source_is_closed() {
+    let forwarder = NetForwarder::start().unwrap();
+    let links = [("a".to_owned(), "a>target".to_owned())];
+    let link = forwarder
+        .add_shared_links(echo_target().await, &links, Arc::new(|_| None))
+        .unwrap();
+    let mut stream = TcpStream::connect(link).await.unwrap();
+    let read = timeout(READ_TIMEOUT, stream.read(&mut [0; 1])).await;
+    assert_eq!(read.unwrap().unwrap(), 0);
+}
