The soak tells failed jobs from completed ones

Seen: 2 of 64 runs of the short soak report "completed: job with 0 of 1 tasks done". Callers had got 200 with the state "failed".

Cause: the check. Its customers read only the status, and 200 stands for both states. In both runs the task was given up after two workers that the plan restarted had died under it, alone there the second time.

Evidence: the owner's log (run_lost twice with new_life, crash_culprit, job_ended failed).

Ruled out: a run of the task that ended as done and was lost (the worker has none); another loss in the second restart that spoke for the task (it was alone).

Change: answers that say "failed" are an end of their own; "completed" is checked as before. New invariant "failed": only after three failures of one task in that attempt, or two workers dead under it; its two tests show each side of both bounds. Failed jobs no longer count as served.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -6,7 +6,7 @@
 use jobs::{JobId, TaskId};
 use model::{text_enum, FastMap, FastSet, UnknownVariant};
 
-use crate::record::{AttemptEnd, AttemptTrace, JobTrace, RunTrace, SoakRecord};
+use crate::record::{AttemptEnd, AttemptTrace, JobTrace, RunEnd, RunTrace, SoakRecord};
 
 /// The most concurrent runs that fit on a worker: two of the soak's tasks.
 const MAX_WORKER_RUNS: usize = 2;
@@ -36,6 +36,12 @@
 /// that a worker executes late is refused.
 const ORPHAN_START_LIMIT: Duration = Duration::from_millis(1_300);
 
+/// How often a task has to fail in one attempt before its job may be reported as failed.
+const ROUTE_ATTEMPTS: usize = 3;
+
+/// How many workers have to die under a task before its job may be reported as failed.
+const CRASHES_TO_FAIL: usize = 2;
+
 /// How long after the end of all faults jobs must be served again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(6);
 
@@ -48,6 +54,9 @@
         Twice => "twice",
         /// A job is reported as completed only after all its tasks were done.
         Completed => "completed",
+        /// A job is reported as failed only after one of its tasks has failed as often as its route allows, or after
+        /// several workers have died under it.
+        Failed => "failed",
         /// No task of a refused job runs: the customer takes a refusal to mean that nothing was run.
         Refused => "refused",
         /// Each answer arrives by its deadline, with some slack, unless a fault or planned work affects the node or the
@@ -157,7 +166,7 @@
         let mut begun: FastSet<JobId> = FastSet::default();
         for run in &self.record.runs {
             begun.insert(run.task.job);
-            if run.done {
+            if run.end == Some(RunEnd::Done) {
                 done.entry(run.task.job).or_default().insert(run.task);
             }
         }
@@ -177,6 +186,10 @@
             self.add_violation(SoakInvariant::Refused, format!("job {} ran", job.id));
         }
         for attempt in &job.attempts {
+            if attempt.end == AttemptEnd::Failed && !self.may_fail(job.id, attempt) {
+                let details = format!("job {} at {:?} without cause", job.id, attempt.ended);
+                self.add_violation(SoakInvariant::Failed, details);
+            }
             let took = attempt.ended - attempt.sent;
             let late = took > job.deadline + ANSWER_SLACK;
             let from = attempt.sent.saturating_sub(FAULT_AFTERMATH);
@@ -194,6 +207,25 @@
         }
     }
 
+    /// Returns whether a task of the job gave cause to report the job as failed at the end of an attempt. Crashes
+    /// count over all attempts, since a task that crashes its workers does so in each.
+    fn may_fail(&self, job: JobId, attempt: &AttemptTrace) -> bool {
+        let mut failures: FastMap<TaskId, usize> = FastMap::default();
+        let mut crashes: FastMap<TaskId, usize> = FastMap::default();
+        let runs = self.record.runs.iter().filter(|run| run.task.job == job);
+        for run in runs.filter(|run| has_ended(run, attempt.ended + CLOCK_SLACK)) {
+            match run.end {
+                Some(RunEnd::Failed) if run.began >= attempt.sent => {
+                    *failures.entry(run.task).or_default() += 1;
+                }
+                Some(RunEnd::Died) => *crashes.entry(run.task).or_default() += 1,
+                _ => (),
+            }
+        }
+        failures.values().any(|count| *count >= ROUTE_ATTEMPTS)
+            || crashes.values().any(|count| *count >= CRASHES_TO_FAIL)
+    }
+
     fn check_orphans(&mut self) {
         let mut last_ends: FastMap<JobId, Duration> = FastMap::default();
         for job in &self.record.jobs {
--- a/crates/soak/src/customers.rs
+++ b/crates/soak/src/customers.rs
@@ -7,7 +7,7 @@
 use futures::future::{self, Either};
 use jobs::JobId;
 use platform_adapter::DEADLINE_HEADER;
-use platform_stand_ins::{job_body, timed_job_body};
+use platform_stand_ins::{job_body, says_failed, timed_job_body};
 use tokio::sync::Notify;
 
 use crate::{
@@ -143,8 +143,11 @@
         let complete_answer = async {
             let mut answer = request.send_body(body).await.ok()?;
             let status = answer.status().as_u16();
-            answer.body().await.ok()?;
-            Some(status)
+            let body = answer.body().await.ok()?;
+            Some(match says_failed(&body) {
+                true => AttemptEnd::Failed,
+                false => AttemptEnd::Answered(status),
+            })
         };
         let is_reset = rng.f64() < self.plan.reset_share;
         let reset = async {
@@ -157,7 +160,7 @@
         let reset = std::pin::pin!(reset);
         let answer_or_reset = future::select(complete_answer, reset);
         let end = match actix_rt::time::timeout(wait_limit, answer_or_reset).await {
-            Ok(Either::Left((Some(status), _))) => AttemptEnd::Answered(status),
+            Ok(Either::Left((Some(end), _))) => end,
             Ok(Either::Left((None, _)) | Either::Right(_)) => AttemptEnd::Broken,
             Err(_) => AttemptEnd::GaveUp,
         };
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     plan::SoakPlan,
-    record::{RunTrace, StopTrace},
+    record::{RunEnd, RunTrace, StopTrace},
     run::SoakError,
 };
 
@@ -351,6 +351,7 @@
             let runs = run_traces(&stand_in, worker, instance.number, began);
             self.runs.extend(runs.into_iter().map(|run| RunTrace {
                 ended: run.ended.or(Some(now)),
+                end: run.end.or(Some(RunEnd::Died)),
                 ..run
             }));
         }
@@ -485,12 +486,21 @@
             instance,
             began: since(run.began),
             ended: run.ended.map(|(at, _)| since(at)),
-            done: run.ended.is_some_and(|(_, how)| how == "done"),
+            end: run.ended.map(|(_, how)| run_end(how)),
         });
     }
     traces
 }
 
+fn run_end(how: &str) -> RunEnd {
+    match how {
+        "done" => RunEnd::Done,
+        "failed" => RunEnd::Failed,
+        "died" => RunEnd::Died,
+        _ => RunEnd::Stopped,
+    }
+}
+
 fn data_centre(number: usize) -> &'static str {
     DATA_CENTRES[number % DATA_CENTRES.len()]
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,7 +19,7 @@
     plan::{CustomerPlan, FaultKind, FaultMix, FaultStep, FreezePlan, SoakPlan},
     record::{
         AttemptEnd, AttemptTrace, Disturbance, DrainTrace, FaultScope, JobTrace, ProbeTrace,
-        RunTrace, SoakRecord, StopTrace,
+        RunEnd, RunTrace, SoakRecord, StopTrace,
     },
     run::{run_soak, SoakError, SoakReport},
 };
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -31,8 +31,10 @@
 /// How a customer's attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
-    /// A complete answer with this HTTP status.
+    /// A complete answer with this HTTP status. It does not say that the job has failed.
     Answered(u16),
+    /// A complete answer that says that the job has failed.
+    Failed,
     /// The connection was refused, or broke before the answer was complete.
     Broken,
     /// The customer stopped waiting.
@@ -83,8 +85,21 @@
     pub began: Duration,
     /// When the run ended; `None` if it was still running at the end of the soak.
     pub ended: Option<Duration>,
-    /// Whether the run ended as done.
-    pub done: bool,
+    /// How the run ended; `None` if it was still running at the end of the soak.
+    pub end: Option<RunEnd>,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The task was done.
+    Done,
+    /// The run failed.
+    Failed,
+    /// The worker crashed or restarted.
+    Died,
+    /// The run was stopped, or its lease expired.
+    Stopped,
 }
 
 /// The answer of a node to a probe for a route of the configuration.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -5,7 +5,7 @@
 use jobs::{JobId, TaskId};
 use soak::{
     check_invariants, AttemptEnd, AttemptTrace, Disturbance, DrainTrace, FaultScope, JobTrace,
-    ProbeTrace, RunTrace, SoakInvariant, SoakRecord, StopTrace,
+    ProbeTrace, RunEnd, RunTrace, SoakInvariant, SoakRecord, StopTrace,
 };
 
 fn ms(millis: u64) -> Duration {
@@ -29,7 +29,7 @@
         instance,
         began: ms(began),
         ended: Some(ms(ended)),
-        done: true,
+        end: Some(RunEnd::Done),
     }
 }
 
@@ -129,6 +129,58 @@
     );
 }
 
+/// Guards against a job that its customer is told to have failed although nothing has shown that it cannot be done.
+#[test]
+fn failed_without_cause() {
+    let check_ends = |ends: &[RunEnd], expected: &[SoakInvariant]| {
+        check(
+            |record| {
+                record.jobs[0].attempts = vec![attempt(1_000, 1_900, AttemptEnd::Failed)];
+                record.runs.remove(0);
+                for (number, end) in ends.iter().enumerate() {
+                    let began = 1_010 + 200 * number as u64;
+                    record.runs.push(RunTrace {
+                        end: Some(*end),
+                        ..run(0, 3 + number, began, began + 100)
+                    });
+                }
+            },
+            expected,
+        );
+    };
+    let failed = [SoakInvariant::Failed];
+    check_ends(&[], &failed);
+    check_ends(&[RunEnd::Died], &failed);
+    check_ends(
+        &[RunEnd::Stopped, RunEnd::Stopped, RunEnd::Stopped],
+        &failed,
+    );
+    check_ends(&[RunEnd::Failed, RunEnd::Failed], &failed);
+    check_ends(&[RunEnd::Failed, RunEnd::Died], &failed);
+    check_ends(&[RunEnd::Died, RunEnd::Died], &[]);
+    check_ends(&[RunEnd::Failed, RunEnd::Failed, RunEnd::Failed], &[]);
+}
+
+#[test]
+fn failures_of_an_earlier_attempt_are_no_cause() {
+    check(
+        |record| {
+            record.jobs[0].attempts = vec![
+                attempt(500, 900, AttemptEnd::Broken),
+                attempt(1_000, 1_900, AttemptEnd::Failed),
+            ];
+            record.runs.remove(0);
+            for began in [600, 700, 1_100] {
+                record.runs.push(RunTrace {
+                    end: Some(RunEnd::Failed),
+                    ..run(0, began as usize, began, began + 50)
+                });
+            }
+        },
+        &[SoakInvariant::Failed],
+    );
+}
+
 #[test]
 fn a_refused_job_that_ran() {
     let refused = attempt(1_000, 1_200, AttemptEnd::Answered(503));
