An owner that was frozen acknowledges no ends of a listing that waited

Seen: a worker that restarts under its id while its owner is frozen for a moment loses all its runs as not_there from then on. Its tasks run, are done and run again; its jobs come late or get 504, until it has ended as many runs as its former incarnation had told of.

Cause: ends are acknowledged only within 50 ms of a listing, since a process takes longer to restart, and the new incarnation would take the number for one of its own. The 50 ms counted from when the owner read the listing. After a freeze it reads one that the worker had sent long before.

The new test of the pool's simulation: jobs on the worker are refused or late after such a freeze.

Change: the worker's clock in a listing, against the owner's lower bound of that clock, tells how long the listing waited; an old one is not acknowledged, and its ends are listed once more first. The bound never makes a fresh listing look old, so that nothing else changes while answers come in time.

--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -166,7 +166,7 @@
         let Some(worker) = self.workers.get_mut(instance) else {
             return;
         };
-        worker.record_listing(now, order.fence);
+        worker.record_listing(now, owner_millis, listing.clock, order.fence);
         let had_misses = worker.missed_polls > 0;
         let newly_answering = worker.clock.is_none() || had_misses;
         worker.missed_polls = 0;
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -161,7 +161,7 @@
     pub(crate) last_poll_sent: Instant,
     /// When the latest of the answered polls was sent.
     pub(crate) answered_poll_sent: Option<Instant>,
-    /// When the last listing arrived.
+    /// When the worker sent the last listing, by a late estimate.
     listed_at: Option<Instant>,
     /// The worker's clock in the newest listing.
     pub(crate) listed_clock: WorkerClock,
@@ -364,16 +364,28 @@
         self.record = record;
     }
 
-    /// Notes that a listing of the current incarnation arrived, in answer to a poll with this fencing token.
-    pub(crate) fn record_listing(&mut self, now: Instant, fence: FenceToken) {
-        self.listed_at = Some(now);
+    /// Notes that a listing of the current incarnation arrived, in answer to a poll with this fencing token. `clock` is
+    /// the worker's clock in it.
+    ///
+    /// While the owner's process stands still or the path is slow, the worker may restart after it has sent a listing.
+    /// The listing's clock is then behind the worker's estimated clock, which shows that it waited.
+    pub(crate) fn record_listing(
+        &mut self,
+        now: Instant,
+        owner_millis: u64,
+        clock: WorkerClock,
+        fence: FenceToken,
+    ) {
+        let expected = self.min_clock_now(owner_millis).unwrap_or(clock);
+        let waited = Duration::from_millis(expected.0.saturating_sub(clock.0));
+        self.listed_at = Some(now.checked_sub(waited).unwrap_or(now));
         if fence == self.fence {
             self.fence_unconfirmed = false;
         }
     }
 
     /// The number of the last ended run that the next poll acknowledges, or 0 for none. Only ends that the worker
-    /// listed within the last `MIN_RESTART_TIME` are acknowledged: a later acknowledgement may reach a new incarnation,
+    /// sent within the last `MIN_RESTART_TIME` are acknowledged: a later acknowledgement may reach a new incarnation,
     /// which would discard its own first ends before the owner has seen them. Older ends have to be listed once more
     /// first.
     pub(crate) fn ends_to_acknowledge(&self, now: Instant) -> u64 {
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -150,6 +150,8 @@
     resize_in_flight: bool,
     /// How long a worker takes to restart, in milliseconds.
     pub(crate) restart_time: u64,
+    /// Until when the owner's process is frozen, in simulated milliseconds.
+    owner_frozen_until: u64,
 }
 
 /// A kind of job.
@@ -252,6 +254,7 @@
             overruns: Vec::new(),
             resize_in_flight: false,
             restart_time: 0,
+            owner_frozen_until: 0,
         };
         simulation.pool.load_kept(origin, Vec::new());
         for number in 0..workers {
@@ -462,6 +465,9 @@
             self.step_workers();
             self.step_crashes();
             self.deliver();
+            if self.now < self.owner_frozen_until {
+                continue;
+            }
             let in_contact = self.store_up && self.claim_confirmable;
             if in_contact && self.now.is_multiple_of(CONTACT_INTERVAL_MS) {
                 let at = self.instant();
@@ -476,6 +482,11 @@
         }
     }
 
+    /// Freezes the owner's process from now on. What arrives for it waits.
+    pub(crate) fn freeze_owner(&mut self, millis: u64) {
+        self.owner_frozen_until = self.now + millis;
+    }
+
     /// Generates traffic of the three kinds, each at `factor` times its usual rate.
     pub(crate) fn traffic(&mut self, millis: u64, factor: [f64; 3]) {
         for _ in 0..millis {
@@ -778,6 +789,9 @@
                 Event::Stop(call, order) => self.handle_stop(call, order),
                 Event::Poll(call, order, sent) => self.handle_poll(call, order, sent),
                 Event::WriteRow(order) => self.store_row(order),
+                event if self.now < self.owner_frozen_until => {
+                    self.post(self.owner_frozen_until - self.now, event);
+                }
                 event => self.handle_answer(event),
             }
             self.execute_actions();
--- a/crates/pool/tests/worker_restarts.rs
+++ b/crates/pool/tests/worker_restarts.rs
@@ -69,6 +69,26 @@
     complete_some_jobs(&mut simulation, 1_000);
 }
 
+/// Guards against a worker whose runs all seem lost: its owner froze with a listing unread, took it for a fresh one on
+/// waking, and acknowledged the former incarnation's ends to the new one, which then never listed its own.
+#[test]
+fn a_listing_read_after_a_freeze_is_not_acknowledged_to_the_next_incarnation() {
+    let mut simulation = simulation_with_start_times(1, 1);
+    simulation.restart_time = 50;
+    complete_some_jobs(&mut simulation, 10);
+    let instance = only_instance(&simulation);
+    simulation.submit_sized(2, JobId(1), vec![40.0], 40.0, WHOLE_WORKER / 2);
+    simulation.submit_sized(2, JobId(2), vec![400.0], 400.0, WHOLE_WORKER / 2);
+    // The short run ends, and is listed, while the owner is frozen.
+    simulation.run_for(40);
+    simulation.freeze_owner(140);
+    simulation.run_for(40);
+    assert_eq!(simulation.running(), 1);
+    simulation.restart_worker(&instance);
+    simulation.run_for(2_000);
+    complete_some_jobs(&mut simulation, 20);
+}
+
 /// The directory announces a new incarnation before the worker has listed anything. Nothing is started
 /// there until it has answered a poll; soon after, it runs tasks.
 #[test]
