The test of the largest jobs sends its heads as soon as it connects

Seen: beside other work a caller's request gets 408.

Cause: the test. Its one thread encoded two bodies of 32 MB in a debug build between its connections and their heads, and the entry waits 5 s for a head.

Change: both messages are encoded first. What is checked is unchanged.

--- a/crates/demo/tests/border/memory.rs
+++ b/crates/demo/tests/border/memory.rs
@@ -5,7 +5,9 @@
 use model::ByteSize;
 use settings::EntrySettings;
 
-use crate::caller::{call, issue_ticket, job, post, request, start_fleet, wait_for};
+use crate::caller::{
+    call, http_message, issue_ticket, job, post, request, send, start_fleet, wait_for,
+};
 
 /// A payload of about 60 KB whose task runs for a second.
 fn large_payload() -> Vec<u8> {
@@ -67,10 +69,12 @@
             rng.fill(&mut payload);
             payloads.push(payload);
         }
+        let parts: Vec<&[u8]> = payloads.iter().map(Vec::as_slice).collect();
+        let body = job(&parts);
+        // Encoded before any connection is opened: it takes seconds in a debug build, and the entry waits 5 s for a head.
+        let message = http_message("POST", "/v1/jobs", "", body.to_string().as_bytes());
         jobs.push(async move {
-            let parts: Vec<&[u8]> = payloads.iter().map(Vec::as_slice).collect();
-            let body = job(&parts);
-            let reply = post(entry, "/v1/jobs", &body).await;
+            let reply = send(entry, &message).await;
             assert_eq!(reply.text("status"), "complete", "{}", reply.head);
             for (index, task) in body["tasks"].as_array().into_iter().flatten().enumerate() {
                 assert!(
