--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -161,7 +161,7 @@
     pub(crate) last_poll_sent: Instant,
     /// When the latest of the answered polls was sent.
     pub(crate) answered_poll_sent: Option<Instant>,
-    /// When the worker sent the last listing, by a late estimate.
+    /// When the worker sent the last listing, or somewhat later: an estimate.
     listed_at: Option<Instant>,
     /// The worker's clock in the newest listing.
     pub(crate) listed_clock: WorkerClock,
