The pool's simulation checks its invariants also while its owner is frozen

Found on reading the change again: a millisecond of a frozen owner skipped the rest of the simulation's step, and with it the check that no worker exceeds its capacity and no task runs twice, which the simulation promises at every one.

Cause: the freeze was an early continue in run_for. Change: only what the owner's process does by itself is left out (step_owner). Every test keeps its assertions; the one with a freeze is now checked more often.

--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -465,23 +465,27 @@
             self.step_workers();
             self.step_crashes();
             self.deliver();
-            if self.now < self.owner_frozen_until {
-                continue;
-            }
-            let in_contact = self.store_up && self.claim_confirmable;
-            if in_contact && self.now.is_multiple_of(CONTACT_INTERVAL_MS) {
-                let at = self.instant();
-                self.pool.record_store_contact(at);
-            }
-            if self.now.is_multiple_of(20) {
-                let at = self.instant();
-                self.pool.tick(at);
+            if self.now >= self.owner_frozen_until {
+                self.step_owner();
             }
             self.execute_actions();
             self.check_invariants();
         }
     }
 
+    /// Does what the owner's process does by itself: it renews its contact with the store, and ticks.
+    fn step_owner(&mut self) {
+        let in_contact = self.store_up && self.claim_confirmable;
+        if in_contact && self.now.is_multiple_of(CONTACT_INTERVAL_MS) {
+            let at = self.instant();
+            self.pool.record_store_contact(at);
+        }
+        if self.now.is_multiple_of(20) {
+            let at = self.instant();
+            self.pool.tick(at);
+        }
+    }
+
     /// Freezes the owner's process from now on. What arrives for it waits.
     pub(crate) fn freeze_owner(&mut self, millis: u64) {
         self.owner_frozen_until = self.now + millis;
