An answer that an announcement has overtaken hides no slots

What callers saw: requests waited behind others for a whole run time while a dispatcher had four free slots.

Cause: an entry learns a dispatcher's slots in two ways that may overtake each other at its control actor: announcements arrive as calls and go to its mailbox, answers (to pings, offers, withdrawals) resolve futures. An answer that was written before an announcement and is handled after it puts the former counts back. At a start these are 0, so nothing is placed there until the next ping, all tasks queue at the other dispatcher, and a queued task does not move later.

Evidence: a run with added log lines shows, at one entry for one dispatcher, "slot update, limit 8" and 0.14 ms later a ping's answer with limit 0.

Ruled out: an announcement lost while a session opens (early_slots keeps it), a dispatcher that had not settled (both changed owners at 02.282, 40 ms before the first start), a suspected dispatcher (no offer was sent to it).

Change: counts in an answer to a call that was sent before the last announcement of that dispatcher are dropped. Each later change of the limit is announced, so nothing is missed but a fresher count until the next answer.

--- a/crates/authority/src/authority/replies.rs
+++ b/crates/authority/src/authority/replies.rs
@@ -138,6 +138,39 @@
         self.place(now);
     }
 
+    /// Handles the slot counts that a dispatcher announces because they have changed.
+    pub fn on_announced_slots(
+        &mut self,
+        now: Instant,
+        dispatcher: DispatcherKey,
+        slots: SlotCounts,
+    ) {
+        if let Some(session) = self.sessions.get_mut(&dispatcher) {
+            session.announced_at = Some(now);
+        }
+        self.on_slots(now, dispatcher, slots);
+    }
+
+    /// Handles the slot counts in a dispatcher's answer to a call that was sent at `sent`.
+    ///
+    /// An announcement may overtake an answer that was written before it. The former counts would then hide the
+    /// dispatcher's slots until the next ping, and tasks would queue elsewhere beside free slots. Counts older than the
+    /// last announcement are dropped; each later change of the slots is announced as well.
+    pub fn on_answered_slots(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        dispatcher: DispatcherKey,
+        slots: SlotCounts,
+    ) {
+        let session = self.sessions.get(&dispatcher);
+        let announced = session.and_then(|session| session.announced_at);
+        if announced.is_some_and(|announced| sent <= announced) {
+            return;
+        }
+        self.on_slots(now, dispatcher, slots);
+    }
+
     /// Handles the slot counts that a dispatcher reports.
     pub fn on_slots(&mut self, now: Instant, dispatcher: DispatcherKey, slots: SlotCounts) {
         let Some(session) = self.sessions.get_mut(&dispatcher) else {
--- a/crates/authority/src/authority/termination.rs
+++ b/crates/authority/src/authority/termination.rs
@@ -91,6 +91,7 @@
             state,
             stopping: false,
             slots,
+            announced_at: None,
             unanswered_offers: self.count_offered(&attempts),
         };
         self.sessions.insert(dispatcher, opened);
--- a/crates/authority/src/session.rs
+++ b/crates/authority/src/session.rs
@@ -25,6 +25,8 @@
     pub(crate) state: SessionState,
     pub(crate) stopping: bool,
     pub(crate) slots: SlotCounts,
+    /// When the dispatcher last announced a change of its slots in this session.
+    pub(crate) announced_at: Option<Instant>,
     /// Number of attempts at the dispatcher in the phase "offered", which `slots` cannot have counted yet.
     pub(crate) unanswered_offers: u32,
 }
--- a/crates/entry/src/control/sessions.rs
+++ b/crates/entry/src/control/sessions.rs
@@ -170,6 +170,7 @@
         let Some(open) = self.open_link(dispatcher, session) else {
             return;
         };
+        let sent = self.clock.now();
         let reply = open.client.offer(batch, &offers);
         self.events.count_sent(1);
         let attempts: Vec<AttemptId> = offers.iter().map(|offer| offer.attempt).collect();
@@ -180,9 +181,10 @@
                     Ok((replies, slots)) => {
                         control.record_activity(dispatcher, session);
                         let replies: Vec<_> = attempts.into_iter().zip(replies).collect();
+                        let now = control.clock.now();
                         control
                             .authority
-                            .on_slots(control.clock.now(), dispatcher, slots);
+                            .on_answered_slots(now, sent, dispatcher, slots);
                         control
                             .authority
                             .on_offer_replies(control.clock.now(), &replies);
@@ -204,6 +206,7 @@
         let Some(open) = self.open_link(dispatcher, session) else {
             return;
         };
+        let sent = self.clock.now();
         let reply = open.client.withdraw(after_batch, &attempts);
         self.events.count_sent(1);
         self.events.count_wasted(1);
@@ -214,9 +217,10 @@
                     Ok((replies, slots)) => {
                         control.record_activity(dispatcher, session);
                         let replies: Vec<_> = attempts.into_iter().zip(replies).collect();
+                        let now = control.clock.now();
                         control
                             .authority
-                            .on_slots(control.clock.now(), dispatcher, slots);
+                            .on_answered_slots(now, sent, dispatcher, slots);
                         control
                             .authority
                             .on_withdrawn(control.clock.now(), &replies);
@@ -351,7 +355,7 @@
             }
         }
         self.authority
-            .on_slots(self.clock.now(), update.dispatcher, update.slots);
+            .on_announced_slots(self.clock.now(), update.dispatcher, update.slots);
     }
 
     fn apply_early_slots(&mut self, key: DispatcherKey, session: SessionId) {
@@ -362,7 +366,8 @@
         let Some((_, slots)) = early.filter(|(opening, _)| *opening == session) else {
             return;
         };
-        self.authority.on_slots(self.clock.now(), key, slots);
+        self.authority
+            .on_announced_slots(self.clock.now(), key, slots);
     }
 
     fn close_session(&mut self, now: Instant, key: DispatcherKey, session: SessionId) {
@@ -389,6 +394,7 @@
         };
         open.ping_in_flight = true;
         let session = open.session;
+        let sent = self.clock.now();
         let revision = record.centre_view.as_ref().map_or(0, |view| view.revision);
         let reply = open.link.client().ping(revision);
         ctx.spawn(
@@ -397,7 +403,9 @@
                 .map(move |reply, control, ctx| match reply {
                     Ok(reply) => {
                         let now = control.clock.now();
-                        control.authority.on_slots(now, key, reply.slots);
+                        control
+                            .authority
+                            .on_answered_slots(now, sent, key, reply.slots);
                         if let Some(view) = reply.centre {
                             control.set_centre_view(key, view);
                         }
