The placement table's data centres and dispatchers have modules of their own

decisions/placement.rs had 551 lines with three jobs: the choice, the totals of a data centre, and what is known of one dispatcher. The latter two move to placement/data_centre_site.rs and placement/dispatcher_state.rs, letter for letter but for visibility and a doc comment on DispatcherState. Behaviour is unchanged; the tests of decisions and authority pass.

--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -1,7 +1,9 @@
 //! Chooses a dispatcher for each task of an entry.
 
+mod data_centre_site;
+mod dispatcher_state;
+
 use std::{
-    collections::BTreeSet,
     fmt,
     num::ParseIntError,
     str::FromStr,
@@ -10,7 +12,9 @@
 
 use model::{DataCentreId, FastMap};
 
-use crate::{admission::Saturation, weight_tree::WeightTree};
+use crate::admission::Saturation;
+use data_centre_site::DataCentreSite;
+use dispatcher_state::DispatcherState;
 
 /// The number by which an entry identifies a dispatcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -341,211 +345,3 @@
         }
     }
 }
-
-/// The dispatchers of one data centre, with totals over them.
-#[derive(Debug)]
-struct DataCentreSite {
-    data_centre: DataCentreId,
-    round_trip: Duration,
-    reachable: bool,
-    last_hint_at: Option<Instant>,
-    dispatchers: Vec<DispatcherState>,
-    free_slots: WeightTree,
-    slot_limits: WeightTree,
-    backlog: u64,
-    /// The dispatchers with an unanswered offer and no hint since, in the order of [`DispatcherState::waiting_since`].
-    awaiting_answer: BTreeSet<(Instant, usize)>,
-}
-
-impl DataCentreSite {
-    fn new(data_centre: DataCentreId, round_trip: Duration) -> Self {
-        Self {
-            data_centre,
-            round_trip,
-            reachable: true,
-            last_hint_at: None,
-            dispatchers: Vec::new(),
-            free_slots: WeightTree::default(),
-            slot_limits: WeightTree::default(),
-            backlog: 0,
-            awaiting_answer: BTreeSet::new(),
-        }
-    }
-
-    fn update(&mut self, index: usize, update: impl FnOnce(&mut DispatcherState)) {
-        let dispatcher = &mut self.dispatchers[index];
-        self.backlog -= dispatcher.backlog();
-        if let Some(waiting_since) = dispatcher.waiting_since {
-            self.awaiting_answer.remove(&(waiting_since, index));
-        }
-        update(dispatcher);
-        self.add_to_totals(index);
-    }
-
-    fn add_to_totals(&mut self, index: usize) {
-        let dispatcher = &self.dispatchers[index];
-        self.backlog += dispatcher.backlog();
-        self.free_slots.set(index, dispatcher.free_slots());
-        self.slot_limits.set(index, dispatcher.usable_limit());
-        if let Some(waiting_since) = dispatcher.waiting_since {
-            self.awaiting_answer.insert((waiting_since, index));
-        }
-    }
-
-    fn rebuild_totals(&mut self) {
-        self.free_slots = WeightTree::new(self.dispatchers.len());
-        self.slot_limits = WeightTree::new(self.dispatchers.len());
-        self.backlog = 0;
-        self.awaiting_answer.clear();
-        for index in 0..self.dispatchers.len() {
-            self.add_to_totals(index);
-        }
-    }
-
-    /// Marks dispatchers as suspect that left an offer unanswered, without a hint since, for `response_timeout`.
-    fn suspect_unresponsive(&mut self, now: Instant, response_timeout: Duration) {
-        while let Some((waiting_since, index)) = self.awaiting_answer.first().copied() {
-            if now.saturating_duration_since(waiting_since) < response_timeout {
-                break;
-            }
-            self.update(index, DispatcherState::mark_suspect);
-        }
-    }
-
-    /// Draws dispatchers weighted by free slots and returns the one with the most free slots.
-    fn freest(&self, draws: u32, rng: &mut fastrand::Rng) -> Option<usize> {
-        let mut best = self.free_slots.draw(rng)?;
-        for _ in 1..draws {
-            let other = self.free_slots.draw(rng)?;
-            if self.dispatchers[other].free_slots() > self.dispatchers[best].free_slots() {
-                best = other;
-            }
-        }
-        Some(best)
-    }
-
-    /// Draws dispatchers weighted by slots and returns the one with the shortest queue per slot.
-    fn least_queued(&self, draws: u32, rng: &mut fastrand::Rng) -> Option<usize> {
-        let mut best = self.slot_limits.draw(rng)?;
-        for _ in 1..draws {
-            let other = self.slot_limits.draw(rng)?;
-            let (a, b) = (&self.dispatchers[other], &self.dispatchers[best]);
-            // a.backlog / a.limit < b.backlog / b.limit, without division.
-            if a.backlog() * u64::from(b.hint.limit) < b.backlog() * u64::from(a.hint.limit) {
-                best = other;
-            }
-        }
-        Some(best)
-    }
-
-    /// Draws a dispatcher uniformly at random, whether or not it has slots.
-    fn any(&self, rng: &mut fastrand::Rng) -> Option<usize> {
-        match self.dispatchers.len() {
-            0 => None,
-            len => Some(rng.usize(..len)),
-        }
-    }
-
-    /// The predicted time that one more task waits in this data centre.
-    fn predicted_wait(&self, mean_run_time: Duration) -> Duration {
-        match self.slot_limits.total() {
-            0 => Duration::MAX,
-            limit => mean_run_time.mul_f64((self.backlog + 1) as f64 / limit as f64),
-        }
-    }
-
-    fn saturation(&self) -> Saturation {
-        let used = self.slot_limits.total() - self.free_slots.total();
-        Saturation::new(used + self.backlog, self.slot_limits.total())
-    }
-
-    fn is_fresh(&self, now: Instant, max_age: Duration) -> bool {
-        self.last_hint_at
-            .is_some_and(|at| now.saturating_duration_since(at) <= max_age)
-    }
-
-    fn spare_slots(&self, reserve_percent: u32) -> u64 {
-        let reserve = self.slot_limits.total() * u64::from(reserve_percent) / 100;
-        self.free_slots.total().saturating_sub(reserve)
-    }
-}
-
-#[derive(Debug)]
-struct DispatcherState {
-    key: DispatcherKey,
-    hint: SlotsHint,
-    /// The number of offers that were sent to it and are not counted in the hint.
-    unanswered_offers: u32,
-    /// When the first unanswered offer was sent, or when the last hint arrived if that was later. `None` while the
-    /// dispatcher is suspect.
-    waiting_since: Option<Instant>,
-    /// The number of tasks that were sent to it and have not ended.
-    outstanding: u32,
-    /// Whether an offer went unanswered for too long. A suspect dispatcher gets no tasks until its next hint.
-    suspect: bool,
-    /// Whether [`PlacementTable::choose_avoiding`] is looking for another dispatcher.
-    avoided: bool,
-}
-
-impl DispatcherState {
-    fn new(key: DispatcherKey) -> Self {
-        Self {
-            key,
-            hint: SlotsHint::default(),
-            unanswered_offers: 0,
-            waiting_since: None,
-            outstanding: 0,
-            suspect: false,
-            avoided: false,
-        }
-    }
-
-    fn apply_hint(&mut self, now: Instant, hint: SlotsHint, unanswered: u32) {
-        self.hint = hint;
-        self.unanswered_offers = unanswered;
-        self.waiting_since = (unanswered > 0).then_some(now);
-        self.suspect = false;
-    }
-
-    fn record_sent(&mut self, now: Instant) {
-        self.unanswered_offers += 1;
-        self.outstanding += 1;
-        self.waiting_since = self.waiting_since.or(Some(now));
-    }
-
-    fn record_answer(&mut self) {
-        self.unanswered_offers = self.unanswered_offers.saturating_sub(1);
-        if self.unanswered_offers == 0 {
-            self.waiting_since = None;
-        }
-    }
-
-    fn mark_suspect(&mut self) {
-        self.suspect = true;
-        self.waiting_since = None;
-    }
-
-    fn load(&self) -> u64 {
-        u64::from(self.hint.running)
-            + u64::from(self.hint.queued)
-            + u64::from(self.unanswered_offers)
-    }
-
-    fn free_slots(&self) -> u64 {
-        self.usable_limit().saturating_sub(self.load())
-    }
-
-    fn backlog(&self) -> u64 {
-        match self.suspect {
-            true => 0,
-            false => self.load().saturating_sub(u64::from(self.hint.limit)),
-        }
-    }
-
-    fn usable_limit(&self) -> u64 {
-        match self.suspect || self.avoided {
-            true => 0,
-            false => u64::from(self.hint.limit),
-        }
-    }
-}
