The log says what is known of a lost run's beginning, and why a task is named

The log could not tell why a loss counts against a task: whether its start was answered there, whether it ran alone, and how many deaths named it. `run_lost` now has `beginning` (unsent, unconfirmed, begun), `crash_suspected` has `begun` and `alone`, `crash_culprit` has `deaths` and `alone`.

The run's beginning is kept on the run, from answers and listings of the incarnation of its worker. Nothing is decided by it yet.

--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -119,11 +119,15 @@
             died,
             common,
             suspects,
+            begun,
+            alone,
         } => {
             let line = EventLine::new("crash_suspected")
                 .text("worker", instance)
                 .text("died", died)
-                .text("common", common);
+                .text("common", common)
+                .text("alone", alone);
+            let line = line.number("begun", *begun as u64);
             (
                 EventKind::Important,
                 line.number("suspects", *suspects as u64),
@@ -133,9 +137,15 @@
             let line = EventLine::new("crash_cleared").text("worker", instance);
             (EventKind::Important, line)
         }
-        PoolEvent::CrashCulprit { task } => {
-            let line = EventLine::new("crash_culprit").text("task", task);
-            (EventKind::Important, line)
+        PoolEvent::CrashCulprit {
+            task,
+            deaths,
+            alone,
+        } => {
+            let line = EventLine::new("crash_culprit")
+                .text("task", task)
+                .number("deaths", *deaths);
+            (EventKind::Important, line.number("alone", *alone))
         }
         PoolEvent::Evacuation {
             evacuated,
@@ -210,13 +220,15 @@
             run,
             instance,
             loss,
+            beginning,
         } => {
             let line = EventLine::new("run_lost")
                 .text("task", task)
                 .number("run", run.0);
+            let line = line.text("worker", instance).text("cause", loss.as_str());
             (
                 EventKind::Important,
-                line.text("worker", instance).text("cause", loss.as_str()),
+                line.text("beginning", beginning.as_str()),
             )
         }
         PoolEvent::RunStalled {
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -163,6 +163,18 @@
     }
 }
 
+text_enum! {
+    /// What is known of a run's beginning in the present incarnation of its worker.
+    RunBeginning, "beginning of a run", UnknownVariant {
+        /// No start was sent.
+        Unsent => "unsent",
+        /// A start was sent. It is not known whether the worker carried it out.
+        Unconfirmed => "unconfirmed",
+        /// The worker has answered that it has the run, or has listed it as running.
+        Begun => "begun",
+    }
+}
+
 text_enum! {
     /// Why a worker gets no new runs for a while.
     SuspensionCause, "suspension", UnknownVariant {
@@ -246,6 +258,8 @@
         instance: InstanceId,
         /// Why the run counts as over.
         loss: RunLoss,
+        /// What was known of the run's beginning.
+        beginning: RunBeginning,
     },
     /// A run makes no progress and is being stopped.
     RunStalled {
@@ -374,6 +388,10 @@
         common: bool,
         /// The number of tasks that were lost with the worker.
         suspects: usize,
+        /// The number of those that are known to have begun there.
+        begun: usize,
+        /// Whether a single task that may have begun was lost with the worker.
+        alone: bool,
     },
     /// A worker that counted as lost answers again in the same incarnation: it had not crashed.
     CrashCleared {
@@ -384,6 +402,10 @@
     CrashCulprit {
         /// The task that crashes its workers.
         task: TaskId,
+        /// The number of workers that died under it.
+        deaths: u32,
+        /// The number of those on which it ran alone.
+        alone: u32,
     },
     /// An evacuation of the pool's data centre began or ended.
     Evacuation {
--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -86,10 +86,10 @@
 
 /// The worker losses that count against a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct LossCounts {
-    deaths: u32,
+pub(crate) struct LossCounts {
+    pub(crate) deaths: u32,
     /// The number of deaths in which the task ran alone.
-    alone: u32,
+    pub(crate) alone: u32,
     /// The number of losses of which it is not known whether the worker died.
     unconfirmed: u32,
     last_loss: Option<Instant>,
@@ -149,6 +149,11 @@
         self.loss_counts.keys().copied()
     }
 
+    /// The losses that count against a task.
+    pub(crate) fn losses_of(&self, task: TaskId) -> LossCounts {
+        self.loss_counts.get(&task).copied().unwrap_or_default()
+    }
+
     /// Records the loss of a worker that had runs.
     pub(crate) fn record_loss(
         &mut self,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -44,8 +44,8 @@
 
 pub use crate::{
     action::{
-        CallFailure, PollAnswer, PollOrder, PoolAction, PoolEvent, RunLoss, StartAnswer,
-        StartOrder, StopAnswer, StopOrder, SuspensionCause, WaiterId, WorkerChange,
+        CallFailure, PollAnswer, PollOrder, PoolAction, PoolEvent, RunBeginning, RunLoss,
+        StartAnswer, StartOrder, StopAnswer, StopOrder, SuspensionCause, WaiterId, WorkerChange,
     },
     admission::PoolLoad,
     attempt_lease::{AttemptLease, LeaseTerm},
--- a/crates/pool/src/pool/answers.rs
+++ b/crates/pool/src/pool/answers.rs
@@ -8,8 +8,8 @@
 use super::{stop_run, WorkerPool};
 use crate::{
     action::{
-        CallFailure, PoolEvent, RunLoss, StartAnswer, StartOrder, StopAnswer, StopOrder,
-        SuspensionCause,
+        CallFailure, PoolEvent, RunBeginning, RunLoss, StartAnswer, StartOrder, StopAnswer,
+        StopOrder, SuspensionCause,
     },
     worker::{QueuedOrder, RunPhase, TrackedWorker},
 };
@@ -57,6 +57,9 @@
             StartAnswer::Started(_) | StartAnswer::Superseded(_) if !from_current_incarnation => (),
             StartAnswer::Started(_) | StartAnswer::Superseded(_) => {
                 confirm_run(worker, *task, *run, now);
+                if let StartAnswer::Started(_) = answer {
+                    record_beginning(worker, *task, *run);
+                }
                 self.record_answer_time(now, now.saturating_duration_since(order.sent));
             }
             StartAnswer::LeaseExpired(_) => self.retry_start(now, instance, *task, *run),
@@ -271,6 +274,14 @@
     }
 }
 
+/// Records that the worker has the run. A run whose start is superseded has ended, so whatever happens to the worker
+/// later does not happen under it.
+fn record_beginning(worker: &mut TrackedWorker, task: TaskId, number: RunNumber) {
+    if let Some(run) = worker.run_mut(task, number) {
+        run.beginning = RunBeginning::Begun;
+    }
+}
+
 fn answer_clock(answer: StartAnswer) -> Option<WorkerClock> {
     match answer {
         StartAnswer::Started(clock)
--- a/crates/pool/src/pool/crash_blame.rs
+++ b/crates/pool/src/pool/crash_blame.rs
@@ -14,8 +14,8 @@
 
 use super::{schedule::task_id, WorkerPool};
 use crate::{
-    action::PoolEvent,
-    crash::{LostTask, TaskRestriction, WorkerCounts, WorkerLoss},
+    action::{PoolEvent, RunBeginning},
+    crash::{LossCounts, LostTask, TaskRestriction, WorkerCounts, WorkerLoss},
     worker::TrackedWorker,
 };
 
@@ -30,7 +30,7 @@
         &mut self,
         now: Instant,
         instance: &InstanceId,
-        begun: impl Iterator<Item = TaskId>,
+        runs: impl Iterator<Item = (TaskId, RunBeginning)>,
         died: bool,
     ) -> Vec<TaskId> {
         let Some(worker) = self.workers.get(instance) else {
@@ -41,7 +41,15 @@
         if is_leaving || !self.is_enabled(Mechanism::CrashBlame) {
             return Vec::new();
         }
-        let tasks: Vec<LostTask> = begun.filter_map(|task| self.lost_task(task)).collect();
+        let mut begun = 0;
+        let mut tasks: Vec<LostTask> = Vec::new();
+        for (task, beginning) in runs {
+            let Some(lost) = self.lost_task(task) else {
+                continue;
+            };
+            begun += usize::from(beginning == RunBeginning::Begun);
+            tasks.push(lost);
+        }
         if tasks.is_empty() {
             return Vec::new();
         }
@@ -55,13 +63,15 @@
             lost_at: now,
             died,
         };
-        let suspects = loss.tasks.len();
+        let (suspects, alone) = (loss.tasks.len(), loss.was_alone);
         let findings = self.crashes.record_loss(loss, &self.count_workers());
         self.events.push(PoolEvent::CrashSuspected {
             instance: instance.clone(),
             died,
             common: findings.common,
             suspects,
+            begun,
+            alone,
         });
         self.store_deaths();
         findings.culprits
@@ -124,7 +134,12 @@
     /// Fails the jobs of culprit tasks: another attempt would only cost another worker.
     pub(super) fn fail_culprit_jobs(&mut self, now: Instant, culprits: Vec<TaskId>) {
         for task in culprits {
-            self.events.push(PoolEvent::CrashCulprit { task });
+            let LossCounts { deaths, alone, .. } = self.crashes.losses_of(task);
+            self.events.push(PoolEvent::CrashCulprit {
+                task,
+                deaths,
+                alone,
+            });
             match self.is_kept(task.job) {
                 true => self.end_kept(now, task.job, KeptState::Failed),
                 false => self.finish(now, task.job, JobOutcome::Failed),
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -12,8 +12,8 @@
 use super::{stop_run, WorkerPool};
 use crate::{
     action::{
-        CallFailure, PollAnswer, PollOrder, PoolAction, PoolEvent, RunLoss, SuspensionCause,
-        WorkerChange,
+        CallFailure, PollAnswer, PollOrder, PoolAction, PoolEvent, RunBeginning, RunLoss,
+        SuspensionCause, WorkerChange,
     },
     crash::TaskRestriction,
     job::WaitingTask,
@@ -414,6 +414,7 @@
             else {
                 continue;
             };
+            run.beginning = RunBeginning::Begun;
             if run.phase == RunPhase::Ordered {
                 run.phase = RunPhase::Running;
             }
@@ -497,8 +498,11 @@
         worker.foreign_runs.clear();
         worker.queued_orders.clear();
         let died = loss == RunLoss::NewIncarnation;
-        let begun = runs.iter().filter(|run| run.starts_sent > 0);
-        let culprits = self.record_worker_loss(now, instance, begun.map(|run| run.task), died);
+        let sent = runs
+            .iter()
+            .filter(|run| run.beginning != RunBeginning::Unsent);
+        let sent = sent.map(|run| (run.task, run.beginning));
+        let culprits = self.record_worker_loss(now, instance, sent, died);
         for run in runs {
             self.record_lost_run(now, &run, instance, loss);
             self.requeue(now, run);
@@ -551,6 +555,7 @@
             run: run.run,
             instance: instance.clone(),
             loss,
+            beginning: run.beginning,
         });
         self.report_attempt_over(now, run.task.job);
     }
--- a/crates/pool/src/pool/restart.rs
+++ b/crates/pool/src/pool/restart.rs
@@ -16,7 +16,7 @@
 
 use super::WorkerPool;
 use crate::{
-    action::{PollOrder, PoolEvent, RunLoss},
+    action::{PollOrder, PoolEvent, RunBeginning, RunLoss},
     worker::{ListingIncarnation, TrackedRun},
 };
 
@@ -72,19 +72,16 @@
             return;
         };
         let last_listed = worker.answered_poll_sent;
-        let fates: Vec<(TaskId, RunNumber, FormerRunFate)> = worker
-            .runs
-            .iter()
-            .map(|run| {
-                let fate = classify_former_run(run, order, listing, last_listed);
-                (run.task, run.run, fate)
-            })
-            .collect();
-        let begun = fates
-            .iter()
-            .filter(|(_, _, fate)| !matches!(fate, FormerRunFate::Listed | FormerRunFate::Unsent));
-        let culprits =
-            self.record_worker_loss(now, instance, begun.map(|(task, _, _)| *task), true);
+        let mut fates: Vec<(TaskId, RunNumber, FormerRunFate)> = Vec::new();
+        let mut lost: Vec<(TaskId, RunBeginning)> = Vec::new();
+        for run in &worker.runs {
+            let fate = classify_former_run(run, order, listing, last_listed);
+            fates.push((run.task, run.run, fate));
+            if !matches!(fate, FormerRunFate::Listed | FormerRunFate::Unsent) {
+                lost.push((run.task, run.beginning));
+            }
+        }
+        let culprits = self.record_worker_loss(now, instance, lost.into_iter(), true);
         if let Some(worker) = self.workers.get_mut(instance) {
             worker.begin_incarnation(now, listing.born, self.no_later_claim_until);
         }
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -8,7 +8,7 @@
 
 use super::{WorkerPool, MIN_RETRY_AFTER, RESEND_BURST};
 use crate::{
-    action::{PoolAction, PoolEvent, StartOrder, StopOrder},
+    action::{PoolAction, PoolEvent, RunBeginning, StartOrder, StopOrder},
     crash::TaskRestriction,
     job::WaitingTask,
     placement::{choose_worker, PlacementRequest},
@@ -151,6 +151,7 @@
             demand: spec.demand,
             text: job.request.text.clone(),
             phase: RunPhase::Ordered,
+            beginning: RunBeginning::Unsent,
             placed_at: now,
             confirmed_at: None,
             must_end: false,
@@ -349,6 +350,9 @@
     let (instance, address) = (worker.record.instance.clone(), worker.record.address);
     let run = worker.run_mut(task, number)?;
     run.starts_sent += 1;
+    if run.beginning == RunBeginning::Unsent {
+        run.beginning = RunBeginning::Unconfirmed;
+    }
     run.starts_in_flight += 1;
     // The worker's clock is known as a lower bound only, so a copy may carry an earlier lease end than the one before it.
     run.start_expires = run.start_expires.max(lease_end);
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -10,7 +10,7 @@
     WorkerStartTime, WorkerState,
 };
 
-use crate::{attempt_times::WORKER_CLOCK_DRIFT, health::WorkerHealth};
+use crate::{action::RunBeginning, attempt_times::WORKER_CLOCK_DRIFT, health::WorkerHealth};
 
 /// The weight of a new sample in a worker's slowness. About five samples count: a worker ends about ten runs a second
 /// and may turn slow at any moment.
@@ -64,6 +64,7 @@
     /// The task's text, passed to the worker.
     pub(crate) text: TaskText,
     pub(crate) phase: RunPhase,
+    pub(crate) beginning: RunBeginning,
     pub(crate) placed_at: Instant,
     /// When a start was answered with success.
     pub(crate) confirmed_at: Option<Instant>,
@@ -328,6 +329,7 @@
             return;
         };
         run.phase = RunPhase::Stopping;
+        run.beginning = RunBeginning::Unconfirmed;
         run.confirmed_at = None;
         run.stop_acked_at = None;
         self.queue_stop(task, number);
