A start to a dead worker is no death under its task

What callers saw: a job that could be done was answered `failed`, and no task of it had failed so often.

Cause: the loss of a worker counted against every task of which a start was sent there (`lose_all_runs`: `starts_sent > 0`; `begin_incarnation` had a rule of its own, and took rejected starts and an answer of another worker at the address for a run that died). A suspect is sent to a worker alone; if that worker was dead already, its loss was the second death, the one alone, and named the task. The class: a belief from a possibility, used as a fact.

The test replays it on the pool's simulation.

Ruled out: ends `failed` (none in the trace); a death counted twice (two incarnations, `deaths: 2, alone: 2` with `begun` 1 and 0).

Change: `RunBeginning` on the run is the one notion. It is set when a start is sent, by the answer that the worker has the run, and by a listing that has it running, of the present incarnation; a stop of a stray start in the next one takes it back. An answer of another instance, a rejection and `Superseded` (the run has ended there, so no death comes under it) prove no run that died. Deaths count, are stored, narrow the suspects of a loss and clear the others only where the task is known to have begun; a run that may have begun only in the new incarnation does not. What only may have begun goes on to restrict: alone, then held with the doubling pause; it also denies the others that they ran alone.

Why it works: no way of recording a loss looks at starts any more, and a name needs two losses of which the worker itself said that it had the run.

The other direction is a test too: a task that crashes each worker before its start is answered is not named any more, and is held back instead, at most six workers in 30 s (three, and three starts more).

--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -3,6 +3,10 @@
 //! A few jobs in a thousand crash every worker that starts them. Such a task takes down worker after worker, together
 //! with all their other runs, for as long as its customer waits, and a kept job does so without end.
 //!
+//! A worker's death counts against a task only if the task is known to have begun in the incarnation that died: a start
+//! that was sent to a worker that was dead already is no run. A task that may have begun is restricted like one that
+//! has, since it may crash its workers before they can answer.
+//!
 //! One death does not identify the culprit among the runs that were lost with a worker: all of them become suspects. A
 //! suspect then runs alone on a worker, so that a second death identifies it and no other task. Deaths that happen
 //! together, such as those of a rack, make no task a suspect, and neither does a silent worker that turns out to be
@@ -59,6 +63,9 @@
     pub(crate) task: TaskId,
     /// The name of the route of the task's job.
     pub(crate) route: Arc<str>,
+    /// Whether the task is known to have begun in the incarnation that was lost. Otherwise it may have, which restricts
+    /// where it runs next and never identifies it as a culprit.
+    pub(crate) begun: bool,
 }
 
 /// A worker that was lost with its runs.
@@ -90,7 +97,7 @@
     pub(crate) deaths: u32,
     /// The number of deaths in which the task ran alone.
     pub(crate) alone: u32,
-    /// The number of losses of which it is not known whether the worker died.
+    /// The number of losses of which it is not known whether the worker died, or whether the task had begun there.
     unconfirmed: u32,
     last_loss: Option<Instant>,
 }
@@ -112,7 +119,7 @@
     None,
     /// On a worker without other runs.
     Alone,
-    /// Not now: two or more workers were lost under it, and it is not known yet whether they died.
+    /// Not now: two or more workers may have died under it, and it is not known yet whether they did.
     Hold,
 }
 
@@ -271,7 +278,8 @@
     ) -> Vec<(TaskId, InstanceId, Option<WorkerStartTime>)> {
         let mut deaths = Vec::new();
         for loss in self.losses.iter().filter(|loss| loss.died) {
-            let of_job = loss.tasks.iter().filter(|lost| lost.task.job == job);
+            let begun = loss.tasks.iter().filter(|lost| lost.begun);
+            let of_job = begun.filter(|lost| lost.task.job == job);
             deaths.extend(of_job.map(|lost| (lost.task, loss.instance.clone(), loss.born)));
         }
         deaths
@@ -284,10 +292,12 @@
         if let Some(known) = self.losses.iter_mut().find(same) {
             known.died |= loss.died;
             for lost in loss.tasks {
-                if !known.tasks.contains(&lost) {
-                    known.tasks.push(lost);
+                match known.tasks.iter_mut().find(|l| l.task == lost.task) {
+                    Some(same) => same.begun |= lost.begun,
+                    None => known.tasks.push(lost),
                 }
             }
+            known.was_alone &= known.tasks.len() == 1;
             return;
         }
         if self.losses.len() == MAX_LOSSES {
@@ -349,7 +359,7 @@
 
     /// If the worker ran tasks of routes that have had culprits lately, limits the suspects to those tasks.
     fn narrow_to_culprit_routes(&self, mut loss: WorkerLoss) -> WorkerLoss {
-        let known = |lost: &LostTask| self.routes.contains_key(&lost.route);
+        let known = |lost: &LostTask| lost.begun && self.routes.contains_key(&lost.route);
         if loss.tasks.iter().any(known) {
             loss.tasks.retain(known);
         }
@@ -368,7 +378,8 @@
         }
         self.culprits.extend(&culprits);
         for loss in &mut self.losses {
-            let lost_culprits = loss.tasks.iter().filter(|l| culprits.contains(&l.task));
+            let begun = loss.tasks.iter().filter(|lost| lost.begun);
+            let lost_culprits = begun.filter(|lost| culprits.contains(&lost.task));
             let routes: Vec<_> = lost_culprits.map(|lost| lost.route.clone()).collect();
             if routes.is_empty() {
                 continue;
@@ -389,9 +400,10 @@
         for loss in &self.losses {
             for lost in &loss.tasks {
                 let counts = self.loss_counts.entry(lost.task).or_default();
-                counts.deaths += u32::from(loss.died);
-                counts.alone += u32::from(loss.died && loss.was_alone);
-                counts.unconfirmed += u32::from(!loss.died);
+                let died_under_it = loss.died && lost.begun;
+                counts.deaths += u32::from(died_under_it);
+                counts.alone += u32::from(died_under_it && loss.was_alone);
+                counts.unconfirmed += u32::from(!died_under_it);
                 counts.last_loss = counts.last_loss.max(Some(loss.lost_at));
             }
         }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -583,7 +583,7 @@
     if run.phase == RunPhase::Stopping {
         return false;
     }
-    let never_sent = run.starts_sent == 0;
+    let never_sent = run.is_unsent();
     run.phase = RunPhase::Stopping;
     worker
         .queued_orders
--- a/crates/pool/src/pool/crash_blame.rs
+++ b/crates/pool/src/pool/crash_blame.rs
@@ -41,15 +41,9 @@
         if is_leaving || !self.is_enabled(Mechanism::CrashBlame) {
             return Vec::new();
         }
-        let mut begun = 0;
-        let mut tasks: Vec<LostTask> = Vec::new();
-        for (task, beginning) in runs {
-            let Some(lost) = self.lost_task(task) else {
-                continue;
-            };
-            begun += usize::from(beginning == RunBeginning::Begun);
-            tasks.push(lost);
-        }
+        let sent = runs.filter(|(_, beginning)| *beginning != RunBeginning::Unsent);
+        let tasks = sent.filter_map(|(task, beginning)| self.lost_task(task, beginning));
+        let tasks: Vec<LostTask> = tasks.collect();
         if tasks.is_empty() {
             return Vec::new();
         }
@@ -64,6 +58,7 @@
             died,
         };
         let (suspects, alone) = (loss.tasks.len(), loss.was_alone);
+        let begun = loss.tasks.iter().filter(|lost| lost.begun).count();
         let findings = self.crashes.record_loss(loss, &self.count_workers());
         self.events.push(PoolEvent::CrashSuspected {
             instance: instance.clone(),
@@ -120,7 +115,10 @@
                     born: death.born,
                     address: None,
                     labels: Vec::new(),
-                    tasks: self.lost_task(task).into_iter().collect(),
+                    tasks: self
+                        .lost_task(task, RunBeginning::Begun)
+                        .into_iter()
+                        .collect(),
                     was_alone: false,
                     lost_at: now,
                     died: true,
@@ -192,11 +190,12 @@
     }
 
     /// Returns `None` if the task's job is no longer in the pool.
-    fn lost_task(&self, task: TaskId) -> Option<LostTask> {
+    fn lost_task(&self, task: TaskId, beginning: RunBeginning) -> Option<LostTask> {
         let job = self.jobs.get(&task.job)?;
         Some(LostTask {
             task,
             route: job.terms.route.clone(),
+            begun: beginning == RunBeginning::Begun,
         })
     }
 
--- a/crates/pool/src/pool/evacuating.rs
+++ b/crates/pool/src/pool/evacuating.rs
@@ -22,7 +22,7 @@
         let mut running = 0;
         for (instance, worker) in &self.workers {
             for run in &worker.runs {
-                if run.phase == RunPhase::Ordered && run.starts_sent == 0 {
+                if run.phase == RunPhase::Ordered && run.is_unsent() {
                     unsent.push((instance.clone(), run.task, run.run));
                 } else {
                     running += 1;
@@ -53,7 +53,7 @@
                 continue;
             };
             let run = worker.run_mut(task, number);
-            unsent.extend(run.filter(|run| run.starts_sent == 0).cloned());
+            unsent.extend(run.filter(|run| run.is_unsent()).cloned());
             stop_run(worker, task, number);
         }
         for run in unsent {
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -498,11 +498,8 @@
         worker.foreign_runs.clear();
         worker.queued_orders.clear();
         let died = loss == RunLoss::NewIncarnation;
-        let sent = runs
-            .iter()
-            .filter(|run| run.beginning != RunBeginning::Unsent);
-        let sent = sent.map(|run| (run.task, run.beginning));
-        let culprits = self.record_worker_loss(now, instance, sent, died);
+        let lost = runs.iter().map(|run| (run.task, run.beginning));
+        let culprits = self.record_worker_loss(now, instance, lost, died);
         for run in runs {
             self.record_lost_run(now, &run, instance, loss);
             self.requeue(now, run);
@@ -570,7 +567,7 @@
 fn is_over(run: &TrackedRun, sent: Instant, clock: WorkerClock) -> bool {
     let was_there = run.confirmed_at.is_some_and(|confirmed| confirmed < sent);
     let was_stopped = run.stop_acked_at.is_some_and(|acked| acked < sent);
-    let never_begins = run.starts_sent > 0 && run.start_expires < clock;
+    let never_begins = !run.is_unsent() && run.start_expires < clock;
     was_there || was_stopped || never_begins
 }
 
--- a/crates/pool/src/pool/resizing.rs
+++ b/crates/pool/src/pool/resizing.rs
@@ -69,7 +69,7 @@
         if worker.record.capacity.holds(&used) {
             break;
         }
-        if run.starts_sent == 0 {
+        if run.is_unsent() {
             used = used.minus(&run.demand);
             over.push((run.task, run.run));
         }
--- a/crates/pool/src/pool/restart.rs
+++ b/crates/pool/src/pool/restart.rs
@@ -77,8 +77,13 @@
         for run in &worker.runs {
             let fate = classify_former_run(run, order, listing, last_listed);
             fates.push((run.task, run.run, fate));
-            if !matches!(fate, FormerRunFate::Listed | FormerRunFate::Unsent) {
-                lost.push((run.task, run.beginning));
+            match fate {
+                FormerRunFate::Listed | FormerRunFate::Unsent => (),
+                // It may have begun in the new incarnation only.
+                FormerRunFate::Unknown => lost.push((run.task, RunBeginning::Unconfirmed)),
+                FormerRunFate::Unanswered | FormerRunFate::Dead => {
+                    lost.push((run.task, run.beginning));
+                }
             }
         }
         let culprits = self.record_worker_loss(now, instance, lost.into_iter(), true);
@@ -147,7 +152,7 @@
     let mut ended = ends.filter(|end| end.task == Some(run.task) && end.run == run.run);
     if running.next().is_some() || ended.next().is_some() {
         FormerRunFate::Listed
-    } else if run.starts_sent == 0 {
+    } else if run.is_unsent() {
         FormerRunFate::Unsent
     } else if run.starts_sent > run.answered_starts {
         FormerRunFate::Unanswered
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -188,11 +188,11 @@
             let running = worker.runs.iter().filter(|run| kept(&run.task.job));
             let running = running.filter(|run| !run.must_end);
             let running: Vec<_> = running
-                .map(|run| (run.task, run.run, run.starts_sent))
+                .map(|run| (run.task, run.run, run.is_unsent()))
                 .collect();
-            for (task, run, tries) in running {
+            for (task, run, never_sent) in running {
                 stopped = true;
-                if tries == 0 {
+                if never_sent {
                     unsent.extend(worker.run_mut(task, run).cloned());
                 }
                 end_run(worker, task, run);
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -98,6 +98,13 @@
     pub(crate) failed_on: Vec<jobs::InstanceId>,
 }
 
+impl TrackedRun {
+    /// Whether the run certainly never began, since no start of it was sent.
+    pub(crate) fn is_unsent(&self) -> bool {
+        self.beginning == RunBeginning::Unsent
+    }
+}
+
 /// An order that waits to be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum QueuedOrder {
--- a/crates/pool/tests/crash.rs
+++ b/crates/pool/tests/crash.rs
@@ -64,6 +64,74 @@
     }
 }
 
+/// Submits a job whose first worker dies under it, and lets the next one die before the job's next start arrives there.
+/// Returns the only worker's simulation at that moment.
+fn simulation_with_a_start_to_a_dead_worker(
+    job: JobId,
+    returns: CrashReturn,
+    away_ms: u64,
+) -> Simulation {
+    let mut simulation = kept_simulation(1, 1, returns);
+    simulation.crashes.away_ms = away_ms;
+    simulation.submit_sized(1, job, vec![300.0], 300.0, WHOLE_WORKER);
+    simulation.run_for(100);
+    let first = simulation.worker_running(job);
+    simulation.crash(&first);
+    let starts_sent = simulation.starts_sent;
+    while simulation.starts_sent == starts_sent {
+        simulation.run_for(1);
+    }
+    let second = simulation.workers.keys().next().cloned().unwrap();
+    simulation.crash(&second);
+    simulation
+}
+
+/// Guards against a job shown as failed though only one worker crashed under it: a start to a worker that was dead
+/// already counted as a run that died there.
+#[test]
+fn a_start_to_a_dead_worker_is_no_death_under_its_task() {
+    let cases = [
+        ("a listing, after a quick restart", CrashReturn::SameId, 20),
+        ("a listing, before the lease ends", CrashReturn::SameId, 600),
+        ("a lapsed lease and a restart", CrashReturn::SameId, 2_500),
+        ("a lapsed lease and a new entry", CrashReturn::NewId, 2_500),
+        ("an answer of another worker", CrashReturn::NewId, 60),
+    ];
+    for (case, returns, away_ms) in cases {
+        let job = JobId(7);
+        let mut simulation = simulation_with_a_start_to_a_dead_worker(job, returns, away_ms);
+        simulation.run_for(12_000);
+        assert_eq!(
+            state(&simulation, job),
+            Some(KeptState::Completed),
+            "{case}"
+        );
+    }
+}
+
+/// Guards against a task that takes down worker after worker because it crashes each before the answer to its start
+/// arrives. Nothing names it, but it waits longer after each loss.
+#[test]
+fn a_task_that_crashes_workers_before_they_answer_is_held_back() {
+    for returns in [CrashReturn::SameId, CrashReturn::NewId] {
+        let mut simulation = kept_simulation(2, 6, returns);
+        simulation.crashes.before_answer = true;
+        simulation.make_crashing(JobId(1), 0.0);
+        for id in 1..9 {
+            simulation.submit_sized(1, JobId(id), vec![300.0], 300.0, HALF_WORKER);
+        }
+        simulation.run_for(30_000);
+        assert!(deaths(&simulation) <= 6, "{}", deaths(&simulation));
+        for id in 2..9 {
+            assert_eq!(
+                state(&simulation, JobId(id)),
+                Some(KeptState::Completed),
+                "{returns:?}, job {id}"
+            );
+        }
+    }
+}
+
 /// Guards against failing innocent jobs because of what ran beside them.
 #[test]
 fn jobs_beside_a_crashing_task_complete() {
--- a/crates/pool/tests/support/crashing.rs
+++ b/crates/pool/tests/support/crashing.rs
@@ -24,6 +24,8 @@
     /// The jobs whose first task crashes its worker, with the share of its work that the task does before.
     pub(crate) jobs: BTreeMap<JobId, f64>,
     pub(crate) return_kind: CrashReturn,
+    /// Whether a worker crashes before it answers the start of such a task.
+    pub(crate) before_answer: bool,
     /// How long a crashed worker is away, in milliseconds.
     pub(crate) away_ms: u64,
     /// The workers that are away, and until when.
@@ -41,6 +43,7 @@
         Self {
             jobs: BTreeMap::new(),
             return_kind: CrashReturn::SameId,
+            before_answer: false,
             away_ms: 2_500,
             down: BTreeMap::new(),
             deaths: BTreeMap::new(),
@@ -72,6 +75,21 @@
         self.crashes.down.insert(instance.clone(), until);
     }
 
+    /// Crashes a worker that has just started a task, if that task crashes workers before they answer.
+    pub(super) fn crash_before_answer(&mut self, instance: &InstanceId, task: TaskId) {
+        let crashing = self.crashes.jobs.contains_key(&task.job) && task.index == 0;
+        if !self.crashes.before_answer || !crashing || !self.is_running(instance, task) {
+            return;
+        }
+        *self.crashes.deaths.entry(task).or_default() += 1;
+        self.crash(instance);
+    }
+
+    fn is_running(&self, instance: &InstanceId, task: TaskId) -> bool {
+        let mut runs = self.workers[instance].runs.iter();
+        runs.any(|run| run.task == task)
+    }
+
     /// Lets tasks crash their workers, and returns workers whose time away is over.
     pub(super) fn step_crashes(&mut self) {
         let mut dying = Vec::new();
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -10,6 +10,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, BinaryHeap},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -846,6 +847,10 @@
     fn handle_start(&mut self, call: CallNumber, order: StartOrder) {
         let instance = order.instance.clone();
         let Some(fault) = self.workers.get(&instance).map(|worker| worker.fault) else {
+            if self.has_worker_at(order.address) {
+                let replaced = StartAnswer::Failed(CallFailure::NewInstance);
+                self.send_answer(ANSWER_BYTES, Event::StartAnswer(call, order, replaced));
+            }
             return;
         };
         let late = &*order.text == "late";
@@ -863,11 +868,18 @@
             return;
         }
         let answer = self.start_run(&order);
+        self.crash_before_answer(&instance, order.task);
         if &*order.text != "late" && !self.loses_answer(&instance) {
             self.send_answer(ANSWER_BYTES, Event::StartAnswer(call, order, answer));
         }
     }
 
+    /// Whether a worker answers at the address.
+    fn has_worker_at(&self, address: SocketAddr) -> bool {
+        let mut workers = self.workers.values();
+        workers.any(|worker| worker.record.address == address && !worker.fault.silent)
+    }
+
     fn is_starting(&self, instance: &InstanceId) -> bool {
         self.now < self.workers[instance].starting_until
     }
