A kept job's row has the deaths that its owner counts, and no others

What callers would see: a kept job shown as failed after a change of owner, for deaths that its first owner no longer held against it.

Cause: `store_deaths` added each death under a task to the job's row, and nothing took one out when the loss turned out to have a common cause, when a culprit was found beside the task, or when the task was done. The next owner's `restore_death` counted them all.

Change: after each finding, the row's deaths are replaced by what the tracker counts (`update_recorded_deaths`), also when a task completes. The format of rows is unchanged, so rows of older builds load as before.

What remains: rows written by an older build keep what they hold until the owner that loads them finds otherwise. A tracker that has more than its maximum of losses forgets the oldest, and then the row does, too.

--- a/crates/jobs/src/kept.rs
+++ b/crates/jobs/src/kept.rs
@@ -77,6 +77,16 @@
         is_new
     }
 
+    /// Replaces the recorded deaths. Returns whether they differ, apart from their order.
+    pub fn replace_deaths(&mut self, deaths: Vec<TaskDeath>) -> bool {
+        let same_count = self.deaths.len() == deaths.len();
+        let differs = !same_count || deaths.iter().any(|death| !self.deaths.contains(death));
+        if differs {
+            self.deaths = deaths;
+        }
+        differs
+    }
+
     /// The number of failed runs of a task.
     pub fn failures(&self, task: u32) -> u32 {
         let of_task = self.failed.iter().filter(|(failed, _)| *failed == task);
--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -224,15 +224,16 @@
         })
     }
 
-    /// Clears a completed task of all losses.
-    pub(crate) fn clear_task(&mut self, task: TaskId) {
+    /// Clears a completed task of all losses. Returns whether there were any.
+    pub(crate) fn clear_task(&mut self, task: TaskId) -> bool {
         if !self.loss_counts.contains_key(&task) {
-            return;
+            return false;
         }
         for loss in &mut self.losses {
             loss.tasks.retain(|lost| lost.task != task);
         }
         self.recount_losses();
+        true
     }
 
     /// Drops losses older than `LOSS_MEMORY` that concern no open job, and routes older than `ROUTE_MEMORY`.
--- a/crates/pool/src/pool/crash_blame.rs
+++ b/crates/pool/src/pool/crash_blame.rs
@@ -10,7 +10,7 @@
     InstanceId, JobId, JobOutcome, KeptState, StepRecord, TaskDeath, TaskId, WorkerRecord,
     WorkerStartTime, WorkerState,
 };
-use model::{FastSet, Mechanism};
+use model::{FastMap, FastSet, Mechanism};
 
 use super::{schedule::task_id, WorkerPool};
 use crate::{
@@ -212,28 +212,49 @@
         counts
     }
 
-    /// Stores the deaths that are attributed to tasks of kept jobs.
+    /// Stores the deaths that count against tasks of kept jobs, so that the next owner counts the same ones.
     fn store_deaths(&mut self) {
-        let suspects = self.crashes.suspects().map(|task| task.job);
-        let kept: FastSet<JobId> = suspects.filter(|id| self.is_kept(*id)).collect();
-        for id in kept {
-            let deaths = self.crashes.deaths_of(id);
-            let kept = self.jobs.get_mut(&id).and_then(|job| job.kept.as_mut());
-            let Some(kept) = kept.filter(|kept| kept.final_state.is_none()) else {
+        if !self.is_enabled(Mechanism::CrashBlame) {
+            return;
+        }
+        let suspects: FastSet<JobId> = self.crashes.suspects().map(|task| task.job).collect();
+        let mut affected = Vec::new();
+        for (id, job) in &self.jobs {
+            let Some(kept) = &job.kept else {
                 continue;
             };
-            let mut changed = false;
-            for (task, life, born) in deaths {
-                let Some(record) = kept.progress.get_mut(task.step as usize) else {
-                    continue;
-                };
-                let task = task.index;
-                changed |= record.record_death(TaskDeath { task, life, born });
+            let mut steps = kept.progress.iter();
+            if suspects.contains(id) || steps.any(|step| !step.deaths.is_empty()) {
+                affected.push(*id);
             }
-            if changed {
-                kept.revision += 1;
+        }
+        for id in affected {
+            if self.update_recorded_deaths(id) {
                 self.store_changes(id);
             }
         }
     }
+
+    /// Takes the deaths that count against a job's tasks over into its row. Returns whether the row changed.
+    pub(super) fn update_recorded_deaths(&mut self, id: JobId) -> bool {
+        let kept = self.jobs.get_mut(&id).and_then(|job| job.kept.as_mut());
+        let Some(kept) = kept.filter(|kept| kept.final_state.is_none()) else {
+            return false;
+        };
+        let mut deaths: FastMap<u32, Vec<TaskDeath>> = FastMap::default();
+        for (task, life, born) in self.crashes.deaths_of(id) {
+            let task_death = TaskDeath {
+                task: task.index,
+                life,
+                born,
+            };
+            deaths.entry(task.step).or_default().push(task_death);
+        }
+        let mut changed = false;
+        for (step, record) in (0..).zip(&mut kept.progress) {
+            changed |= record.replace_deaths(deaths.remove(&step).unwrap_or_default());
+        }
+        kept.revision += u64::from(changed);
+        changed
+    }
 }
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -263,7 +263,9 @@
             }
         }
         let id = run.task.job;
-        self.crashes.clear_task(run.task);
+        if self.crashes.clear_task(run.task) {
+            self.update_recorded_deaths(id);
+        }
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
--- a/crates/pool/tests/crash.rs
+++ b/crates/pool/tests/crash.rs
@@ -30,6 +30,13 @@
     simulation.crashes.deaths.values().sum()
 }
 
+/// The number of deaths in the job's row.
+fn recorded_deaths(simulation: &Simulation, job: JobId) -> usize {
+    let (row, _) = &simulation.rows[&job];
+    let deaths = |step: &StepRecord| step.deaths.len();
+    row.progress.iter().map(deaths).sum()
+}
+
 fn outcome(simulation: &Simulation, id: JobId) -> Option<JobOutcome> {
     let results = simulation.results.iter().rev();
     let mut of_job = results.filter(|result| result.id == id);
@@ -171,12 +178,7 @@
     simulation.make_crashing(job, 0.5);
     simulation.submit_sized(1, job, vec![200.0], 200.0, WHOLE_WORKER);
     simulation.run_for(4_000);
-    let recorded = |simulation: &Simulation| -> usize {
-        let (row, _) = &simulation.rows[&job];
-        let deaths = |step: &StepRecord| step.deaths.len();
-        row.progress.iter().map(deaths).sum()
-    };
-    assert!(recorded(&simulation) > 0);
+    assert!(recorded_deaths(&simulation, job) > 0);
     for _ in 0..3 {
         simulation.replace_owner();
         simulation.read_rows();
@@ -186,6 +188,51 @@
     assert!(deaths(&simulation) <= 3, "{}", deaths(&simulation));
 }
 
+/// Guards against a next owner that counts a death which its predecessor found to have a common cause: the row kept it.
+#[test]
+fn deaths_with_a_common_cause_leave_the_rows() {
+    let mut simulation = kept_simulation(4, 12, CrashReturn::SameId);
+    simulation.crashes.away_ms = 60;
+    let job = JobId(1);
+    simulation.submit_sized(1, job, vec![2_000.0], 2_000.0, WHOLE_WORKER);
+    simulation.run_for(200);
+    let first = simulation.worker_running(job);
+    simulation.crash(&first);
+    while recorded_deaths(&simulation, job) == 0 {
+        simulation.run_for(1);
+    }
+    for id in 2..9 {
+        simulation.submit_sized(1, JobId(id), vec![2_000.0], 2_000.0, HALF_WORKER);
+    }
+    simulation.run_for(30);
+    let busy = simulation.workers.iter().filter(|(_, w)| w.run_count() > 0);
+    let busy: Vec<InstanceId> = busy.map(|(instance, _)| instance.clone()).collect();
+    let second = simulation.worker_running(job);
+    for instance in busy.iter().filter(|instance| **instance != second) {
+        simulation.crash(instance);
+    }
+    simulation.run_for(450);
+    assert!(common_cause_losses(&simulation) > 0);
+    assert_eq!(recorded_deaths(&simulation, job), 0);
+}
+
+/// Guards against a next owner that counts a death which was found to be the work of a culprit beside the task.
+#[test]
+fn deaths_by_a_culprit_leave_the_rows_of_other_jobs() {
+    let mut simulation = kept_simulation(4, 2, CrashReturn::SameId);
+    let (culprit, innocent) = (JobId(1), JobId(2));
+    simulation.make_crashing(culprit, 0.5);
+    simulation.submit_sized(1, culprit, vec![300.0], 300.0, 4_000);
+    simulation.submit_sized(1, innocent, vec![9_000.0], 9_000.0, 4_000);
+    simulation.run_for(100);
+    while recorded_deaths(&simulation, innocent) == 0 {
+        simulation.run_for(1);
+    }
+    simulation.run_for(6_000);
+    assert_eq!(state(&simulation, culprit), Some(KeptState::Failed));
+    assert_eq!(recorded_deaths(&simulation, innocent), 0);
+}
+
 /// Guards against blaming tasks for a failed rack, whose workers are lost together.
 #[test]
 fn a_failed_rack_blames_no_task() {
