Ends of a kept job's second submission stay with the stored job

Cause: the owner of a pool dies, and the customer hands its job in again at the successor before that has read the rows. The job is new in the successor's memory, so its row is passed over when the rows are read. The ends that the workers still list are noted for the new job. Its write answers that the job exists; the job was dropped then, and all its ends were released, so acknowledged, though no row contained them. The next owner found the row and ran the tasks again. A rejected write went the same way. Class: a kept job leaves memory while its row is open, and what was noted for it counts as stored.

Tests that failed first, with the new check in the simulation that an end is acknowledged only if the row contains it or the job has ended in the store: ends_of_a_job_that_is_submitted_again_are_stored: the Done end of …7.0.0.1 is acknowledged at 561 ms, but no row contains it ends_of_a_job_whose_second_submission_is_refused_are_stored: … is acknowledged at 664 ms, but no row contains it

Change: the answer that the job exists carries the row. If the row is this pool's, the job is adopted from it at once, with the ends noted so far, which are then stored. Otherwise, and after a rejected write, the ends are not released but listed again, and the rows are read again. Only a job that has ended in the store releases its ends. It works because each way out of memory now says what becomes of the ends.

--- a/crates/jobs/src/kept.rs
+++ b/crates/jobs/src/kept.rs
@@ -87,6 +87,23 @@
         differs
     }
 
+    /// Adds what another record of the same step contains.
+    pub fn merge(&mut self, other: &Self) {
+        for done in &other.done {
+            if !self.done.contains(done) {
+                self.done.push(*done);
+            }
+        }
+        for death in &other.deaths {
+            self.record_death(death.clone());
+        }
+        for failed in &other.failed {
+            if !self.failed.contains(failed) {
+                self.failed.push(*failed);
+            }
+        }
+    }
+
     /// The number of failed runs of a task.
     pub fn failures(&self, task: u32) -> u32 {
         let of_task = self.failed.iter().filter(|(failed, _)| *failed == task);
--- a/crates/node/src/kept_jobs.rs
+++ b/crates/node/src/kept_jobs.rs
@@ -267,7 +267,7 @@
         return KeptWriteResult::Stored(version);
     }
     if order.expected_version.is_none() {
-        return KeptWriteResult::AlreadyExists;
+        return KeptWriteResult::AlreadyExists(row, version);
     }
     if row.state.is_final() {
         return KeptWriteResult::Gone;
--- a/crates/pool/src/kept.rs
+++ b/crates/pool/src/kept.rs
@@ -38,8 +38,8 @@
     Stored(u64),
     /// The write certainly did not take effect: the store rejected it. Only for new jobs; other writes are retried.
     Rejected,
-    /// The id of a new job has a row already: the job was accepted before.
-    AlreadyExists,
+    /// The id of a new job has a row already, this one at this version: the job was accepted before.
+    AlreadyExists(KeptRow, u64),
     /// The row was changed by another write meanwhile, to this row and version.
     Conflict(KeptRow, u64),
     /// The job was cancelled, or another owner has stored its end.
--- a/crates/pool/src/pool/kept_jobs.rs
+++ b/crates/pool/src/pool/kept_jobs.rs
@@ -13,7 +13,7 @@
 use super::{WorkerPool, MIN_RETRY_AFTER};
 use crate::{
     action::{PoolAction, PoolEvent, WaiterId},
-    kept::{KeptJobState, KeptWrite, KeptWriteResult, UnstoredEnd},
+    kept::{FoundJob, KeptJobState, KeptWrite, KeptWriteResult, UnstoredEnd},
 };
 
 /// The deadline of a job whose end nobody waits for: far beyond the lifetime of a process.
@@ -64,22 +64,79 @@
         self.store_changes(id);
     }
 
-    /// Removes a job from the pool and stops its runs, without storing anything.
-    pub(super) fn remove_kept(&mut self, now: Instant, id: JobId, outcome: JobOutcome) {
-        let Some(job) = self.jobs.remove(&id) else {
-            return;
-        };
+    /// Removes a job from the pool and stops its runs, without storing anything. Returns what was tracked of its
+    /// storage: its ends must not be acknowledged unless the job has ended in the store.
+    pub(super) fn remove_kept(
+        &mut self,
+        now: Instant,
+        id: JobId,
+        outcome: JobOutcome,
+    ) -> Option<KeptJobState> {
+        let job = self.jobs.remove(&id)?;
         self.queue.remove(id);
-        if outcome == JobOutcome::Accepted {
-            self.recently_ended_kept.insert(id, now);
-        }
         for waiter in job.waiters {
             self.answer(waiter, outcome);
         }
-        if let Some(kept) = job.kept {
+        self.stop_job_runs(now, id);
+        job.kept
+    }
+
+    /// Removes a job that has ended in the store. What ends of it are not stored are of no more use.
+    fn remove_ended_kept(&mut self, now: Instant, id: JobId) {
+        if let Some(kept) = self.remove_kept(now, id, JobOutcome::Accepted) {
             self.release_ends(&kept.unstored_ends, u64::MAX);
+            self.recently_ended_kept.insert(id, now);
         }
-        self.stop_job_runs(now, id);
+    }
+
+    /// Handles that a new job was accepted before.
+    fn handle_existing(&mut self, now: Instant, found: FoundJob) {
+        let id = found.job;
+        if found.row.state.is_final() {
+            self.remove_ended_kept(now, id);
+            return;
+        }
+        let Some(submitted) = self.remove_kept(now, id, JobOutcome::Accepted) else {
+            return;
+        };
+        if found.row.home != self.name || self.predecessor_active {
+            self.relist_ends(&submitted.unstored_ends);
+            return;
+        }
+        self.adopt_job(now, found);
+        let Some(kept) = self.jobs.get_mut(&id).and_then(|job| job.kept.as_mut()) else {
+            return;
+        };
+        if submitted.unstored_ends.is_empty() {
+            return;
+        }
+        if kept.final_state.is_none() {
+            kept.revision += 1;
+        }
+        let revision = kept.revision;
+        let ends = submitted.unstored_ends.into_iter();
+        kept.unstored_ends
+            .extend(ends.map(|end| UnstoredEnd { revision, ..end }));
+        for (step, record) in submitted.progress.iter().enumerate() {
+            self.merge_record(id, step, record);
+        }
+        self.advance_job(now, id);
+        self.store_changes(id);
+    }
+
+    /// Has workers list ends again that were noted for a job that has left the pool. They count for the job that the
+    /// store has, once it is read.
+    fn relist_ends(&mut self, ends: &[UnstoredEnd]) {
+        if ends.is_empty() {
+            return;
+        }
+        for end in ends {
+            if let Some(worker) = self.workers.get_mut(&end.instance) {
+                worker.unstored_ends.remove(&end.number);
+                worker.last_seen_end = worker.last_seen_end.min(end.number.saturating_sub(1));
+            }
+        }
+        self.request_kept_reload();
     }
 
     /// Removes a job that was cancelled in the store and stops its runs.
@@ -91,7 +148,7 @@
             job: id,
             state: KeptState::Cancelled,
         });
-        self.remove_kept(now, id, JobOutcome::Accepted);
+        self.remove_ended_kept(now, id);
     }
 
     /// Records and stores how a kept job ended. The job stays in the pool until that is stored.
@@ -204,15 +261,16 @@
                     retry_after: MIN_RETRY_AFTER,
                     fits: 0,
                 };
-                self.remove_kept(now, id, refused);
+                if let Some(kept) = self.remove_kept(now, id, refused) {
+                    // Ends of a new job are those of an earlier submission, which has a row.
+                    self.relist_ends(&kept.unstored_ends);
+                }
             }
-            // The owner that has the job runs it. If that is this pool, the next read of the store
-            // finds it.
-            KeptWriteResult::AlreadyExists => {
-                self.remove_kept(now, id, JobOutcome::Accepted);
-                self.recently_ended_kept.remove(&id);
+            KeptWriteResult::AlreadyExists(row, version) => {
+                let job = id;
+                self.handle_existing(now, FoundJob { job, row, version });
             }
-            KeptWriteResult::Gone => self.remove_kept(now, id, JobOutcome::Accepted),
+            KeptWriteResult::Gone => self.remove_ended_kept(now, id),
             KeptWriteResult::Conflict(row, version) => {
                 // The row holds a former owner's last write. Its progress is merged into this
                 // owner's, which then overwrites the row.
@@ -285,18 +343,6 @@
         let Some(own) = own else {
             return;
         };
-        for done in &record.done {
-            if !own.done.contains(done) {
-                own.done.push(*done);
-            }
-        }
-        for death in &record.deaths {
-            own.record_death(death.clone());
-        }
-        for failed in &record.failed {
-            if !own.failed.contains(failed) {
-                own.failed.push(*failed);
-            }
-        }
+        own.merge(record);
     }
 }
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -84,7 +84,7 @@
         }
     }
 
-    fn adopt_job(&mut self, now: Instant, found: FoundJob) {
+    pub(super) fn adopt_job(&mut self, now: Instant, found: FoundJob) {
         let FoundJob {
             job: id,
             row,
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -253,3 +253,53 @@
         );
     }
 }
+
+/// Lost in a takeover: the customer submits its job again while the successor reads the rows, and the ends that workers
+/// still list must not be acknowledged with the second submission.
+#[test]
+fn ends_of_a_job_that_is_submitted_again_are_stored() {
+    for read_after in [1, 5, 11, 13, 30] {
+        let mut simulation = simulation(2);
+        simulation.submit_sized(1, JOB, vec![60.0, 60.0, 900.0], 100.0, 6_800);
+        simulation.run_for(30);
+        simulation.freeze_owner(150);
+        simulation.run_for(150);
+        simulation.replace_owner();
+        simulation.submit_sized(1, JOB, vec![60.0, 60.0, 900.0], 100.0, 6_800);
+        simulation.run_for(read_after);
+        simulation.read_rows();
+        simulation.run_for(4_000);
+        assert_eq!(
+            state(&simulation),
+            Some(KeptState::Completed),
+            "read after {read_after} ms"
+        );
+        assert_eq!(done_runs(&simulation), [1, 1, 1]);
+    }
+}
+
+/// Lost in a takeover while the store rejects writes: the job's second submission is refused, and the ends that were
+/// noted for it must be listed again for the job that is stored.
+#[test]
+fn ends_of_a_job_whose_second_submission_is_refused_are_stored() {
+    let mut simulation = simulation(2);
+    simulation.submit_sized(1, JOB, vec![60.0, 60.0, 900.0], 100.0, 6_800);
+    simulation.run_for(30);
+    simulation.freeze_owner(150);
+    simulation.run_for(150);
+    simulation.replace_owner();
+    simulation.store_up = false;
+    simulation.submit_sized(1, JOB, vec![60.0, 60.0, 900.0], 100.0, 6_800);
+    simulation.run_for(5);
+    simulation.read_rows();
+    simulation.run_for(50);
+    for write in simulation.waiting_writes() {
+        simulation.reject_write(&write);
+    }
+    simulation.run_for(50);
+    simulation.store_up = true;
+    simulation.read_rows();
+    simulation.run_for(4_000);
+    assert_eq!(state(&simulation), Some(KeptState::Completed));
+    assert_eq!(done_runs(&simulation), [1, 1, 1]);
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -617,6 +617,15 @@
         self.execute_actions();
     }
 
+    /// The store rejects one of the waiting writes, which has no effect.
+    pub(crate) fn reject_write(&mut self, order: &KeptWrite) {
+        self.waiting_writes.retain(|waiting| waiting != order);
+        let at = self.instant();
+        self.pool
+            .on_store_answer(at, order, KeptWriteResult::Rejected);
+        self.execute_actions();
+    }
+
     /// The pool reads the rows of its kept jobs.
     pub(crate) fn read_rows(&mut self) {
         let open = self
@@ -654,7 +663,9 @@
                 Some((row, version)) if expected_version.is_some() && !row.state.is_final() => {
                     KeptWriteResult::Conflict(row.clone(), *version)
                 }
-                _ if expected_version.is_none() => KeptWriteResult::AlreadyExists,
+                Some((row, version)) if expected_version.is_none() => {
+                    KeptWriteResult::AlreadyExists(row.clone(), *version)
+                }
                 _ => KeptWriteResult::Gone,
             }
         };
@@ -983,6 +994,7 @@
             return self.send_answer(ANSWER_BYTES, Event::PollAnswer(call, order, sent, fenced));
         }
         worker.fence = order.fence.0;
+        check_ends_stored(&self.rows, worker, order.acknowledged_end, now);
         worker.acknowledged_end = worker.acknowledged_end.max(order.acknowledged_end);
         let done_ends = worker
             .ends
@@ -1051,6 +1063,35 @@
     }
 }
 
+/// Checks the invariant of kept jobs: an end is acknowledged only once its job's row contains it or the job has ended.
+fn check_ends_stored(
+    rows: &BTreeMap<JobId, (KeptRow, u64)>,
+    worker: &SimulatedWorker,
+    acknowledged_end: u64,
+    now: u64,
+) {
+    for end in &worker.ends {
+        let is_new = end.number > worker.acknowledged_end && end.number <= acknowledged_end;
+        let Some(task) = end.task.filter(|_| is_new) else {
+            continue;
+        };
+        let Some((row, _)) = rows.get(&task.job) else {
+            continue;
+        };
+        let record = &row.progress[task.step as usize];
+        let is_stored = match end.cause {
+            EndCause::Done => record.done.contains(&task.index),
+            EndCause::Failed => record.failed.contains(&(task.index, end.run.0)),
+            EndCause::Stopped | EndCause::Lapsed | EndCause::Gang => true,
+        };
+        assert!(
+            is_stored || row.state.is_final(),
+            "the {:?} end of {task} is acknowledged at {now} ms, but no row contains it",
+            end.cause
+        );
+    }
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap()
 }
