A crash suspect does not wait behind its siblings for its worker

Cause: a worker is kept free for tasks that are suspected of having crashed theirs, and nothing else is placed there. Of a step's waiting tasks only the last one was tried, and suspects are put to the front. While a sibling that is no suspect waits, it may not use the kept worker, so the suspect was never tried, and the worker stayed kept free for it. With one open worker left, which is the least number that is kept free, that is the whole pool, for ever: a kept job has no deadline. Unkept jobs run into theirs.

Ruled out: jobs released while the pool does not accept (nothing is yielded, released or suspended there, and the jobs are counted in the queue all along), a read of the store (no store error after 23.1 s), a job that is held for its former owner (the owner never changes).

Test that failed first: a_suspect_does_not_wait_behind_its_siblings: 5 tasks, left Some(Running), right Some(Completed).

Change: of each step the last task under each restriction is tried. The log says when workers are reserved for suspects, and that none are any more.

--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -147,6 +147,13 @@
                 .number("deaths", *deaths);
             (EventKind::Important, line.number("alone", *alone))
         }
+        PoolEvent::WorkersReserved { workers, suspects } => {
+            let line = EventLine::new("workers_reserved").number("workers", *workers as u64);
+            (
+                EventKind::Important,
+                line.number("suspects", *suspects as u64),
+            )
+        }
         PoolEvent::Evacuation {
             evacuated,
             running,
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -407,6 +407,13 @@
         /// The number of those on which it ran alone.
         alone: u32,
     },
+    /// Other workers than before are kept free for crash suspects, or none any more.
+    WorkersReserved {
+        /// The number of workers that get no other runs.
+        workers: usize,
+        /// The number of suspects that wait to run alone.
+        suspects: usize,
+    },
     /// An evacuation of the pool's data centre began or ended.
     Evacuation {
         /// Whether the data centre is evacuated now.
--- a/crates/pool/src/pool/crash_blame.rs
+++ b/crates/pool/src/pool/crash_blame.rs
@@ -155,8 +155,7 @@
     /// Reserves some workers, so that they become empty, for crash suspects that find no empty one.
     /// Otherwise these would never run on a full pool.
     pub(super) fn reserve_workers_for_suspects(&mut self, now: Instant) {
-        if self.crashes.is_empty() {
-            self.reserved_for_suspects.clear();
+        if self.crashes.is_empty() && self.reserved_for_suspects.is_empty() {
             return;
         }
         let waiting = self.crashes.suspects().filter(|task| {
@@ -166,9 +165,19 @@
         });
         let waiting = waiting.count();
         let former = std::mem::take(&mut self.reserved_for_suspects);
-        if waiting == 0 {
-            return;
+        if waiting > 0 {
+            self.reserved_for_suspects = self.choose_reserved(waiting, &former);
+        }
+        if self.reserved_for_suspects != former {
+            self.events.push(PoolEvent::WorkersReserved {
+                workers: self.reserved_for_suspects.len(),
+                suspects: waiting,
+            });
         }
+    }
+
+    /// The workers to reserve for as many suspects, in the order of their ids.
+    fn choose_reserved(&self, suspects: usize, former: &[InstanceId]) -> Vec<InstanceId> {
         let open = self
             .workers
             .values()
@@ -179,10 +188,11 @@
             let was_reserved = former.contains(&worker.record.instance);
             (worker.runs.len(), !was_reserved)
         });
-        let reserved = open.iter().take(waiting.min(max_reserved));
-        self.reserved_for_suspects = reserved
-            .map(|worker| worker.record.instance.clone())
-            .collect();
+        let reserved = open.iter().take(suspects.min(max_reserved));
+        let reserved = reserved.map(|worker| worker.record.instance.clone());
+        let mut reserved: Vec<InstanceId> = reserved.collect();
+        reserved.sort();
+        reserved
     }
 
     pub(super) fn is_kept(&self, id: JobId) -> bool {
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -82,17 +82,15 @@
             .collect();
         let mut placed = false;
         for step in steps {
-            while let Some(task) = self.jobs[&id].steps[step].waiting.last().cloned() {
-                if self.is_start_window_full() {
+            while !self.is_start_window_full() {
+                let Some((index, instance)) = self.choose_task(now, id, step) else {
                     break;
-                }
-                let Some(instance) = self.find_worker(now, id, step, &task) else {
+                };
+                let Some(job) = self.jobs.get_mut(&id) else {
                     break;
                 };
-                if let Some(job) = self.jobs.get_mut(&id) {
-                    job.steps[step].waiting.pop();
-                    job.start_ordered = true;
-                }
+                let task = job.steps[step].waiting.remove(index);
+                job.start_ordered = true;
                 self.place_task(now, id, step, task, &instance);
                 placed = true;
             }
@@ -103,6 +101,29 @@
         placed
     }
 
+    /// The waiting task of a step to place next, by its index, and its worker. A task that may not be placed does not
+    /// hold back those that other restrictions hold for: what is reserved for a suspect is closed to its siblings.
+    fn choose_task(&self, now: Instant, id: JobId, step: usize) -> Option<(usize, InstanceId)> {
+        let waiting = &self.jobs[&id].steps[step].waiting;
+        if self.crashes.is_empty() {
+            let last = waiting.last()?;
+            let instance = self.find_worker(now, id, step, last)?;
+            return Some((waiting.len() - 1, instance));
+        }
+        for restriction in [TaskRestriction::None, TaskRestriction::Alone] {
+            let is_restricted_so = |task: &WaitingTask| {
+                self.crashes.restriction(now, task_id(id, step, task.index)) == restriction
+            };
+            let Some(index) = waiting.iter().rposition(is_restricted_so) else {
+                continue;
+            };
+            if let Some(instance) = self.find_worker(now, id, step, &waiting[index]) {
+                return Some((index, instance));
+            }
+        }
+        None
+    }
+
     fn find_worker(
         &self,
         now: Instant,
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -303,3 +303,24 @@
     assert_eq!(state(&simulation), Some(KeptState::Completed));
     assert_eq!(done_runs(&simulation), [1, 1, 1]);
 }
+
+/// Stood still for ever: the only worker is kept free for a crash suspect, which must not wait behind the tasks of its
+/// step that may not use that worker.
+#[test]
+fn a_suspect_does_not_wait_behind_its_siblings() {
+    for tasks in [3, 5] {
+        let mut simulation = simulation(1);
+        simulation.publish_start_times();
+        simulation.run_for(100);
+        simulation.submit_sized(1, JOB, vec![200.0; tasks], 20.0, 6_800);
+        simulation.run_for(100);
+        let instance = simulation.worker_running(JOB);
+        simulation.restart_worker(&instance);
+        simulation.run_for(8_000);
+        assert_eq!(
+            state(&simulation),
+            Some(KeptState::Completed),
+            "{tasks} tasks"
+        );
+    }
+}
