No worker is reserved for crash suspects that it cannot hold

Cause: the workers to keep free for suspects were chosen without asking whether they can hold one. A suspect whose label or size no open worker has kept a worker free for ever, and with one open worker the whole pool.

Test that failed first: no_worker_is_reserved_for_a_suspect_that_it_cannot_hold: left Some(Queued), right Some(Completed).

Change: a worker is reserved only if it can hold one of the waiting suspects. The check of what a worker can hold needs the step and the service only.

--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use jobs::{InstanceId, JobId, StepSpec};
+use jobs::{InstanceId, JobId, ServiceId, StepSpec};
 
 use crate::worker::TrackedWorker;
 
@@ -24,7 +24,7 @@
     pub(crate) job: JobId,
     pub(crate) step: u32,
     pub(crate) spec: &'a StepSpec,
-    pub(crate) service: &'a jobs::ServiceId,
+    pub(crate) service: &'a ServiceId,
     /// The workers on which the task failed before.
     pub(crate) failed_on: &'a [InstanceId],
     /// The factor by which the task takes longer outside the rack of its data.
@@ -37,11 +37,11 @@
     pub(crate) reserved: &'a [InstanceId],
 }
 
-/// Whether a worker can ever hold the task, whatever runs on it now.
-pub(crate) fn can_hold(worker: &TrackedWorker, request: &PlacementRequest<'_>) -> bool {
-    let label = request.spec.required_label.as_ref();
-    worker.record.service == *request.service
-        && worker.record.capacity.holds(&request.spec.demand)
+/// Whether a worker can ever hold a task of the step, whatever runs on it now.
+pub(crate) fn can_hold(worker: &TrackedWorker, spec: &StepSpec, service: &ServiceId) -> bool {
+    let label = spec.required_label.as_ref();
+    worker.record.service == *service
+        && worker.record.capacity.holds(&spec.demand)
         && label.is_none_or(|label| worker.record.labels.contains(label))
 }
 
@@ -73,7 +73,7 @@
 }
 
 fn may_place(worker: &TrackedWorker, request: &PlacementRequest<'_>, now: Instant) -> bool {
-    if !can_hold(worker, request) || !worker.accepts_runs() {
+    if !can_hold(worker, request.spec, request.service) || !worker.accepts_runs() {
         return false;
     }
     if !worker.health.allows_run(now, worker.runs.len()) {
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -14,7 +14,7 @@
     admission::{AdmissionForecast, AdmissionSimulation, ForecastJob, ForecastStep},
     arrivals::ArrivedJob,
     forecast::{PoolForecast, WaitingGroup, WorkerForecast},
-    placement::{can_hold, is_sluggish, PlacementRequest},
+    placement::{can_hold, is_sluggish},
     queue::{latest_start, QueueEntry, QueueRank},
     worker::{RunPhase, TrackedRun, TrackedWorker, SLOWNESS_BOUNDS},
 };
@@ -302,20 +302,8 @@
 
     pub(super) fn can_ever_hold(&self, request: &JobRequest, terms: &JobTerms) -> bool {
         request.steps.iter().all(|spec| {
-            let placement = PlacementRequest {
-                job: request.id,
-                step: 0,
-                spec,
-                service: &terms.service,
-                failed_on: &[],
-                far_factor: self.far_factor,
-                median_slowness: self.median_slowness,
-                exclusive: false,
-                reserved: &[],
-            };
-            self.workers
-                .values()
-                .any(|worker| can_hold(worker, &placement))
+            let mut workers = self.workers.values();
+            workers.any(|worker| can_hold(worker, spec, &terms.service))
         })
     }
 
--- a/crates/pool/src/pool/crash_blame.rs
+++ b/crates/pool/src/pool/crash_blame.rs
@@ -16,6 +16,7 @@
 use crate::{
     action::{PoolEvent, RunBeginning},
     crash::{LossCounts, LostTask, TaskRestriction, WorkerCounts, WorkerLoss},
+    placement::can_hold,
     worker::TrackedWorker,
 };
 
@@ -163,38 +164,49 @@
             let waits = job.is_some_and(|job| job.is_placeable(task.step as usize, task.index));
             waits && self.crashes.restriction(now, *task) == TaskRestriction::Alone
         });
-        let waiting = waiting.count();
+        let waiting: Vec<TaskId> = waiting.collect();
         let former = std::mem::take(&mut self.reserved_for_suspects);
-        if waiting > 0 {
-            self.reserved_for_suspects = self.choose_reserved(waiting, &former);
+        if !waiting.is_empty() {
+            self.reserved_for_suspects = self.choose_reserved(&waiting, &former);
         }
         if self.reserved_for_suspects != former {
             self.events.push(PoolEvent::WorkersReserved {
                 workers: self.reserved_for_suspects.len(),
-                suspects: waiting,
+                suspects: waiting.len(),
             });
         }
     }
 
-    /// The workers to reserve for as many suspects, in the order of their ids.
-    fn choose_reserved(&self, suspects: usize, former: &[InstanceId]) -> Vec<InstanceId> {
-        let open = self
-            .workers
-            .values()
-            .filter(|worker| worker.accepts_runs() && !worker.runs.iter().any(|run| run.exclusive));
+    /// The workers to reserve for suspects, in the order of their ids. Each can hold one of them.
+    fn choose_reserved(&self, suspects: &[TaskId], former: &[InstanceId]) -> Vec<InstanceId> {
+        let open = self.workers.values().filter(|worker| {
+            worker.accepts_runs()
+                && !worker.runs.iter().any(|run| run.exclusive)
+                && suspects
+                    .iter()
+                    .any(|task| self.can_hold_task(worker, *task))
+        });
         let mut open: Vec<&TrackedWorker> = open.collect();
         let max_reserved = (open.len() / MAX_RESERVED_DIVISOR).max(1);
         open.sort_by_key(|worker| {
             let was_reserved = former.contains(&worker.record.instance);
             (worker.runs.len(), !was_reserved)
         });
-        let reserved = open.iter().take(suspects.min(max_reserved));
+        let reserved = open.iter().take(suspects.len().min(max_reserved));
         let reserved = reserved.map(|worker| worker.record.instance.clone());
         let mut reserved: Vec<InstanceId> = reserved.collect();
         reserved.sort();
         reserved
     }
 
+    fn can_hold_task(&self, worker: &TrackedWorker, task: TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let spec = job.request.steps.get(task.step as usize);
+        spec.is_some_and(|spec| can_hold(worker, spec, &job.terms.service))
+    }
+
     pub(super) fn is_kept(&self, id: JobId) -> bool {
         self.jobs.get(&id).is_some_and(|job| job.kept.is_some())
     }
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use jobs::{JobId, JobOutcome, KeptState};
-use support::{Simulation, WorkerFault};
+use support::{worker_record, Simulation, WorkerFault};
 
 const JOB: JobId = JobId(7);
 
@@ -324,3 +324,27 @@
         );
     }
 }
+
+/// Stood still for ever: the only worker left is kept free for a crash suspect that is too large for it, while smaller
+/// jobs wait.
+#[test]
+fn no_worker_is_reserved_for_a_suspect_that_it_cannot_hold() {
+    let mut simulation = simulation(0);
+    simulation.add_worker(worker_record(0, 16_000), 1.0);
+    simulation.add_worker(worker_record(1, 24_000), 1.0);
+    simulation.publish_start_times();
+    simulation.run_for(100);
+    simulation.submit_sized(1, JobId(8), vec![200.0], 200.0, 20_000);
+    simulation.run_for(100);
+    let large = simulation.worker_running(JobId(8));
+    simulation.restart_worker(&large);
+    simulation.run_for(50);
+    simulation.workers.get_mut(&large).unwrap().fault = WorkerFault {
+        silent: true,
+        ..WorkerFault::default()
+    };
+    simulation.run_for(6_000);
+    simulation.submit_sized(1, JOB, vec![200.0], 200.0, 6_800);
+    simulation.run_for(2_000);
+    assert_eq!(state(&simulation), Some(KeptState::Completed));
+}
