Found kept jobs run only after a read that nobody else's write can follow

Cause: a successor read the rows, then fenced the workers, and let found jobs run once all had listed their ends. A former owner that is only out of reach stores an end and acknowledges it between the two: the worker lists it no more, the row that was read does not have it, and the task runs again. A job that the former owner ended in between was taken for open. So was what a read brought that had begun before the process let its jobs go. Class: a row is taken for current that was read before the others were shut out.

Change: once no run of a former owner can be left, found jobs wait for one more read of their rows, which is merged into them; a job that this read no longer shows has ended. A read that began before the jobs were let go does not count. In the simulation the owner makes the later reads by itself, as a node does; the first is still up to the test.

--- a/crates/node/src/kept_jobs/maintenance.rs
+++ b/crates/node/src/kept_jobs/maintenance.rs
@@ -101,6 +101,7 @@
 }
 
 async fn read_jobs(state: Rc<NodeState>, id: PoolId, fence: FenceToken) {
+    let began = state.now();
     let reads = (0..PARTITION_COUNT).map(|partition| {
         let state = state.clone();
         async move {
@@ -131,7 +132,9 @@
             found.extend(decode_row(&state, &row).filter(|found| *found.row.home == *home));
         }
     }
-    with_fenced_pool(&state, &id, fence, |pool, now| pool.load_kept(now, found));
+    with_fenced_pool(&state, &id, fence, |pool, now| {
+        pool.load_kept_since(now, began, found);
+    });
 }
 
 async fn confirm_claim(state: Rc<NodeState>, id: PoolId, fence: FenceToken) {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -87,6 +87,10 @@
     /// Whether the kept jobs have been loaded from the store. Until then no end is acknowledged,
     /// since it may belong to one of them.
     kept_loaded: bool,
+    /// Reads of the kept jobs that began earlier do not count.
+    rows_outdated_until: Instant,
+    /// Since when no run of a former owner can be left, while found jobs wait for a read of their rows that began later.
+    settled_since: Option<Instant>,
     /// Kept jobs that ended recently, and when.
     recently_ended_kept: FastMap<JobId, Instant>,
     /// Whether a former owner is still finishing jobs of the pool.
@@ -151,6 +155,8 @@
             resend_budget: RESEND_BURST,
             last_store_contact: Some(now),
             kept_loaded: false,
+            rows_outdated_until: now,
+            settled_since: None,
             recently_ended_kept: FastMap::default(),
             predecessor_active: false,
             all_workers_known: false,
--- a/crates/pool/src/pool/kept_jobs.rs
+++ b/crates/pool/src/pool/kept_jobs.rs
@@ -82,7 +82,7 @@
     }
 
     /// Removes a job that has ended in the store. What ends of it are not stored are of no more use.
-    fn remove_ended_kept(&mut self, now: Instant, id: JobId) {
+    pub(super) fn remove_ended_kept(&mut self, now: Instant, id: JobId) {
         if let Some(kept) = self.remove_kept(now, id, JobOutcome::Accepted) {
             self.release_ends(&kept.unstored_ends, u64::MAX);
             self.recently_ended_kept.insert(id, now);
@@ -100,7 +100,7 @@
             return;
         };
         if found.row.home != self.name || self.predecessor_active {
-            self.relist_ends(&submitted.unstored_ends);
+            self.relist_ends(now, &submitted.unstored_ends);
             return;
         }
         self.adopt_job(now, found);
@@ -126,7 +126,7 @@
 
     /// Has workers list ends again that were noted for a job that has left the pool. They count for the job that the
     /// store has, once it is read.
-    fn relist_ends(&mut self, ends: &[UnstoredEnd]) {
+    fn relist_ends(&mut self, now: Instant, ends: &[UnstoredEnd]) {
         if ends.is_empty() {
             return;
         }
@@ -137,6 +137,7 @@
             }
         }
         self.request_kept_reload();
+        self.rows_outdated_until = now;
     }
 
     /// Removes a job that was cancelled in the store and stops its runs.
@@ -263,7 +264,7 @@
                 };
                 if let Some(kept) = self.remove_kept(now, id, refused) {
                     // Ends of a new job are those of an earlier submission, which has a row.
-                    self.relist_ends(&kept.unstored_ends);
+                    self.relist_ends(now, &kept.unstored_ends);
                 }
             }
             KeptWriteResult::AlreadyExists(row, version) => {
@@ -272,22 +273,28 @@
             }
             KeptWriteResult::Gone => self.remove_ended_kept(now, id),
             KeptWriteResult::Conflict(row, version) => {
-                // The row holds a former owner's last write. Its progress is merged into this
-                // owner's, which then overwrites the row.
-                kept.version = Some(version);
-                kept.revision += 1;
-                for (step, record) in row.progress.iter().enumerate() {
-                    self.merge_record(id, step, record);
-                }
-                self.load_recorded_deaths(now, id, &row.progress);
-                self.advance_job(now, id);
-                self.store_changes(id);
+                self.merge_row(now, id, &row, version);
             }
         }
         self.schedule(now);
         self.send_polls_and_orders(now);
     }
 
+    /// Merges a row that a former owner wrote into this owner's job, which then overwrites the row.
+    pub(super) fn merge_row(&mut self, now: Instant, id: JobId, row: &KeptRow, version: u64) {
+        let Some(kept) = self.jobs.get_mut(&id).and_then(|job| job.kept.as_mut()) else {
+            return;
+        };
+        kept.version = Some(version);
+        kept.revision += 1;
+        for (step, record) in row.progress.iter().enumerate() {
+            self.merge_record(id, step, record);
+        }
+        self.load_recorded_deaths(now, id, &row.progress);
+        self.advance_job(now, id);
+        self.store_changes(id);
+    }
+
     fn apply_stored(&mut self, now: Instant, id: JobId, version: u64, written: u64) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -13,6 +13,7 @@
 };
 
 use jobs::{EndCause, EndedRun, InstanceId, JobId, JobOutcome, KeptState};
+use model::FastMap;
 
 use super::{end_run, kept_jobs::NO_DEADLINE, WorkerPool};
 use crate::{
@@ -52,6 +53,7 @@
             self.sole_owner_since = now;
             // The former owner goes on writing rows, so they have to be read again later.
             self.request_kept_reload();
+            self.rows_outdated_until = now;
         }
         self.predecessor_active = predecessor_active;
     }
@@ -61,18 +63,27 @@
         self.kept_loaded
     }
 
-    /// Whether the kept jobs have to be loaded from the store: they are not loaded, and no former
-    /// owner is still finishing them.
+    /// Whether the kept jobs have to be loaded from the store: they are not loaded, or found jobs wait for a later read
+    /// of their rows, and no former owner is still finishing them.
     pub fn needs_kept_load(&self) -> bool {
-        !self.kept_loaded && !self.predecessor_active
+        let wanted = !self.kept_loaded || self.settled_since.is_some();
+        wanted && !self.predecessor_active
     }
 
-    /// Loads the kept jobs that the store has of this pool.
+    /// Loads the kept jobs that the store has of this pool at the moment.
     pub fn load_kept(&mut self, now: Instant, found: Vec<FoundJob>) {
-        if self.predecessor_active {
+        self.load_kept_since(now, now, found);
+    }
+
+    /// Loads the kept jobs that the store had of this pool after `began`, when they were read.
+    pub fn load_kept_since(&mut self, now: Instant, began: Instant, found: Vec<FoundJob>) {
+        if self.predecessor_active || began < self.rows_outdated_until {
             return;
         }
         self.kept_loaded = true;
+        if self.settled_since.is_some_and(|settled| began >= settled) {
+            self.resume_found_jobs(now, &found);
+        }
         self.recently_ended_kept
             .retain(|_, ended| now < *ended + ENDED_KEPT_MEMORY);
         for job in found {
@@ -82,6 +93,31 @@
                 self.adopt_job(now, job);
             }
         }
+        self.schedule(now);
+    }
+
+    /// Lets found jobs run. `found` are the jobs that the store still has after the last moment at which a former owner
+    /// may have written their rows.
+    fn resume_found_jobs(&mut self, now: Instant, found: &[FoundJob]) {
+        self.settled_since = None;
+        let open: FastMap<JobId, &FoundJob> = found.iter().map(|job| (job.job, job)).collect();
+        let held = self.jobs.iter_mut().filter_map(|(id, job)| {
+            let kept = job.kept.as_mut().filter(|kept| kept.may_have_runs)?;
+            kept.may_have_runs = false;
+            // A write of a job that has changed meanwhile is answered with the change.
+            let idle = kept.writing_revision.is_none() && kept.final_state.is_none();
+            idle.then_some((*id, kept.version))
+        });
+        let held: Vec<(JobId, Option<u64>)> = held.collect();
+        for (id, version) in held {
+            match open.get(&id) {
+                Some(job) if Some(job.version) > version => {
+                    self.merge_row(now, id, &job.row, job.version);
+                }
+                Some(_) => (),
+                None => self.remove_ended_kept(now, id),
+            }
+        }
     }
 
     pub(super) fn adopt_job(&mut self, now: Instant, found: FoundJob) {
@@ -116,6 +152,7 @@
         let complete = job.is_complete();
         let progress = job.kept.as_ref().map(|kept| kept.progress.clone());
         self.ended_attempts.remove(&id);
+        self.settled_since = None;
         self.jobs.insert(id, job);
         self.events.push(PoolEvent::KeptFound { job: id, version });
         if complete {
@@ -157,13 +194,8 @@
         if !self.has_recent_store_contact(now) {
             self.stop_kept_runs(now);
         }
-        if self.is_takeover_settled(now) {
-            for job in self.jobs.values_mut() {
-                if let Some(kept) = &mut job.kept {
-                    kept.may_have_runs = false;
-                }
-            }
-        }
+        let settled = self.has_kept_on_hold() && self.is_takeover_settled(now);
+        self.settled_since = settled.then(|| self.settled_since.unwrap_or(now));
         if !self.accepting {
             self.release_idle_kept();
         }
@@ -241,6 +273,7 @@
             worker.last_seen_end = worker.acknowledged_end;
         }
         self.request_kept_reload();
+        self.rows_outdated_until = now;
         self.sole_owner_since = now;
     }
 
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -348,3 +348,41 @@
     simulation.run_for(2_000);
     assert_eq!(state(&simulation), Some(KeptState::Completed));
 }
+
+/// Ran twice: the former owner was only out of reach, and stored and acknowledged an end after its successor had read the
+/// rows.
+#[test]
+fn an_end_that_the_former_owner_stores_after_the_read_counts() {
+    let mut simulation = simulation(2);
+    simulation.submit_sized(1, JOB, vec![60.0, 60.0, 900.0], 100.0, 6_800);
+    simulation.run_for(30);
+    let read = simulation.begin_read();
+    simulation.run_for(250);
+    simulation.done_is_final = true;
+    simulation.replace_owner();
+    simulation.finish_read(read);
+    simulation.run_for(500);
+    simulation.read_rows();
+    simulation.run_for(3_000);
+    assert_eq!(state(&simulation), Some(KeptState::Completed));
+    assert_eq!(done_runs(&simulation), [1, 1, 1]);
+}
+
+/// Ran twice: a read that was on its way when the process let its jobs go brought back a row without a later end.
+#[test]
+fn a_read_that_began_before_jobs_were_released_does_not_count() {
+    let mut simulation = simulation(2);
+    simulation.submit_sized(1, JOB, vec![60.0, 60.0, 900.0], 100.0, 6_800);
+    simulation.run_for(30);
+    let read = simulation.begin_read();
+    simulation.run_for(250);
+    simulation.done_is_final = true;
+    let at = simulation.instant();
+    simulation.pool.give_up_all(at);
+    simulation.finish_read(read);
+    simulation.run_for(100);
+    simulation.read_rows();
+    simulation.run_for(3_000);
+    assert_eq!(state(&simulation), Some(KeptState::Completed));
+    assert_eq!(done_runs(&simulation), [1, 1, 1]);
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -100,6 +100,12 @@
     cpu: u64,
 }
 
+/// A read of the rows of kept jobs.
+pub(crate) struct RowsRead {
+    began: Instant,
+    found: Vec<FoundJob>,
+}
+
 /// A pool and its simulated workers.
 pub(crate) struct Simulation {
     pub(crate) pool: WorkerPool,
@@ -485,6 +491,10 @@
             let at = self.instant();
             self.pool.tick(at);
         }
+        // The first read is up to the test.
+        if self.store_up && self.pool.has_loaded_kept() && self.pool.needs_kept_load() {
+            self.read_rows();
+        }
     }
 
     /// Freezes the owner's process from now on. What arrives for it waits.
@@ -628,18 +638,30 @@
 
     /// The pool reads the rows of its kept jobs.
     pub(crate) fn read_rows(&mut self) {
-        let open = self
-            .rows
-            .iter()
-            .filter(|(_, (row, _))| !row.state.is_final());
+        let read = self.begin_read();
+        self.finish_read(read);
+    }
+
+    /// What a read of the rows that begins now will bring.
+    pub(crate) fn begin_read(&self) -> RowsRead {
+        let open = self.rows.iter();
+        let open = open.filter(|(_, (row, _))| !row.state.is_final());
         let found = open.map(|(job, (row, version))| FoundJob {
             job: *job,
             row: row.clone(),
             version: *version,
         });
-        let (at, found) = (self.instant(), found.collect());
+        RowsRead {
+            began: self.instant(),
+            found: found.collect(),
+        }
+    }
+
+    /// The pool takes the result of a read.
+    pub(crate) fn finish_read(&mut self, read: RowsRead) {
+        let at = self.instant();
         self.pool.set_takeover_state(at, false, true);
-        self.pool.load_kept(at, found);
+        self.pool.load_kept_since(at, read.began, read.found);
         self.execute_actions();
     }
 
