A start that was not sent is known as such, and its task runs elsewhere at once

Cause: every failure of the transport became "no answer: it may have been carried out", also where no connection could be opened and not one byte was sent. The border knows the difference (RequestError::NoConnection) and the adapter threw it away.

Change: CallFailure::NotSent. A start that was not sent is taken back from what is known of the run's beginning; a run of which no copy was sent is removed after the last try and its task is queued again, also if it was told to stop meanwhile. A start that a paused process never sent counts likewise. Stops and polls that were not sent are treated as before.

One test's literal of simulated faults names the new field, as false.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -133,7 +133,7 @@
         match action {
             // The process paused between the decision and its first turn here. The job was let go meanwhile.
             PoolAction::Start(order) if pause::notice(&state) != decided => {
-                let answer = StartAnswer::Failed(CallFailure::NoAnswer);
+                let answer = StartAnswer::Failed(CallFailure::NotSent);
                 with_fenced_pool(&state, &id, fence, |p, now| {
                     p.on_start_answer(now, &order, answer)
                 });
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -87,6 +87,8 @@
         /// No answer came in time, or the connection broke. The worker may have carried out the call, or may still do
         /// so.
         NoAnswer => "no_answer",
+        /// No connection to the worker could be opened, so nothing of the call was sent.
+        NotSent => "not_sent",
         /// Another instance than the addressed one answered: all runs of the addressed instance are over.
         NewInstance => "new_life",
         /// Another owner has used a higher fencing token.
@@ -160,6 +162,8 @@
         LeaseExpired => "lease_over",
         /// A poll that was sent later does not list the run.
         NotListed => "not_there",
+        /// No start of the run was sent, since no connection to the worker could be opened.
+        NotSent => "not_sent",
     }
 }
 
--- a/crates/pool/src/pool/answers.rs
+++ b/crates/pool/src/pool/answers.rs
@@ -34,11 +34,15 @@
             worker.update_clock(owner_millis, clock);
         }
         let fence_raised = order.fence < worker.fence;
-        let (mut tries, mut in_flight) = (0, 0);
+        let (mut tries, mut in_flight, mut stops_unsent) = (0, 0, false);
         if let Some(run) = worker.run_mut(*task, *run) {
             run.answered_starts += u32::from(answer != StartAnswer::Failed(CallFailure::NoAnswer));
             run.starts_in_flight = run.starts_in_flight.saturating_sub(1);
+            if answer == StartAnswer::Failed(CallFailure::NotSent) {
+                run.record_unsent_start();
+            }
             (tries, in_flight) = (run.starts_sent, run.starts_in_flight);
+            stops_unsent = run.phase == RunPhase::Stopping && run.is_unsent();
         }
         let late = now >= order.sent + order.overdue_after;
         worker.finish_order(late);
@@ -69,9 +73,12 @@
             StartAnswer::Failed(CallFailure::Unhealthy | CallFailure::Malformed) => {
                 self.handle_rejected_start(now, instance, *task, *run);
             }
+            StartAnswer::Failed(CallFailure::NotSent) if stops_unsent => {
+                self.drop_unsent_run(now, instance, *task, *run);
+            }
             // Another copy of the start may still be answered.
-            StartAnswer::Failed(CallFailure::NoAnswer) if in_flight > 0 => (),
-            StartAnswer::Failed(CallFailure::NoAnswer) => {
+            StartAnswer::Failed(CallFailure::NoAnswer | CallFailure::NotSent) if in_flight > 0 => {}
+            StartAnswer::Failed(CallFailure::NoAnswer | CallFailure::NotSent) => {
                 self.retry_start(now, instance, *task, *run)
             }
             StartAnswer::Failed(CallFailure::NewInstance) => self.forget_instance(now, instance),
@@ -185,7 +192,10 @@
                 self.handle_worker_takeover(now, instance)
             }
             StopAnswer::Failed(
-                CallFailure::NoAnswer | CallFailure::Unhealthy | CallFailure::Malformed,
+                CallFailure::NoAnswer
+                | CallFailure::NotSent
+                | CallFailure::Unhealthy
+                | CallFailure::Malformed,
             ) => {
                 worker
                     .queued_orders
@@ -197,7 +207,8 @@
     }
 
     /// Sends a start again that went unanswered or had no effect. After `max_unanswered_starts` the
-    /// run is stopped and, unless the path is congested, the worker suspended.
+    /// run is stopped and, unless the path is congested, the worker suspended. If no start was sent,
+    /// there is nothing to stop, and the task may run elsewhere at once.
     fn retry_start(
         &mut self,
         now: Instant,
@@ -229,10 +240,32 @@
         if congested && run.starts_in_flight > 0 {
             return;
         }
-        stop_run(worker, task, number);
+        let is_unsent = run.is_unsent();
+        if !is_unsent {
+            stop_run(worker, task, number);
+        }
         if !congested {
             self.suspend(now, instance, SuspensionCause::Silent);
         }
+        if is_unsent {
+            self.drop_unsent_run(now, instance, task, number);
+        }
+    }
+
+    /// Removes a run of which no start was sent and requeues its task.
+    fn drop_unsent_run(
+        &mut self,
+        now: Instant,
+        instance: &InstanceId,
+        task: TaskId,
+        number: RunNumber,
+    ) {
+        let worker = self.workers.get_mut(instance);
+        let Some(run) = worker.and_then(|worker| worker.remove_run(task, number)) else {
+            return;
+        };
+        self.record_lost_run(now, &run, instance, RunLoss::NotSent);
+        self.requeue(now, run);
     }
 
     /// Handles a start that the worker rejected without any effect, and suspends the worker. If
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -92,7 +92,12 @@
             Err(CallFailure::FencedOut) if order.fence < worker.fence => (),
             Err(CallFailure::FencedOut) => self.handle_worker_takeover(now, instance),
             Err(CallFailure::NewInstance) => self.forget_instance(now, instance),
-            Err(CallFailure::NoAnswer | CallFailure::Unhealthy | CallFailure::Malformed) => {
+            Err(
+                CallFailure::NoAnswer
+                | CallFailure::NotSent
+                | CallFailure::Unhealthy
+                | CallFailure::Malformed,
+            ) => {
                 self.record_missed_poll(now, sent, instance);
             }
         }
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -179,6 +179,7 @@
             stop_acked_at: None,
             start_expires: jobs::WorkerClock(0),
             starts_sent: 0,
+            starts_not_sent: 0,
             answered_starts: 0,
             starts_in_flight: 0,
             predicted: self.predict_run_time(&job.terms, spec),
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -78,6 +78,8 @@
     pub(crate) start_expires: WorkerClock,
     /// How many times the start was sent.
     pub(crate) starts_sent: u32,
+    /// The number of starts of which certainly nothing was sent.
+    pub(crate) starts_not_sent: u32,
     /// The number of starts that were answered in any way.
     pub(crate) answered_starts: u32,
     /// The number of starts without an answer so far.
@@ -99,6 +101,15 @@
 }
 
 impl TrackedRun {
+    /// Takes back that a start was sent: no connection could be opened for it.
+    pub(crate) fn record_unsent_start(&mut self) {
+        self.starts_not_sent += 1;
+        let none_sent = self.starts_not_sent == self.starts_sent;
+        if none_sent && self.beginning == RunBeginning::Unconfirmed {
+            self.beginning = RunBeginning::Unsent;
+        }
+    }
+
     /// Whether the run certainly never began, since no start of it was sent.
     pub(crate) fn is_unsent(&self) -> bool {
         self.beginning == RunBeginning::Unsent
--- a/crates/pool/tests/at_most_once.rs
+++ b/crates/pool/tests/at_most_once.rs
@@ -12,6 +12,7 @@
     let rng = &mut simulation.rng;
     WorkerFault {
         silent: rng.u32(0..4) == 0,
+        refuses_connections: false,
         answers_lost: if rng.bool() { rng.f64() * 0.5 } else { 0.0 },
         late_starts: if rng.bool() { rng.f64() * 0.4 } else { 0.0 },
         stops_lost: rng.u32(0..4) == 0,
--- a/crates/pool/tests/crash.rs
+++ b/crates/pool/tests/crash.rs
@@ -5,7 +5,7 @@
 
 use jobs::{InstanceId, JobId, JobOutcome, KeptState, StepRecord};
 use pool::PoolEvent;
-use support::{crashing::CrashReturn, results::credit, Simulation, KINDS};
+use support::{crashing::CrashReturn, results::credit, worker_record, Simulation, KINDS};
 
 const HALF_WORKER: u64 = 8_000;
 const WHOLE_WORKER: u64 = 16_000;
@@ -347,3 +347,25 @@
     }
     assert!(with >= 0.95 * without, "{with} of {without}");
 }
+
+/// Guards against a task that waits for the lease of a worker that no start of it has reached, and then counts as a
+/// suspect of that worker's death.
+#[test]
+fn a_task_whose_start_was_not_sent_runs_elsewhere_at_once() {
+    let mut simulation = kept_simulation(1, 1, CrashReturn::SameId);
+    let job = JobId(7);
+    let dead = simulation.workers.keys().next().cloned().unwrap();
+    let fault = &mut simulation.workers.get_mut(&dead).unwrap().fault;
+    fault.refuses_connections = true;
+    simulation.submit_sized(1, job, vec![100.0], 100.0, WHOLE_WORKER);
+    let starts_sent = simulation.starts_sent;
+    while simulation.starts_sent == starts_sent {
+        simulation.run_for(1);
+    }
+    simulation.crash(&dead);
+    simulation.add_worker(worker_record(1, WHOLE_WORKER), 1.0);
+    simulation.run_for(350);
+    assert_eq!(state(&simulation, job), Some(KeptState::Completed));
+    let suspected = |event: &PoolEvent| matches!(event, PoolEvent::CrashSuspected { .. });
+    assert!(!simulation.crashes.events.iter().any(suspected));
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -886,6 +886,11 @@
             }
             return;
         };
+        if fault.refuses_connections {
+            let unsent = StartAnswer::Failed(CallFailure::NotSent);
+            self.post(ONE_WAY_MS, Event::StartAnswer(call, order, unsent));
+            return;
+        }
         let late = &*order.text == "late";
         if fault.silent
             || self.is_starting(&instance)
--- a/crates/pool/tests/support/worker.rs
+++ b/crates/pool/tests/support/worker.rs
@@ -13,6 +13,8 @@
 pub(crate) struct WorkerFault {
     /// Calls do not reach the worker, and its answers are lost.
     pub(crate) silent: bool,
+    /// No connection to the worker can be opened.
+    pub(crate) refuses_connections: bool,
     /// The share of answers that are lost.
     pub(crate) answers_lost: f64,
     /// Stops do not reach the worker.
