Ends on a worker that changes its pool are stored before they are acknowledged

What callers saw: a task that was done ran again (TWICE), seconds after a node had claimed its own pool anew, without a second submission.

Cause: a data centre's pools are divided anew, and a worker moves to another pool with an end that is not acknowledged. The owner there does not know the job, whose row names the other pool, and acknowledges the end. The owner of the job reads the row without it and runs the task again. Class: an end that no job in memory claims counts as nobody's.

Ruled out: a second submission (there is none), a late answer of the store to the former owner (its row has the first version throughout).

Change: the read of the rows, which brings those of all pools anyhow, tells the owner which kept jobs of other pools are open. An end of one of them is added to its row, on the condition of the row's version, and acknowledged only then. The log names such ends. Ends of jobs that are not kept cost no call.

--- a/crates/jobs/src/kept.rs
+++ b/crates/jobs/src/kept.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    InstanceId, JobId, JobRequest, JobTerms, ServiceId, StepSpec, TaskText, WorkerStartTime,
+    EndCause, EndedRun, InstanceId, JobId, JobRequest, JobTerms, ServiceId, StepSpec, TaskId,
+    TaskText, WorkerStartTime,
 };
 
 /// The state of a kept job, as reported to its customer.
@@ -144,6 +145,27 @@
 }
 
 impl KeptRow {
+    /// Records the end of a run of one of the job's tasks. Returns whether it changes the record: the job may have the end
+    /// already, and a run that was stopped leaves no trace.
+    pub fn record_end(&mut self, task: TaskId, end: &EndedRun) -> bool {
+        let Some(record) = self.progress.get_mut(task.step as usize) else {
+            return false;
+        };
+        let known = record.clone();
+        record.merge(&match end.cause {
+            EndCause::Done => StepRecord {
+                done: vec![task.index],
+                ..StepRecord::default()
+            },
+            EndCause::Failed => StepRecord {
+                failed: vec![(task.index, end.run.0)],
+                ..StepRecord::default()
+            },
+            EndCause::Stopped | EndCause::Lapsed | EndCause::Gang => return false,
+        });
+        *record != known
+    }
+
     /// The job's request.
     pub fn request(&self, id: JobId) -> JobRequest {
         JobRequest {
--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -147,6 +147,16 @@
                 .number("deaths", *deaths);
             (EventKind::Important, line.number("alone", *alone))
         }
+        PoolEvent::ForeignEndFound {
+            instance,
+            task,
+            run,
+            cause,
+        } => {
+            let line = EventLine::new("foreign_end").text("task", task);
+            let line = line.number("run", run.0).text("worker", instance);
+            (EventKind::Important, line.text("cause", cause.as_str()))
+        }
         PoolEvent::WorkersReserved { workers, suspects } => {
             let line = EventLine::new("workers_reserved").number("workers", *workers as u64);
             (
--- a/crates/node/src/kept_jobs.rs
+++ b/crates/node/src/kept_jobs.rs
@@ -18,7 +18,7 @@
 use platform_adapter::{
     RowCheck, RowWrite, StoreError, StoreTable, StoredRow, Transaction, TransactionOutcome,
 };
-use pool::{FoundJob, KeptWrite, KeptWriteResult};
+use pool::{ForeignEnd, FoundJob, KeptWrite, KeptWriteResult};
 use telemetry::{EventKind, EventLine};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -334,11 +334,7 @@
             partition: partition_of(job),
             ..Transaction::default()
         };
-        let Some(value) = encode(state, &order) else {
-            return Err(
-                RequestError::InvalidRequest("the job's row cannot be encoded".to_owned()).into(),
-            );
-        };
+        let value = encode(state, &order).ok_or_else(unencodable_row)?;
         add_to_transaction(&mut transaction, &order, value);
         transaction.writes.push(RowWrite {
             table: StoreTable::CancelledJobs,
@@ -353,6 +349,74 @@
     }
 }
 
+/// Adds an end to the row of another pool's job, and tells the pool that found it. Tries until this succeeds, the job has
+/// ended or the pool is lost: its next owner finds the end again.
+pub(crate) async fn store_foreign_end(
+    state: Rc<NodeState>,
+    id: PoolId,
+    fence: FenceToken,
+    end: ForeignEnd,
+) {
+    loop {
+        match add_foreign_end(&state, fence, &end).await {
+            Ok(true) => break,
+            // The job's owner has written the row meanwhile.
+            Ok(false) => (),
+            Err(error) => {
+                let line = EventLine::new("foreign_end_not_stored").text("task", end.task);
+                state.log(EventKind::Important, line.text("error", error));
+                actix_rt::time::sleep(STORE_RETRY_DELAY).await;
+            }
+        }
+        let held = state
+            .pools
+            .borrow()
+            .get(&id)
+            .map(|owned| owned.pool.fence());
+        if held != Some(fence) {
+            return;
+        }
+    }
+    with_fenced_pool(&state, &id, fence, |pool, _| {
+        pool.on_foreign_end_stored(&end);
+    });
+}
+
+/// Returns whether the job's row contains the end now, or the job has ended.
+async fn add_foreign_end(
+    state: &NodeState,
+    fence: FenceToken,
+    end: &ForeignEnd,
+) -> Result<bool, StoreError> {
+    let job = end.task.job;
+    let Some(found) = find_job(state, job).await? else {
+        return Ok(true);
+    };
+    let mut row = found.row;
+    if row.state.is_final() || !row.record_end(end.task, &end.end) {
+        return Ok(true);
+    }
+    // No write of the job's owner may take this one for its own.
+    row.writer = fence.0;
+    let order = KeptWrite {
+        job,
+        row,
+        expected_version: Some(found.version),
+    };
+    let value = encode(state, &order).ok_or_else(unencodable_row)?;
+    let mut transaction = Transaction {
+        partition: partition_of(job),
+        ..Transaction::default()
+    };
+    add_to_transaction(&mut transaction, &order, value);
+    let outcome = state.store.transact(&transaction).await?;
+    Ok(matches!(outcome, TransactionOutcome::Committed { .. }))
+}
+
+fn unencodable_row() -> StoreError {
+    RequestError::InvalidRequest("the job's row cannot be encoded".to_owned()).into()
+}
+
 /// Passes the cancellation of a job to the owned pools. Only the pool that has the job acts on it.
 pub(crate) fn apply_cancelled(state: &Rc<NodeState>, row: &StoredRow) {
     let Ok(job) = row.key.parse::<JobId>() else {
--- a/crates/node/src/kept_jobs/maintenance.rs
+++ b/crates/node/src/kept_jobs/maintenance.rs
@@ -111,7 +111,6 @@
                 .await
         }
     });
-    let home = id.to_string();
     let mut found = Vec::new();
     for read in futures::future::join_all(reads).await {
         let page = match read {
@@ -129,7 +128,7 @@
                 continue;
             };
             state.has_kept_jobs.set(true);
-            found.extend(decode_row(&state, &row).filter(|found| *found.row.home == *home));
+            found.extend(decode_row(&state, &row));
         }
     }
     with_fenced_pool(&state, &id, fence, |pool, now| {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -106,6 +106,14 @@
             }
             PoolAction::ReleasePool => fenced_out = true,
             PoolAction::WriteKeptJob(order) => kept_jobs::queue_write(state, id, fence, order),
+            PoolAction::StoreForeignEnd(end) => {
+                actix_rt::spawn(kept_jobs::store_foreign_end(
+                    state.clone(),
+                    id.clone(),
+                    fence,
+                    end,
+                ));
+            }
             action => send_worker_call(state, id, fence, action),
         }
     }
@@ -166,7 +174,10 @@
                     pool.on_poll_answer(now, sent, &order, answer);
                 });
             }
-            PoolAction::Answer { .. } | PoolAction::ReleasePool | PoolAction::WriteKeptJob(_) => (),
+            PoolAction::Answer { .. }
+            | PoolAction::ReleasePool
+            | PoolAction::WriteKeptJob(_)
+            | PoolAction::StoreForeignEnd(_) => (),
         }
     });
 }
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -11,7 +11,7 @@
 };
 use model::{text_enum, UnknownVariant};
 
-use crate::kept::KeptWrite;
+use crate::kept::{ForeignEnd, KeptWrite};
 
 /// Identifies one call of an entry that waits for a job's outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -134,6 +134,8 @@
 pub enum PoolAction {
     /// Write the row of a kept job.
     WriteKeptJob(KeptWrite),
+    /// Add an end to the row of another pool's kept job, unless the job has ended; then call `on_foreign_end_stored`.
+    StoreForeignEnd(ForeignEnd),
     /// Send a start; its answer goes to `on_start_answer`.
     Start(StartOrder),
     /// Send a stop; its answer goes to `on_stop_answer`.
@@ -354,6 +356,17 @@
         /// The version of its row in the store.
         version: u64,
     },
+    /// A worker that belonged to another pool before lists the end of a run of that pool's kept job.
+    ForeignEndFound {
+        /// The worker that lists the end.
+        instance: InstanceId,
+        /// The task whose run has ended.
+        task: TaskId,
+        /// The number of the run.
+        run: RunNumber,
+        /// Why the run ended.
+        cause: EndCause,
+    },
     /// A kept job has ended and its final state is stored.
     KeptEnded {
         /// The job that ended.
--- a/crates/pool/src/kept.rs
+++ b/crates/pool/src/kept.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use jobs::{InstanceId, JobId, KeptRow, KeptState, RunNumber, StepRecord};
+use jobs::{
+    EndedRun, InstanceId, JobId, KeptRow, KeptState, RunNumber, StepRecord, TaskId, WorkerStartTime,
+};
 
 /// How long an owner continues kept jobs without contact to the store. After that it may have been replaced without
 /// knowing it, and a second run of a task could begin. Its successor waits for this time plus a lease and a margin.
@@ -57,6 +59,19 @@
     pub version: u64,
 }
 
+/// The end of a run of another pool's kept job, listed by a worker that belonged to that pool before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForeignEnd {
+    /// The worker that lists the end.
+    pub instance: InstanceId,
+    /// When the worker's incarnation began that lists the end.
+    pub born: Option<WorkerStartTime>,
+    /// The task whose run has ended.
+    pub task: TaskId,
+    /// The end.
+    pub end: EndedRun,
+}
+
 /// The end of a run that is known but not stored yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct UnstoredEnd {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -51,7 +51,7 @@
     attempt_lease::{AttemptLease, LeaseTerm},
     attempt_times::AttemptTimes,
     evacuation::{EvacuationChange, EvacuationSet},
-    kept::{FoundJob, KeptWrite, KeptWriteResult},
+    kept::{ForeignEnd, FoundJob, KeptWrite, KeptWriteResult},
     pool::{PoolInit, WorkerPool},
     pool_choice::{divide_step, order_pools, PoolCandidate},
     settings::PoolSettings,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -22,7 +22,7 @@
     critical_path, FenceToken, InstanceId, JobId, JobOutcome, JobRequest, JobTerms, RefusalKind,
     RunNumber, WorkerRecord, WorkerState,
 };
-use model::{FastMap, Mechanism};
+use model::{FastMap, FastSet, Mechanism};
 
 use crate::{
     action::{PoolAction, PoolEvent, SuspensionCause, WaiterId, WorkerChange},
@@ -87,6 +87,9 @@
     /// Whether the kept jobs have been loaded from the store. Until then no end is acknowledged,
     /// since it may belong to one of them.
     kept_loaded: bool,
+    /// The open kept jobs of other pools, as of the last read. Ends of theirs may be listed by a worker that belonged to
+    /// another pool before.
+    foreign_jobs: FastSet<JobId>,
     /// Reads of the kept jobs that began earlier do not count.
     rows_outdated_until: Instant,
     /// Since when no run of a former owner can be left, while found jobs wait for a read of their rows that began later.
@@ -155,6 +158,7 @@
             resend_budget: RESEND_BURST,
             last_store_contact: Some(now),
             kept_loaded: false,
+            foreign_jobs: FastSet::default(),
             rows_outdated_until: now,
             settled_since: None,
             recently_ended_kept: FastMap::default(),
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -12,14 +12,14 @@
     time::{Duration, Instant},
 };
 
-use jobs::{EndCause, EndedRun, InstanceId, JobId, JobOutcome, KeptState};
+use jobs::{EndCause, EndedRun, InstanceId, JobId, JobOutcome, KeptState, TaskId};
 use model::FastMap;
 
 use super::{end_run, kept_jobs::NO_DEADLINE, WorkerPool};
 use crate::{
-    action::PoolEvent,
+    action::{PoolAction, PoolEvent},
     job::TrackedJob,
-    kept::{FoundJob, KeptJobState, STORE_CONTACT_LIMIT, TAKEOVER_HOLD_TIME},
+    kept::{ForeignEnd, FoundJob, KeptJobState, STORE_CONTACT_LIMIT, TAKEOVER_HOLD_TIME},
     worker::TrackedWorker,
 };
 
@@ -70,16 +70,20 @@
         wanted && !self.predecessor_active
     }
 
-    /// Loads the kept jobs that the store has of this pool at the moment.
+    /// Loads this pool's jobs out of those that the store has at the moment.
     pub fn load_kept(&mut self, now: Instant, found: Vec<FoundJob>) {
         self.load_kept_since(now, now, found);
     }
 
-    /// Loads the kept jobs that the store had of this pool after `began`, when they were read.
+    /// Loads this pool's jobs out of those that the store had after `began`, when they were read.
     pub fn load_kept_since(&mut self, now: Instant, began: Instant, found: Vec<FoundJob>) {
         if self.predecessor_active || began < self.rows_outdated_until {
             return;
         }
+        let (found, others): (Vec<_>, Vec<_>) = found
+            .into_iter()
+            .partition(|found| found.row.home == self.name);
+        self.foreign_jobs = others.iter().map(|other| other.job).collect();
         self.kept_loaded = true;
         if self.settled_since.is_some_and(|settled| began >= settled) {
             self.resume_found_jobs(now, &found);
@@ -285,11 +289,47 @@
         }
     }
 
+    /// Has an end added to the row of another pool's job before it is acknowledged. The pool that has the job reads its rows
+    /// once more before it runs what it found.
+    fn store_foreign_end(&mut self, instance: &InstanceId, task: TaskId, end: &EndedRun) {
+        let is_recorded = matches!(end.cause, EndCause::Done | EndCause::Failed);
+        let Some(worker) = self.workers.get_mut(instance).filter(|_| is_recorded) else {
+            return;
+        };
+        if !worker.unstored_ends.insert(end.number) {
+            return;
+        }
+        self.events.push(PoolEvent::ForeignEndFound {
+            instance: instance.clone(),
+            task,
+            run: end.run,
+            cause: end.cause,
+        });
+        self.actions.push(PoolAction::StoreForeignEnd(ForeignEnd {
+            instance: instance.clone(),
+            born: worker.born,
+            task,
+            end: end.clone(),
+        }));
+    }
+
+    /// Handles that an end is in the row of another pool's job, or that the job has ended.
+    pub fn on_foreign_end_stored(&mut self, stored: &ForeignEnd) {
+        let worker = self.workers.get_mut(&stored.instance);
+        if let Some(worker) = worker.filter(|worker| worker.born == stored.born) {
+            worker.unstored_ends.remove(&stored.end.number);
+        }
+    }
+
     /// Handles the end of a run that a former owner ordered.
     pub(super) fn apply_found_end(&mut self, now: Instant, instance: &InstanceId, end: &EndedRun) {
         let Some(task) = end.task else {
             return;
         };
+        if self.foreign_jobs.contains(&task.job) {
+            self.store_foreign_end(instance, task, end);
+            return;
+        }
         let step = task.step as usize;
         let Some(job) = self
             .jobs
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -386,3 +386,31 @@
     assert_eq!(state(&simulation), Some(KeptState::Completed));
     assert_eq!(done_runs(&simulation), [1, 1, 1]);
 }
+
+/// Ran twice: workers were divided anew among pools, and the owner of a worker's new pool acknowledged ends of a job that
+/// the former pool still had. The ends are stored with the job first.
+#[test]
+fn ends_on_a_worker_that_changes_its_pool_are_stored() {
+    for moved_after in [40, 80, 100, 140] {
+        let mut simulation = simulation(2);
+        simulation.done_is_final = true;
+        simulation.submit_sized(1, JOB, vec![60.0, 60.0, 900.0], 100.0, 6_800);
+        simulation.run_for(30);
+        simulation.freeze_owner(moved_after);
+        simulation.run_for(moved_after);
+        simulation.replace_owner_of("east/1");
+        simulation.run_for(5);
+        simulation.read_rows();
+        simulation.run_for(2_000);
+        simulation.replace_owner();
+        simulation.run_for(5);
+        simulation.read_rows();
+        simulation.run_for(3_000);
+        assert_eq!(
+            state(&simulation),
+            Some(KeptState::Completed),
+            "moved after {moved_after} ms"
+        );
+        assert_eq!(done_runs(&simulation), [1, 1, 1]);
+    }
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -22,9 +22,9 @@
     WorkerStartTime, WorkerState,
 };
 use pool::{
-    CallFailure, FoundJob, KeptWrite, KeptWriteResult, PollAnswer, PollOrder, PoolAction,
-    PoolEvent, PoolInit, PoolSettings, StartAnswer, StartOrder, StopAnswer, StopOrder, WaiterId,
-    WorkerPool,
+    CallFailure, ForeignEnd, FoundJob, KeptWrite, KeptWriteResult, PollAnswer, PollOrder,
+    PoolAction, PoolEvent, PoolInit, PoolSettings, StartAnswer, StartOrder, StopAnswer, StopOrder,
+    WaiterId, WorkerPool,
 };
 
 use crashing::CrashPlan;
@@ -60,6 +60,7 @@
     StopAnswer(CallNumber, StopOrder, StopAnswer),
     PollAnswer(CallNumber, PollOrder, u64, PollAnswer),
     WriteRow(KeptWrite),
+    StoreForeignEnd(FenceToken, ForeignEnd),
 }
 
 /// An event to be delivered at a simulated time. Messages of the same time are delivered in the order of their numbers.
@@ -317,9 +318,15 @@
 
     /// As [`Self::change_owner`], but kept jobs have yet to be read.
     pub(crate) fn replace_owner(&mut self) {
+        self.replace_owner_of("east/0");
+    }
+
+    /// As [`Self::replace_owner`], by the owner of a pool of this name, to which all workers belong from now on.
+    pub(crate) fn replace_owner_of(&mut self, pool: &str) {
         self.fence += 1;
         let at = self.instant();
         let init = PoolInit {
+            name: Arc::from(pool),
             evacuated: self.evacuated,
             ..pool_init(self.fence)
         };
@@ -665,6 +672,19 @@
         self.execute_actions();
     }
 
+    fn store_foreign_end(&mut self, fence: FenceToken, end: &ForeignEnd) {
+        self.serial += 1;
+        if let Some((row, version)) = self.rows.get_mut(&end.task.job) {
+            if !row.state.is_final() && row.record_end(end.task, &end.end) {
+                row.writer = fence.0;
+                *version = self.serial;
+            }
+        }
+        if self.pool.fence() == fence {
+            self.pool.on_foreign_end_stored(end);
+        }
+    }
+
     fn store_row(&mut self, order: KeptWrite) {
         if !self.store_up {
             self.waiting_writes.push(order);
@@ -742,6 +762,10 @@
                 PoolAction::Poll(order) => self.send_poll(order),
                 PoolAction::Answer { waiter, outcome } => self.end_job(JobId(waiter.0), outcome),
                 PoolAction::WriteKeptJob(order) => self.post(STORE_TIME_MS, Event::WriteRow(order)),
+                PoolAction::StoreForeignEnd(end) => {
+                    let fence = self.pool.fence();
+                    self.post(STORE_TIME_MS, Event::StoreForeignEnd(fence, end));
+                }
                 PoolAction::ReleasePool => self.released = true,
             }
         }
@@ -827,6 +851,7 @@
                 Event::Stop(call, order) => self.handle_stop(call, order),
                 Event::Poll(call, order, sent) => self.handle_poll(call, order, sent),
                 Event::WriteRow(order) => self.store_row(order),
+                Event::StoreForeignEnd(fence, end) => self.store_foreign_end(fence, &end),
                 event if self.now < self.owner_frozen_until => {
                     self.post(self.owner_frozen_until - self.now, event);
                 }
