A read from before kept jobs were released does not count as their reload

What callers would see: an accepted job that nobody runs (LOST: could run and doesn't). An owner that is to hand its pool over releases its idle kept jobs (release_idle_kept), the handover is called off, and a read of the rows that had begun before the job was stored counts as the reload.

Cause: a job leaves memory while its row is open, and what brings it back may be older than the row. The class of the commit on reads that nobody else's write can follow; release_idle_kept was left out there.

Change: the release sets the time from which a read counts, like the other ways out of memory.

--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -201,7 +201,7 @@
         let settled = self.has_kept_on_hold() && self.is_takeover_settled(now);
         self.settled_since = settled.then(|| self.settled_since.unwrap_or(now));
         if !self.accepting {
-            self.release_idle_kept();
+            self.release_idle_kept(now);
         }
     }
 
@@ -245,7 +245,7 @@
     }
 
     /// Releases kept jobs of which nothing runs. The next owner finds them in the store.
-    fn release_idle_kept(&mut self) {
+    fn release_idle_kept(&mut self, now: Instant) {
         let idle = self.jobs.iter().filter(|(id, job)| {
             let stored = job.kept.as_ref().is_some_and(KeptJobState::is_fully_stored);
             stored
@@ -255,6 +255,10 @@
                     .all(|worker| worker.run_count_of(**id) == 0)
         });
         let idle: Vec<JobId> = idle.map(|(id, _)| *id).collect();
+        if !idle.is_empty() {
+            // A read that began earlier may not have these jobs.
+            self.rows_outdated_until = now;
+        }
         for id in idle {
             self.jobs.remove(&id);
             self.queue.remove(id);
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -414,3 +414,24 @@
         assert_eq!(done_runs(&simulation), [1, 1, 1]);
     }
 }
+
+/// Guards against an accepted job that nobody runs: its owner released it while it was to hand the pool over, kept the
+/// pool, and took a read of the rows that had begun before the job was stored for a later one.
+#[test]
+fn jobs_released_for_a_handover_that_is_called_off_are_found_again() {
+    let mut simulation = simulation(1);
+    simulation.store_up = false;
+    simulation.submit_sized(1, JOB, vec![300.0], 300.0, 8_000);
+    let outdated = simulation.begin_read();
+    simulation.pool.stop_accepting();
+    simulation.restore_store();
+    simulation.run_for(200);
+    assert_eq!(state(&simulation), Some(KeptState::Queued));
+    simulation.pool.resume_accepting();
+    simulation.finish_read(outdated);
+    if simulation.pool.needs_kept_load() {
+        simulation.read_rows();
+    }
+    simulation.run_for(12_000);
+    assert_eq!(state(&simulation), Some(KeptState::Completed));
+}
