--- a/crates/pool/tests/crash.rs
+++ b/crates/pool/tests/crash.rs
@@ -369,3 +369,140 @@
     let suspected = |event: &PoolEvent| matches!(event, PoolEvent::CrashSuspected { .. });
     assert!(!simulation.crashes.events.iter().any(suspected));
 }
+
+/// Runs on until a worker has a run of the job, or for 30 s. Returns that worker.
+fn wait_for_run(simulation: &mut Simulation, job: JobId) -> Option<InstanceId> {
+    for _ in 0..30_000 {
+        let mut running = simulation.running_tasks();
+        if running.any(|task| task.job == job) {
+            drop(running);
+            return Some(simulation.worker_running(job));
+        }
+        drop(running);
+        simulation.run_for(1);
+    }
+    None
+}
+
+/// Guards against a job shown as failed under which no worker crashed: its worker was cut off until the run's lease
+/// lapsed, and crashed later without the run.
+#[test]
+fn a_worker_that_crashes_after_a_lapsed_lease_is_no_death_under_its_task() {
+    for returns in [CrashReturn::SameId, CrashReturn::NewId] {
+        let job = JobId(7);
+        let mut simulation = kept_simulation(1, 1, returns);
+        simulation.crashes.away_ms = 300;
+        simulation.submit_sized(1, job, vec![2_000.0], 2_000.0, WHOLE_WORKER);
+        for _ in 0..2 {
+            let Some(instance) = wait_for_run(&mut simulation, job) else {
+                break;
+            };
+            simulation.run_for(100);
+            simulation.workers.get_mut(&instance).unwrap().fault.silent = true;
+            simulation.run_for(1_800);
+            assert_eq!(simulation.workers[&instance].run_count(), 0);
+            simulation.crash(&instance);
+            simulation.run_for(400);
+        }
+        simulation.run_for(30_000);
+        let completed = Some(KeptState::Completed);
+        assert_eq!(state(&simulation, job), completed, "{returns:?}");
+    }
+}
+
+/// Guards against a job shown as failed under which no worker crashed: its worker was cut off, the run ended there, and
+/// the worker crashed before it could tell.
+#[test]
+fn a_worker_that_crashes_after_an_unheard_end_is_no_death_under_its_task() {
+    for (returns, away_ms) in [
+        (CrashReturn::SameId, 20),
+        (CrashReturn::SameId, 2_500),
+        (CrashReturn::NewId, 2_500),
+    ] {
+        let job = JobId(7);
+        let mut simulation = kept_simulation(1, 1, returns);
+        simulation.crashes.away_ms = away_ms;
+        simulation.submit_sized(1, job, vec![300.0], 300.0, WHOLE_WORKER);
+        for _ in 0..2 {
+            let Some(instance) = wait_for_run(&mut simulation, job) else {
+                break;
+            };
+            simulation.run_for(100);
+            simulation.workers.get_mut(&instance).unwrap().fault.silent = true;
+            simulation.run_for(400);
+            assert_eq!(simulation.workers[&instance].run_count(), 0);
+            simulation.crash(&instance);
+            simulation.run_for(away_ms + 100);
+        }
+        simulation.run_for(30_000);
+        let completed = Some(KeptState::Completed);
+        assert_eq!(state(&simulation, job), completed, "{returns:?} {away_ms}");
+    }
+}
+
+/// Guards against a task that crashes its workers before they answer and is started again and again: beyond three starts
+/// after three deaths.
+#[test]
+fn a_task_that_crashes_workers_before_they_answer_is_started_three_times_more_at_most() {
+    let mut simulation = kept_simulation(2, 6, CrashReturn::SameId);
+    simulation.crashes.before_answer = true;
+    simulation.make_crashing(JobId(1), 0.0);
+    simulation.submit_sized(1, JobId(1), vec![300.0], 300.0, HALF_WORKER);
+    simulation.run_for(300_000);
+    assert!(deaths(&simulation) <= 6, "{}", deaths(&simulation));
+}
+
+/// Guards against each new owner of a pool counting from zero the losses under a task that crashes its workers before
+/// they answer.
+#[test]
+fn unanswered_deaths_survive_a_change_of_owner() {
+    let mut simulation = kept_simulation(2, 6, CrashReturn::SameId);
+    simulation.crashes.before_answer = true;
+    simulation.make_crashing(JobId(1), 0.0);
+    simulation.submit_sized(1, JobId(1), vec![300.0], 300.0, HALF_WORKER);
+    for _ in 0..3 {
+        simulation.run_for(8_000);
+        simulation.replace_owner();
+        simulation.read_rows();
+    }
+    simulation.run_for(8_000);
+    assert!(deaths(&simulation) <= 6, "{}", deaths(&simulation));
+}
+
+/// Guards against an accepted job that could run and doesn't: its starts reached workers that were dead already, so
+/// nothing speaks against it, and it is held back ever longer.
+#[test]
+fn starts_to_dead_workers_hold_their_task_back_no_longer_than_a_few_seconds() {
+    let job = JobId(7);
+    let mut simulation = kept_simulation(1, 1, CrashReturn::SameId);
+    simulation.crashes.away_ms = 300;
+    let mut starts_sent = simulation.starts_sent;
+    simulation.submit_sized(1, job, vec![300.0], 300.0, WHOLE_WORKER);
+    for _ in 0..5 {
+        while simulation.starts_sent == starts_sent {
+            simulation.run_for(1);
+        }
+        let instance = simulation.workers.keys().next().cloned().unwrap();
+        simulation.crash(&instance);
+        simulation.run_for(400);
+        starts_sent = simulation.starts_sent;
+    }
+    let calm = simulation.now;
+    while state(&simulation, job) != Some(KeptState::Completed) {
+        simulation.run_for(10);
+        assert!(simulation.now < calm + 7_000, "held back for over 7 s");
+    }
+}
+
+/// Guards against a next owner that counts a death under a task of which only a start was sent there.
+#[test]
+fn a_start_to_a_dead_worker_is_no_death_in_the_row() {
+    for returns in [CrashReturn::SameId, CrashReturn::NewId] {
+        let job = JobId(7);
+        let mut simulation = simulation_with_a_start_to_a_dead_worker(job, returns, 600);
+        for _ in 0..4_000 {
+            simulation.run_for(1);
+            assert!(recorded_deaths(&simulation, job) <= 1, "{returns:?}");
+        }
+    }
+}
