Deaths name a task only where workers die less often without it

Cause: the evidence asked whether a task died twice, not whether workers die this often without it.

Change: `death_rate` keeps the deaths that no task caused: of idle workers, and of workers of which all that ran has completed elsewhere since. On a calm fleet it is named after two, one alone, as before: all earlier tests of tests/crash.rs pass unchanged.

Test, without the change: deaths_as_frequent_as_those_of_idle_workers_name_no_task assertion `left != right` failed; left: Some(Failed), right: Some(Failed) The other new test (a crashing task ends within six deaths under 0.25 deaths a worker-second, four seeds) passes with and without: it guards the bound.

Open: the rate is a pool's, not an owner's, so a new owner and a small pool know little at first and judge as on a calm fleet; a rack over several pools is seen by each pool alone. Deaths of workers whose tasks were given up before they completed count neither way.

--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -7,6 +7,9 @@
 //! that was sent to a worker that was dead already is no run. A task that may have begun is restricted like one that
 //! has, since it may crash its workers before they can answer.
 //!
+//! Nor does a death identify a culprit that is no more frequent than the deaths that no task caused, up to a maximum that
+//! bounds how many workers a task can take down.
+//!
 //! One death does not identify the culprit among the runs that were lost with a worker: all of them become suspects. A
 //! suspect then runs alone on a worker, so that a second death identifies it and no other task. Deaths that happen
 //! together, such as those of a rack, make no task a suspect, and neither does a silent worker that turns out to be
@@ -21,12 +24,18 @@
 use jobs::{InstanceId, JobId, TaskId, WorkerStartTime};
 use model::{FastMap, FastSet};
 
+use crate::death_rate::{DeathRate, WorkerDeath};
+
 /// The number of deaths that make a task a culprit if it ran alone in one of them.
 const ISOLATED_CULPRIT_DEATHS: u32 = 2;
 
 /// The number of deaths that make a task a culprit even if it never ran alone.
 const CULPRIT_DEATHS: u32 = 3;
 
+/// The number of deaths that make a task a culprit however often workers die without it. It bounds the number of workers
+/// that a task can take down.
+const MAX_DEATHS: u32 = 5;
+
 /// Losses within this time may have a common cause. It covers the difference in time between the detection of one
 /// silent worker and of another.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(500);
@@ -66,6 +75,8 @@
     /// Whether the task is known to have begun in the incarnation that was lost. Otherwise it may have, which restricts
     /// where it runs next and never identifies it as a culprit.
     pub(crate) begun: bool,
+    /// How long the task would have run on the worker, or did until the worker was lost.
+    pub(crate) exposure: Duration,
 }
 
 /// A worker that was lost with its runs.
@@ -103,7 +114,7 @@
 }
 
 impl LossCounts {
-    fn is_culprit(&self) -> bool {
+    fn may_be_culprit(&self) -> bool {
         self.deaths >= CULPRIT_DEATHS || (self.deaths >= ISOLATED_CULPRIT_DEATHS && self.alone > 0)
     }
 
@@ -138,6 +149,10 @@
     losses: Vec<WorkerLoss>,
     /// All losses within `COMMON_CAUSE_WINDOW`, whether or not they count against a task.
     recent_losses: Vec<WorkerLoss>,
+    /// The deaths that no task caused.
+    death_rate: DeathRate,
+    /// The number of the pool's workers when one was lost last.
+    workers: usize,
     /// Derived from `losses`.
     loss_counts: FastMap<TaskId, LossCounts>,
     culprits: FastSet<TaskId>,
@@ -168,6 +183,7 @@
         worker_counts: &WorkerCounts,
     ) -> CrashFindings {
         let now = loss.lost_at;
+        self.workers = worker_counts.workers;
         self.recent_losses
             .retain(|other| now < other.lost_at + COMMON_CAUSE_WINDOW);
         self.recent_losses.push(loss.clone());
@@ -180,6 +196,15 @@
         }
     }
 
+    /// Records the death of a worker that had no runs, unless it had lost them before.
+    pub(crate) fn record_idle_death(&mut self, death: WorkerDeath) {
+        let is_same =
+            |loss: &WorkerLoss| loss.instance == death.instance && loss.born == death.born;
+        if !self.losses.iter().any(is_same) {
+            self.death_rate.record(death);
+        }
+    }
+
     /// Records a death that a former owner stored. Returns the culprits that it identifies.
     pub(crate) fn restore_death(&mut self, loss: WorkerLoss) -> Vec<TaskId> {
         let now = loss.lost_at;
@@ -294,7 +319,10 @@
             known.died |= loss.died;
             for lost in loss.tasks {
                 match known.tasks.iter_mut().find(|l| l.task == lost.task) {
-                    Some(same) => same.begun |= lost.begun,
+                    Some(same) => {
+                        same.begun |= lost.begun;
+                        same.exposure = same.exposure.max(lost.exposure);
+                    }
                     None => known.tasks.push(lost),
                 }
             }
@@ -370,9 +398,12 @@
     /// Recounts the losses and returns the tasks that are newly identified as culprits.
     fn find_culprits(&mut self, now: Instant) -> Vec<TaskId> {
         self.recount_losses();
-        let culprits = self.loss_counts.iter();
-        let culprits =
-            culprits.filter(|(task, counts)| counts.is_culprit() && !self.culprits.contains(task));
+        let suspects = self.loss_counts.iter();
+        let suspects = suspects
+            .filter(|(task, counts)| counts.may_be_culprit() && !self.culprits.contains(*task));
+        let culprits = suspects.filter(|(task, counts)| {
+            counts.deaths >= MAX_DEATHS || self.has_sufficient_odds(now, **task)
+        });
         let culprits: Vec<TaskId> = culprits.map(|(task, _)| *task).collect();
         if culprits.is_empty() {
             return culprits;
@@ -395,8 +426,34 @@
         culprits
     }
 
+    /// Whether the deaths under a task are its doing rather than chance.
+    fn has_sufficient_odds(&self, now: Instant, task: TaskId) -> bool {
+        let mut deaths = Vec::new();
+        for loss in self.losses.iter().filter(|loss| loss.died) {
+            let of_task = |lost: &&LostTask| lost.begun && lost.task == task;
+            let lost = loss.tasks.iter().find(of_task);
+            deaths.extend(lost.map(|lost| (loss.lost_at, lost.exposure)));
+        }
+        let odds = self
+            .death_rate
+            .culprit_odds(now, self.workers, deaths.into_iter());
+        odds.is_sufficient()
+    }
+
     fn recount_losses(&mut self) {
-        self.losses.retain(|loss| !loss.tasks.is_empty());
+        let death_rate = &mut self.death_rate;
+        self.losses.retain(|loss| {
+            let is_over = loss.died && loss.tasks.is_empty();
+            if is_over {
+                // No task is left that could have caused it.
+                death_rate.record(WorkerDeath {
+                    instance: loss.instance.clone(),
+                    born: loss.born,
+                    died_at: loss.lost_at,
+                });
+            }
+            !is_over
+        });
         self.loss_counts.clear();
         for loss in &self.losses {
             for lost in &loss.tasks {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -27,6 +27,7 @@
 mod attempt_lease;
 mod attempt_times;
 mod crash;
+mod death_rate;
 mod estimate;
 mod evacuation;
 mod forecast;
--- a/crates/pool/src/pool/crash_blame.rs
+++ b/crates/pool/src/pool/crash_blame.rs
@@ -4,7 +4,7 @@
 //! A worker that was lost is not unhealthy: it gets runs again as soon as it answers. The deaths
 //! under a task of a kept job are stored with the job, so that they survive a change of owner.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jobs::{
     InstanceId, JobId, JobOutcome, KeptState, StepRecord, TaskDeath, TaskId, WorkerRecord,
@@ -16,13 +16,37 @@
 use crate::{
     action::{PoolEvent, RunBeginning},
     crash::{LossCounts, LostTask, TaskRestriction, WorkerCounts, WorkerLoss},
+    death_rate::WorkerDeath,
     placement::can_hold,
-    worker::TrackedWorker,
+    worker::{TrackedRun, TrackedWorker},
 };
 
 /// At most one in this many open workers is emptied for crash suspects, but at least one.
 const MAX_RESERVED_DIVISOR: usize = 8;
 
+/// How long a task counts as exposed to a death that a former owner recorded.
+const RECORDED_EXPOSURE: Duration = Duration::from_secs(1);
+
+/// A run that was lost with its worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LostRun {
+    task: TaskId,
+    beginning: RunBeginning,
+    exposure: Duration,
+}
+
+impl LostRun {
+    /// A run that is lost now, with what was known of its beginning.
+    pub(super) fn new(now: Instant, run: &TrackedRun, beginning: RunBeginning) -> Self {
+        let elapsed = now.saturating_duration_since(run.placed_at);
+        Self {
+            task: run.task,
+            beginning,
+            exposure: elapsed.min(run.predicted),
+        }
+    }
+}
+
 impl WorkerPool {
     /// Records the loss of a worker with tasks that may have begun, one of which may have killed
     /// it. Returns the tasks that this identifies as culprits; the caller ends their jobs once it
@@ -31,7 +55,7 @@
         &mut self,
         now: Instant,
         instance: &InstanceId,
-        runs: impl Iterator<Item = (TaskId, RunBeginning)>,
+        runs: Vec<LostRun>,
         died: bool,
     ) -> Vec<TaskId> {
         let Some(worker) = self.workers.get(instance) else {
@@ -42,10 +66,18 @@
         if is_leaving || !self.is_enabled(Mechanism::CrashBlame) {
             return Vec::new();
         }
-        let sent = runs.filter(|(_, beginning)| *beginning != RunBeginning::Unsent);
-        let tasks = sent.filter_map(|(task, beginning)| self.lost_task(task, beginning));
-        let tasks: Vec<LostTask> = tasks.collect();
+        let sent = runs.iter();
+        let sent = sent.filter(|run| run.beginning != RunBeginning::Unsent);
+        let tasks: Vec<LostTask> = sent.filter_map(|run| self.lost_task(run)).collect();
         if tasks.is_empty() {
+            // A worker that begins to publish its start time has not restarted.
+            if died && worker.born.is_some() {
+                self.crashes.record_idle_death(WorkerDeath {
+                    instance: instance.clone(),
+                    born: worker.born,
+                    died_at: now,
+                });
+            }
             return Vec::new();
         }
         let loss = WorkerLoss {
@@ -110,16 +142,17 @@
         let mut culprits = Vec::new();
         for (step, record) in steps.iter().enumerate() {
             for death in &record.deaths {
-                let task = task_id(id, step, death.task);
+                let run = LostRun {
+                    task: task_id(id, step, death.task),
+                    beginning: RunBeginning::Begun,
+                    exposure: RECORDED_EXPOSURE,
+                };
                 let loss = WorkerLoss {
                     instance: death.life.clone(),
                     born: death.born,
                     address: None,
                     labels: Vec::new(),
-                    tasks: self
-                        .lost_task(task, RunBeginning::Begun)
-                        .into_iter()
-                        .collect(),
+                    tasks: self.lost_task(&run).into_iter().collect(),
                     was_alone: false,
                     lost_at: now,
                     died: true,
@@ -212,12 +245,13 @@
     }
 
     /// Returns `None` if the task's job is no longer in the pool.
-    fn lost_task(&self, task: TaskId, beginning: RunBeginning) -> Option<LostTask> {
-        let job = self.jobs.get(&task.job)?;
+    fn lost_task(&self, run: &LostRun) -> Option<LostTask> {
+        let job = self.jobs.get(&run.task.job)?;
         Some(LostTask {
-            task,
+            task: run.task,
             route: job.terms.route.clone(),
-            begun: beginning == RunBeginning::Begun,
+            begun: run.beginning == RunBeginning::Begun,
+            exposure: run.exposure,
         })
     }
 
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -9,7 +9,7 @@
 
 use model::Mechanism;
 
-use super::{stop_run, WorkerPool};
+use super::{crash_blame::LostRun, stop_run, WorkerPool};
 use crate::{
     action::{
         CallFailure, PollAnswer, PollOrder, PoolAction, PoolEvent, RunBeginning, RunLoss,
@@ -505,8 +505,9 @@
         worker.foreign_runs.clear();
         worker.queued_orders.clear();
         let died = loss == RunLoss::NewIncarnation;
-        let lost = runs.iter().map(|run| (run.task, run.beginning));
-        let culprits = self.record_worker_loss(now, instance, lost, died);
+        let lost = runs.iter();
+        let lost = lost.map(|run| LostRun::new(now, run, run.beginning));
+        let culprits = self.record_worker_loss(now, instance, lost.collect(), died);
         for run in runs {
             self.record_lost_run(now, &run, instance, loss);
             self.requeue(now, run);
--- a/crates/pool/src/pool/restart.rs
+++ b/crates/pool/src/pool/restart.rs
@@ -14,7 +14,7 @@
 
 use jobs::{InstanceId, JobOutcome, RunNumber, TaskId, WorkerListing};
 
-use super::WorkerPool;
+use super::{crash_blame::LostRun, WorkerPool};
 use crate::{
     action::{PollOrder, PoolEvent, RunBeginning, RunLoss},
     worker::{ListingIncarnation, TrackedRun},
@@ -73,20 +73,22 @@
         };
         let last_listed = worker.answered_poll_sent;
         let mut fates: Vec<(TaskId, RunNumber, FormerRunFate)> = Vec::new();
-        let mut lost: Vec<(TaskId, RunBeginning)> = Vec::new();
+        let mut lost = Vec::new();
         for run in &worker.runs {
             let fate = classify_former_run(run, order, listing, last_listed);
             fates.push((run.task, run.run, fate));
             match fate {
                 FormerRunFate::Listed | FormerRunFate::Unsent => (),
                 // It may have begun in the new incarnation only.
-                FormerRunFate::Unknown => lost.push((run.task, RunBeginning::Unconfirmed)),
+                FormerRunFate::Unknown => {
+                    lost.push(LostRun::new(now, run, RunBeginning::Unconfirmed));
+                }
                 FormerRunFate::Unanswered | FormerRunFate::Dead => {
-                    lost.push((run.task, run.beginning));
+                    lost.push(LostRun::new(now, run, run.beginning));
                 }
             }
         }
-        let culprits = self.record_worker_loss(now, instance, lost.into_iter(), true);
+        let culprits = self.record_worker_loss(now, instance, lost, true);
         if let Some(worker) = self.workers.get_mut(instance) {
             worker.begin_incarnation(now, listing.born, self.no_later_claim_until);
         }
--- a/crates/pool/tests/crash.rs
+++ b/crates/pool/tests/crash.rs
@@ -506,3 +506,53 @@
         }
     }
 }
+
+/// Guards against an innocent job shown as failed where workers die often: two died under it, one while it ran alone,
+/// and idle ones died as often.
+#[test]
+fn deaths_as_frequent_as_those_of_idle_workers_name_no_task() {
+    let mut simulation = kept_simulation(1, 8, CrashReturn::SameId);
+    simulation.crashes.away_ms = 300;
+    let job = JobId(7);
+    simulation.submit_sized(1, job, vec![1_500.0], 1_500.0, WHOLE_WORKER);
+    for _ in 0..2 {
+        simulation.run_for(100);
+        let idle = simulation
+            .workers
+            .iter()
+            .filter(|(_, w)| w.run_count() == 0);
+        let idle: Vec<InstanceId> = idle.map(|(instance, _)| instance.clone()).collect();
+        for instance in idle.iter().take(3) {
+            simulation.crash(instance);
+        }
+        simulation.run_for(700);
+        let busy = simulation.worker_running(job);
+        simulation.crash(&busy);
+        while simulation.running() == 0 {
+            assert_ne!(state(&simulation, job), Some(KeptState::Failed));
+            simulation.run_for(1);
+        }
+    }
+    simulation.run_for(5_000);
+    assert_eq!(state(&simulation, job), Some(KeptState::Completed));
+}
+
+/// Guards against a crashing task that is never named because workers die often without it.
+#[test]
+fn a_crashing_task_ends_however_often_workers_die() {
+    for seed in 0..4 {
+        let mut simulation = kept_simulation(seed, 12, CrashReturn::SameId);
+        simulation.crashes.away_ms = 800;
+        simulation.crashes.background_rate = 0.25;
+        let job = JobId(7);
+        simulation.make_crashing(job, 0.5);
+        simulation.submit_sized(1, job, vec![200.0], 200.0, HALF_WORKER);
+        simulation.run_for(40_000);
+        assert_eq!(
+            state(&simulation, job),
+            Some(KeptState::Failed),
+            "seed {seed}"
+        );
+        assert!(deaths(&simulation) <= 6, "{}", deaths(&simulation));
+    }
+}
--- a/crates/pool/tests/support/crashing.rs
+++ b/crates/pool/tests/support/crashing.rs
@@ -28,6 +28,8 @@
     pub(crate) before_answer: bool,
     /// How long a crashed worker is away, in milliseconds.
     pub(crate) away_ms: u64,
+    /// How often a worker crashes whatever it runs, per second.
+    pub(crate) background_rate: f64,
     /// The workers that are away, and until when.
     down: BTreeMap<InstanceId, u64>,
     /// The number of deaths under each task that crashes workers.
@@ -45,6 +47,7 @@
             return_kind: CrashReturn::SameId,
             before_answer: false,
             away_ms: 2_500,
+            background_rate: 0.0,
             down: BTreeMap::new(),
             deaths: BTreeMap::new(),
             extra_starts: BTreeMap::new(),
@@ -102,6 +105,9 @@
                 }
             }
         }
+        for instance in self.draw_background_crashes() {
+            self.crash(&instance);
+        }
         for (instance, task) in dying {
             *self.crashes.deaths.entry(task).or_default() += 1;
             self.crash(&instance);
@@ -115,6 +121,18 @@
         }
     }
 
+    fn draw_background_crashes(&mut self) -> Vec<InstanceId> {
+        let chance = self.crashes.background_rate / 1_000.0;
+        if chance == 0.0 {
+            return Vec::new();
+        }
+        let up = self.workers.keys();
+        let up = up.filter(|instance| !self.crashes.down.contains_key(*instance));
+        let up: Vec<InstanceId> = up.cloned().collect();
+        let dying = up.into_iter().filter(|_| self.rng.f64() < chance);
+        dying.collect()
+    }
+
     fn return_worker(&mut self, instance: &InstanceId) {
         if self.crashes.return_kind == CrashReturn::SameId {
             self.workers.get_mut(instance).unwrap().fault.silent = false;
