Every listed end of a kept job is held back until the store has it

Cause: an end that a worker lists was noted only if its task still waited. If it did not, the end was acknowledged at once. That is wrong when the end was noted before and is not stored yet, since its worker left the directory meanwhile and came back, as entries do while the store is away; when the task runs again elsewhere by now; and when the job has ended here and that is not stored yet. An owner that dies then leaves a row without the end, and the task runs again. Class: what is known in memory is taken for stored.

Change: an end that counts is recorded with its job wherever its task is, and held back until all that is known of the job is stored; an end that is recorded already is held back likewise. The third case, a job that has ended, has no test of its own.

--- a/crates/jobs/src/kept.rs
+++ b/crates/jobs/src/kept.rs
@@ -88,6 +88,15 @@
         differs
     }
 
+    /// Whether the end of a run of a task is recorded, or leaves no trace.
+    pub fn contains(&self, task: u32, end: &EndedRun) -> bool {
+        match end.cause {
+            EndCause::Done => self.done.contains(&task),
+            EndCause::Failed => self.failed.contains(&(task, end.run.0)),
+            EndCause::Stopped | EndCause::Lapsed | EndCause::Gang => true,
+        }
+    }
+
     /// Adds what another record of the same step contains.
     pub fn merge(&mut self, other: &Self) {
         for done in &other.done {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -97,6 +97,16 @@
     }
 }
 
+impl EndCause {
+    /// Whether the end is recorded with its job, if that is a kept job. Other ends leave a task as it was before the run.
+    pub const fn is_recorded(self) -> bool {
+        match self {
+            Self::Done | Self::Failed => true,
+            Self::Stopped | Self::Lapsed | Self::Gang => false,
+        }
+    }
+}
+
 /// A run that ended on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndedRun {
--- a/crates/pool/src/pool/kept_jobs.rs
+++ b/crates/pool/src/pool/kept_jobs.rs
@@ -175,10 +175,14 @@
     ) -> u32 {
         let job = self.jobs.get_mut(&task.job);
         let kept = job.and_then(|job| job.kept.as_mut());
-        // Once the job has ended, its row needs no further records.
-        let Some(kept) = kept.filter(|kept| kept.final_state.is_none()) else {
+        let Some(kept) = kept.filter(|_| end.cause.is_recorded()) else {
             return 0;
         };
+        // Once the job has ended, its row needs no further records, but it has yet to be stored as ended.
+        if kept.final_state.is_some() {
+            self.hold_back_end(task.job, instance, end.number);
+            return 0;
+        }
         let step = task.step as usize;
         let mut failures = 0;
         match end.cause {
@@ -192,17 +196,26 @@
             EndCause::Stopped | EndCause::Lapsed | EndCause::Gang => return 0,
         }
         kept.revision += 1;
-        kept.unstored_ends.push(UnstoredEnd {
-            instance: instance.clone(),
-            number: end.number,
-            revision: kept.revision,
-        });
-        if let Some(worker) = self.workers.get_mut(instance) {
-            worker.unstored_ends.insert(end.number);
-        }
+        self.hold_back_end(task.job, instance, end.number);
         failures
     }
 
+    /// Has an end acknowledged only once all that is known of its job is stored.
+    pub(super) fn hold_back_end(&mut self, id: JobId, instance: &InstanceId, number: u64) {
+        let kept = self.jobs.get_mut(&id).and_then(|job| job.kept.as_mut());
+        let Some(kept) = kept.filter(|kept| !kept.is_fully_stored()) else {
+            return;
+        };
+        let worker = self.workers.get_mut(instance);
+        if worker.is_some_and(|worker| worker.unstored_ends.insert(number)) {
+            kept.unstored_ends.push(UnstoredEnd {
+                instance: instance.clone(),
+                number,
+                revision: kept.revision,
+            });
+        }
+    }
+
     /// Writes the changes of a kept job to the store, unless a write is in flight: its answer
     /// triggers the next one.
     pub(super) fn store_changes(&mut self, id: JobId) {
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -296,8 +296,8 @@
     /// Has an end added to the row of another pool's job before it is acknowledged. The pool that has the job reads its rows
     /// once more before it runs what it found.
     fn store_foreign_end(&mut self, instance: &InstanceId, task: TaskId, end: &EndedRun) {
-        let is_recorded = matches!(end.cause, EndCause::Done | EndCause::Failed);
-        let Some(worker) = self.workers.get_mut(instance).filter(|_| is_recorded) else {
+        let worker = self.workers.get_mut(instance);
+        let Some(worker) = worker.filter(|_| end.cause.is_recorded()) else {
             return;
         };
         if !worker.unstored_ends.insert(end.number) {
@@ -335,29 +335,34 @@
             return;
         }
         let step = task.step as usize;
-        let Some(job) = self
-            .jobs
-            .get_mut(&task.job)
-            .filter(|job| job.kept.is_some())
-        else {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let progress = job.steps.get_mut(step);
-        let Some(progress) = progress else {
+        let kept = job.kept.as_ref();
+        let record = kept.and_then(|kept| kept.progress.get(step));
+        let Some((record, progress)) = record.zip(job.steps.get_mut(step)) else {
             return;
         };
-        let waits = progress.waiting.iter().position(|w| w.index == task.index);
-        let Some(waiting_index) = waits else {
+        if !end.cause.is_recorded() {
             return;
-        };
+        }
+        let has_ended = kept.is_some_and(|kept| kept.final_state.is_some());
+        if has_ended || record.contains(task.index, end) {
+            // The worker may have been removed and added again before the record was stored.
+            self.hold_back_end(task.job, instance, end.number);
+            return;
+        }
         match end.cause {
             EndCause::Done => {
-                progress.waiting.swap_remove(waiting_index);
+                progress.waiting.retain(|w| w.index != task.index);
                 self.record_end(task, instance, end);
                 self.advance_job(now, task.job);
             }
             EndCause::Failed => {
-                progress.waiting[waiting_index].failures += 1;
+                let waiting = progress.waiting.iter_mut();
+                for waiting in waiting.filter(|w| w.index == task.index) {
+                    waiting.failures += 1;
+                }
                 let attempts = job.terms.attempts;
                 if self.record_end(task, instance, end) >= attempts {
                     self.end_kept(now, task.job, KeptState::Failed);
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -435,3 +435,52 @@
     simulation.run_for(12_000);
     assert_eq!(state(&simulation), Some(KeptState::Completed));
 }
+
+/// Lost while the store was away: a worker left the directory and came back, and listed an end again that was noted before
+/// and not yet stored.
+#[test]
+fn an_unstored_end_is_not_forgotten_with_its_worker() {
+    let mut simulation = simulation(1);
+    let instance = simulation.workers.keys().next().unwrap().clone();
+    simulation.submit_sized(1, JOB, vec![60.0], 60.0, 6_800);
+    simulation.run_for(50);
+    simulation.store_up = false;
+    simulation.run_for(100);
+    let at = simulation.instant();
+    simulation.pool.unlist_worker(at, &instance);
+    simulation.publish_records();
+    simulation.run_for(2_000);
+    simulation.restore_store();
+    simulation.run_for(500);
+    assert_eq!(state(&simulation), Some(KeptState::Completed));
+    assert_eq!(done_runs(&simulation), [1]);
+}
+
+/// Lost after a takeover: a worker that was out of reach lists the end of a run whose task runs elsewhere by now.
+#[test]
+fn an_end_that_arrives_during_a_second_run_is_stored() {
+    let mut simulation = simulation(2);
+    simulation.submit_sized(1, JOB, vec![200.0], 200.0, 6_800);
+    simulation.run_for(60);
+    let instance = simulation.worker_running(JOB);
+    let silent = WorkerFault {
+        silent: true,
+        ..WorkerFault::default()
+    };
+    simulation.workers.get_mut(&instance).unwrap().fault = silent;
+    simulation.replace_owner();
+    simulation.run_for(5);
+    simulation.read_rows();
+    while simulation.running() != 0 {
+        simulation.run_for(1);
+    }
+    while simulation.running() == 0 {
+        simulation.run_for(1);
+    }
+    simulation.store_up = false;
+    simulation.workers.get_mut(&instance).unwrap().fault = WorkerFault::default();
+    simulation.run_for(2_000);
+    simulation.restore_store();
+    simulation.run_for(2_000);
+    assert_eq!(state(&simulation), Some(KeptState::Completed));
+}
