Kept jobs in the soak

What was missing: the soak submitted only jobs that are not kept, so no run of it could show a kept job that is lost, shown as failed without cause, or run again after it was done.

Change: a share of the jobs is kept (a new setting of the plan; known seeds and the soak of ended attempts are played without it, with the numbers that they had). Their customers come again with the same id until they have an answer, ask any node for the state until it is final and once more, sometimes cancel, and sometimes submit a job again after it was accepted. The worker stand-in records which ends were acknowledged before its lease expired. New invariants: lost, settled, canceled, again; completed, failed, refused and in_time cover kept jobs too. Orphan skips kept jobs, which outlive their customers' requests; all other jobs are checked as before.

Each new check was seen to fail: without check_kept_jobs, 9 of the 25 tests in tests/checks.rs failed (a_cancelled_job_that_goes_on, a_final_state_that_changes, a_job_shown_as_cancelled_without_a_request, a_kept_job_completed_before_its_tasks_are_done, a_kept_job_failed_without_cause, a_refused_kept_job_that_ran, a_task_that_starts_again_after_its_end, an_accepted_job_that_is_not_final_in_the_end, an_accepted_job_that_is_not_known), for example

assertion `left == right` failed: [] left: [] right: [Again]

With it all 25 pass.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,6 +1,8 @@
 //! Checks the invariants against the record of what customers and workers observed. Time limits apply only while no
 //! fault is active nearby.
 
+mod kept;
+
 use std::{fmt, time::Duration};
 
 use jobs::{JobId, TaskId};
@@ -45,6 +47,9 @@
 /// How long after the end of all faults jobs must be served again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(6);
 
+/// How long after the end of all traffic accepted kept jobs must be final, and known to be.
+pub(crate) const FINISH_LIMIT: Duration = Duration::from_secs(14);
+
 text_enum! {
     /// An invariant of the system. A violation is reported under the text of its variant.
     SoakInvariant, "promise", UnknownVariant {
@@ -74,6 +79,16 @@
         Orphan => "orphan",
         /// No task starts between two attempts of its job, or after the last, later than the record's limit.
         Stray => "stray",
+        /// An accepted kept job stays known until its customer cancels it, and gets a final state.
+        Lost => "lost",
+        /// The final state of a kept job does not change.
+        Settled => "settled",
+        /// A kept job is shown as cancelled only after its customer asked for that, and its tasks end soon after the
+        /// cancellation was acknowledged.
+        Canceled => "canceled",
+        /// No task of a kept job starts after a run of it was done and that end was acknowledged to the worker, or after
+        /// the job was shown as completed.
+        Again => "again",
         /// Jobs are served again after all faults have ended.
         Recovery => "recovery",
     }
@@ -108,6 +123,7 @@
     checker.check_stops();
     checker.check_drains();
     checker.check_config();
+    checker.check_kept_jobs();
     checker.check_recovery();
     checker.violations
 }
@@ -186,36 +202,42 @@
             self.add_violation(SoakInvariant::Refused, format!("job {} ran", job.id));
         }
         for attempt in &job.attempts {
-            if attempt.end == AttemptEnd::Failed && !self.may_fail(job.id, attempt) {
+            if attempt.end == AttemptEnd::Failed
+                && !self.may_fail(job.id, attempt.sent, attempt.ended)
+            {
                 let details = format!("job {} at {:?} without cause", job.id, attempt.ended);
                 self.add_violation(SoakInvariant::Failed, details);
             }
-            let took = attempt.ended - attempt.sent;
-            let late = took > job.deadline + ANSWER_SLACK;
-            let from = attempt.sent.saturating_sub(FAULT_AFTERMATH);
-            if late
-                && self
-                    .record
-                    .is_node_undisturbed(attempt.node, from, attempt.ended)
-            {
-                let details = format!(
-                    "request for job {} to node {} ended after {took:?}",
-                    job.id, attempt.node
-                );
-                self.add_violation(SoakInvariant::InTime, details);
-            }
+            self.check_answer_time(job.id, job.deadline, attempt);
+        }
+    }
+
+    fn check_answer_time(&mut self, job: JobId, deadline: Duration, attempt: &AttemptTrace) {
+        let took = attempt.ended - attempt.sent;
+        let late = took > deadline + ANSWER_SLACK;
+        let from = attempt.sent.saturating_sub(FAULT_AFTERMATH);
+        if late
+            && self
+                .record
+                .is_node_undisturbed(attempt.node, from, attempt.ended)
+        {
+            let details = format!(
+                "request for job {job} to node {} ended after {took:?}",
+                attempt.node
+            );
+            self.add_violation(SoakInvariant::InTime, details);
         }
     }
 
     /// Returns whether a task of the job gave cause to report the job as failed at the end of an attempt. Crashes
     /// count over all attempts, since a task that crashes its workers does so in each.
-    fn may_fail(&self, job: JobId, attempt: &AttemptTrace) -> bool {
+    fn may_fail(&self, job: JobId, sent: Duration, ended: Duration) -> bool {
         let mut failures: FastMap<TaskId, usize> = FastMap::default();
         let mut crashes: FastMap<TaskId, usize> = FastMap::default();
         let runs = self.record.runs.iter().filter(|run| run.task.job == job);
-        for run in runs.filter(|run| has_ended(run, attempt.ended + CLOCK_SLACK)) {
+        for run in runs.filter(|run| has_ended(run, ended + CLOCK_SLACK)) {
             match run.end {
-                Some(RunEnd::Failed) if run.began >= attempt.sent => {
+                Some(RunEnd::Failed) if run.began >= sent => {
                     *failures.entry(run.task).or_default() += 1;
                 }
                 Some(RunEnd::Died) => *crashes.entry(run.task).or_default() += 1,
@@ -233,7 +255,12 @@
             last_ends.insert(job.id, ended.unwrap_or(self.record.ended));
         }
         let open_attempts = self.open_attempts();
+        let kept = self.record.kept_jobs.iter().map(|job| job.id);
+        let kept: FastSet<JobId> = kept.collect();
         for run in &self.record.runs {
+            if kept.contains(&run.task.job) {
+                continue;
+            }
             let open_since = open_attempts.get(&run.task.job);
             if open_since.is_some_and(|sent| run.began >= *sent) {
                 continue;
--- a/crates/soak/src/customers.rs
+++ b/crates/soak/src/customers.rs
@@ -1,8 +1,13 @@
 //! Simulated customers: submit jobs, retry unanswered ones, and probe which routes the nodes know.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
-use awc::Client;
+use awc::{http::Method, Client, ClientRequest};
 use fastrand::Rng;
 use futures::future::{self, Either};
 use jobs::JobId;
@@ -17,13 +22,13 @@
 };
 
 /// The deadline that customers send with a job.
-const DEADLINE: Duration = Duration::from_millis(2_500);
+pub(crate) const DEADLINE: Duration = Duration::from_millis(2_500);
 
 /// How much longer than the deadline customers wait for an answer.
 const CLIENT_WAIT_MARGIN: Duration = Duration::from_millis(1_000);
 
 /// Delay before an unanswered job is submitted again. It exceeds the leases of workers.
-const RETRY_DELAY: Duration = Duration::from_millis(1_300);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(1_300);
 
 /// The most attempts for one job.
 const MAX_ATTEMPTS: usize = 3;
@@ -45,6 +50,8 @@
     clients: Vec<Vec<Client>>,
     /// Notified when connections to a node break, by node.
     resets: Vec<Notify>,
+    /// The number of kept jobs whose customers have not finished.
+    pub(crate) open_kept_jobs: Cell<usize>,
     pub(crate) record: Rc<RefCell<SoakRecord>>,
 }
 
@@ -64,16 +71,45 @@
             clients: clients.collect(),
             resets: nodes.iter().map(|_| Notify::new()).collect(),
             nodes,
+            open_kept_jobs: Cell::default(),
             record,
         }
     }
 
-    fn now(&self) -> Duration {
+    pub(crate) fn now(&self) -> Duration {
         self.began.elapsed()
     }
 
+    /// Submits one job, which is kept with the plan's probability, and follows it to its end.
+    pub(crate) async fn run_customer(&self, mut rng: Rng) {
+        // A plan without kept jobs gives the customers the same numbers as before there were any.
+        if self.plan.kept_share > 0.0 && rng.f64() < self.plan.kept_share {
+            self.follow_kept_job(rng).await;
+        } else {
+            self.submit_job(rng).await;
+        }
+    }
+
+    pub(crate) fn draw_node(&self, rng: &mut Rng) -> usize {
+        rng.usize(..self.nodes.len())
+    }
+
+    /// Returns a request for a job, to be sent by one of the clients of a node.
+    pub(crate) fn job_request(
+        &self,
+        rng: &mut Rng,
+        node: usize,
+        method: Method,
+        id: JobId,
+    ) -> ClientRequest {
+        let client = &self.clients[node][rng.usize(..CLIENTS_PER_NODE)];
+        client
+            .request(method, format!("http://{}{PREFIX}{id}", self.nodes[node]))
+            .insert_header(("Host", HOST))
+    }
+
     /// Submits one job, with retries, until it gets a final answer, its customer leaves early, or no attempt is left.
-    pub(crate) async fn submit_job(&self, mut rng: Rng) {
+    async fn submit_job(&self, mut rng: Rng) {
         let id = JobId(rng.u64(..));
         let (tasks, body) = self.draw_job(&mut rng);
         let mut node = rng.usize(..self.nodes.len());
@@ -89,12 +125,7 @@
             record.jobs.len() - 1
         };
         for _ in 0..MAX_ATTEMPTS {
-            let leaves_early = rng.f64() < self.plan.early_leave_share;
-            let wait_limit = if leaves_early {
-                Duration::from_millis(rng.u64(5..300))
-            } else {
-                DEADLINE + CLIENT_WAIT_MARGIN
-            };
+            let (leaves_early, wait_limit) = self.draw_wait(&mut rng);
             self.record.borrow_mut().jobs[index].open_since = Some(self.now());
             let attempt = self.attempt(&mut rng, node, id, &body, wait_limit).await;
             {
@@ -102,11 +133,7 @@
                 record.jobs[index].open_since = None;
                 record.jobs[index].attempts.push(attempt);
             }
-            let unanswered = matches!(
-                attempt.end,
-                AttemptEnd::Broken | AttemptEnd::GaveUp | AttemptEnd::Answered(502 | 504)
-            );
-            if leaves_early || !unanswered {
+            if leaves_early || !is_unanswered(attempt.end) {
                 return;
             }
             actix_rt::time::sleep(RETRY_DELAY).await;
@@ -114,6 +141,17 @@
         }
     }
 
+    /// Draws whether a customer leaves early, and how long it waits for an answer.
+    pub(crate) fn draw_wait(&self, rng: &mut Rng) -> (bool, Duration) {
+        let leaves_early = rng.f64() < self.plan.early_leave_share;
+        let wait_limit = if leaves_early {
+            Duration::from_millis(rng.u64(5..300))
+        } else {
+            DEADLINE + CLIENT_WAIT_MARGIN
+        };
+        (leaves_early, wait_limit)
+    }
+
     /// Draws the number of tasks of a job and its body.
     fn draw_job(&self, rng: &mut Rng) -> (u32, String) {
         let tasks = rng.u32(1..=self.plan.max_tasks);
@@ -124,7 +162,7 @@
         (1, timed_job_body(1, run_time_ms).to_string())
     }
 
-    async fn attempt(
+    pub(crate) async fn attempt(
         &self,
         rng: &mut Rng,
         node: usize,
@@ -132,10 +170,8 @@
         body: &str,
         wait_limit: Duration,
     ) -> AttemptTrace {
-        let client = &self.clients[node][rng.usize(..CLIENTS_PER_NODE)];
-        let request = client
-            .post(format!("http://{}{PREFIX}{id}", self.nodes[node]))
-            .insert_header(("Host", HOST))
+        let request = self
+            .job_request(rng, node, Method::POST, id)
             .insert_header((DEADLINE_HEADER, DEADLINE.as_millis().to_string()))
             .timeout(DEADLINE + CLIENT_WAIT_MARGIN * 2);
         let body = body.to_owned();
@@ -196,3 +232,11 @@
         self.record.borrow_mut().probes.push(trace);
     }
 }
+
+/// Returns whether the customer has to come again: the answer does not say what became of the job.
+pub(crate) fn is_unanswered(end: AttemptEnd) -> bool {
+    matches!(
+        end,
+        AttemptEnd::Broken | AttemptEnd::GaveUp | AttemptEnd::Answered(502 | 504)
+    )
+}
--- a/crates/soak/src/fleet/workers.rs
+++ b/crates/soak/src/fleet/workers.rs
@@ -162,6 +162,7 @@
             began: since(run.began),
             ended: run.ended.map(|(at, _)| since(at)),
             end: run.ended.map(|(_, how)| run_end(how)),
+            acknowledged: run.acknowledged.map(since),
         });
     }
     traces
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod customers;
 mod faults;
 mod fleet;
+mod kept;
 mod plan;
 mod record;
 mod run;
@@ -18,8 +19,8 @@
     checks::{check_invariants, InvariantViolation, SoakInvariant},
     plan::{CustomerPlan, FaultKind, FaultMix, FaultStep, FreezePlan, SoakPlan},
     record::{
-        AttemptEnd, AttemptTrace, Disturbance, DrainTrace, FaultScope, JobTrace, ProbeTrace,
-        RunEnd, RunTrace, SoakRecord, StopTrace,
+        AttemptEnd, AttemptTrace, Disturbance, DrainTrace, FaultScope, JobTrace, KeptState,
+        KeptTrace, ProbeTrace, RunEnd, RunTrace, SoakRecord, StateRead, StopTrace,
     },
     run::{run_soak, SoakError, SoakReport},
 };
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -73,6 +73,8 @@
     pub long_share: f64,
     /// How long the run of a long job takes.
     pub long_run: Duration,
+    /// The share of kept jobs among all jobs.
+    pub kept_share: f64,
     /// The share of attempts that customers abandon early.
     pub early_leave_share: f64,
     /// The share of attempts whose connection breaks if their node is frozen.
@@ -85,6 +87,7 @@
             max_tasks: 6,
             long_share: 0.15,
             long_run: Duration::from_millis(900),
+            kept_share: 0.08,
             early_leave_share: 0.04,
             reset_share: 0.5,
         }
@@ -92,10 +95,12 @@
 }
 
 impl CustomerPlan {
-    /// Only jobs with the workers' own run times, and no broken connections, as in the runs in which known seeds failed.
+    /// Only jobs that are not kept with the workers' own run times, and no broken connections, as in the runs in which
+    /// known seeds failed.
     pub fn short_jobs() -> Self {
         Self {
             long_share: 0.0,
+            kept_share: 0.0,
             reset_share: 0.0,
             ..Self::default()
         }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -69,6 +69,79 @@
     pub open_since: Option<Duration>,
 }
 
+/// The state of a kept job that a node showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeptState {
+    /// The job is not final: queued or running.
+    Open,
+    /// All tasks are said to be done.
+    Completed,
+    /// The job is said to have failed.
+    Failed,
+    /// The job is said to be cancelled.
+    Canceled,
+    /// The node says that no such job exists.
+    Unknown,
+}
+
+impl KeptState {
+    /// Returns whether the job never leaves this state.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Canceled)
+    }
+}
+
+/// One answer of a node to the question for the state of a kept job.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StateRead {
+    /// The node.
+    pub node: usize,
+    /// When the question was sent.
+    pub sent: Duration,
+    /// When it was answered.
+    pub answered: Duration,
+    /// The state in the answer.
+    pub state: KeptState,
+}
+
+/// A kept job as its customer observed it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeptTrace {
+    /// The id of the job.
+    pub id: JobId,
+    /// The number of tasks.
+    pub tasks: u32,
+    /// How long the customer waits for each answer to a submission.
+    pub deadline: Duration,
+    /// The ended attempts to submit the job, one after another.
+    pub attempts: Vec<AttemptTrace>,
+    /// The answered questions for its state, by the time of the answer.
+    pub reads: Vec<StateRead>,
+    /// When its customer first asked to cancel it.
+    pub cancel_sent: Option<Duration>,
+    /// When its cancellation was acknowledged.
+    pub cancel_acknowledged: Option<Duration>,
+}
+
+impl KeptTrace {
+    /// Returns when the customer was first told that the job is stored.
+    pub fn accepted(&self) -> Option<Duration> {
+        let mut attempts = self.attempts.iter();
+        let first = attempts.find(|attempt| {
+            matches!(
+                attempt.end,
+                AttemptEnd::Answered(200..300) | AttemptEnd::Failed
+            )
+        });
+        first.map(|attempt| attempt.ended)
+    }
+
+    /// Returns the state that was shown last.
+    pub fn last_state(&self) -> Option<KeptState> {
+        self.reads.last().map(|read| read.state)
+    }
+}
+
 /// One run of a task as the worker observed it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunTrace {
@@ -87,6 +160,8 @@
     pub ended: Option<Duration>,
     /// How the run ended; `None` if it was still running at the end of the soak.
     pub end: Option<RunEnd>,
+    /// When its end was acknowledged, if the worker's lease had not expired since the end.
+    pub acknowledged: Option<Duration>,
 }
 
 /// How a run ended.
@@ -144,6 +219,8 @@
 pub struct SoakRecord {
     /// Jobs submitted by customers.
     pub jobs: Vec<JobTrace>,
+    /// Kept jobs submitted by customers.
+    pub kept_jobs: Vec<KeptTrace>,
     /// Runs of tasks on workers.
     pub runs: Vec<RunTrace>,
     /// Probes of routes.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,12 +12,12 @@
 use thiserror::Error;
 
 use crate::{
-    checks::{check_invariants, InvariantViolation},
+    checks::{check_invariants, InvariantViolation, FINISH_LIMIT},
     customers::CustomerSimulator,
     faults::{inject_fault, run_follow_up, FollowUp},
     fleet::SoakFleet,
     plan::{FaultKind, FaultStep, SoakPlan},
-    record::{AttemptEnd, ProbeTrace, SoakRecord},
+    record::{AttemptEnd, KeptState, ProbeTrace, SoakRecord},
 };
 
 /// Time for all processes to start before the load begins.
@@ -65,6 +65,10 @@
     pub completed: usize,
     /// Number of jobs refused.
     pub refused: usize,
+    /// Number of kept jobs submitted.
+    pub kept: usize,
+    /// Number of kept jobs that were shown as completed.
+    pub kept_completed: usize,
     /// Number of task runs on workers.
     pub runs: usize,
     /// Number of faults injected.
@@ -137,7 +141,7 @@
             while now >= next_job {
                 next_job += Duration::from_secs_f64(1.0 / self.plan.rate);
                 let (simulator, rng) = (self.simulator.clone(), self.rng.fork());
-                actix_rt::spawn(async move { simulator.submit_job(rng).await });
+                actix_rt::spawn(async move { simulator.run_customer(rng).await });
             }
             if now >= next_probe {
                 next_probe = now + PROBE_INTERVAL;
@@ -153,9 +157,18 @@
             }
         }
         actix_rt::time::sleep(FINAL_ANSWER_WAIT).await;
+        self.await_kept_jobs().await;
         Ok(())
     }
 
+    /// Waits until the customers of all kept jobs have finished, at most as long as the jobs may take.
+    async fn await_kept_jobs(&self) {
+        let until = self.fleet.now() + FINISH_LIMIT;
+        while self.simulator.open_kept_jobs.get() > 0 && self.fleet.now() < until {
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns when the last recorded fault ends, at least `now`: a planned stop may still be in progress after the
     /// last follow-up has run.
     fn last_fault_end(&self, now: Duration) -> Duration {
@@ -243,6 +256,12 @@
                 .count(),
             completed: count(&|status| status == 200),
             refused: count(&|status| status == 429 || status == 503),
+            kept: record.kept_jobs.len(),
+            kept_completed: record
+                .kept_jobs
+                .iter()
+                .filter(|job| job.last_state() == Some(KeptState::Completed))
+                .count(),
             runs: record.runs.len(),
             faults: self.plan.steps().len(),
         })
--- a/crates/soak/tests/attempts.rs
+++ b/crates/soak/tests/attempts.rs
@@ -25,6 +25,7 @@
         }),
         customers: CustomerPlan {
             long_share: 1.0,
+            kept_share: 0.0,
             early_leave_share: 0.0,
             reset_share: 0.0,
             ..CustomerPlan::default()
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -5,7 +5,8 @@
 use jobs::{JobId, TaskId};
 use soak::{
     check_invariants, AttemptEnd, AttemptTrace, Disturbance, DrainTrace, FaultScope, JobTrace,
-    ProbeTrace, RunEnd, RunTrace, SoakInvariant, SoakRecord, StopTrace,
+    KeptState, KeptTrace, ProbeTrace, RunEnd, RunTrace, SoakInvariant, SoakRecord, StateRead,
+    StopTrace,
 };
 
 fn ms(millis: u64) -> Duration {
@@ -30,6 +31,7 @@
         began: ms(began),
         ended: Some(ms(ended)),
         end: Some(RunEnd::Done),
+        acknowledged: None,
     }
 }
 
@@ -347,3 +349,211 @@
         &[SoakInvariant::Recovery],
     );
 }
+
+const KEPT: JobId = JobId(7);
+
+fn kept_run(began: u64, ended: u64, end: RunEnd) -> RunTrace {
+    let mut trace = run(0, 50 + began as usize, began, ended);
+    trace.task.job = KEPT;
+    trace.end = Some(end);
+    trace
+}
+
+fn read(sent: u64, answered: u64, state: KeptState) -> StateRead {
+    StateRead {
+        node: 0,
+        sent: ms(sent),
+        answered: ms(answered),
+        state,
+    }
+}
+
+/// Checks a record with a kept job of one task that is accepted at 1.2 s, done at 1.4 s and shown as completed at 2 s,
+/// after a change.
+fn check_kept(change: impl FnOnce(&mut KeptTrace, &mut Vec<RunTrace>), expected: &[SoakInvariant]) {
+    let mut job = KeptTrace {
+        id: KEPT,
+        tasks: 1,
+        deadline: ms(2_500),
+        attempts: vec![attempt(1_000, 1_200, AttemptEnd::Answered(202))],
+        reads: vec![
+            read(1_250, 1_300, KeptState::Open),
+            read(1_900, 2_000, KeptState::Completed),
+        ],
+        cancel_sent: None,
+        cancel_acknowledged: None,
+    };
+    let mut runs = vec![kept_run(1_250, 1_400, RunEnd::Done)];
+    change(&mut job, &mut runs);
+    check(
+        |record| {
+            record.kept_jobs = vec![job];
+            record.runs.extend(runs);
+        },
+        expected,
+    );
+}
+
+#[test]
+fn accepts_a_kept_job() {
+    check_kept(|_, _| (), &[]);
+}
+
+#[test]
+fn an_accepted_job_that_is_not_known() {
+    let unknown = |sent| read(sent, sent + 10, KeptState::Unknown);
+    check_kept(
+        |job, _| job.reads.insert(1, unknown(1_500)),
+        &[SoakInvariant::Lost],
+    );
+    check_kept(|job, _| job.reads.insert(0, unknown(1_100)), &[]);
+    check_kept(
+        |job, _| {
+            job.cancel_sent = Some(ms(1_450));
+            job.reads.insert(1, unknown(1_500));
+        },
+        &[],
+    );
+}
+
+#[test]
+fn an_accepted_job_that_is_not_final_in_the_end() {
+    let not_final = |job: &mut KeptTrace| {
+        job.reads.pop();
+    };
+    check_kept(|job, _| not_final(job), &[SoakInvariant::Lost]);
+    check_kept(|job, _| job.reads.clear(), &[SoakInvariant::Lost]);
+    check_kept(
+        |job, _| {
+            not_final(job);
+            job.attempts[0].end = AttemptEnd::Broken;
+        },
+        &[],
+    );
+    check_kept(
+        |job, _| {
+            not_final(job);
+            job.attempts[0].ended = ms(7_000);
+            job.attempts[0].sent = ms(6_900);
+        },
+        &[],
+    );
+}
+
+#[test]
+fn a_kept_job_completed_before_its_tasks_are_done() {
+    let completed = [SoakInvariant::Completed];
+    check_kept(|job, _| job.tasks = 2, &completed);
+    check_kept(|_, runs| runs[0].ended = Some(ms(2_100)), &completed);
+    check_kept(|_, runs| runs[0].end = Some(RunEnd::Stopped), &completed);
+}
+
+/// Guards against a job that is shown as failed although no task of it has failed so often.
+#[test]
+fn a_kept_job_failed_without_cause() {
+    let check_ends = |ends: &[RunEnd], expected: &[SoakInvariant]| {
+        check_kept(
+            |job, runs| {
+                job.reads[1].state = KeptState::Failed;
+                runs.clear();
+                for (number, end) in ends.iter().enumerate() {
+                    let began = 1_210 + 100 * number as u64;
+                    runs.push(kept_run(began, began + 50, *end));
+                }
+            },
+            expected,
+        );
+    };
+    let failed = [SoakInvariant::Failed];
+    check_ends(&[], &failed);
+    check_ends(&[RunEnd::Stopped; 4], &failed);
+    check_ends(&[RunEnd::Failed, RunEnd::Failed, RunEnd::Died], &failed);
+    check_ends(&[RunEnd::Failed; 3], &[]);
+    check_ends(&[RunEnd::Died; 2], &[]);
+}
+
+#[test]
+fn a_final_state_that_changes() {
+    for state in [KeptState::Open, KeptState::Unknown] {
+        let mut expected = vec![SoakInvariant::Settled];
+        if state == KeptState::Unknown {
+            expected.insert(0, SoakInvariant::Lost);
+        }
+        check_kept(
+            |job, _| job.reads.push(read(2_100, 2_200, state)),
+            &expected,
+        );
+    }
+    check_kept(
+        |job, _| job.reads.push(read(1_950, 2_200, KeptState::Open)),
+        &[],
+    );
+}
+
+#[test]
+fn a_job_shown_as_cancelled_without_a_request() {
+    let cancelled = |job: &mut KeptTrace| job.reads[1].state = KeptState::Canceled;
+    check_kept(|job, _| cancelled(job), &[SoakInvariant::Canceled]);
+    check_kept(
+        |job, _| {
+            cancelled(job);
+            job.cancel_sent = Some(ms(1_500));
+        },
+        &[],
+    );
+}
+
+#[test]
+fn a_cancelled_job_that_goes_on() {
+    let cancel = |job: &mut KeptTrace| {
+        job.cancel_sent = Some(ms(1_500));
+        job.cancel_acknowledged = Some(ms(1_600));
+        job.reads[1].state = KeptState::Canceled;
+    };
+    for (began, ended) in [(4_000, 4_700), (5_000, 5_100)] {
+        check_kept(
+            |job, runs| {
+                cancel(job);
+                runs.push(kept_run(began, ended, RunEnd::Done));
+            },
+            &[SoakInvariant::Canceled],
+        );
+    }
+    check_kept(
+        |job, runs| {
+            cancel(job);
+            runs.push(kept_run(1_500, 4_600, RunEnd::Stopped));
+        },
+        &[],
+    );
+}
+
+/// Guards against a task that is done, and known to be, and runs once more.
+#[test]
+fn a_task_that_starts_again_after_its_end() {
+    let run_again = |began: u64, acknowledged, expected: &[SoakInvariant]| {
+        check_kept(
+            |_, runs| {
+                runs[0].acknowledged = acknowledged;
+                runs.push(kept_run(began, began + 50, RunEnd::Stopped));
+            },
+            expected,
+        );
+    };
+    run_again(1_450, Some(ms(1_500)), &[SoakInvariant::Again]);
+    run_again(1_450, None, &[]);
+    run_again(3_100, None, &[SoakInvariant::Again]);
+    run_again(2_900, None, &[]);
+}
+
+#[test]
+fn a_refused_kept_job_that_ran() {
+    let refused = attempt(1_000, 1_200, AttemptEnd::Answered(503));
+    check_kept(
+        |job, _| {
+            job.attempts = vec![refused];
+            job.reads.clear();
+        },
+        &[SoakInvariant::Refused],
+    );
+}
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -95,11 +95,13 @@
         };
         let report = run_soak(&plan, &binary, &options.out.join(seed.to_string())).await?;
         println!(
-            "seed {seed}: {} faults, {} jobs, {} completed, {} refused, {} runs, {} broken",
+            "seed {seed}: {} faults, {} jobs, {} completed, {} refused, {} kept, {} of them completed, {} runs, {} broken",
             report.faults,
             report.jobs,
             report.completed,
             report.refused,
+            report.kept,
+            report.kept_completed,
             report.runs,
             report.failures.len()
         );
