Workers that crash in series in the soak, and tasks that crash them

What was missing: workers died one at a time, seconds apart, so a task hardly ever lost two workers in a row, and no task crashed its workers. A job shown as failed while only one worker had died under its task was never seen.

Workers name their racks. `failed` is as it was: a death counts only if the stand-in had really begun the run. New invariant: budget.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -89,6 +89,8 @@
         /// No task of a kept job starts after a run of it was done and that end was acknowledged to the worker, or after
         /// the job was shown as completed.
         Again => "again",
+        /// A kept job's task under which several workers have died is not started much more.
+        Budget => "budget",
         /// Jobs are served again after all faults have ended.
         Recovery => "recovery",
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -32,6 +32,15 @@
 /// requests to arrive before, and early enough for their customers to come again before the node wakes.
 const RESET_FRACTION: u32 = 3;
 
+/// How long workers may restart under suspects.
+const TRAP_TIME: Duration = Duration::from_millis(3_000);
+
+/// How long a worker that crashed is down, and until its entry in the store says so.
+const CRASH_TIME: Duration = Duration::from_millis(1_700);
+
+/// How long a task that crashes its workers goes on: three crashes, one after the other.
+const CRASHING_JOB_TIME: Duration = Duration::from_secs(6);
+
 /// An action that ends a fault or continues it, due some time after the injection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum FollowUp {
@@ -46,6 +55,7 @@
     FinishDrain(usize),
     StartWorker(usize),
     WriteReadyEntry(usize),
+    RemoveTrap,
 }
 
 /// The records and follow-ups of an injected fault.
@@ -57,7 +67,27 @@
     pub(crate) follow_ups: Vec<(Duration, FollowUp)>,
 }
 
-/// Injects one fault. `FaultKind::Configure` needs nothing here: the caller adds the route.
+/// Returns the follow-ups of the crashes that the workers themselves have met since the last call. Every other worker
+/// comes back under its id, the others are replaced.
+pub(crate) fn follow_up_crashes(fleet: &mut SoakFleet) -> Vec<(Duration, FollowUp)> {
+    let mut follow_ups = Vec::new();
+    for worker in fleet.take_crashed_workers() {
+        let Some(instance) = fleet.worker_instance(worker) else {
+            continue;
+        };
+        if instance.is_multiple_of(2) {
+            follow_ups.push((CRASH_TIME, FollowUp::WriteReadyEntry(worker)));
+            continue;
+        }
+        fleet.crash_worker(worker);
+        follow_ups.push((STALE_ENTRY_TIME, FollowUp::RemoveStoreEntry(instance)));
+        follow_ups.push((CRASH_TIME, FollowUp::StartWorker(worker)));
+    }
+    follow_ups
+}
+
+/// Injects one fault. `FaultKind::Configure` and `FaultKind::CrashingJob` need nothing here: the caller adds the route,
+/// or submits the job.
 pub(crate) async fn inject_fault(
     fleet: &mut SoakFleet,
     kind: FaultKind,
@@ -153,6 +183,14 @@
             fleet.restart_worker(worker);
             follow_ups.push((ENTRY_UPDATE_TIME, FollowUp::WriteReadyEntry(worker)));
         }
+        FaultKind::TrapSuspects(restarts) => {
+            add_disturbance(FaultScope::Workers, false, TRAP_TIME);
+            fleet.trap_suspects(restarts);
+            follow_ups.push((TRAP_TIME, FollowUp::RemoveTrap));
+        }
+        FaultKind::CrashingJob => {
+            add_disturbance(FaultScope::Workers, false, CRASHING_JOB_TIME);
+        }
         FaultKind::Drain(worker) => {
             if let Some(instance) = fleet.worker_instance(worker) {
                 fleet.announce_draining(worker);
@@ -211,6 +249,7 @@
             }
         }
         FollowUp::StartWorker(worker) => fleet.start_worker(worker).await?,
+        FollowUp::RemoveTrap => fleet.trap_suspects(0),
         FollowUp::WriteReadyEntry(worker) => fleet.write_ready_entry(worker),
     }
     Ok(())
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -6,10 +6,11 @@
 
 use std::{
     path::PathBuf,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
-use platform_stand_ins::{config_row, RoutePlan, StoreFault, StoreStandIn, StoreView};
+use platform_stand_ins::{config_row, RoutePlan, StoreFault, StoreStandIn, StoreView, SuspectTrap};
 use stand_ins::forwarder::{LinkError, LinkMode, LinkRequest, NetForwarder};
 
 use crate::{
@@ -17,6 +18,7 @@
     record::{RunTrace, StopTrace},
     run::SoakError,
 };
+pub(crate) use names::rack_workers;
 use names::{store_link, worker_link};
 use nodes::SoakNode;
 use workers::WorkerInstance;
@@ -44,6 +46,10 @@
     pub(crate) nodes: Vec<SoakNode>,
     workers: Vec<WorkerInstance>,
     instance_count: usize,
+    /// Whether workers name their racks; otherwise all name the same.
+    has_racks: bool,
+    /// Restarts workers under starts of suspects.
+    trap: Rc<SuspectTrap>,
     /// The number of worker restarts under the same id.
     restart_count: u64,
     runs: Vec<RunTrace>,
@@ -70,6 +76,8 @@
             nodes: Vec::new(),
             workers: Vec::new(),
             instance_count: 0,
+            has_racks: plan.crash_series,
+            trap: Rc::default(),
             restart_count: 0,
             runs: Vec::new(),
             routes: vec![route(PREFIX)],
@@ -138,6 +146,11 @@
         self.store.set_fault(fault);
     }
 
+    /// Sets how many workers restart as they are sent a task under which a worker has died.
+    pub(crate) fn trap_suspects(&self, restarts: u32) {
+        self.trap.set(restarts);
+    }
+
     /// Truncates the history of the store.
     pub(crate) fn forget_history(&self) {
         self.store.truncate_history();
--- a/crates/soak/src/fleet/names.rs
+++ b/crates/soak/src/fleet/names.rs
@@ -5,10 +5,29 @@
 /// Nodes and workers are assigned to these data centres in turn.
 const DATA_CENTRES: [&str; 2] = ["east", "west"];
 
+/// The number of workers in a rack.
+const RACK_SIZE: usize = 3;
+
 pub(super) fn data_centre(number: usize) -> &'static str {
     DATA_CENTRES[number % DATA_CENTRES.len()]
 }
 
+/// Returns the rack of a worker, counted across the data centres.
+fn rack(worker: usize) -> usize {
+    let centres = DATA_CENTRES.len();
+    worker / centres / RACK_SIZE * centres + worker % centres
+}
+
+/// Returns the label by which a worker names its rack.
+pub(super) fn rack_label(worker: usize) -> String {
+    format!("r1-{}", rack(worker))
+}
+
+/// Returns the workers of the same rack as this one, given the number of all workers.
+pub(crate) fn rack_workers(worker: usize, count: usize) -> impl Iterator<Item = usize> {
+    (0..count).filter(move |other| rack(*other) == rack(worker))
+}
+
 pub(super) fn node_name(number: usize) -> String {
     format!("node-{number}")
 }
--- a/crates/soak/src/fleet/workers.rs
+++ b/crates/soak/src/fleet/workers.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use platform_stand_ins::{WorkerFault, WorkerPlan, WorkerStandIn};
+use serde_json::json;
 
 use super::{
-    names::{data_centre, instance_id, worker_link},
+    names::{data_centre, instance_id, rack_label, worker_link},
     SoakFleet, SERVICE,
 };
 use crate::{
@@ -55,6 +56,9 @@
         let instance = &mut self.workers[worker];
         if let Some(stand_in) = instance.stand_in.take() {
             let runs = run_traces(&stand_in, worker, instance.number, began);
+            for run in runs.iter().filter(|run| run.end.is_none()) {
+                self.trap.add_suspect(&run.task.to_string());
+            }
             self.runs.extend(runs.into_iter().map(|run| RunTrace {
                 ended: run.ended.or(Some(now)),
                 end: run.end.or(Some(RunEnd::Died)),
@@ -63,6 +67,16 @@
         }
     }
 
+    /// Returns the workers that have crashed under a task, or restarted as they were sent a suspect, since the last call.
+    pub(crate) fn take_crashed_workers(&self) -> Vec<usize> {
+        let workers = self.workers.iter().enumerate();
+        let crashed = workers.filter(|(_, instance)| {
+            let stand_in = instance.stand_in.as_ref();
+            stand_in.is_some_and(WorkerStandIn::take_crashed)
+        });
+        crashed.map(|(worker, _)| worker).collect()
+    }
+
     /// Restarts a worker under the same id. Its entry in the store is updated later.
     pub(crate) fn restart_worker(&mut self, worker: usize) {
         self.restart_count += 1;
@@ -85,7 +99,10 @@
     fn write_store_entry(&self, worker: usize, state: &str) {
         let instance = &self.workers[worker];
         if let Some(stand_in) = &instance.stand_in {
-            let entry = stand_in.entry(SERVICE, data_centre(worker), state);
+            let mut entry = stand_in.entry(SERVICE, data_centre(worker), state);
+            if self.has_racks {
+                entry["Labels"] = json!(["a", rack_label(worker)]);
+            }
             self.store
                 .put("servers", &instance_id(instance.number), &entry);
         }
@@ -114,6 +131,7 @@
             initial_clock_ms: 400_000 + 10_000 * number as u64,
             clock_rate: CLOCK_RATES[number % CLOCK_RATES.len()],
             born: Some(FIRST_START_MS + number as u64),
+            trap: self.trap.clone(),
         };
         let stand_in = WorkerStandIn::start(plan).await;
         for (node, view) in self.store_views.iter().enumerate() {
--- a/crates/soak/src/kept.rs
+++ b/crates/soak/src/kept.rs
@@ -7,7 +7,7 @@
 use fastrand::Rng;
 use futures::future;
 use jobs::JobId;
-use platform_stand_ins::{job_state, timed_kept_job_body};
+use platform_stand_ins::{crashing_job_body, job_state, timed_kept_job_body};
 
 use crate::{
     customers::{is_unanswered, CustomerSimulator, DEADLINE, RETRY_DELAY},
@@ -50,8 +50,26 @@
 impl CustomerSimulator {
     /// Submits a kept job and follows it until it is final.
     pub(crate) async fn follow_kept_job(&self, mut rng: Rng) {
+        let tasks = rng.u32(1..=MAX_TASKS);
+        let run_time_ms = rng.u64(RUN_TIMES_MS.0..RUN_TIMES_MS.1);
+        let body = timed_kept_job_body(tasks, run_time_ms);
+        self.follow_job(rng, body.to_string(), tasks, false).await;
+    }
+
+    /// Submits a kept job whose task crashes every worker that runs it, and follows it until it is final.
+    pub(crate) async fn follow_crashing_job(&self, rng: Rng) {
+        let body = crashing_job_body(RUN_TIMES_MS.0);
+        self.follow_job(rng, body.to_string(), 1, true).await;
+    }
+
+    async fn follow_job(&self, mut rng: Rng, body: String, tasks: u32, crashes_workers: bool) {
         self.open_kept_jobs.set(self.open_kept_jobs.get() + 1);
-        let job = KeptJob::draw(self, &mut rng);
+        let id = JobId(rng.u64(..));
+        let job = KeptJob::new(self, id, body);
+        job.update_trace(|trace| {
+            trace.tasks = tasks;
+            trace.crashes_workers = crashes_workers;
+        });
         if job.submit(&mut rng).await {
             let cancels = rng.f64() < CANCEL_SHARE;
             let resubmits = rng.f64() < RESUBMIT_SHARE;
@@ -76,14 +94,12 @@
 }
 
 impl<'a> KeptJob<'a> {
-    fn draw(simulator: &'a CustomerSimulator, rng: &mut Rng) -> Self {
-        let id = JobId(rng.u64(..));
-        let tasks = rng.u32(1..=MAX_TASKS);
-        let run_time_ms = rng.u64(RUN_TIMES_MS.0..RUN_TIMES_MS.1);
+    fn new(simulator: &'a CustomerSimulator, id: JobId, body: String) -> Self {
         let mut record = simulator.record.borrow_mut();
         record.kept_jobs.push(KeptTrace {
             id,
-            tasks,
+            tasks: 1,
+            crashes_workers: false,
             deadline: DEADLINE,
             attempts: Vec::new(),
             reads: Vec::new(),
@@ -93,7 +109,7 @@
         Self {
             simulator,
             id,
-            body: timed_kept_job_body(tasks, run_time_ms).to_string(),
+            body,
             index: record.kept_jobs.len() - 1,
         }
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,7 @@
 //! Generates the sequence of faults from a seed.
 
+mod crash_series;
+
 use std::time::Duration;
 
 use fastrand::Rng;
@@ -25,6 +27,9 @@
     /// Whether owners of pools are frozen beside the other faults. Known seeds are replayed without it, like
     /// `worker_restarts`.
     pub owner_freezes: bool,
+    /// Whether workers crash in series and some tasks crash their workers. Known seeds are replayed without it, like
+    /// `worker_restarts`.
+    pub crash_series: bool,
     /// Which faults are injected.
     pub faults: FaultMix,
     /// What customers submit, and what they do without an answer.
@@ -41,6 +46,8 @@
     All,
     /// Only freezes, of one owner of a pool after the other.
     Freezes(FreezePlan),
+    /// Only workers that crash in series, and tasks that crash their workers.
+    CrashSeries,
 }
 
 /// Parameters of a soak that only freezes owners. Times are in milliseconds.
@@ -117,6 +124,7 @@
             rate: 40.0,
             worker_restarts: true,
             owner_freezes: true,
+            crash_series: true,
             faults: FaultMix::All,
             customers: CustomerPlan::default(),
             stray_limit: None,
@@ -153,6 +161,10 @@
     Crash(usize, Duration),
     /// Restarts a worker at once under the same id.
     StartAgain(usize),
+    /// Restarts this many workers, each just as it is sent a task under which a worker has died.
+    TrapSuspects(u32),
+    /// Submits a kept job whose task crashes every worker that runs it.
+    CrashingJob,
     /// Sets the store entry of a worker to `draining`, then stops the worker; a new one under another id replaces it
     /// later.
     Drain(usize),
@@ -195,17 +207,26 @@
     /// Returns the faults in order of time. The same plan always gives the same faults.
     pub fn steps(&self) -> Vec<FaultStep> {
         let mut rng = Rng::with_seed(self.seed);
-        if let FaultMix::Freezes(freezes) = self.faults {
-            return self.freeze_steps(&mut rng, freezes);
+        match self.faults {
+            FaultMix::All => self.mixed_steps(&mut rng),
+            FaultMix::Freezes(freezes) => self.freeze_steps(&mut rng, freezes),
+            FaultMix::CrashSeries => {
+                let mut steps = Vec::new();
+                crash_series::add_crash_series(&mut rng, self, &mut steps);
+                steps
+            }
         }
+    }
+
+    fn mixed_steps(&self, rng: &mut Rng) -> Vec<FaultStep> {
         // Some time limits are checked only while no unplanned fault is active, so some seeds have planned work only.
         let planned_only = rng.u32(..PLANNED_ONLY_ONE_IN) == 0;
         let mut steps = Vec::new();
         let mut at = Duration::from_millis(rng.u64(200..1_500));
         while at < self.fault_duration {
             let (kind, gaps) = match planned_only {
-                true => (self.draw_planned_work(&mut rng), PLANNED_GAPS_MS),
-                false => (self.draw_fault(&mut rng), FAULT_GAPS_MS),
+                true => (self.draw_planned_work(rng), PLANNED_GAPS_MS),
+                false => (self.draw_fault(rng), FAULT_GAPS_MS),
             };
             steps.push(FaultStep { at, kind });
             at += Duration::from_millis(rng.u64(gaps.0..gaps.1));
@@ -217,6 +238,9 @@
         if self.owner_freezes && !planned_only {
             self.add_owner_freezes(&mut rng.fork(), &mut steps);
         }
+        if self.crash_series && !planned_only {
+            crash_series::add_crash_series(&mut rng.fork(), self, &mut steps);
+        }
         steps
     }
 
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -11,6 +11,8 @@
     Node(usize),
     /// One worker.
     Worker(usize),
+    /// Some workers, which are not known beforehand.
+    Workers,
     /// The store, and thereby all nodes.
     Store,
 }
@@ -111,6 +113,8 @@
     pub id: JobId,
     /// The number of tasks.
     pub tasks: u32,
+    /// Whether its task crashes every worker that runs it.
+    pub crashes_workers: bool,
     /// How long the customer waits for each answer to a submission.
     pub deadline: Duration,
     /// The ended attempts to submit the job, one after another.
@@ -248,6 +252,15 @@
         overlapping.next().is_none()
     }
 
+    /// Returns whether neither a fault nor planned work affected any node or the store at any time in `from..=until`.
+    pub fn are_nodes_undisturbed(&self, from: Duration, until: Duration) -> bool {
+        let mut overlapping = self.disturbances.iter().filter(|fault| {
+            let affects_nodes = matches!(fault.scope, FaultScope::Store | FaultScope::Node(_));
+            affects_nodes && fault.from <= until && fault.until >= from
+        });
+        overlapping.next().is_none()
+    }
+
     /// Returns whether neither a fault nor planned work affected this node or the store at any time in `from..=until`.
     pub fn is_node_undisturbed(&self, node: usize, from: Duration, until: Duration) -> bool {
         let mut overlapping = self.disturbances.iter().filter(|fault| {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,7 +14,7 @@
 use crate::{
     checks::{check_invariants, InvariantViolation, FINISH_LIMIT},
     customers::CustomerSimulator,
-    faults::{inject_fault, run_follow_up, FollowUp},
+    faults::{follow_up_crashes, inject_fault, run_follow_up, FollowUp},
     fleet::SoakFleet,
     plan::{FaultKind, FaultStep, SoakPlan},
     record::{AttemptEnd, KeptState, ProbeTrace, SoakRecord},
@@ -157,16 +157,17 @@
             }
         }
         actix_rt::time::sleep(FINAL_ANSWER_WAIT).await;
-        self.await_kept_jobs().await;
-        Ok(())
+        self.await_kept_jobs().await
     }
 
     /// Waits until the customers of all kept jobs have finished, at most as long as the jobs may take.
-    async fn await_kept_jobs(&self) {
+    async fn await_kept_jobs(&mut self) -> Result<(), SoakError> {
         let until = self.fleet.now() + FINISH_LIMIT;
         while self.simulator.open_kept_jobs.get() > 0 && self.fleet.now() < until {
             actix_rt::time::sleep(POLL_INTERVAL).await;
+            self.run_due_follow_ups(self.fleet.now()).await?;
         }
+        Ok(())
     }
 
     /// Returns when the last recorded fault ends, at least `now`: a planned stop may still be in progress after the
@@ -182,6 +183,10 @@
             let version = self.fleet.add_route();
             self.versions.push((version, self.fleet.now()));
         }
+        if kind == FaultKind::CrashingJob {
+            let (simulator, rng) = (self.simulator.clone(), self.rng.fork());
+            actix_rt::spawn(async move { simulator.follow_crashing_job(rng).await });
+        }
         let now = self.fleet.now();
         let trace = inject_fault(&mut self.fleet, kind).await?;
         let follow_ups = trace.follow_ups.into_iter();
@@ -194,6 +199,9 @@
     }
 
     async fn run_due_follow_ups(&mut self, now: Duration) -> Result<(), SoakError> {
+        let crashes = follow_up_crashes(&mut self.fleet).into_iter();
+        self.follow_ups
+            .extend(crashes.map(|(after, follow_up)| (now + after, follow_up)));
         let (due, later) = self.follow_ups.drain(..).partition(|(at, _)| *at <= now);
         self.follow_ups = later;
         let due: Vec<(Duration, FollowUp)> = due;
--- a/crates/soak/tests/attempts.rs
+++ b/crates/soak/tests/attempts.rs
@@ -18,6 +18,7 @@
         nodes: 6,
         workers: 60,
         rate: 60.0,
+        crash_series: false,
         faults: FaultMix::Freezes(FreezePlan {
             lengths_ms: (1_300, 2_400),
             gaps_ms: (400, 600),
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -374,6 +374,7 @@
     let mut job = KeptTrace {
         id: KEPT,
         tasks: 1,
+        crashes_workers: false,
         deadline: ms(2_500),
         attempts: vec![attempt(1_000, 1_200, AttemptEnd::Answered(202))],
         reads: vec![
@@ -557,3 +558,24 @@
         &[SoakInvariant::Refused],
     );
 }
+
+/// Guards against a task that crashes one worker after another without end.
+#[test]
+fn a_crashing_task_that_is_started_on_and_on() {
+    let crash = |times: usize, expected: &[SoakInvariant]| {
+        check_kept(
+            |job, runs| {
+                job.crashes_workers = true;
+                job.reads.pop();
+                runs.clear();
+                for number in 0..times {
+                    let began = 1_210 + 100 * number as u64;
+                    runs.push(kept_run(began, began + 50, RunEnd::Died));
+                }
+            },
+            expected,
+        );
+    };
+    crash(5, &[]);
+    crash(6, &[SoakInvariant::Budget]);
+}
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -7,7 +7,7 @@
 
 use bpaf::Bpaf;
 use eyre::{bail, Result};
-use soak::{run_soak, CustomerPlan, SoakPlan};
+use soak::{run_soak, CustomerPlan, FaultMix, SoakPlan};
 
 use crate::fleet::{build_programs, program_path};
 
@@ -20,6 +20,9 @@
     /// Run the seeds that failed once, instead of others
     #[bpaf(switch)]
     known: bool,
+    /// Inject only crashes of workers, in series
+    #[bpaf(switch)]
+    crashes: bool,
     /// Number of seeds to run, one after another
     #[bpaf(argument("COUNT"), fallback(1), display_fallback)]
     seeds: u64,
@@ -82,6 +85,11 @@
         let plan = SoakPlan {
             worker_restarts: !options.known,
             owner_freezes: !options.known,
+            crash_series: !options.known,
+            faults: match options.crashes {
+                true => FaultMix::CrashSeries,
+                false => FaultMix::All,
+            },
             customers: match options.known {
                 true => CustomerPlan::short_jobs(),
                 false => CustomerPlan::default(),
