Known seeds of the soak name their setting

Seeds that fail with kept jobs or crashes in series would say nothing if they were played without them, as the first known seeds are. A line may now name its setting after the seed: `all` or `crashes`; lines without one are played as before.

--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -38,6 +38,9 @@
     /// Number of workers
     #[bpaf(argument("COUNT"), fallback(12), display_fallback)]
     workers: usize,
+    /// Share of kept jobs among all jobs, in place of the default
+    #[bpaf(argument("SHARE"))]
+    kept_share: Option<f64>,
     /// Jobs per second
     #[bpaf(argument("RATE"), fallback(40.0), display_fallback)]
     rate: f64,
@@ -50,14 +53,71 @@
     out: PathBuf,
 }
 
-/// Seeds that failed once, one a line, each followed by the cause of its failure.
+/// With which faults and jobs a seed is played.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SeedSetting {
+    /// All that there are.
+    All,
+    /// Only crashes of workers, in series.
+    Crashes,
+    /// Those that there were when the first seeds failed.
+    First,
+}
+
+impl SeedSetting {
+    fn faults(self) -> FaultMix {
+        match self {
+            Self::Crashes => FaultMix::CrashSeries,
+            Self::All | Self::First => FaultMix::All,
+        }
+    }
+
+    fn customers(self) -> CustomerPlan {
+        match self {
+            Self::First => CustomerPlan::short_jobs(),
+            Self::All | Self::Crashes => CustomerPlan::default(),
+        }
+    }
+}
+
+/// Seeds that failed once, one a line, each followed by its setting, unless it is one of the first, and the cause of its
+/// failure.
 const KNOWN_SEEDS: &str = include_str!("../../crates/soak/known-seeds.txt");
 
-fn known_seeds() -> impl Iterator<Item = u64> {
-    let seed_columns = KNOWN_SEEDS
-        .lines()
-        .filter_map(|line| line.split(' ').next());
-    seed_columns.filter_map(|seed| seed.parse().ok())
+fn known_seeds() -> impl Iterator<Item = (u64, SeedSetting)> {
+    KNOWN_SEEDS.lines().filter_map(|line| {
+        let mut words = line.split(' ');
+        let seed = words.next()?.parse().ok()?;
+        let setting = match words.next() {
+            Some("all") => SeedSetting::All,
+            Some("crashes") => SeedSetting::Crashes,
+            _ => SeedSetting::First,
+        };
+        Some((seed, setting))
+    })
+}
+
+impl SoakOptions {
+    fn plan(&self, seed: u64, setting: SeedSetting) -> SoakPlan {
+        let has_additions = setting != SeedSetting::First;
+        let customers = setting.customers();
+        SoakPlan {
+            worker_restarts: has_additions,
+            owner_freezes: has_additions,
+            crash_series: has_additions,
+            faults: setting.faults(),
+            customers: CustomerPlan {
+                kept_share: self.kept_share.unwrap_or(customers.kept_share),
+                ..customers
+            },
+            seed,
+            fault_duration: Duration::from_secs(self.time),
+            nodes: self.nodes,
+            workers: self.workers,
+            rate: self.rate,
+            ..SoakPlan::default()
+        }
+    }
 }
 
 /// Runs the seeds and prints a summary line for each. Fails if a seed violated an invariant, or if a node exited on its
@@ -73,34 +133,21 @@
         None => SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs(),
     };
     let mut failed = Vec::new();
-    let seeds: Box<dyn Iterator<Item = u64>> = match (options.known, until) {
+    let setting = match options.crashes {
+        true => SeedSetting::Crashes,
+        false => SeedSetting::All,
+    };
+    let fresh = move |seed| (seed, setting);
+    let seeds: Box<dyn Iterator<Item = (u64, SeedSetting)>> = match (options.known, until) {
         (true, _) => Box::new(known_seeds()),
-        (false, Some(_)) => Box::new(first..),
-        (false, None) => Box::new(first..first + options.seeds),
+        (false, Some(_)) => Box::new((first..).map(fresh)),
+        (false, None) => Box::new((first..first + options.seeds).map(fresh)),
     };
-    for seed in seeds {
+    for (seed, setting) in seeds {
         if until.is_some_and(|until| Instant::now() >= until) {
             break;
         }
-        let plan = SoakPlan {
-            worker_restarts: !options.known,
-            owner_freezes: !options.known,
-            crash_series: !options.known,
-            faults: match options.crashes {
-                true => FaultMix::CrashSeries,
-                false => FaultMix::All,
-            },
-            customers: match options.known {
-                true => CustomerPlan::short_jobs(),
-                false => CustomerPlan::default(),
-            },
-            seed,
-            fault_duration: Duration::from_secs(options.time),
-            nodes: options.nodes,
-            workers: options.workers,
-            rate: options.rate,
-            ..SoakPlan::default()
-        };
+        let plan = options.plan(seed, setting);
         let report = run_soak(&plan, &binary, &options.out.join(seed.to_string())).await?;
         println!(
             "seed {seed}: {} faults, {} jobs, {} completed, {} refused, {} kept, {} of them completed, {} runs, {} broken",
