--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -207,13 +207,36 @@
             if attempt.end == AttemptEnd::Failed
                 && !self.may_fail(job.id, attempt.sent, attempt.ended)
             {
-                let details = format!("job {} at {:?} without cause", job.id, attempt.ended);
+                let details = format!(
+                    "job {} at {:?} without cause: {}",
+                    job.id,
+                    attempt.ended,
+                    self.list_runs(job.id)
+                );
                 self.add_violation(SoakInvariant::Failed, details);
             }
             self.check_answer_time(job.id, job.deadline, attempt);
         }
     }
 
+    /// Lists all runs of a job, for the details of a violation.
+    fn list_runs(&self, job: JobId) -> String {
+        let runs = self.record.runs.iter().filter(|run| run.task.job == job);
+        let lines = runs.map(|run| {
+            let RunTrace {
+                task,
+                run,
+                instance,
+                began,
+                ended,
+                end,
+                ..
+            } = run;
+            format!("{task} run {run} on {instance} {began:?} to {ended:?} {end:?}")
+        });
+        lines.collect::<Vec<_>>().join("; ")
+    }
+
     fn check_answer_time(&mut self, job: JobId, deadline: Duration, attempt: &AttemptTrace) {
         let took = attempt.ended - attempt.sent;
         let late = took > deadline + ANSWER_SLACK;
--- a/crates/soak/src/checks/kept.rs
+++ b/crates/soak/src/checks/kept.rs
@@ -94,7 +94,8 @@
                 }
             }
             KeptState::Failed if !self.may_fail(id, Duration::ZERO, answered) => {
-                let details = format!("job {id} at {answered:?} without cause");
+                let runs = self.list_runs(id);
+                let details = format!("job {id} at {answered:?} without cause: {runs}");
                 self.add_violation(SoakInvariant::Failed, details);
             }
             KeptState::Canceled if job.cancel_sent.is_none_or(|sent| sent > answered) => {
