--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -85,7 +85,7 @@
         Settled => "settled",
         /// A kept job is shown as cancelled only after its customer asked for that, and its tasks end soon after the
         /// cancellation was acknowledged.
-        Canceled => "canceled",
+        Cancelled => "cancelled",
         /// No task of a kept job starts after a run of it was done and that end was acknowledged to the worker, or after
         /// the job was shown as completed.
         Again => "again",
--- a/crates/soak/src/checks/kept.rs
+++ b/crates/soak/src/checks/kept.rs
@@ -98,9 +98,9 @@
                 let details = format!("job {id} at {answered:?} without cause: {runs}");
                 self.add_violation(SoakInvariant::Failed, details);
             }
-            KeptState::Canceled if job.cancel_sent.is_none_or(|sent| sent > answered) => {
+            KeptState::Cancelled if job.cancel_sent.is_none_or(|sent| sent > answered) => {
                 let details = format!("job {id} at {answered:?} without its customer's request");
-                self.add_violation(SoakInvariant::Canceled, details);
+                self.add_violation(SoakInvariant::Cancelled, details);
             }
             _ => (),
         }
@@ -130,7 +130,7 @@
                     "task {} ran at {at:?}, cancelling was acknowledged at {acknowledged:?}",
                     run.task
                 );
-                self.add_violation(SoakInvariant::Canceled, details);
+                self.add_violation(SoakInvariant::Cancelled, details);
             }
         }
     }
--- a/crates/soak/src/kept.rs
+++ b/crates/soak/src/kept.rs
@@ -215,7 +215,7 @@
     match job_state(answer)?.as_str() {
         "completed" => Some(KeptState::Completed),
         "failed" => Some(KeptState::Failed),
-        "canceled" => Some(KeptState::Canceled),
+        "canceled" => Some(KeptState::Cancelled),
         "queued" | "running" => Some(KeptState::Open),
         _ => None,
     }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -81,7 +81,7 @@
     /// The job is said to have failed.
     Failed,
     /// The job is said to be cancelled.
-    Canceled,
+    Cancelled,
     /// The node says that no such job exists.
     Unknown,
 }
@@ -89,7 +89,7 @@
 impl KeptState {
     /// Returns whether the job never leaves this state.
     pub fn is_final(self) -> bool {
-        matches!(self, Self::Completed | Self::Failed | Self::Canceled)
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
     }
 }
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -493,8 +493,8 @@
 
 #[test]
 fn a_job_shown_as_cancelled_without_a_request() {
-    let cancelled = |job: &mut KeptTrace| job.reads[1].state = KeptState::Canceled;
-    check_kept(|job, _| cancelled(job), &[SoakInvariant::Canceled]);
+    let cancelled = |job: &mut KeptTrace| job.reads[1].state = KeptState::Cancelled;
+    check_kept(|job, _| cancelled(job), &[SoakInvariant::Cancelled]);
     check_kept(
         |job, _| {
             cancelled(job);
@@ -509,7 +509,7 @@
     let cancel = |job: &mut KeptTrace| {
         job.cancel_sent = Some(ms(1_500));
         job.cancel_acknowledged = Some(ms(1_600));
-        job.reads[1].state = KeptState::Canceled;
+        job.reads[1].state = KeptState::Cancelled;
     };
     for (began, ended) in [(4_000, 4_700), (5_000, 5_100)] {
         check_kept(
@@ -517,7 +517,7 @@
                 cancel(job);
                 runs.push(kept_run(began, ended, RunEnd::Done));
             },
-            &[SoakInvariant::Canceled],
+            &[SoakInvariant::Cancelled],
         );
     }
     check_kept(
