Two constants called MAX_DEATHS get names of their own

One is the number of deaths that make a task a culprit however often workers die (crash.rs, now CERTAIN_CULPRIT_DEATHS), the other how many deaths are remembered (death_rate.rs, now MAX_REMEMBERED_DEATHS). Both are private; no value and no behaviour changes.

--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -34,7 +34,7 @@
 
 /// The number of deaths that make a task a culprit however often workers die without it. It bounds the number of workers
 /// that a task can take down.
-const MAX_DEATHS: u32 = 5;
+const CERTAIN_CULPRIT_DEATHS: u32 = 5;
 
 /// Losses within this time may have a common cause. It covers the difference in time between the detection of one
 /// silent worker and of another.
@@ -402,7 +402,7 @@
         let suspects = suspects
             .filter(|(task, counts)| counts.may_be_culprit() && !self.culprits.contains(*task));
         let culprits = suspects.filter(|(task, counts)| {
-            counts.deaths >= MAX_DEATHS || self.has_sufficient_odds(now, **task)
+            counts.deaths >= CERTAIN_CULPRIT_DEATHS || self.has_sufficient_odds(now, **task)
         });
         let culprits: Vec<TaskId> = culprits.map(|(task, _)| *task).collect();
         if culprits.is_empty() {
--- a/crates/pool/src/death_rate.rs
+++ b/crates/pool/src/death_rate.rs
@@ -24,7 +24,7 @@
 const MIN_ODDS: f64 = 10.0;
 
 /// The maximum number of deaths that are remembered.
-const MAX_DEATHS: usize = 1_024;
+const MAX_REMEMBERED_DEATHS: usize = 1_024;
 
 /// The death of a worker that no task caused.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,7 +48,7 @@
         if self.deaths.iter().any(is_same) {
             return;
         }
-        if self.deaths.len() == MAX_DEATHS {
+        if self.deaths.len() == MAX_REMEMBERED_DEATHS {
             self.deaths.pop_front();
         }
         self.deaths.push_back(death);
