Offers hold free capacity instead of the asking job's width

Change: the tasks of unexpired offers are placed in the admission simulation before the new job, so an offer is what is left beside them.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -70,8 +70,8 @@
     accepting: bool,
     /// Whether the pool's data centre is evacuated. Its workers then get no starts.
     evacuated: bool,
-    /// Recent offers: when each was made, and for how many tasks.
-    recent_offers: Vec<(Instant, u32)>,
+    /// The offers for which capacity is held.
+    recent_offers: Vec<admit::RecentOffer>,
     /// The pool's name, which is stored in the rows of its kept jobs.
     name: Arc<str>,
     /// When a worker last failed to answer a poll.
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -47,6 +47,31 @@
 /// core, so that the owner counted as silent and was replaced again and again.
 const MAX_SIMULATED_JOBS: usize = 60;
 
+/// An offer that has not expired.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RecentOffer {
+    made: Instant,
+    tasks: WaitingGroup,
+}
+
+/// The tasks of all offers as one group with their mean demand and run time. None if there are no offers.
+///
+/// Simulating each offer separately would cost more the more entries ask, which is under overload.
+fn held_for_offers(offers: &[RecentOffer]) -> Option<WaitingGroup> {
+    let groups = || offers.iter().map(|offer| &offer.tasks);
+    let count: usize = groups().map(|group| group.count).sum();
+    if count == 0 {
+        return None;
+    }
+    let cpu: u64 = groups().map(|group| group.cpu * group.count as u64).sum();
+    let run_time = groups().map(|group| group.run_time.mul_f64(group.count as f64));
+    Some(WaitingGroup {
+        count,
+        cpu: cpu / count as u64,
+        run_time: run_time.sum::<Duration>().div_f64(count as f64),
+    })
+}
+
 impl WorkerPool {
     /// Decides whether a job is admitted. Returns the refusal if it is not.
     pub(super) fn admit(
@@ -63,7 +88,7 @@
         let worth_simulating =
             self.can_be_in_time(request, terms, delay, limit) || self.has_idle_share(now);
         let simulation = match worth_simulating {
-            true => self.build_simulation(now, request, terms, objective),
+            true => self.build_simulation(now, request, terms, objective, None),
             false => None,
         };
         let forecast = match &simulation {
@@ -131,7 +156,11 @@
         if !self.can_be_in_time(request, terms, self.start_delay(1), limit) {
             return 0;
         }
-        let Some(simulation) = self.build_simulation(now, request, terms, objective) else {
+        self.recent_offers
+            .retain(|offer| now < offer.made + OFFER_LIFETIME);
+        let held = held_for_offers(&self.recent_offers);
+        let simulation = self.build_simulation(now, request, terms, objective, held);
+        let Some(simulation) = simulation else {
             return 0;
         };
         let forecast = simulation.forecast();
@@ -139,22 +168,21 @@
             true => u32::try_from(request.task_count()).unwrap_or(u32::MAX),
             false => self.count_in_time(&simulation, request, terms, objective),
         };
-        self.reserve_offer(now, fits)
+        self.record_offer(now, request, terms, fits);
+        fits
     }
 
-    /// Reduces an offer by the other recent offers, whose jobs may arrive at any time,
-    /// and records the rest. Otherwise entries that divide jobs by the same offers would send the
-    /// pool several times as many tasks as it has free capacity for, and the rest would wait
-    /// until their jobs are useless.
-    fn reserve_offer(&mut self, now: Instant, fits: u32) -> u32 {
-        self.recent_offers
-            .retain(|(at, _)| now < *at + OFFER_LIFETIME);
-        let recently_offered: u32 = self.recent_offers.iter().map(|(_, fits)| *fits).sum();
-        let left = fits.saturating_sub(recently_offered);
-        if left > 0 {
-            self.recent_offers.push((now, left));
+    /// Holds the capacity for the offered tasks that can start at once until the offer expires. Otherwise entries that
+    /// divide jobs by the same offers would send the pool several times as many tasks as it has free capacity for, and
+    /// the rest would wait until their jobs are useless.
+    fn record_offer(&mut self, now: Instant, request: &JobRequest, terms: &JobTerms, fits: u32) {
+        for spec in request.steps.iter().filter(|spec| spec.after.is_empty()) {
+            let count = spec.count.min(fits);
+            if count > 0 {
+                let tasks = self.waiting_group(terms, spec, count as usize);
+                self.recent_offers.push(RecentOffer { made: now, tasks });
+            }
         }
-        left
     }
 
     fn is_in_time(
@@ -307,14 +335,15 @@
         })
     }
 
-    /// Builds the simulation of the pool with the new job inserted among the waiting jobs. Returns
-    /// `None` if too many jobs are ahead of it.
+    /// Builds the simulation of the pool with the new job inserted among the waiting jobs. The tasks
+    /// in `held` are placed before all of them. Returns `None` if too many jobs are ahead of the new one.
     fn build_simulation(
         &self,
         now: Instant,
         request: &JobRequest,
         terms: &JobTerms,
         objective: Duration,
+        held: Option<WaitingGroup>,
     ) -> Option<AdmissionSimulation> {
         let chain = self.predict_chain(request, terms);
         let arrived = now.checked_sub(terms.waited).unwrap_or(now);
@@ -352,7 +381,10 @@
             true => self.arrivals.expected_above(now, terms.priority),
             false => Vec::new(),
         };
-        let pool = self.pool_forecast(now, &terms.service);
+        let mut pool = self.pool_forecast(now, &terms.service);
+        if let Some(held) = held {
+            pool.place(&held, Duration::ZERO);
+        }
         Some(AdmissionSimulation::new(
             pool, &before, new, behind, expected,
         ))
@@ -395,13 +427,17 @@
         running
     }
 
+    fn waiting_group(&self, terms: &JobTerms, spec: &StepSpec, count: usize) -> WaitingGroup {
+        WaitingGroup {
+            count,
+            cpu: spec.demand.cpu.0,
+            run_time: self.predict_run_time(terms, spec),
+        }
+    }
+
     fn forecast_step(&self, terms: &JobTerms, spec: &StepSpec, count: usize) -> ForecastStep {
         ForecastStep {
-            waiting: WaitingGroup {
-                count,
-                cpu: spec.demand.cpu.0,
-                run_time: self.predict_run_time(terms, spec),
-            },
+            waiting: self.waiting_group(terms, spec, count),
             running: Duration::ZERO,
             after: spec.after.clone(),
         }
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -229,6 +229,19 @@
     );
 }
 
+/// A pool is idle while many narrow jobs ask for offers at the same moment, each from an entry whose own pools are full.
+/// Guards against an owner that subtracts what it has offered to others from the width of the job that asks instead of
+/// from its free capacity: it would offer nothing to all jobs but the first, and their callers would be refused.
+#[test]
+fn offers_to_narrow_jobs_use_all_free_capacity() {
+    let mut simulation = Simulation::new(1, 4);
+    let capacity = simulation.offer(40, 200, 6_800);
+    simulation.run_for(20);
+    let offered: u32 = (0..capacity).map(|_| simulation.offer(1, 200, 6_800)).sum();
+    assert_eq!(offered, capacity);
+    assert_eq!(simulation.offer(1, 200, 6_800), 0);
+}
+
 /// Submits jobs of one task one after another, all of which have to be completed.
 fn assert_narrow_jobs_complete(simulation: &mut Simulation) {
     let before = simulation.results.len();
