--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod endpoint;
 mod ids;
+mod load_policy;
 mod mechanism;
 mod outcome;
 mod reason;
@@ -26,6 +27,7 @@
         AttemptId, CustomerId, DataCentreId, EndpointId, IdempotencyKey, IncarnationId, InvalidId,
         SubmissionId, TaskIndex, TaskKind, TicketId, VmId,
     },
+    load_policy::{LoadPolicies, PlacementPolicy, RunTimePolicy, SharingPolicy},
     mechanism::{DisabledMechanisms, Mechanism},
     outcome::{AttemptEnd, SubmissionOutcome, TaskResult},
     reason::{FailureReason, RefusalReason, RetryReason, UnknownReason, UnknownVariant},
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -209,6 +209,7 @@
     let attempt_times = attempt_times.ok_or(NodeError::RetryTooShort)?;
     let pool_settings = PoolSettings {
         lease: attempt_times.worker_lease,
+        policies: settings.load,
         switched_off: settings.switched_off.iter().copied().collect(),
         ..PoolSettings::default()
     };
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use model::DisabledMechanisms;
+use model::{DisabledMechanisms, LoadPolicies};
 
 /// Times and limits of a pool.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,6 +61,8 @@
     pub stall_factor: f64,
     /// Added to the time from `stall_factor`, so that short tasks are not stopped because of a late poll.
     pub stall_margin: Duration,
+    /// The policies for decisions under load.
+    pub policies: LoadPolicies,
     /// The mechanisms that are switched off, for experiments.
     pub switched_off: DisabledMechanisms,
 }
@@ -87,6 +89,7 @@
             packing_share: 0.85,
             stall_factor: 2.5,
             stall_margin: Duration::from_millis(60),
+            policies: LoadPolicies::default(),
             switched_off: DisabledMechanisms::default(),
         }
     }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use model::{DataCentreId, Mechanism, VmId};
+use model::{DataCentreId, LoadPolicies, Mechanism, VmId};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +46,8 @@
     pub link_mbps: f64,
     /// How orders to start and stop tasks reach the workers. Default `call`.
     pub orders: OrderPath,
+    /// The policies for decisions under load. Default: those that are the default of each policy.
+    pub load: LoadPolicies,
     /// Mechanisms that are disabled, to measure the effect of each in experiments. Default none; production disables
     /// none.
     pub switched_off: Vec<Mechanism>,
@@ -80,6 +82,7 @@
             cores: 1.0,
             link_mbps: 1_000.0,
             orders: OrderPath::Call,
+            load: LoadPolicies::default(),
             switched_off: Vec::new(),
         }
     }
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -3,10 +3,11 @@
 use std::path::Path;
 
 use insta::assert_snapshot;
+use model::{LoadPolicies, PlacementPolicy};
 use serde_json::{json, Map, Value};
 use settings::{
     dispatcher_schema, entry_schema, load_dispatcher, load_entry, parse_dispatcher, parse_entry,
-    DispatcherSettings, EntrySettings, LogLevel, LogPart, LogSettings,
+    parse_node, DispatcherSettings, EntrySettings, LogLevel, LogPart, LogSettings,
 };
 
 const IDENTITY_FIELDS: &str = r#""vm": "v1", "data_centre": "dc1""#;
@@ -17,6 +18,28 @@
         .unwrap_or_else(|e| e.to_string())
 }
 
+/// Guards against a node that ignores a misspelt load policy and serves with another one than the operator chose.
+#[test]
+fn load_policies_of_a_node_are_checked() {
+    let node = |load: &str| {
+        let text = format!("{{{IDENTITY_FIELDS}, \"load\": {load}}}");
+        parse_node(&text).map(|settings| settings.load)
+    };
+    let chosen = node(r#"{"placement": "expected_end"}"#);
+    let expected = LoadPolicies {
+        placement: PlacementPolicy::ExpectedEnd,
+        ..LoadPolicies::default()
+    };
+    assert_eq!(chosen.unwrap(), expected);
+    let wrong = [
+        r#"{"placement": "best"}"#,
+        r#"{"shares": "max_min"}"#,
+        r#"{"run_times": "mean", "run_times": "distribution"}"#,
+    ];
+    let errors = wrong.map(|load| node(load).unwrap_err().to_string());
+    assert_snapshot!(errors.join("\n"));
+}
+
 #[test]
 fn errors_name_the_location_and_the_cause() {
     let table = [
