--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -27,7 +27,7 @@
         AttemptId, CustomerId, DataCentreId, EndpointId, IdempotencyKey, IncarnationId, InvalidId,
         SubmissionId, TaskIndex, TaskKind, TicketId, VmId,
     },
-    load_policy::{LoadPolicies, PlacementPolicy, RunTimePolicy, SharingPolicy},
+    load_policy::{LoadPolicies, PlacementPolicy, ReturnPolicy, RunTimePolicy, SharingPolicy},
     mechanism::{DisabledMechanisms, Mechanism},
     outcome::{AttemptEnd, SubmissionOutcome, TaskResult},
     reason::{FailureReason, RefusalReason, RetryReason, UnknownReason, UnknownVariant},
--- a/crates/model/src/load_policy.rs
+++ b/crates/model/src/load_policy.rs
@@ -11,6 +11,8 @@
     pub placement: PlacementPolicy,
     /// How a pool's capacity is shared under contention. Default `arrival_order`.
     pub sharing: SharingPolicy,
+    /// How refused jobs are told when to return. Default `backlog`.
+    pub returns: ReturnPolicy,
     /// How run times are predicted. Default `mean`.
     pub run_times: RunTimePolicy,
 }
@@ -38,6 +40,17 @@
     MaxMin,
 }
 
+/// How refused jobs are told when to return.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum ReturnPolicy {
+    /// After the time that the pool's backlog takes, the same for all jobs refused at that moment.
+    #[default]
+    Backlog,
+    /// At a scheduled time, in the order of first refusal and at the rate at which capacity becomes free.
+    Scheduled,
+}
+
 /// How run times are predicted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
