A late confirmed death counts only for runs that were there until it

Cause: a later incarnation of a worker proves that the worker died, not when. A run that had lapsed or ended behind a cut counted as a death under its task if the worker crashed before it was heard again.

Change: the first poll that is missed after a listing is classified. A poll waits at the worker until a run ends, so a connection that breaks shows that the listed runs were still there, and a time-out shows nothing. TrackedWorker::had_until_death is the one rule, which lose_all_runs and begin_incarnation use. Runs that may have ended only restrict their task.

--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -405,7 +405,7 @@
         common: bool,
         /// The number of tasks that were lost with the worker.
         suspects: usize,
-        /// The number of those that are known to have begun there.
+        /// The number of those that are known to have been there when the worker died, if it died.
         begun: usize,
         /// Whether a single task that may have begun was lost with the worker.
         alone: bool,
--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -3,9 +3,10 @@
 //! A few jobs in a thousand crash every worker that starts them. Such a task takes down worker after worker, together
 //! with all their other runs, for as long as its customer waits, and a kept job does so without end.
 //!
-//! A worker's death counts against a task only if the task is known to have begun in the incarnation that died: a start
-//! that was sent to a worker that was dead already is no run. A task that may have begun is restricted like one that
-//! has, since it may crash its workers before they can answer.
+//! A worker's death counts against a task only if the task is known to have been there when the worker died: a start that
+//! was sent to a worker that was dead already is no run, and a run on a worker that fell silent may have ended before the
+//! worker died. A task that may have been there is restricted like one that was, since it may crash its workers before
+//! they can answer.
 //!
 //! Nor does a death identify a culprit that is no more frequent than the deaths that no task caused, up to a maximum that
 //! bounds how many workers a task can take down.
@@ -72,9 +73,10 @@
     pub(crate) task: TaskId,
     /// The name of the route of the task's job.
     pub(crate) route: Arc<str>,
-    /// Whether the task is known to have begun in the incarnation that was lost. Otherwise it may have, which restricts
-    /// where it runs next and never identifies it as a culprit.
-    pub(crate) begun: bool,
+    /// Whether the task is known to have been there when the worker died, if it died: it had begun, and nothing can have
+    /// ended it unheard. Otherwise it may have been, which restricts where it runs next and never identifies it as a
+    /// culprit.
+    pub(crate) was_there: bool,
     /// How long the task would have run on the worker, or did until the worker was lost.
     pub(crate) exposure: Duration,
 }
@@ -108,7 +110,7 @@
     pub(crate) deaths: u32,
     /// The number of deaths in which the task ran alone.
     pub(crate) alone: u32,
-    /// The number of losses of which it is not known whether the worker died, or whether the task had begun there.
+    /// The number of losses of which it is not known whether the worker died, or whether the task was there.
     unconfirmed: u32,
     last_loss: Option<Instant>,
 }
@@ -304,8 +306,8 @@
     ) -> Vec<(TaskId, InstanceId, Option<WorkerStartTime>)> {
         let mut deaths = Vec::new();
         for loss in self.losses.iter().filter(|loss| loss.died) {
-            let begun = loss.tasks.iter().filter(|lost| lost.begun);
-            let of_job = begun.filter(|lost| lost.task.job == job);
+            let there = loss.tasks.iter().filter(|lost| lost.was_there);
+            let of_job = there.filter(|lost| lost.task.job == job);
             deaths.extend(of_job.map(|lost| (lost.task, loss.instance.clone(), loss.born)));
         }
         deaths
@@ -320,7 +322,7 @@
             for lost in loss.tasks {
                 match known.tasks.iter_mut().find(|l| l.task == lost.task) {
                     Some(same) => {
-                        same.begun |= lost.begun;
+                        same.was_there |= lost.was_there;
                         same.exposure = same.exposure.max(lost.exposure);
                     }
                     None => known.tasks.push(lost),
@@ -388,7 +390,7 @@
 
     /// If the worker ran tasks of routes that have had culprits lately, limits the suspects to those tasks.
     fn narrow_to_culprit_routes(&self, mut loss: WorkerLoss) -> WorkerLoss {
-        let known = |lost: &LostTask| lost.begun && self.routes.contains_key(&lost.route);
+        let known = |lost: &LostTask| lost.was_there && self.routes.contains_key(&lost.route);
         if loss.tasks.iter().any(known) {
             loss.tasks.retain(known);
         }
@@ -410,8 +412,8 @@
         }
         self.culprits.extend(&culprits);
         for loss in &mut self.losses {
-            let begun = loss.tasks.iter().filter(|lost| lost.begun);
-            let lost_culprits = begun.filter(|lost| culprits.contains(&lost.task));
+            let there = loss.tasks.iter().filter(|lost| lost.was_there);
+            let lost_culprits = there.filter(|lost| culprits.contains(&lost.task));
             let routes: Vec<_> = lost_culprits.map(|lost| lost.route.clone()).collect();
             if routes.is_empty() {
                 continue;
@@ -430,7 +432,7 @@
     fn has_sufficient_odds(&self, now: Instant, task: TaskId) -> bool {
         let mut deaths = Vec::new();
         for loss in self.losses.iter().filter(|loss| loss.died) {
-            let of_task = |lost: &&LostTask| lost.begun && lost.task == task;
+            let of_task = |lost: &&LostTask| lost.was_there && lost.task == task;
             let lost = loss.tasks.iter().find(of_task);
             deaths.extend(lost.map(|lost| (loss.lost_at, lost.exposure)));
         }
@@ -458,7 +460,7 @@
         for loss in &self.losses {
             for lost in &loss.tasks {
                 let counts = self.loss_counts.entry(lost.task).or_default();
-                let died_under_it = loss.died && lost.begun;
+                let died_under_it = loss.died && lost.was_there;
                 counts.deaths += u32::from(died_under_it);
                 counts.alone += u32::from(died_under_it && loss.was_alone);
                 counts.unconfirmed += u32::from(!died_under_it);
--- a/crates/pool/src/pool/crash_blame.rs
+++ b/crates/pool/src/pool/crash_blame.rs
@@ -14,7 +14,7 @@
 
 use super::{schedule::task_id, WorkerPool};
 use crate::{
-    action::{PoolEvent, RunBeginning},
+    action::PoolEvent,
     crash::{LossCounts, LostTask, TaskRestriction, WorkerCounts, WorkerLoss},
     death_rate::WorkerDeath,
     placement::can_hold,
@@ -31,17 +31,21 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LostRun {
     task: TaskId,
-    beginning: RunBeginning,
+    /// Whether a start of it was sent.
+    sent: bool,
+    /// Whether it is known to have been there when the worker died.
+    was_there: bool,
     exposure: Duration,
 }
 
 impl LostRun {
-    /// A run that is lost now, with what was known of its beginning.
-    pub(super) fn new(now: Instant, run: &TrackedRun, beginning: RunBeginning) -> Self {
+    /// A run that is lost now.
+    pub(super) fn new(now: Instant, run: &TrackedRun, was_there: bool) -> Self {
         let elapsed = now.saturating_duration_since(run.placed_at);
         Self {
             task: run.task,
-            beginning,
+            sent: !run.is_unsent(),
+            was_there,
             exposure: elapsed.min(run.predicted),
         }
     }
@@ -66,8 +70,7 @@
         if is_leaving || !self.is_enabled(Mechanism::CrashBlame) {
             return Vec::new();
         }
-        let sent = runs.iter();
-        let sent = sent.filter(|run| run.beginning != RunBeginning::Unsent);
+        let sent = runs.iter().filter(|run| run.sent);
         let tasks: Vec<LostTask> = sent.filter_map(|run| self.lost_task(run)).collect();
         if tasks.is_empty() {
             // A worker that begins to publish its start time has not restarted.
@@ -91,7 +94,7 @@
             died,
         };
         let (suspects, alone) = (loss.tasks.len(), loss.was_alone);
-        let begun = loss.tasks.iter().filter(|lost| lost.begun).count();
+        let begun = loss.tasks.iter().filter(|lost| lost.was_there).count();
         let findings = self.crashes.record_loss(loss, &self.count_workers());
         self.events.push(PoolEvent::CrashSuspected {
             instance: instance.clone(),
@@ -144,7 +147,8 @@
             for death in &record.deaths {
                 let run = LostRun {
                     task: task_id(id, step, death.task),
-                    beginning: RunBeginning::Begun,
+                    sent: true,
+                    was_there: true,
                     exposure: RECORDED_EXPOSURE,
                 };
                 let loss = WorkerLoss {
@@ -250,7 +254,7 @@
         Some(LostTask {
             task: run.task,
             route: job.terms.route.clone(),
-            begun: run.beginning == RunBeginning::Begun,
+            was_there: run.was_there,
             exposure: run.exposure,
         })
     }
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -18,7 +18,7 @@
     crash::TaskRestriction,
     job::WaitingTask,
     kept::STORING_POLL_PAUSE,
-    worker::{QueuedOrder, RunPhase, TrackedRun, TrackedWorker},
+    worker::{PollMiss, QueuedOrder, RunPhase, TrackedRun, TrackedWorker},
 };
 
 /// The delay after which the ends of an idle worker are acknowledged, which costs one poll. Short
@@ -92,13 +92,16 @@
             Err(CallFailure::FencedOut) if order.fence < worker.fence => (),
             Err(CallFailure::FencedOut) => self.handle_worker_takeover(now, instance),
             Err(CallFailure::NewInstance) => self.forget_instance(now, instance),
+            Err(CallFailure::NoAnswer) if now < sent + order.timeout => {
+                self.record_missed_poll(now, sent, instance, PollMiss::Broken);
+            }
             Err(
                 CallFailure::NoAnswer
                 | CallFailure::NotSent
                 | CallFailure::Unhealthy
                 | CallFailure::Malformed,
             ) => {
-                self.record_missed_poll(now, sent, instance);
+                self.record_missed_poll(now, sent, instance, PollMiss::Silent);
             }
         }
         self.schedule(now);
@@ -132,7 +135,13 @@
             .min(settings.max_poll_margin)
     }
 
-    fn record_missed_poll(&mut self, now: Instant, sent: Instant, instance: &InstanceId) {
+    fn record_missed_poll(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        instance: &InstanceId,
+        miss: PollMiss,
+    ) {
         self.last_missed_answer = Some(now);
         let Some(worker) = self.workers.get_mut(instance) else {
             return;
@@ -142,6 +151,7 @@
             return;
         }
         worker.missed_polls += 1;
+        worker.first_miss.get_or_insert(miss);
         if !worker.is_silent() {
             return;
         }
@@ -175,6 +185,7 @@
         let had_misses = worker.missed_polls > 0;
         let newly_answering = worker.clock.is_none() || had_misses;
         worker.missed_polls = 0;
+        worker.first_miss = None;
         worker.answered_poll_sent = worker.answered_poll_sent.max(Some(sent));
         // Answers to two polls may overtake each other. Ends are numbered; everything else is valid
         // only in the newest listing.
@@ -506,8 +517,9 @@
         worker.queued_orders.clear();
         let died = loss == RunLoss::NewIncarnation;
         let lost = runs.iter();
-        let lost = lost.map(|run| LostRun::new(now, run, run.beginning));
-        let culprits = self.record_worker_loss(now, instance, lost.collect(), died);
+        let lost = lost.map(|run| LostRun::new(now, run, worker.had_until_death(run)));
+        let lost: Vec<LostRun> = lost.collect();
+        let culprits = self.record_worker_loss(now, instance, lost, died);
         for run in runs {
             self.record_lost_run(now, &run, instance, loss);
             self.requeue(now, run);
--- a/crates/pool/src/pool/restart.rs
+++ b/crates/pool/src/pool/restart.rs
@@ -16,7 +16,7 @@
 
 use super::{crash_blame::LostRun, WorkerPool};
 use crate::{
-    action::{PollOrder, PoolEvent, RunBeginning, RunLoss},
+    action::{PollOrder, PoolEvent, RunLoss},
     worker::{ListingIncarnation, TrackedRun},
 };
 
@@ -81,10 +81,10 @@
                 FormerRunFate::Listed | FormerRunFate::Unsent => (),
                 // It may have begun in the new incarnation only.
                 FormerRunFate::Unknown => {
-                    lost.push(LostRun::new(now, run, RunBeginning::Unconfirmed));
+                    lost.push(LostRun::new(now, run, false));
                 }
                 FormerRunFate::Unanswered | FormerRunFate::Dead => {
-                    lost.push(LostRun::new(now, run, run.beginning));
+                    lost.push(LostRun::new(now, run, worker.had_until_death(run)));
                 }
             }
         }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -55,6 +55,16 @@
     Stopping,
 }
 
+/// How a poll went unanswered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PollMiss {
+    /// Its connection broke while it waited at the worker. An ended run would have answered it, so what ran at the last
+    /// listing ran until the connection broke.
+    Broken,
+    /// It got no answer in time, so runs may have ended unheard since the last listing.
+    Silent,
+}
+
 /// A run that occupies capacity of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct TrackedRun {
@@ -188,6 +198,8 @@
     pub(crate) polls_paused_until: Option<Instant>,
     /// The number of successive polls without an answer.
     pub(crate) missed_polls: u32,
+    /// How the first of them went unanswered, which is the first sign that the worker may have died.
+    pub(crate) first_miss: Option<PollMiss>,
     /// The number of the last ended run that the owner has processed.
     pub(crate) last_seen_end: u64,
     /// The number of the last ended run that a poll has acknowledged.
@@ -240,6 +252,7 @@
             listed_clock: WorkerClock(0),
             polls_paused_until: None,
             missed_polls: 0,
+            first_miss: None,
             last_seen_end: 0,
             acknowledged_end: 0,
             ends_listed: false,
@@ -428,6 +441,18 @@
         self.missed_polls >= MISSED_POLLS_TO_SILENCE
     }
 
+    /// Whether a run is known to have been there when the worker died, if it has died in this incarnation.
+    pub(crate) fn had_until_death(&self, run: &TrackedRun) -> bool {
+        let heard_until_death = match self.first_miss {
+            Some(PollMiss::Broken) => true,
+            Some(PollMiss::Silent) => false,
+            // The next answer after a listing shows the death, unless another poll is still without an answer.
+            None => self.polls_in_flight == 0,
+        };
+        let begun = run.beginning == RunBeginning::Begun && run.stop_acked_at.is_none();
+        begun && heard_until_death
+    }
+
     /// Whether the directory lists the worker as ready and its last poll was not missed.
     fn is_listed_ready(&self) -> bool {
         self.record.state == WorkerState::Ready
