Deaths that a task may have caused bound its starts, across owners

Cause: a task that crashes its workers before they answer was only held back with doubling pauses, counted from zero by each new owner, and an innocent task whose starts went to dead workers waited through the same pauses. An unanswered start looks the same in both cases.

Change: deaths in which a task may have been there count beside known ones; from five on the task is held for 300 s. Rows of kept jobs store them as possible_deaths. After one such loss a task goes only to a watched worker, which has just answered a poll and holds another: if it dies earlier, no start is sent, and a connection that breaks sooner than the start could cause it (unreached) is no loss under the task. The two are one commit, since each alone makes the other side worse.

--- a/crates/jobs/src/kept.rs
+++ b/crates/jobs/src/kept.rs
@@ -66,26 +66,26 @@
     /// Workers that died while they ran tasks that are not done.
     #[serde(default)]
     pub deaths: Vec<TaskDeath>,
+    /// Workers that died when they may have run tasks that are not done. These deaths identify no task as the cause, but
+    /// bound how often it is started.
+    #[serde(default)]
+    pub possible_deaths: Vec<TaskDeath>,
 }
 
 impl StepRecord {
     /// Records that a worker died while it ran a task. Returns whether this was new.
     pub fn record_death(&mut self, death: TaskDeath) -> bool {
-        let is_new = !self.deaths.contains(&death);
-        if is_new {
-            self.deaths.push(death);
-        }
-        is_new
+        add_death(&mut self.deaths, death)
     }
 
     /// Replaces the recorded deaths. Returns whether they differ, apart from their order.
     pub fn replace_deaths(&mut self, deaths: Vec<TaskDeath>) -> bool {
-        let same_count = self.deaths.len() == deaths.len();
-        let differs = !same_count || deaths.iter().any(|death| !self.deaths.contains(death));
-        if differs {
-            self.deaths = deaths;
-        }
-        differs
+        replace_deaths(&mut self.deaths, deaths)
+    }
+
+    /// As [`Self::replace_deaths`], for the possible deaths.
+    pub fn replace_possible_deaths(&mut self, deaths: Vec<TaskDeath>) -> bool {
+        replace_deaths(&mut self.possible_deaths, deaths)
     }
 
     /// Whether the end of a run of a task is recorded, or leaves no trace.
@@ -107,6 +107,9 @@
         for death in &other.deaths {
             self.record_death(death.clone());
         }
+        for death in &other.possible_deaths {
+            add_death(&mut self.possible_deaths, death.clone());
+        }
         for failed in &other.failed {
             if !self.failed.contains(failed) {
                 self.failed.push(*failed);
@@ -121,6 +124,23 @@
     }
 }
 
+fn add_death(deaths: &mut Vec<TaskDeath>, death: TaskDeath) -> bool {
+    let is_new = !deaths.contains(&death);
+    if is_new {
+        deaths.push(death);
+    }
+    is_new
+}
+
+fn replace_deaths(known: &mut Vec<TaskDeath>, deaths: Vec<TaskDeath>) -> bool {
+    let same_count = known.len() == deaths.len();
+    let differs = !same_count || deaths.iter().any(|death| !known.contains(death));
+    if differs {
+        *known = deaths;
+    }
+    differs
+}
+
 /// The stored row of a kept job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct KeptRow {
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -174,6 +174,8 @@
     RunBeginning, "beginning of a run", UnknownVariant {
         /// No start was sent.
         Unsent => "unsent",
+        /// A start was sent, but a poll's connection broke too soon after that for the start to be the cause.
+        Unreached => "unreached",
         /// A start was sent. It is not known whether the worker carried it out.
         Unconfirmed => "unconfirmed",
         /// The worker has answered that it has the run, or has listed it as running.
--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -64,6 +64,9 @@
 /// The maximum number of times that the hold doubles.
 const MAX_HOLD_DOUBLINGS: u32 = 6;
 
+/// How long a task is not placed once `CERTAIN_CULPRIT_DEATHS` workers have died that ran it or may have run it.
+const LONGEST_HOLD: Duration = Duration::from_secs(300);
+
 /// How long a route is remembered after one of its tasks was identified as a culprit.
 const ROUTE_MEMORY: Duration = Duration::from_secs(20);
 
@@ -97,6 +100,16 @@
     pub(crate) died: bool,
 }
 
+/// The death of a worker that counts against a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct CountedDeath {
+    pub(crate) task: TaskId,
+    pub(crate) instance: InstanceId,
+    pub(crate) born: Option<WorkerStartTime>,
+    /// Whether the task is known to have been there.
+    pub(crate) was_there: bool,
+}
+
 /// The number of workers of a pool, in all and by label, for deciding whether losses have a common cause.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WorkerCounts {
@@ -110,8 +123,12 @@
     pub(crate) deaths: u32,
     /// The number of deaths in which the task ran alone.
     pub(crate) alone: u32,
-    /// The number of losses of which it is not known whether the worker died, or whether the task was there.
+    /// The number of deaths of which it is not known whether the task was there.
+    possible: u32,
+    /// The number of losses of which it is not known whether the worker died.
     unconfirmed: u32,
+    /// The number of losses of which it is not known whether the task was there.
+    uncertain: u32,
     last_loss: Option<Instant>,
 }
 
@@ -121,7 +138,16 @@
     }
 
     fn losses(&self) -> u32 {
-        self.deaths + self.unconfirmed
+        self.deaths + self.possible + self.unconfirmed
+    }
+
+    /// How long after its last loss the task is not placed.
+    fn hold(&self) -> Duration {
+        if self.deaths + self.possible >= CERTAIN_CULPRIT_DEATHS {
+            return LONGEST_HOLD;
+        }
+        let doublings = self.losses().saturating_sub(ISOLATED_CULPRIT_DEATHS);
+        INITIAL_HOLD * 2_u32.pow(doublings.min(MAX_HOLD_DOUBLINGS))
     }
 }
 
@@ -282,33 +308,40 @@
         let Some(counts) = self.loss_counts.get(&task) else {
             return TaskRestriction::None;
         };
-        let doublings = match counts.losses() {
+        match counts.losses() {
             0 => return TaskRestriction::None,
             1 => return TaskRestriction::Alone,
-            losses => (losses - ISOLATED_CULPRIT_DEATHS).min(MAX_HOLD_DOUBLINGS),
-        };
-        let hold = INITIAL_HOLD * 2_u32.pow(doublings);
+            _ => (),
+        }
+        let hold = counts.hold();
         match counts.last_loss.is_some_and(|last| now < last + hold) {
             true => TaskRestriction::Hold,
             false => TaskRestriction::Alone,
         }
     }
 
+    /// Whether a task was lost with a worker of which it is not known whether the task was there. Its next worker is
+    /// watched, so that the next loss does not happen before its start arrives.
+    pub(crate) fn needs_watch(&self, task: TaskId) -> bool {
+        self.losses_of(task).uncertain > 0
+    }
+
     /// Whether a task of the job is a culprit.
     pub(crate) fn has_culprit(&self, job: JobId) -> bool {
         self.culprits.iter().any(|task| task.job == job)
     }
 
     /// The confirmed deaths that count against a job's tasks.
-    pub(crate) fn deaths_of(
-        &self,
-        job: JobId,
-    ) -> Vec<(TaskId, InstanceId, Option<WorkerStartTime>)> {
+    pub(crate) fn deaths_of(&self, job: JobId) -> Vec<CountedDeath> {
         let mut deaths = Vec::new();
         for loss in self.losses.iter().filter(|loss| loss.died) {
-            let there = loss.tasks.iter().filter(|lost| lost.was_there);
-            let of_job = there.filter(|lost| lost.task.job == job);
-            deaths.extend(of_job.map(|lost| (lost.task, loss.instance.clone(), loss.born)));
+            let of_job = loss.tasks.iter().filter(|lost| lost.task.job == job);
+            deaths.extend(of_job.map(|lost| CountedDeath {
+                task: lost.task,
+                instance: loss.instance.clone(),
+                born: loss.born,
+                was_there: lost.was_there,
+            }));
         }
         deaths
     }
@@ -463,7 +496,9 @@
                 let died_under_it = loss.died && lost.was_there;
                 counts.deaths += u32::from(died_under_it);
                 counts.alone += u32::from(died_under_it && loss.was_alone);
-                counts.unconfirmed += u32::from(!died_under_it);
+                counts.possible += u32::from(loss.died && !lost.was_there);
+                counts.unconfirmed += u32::from(!loss.died);
+                counts.uncertain += u32::from(!lost.was_there);
                 counts.last_loss = counts.last_loss.max(Some(loss.lost_at));
             }
         }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -42,6 +42,7 @@
 mod start_window;
 mod time_budget;
 mod worker;
+mod worker_watch;
 
 pub use crate::{
     action::{
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -33,6 +33,8 @@
     pub(crate) median_slowness: f64,
     /// Whether no other run may share the worker, because workers died under the task.
     pub(crate) exclusive: bool,
+    /// Whether the worker has to be watched, because workers may have died under the task.
+    pub(crate) watched: bool,
     /// Workers that are being emptied for exclusive tasks.
     pub(crate) reserved: &'a [InstanceId],
 }
@@ -88,9 +90,10 @@
         return false;
     }
     let fits_beside = match request.exclusive {
-        true => worker.runs.is_empty(),
+        true => worker.runs.is_empty() && (!request.watched || worker.is_watch_ready(now)),
         false => {
             !request.reserved.contains(&worker.record.instance)
+                && !worker.is_watched(now)
                 && !worker.runs.iter().any(|run| run.exclusive)
         }
     };
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -11,6 +11,7 @@
 mod restart;
 mod schedule;
 mod takeover;
+mod watching;
 
 use std::{
     collections::BTreeMap,
--- a/crates/pool/src/pool/crash_blame.rs
+++ b/crates/pool/src/pool/crash_blame.rs
@@ -14,7 +14,7 @@
 
 use super::{schedule::task_id, WorkerPool};
 use crate::{
-    action::PoolEvent,
+    action::{PoolEvent, RunBeginning},
     crash::{LossCounts, LostTask, TaskRestriction, WorkerCounts, WorkerLoss},
     death_rate::WorkerDeath,
     placement::can_hold,
@@ -31,7 +31,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LostRun {
     task: TaskId,
-    /// Whether a start of it was sent.
+    /// Whether a start of it may have reached the worker.
     sent: bool,
     /// Whether it is known to have been there when the worker died.
     was_there: bool,
@@ -44,7 +44,10 @@
         let elapsed = now.saturating_duration_since(run.placed_at);
         Self {
             task: run.task,
-            sent: !run.is_unsent(),
+            sent: !matches!(
+                run.beginning,
+                RunBeginning::Unsent | RunBeginning::Unreached
+            ),
             was_there,
             exposure: elapsed.min(run.predicted),
         }
@@ -144,11 +147,13 @@
         }
         let mut culprits = Vec::new();
         for (step, record) in steps.iter().enumerate() {
-            for death in &record.deaths {
+            let deaths = record.deaths.iter().map(|death| (death, true));
+            let possible = record.possible_deaths.iter().map(|death| (death, false));
+            for (death, was_there) in deaths.chain(possible) {
                 let run = LostRun {
                     task: task_id(id, step, death.task),
                     sent: true,
-                    was_there: true,
+                    was_there,
                     exposure: RECORDED_EXPOSURE,
                 };
                 let loss = WorkerLoss {
@@ -236,7 +241,7 @@
         reserved
     }
 
-    fn can_hold_task(&self, worker: &TrackedWorker, task: TaskId) -> bool {
+    pub(super) fn can_hold_task(&self, worker: &TrackedWorker, task: TaskId) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
@@ -283,8 +288,9 @@
             let Some(kept) = &job.kept else {
                 continue;
             };
-            let mut steps = kept.progress.iter();
-            if suspects.contains(id) || steps.any(|step| !step.deaths.is_empty()) {
+            let has_deaths =
+                |step: &StepRecord| !step.deaths.is_empty() || !step.possible_deaths.is_empty();
+            if suspects.contains(id) || kept.progress.iter().any(has_deaths) {
                 affected.push(*id);
             }
         }
@@ -302,17 +308,24 @@
             return false;
         };
         let mut deaths: FastMap<u32, Vec<TaskDeath>> = FastMap::default();
-        for (task, life, born) in self.crashes.deaths_of(id) {
+        let mut possible_deaths: FastMap<u32, Vec<TaskDeath>> = FastMap::default();
+        for death in self.crashes.deaths_of(id) {
             let task_death = TaskDeath {
-                task: task.index,
-                life,
-                born,
+                task: death.task.index,
+                life: death.instance,
+                born: death.born,
             };
-            deaths.entry(task.step).or_default().push(task_death);
+            let of_kind = match death.was_there {
+                true => &mut deaths,
+                false => &mut possible_deaths,
+            };
+            of_kind.entry(death.task.step).or_default().push(task_death);
         }
         let mut changed = false;
         for (step, record) in (0..).zip(&mut kept.progress) {
             changed |= record.replace_deaths(deaths.remove(&step).unwrap_or_default());
+            let possible = possible_deaths.remove(&step).unwrap_or_default();
+            changed |= record.replace_possible_deaths(possible);
         }
         kept.revision += u64::from(changed);
         changed
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -19,6 +19,7 @@
     job::WaitingTask,
     kept::STORING_POLL_PAUSE,
     worker::{PollMiss, QueuedOrder, RunPhase, TrackedRun, TrackedWorker},
+    worker_watch::WATCH_POLL_WAIT,
 };
 
 /// The delay after which the ends of an idle worker are acknowledged, which costs one poll. Short
@@ -150,6 +151,12 @@
         if worker.answered_poll_sent.is_some_and(|later| later > sent) {
             return;
         }
+        if miss == PollMiss::Broken {
+            // No copy may be sent to the next incarnation, which could die of it.
+            for (task, run) in worker.mark_unreached_runs(now) {
+                stop_run(worker, task, run);
+            }
+        }
         worker.missed_polls += 1;
         worker.first_miss.get_or_insert(miss);
         if !worker.is_silent() {
@@ -184,6 +191,7 @@
         worker.record_listing(now, owner_millis, listing.clock, order.fence);
         let had_misses = worker.missed_polls > 0;
         let newly_answering = worker.clock.is_none() || had_misses;
+        worker.record_poll_time(now.saturating_duration_since(sent));
         worker.missed_polls = 0;
         worker.first_miss = None;
         worker.answered_poll_sent = worker.answered_poll_sent.max(Some(sent));
@@ -620,6 +628,9 @@
     if !worker.foreign_runs.is_empty() || worker.lacks_start_lease() {
         return STOPPING_POLL_WAIT;
     }
+    if worker.accepts_runs() && worker.runs.is_empty() && worker.has_answered_watch(now) {
+        return WATCH_POLL_WAIT;
+    }
     if !worker.accepts_runs() || worker.runs.is_empty() {
         return Duration::ZERO;
     }
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -35,6 +35,7 @@
         self.update_median_slowness(now);
         self.prune_crashes(now);
         self.reserve_workers_for_suspects(now);
+        self.watch_workers_for_suspects(now);
         self.schedule(now);
         self.send_polls_and_orders(now);
     }
@@ -148,6 +149,7 @@
             far_factor: self.far_factor,
             median_slowness: self.median_slowness,
             exclusive: alone,
+            watched: self.crashes.needs_watch(task_id(id, step, task.index)),
             reserved: &self.reserved_for_suspects,
         };
         choose_worker(self.workers.values(), &placement, now)
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -10,7 +10,10 @@
     WorkerStartTime, WorkerState,
 };
 
-use crate::{action::RunBeginning, attempt_times::WORKER_CLOCK_DRIFT, health::WorkerHealth};
+use crate::{
+    action::RunBeginning, attempt_times::WORKER_CLOCK_DRIFT, health::WorkerHealth,
+    worker_watch::WorkerWatch,
+};
 
 /// The weight of a new sample in a worker's slowness. About five samples count: a worker ends about ten runs a second
 /// and may turn slow at any moment.
@@ -115,7 +118,11 @@
     pub(crate) fn record_unsent_start(&mut self) {
         self.starts_not_sent += 1;
         let none_sent = self.starts_not_sent == self.starts_sent;
-        if none_sent && self.beginning == RunBeginning::Unconfirmed {
+        let may_have_begun = matches!(
+            self.beginning,
+            RunBeginning::Unconfirmed | RunBeginning::Unreached
+        );
+        if none_sent && may_have_begun {
             self.beginning = RunBeginning::Unsent;
         }
     }
@@ -196,6 +203,10 @@
     pub(crate) listed_clock: WorkerClock,
     /// No poll is sent before this time.
     pub(crate) polls_paused_until: Option<Instant>,
+    /// The shortest time in which a poll was answered.
+    pub(crate) shortest_answer: Option<Duration>,
+    /// The current watch of the worker.
+    pub(crate) watch: Option<WorkerWatch>,
     /// The number of successive polls without an answer.
     pub(crate) missed_polls: u32,
     /// How the first of them went unanswered, which is the first sign that the worker may have died.
@@ -251,6 +262,8 @@
             listed_at: None,
             listed_clock: WorkerClock(0),
             polls_paused_until: None,
+            shortest_answer: None,
+            watch: None,
             missed_polls: 0,
             first_miss: None,
             last_seen_end: 0,
@@ -636,6 +649,11 @@
             .listed_at
             .is_some_and(|at| now >= at + CLOCK_REFRESH_INTERVAL);
         let has_runs = !self.runs.is_empty() || !self.foreign_runs.is_empty();
-        has_runs || outdated || unacknowledged || unknown || (wants_ends && !self.ends_listed)
+        has_runs
+            || self.is_watched(now)
+            || outdated
+            || unacknowledged
+            || unknown
+            || (wants_ends && !self.ends_listed)
     }
 }
