A lost worker that leaves the directory counts towards the bound on starts

Cause: nothing confirms the death of a worker that comes back under another id and at another address, so a task that crashes such workers was started more than twice after three crashes, and the next owner did not know of the losses.

Change: a lost worker that leaves the directory counts as a possible death, which bounds starts and is stored but names no task. It is taken back when the worker answers again in the same incarnation, also after it was removed and added again.

--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -98,6 +98,16 @@
     pub(crate) lost_at: Instant,
     /// Whether the worker is known to have died, rather than possibly being out of reach.
     pub(crate) died: bool,
+    /// Whether the worker has left the directory. It may come back under another id and at another address, so nothing
+    /// else may ever confirm its death.
+    pub(crate) departed: bool,
+}
+
+impl WorkerLoss {
+    /// Whether the worker counts as dead for the bound on starts.
+    fn may_have_died(&self) -> bool {
+        self.died || self.departed
+    }
 }
 
 /// The death of a worker that counts against a task.
@@ -106,8 +116,8 @@
     pub(crate) task: TaskId,
     pub(crate) instance: InstanceId,
     pub(crate) born: Option<WorkerStartTime>,
-    /// Whether the task is known to have been there.
-    pub(crate) was_there: bool,
+    /// Whether the worker is known to have died, and the task to have been there.
+    pub(crate) is_known: bool,
 }
 
 /// The number of workers of a pool, in all and by label, for deciding whether losses have a common cause.
@@ -123,9 +133,10 @@
     pub(crate) deaths: u32,
     /// The number of deaths in which the task ran alone.
     pub(crate) alone: u32,
-    /// The number of deaths of which it is not known whether the task was there.
+    /// The number of deaths of which it is not known whether the task was there, and of workers that have left the
+    /// directory.
     possible: u32,
-    /// The number of losses of which it is not known whether the worker died.
+    /// The number of the other losses, of which it is not known whether the worker died.
     unconfirmed: u32,
     /// The number of losses of which it is not known whether the task was there.
     uncertain: u32,
@@ -331,16 +342,30 @@
         self.culprits.iter().any(|task| task.job == job)
     }
 
-    /// The confirmed deaths that count against a job's tasks.
+    /// Notes that a lost worker has left the directory. Returns whether this changes a loss.
+    pub(crate) fn record_departure(&mut self, instance: &InstanceId) -> bool {
+        let mut changed = false;
+        for loss in &mut self.losses {
+            let departs = loss.instance == *instance && !loss.may_have_died();
+            loss.departed |= departs;
+            changed |= departs;
+        }
+        if changed {
+            self.recount_losses();
+        }
+        changed
+    }
+
+    /// The known and possible deaths that count against a job's tasks.
     pub(crate) fn deaths_of(&self, job: JobId) -> Vec<CountedDeath> {
         let mut deaths = Vec::new();
-        for loss in self.losses.iter().filter(|loss| loss.died) {
+        for loss in self.losses.iter().filter(|loss| loss.may_have_died()) {
             let of_job = loss.tasks.iter().filter(|lost| lost.task.job == job);
             deaths.extend(of_job.map(|lost| CountedDeath {
                 task: lost.task,
                 instance: loss.instance.clone(),
                 born: loss.born,
-                was_there: lost.was_there,
+                is_known: loss.died && lost.was_there,
             }));
         }
         deaths
@@ -352,6 +377,7 @@
             |other: &&mut WorkerLoss| other.instance == loss.instance && other.born == loss.born;
         if let Some(known) = self.losses.iter_mut().find(same) {
             known.died |= loss.died;
+            known.departed |= loss.departed;
             for lost in loss.tasks {
                 match known.tasks.iter_mut().find(|l| l.task == lost.task) {
                     Some(same) => {
@@ -496,8 +522,8 @@
                 let died_under_it = loss.died && lost.was_there;
                 counts.deaths += u32::from(died_under_it);
                 counts.alone += u32::from(died_under_it && loss.was_alone);
-                counts.possible += u32::from(loss.died && !lost.was_there);
-                counts.unconfirmed += u32::from(!loss.died);
+                counts.possible += u32::from(loss.may_have_died() && !died_under_it);
+                counts.unconfirmed += u32::from(!loss.may_have_died());
                 counts.uncertain += u32::from(!lost.was_there);
                 counts.last_loss = counts.last_loss.max(Some(loss.lost_at));
             }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -341,6 +341,7 @@
         if worker.unlisted_since.is_none() {
             worker.unlisted_since = Some(now);
             self.report_worker_change(instance.clone(), WorkerChange::Unlisted);
+            self.record_departure(instance);
         }
         self.remove_unlisted_workers(now);
     }
--- a/crates/pool/src/pool/crash_blame.rs
+++ b/crates/pool/src/pool/crash_blame.rs
@@ -95,6 +95,7 @@
             tasks,
             lost_at: now,
             died,
+            departed: worker.unlisted_since.is_some(),
         };
         let (suspects, alone) = (loss.tasks.len(), loss.was_alone);
         let begun = loss.tasks.iter().filter(|lost| lost.was_there).count();
@@ -121,12 +122,20 @@
     /// Clears the loss of a worker that answers in the incarnation in which it was lost.
     pub(super) fn clear_crash(&mut self, instance: &InstanceId, born: Option<WorkerStartTime>) {
         if self.crashes.discard_loss(instance, born) {
+            self.store_deaths();
             self.events.push(PoolEvent::CrashCleared {
                 instance: instance.clone(),
             });
         }
     }
 
+    /// Notes that a worker has left the directory, which a lost one may have done because it died.
+    pub(super) fn record_departure(&mut self, instance: &InstanceId) {
+        if self.crashes.record_departure(instance) {
+            self.store_deaths();
+        }
+    }
+
     /// Handles a worker that is new in the directory. It may be a lost worker that has come back,
     /// which shows that the lost one died.
     pub(super) fn on_new_worker(&mut self, now: Instant, record: &WorkerRecord) {
@@ -149,11 +158,11 @@
         for (step, record) in steps.iter().enumerate() {
             let deaths = record.deaths.iter().map(|death| (death, true));
             let possible = record.possible_deaths.iter().map(|death| (death, false));
-            for (death, was_there) in deaths.chain(possible) {
+            for (death, is_known) in deaths.chain(possible) {
                 let run = LostRun {
                     task: task_id(id, step, death.task),
                     sent: true,
-                    was_there,
+                    was_there: is_known,
                     exposure: RECORDED_EXPOSURE,
                 };
                 let loss = WorkerLoss {
@@ -164,7 +173,8 @@
                     tasks: self.lost_task(&run).into_iter().collect(),
                     was_alone: false,
                     lost_at: now,
-                    died: true,
+                    died: is_known,
+                    departed: !is_known,
                 };
                 culprits.extend(self.crashes.restore_death(loss));
             }
@@ -315,7 +325,7 @@
                 life: death.instance,
                 born: death.born,
             };
-            let of_kind = match death.was_there {
+            let of_kind = match death.is_known {
                 true => &mut deaths,
                 false => &mut possible_deaths,
             };
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -210,7 +210,8 @@
                 clock_offset,
             });
         }
-        if had_misses {
+        // A worker that left the directory and came back has no misses.
+        if newly_answering {
             self.clear_crash(instance, born);
         }
         for end in &listing.ended {
--- a/crates/pool/tests/crash.rs
+++ b/crates/pool/tests/crash.rs
@@ -469,6 +469,21 @@
     assert!(deaths(&simulation) <= 6, "{}", deaths(&simulation));
 }
 
+/// Guards against a task that is started over and over because its workers come back under other ids and at other
+/// addresses, so that nothing confirms their deaths.
+#[test]
+fn a_task_whose_workers_come_back_elsewhere_is_started_three_times_more_at_most() {
+    let mut simulation = kept_simulation(2, 6, CrashReturn::NewAddress);
+    let job = JobId(1);
+    simulation.make_crashing(job, 0.5);
+    simulation.submit_sized(1, job, vec![300.0], 300.0, HALF_WORKER);
+    for _ in 0..4 {
+        simulation.run_for(25_000);
+        simulation.replace_owner();
+        simulation.read_rows();
+    }
+}
+
 /// Guards against an accepted job that could run and doesn't: its starts reached workers that were dead already, so
 /// nothing speaks against it, and it is held back ever longer.
 #[test]
--- a/crates/pool/tests/support/crashing.rs
+++ b/crates/pool/tests/support/crashing.rs
@@ -17,6 +17,8 @@
     SameId,
     /// Under a new id, at the same address.
     NewId,
+    /// Under a new id, at another address.
+    NewAddress,
 }
 
 /// The tasks that crash workers, and the resulting crashes.
@@ -145,6 +147,9 @@
         self.pool.unlist_worker(at, instance);
         let mut record = former.record;
         record.instance = InstanceId::from(format!("{instance}+").as_str());
+        if self.crashes.return_kind == CrashReturn::NewAddress {
+            record.address.set_port(record.address.port() + 100);
+        }
         self.add_worker(record, former.speed);
     }
 
