Ends of jobs that may be unknown here are looked up before they are acknowledged

Cause: a worker that moved to another pool listed the end of a kept job that was stored after the new owner's read. That owner knew no such job and acknowledged the end, so the job's next owner started the task again.

Change: the end of an unknown job goes through StoreForeignEnd, too, if its run was ordered no earlier than 1 s before the read, by its run number. The store then says whether there is such a job.

Measured: the new test ends_of_a_job_that_was_stored_after_the_read_are_stored fails with the condition switched off (a Done end is acknowledged at 1424 ms that no row contains) and passes with it; kept.rs 21 of 21.

--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -358,7 +358,7 @@
         /// The version of its row in the store.
         version: u64,
     },
-    /// A worker that belonged to another pool before lists the end of a run of that pool's kept job.
+    /// A worker lists the end of a run that is, or may be, of another pool's kept job.
     ForeignEndFound {
         /// The worker that lists the end.
         instance: InstanceId,
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -91,6 +91,8 @@
     /// The open kept jobs of other pools, as of the last read. Ends of theirs may be listed by a worker that belonged to
     /// another pool before.
     foreign_jobs: FastSet<JobId>,
+    /// When the last read of the kept jobs began. Jobs that were stored later may be unknown here.
+    rows_read_from: Instant,
     /// Reads of the kept jobs that began earlier do not count.
     rows_outdated_until: Instant,
     /// Since when no run of a former owner can be left, while found jobs wait for a read of their rows that began later.
@@ -160,6 +162,7 @@
             last_store_contact: Some(now),
             kept_loaded: false,
             foreign_jobs: FastSet::default(),
+            rows_read_from: now,
             rows_outdated_until: now,
             settled_since: None,
             recently_ended_kept: FastMap::default(),
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -27,6 +27,9 @@
 /// again: much longer than the longest time that a read of the store takes.
 const ENDED_KEPT_MEMORY: Duration = Duration::from_secs(10);
 
+/// How much the clocks of two owners may differ, with the time that a read of the store takes.
+const CLOCK_DIFFERENCE: Duration = Duration::from_millis(1_000);
+
 impl WorkerPool {
     /// Records that the store has confirmed this owner's claim, by a call that was sent at `sent`.
     pub fn record_store_contact(&mut self, sent: Instant) {
@@ -85,6 +88,7 @@
             .partition(|found| found.row.home == self.name);
         self.foreign_jobs = others.iter().map(|other| other.job).collect();
         self.kept_loaded = true;
+        self.rows_read_from = began;
         if self.settled_since.is_some_and(|settled| began >= settled) {
             self.resume_found_jobs(now, &found);
         }
@@ -293,6 +297,18 @@
         }
     }
 
+    /// Whether an end may be one of another pool's kept job: the job was among those read or, if nobody here knows it, its
+    /// run was ordered so late that it may have been stored after the read. Run numbers are times of the platform's clock.
+    fn may_be_of_foreign_job(&self, job: JobId, end: &EndedRun) -> bool {
+        if self.foreign_jobs.contains(&job) {
+            return true;
+        }
+        let read_at = self.run_number_base + self.owner_millis(self.rows_read_from);
+        let margin = u64::try_from(CLOCK_DIFFERENCE.as_millis()).unwrap_or(u64::MAX);
+        let is_later = end.run.0 >= read_at.saturating_sub(margin);
+        is_later && !self.jobs.contains_key(&job) && !self.recently_ended_kept.contains_key(&job)
+    }
+
     /// Has an end added to the row of another pool's job before it is acknowledged. The pool that has the job reads its rows
     /// once more before it runs what it found.
     fn store_foreign_end(&mut self, instance: &InstanceId, task: TaskId, end: &EndedRun) {
@@ -330,7 +346,7 @@
         let Some(task) = end.task else {
             return;
         };
-        if self.foreign_jobs.contains(&task.job) {
+        if self.may_be_of_foreign_job(task.job, end) {
             self.store_foreign_end(instance, task, end);
             return;
         }
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -4,8 +4,11 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use jobs::{JobId, JobOutcome, KeptState};
-use support::{worker_record, Simulation, WorkerFault};
+use pool::{PoolInit, WorkerPool};
+use support::{pool_init, worker_record, Simulation, WorkerFault};
 
 const JOB: JobId = JobId(7);
 
@@ -415,6 +418,41 @@
     }
 }
 
+/// Guards against a second run of a task whose end was acknowledged by the owner of its worker's new pool, which had read
+/// the rows before the job was stored.
+#[test]
+fn ends_of_a_job_that_was_stored_after_the_read_are_stored() {
+    for moved_after in [40, 80, 100, 140] {
+        let mut simulation = simulation(2);
+        simulation.done_is_final = true;
+        let at = simulation.instant();
+        let init = PoolInit {
+            name: Arc::from("east/1"),
+            platform_millis: 1_000_000 + simulation.now,
+            ..pool_init(2)
+        };
+        let mut other = WorkerPool::new(init, at);
+        other.set_takeover_state(at, false, true);
+        other.load_kept(at, Vec::new());
+        simulation.submit_sized(1, JOB, vec![60.0, 60.0, 900.0], 100.0, 6_800);
+        simulation.run_for(30);
+        simulation.freeze_owner(moved_after);
+        simulation.run_for(moved_after);
+        simulation.divide_workers_to(other);
+        simulation.run_for(2_000);
+        simulation.replace_owner();
+        simulation.run_for(5);
+        simulation.read_rows();
+        simulation.run_for(3_000);
+        assert_eq!(
+            state(&simulation),
+            Some(KeptState::Completed),
+            "moved after {moved_after} ms"
+        );
+        assert_eq!(done_runs(&simulation), [1, 1, 1]);
+    }
+}
+
 /// Guards against an accepted job that nobody runs: its owner released it while it was to hand the pool over, kept the
 /// pool, and took a read of the rows that had begun before the job was stored for a later one.
 #[test]
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -339,6 +339,19 @@
         self.execute_actions();
     }
 
+    /// Gives all workers to a pool that another owner has held for a while.
+    pub(crate) fn divide_workers_to(&mut self, pool: WorkerPool) {
+        self.fence = pool.fence().0;
+        self.pool = pool;
+        self.open.clear();
+        let at = self.instant();
+        let records: Vec<_> = self.workers.values().map(|w| w.record.clone()).collect();
+        for record in records {
+            self.pool.upsert_worker(at, record);
+        }
+        self.execute_actions();
+    }
+
     /// Submits a random job of a kind.
     pub(crate) fn submit(&mut self, kind: usize, id: JobId) {
         let job_kind = KINDS[kind];
