Workers are watched only for suspects whose job may run

Cause: a suspect of a kept job that waits for the store kept a watched worker empty until the store was back. Change: only tasks whose job may run have a worker watched. Measured: crash.rs 21 of 21, kept.rs 21 of 21; no test of its own.

--- a/crates/pool/src/pool/watching.rs
+++ b/crates/pool/src/pool/watching.rs
@@ -18,7 +18,9 @@
         }
         let waiting = self.crashes.suspects().filter(|task| {
             let job = self.jobs.get(&task.job);
-            let waits = job.is_some_and(|job| job.is_placeable(task.step as usize, task.index));
+            let waits = job.is_some_and(|job| {
+                job.is_placeable(task.step as usize, task.index) && self.may_run(now, job)
+            });
             waits
                 && self.crashes.needs_watch(*task)
                 && self.crashes.restriction(now, *task) == TaskRestriction::Alone
