--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -174,6 +174,8 @@
     RunBeginning, "beginning of a run", UnknownVariant {
         /// No start was sent.
         Unsent => "unsent",
+        /// A start was sent, but a poll's connection broke too soon after that for the start to be the cause.
+        Unreached => "unreached",
         /// A start was sent. It is not known whether the worker carried it out.
         Unconfirmed => "unconfirmed",
         /// The worker has answered that it has the run, or has listed it as running.
@@ -356,7 +358,7 @@
         /// The version of its row in the store.
         version: u64,
     },
-    /// A worker that belonged to another pool before lists the end of a run of that pool's kept job.
+    /// A worker lists the end of a run that is, or may be, of another pool's kept job.
     ForeignEndFound {
         /// The worker that lists the end.
         instance: InstanceId,
@@ -405,7 +407,7 @@
         common: bool,
         /// The number of tasks that were lost with the worker.
         suspects: usize,
-        /// The number of those that are known to have begun there.
+        /// The number of those that are known to have been there when the worker died, if it died.
         begun: usize,
         /// Whether a single task that may have begun was lost with the worker.
         alone: bool,
--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -3,9 +3,10 @@
 //! A few jobs in a thousand crash every worker that starts them. Such a task takes down worker after worker, together
 //! with all their other runs, for as long as its customer waits, and a kept job does so without end.
 //!
-//! A worker's death counts against a task only if the task is known to have begun in the incarnation that died: a start
-//! that was sent to a worker that was dead already is no run. A task that may have begun is restricted like one that
-//! has, since it may crash its workers before they can answer.
+//! A worker's death counts against a task only if the task is known to have been there when the worker died: a start that
+//! was sent to a worker that was dead already is no run, and a run on a worker that fell silent may have ended before the
+//! worker died. A task that may have been there is restricted like one that was, since it may crash its workers before
+//! they can answer.
 //!
 //! Nor does a death identify a culprit that is no more frequent than the deaths that no task caused, up to a maximum that
 //! bounds how many workers a task can take down.
@@ -63,6 +64,9 @@
 /// The maximum number of times that the hold doubles.
 const MAX_HOLD_DOUBLINGS: u32 = 6;
 
+/// How long a task is not placed once `CERTAIN_CULPRIT_DEATHS` workers have died that ran it or may have run it.
+const LONGEST_HOLD: Duration = Duration::from_secs(300);
+
 /// How long a route is remembered after one of its tasks was identified as a culprit.
 const ROUTE_MEMORY: Duration = Duration::from_secs(20);
 
@@ -72,9 +76,10 @@
     pub(crate) task: TaskId,
     /// The name of the route of the task's job.
     pub(crate) route: Arc<str>,
-    /// Whether the task is known to have begun in the incarnation that was lost. Otherwise it may have, which restricts
-    /// where it runs next and never identifies it as a culprit.
-    pub(crate) begun: bool,
+    /// Whether the task is known to have been there when the worker died, if it died: it had begun, and nothing can have
+    /// ended it unheard. Otherwise it may have been, which restricts where it runs next and never identifies it as a
+    /// culprit.
+    pub(crate) was_there: bool,
     /// How long the task would have run on the worker, or did until the worker was lost.
     pub(crate) exposure: Duration,
 }
@@ -93,6 +98,26 @@
     pub(crate) lost_at: Instant,
     /// Whether the worker is known to have died, rather than possibly being out of reach.
     pub(crate) died: bool,
+    /// Whether the worker has left the directory. It may come back under another id and at another address, so nothing
+    /// else may ever confirm its death.
+    pub(crate) departed: bool,
+}
+
+impl WorkerLoss {
+    /// Whether the worker counts as dead for the bound on starts.
+    fn may_have_died(&self) -> bool {
+        self.died || self.departed
+    }
+}
+
+/// The death of a worker that counts against a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct CountedDeath {
+    pub(crate) task: TaskId,
+    pub(crate) instance: InstanceId,
+    pub(crate) born: Option<WorkerStartTime>,
+    /// Whether the worker is known to have died, and the task to have been there.
+    pub(crate) is_known: bool,
 }
 
 /// The number of workers of a pool, in all and by label, for deciding whether losses have a common cause.
@@ -108,8 +133,13 @@
     pub(crate) deaths: u32,
     /// The number of deaths in which the task ran alone.
     pub(crate) alone: u32,
-    /// The number of losses of which it is not known whether the worker died, or whether the task had begun there.
+    /// The number of deaths of which it is not known whether the task was there, and of workers that have left the
+    /// directory.
+    possible: u32,
+    /// The number of the other losses, of which it is not known whether the worker died.
     unconfirmed: u32,
+    /// The number of losses of which it is not known whether the task was there.
+    uncertain: u32,
     last_loss: Option<Instant>,
 }
 
@@ -119,7 +149,16 @@
     }
 
     fn losses(&self) -> u32 {
-        self.deaths + self.unconfirmed
+        self.deaths + self.possible + self.unconfirmed
+    }
+
+    /// How long after its last loss the task is not placed.
+    fn hold(&self) -> Duration {
+        if self.deaths + self.possible >= CERTAIN_CULPRIT_DEATHS {
+            return LONGEST_HOLD;
+        }
+        let doublings = self.losses().saturating_sub(ISOLATED_CULPRIT_DEATHS);
+        INITIAL_HOLD * 2_u32.pow(doublings.min(MAX_HOLD_DOUBLINGS))
     }
 }
 
@@ -280,33 +319,54 @@
         let Some(counts) = self.loss_counts.get(&task) else {
             return TaskRestriction::None;
         };
-        let doublings = match counts.losses() {
+        match counts.losses() {
             0 => return TaskRestriction::None,
             1 => return TaskRestriction::Alone,
-            losses => (losses - ISOLATED_CULPRIT_DEATHS).min(MAX_HOLD_DOUBLINGS),
-        };
-        let hold = INITIAL_HOLD * 2_u32.pow(doublings);
+            _ => (),
+        }
+        let hold = counts.hold();
         match counts.last_loss.is_some_and(|last| now < last + hold) {
             true => TaskRestriction::Hold,
             false => TaskRestriction::Alone,
         }
     }
 
+    /// Whether a task was lost with a worker of which it is not known whether the task was there. Its next worker is
+    /// watched, so that the next loss does not happen before its start arrives.
+    pub(crate) fn needs_watch(&self, task: TaskId) -> bool {
+        self.losses_of(task).uncertain > 0
+    }
+
     /// Whether a task of the job is a culprit.
     pub(crate) fn has_culprit(&self, job: JobId) -> bool {
         self.culprits.iter().any(|task| task.job == job)
     }
 
-    /// The confirmed deaths that count against a job's tasks.
-    pub(crate) fn deaths_of(
-        &self,
-        job: JobId,
-    ) -> Vec<(TaskId, InstanceId, Option<WorkerStartTime>)> {
+    /// Notes that a lost worker has left the directory. Returns whether this changes a loss.
+    pub(crate) fn record_departure(&mut self, instance: &InstanceId) -> bool {
+        let mut changed = false;
+        for loss in &mut self.losses {
+            let departs = loss.instance == *instance && !loss.may_have_died();
+            loss.departed |= departs;
+            changed |= departs;
+        }
+        if changed {
+            self.recount_losses();
+        }
+        changed
+    }
+
+    /// The known and possible deaths that count against a job's tasks.
+    pub(crate) fn deaths_of(&self, job: JobId) -> Vec<CountedDeath> {
         let mut deaths = Vec::new();
-        for loss in self.losses.iter().filter(|loss| loss.died) {
-            let begun = loss.tasks.iter().filter(|lost| lost.begun);
-            let of_job = begun.filter(|lost| lost.task.job == job);
-            deaths.extend(of_job.map(|lost| (lost.task, loss.instance.clone(), loss.born)));
+        for loss in self.losses.iter().filter(|loss| loss.may_have_died()) {
+            let of_job = loss.tasks.iter().filter(|lost| lost.task.job == job);
+            deaths.extend(of_job.map(|lost| CountedDeath {
+                task: lost.task,
+                instance: loss.instance.clone(),
+                born: loss.born,
+                is_known: loss.died && lost.was_there,
+            }));
         }
         deaths
     }
@@ -317,10 +377,11 @@
             |other: &&mut WorkerLoss| other.instance == loss.instance && other.born == loss.born;
         if let Some(known) = self.losses.iter_mut().find(same) {
             known.died |= loss.died;
+            known.departed |= loss.departed;
             for lost in loss.tasks {
                 match known.tasks.iter_mut().find(|l| l.task == lost.task) {
                     Some(same) => {
-                        same.begun |= lost.begun;
+                        same.was_there |= lost.was_there;
                         same.exposure = same.exposure.max(lost.exposure);
                     }
                     None => known.tasks.push(lost),
@@ -388,7 +449,7 @@
 
     /// If the worker ran tasks of routes that have had culprits lately, limits the suspects to those tasks.
     fn narrow_to_culprit_routes(&self, mut loss: WorkerLoss) -> WorkerLoss {
-        let known = |lost: &LostTask| lost.begun && self.routes.contains_key(&lost.route);
+        let known = |lost: &LostTask| lost.was_there && self.routes.contains_key(&lost.route);
         if loss.tasks.iter().any(known) {
             loss.tasks.retain(known);
         }
@@ -410,8 +471,8 @@
         }
         self.culprits.extend(&culprits);
         for loss in &mut self.losses {
-            let begun = loss.tasks.iter().filter(|lost| lost.begun);
-            let lost_culprits = begun.filter(|lost| culprits.contains(&lost.task));
+            let there = loss.tasks.iter().filter(|lost| lost.was_there);
+            let lost_culprits = there.filter(|lost| culprits.contains(&lost.task));
             let routes: Vec<_> = lost_culprits.map(|lost| lost.route.clone()).collect();
             if routes.is_empty() {
                 continue;
@@ -430,7 +491,7 @@
     fn has_sufficient_odds(&self, now: Instant, task: TaskId) -> bool {
         let mut deaths = Vec::new();
         for loss in self.losses.iter().filter(|loss| loss.died) {
-            let of_task = |lost: &&LostTask| lost.begun && lost.task == task;
+            let of_task = |lost: &&LostTask| lost.was_there && lost.task == task;
             let lost = loss.tasks.iter().find(of_task);
             deaths.extend(lost.map(|lost| (loss.lost_at, lost.exposure)));
         }
@@ -458,10 +519,12 @@
         for loss in &self.losses {
             for lost in &loss.tasks {
                 let counts = self.loss_counts.entry(lost.task).or_default();
-                let died_under_it = loss.died && lost.begun;
+                let died_under_it = loss.died && lost.was_there;
                 counts.deaths += u32::from(died_under_it);
                 counts.alone += u32::from(died_under_it && loss.was_alone);
-                counts.unconfirmed += u32::from(!died_under_it);
+                counts.possible += u32::from(loss.may_have_died() && !died_under_it);
+                counts.unconfirmed += u32::from(!loss.may_have_died());
+                counts.uncertain += u32::from(!lost.was_there);
                 counts.last_loss = counts.last_loss.max(Some(loss.lost_at));
             }
         }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -11,6 +11,7 @@
 mod restart;
 mod schedule;
 mod takeover;
+mod watching;
 
 use std::{
     collections::BTreeMap,
@@ -90,6 +91,8 @@
     /// The open kept jobs of other pools, as of the last read. Ends of theirs may be listed by a worker that belonged to
     /// another pool before.
     foreign_jobs: FastSet<JobId>,
+    /// When the last read of the kept jobs began. Jobs that were stored later may be unknown here.
+    rows_read_from: Instant,
     /// Reads of the kept jobs that began earlier do not count.
     rows_outdated_until: Instant,
     /// Since when no run of a former owner can be left, while found jobs wait for a read of their rows that began later.
@@ -159,6 +162,7 @@
             last_store_contact: Some(now),
             kept_loaded: false,
             foreign_jobs: FastSet::default(),
+            rows_read_from: now,
             rows_outdated_until: now,
             settled_since: None,
             recently_ended_kept: FastMap::default(),
@@ -340,6 +344,7 @@
         if worker.unlisted_since.is_none() {
             worker.unlisted_since = Some(now);
             self.report_worker_change(instance.clone(), WorkerChange::Unlisted);
+            self.record_departure(instance);
         }
         self.remove_unlisted_workers(now);
     }
--- a/crates/pool/src/pool/crash_blame.rs
+++ b/crates/pool/src/pool/crash_blame.rs
@@ -31,17 +31,24 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LostRun {
     task: TaskId,
-    beginning: RunBeginning,
+    /// Whether a start of it may have reached the worker.
+    sent: bool,
+    /// Whether it is known to have been there when the worker died.
+    was_there: bool,
     exposure: Duration,
 }
 
 impl LostRun {
-    /// A run that is lost now, with what was known of its beginning.
-    pub(super) fn new(now: Instant, run: &TrackedRun, beginning: RunBeginning) -> Self {
+    /// A run that is lost now.
+    pub(super) fn new(now: Instant, run: &TrackedRun, was_there: bool) -> Self {
         let elapsed = now.saturating_duration_since(run.placed_at);
         Self {
             task: run.task,
-            beginning,
+            sent: !matches!(
+                run.beginning,
+                RunBeginning::Unsent | RunBeginning::Unreached
+            ),
+            was_there,
             exposure: elapsed.min(run.predicted),
         }
     }
@@ -66,8 +73,7 @@
         if is_leaving || !self.is_enabled(Mechanism::CrashBlame) {
             return Vec::new();
         }
-        let sent = runs.iter();
-        let sent = sent.filter(|run| run.beginning != RunBeginning::Unsent);
+        let sent = runs.iter().filter(|run| run.sent);
         let tasks: Vec<LostTask> = sent.filter_map(|run| self.lost_task(run)).collect();
         if tasks.is_empty() {
             // A worker that begins to publish its start time has not restarted.
@@ -89,9 +95,10 @@
             tasks,
             lost_at: now,
             died,
+            departed: worker.unlisted_since.is_some(),
         };
         let (suspects, alone) = (loss.tasks.len(), loss.was_alone);
-        let begun = loss.tasks.iter().filter(|lost| lost.begun).count();
+        let begun = loss.tasks.iter().filter(|lost| lost.was_there).count();
         let findings = self.crashes.record_loss(loss, &self.count_workers());
         self.events.push(PoolEvent::CrashSuspected {
             instance: instance.clone(),
@@ -115,12 +122,20 @@
     /// Clears the loss of a worker that answers in the incarnation in which it was lost.
     pub(super) fn clear_crash(&mut self, instance: &InstanceId, born: Option<WorkerStartTime>) {
         if self.crashes.discard_loss(instance, born) {
+            self.store_deaths();
             self.events.push(PoolEvent::CrashCleared {
                 instance: instance.clone(),
             });
         }
     }
 
+    /// Notes that a worker has left the directory, which a lost one may have done because it died.
+    pub(super) fn record_departure(&mut self, instance: &InstanceId) {
+        if self.crashes.record_departure(instance) {
+            self.store_deaths();
+        }
+    }
+
     /// Handles a worker that is new in the directory. It may be a lost worker that has come back,
     /// which shows that the lost one died.
     pub(super) fn on_new_worker(&mut self, now: Instant, record: &WorkerRecord) {
@@ -141,10 +156,13 @@
         }
         let mut culprits = Vec::new();
         for (step, record) in steps.iter().enumerate() {
-            for death in &record.deaths {
+            let deaths = record.deaths.iter().map(|death| (death, true));
+            let possible = record.possible_deaths.iter().map(|death| (death, false));
+            for (death, is_known) in deaths.chain(possible) {
                 let run = LostRun {
                     task: task_id(id, step, death.task),
-                    beginning: RunBeginning::Begun,
+                    sent: true,
+                    was_there: is_known,
                     exposure: RECORDED_EXPOSURE,
                 };
                 let loss = WorkerLoss {
@@ -155,7 +173,8 @@
                     tasks: self.lost_task(&run).into_iter().collect(),
                     was_alone: false,
                     lost_at: now,
-                    died: true,
+                    died: is_known,
+                    departed: !is_known,
                 };
                 culprits.extend(self.crashes.restore_death(loss));
             }
@@ -232,7 +251,7 @@
         reserved
     }
 
-    fn can_hold_task(&self, worker: &TrackedWorker, task: TaskId) -> bool {
+    pub(super) fn can_hold_task(&self, worker: &TrackedWorker, task: TaskId) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
@@ -250,7 +269,7 @@
         Some(LostTask {
             task: run.task,
             route: job.terms.route.clone(),
-            begun: run.beginning == RunBeginning::Begun,
+            was_there: run.was_there,
             exposure: run.exposure,
         })
     }
@@ -279,8 +298,9 @@
             let Some(kept) = &job.kept else {
                 continue;
             };
-            let mut steps = kept.progress.iter();
-            if suspects.contains(id) || steps.any(|step| !step.deaths.is_empty()) {
+            let has_deaths =
+                |step: &StepRecord| !step.deaths.is_empty() || !step.possible_deaths.is_empty();
+            if suspects.contains(id) || kept.progress.iter().any(has_deaths) {
                 affected.push(*id);
             }
         }
@@ -298,17 +318,24 @@
             return false;
         };
         let mut deaths: FastMap<u32, Vec<TaskDeath>> = FastMap::default();
-        for (task, life, born) in self.crashes.deaths_of(id) {
+        let mut possible_deaths: FastMap<u32, Vec<TaskDeath>> = FastMap::default();
+        for death in self.crashes.deaths_of(id) {
             let task_death = TaskDeath {
-                task: task.index,
-                life,
-                born,
+                task: death.task.index,
+                life: death.instance,
+                born: death.born,
+            };
+            let of_kind = match death.is_known {
+                true => &mut deaths,
+                false => &mut possible_deaths,
             };
-            deaths.entry(task.step).or_default().push(task_death);
+            of_kind.entry(death.task.step).or_default().push(task_death);
         }
         let mut changed = false;
         for (step, record) in (0..).zip(&mut kept.progress) {
             changed |= record.replace_deaths(deaths.remove(&step).unwrap_or_default());
+            let possible = possible_deaths.remove(&step).unwrap_or_default();
+            changed |= record.replace_possible_deaths(possible);
         }
         kept.revision += u64::from(changed);
         changed
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -10,7 +10,10 @@
     WorkerStartTime, WorkerState,
 };
 
-use crate::{action::RunBeginning, attempt_times::WORKER_CLOCK_DRIFT, health::WorkerHealth};
+use crate::{
+    action::RunBeginning, attempt_times::WORKER_CLOCK_DRIFT, health::WorkerHealth,
+    worker_watch::WorkerWatch,
+};
 
 /// The weight of a new sample in a worker's slowness. About five samples count: a worker ends about ten runs a second
 /// and may turn slow at any moment.
@@ -55,6 +58,16 @@
     Stopping,
 }
 
+/// How a poll went unanswered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PollMiss {
+    /// Its connection broke while it waited at the worker. An ended run would have answered it, so what ran at the last
+    /// listing ran until the connection broke.
+    Broken,
+    /// It got no answer in time, so runs may have ended unheard since the last listing.
+    Silent,
+}
+
 /// A run that occupies capacity of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct TrackedRun {
@@ -105,7 +118,11 @@
     pub(crate) fn record_unsent_start(&mut self) {
         self.starts_not_sent += 1;
         let none_sent = self.starts_not_sent == self.starts_sent;
-        if none_sent && self.beginning == RunBeginning::Unconfirmed {
+        let may_have_begun = matches!(
+            self.beginning,
+            RunBeginning::Unconfirmed | RunBeginning::Unreached
+        );
+        if none_sent && may_have_begun {
             self.beginning = RunBeginning::Unsent;
         }
     }
@@ -186,8 +203,14 @@
     pub(crate) listed_clock: WorkerClock,
     /// No poll is sent before this time.
     pub(crate) polls_paused_until: Option<Instant>,
+    /// The shortest time in which a poll was answered.
+    pub(crate) shortest_answer: Option<Duration>,
+    /// The current watch of the worker.
+    pub(crate) watch: Option<WorkerWatch>,
     /// The number of successive polls without an answer.
     pub(crate) missed_polls: u32,
+    /// How the first of them went unanswered, which is the first sign that the worker may have died.
+    pub(crate) first_miss: Option<PollMiss>,
     /// The number of the last ended run that the owner has processed.
     pub(crate) last_seen_end: u64,
     /// The number of the last ended run that a poll has acknowledged.
@@ -239,7 +262,10 @@
             listed_at: None,
             listed_clock: WorkerClock(0),
             polls_paused_until: None,
+            shortest_answer: None,
+            watch: None,
             missed_polls: 0,
+            first_miss: None,
             last_seen_end: 0,
             acknowledged_end: 0,
             ends_listed: false,
@@ -428,6 +454,18 @@
         self.missed_polls >= MISSED_POLLS_TO_SILENCE
     }
 
+    /// Whether a run is known to have been there when the worker died, if it has died in this incarnation.
+    pub(crate) fn had_until_death(&self, run: &TrackedRun) -> bool {
+        let heard_until_death = match self.first_miss {
+            Some(PollMiss::Broken) => true,
+            Some(PollMiss::Silent) => false,
+            // The next answer after a listing shows the death, unless another poll is still without an answer.
+            None => self.polls_in_flight == 0,
+        };
+        let begun = run.beginning == RunBeginning::Begun && run.stop_acked_at.is_none();
+        begun && heard_until_death
+    }
+
     /// Whether the directory lists the worker as ready and its last poll was not missed.
     fn is_listed_ready(&self) -> bool {
         self.record.state == WorkerState::Ready
@@ -611,6 +649,11 @@
             .listed_at
             .is_some_and(|at| now >= at + CLOCK_REFRESH_INTERVAL);
         let has_runs = !self.runs.is_empty() || !self.foreign_runs.is_empty();
-        has_runs || outdated || unacknowledged || unknown || (wants_ends && !self.ends_listed)
+        has_runs
+            || self.is_watched(now)
+            || outdated
+            || unacknowledged
+            || unknown
+            || (wants_ends && !self.ends_listed)
     }
 }
