Ends of unknown jobs are not looked up while there are no kept jobs

After a takeover, the ends of all runs that the former owner ordered lately are of unknown jobs. Each would cost a read of the store, also where no job is kept.

--- a/crates/node/src/kept_jobs.rs
+++ b/crates/node/src/kept_jobs.rs
@@ -357,7 +357,9 @@
     fence: FenceToken,
     end: ForeignEnd,
 ) {
-    loop {
+    // Without kept jobs no row can lack the end. After a change of owner, hundreds of ends are found at once, and looking
+    // each up would use up the rate of calls that the store accepts.
+    while state.has_kept_jobs.get() {
         match add_foreign_end(&state, fence, &end).await {
             Ok(true) => break,
             // The job's owner has written the row meanwhile.
