Choice of pools by the expected end of a job

Cause: an entry sends a job to the pool with the most free capacity and asks other data centres only after refusals, six pools at most, local ones first. With one data centre at 2.5 times its usual load, its jobs are refused while the others have free workers.

Change: start profiles (start_profile.rs, pool/profile.rs) and the choice of pools and the order of offers by expected end (expected_end.rs), with a replay over several pools and data centres. Nothing uses them in the node yet.

--- a/crates/pool/src/arrivals.rs
+++ b/crates/pool/src/arrivals.rs
@@ -26,6 +26,9 @@
 /// seconds.
 const REFUSAL_MEMORY: Duration = Duration::from_millis(1_500);
 
+/// Priorities without a job for this long do not count for the typical task.
+const TYPICAL_TASK_MEMORY: Duration = Duration::from_secs(10);
+
 /// A job that arrived.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ArrivedJob {
@@ -105,6 +108,20 @@
         let expected = higher.map(|(_, mean)| mean.expected(now));
         expected.filter(|job| job.tasks > 0).collect()
     }
+
+    /// The mean CPU demand of the tasks of recent jobs, in thousandths of a core. None if there were none.
+    pub(crate) fn typical_cpu(&self, now: Instant) -> Option<u64> {
+        let (mut tasks, mut cpu) = (0.0, 0.0);
+        for mean in self.means.values() {
+            if now >= mean.last + TYPICAL_TASK_MEMORY {
+                continue;
+            }
+            tasks += mean.tasks;
+            cpu += mean.tasks * mean.cpu;
+        }
+        // The cast saturates.
+        (tasks > 0.0).then(|| (cpu / tasks) as u64)
+    }
 }
 
 impl ArrivalMean {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -30,6 +30,7 @@
 mod death_rate;
 mod estimate;
 mod evacuation;
+mod expected_end;
 mod forecast;
 mod health;
 mod job;
@@ -39,6 +40,7 @@
 mod pool_choice;
 mod queue;
 mod settings;
+mod start_profile;
 mod start_window;
 mod time_budget;
 mod worker;
@@ -52,9 +54,14 @@
     attempt_lease::{AttemptLease, LeaseTerm},
     attempt_times::AttemptTimes,
     evacuation::{EvacuationChange, EvacuationSet},
+    expected_end::{
+        choose_pool, order_offers, select_offer_pools, OfferLimits, PlacementDemand,
+        PlacementOption,
+    },
     kept::{ForeignEnd, FoundJob, KeptWrite, KeptWriteResult},
     pool::{PoolInit, WorkerPool},
     pool_choice::{divide_step, order_pools, PoolCandidate},
     settings::PoolSettings,
+    start_profile::{PublishedProfile, StartProfile, PROFILE_BYTES, START_HORIZONS},
     time_budget::{BudgetTracker, RouteBudget},
 };
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -7,6 +7,7 @@
 mod evacuating;
 mod kept_jobs;
 mod polls;
+mod profile;
 mod resizing;
 mod restart;
 mod schedule;
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -490,7 +490,7 @@
     forecast
 }
 
-fn remaining_time(run: &TrackedRun, slowness: f64, now: Instant) -> Duration {
+pub(super) fn remaining_time(run: &TrackedRun, slowness: f64, now: Instant) -> Duration {
     if run.phase == RunPhase::Stopping {
         return STOP_TIME;
     }
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "not every test file uses all of it")]
 
 pub(crate) mod crashing;
+pub(crate) mod fleet;
 mod link;
 pub(crate) mod results;
 mod worker;
