Placement by expected end in the node

Cause: the node chooses pools by free capacity only.

Change: owners publish start profiles in heartbeats (PoolNews.startProfile), entries with placement = expected_end choose by them and ask pools of all data centres for offers in one round (entry/offer_round.rs). With default settings nothing is computed, published or logged.

The two literals of PoolNews in tests got the new field.

--- a/crates/cairnctl/src/explain_logs.rs
+++ b/crates/cairnctl/src/explain_logs.rs
@@ -24,6 +24,7 @@
     "process_paused",
     "process_started",
     "process_stopping",
+    "profile_unreadable",
     "store_lost",
     "store_regained",
     "worker_answers",
--- a/crates/claims/src/action.rs
+++ b/crates/claims/src/action.rs
@@ -7,7 +7,7 @@
 
 use jobs::{FenceToken, PoolId};
 use model::{text_enum, UnknownVariant};
-use pool::PoolLoad;
+use pool::{PoolLoad, StartProfile};
 
 use crate::{peer_clock::PeerClock, view::NodeId};
 
@@ -98,6 +98,8 @@
     pub alive: bool,
     /// The load of the pool, from the owner's last heartbeat; the default if none was heard.
     pub load: PoolLoad,
+    /// The start profile of the pool, from the same heartbeat, if there was one that could be read.
+    pub start_profile: Option<StartProfile>,
     /// When the owner's last heartbeat arrived; `None` for this process and for a silent owner.
     pub heard_at: Option<Instant>,
     /// What is known of the owner's clock; `None` for this process and for a silent owner.
--- a/crates/claims/src/controller.rs
+++ b/crates/claims/src/controller.rs
@@ -359,6 +359,7 @@
                 || current.is_some_and(|peer| !peer.heartbeat.leaving || news.is_some())
                     && news.is_none_or(|news| !news.yielding),
             load: news.map(|news| news.load).unwrap_or_default(),
+            start_profile: news.and_then(|news| news.start_profile.known()),
             heard_at: current.map(|peer| peer.heard_at),
             clock: current.map(|peer| peer.clock),
         })
--- a/crates/claims/src/view.rs
+++ b/crates/claims/src/view.rs
@@ -4,7 +4,7 @@
 
 use jobs::{FenceToken, InstanceId, PoolId};
 use model::DataCentreId;
-use pool::PoolLoad;
+use pool::{PoolLoad, PublishedProfile};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -65,6 +65,8 @@
     pub fence: FenceToken,
     /// The pool's capacity, how much of it is free, and the backlog.
     pub load: PoolLoad,
+    /// How many tasks could start in the pool how soon.
+    pub start_profile: PublishedProfile,
     /// Whether the owner hands the pool over, because the owner is about to stop or another process suits the
     /// pool better.
     pub yielding: bool,
--- a/crates/claims/tests/claim_controller.rs
+++ b/crates/claims/tests/claim_controller.rs
@@ -11,7 +11,7 @@
 };
 use jobs::{FenceToken, InstanceId, PoolId};
 use model::DataCentreId;
-use pool::PoolLoad;
+use pool::{PoolLoad, PublishedProfile};
 
 const STEP: Duration = Duration::from_millis(20);
 
@@ -64,6 +64,7 @@
                 pool: pool(name),
                 fence: FenceToken(7),
                 load: PoolLoad::default(),
+                start_profile: PublishedProfile::Missing,
                 yielding: false,
                 held: Vec::new(),
             })
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,5 +1,7 @@
 //! The entry of a job: submits the job that a customer has sent to this node to the owners of pools.
 
+mod offer_round;
+
 use std::{
     rc::Rc,
     sync::Arc,
@@ -10,12 +12,14 @@
 use futures::{future::LocalBoxFuture, stream::FuturesUnordered, FutureExt as _, StreamExt as _};
 use jobs::{JobOutcome, JobRequest, JobTerms, PoolId, RefusalKind, RouteRule, StepSpec};
 use kernel::PauseCount;
-use model::Mechanism;
+use model::{Mechanism, PlacementPolicy};
 use peer::JobCall;
 use pool::{divide_step, order_pools, PoolCandidate};
 use telemetry::EventLine;
 use tokio::time::{sleep, timeout};
 
+pub(crate) use offer_round::OfferOutcome;
+
 use crate::{owner, pause, state::NodeState};
 
 /// The retry delay for customers while no owner of a pool can be reached. An owner is replaced within a second.
@@ -94,6 +98,9 @@
 /// would cost a round trip and the bytes of the whole job each time, which alone fills narrow links.
 pub(crate) async fn run_job(state: &Rc<NodeState>, job: &EntryJob) -> JobOutcome {
     wait_for_owner(state, job).await;
+    if places_by_expected_end(state) {
+        return offer_round::run_job(state, job).await;
+    }
     let mut last_refusal = no_pool_refusal(state);
     let mut offers = Vec::new();
     let mut pools = rank_pools(state, &job.request).into_iter();
@@ -134,6 +141,10 @@
     }
 }
 
+fn places_by_expected_end(state: &NodeState) -> bool {
+    state.pool_settings.policies.placement == PlacementPolicy::ExpectedEnd
+}
+
 /// Returns whether the process has paused since the job arrived.
 ///
 /// The customer may have given up on this process and run the job elsewhere. An answer of an owner that waited in its
@@ -295,14 +306,10 @@
         rule: job.rule.clone(),
         ..*job
     };
-    let mut pools = rank_pools(state, &job.request);
-    pools.retain(|other| all_parts.iter().all(|part| part.pool != other.pool));
-    let (local, remote) = select_offer_pools(state, &job.request, pools);
-    let mut offers = collect_offers(state, &job, local).await;
-    if !offers_suffice(&job.request, &offers) {
-        offers.extend(collect_offers(state, &job, remote).await);
-    }
-    let parts = divide_job(state, &job.request, offers)?;
+    let parts = match places_by_expected_end(state) {
+        true => offer_round::divide_refused_part(state, &job, all_parts).await?,
+        false => divide_refused_part(state, &job, all_parts).await?,
+    };
     let runs = parts.iter().map(|part| {
         submit_before_deadline(
             state,
@@ -316,6 +323,23 @@
     Some(join_parts(runs.collect()).await)
 }
 
+/// Divides a part of a job that its pool has refused among pools that have no part of the job. None if they cannot
+/// take it together.
+async fn divide_refused_part(
+    state: &Rc<NodeState>,
+    job: &EntryJob,
+    all_parts: &[JobPart],
+) -> Option<Vec<JobPart>> {
+    let mut pools = rank_pools(state, &job.request);
+    pools.retain(|other| all_parts.iter().all(|part| part.pool != other.pool));
+    let (local, remote) = select_offer_pools(state, &job.request, pools);
+    let mut offers = collect_offers(state, job, local).await;
+    if !offers_suffice(&job.request, &offers) {
+        offers.extend(collect_offers(state, job, remote).await);
+    }
+    divide_job(state, &job.request, offers)
+}
+
 /// Waits for the parts of a job and returns the outcome of the whole job.
 async fn join_parts(
     mut running: FuturesUnordered<LocalBoxFuture<'_, Option<JobOutcome>>>,
--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -2,11 +2,12 @@
 
 use claims::ClaimEvent;
 use jobs::{FenceToken, JobOutcome, PoolId};
+use peer::JobCall;
 use pool::PoolEvent;
 use telemetry::{EventKind, EventLine};
 
 use crate::{
-    metrics::{count_event, start_answer_label},
+    metrics::{count_event, count_offer, start_answer_label},
     state::NodeState,
 };
 
@@ -333,6 +334,19 @@
     }
 }
 
+/// Logs an offer to an entry. `held` is the number of tasks for which capacity is held for other offers.
+pub(crate) fn log_offer(state: &NodeState, call: &JobCall, fits: u32, held: usize) {
+    count_offer(&state.metrics, fits, call.request.task_count());
+    let line = EventLine::new("offer_made")
+        .text("job", call.request.id)
+        .text("pool", &call.pool)
+        .text("entry", &call.entry)
+        .number("tasks", call.request.task_count())
+        .number("fits", fits)
+        .number("held", held as u64);
+    state.log(EventKind::Routine, line);
+}
+
 /// Logs what the claim controller learned.
 pub(crate) fn log_claim_event(state: &NodeState, event: &ClaimEvent) {
     let line = match event {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -6,7 +6,7 @@
     CounterFamily, NodeMetrics, TelemetryError, TimeFamily, TrafficCounters, TrafficKind,
 };
 
-use crate::list_schedule::ListSource;
+use crate::{entry::OfferOutcome, list_schedule::ListSource};
 
 const ANSWERS: &str = "node_answers_total";
 const REFUSALS: &str = "node_refusals_total";
@@ -19,6 +19,8 @@
 const CAPACITY_CHANGES: &str = "node_room_changes_total";
 const CRASHES: &str = "node_crashes_total";
 const EVACUATIONS: &str = "node_evacuations_total";
+const OFFER_ROUNDS: &str = "node_offer_rounds_total";
+const OFFERS: &str = "node_offers_total";
 const CALLS: &str = "node_traffic_calls_total";
 const SENT_BYTES: &str = "node_traffic_sent_bytes_total";
 const RECEIVED_BYTES: &str = "node_traffic_received_bytes_total";
@@ -115,6 +117,18 @@
             "change",
             vec!["begun", "ended"],
         ),
+        family(
+            OFFER_ROUNDS,
+            "Rounds in which pools were asked for offers by expected end, by what followed",
+            "outcome",
+            OfferOutcome::ALL.iter().map(|outcome| outcome.as_str()).collect(),
+        ),
+        family(
+            OFFERS,
+            "Offers that pools of this node made while jobs are placed by expected end, by how much of the job they cover",
+            "fits",
+            vec!["whole", "part", "none"],
+        ),
         family(
             CALLS,
             "Calls, datagrams and customers' requests, by what they are for; between entries and owners none are counted",
@@ -262,6 +276,21 @@
     metrics.count(EVACUATIONS, change);
 }
 
+/// Counts a round of offers.
+pub(crate) fn count_offer_round(metrics: &NodeMetrics, outcome: OfferOutcome) {
+    metrics.count(OFFER_ROUNDS, outcome.as_str());
+}
+
+/// Counts an offer of `fits` of a job's tasks.
+pub(crate) fn count_offer(metrics: &NodeMetrics, fits: u32, tasks: u64) {
+    let covered = match u64::from(fits) {
+        0 => "none",
+        fits if fits < tasks => "part",
+        _ => "whole",
+    };
+    metrics.count(OFFERS, covered);
+}
+
 /// Counts the source of a list of workers.
 pub(crate) fn count_list_source(metrics: &NodeMetrics, source: ListSource) {
     metrics.count(LIST_SOURCES, source.as_str());
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -9,11 +9,11 @@
 use claims::{ClaimAction, ClaimOutcome, ClaimRow};
 use futures::future::{select, Either};
 use jobs::{FenceToken, InstanceId, JobId, JobOutcome, PoolId, RefusalKind, WorkerRecord};
-use model::{FastMap, Mechanism};
+use model::{FastMap, Mechanism, PlacementPolicy};
 use peer::JobCall;
 use platform::RowVersion;
 use platform_adapter::{RowWrite, StoreTable, Transaction, TransactionOutcome};
-use pool::{CallFailure, PoolAction, PoolInit, StartAnswer, WaiterId, WorkerPool};
+use pool::{CallFailure, PoolAction, PoolInit, StartAnswer, StartProfile, WaiterId, WorkerPool};
 use telemetry::{EventKind, EventLine};
 use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 
@@ -44,6 +44,8 @@
 /// A pool that this node owns, with the callers that wait for the outcomes of its jobs.
 pub(crate) struct OwnedPool {
     pub(crate) pool: WorkerPool,
+    /// The start profile in the last heartbeat, and when it was computed.
+    pub(crate) published_profile: Option<(StartProfile, Instant)>,
     waiters: FastMap<WaiterId, oneshot::Sender<JobOutcome>>,
     /// The attempts of other nodes' entries, by their waiters.
     leased_attempts: FastMap<WaiterId, LeasedJob>,
@@ -267,6 +269,7 @@
     };
     let owned = OwnedPool {
         pool: WorkerPool::new(init, state.now()),
+        published_profile: None,
         waiters: FastMap::default(),
         leased_attempts: FastMap::default(),
         deferred_workers: FastMap::default(),
@@ -589,8 +592,14 @@
 pub(crate) fn offer_locally(state: &Rc<NodeState>, call: &JobCall) -> u32 {
     let now = state.now();
     let mut pools = state.pools.borrow_mut();
-    match pools.get_mut(&call.pool) {
-        Some(owned) if !state.has_paused() => owned.pool.offer(now, &call.request, &call.terms),
-        _ => 0,
+    let owned = pools.get_mut(&call.pool);
+    let Some(owned) = owned.filter(|_| !state.has_paused()) else {
+        return 0;
+    };
+    let held = owned.pool.held_tasks(now);
+    let fits = owned.pool.offer(now, &call.request, &call.terms);
+    if state.pool_settings.policies.placement == PlacementPolicy::ExpectedEnd {
+        event_lines::log_offer(state, call, fits, held);
     }
+    fits
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,8 +11,9 @@
 use claims::{Heartbeat, HeartbeatClass, NodeId, PeerClock, PoolNews};
 use futures::future::{select, Either};
 use jobs::JobOutcome;
-use model::FastMap;
+use model::{FastMap, PlacementPolicy};
 use peer::{connect_pool, decode_heartbeat, encode_heartbeat, JobCall, PeerError, PoolLink};
+use pool::PublishedProfile;
 use telemetry::{EventKind, EventLine, TrafficKind};
 use tokio::{net::UdpSocket, sync::Notify, task::yield_now, time::timeout};
 
@@ -308,12 +309,14 @@
 
 fn heartbeat(state: &NodeState) -> Heartbeat {
     let now = state.now();
+    update_profiles(state, now);
     let controller = state.claim_controller.borrow();
     let pools = state.pools.borrow();
     let news = pools.iter().map(|(id, owned)| PoolNews {
         pool: id.clone(),
         fence: owned.pool.fence(),
         load: owned.pool.load(now),
+        start_profile: PublishedProfile::from(owned.published_profile.map(|(profile, _)| profile)),
         yielding: !owned.pool.is_accepting(),
         held: if state.is_handing_over(id) {
             owned.pool.worker_instances()
@@ -335,6 +338,34 @@
     }
 }
 
+/// Computes the start profiles of the pools that this node owns, if jobs are placed by them.
+fn update_profiles(state: &NodeState, now: Instant) {
+    if state.pool_settings.policies.placement != PlacementPolicy::ExpectedEnd {
+        return;
+    }
+    for owned in state.pools.borrow_mut().values_mut() {
+        let profile = owned.pool.start_profile(now);
+        owned.published_profile = profile.map(|profile| (profile, now));
+    }
+}
+
+/// Logs that an owner publishes a start profile that cannot be read, once per owner. Its pools are chosen without it.
+fn log_unreadable_profile(state: &NodeState, heartbeat: &Heartbeat) {
+    let is_unreadable = |news: &&PoolNews| news.start_profile == PublishedProfile::Unreadable;
+    let Some(news) = heartbeat.pools.iter().find(is_unreadable) else {
+        return;
+    };
+    let mut logged = state.unreadable_profiles.borrow_mut();
+    let former = logged.insert(heartbeat.node.clone(), heartbeat.incarnation);
+    if former == Some(heartbeat.incarnation) {
+        return;
+    }
+    let line = EventLine::new("profile_unreadable")
+        .text("peer", &heartbeat.node)
+        .text("pool", &news.pool);
+    state.log(EventKind::Important, line);
+}
+
 /// Receives heartbeats for as long as the process runs.
 pub(crate) async fn receive_heartbeats(state: Rc<NodeState>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
@@ -349,6 +380,7 @@
         match decode_heartbeat(&buffer[..length]) {
             Ok(heartbeat) => {
                 let now = state.now();
+                log_unreadable_profile(&state, &heartbeat);
                 state
                     .claim_controller
                     .borrow_mut()
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -247,6 +247,7 @@
         pools: RefCell::default(),
         group_versions: RefCell::default(),
         sent_demand: RefCell::default(),
+        unreadable_profiles: RefCell::default(),
         request_budgets: RefCell::default(),
         list_source: Cell::new(None),
         worker_list_needed: Notify::new(),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -45,6 +45,8 @@
     /// The processor demand sent to each pool since its owner's last heartbeat, in thousandths of a core, with the
     /// time of that heartbeat.
     pub(crate) sent_demand: RefCell<FastMap<PoolId, (Instant, u64)>>,
+    /// The incarnation of each owner of which an unreadable start profile was logged.
+    pub(crate) unreadable_profiles: RefCell<FastMap<NodeId, u64>>,
     /// Learns the time that customers' requests usually have left when they arrive, by route.
     pub(crate) request_budgets: RefCell<pool::BudgetTracker>,
     /// The source of the list of workers that was last logged, and when.
--- a/crates/node/tests/silent_link.rs
+++ b/crates/node/tests/silent_link.rs
@@ -11,7 +11,7 @@
 use jobs::FenceToken;
 use kernel::{ClockSource, SystemClock};
 use model::DataCentreId;
-use pool::PoolLoad;
+use pool::{PoolLoad, PublishedProfile};
 use support::{job, post_job, Platform, CENTRE};
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -65,6 +65,7 @@
                         free: 64_000,
                         ..PoolLoad::default()
                     },
+                    start_profile: PublishedProfile::Missing,
                     yielding: false,
                     held: Vec::new(),
                 }],
--- a/crates/peer/schema/pool.capnp
+++ b/crates/peer/schema/pool.capnp
@@ -102,6 +102,8 @@
   # The workers that the owner still uses while it hands the pool over.
   yielding @6 :Bool;
   # Whether the owner hands the pool over.
+  startProfile @7 :Data;
+  # How many tasks could start how soon, in the encoding of the crate `pool`. Empty if the owner has no data yet.
 }
 
 struct Heartbeat {
--- a/crates/peer/src/pool_capnp.rs
+++ b/crates/peer/src/pool_capnp.rs
@@ -3248,11 +3248,19 @@
         pub fn get_yielding(self) -> bool {
             self.reader.get_bool_field(256)
         }
+        #[inline]
+        pub fn get_start_profile(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_start_profile(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3374,6 +3382,22 @@
         pub fn set_yielding(&mut self, value: bool)  {
             self.builder.set_bool_field(256, value);
         }
+        #[inline]
+        pub fn get_start_profile(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_start_profile(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(2).set_data(value);
+        }
+        #[inline]
+        pub fn init_start_profile(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(2).init_data(size)
+        }
+        #[inline]
+        pub fn has_start_profile(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3385,73 +3409,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 129] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 145] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(105, 73, 105, 30, 32, 124, 235, 228),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(97, 89, 227, 244, 162, 200, 183, 209),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 111, 111, 108, 78),
             ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 111, 111, 108, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3515,6 +3546,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 80, 114, 111),
+            ::capnp::word(102, 105, 108, 101, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3525,6 +3565,7 @@
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3538,9 +3579,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,1,3,5,0,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,1,3,5,0,7,6];
         pub(crate) const TYPE_ID: u64 = 0xe4eb_7c20_1e69_4969;
     }
 }
--- a/crates/peer/src/pool_message.rs
+++ b/crates/peer/src/pool_message.rs
@@ -12,7 +12,7 @@
     PoolId, ResourceDemand, ServiceId, StepSpec,
 };
 use model::DataCentreId;
-use pool::PoolLoad;
+use pool::{PoolLoad, PublishedProfile};
 
 use crate::{
     pool_capnp::{heartbeat, job, outcome, step},
@@ -52,6 +52,10 @@
         wire.set_free(news.load.free);
         wire.set_backlog_micros(micros(news.load.backlog));
         wire.set_yielding(news.yielding);
+        let profile = news.start_profile.encode();
+        if !profile.is_empty() {
+            wire.set_start_profile(&profile);
+        }
         let mut held = wire.init_held(list_length(news.held.len()));
         for (index, instance) in news.held.iter().enumerate() {
             held.set(list_length(index), instance.as_str());
@@ -92,6 +96,10 @@
         }
         pools.push(PoolNews {
             held,
+            // A profile that cannot be read must not silence its owner.
+            start_profile: wire
+                .get_start_profile()
+                .map_or(PublishedProfile::Unreadable, PublishedProfile::decode),
             yielding: wire.get_yielding(),
             pool: read_pool_id(wire.get_pool())?,
             fence: FenceToken(wire.get_fence()),
--- a/crates/pool/src/expected_end.rs
+++ b/crates/pool/src/expected_end.rs
@@ -10,7 +10,7 @@
 use fastrand::Rng;
 use jobs::{critical_path, JobRequest};
 
-use crate::{pool_choice::PoolCandidate, start_profile::StartProfile};
+use crate::{pool_choice::PoolCandidate, start_profile::StartProfile, worker::SLOWNESS_BOUNDS};
 
 /// The number of pools of other data centres that are asked for offers, if that many have capacity. One offer may be
 /// too small or lost.
@@ -54,6 +54,11 @@
             limit: (chain.mul_f64(stretch) + goal).saturating_sub(waited),
         }
     }
+
+    /// Whether any pool could end the job in time. If not, all owners offer nothing.
+    pub fn can_be_in_time(&self) -> bool {
+        self.chain.mul_f64(SLOWNESS_BOUNDS.0) <= self.limit
+    }
 }
 
 impl PlacementOption {
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -172,6 +172,13 @@
         fits
     }
 
+    /// The number of tasks for which capacity is held until their offers expire.
+    pub fn held_tasks(&self, now: Instant) -> usize {
+        let offers = self.recent_offers.iter();
+        let held = offers.filter(|offer| now < offer.made + OFFER_LIFETIME);
+        held.map(|offer| offer.tasks.count).sum()
+    }
+
     /// Holds the capacity for the offered tasks that can start at once until the offer expires. Otherwise entries that
     /// divide jobs by the same offers would send the pool several times as many tasks as it has free capacity for, and
     /// the rest would wait until their jobs are useless.
