Jobs state the data centre that they come from

An owner could not tell the callers of one data centre from those of another. JobTerms::origin and the wire field originDataCentre (number 16) carry it; a job without it, from an older build, counts as the owner's own data centre.

--- a/crates/jobs/src/kept.rs
+++ b/crates/jobs/src/kept.rs
@@ -199,6 +199,7 @@
             time_left: Duration::ZERO,
             waited: Duration::ZERO,
             firm: false,
+            origin: None,
         }
     }
 }
--- a/crates/jobs/src/request.rs
+++ b/crates/jobs/src/request.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use model::{text_enum, UnknownVariant};
+use model::{text_enum, DataCentreId, UnknownVariant};
 use serde::{Deserialize, Serialize};
 
 use crate::{JobId, ResourceDemand, ServiceId};
@@ -113,6 +113,8 @@
     /// Whether this is a part of a job that is divided among pools. The other parts are already on their way,
     /// so this one is not refused because of its predicted end.
     pub firm: bool,
+    /// The data centre whose entry sent the job. None stands for the data centre of the pool's owner.
+    pub origin: Option<DataCentreId>,
 }
 
 text_enum! {
@@ -120,6 +122,8 @@
     RefusalKind, "refusal", UnknownVariant {
         /// The predicted end is too late to be useful to the customer.
         TooLate => "too_late",
+        /// The job's class has used its share of the pool, and other classes lack the capacity that the job would take.
+        OverShare => "over_share",
         /// The queue is full.
         QueueFull => "queue_full",
         /// No worker can ever hold one of the tasks.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -490,6 +490,7 @@
             time_left: job.deadline.saturating_duration_since(now),
             waited: job.age + now.saturating_duration_since(job.arrived),
             firm,
+            origin: Some(state.settings.data_centre.clone()),
         },
         sent_at: Duration::ZERO,
     }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -8,7 +8,9 @@
 
 use claims::{ClaimAction, ClaimOutcome, ClaimRow};
 use futures::future::{select, Either};
-use jobs::{FenceToken, InstanceId, JobId, JobOutcome, PoolId, RefusalKind, WorkerRecord};
+use jobs::{
+    FenceToken, InstanceId, JobId, JobOutcome, JobTerms, PoolId, RefusalKind, WorkerRecord,
+};
 use model::{FastMap, Mechanism};
 use peer::JobCall;
 use platform::RowVersion;
@@ -575,7 +577,8 @@
         waiter,
         answered: false,
     };
-    let JobCall { request, terms, .. } = call;
+    let terms = with_origin(&state, call.terms);
+    let request = call.request;
     with_pool(&state, &id, |pool, now| {
         pool.submit(now, waiter, request, terms)
     });
@@ -584,13 +587,22 @@
     outcome
 }
 
+/// Sets the data centre of a job whose entry did not state it, as older processes do not, to that of this node.
+fn with_origin(state: &NodeState, mut terms: JobTerms) -> JobTerms {
+    terms
+        .origin
+        .get_or_insert_with(|| state.settings.data_centre.clone());
+    terms
+}
+
 /// Returns how many tasks of a job a pool of this node could take in time now, or 0 if this node does not own the
 /// pool or has just paused.
 pub(crate) fn offer_locally(state: &Rc<NodeState>, call: &JobCall) -> u32 {
     let now = state.now();
+    let terms = with_origin(state, call.terms.clone());
     let mut pools = state.pools.borrow_mut();
     match pools.get_mut(&call.pool) {
-        Some(owned) if !state.has_paused() => owned.pool.offer(now, &call.request, &call.terms),
+        Some(owned) if !state.has_paused() => owned.pool.offer(now, &call.request, &terms),
         _ => 0,
     }
 }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -226,6 +226,7 @@
             time_left,
             waited: Duration::ZERO,
             firm: false,
+            origin: None,
         },
         sent_at,
     }
--- a/crates/peer/schema/pool.capnp
+++ b/crates/peer/schema/pool.capnp
@@ -55,6 +55,8 @@
   # Whether the job is stored when it is accepted, and answered before its end.
   sentAtMicros @15 :UInt64;
   # The receiver's time since boot when the call was sent, or less: what the sender knows from the receiver's heartbeats.
+  originDataCentre @16 :Text;
+  # The data centre of the process that sends the job. Empty from older processes, and then the receiver's own.
 }
 
 struct Outcome {
--- a/crates/peer/src/pool_capnp.rs
+++ b/crates/peer/src/pool_capnp.rs
@@ -647,11 +647,19 @@
         pub fn get_sent_at_micros(self) -> u64 {
             self.reader.get_data_field::<u64>(7)
         }
+        #[inline]
+        pub fn get_origin_data_centre(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_origin_data_centre(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -877,6 +885,22 @@
         pub fn set_sent_at_micros(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(7, value);
         }
+        #[inline]
+        pub fn get_origin_data_centre(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_origin_data_centre(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_origin_data_centre(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(6).init_text(size)
+        }
+        #[inline]
+        pub fn has_origin_data_centre(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -888,135 +912,142 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 266] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 283] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(22, 6, 88, 73, 87, 18, 233, 177),
             ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(97, 89, 227, 244, 162, 200, 183, 209),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 128, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 129, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1155,6 +1186,16 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 105, 103, 105, 110, 68, 97),
+            ::capnp::word(116, 97, 67, 101, 110, 116, 114, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1174,6 +1215,7 @@
                 13 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 14 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                16 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1187,9 +1229,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,1,13,9,0,14,12,6,5,15,4,3,8,2,10,11];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,1,13,9,0,14,16,12,6,5,15,4,3,8,2,10,11];
         pub(crate) const TYPE_ID: u64 = 0xb1e9_1257_4958_0616;
     }
 }
--- a/crates/peer/src/pool_message.rs
+++ b/crates/peer/src/pool_message.rs
@@ -138,6 +138,9 @@
     wire.set_time_left_micros(micros(terms.time_left));
     wire.set_waited_micros(micros(terms.waited));
     wire.set_firm(terms.firm);
+    if let Some(origin) = &terms.origin {
+        wire.set_origin_data_centre(origin.as_str());
+    }
     wire.set_kept(request.kept);
     let mut steps = wire.init_steps(list_length(request.steps.len()));
     for (index, spec) in request.steps.iter().enumerate() {
@@ -183,6 +186,7 @@
         time_left: Duration::from_micros(wire.get_time_left_micros()),
         waited: Duration::from_micros(wire.get_waited_micros()),
         firm: wire.get_firm(),
+        origin: read_origin(wire)?,
     };
     let entry = NodeId::from(read_text(wire.get_entry())?);
     let pool = read_pool_id(wire.get_pool())?;
@@ -195,6 +199,14 @@
     })
 }
 
+/// The data centre that a job comes from. None if the job is from an older process.
+fn read_origin(wire: job::Reader<'_>) -> Result<Option<DataCentreId>, PeerError> {
+    if read_text(wire.get_origin_data_centre())?.is_empty() {
+        return Ok(None);
+    }
+    read_centre_id(wire.get_origin_data_centre()).map(Some)
+}
+
 fn read_step(wire: step::Reader<'_>) -> Result<StepSpec, PeerError> {
     let optional = |text: &str| (!text.is_empty()).then(|| Arc::from(text));
     Ok(StepSpec {
--- a/crates/pool/benches/admission.rs
+++ b/crates/pool/benches/admission.rs
@@ -68,6 +68,7 @@
         time_left: Duration::from_secs(60),
         waited: Duration::ZERO,
         firm,
+        origin: None,
     }
 }
 
--- a/crates/pool/tests/start_expiry.rs
+++ b/crates/pool/tests/start_expiry.rs
@@ -94,6 +94,7 @@
             time_left: Duration::from_secs(5),
             waited: Duration::ZERO,
             firm: false,
+            origin: None,
         };
         let at = self.at(now);
         self.pool
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -402,6 +402,7 @@
             time_left: Duration::from_millis(2_500),
             waited: Duration::ZERO,
             firm: false,
+            origin: None,
         };
         let at = self.instant();
         self.pool.offer(at, &request, &terms)
@@ -451,6 +452,7 @@
             time_left: Duration::from_secs_f64((1_500.0 + 5.0 * chain) / 1000.0),
             waited: Duration::from_millis(self.waited),
             firm: false,
+            origin: None,
         };
         let arrived = self.now;
         // A job that its customer submits again runs again.
