Max-min shares by class in the admission of a pool

Jobs were admitted in order of arrival, so a route or the callers of a data centre that request five times their usual load get five times the capacity, and wide jobs are refused far more often than narrow ones. With sharing = max_min, each class (route, data centre, width) has a token bucket under contention, and a job of a class over its share is refused as over_share if it would make an expected job of a class under its share late. Shares are in proportion to what classes request while there is capacity for all, and equal until that is known. job_admission has class, share and use.

--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -2,7 +2,7 @@
 
 use claims::ClaimEvent;
 use jobs::{FenceToken, JobOutcome, PoolId};
-use pool::PoolEvent;
+use pool::{PoolEvent, ShareUse};
 use telemetry::{EventKind, EventLine};
 
 use crate::{
@@ -50,6 +50,7 @@
             queued,
             delays_admitted,
             takes_reserved,
+            share,
         } => {
             let line = EventLine::new("job_admission").text("job", job);
             let kind = if refusal.is_some() {
@@ -65,7 +66,8 @@
             let line = line.millis("objective_ms", *objective);
             let line = line.number("queued_tasks", *queued as u64);
             let line = line.number("harms", u8::from(*delays_admitted));
-            (kind, line.number("crowds", u8::from(*takes_reserved)))
+            let line = line.number("crowds", u8::from(*takes_reserved));
+            (kind, add_share(line, share.as_ref()))
         }
         PoolEvent::Congestion {
             congested,
@@ -355,3 +357,14 @@
     };
     state.log(EventKind::Important, line);
 }
+
+/// Adds the share of a job's class and its use, both in core-milliseconds per second.
+fn add_share(line: EventLine, share: Option<&ShareUse>) -> EventLine {
+    let Some(ShareUse { class, share, used }) = share else {
+        return line;
+    };
+    // The casts saturate.
+    line.text("class", class)
+        .number("share", share.round() as u64)
+        .number("use", used.round() as u64)
+}
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -216,6 +216,8 @@
         delays_admitted: bool,
         /// Whether the job would have taken capacity that is reserved for jobs of higher priority.
         takes_reserved: bool,
+        /// The share of the job's class. None if jobs are admitted in order of arrival.
+        share: Option<crate::ShareUse>,
     },
     /// A run was placed on a worker and its start ordered.
     RunPlaced {
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -116,6 +116,17 @@
         self.forecast_of(&part)
     }
 
+    /// Whether one of the expected jobs would be late if it were placed after the new job.
+    pub(crate) fn displaces(&self, expected: &[ExpectedJob]) -> bool {
+        if expected.is_empty() {
+            return false;
+        }
+        let mut with = self.before.clone();
+        place_job(&mut with, &self.new);
+        let late = |job: &ExpectedJob| job.is_late_on(&mut with.clone());
+        expected.iter().any(late)
+    }
+
     fn forecast_of(&self, job: &ForecastJob) -> AdmissionForecast {
         let mut with = self.before.clone();
         let end = place_job(&mut with, job);
--- a/crates/pool/src/arrivals.rs
+++ b/crates/pool/src/arrivals.rs
@@ -44,7 +44,7 @@
 
 /// Moving averages over the jobs of one priority.
 #[derive(Clone, Copy, Debug)]
-struct ArrivalMean {
+pub(crate) struct ArrivalMean {
     last: Instant,
     tasks: f64,
     cpu: f64,
@@ -74,48 +74,61 @@
 impl ArrivalStats {
     /// Records an arrival.
     pub(crate) fn record(&mut self, now: Instant, job: &ArrivedJob) {
-        let (tasks, cpu) = (f64::from(job.tasks), job.cpu as f64);
-        let (run_time, objective) = (job.run_time.as_secs_f64(), job.objective.as_secs_f64());
-        let mean = self.means.entry(job.priority).or_insert(ArrivalMean {
-            last: now,
-            tasks,
-            cpu,
-            run_time,
-            objective,
-            refused: 0.0,
-        });
-        mean.refused = mean.refused_share_at(now);
-        mean.last = now;
-        let refused = f64::from(u8::from(job.refused));
-        for (mean, new) in [
-            (&mut mean.tasks, tasks),
-            (&mut mean.cpu, cpu),
-            (&mut mean.run_time, run_time),
-            (&mut mean.objective, objective),
-            (&mut mean.refused, refused),
-        ] {
-            *mean += SAMPLE_WEIGHT * (new - *mean);
-        }
+        let mean = self.means.entry(job.priority);
+        let mean = mean.or_insert_with(|| ArrivalMean::new(now, job));
+        mean.record(now, job);
     }
 
     /// The expected jobs of higher priority, for which capacity is reserved when a job of this priority is admitted. A
     /// lower number is a higher priority.
     pub(crate) fn expected_above(&self, now: Instant, priority: u32) -> Vec<ExpectedJob> {
         let higher = self.means.iter().filter(|(other, _)| **other < priority);
-        let expected = higher.map(|(_, mean)| mean.expected(now));
+        let (usual, full) = (USUAL_REFUSED_SHARE, FULL_RESERVE_REFUSED_SHARE);
+        let expected = higher.map(|(_, mean)| mean.expected(now, usual, full));
         expected.filter(|job| job.tasks > 0).collect()
     }
 }
 
 impl ArrivalMean {
-    fn refused_share_at(&self, now: Instant) -> f64 {
+    /// Means that consist of one job, which still has to be recorded.
+    pub(crate) fn new(now: Instant, job: &ArrivedJob) -> Self {
+        Self {
+            last: now,
+            tasks: f64::from(job.tasks),
+            cpu: job.cpu as f64,
+            run_time: job.run_time.as_secs_f64(),
+            objective: job.objective.as_secs_f64(),
+            refused: 0.0,
+        }
+    }
+
+    /// Records an arrival.
+    pub(crate) fn record(&mut self, now: Instant, job: &ArrivedJob) {
+        self.refused = self.refused_share_at(now);
+        self.last = now;
+        let refused = f64::from(u8::from(job.refused));
+        for (mean, new) in [
+            (&mut self.tasks, f64::from(job.tasks)),
+            (&mut self.cpu, job.cpu as f64),
+            (&mut self.run_time, job.run_time.as_secs_f64()),
+            (&mut self.objective, job.objective.as_secs_f64()),
+            (&mut self.refused, refused),
+        ] {
+            *mean += SAMPLE_WEIGHT * (new - *mean);
+        }
+    }
+
+    /// The refused share as of now.
+    pub(crate) fn refused_share_at(&self, now: Instant) -> f64 {
         let passed = now.saturating_duration_since(self.last).as_secs_f64();
         self.refused * (-passed / REFUSAL_MEMORY.as_secs_f64()).exp()
     }
 
-    fn expected(&self, now: Instant) -> ExpectedJob {
-        let beyond = self.refused_share_at(now) - USUAL_REFUSED_SHARE;
-        let share = (beyond / (FULL_RESERVE_REFUSED_SHARE - USUAL_REFUSED_SHARE)).clamp(0.0, 1.0);
+    /// The job for which capacity is kept free, with a part of its tasks that grows with the refused share.
+    /// It has none up to the share `usual` and all from `full` on.
+    pub(crate) fn expected(&self, now: Instant, usual: f64, full: f64) -> ExpectedJob {
+        let beyond = self.refused_share_at(now) - usual;
+        let share = (beyond / (full - usual)).clamp(0.0, 1.0);
         // The casts saturate.
         ExpectedJob {
             tasks: (share * self.tasks).round() as usize,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -39,6 +39,7 @@
 mod pool_choice;
 mod queue;
 mod settings;
+mod shares;
 mod start_window;
 mod time_budget;
 mod worker;
@@ -56,5 +57,6 @@
     pool::{PoolInit, WorkerPool},
     pool_choice::{divide_step, order_pools, PoolCandidate},
     settings::PoolSettings,
+    shares::ShareUse,
     time_budget::{BudgetTracker, RouteBudget},
 };
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -10,6 +10,7 @@
 mod resizing;
 mod restart;
 mod schedule;
+mod sharing;
 mod takeover;
 
 use std::{
@@ -34,6 +35,7 @@
     job::{StepProgress, TrackedJob, WaitingTask},
     queue::{latest_start, JobQueue, QueueEntry},
     settings::PoolSettings,
+    shares::ClassShares,
     start_window::StartWindow,
     worker::{QueuedOrder, RunPhase, TrackedWorker},
 };
@@ -115,6 +117,8 @@
     ended_attempts: FastMap<JobId, Instant>,
     estimates: EstimateCorrections,
     arrivals: ArrivalStats,
+    /// The shares of the classes of jobs under contention.
+    shares: ClassShares,
     actions: Vec<PoolAction>,
     events: Vec<PoolEvent>,
 }
@@ -174,6 +178,7 @@
             ended_attempts: FastMap::default(),
             estimates: EstimateCorrections::default(),
             arrivals: ArrivalStats::default(),
+            shares: ClassShares::default(),
             actions: Vec::new(),
             events: Vec::new(),
         }
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -12,7 +12,6 @@
 use crate::{
     action::PoolEvent,
     admission::{AdmissionForecast, AdmissionSimulation, ForecastJob, ForecastStep},
-    arrivals::ArrivedJob,
     forecast::{PoolForecast, WaitingGroup, WorkerForecast},
     placement::{can_hold, is_sluggish},
     queue::{latest_start, QueueEntry, QueueRank},
@@ -104,12 +103,17 @@
         let late =
             late && !self.may_serve_late(now, request, terms, &forecast, predicted, objective);
         let delays_others = forecast.delays_admitted && self.is_enabled(Mechanism::HarmCheck);
+        let share = self.judge_share(now, request, terms, simulation.as_ref());
+        let used_up = share.as_ref().is_some_and(|share| share.over);
+        let over_share = share.as_ref().is_some_and(|share| share.refuses);
         let kind = if !self.accepting {
             Some(RefusalKind::NotServing)
         } else if self.evacuated {
             Some(RefusalKind::Evacuated)
         } else if !self.can_ever_hold(request, terms) {
             Some(RefusalKind::NeverFits)
+        } else if over_share {
+            Some(RefusalKind::OverShare)
         } else if !terms.firm && (late || delays_others || forecast.takes_reserved) {
             Some(RefusalKind::TooLate)
         } else if queued + request.steps.len() > self.settings.max_queued_tasks {
@@ -117,7 +121,11 @@
         } else {
             None
         };
-        self.record_arrival(now, request, terms, kind);
+        // No capacity is reserved for more than the share of a class.
+        if !used_up {
+            self.record_arrival(now, request, terms, kind);
+        }
+        let share = share.and_then(|share| self.record_share(now, request, terms, share, kind));
         self.events.push(PoolEvent::Admission {
             job: request.id,
             refusal: kind,
@@ -127,6 +135,7 @@
             queued,
             delays_admitted: forecast.delays_admitted,
             takes_reserved: forecast.takes_reserved,
+            share,
         });
         let kind = kind?;
         let fits = match kind {
@@ -163,6 +172,10 @@
         let Some(simulation) = simulation else {
             return 0;
         };
+        let share = self.judge_share(now, request, terms, Some(&simulation));
+        if share.is_some_and(|share| share.refuses) {
+            return 0;
+        }
         let forecast = simulation.forecast();
         let fits = match self.is_in_time(&forecast, request.task_count(), terms, limit) {
             true => u32::try_from(request.task_count()).unwrap_or(u32::MAX),
@@ -250,18 +263,12 @@
         terms: &JobTerms,
         refusal: Option<RefusalKind>,
     ) {
-        let mut first = request.steps.iter().filter(|spec| spec.after.is_empty());
         // Parts of divided jobs are skipped, since they say nothing about how wide jobs are.
-        let Some(spec) = first.next().filter(|_| !terms.firm) else {
+        if terms.firm {
+            return;
+        }
+        let Some(job) = self.arrived_job(request, terms, refusal) else {
             return;
-        };
-        let job = ArrivedJob {
-            priority: terms.priority,
-            tasks: spec.count,
-            cpu: spec.demand.cpu.0,
-            run_time: self.predict_run_time(terms, spec),
-            objective: self.objective(request, terms),
-            refused: refusal == Some(RefusalKind::TooLate),
         };
         self.arrivals.record(now, &job);
     }
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -18,13 +18,14 @@
 use fastrand::Rng;
 use jobs::{
     CpuMillis, EndCause, FenceToken, InstanceId, JobId, JobOutcome, JobRequest, JobTerms, KeptRow,
-    MemoryMegabytes, ResourceDemand, ServiceId, StepSpec, TaskId, WorkerClock, WorkerRecord,
-    WorkerStartTime, WorkerState,
+    MemoryMegabytes, RefusalKind, ResourceDemand, ServiceId, StepSpec, TaskId, WorkerClock,
+    WorkerRecord, WorkerStartTime, WorkerState,
 };
+use model::DataCentreId;
 use pool::{
     CallFailure, ForeignEnd, FoundJob, KeptWrite, KeptWriteResult, PollAnswer, PollOrder,
-    PoolAction, PoolEvent, PoolInit, PoolSettings, StartAnswer, StartOrder, StopAnswer, StopOrder,
-    WaiterId, WorkerPool,
+    PoolAction, PoolEvent, PoolInit, PoolSettings, ShareUse, StartAnswer, StartOrder, StopAnswer,
+    StopOrder, WaiterId, WorkerPool,
 };
 
 use crashing::CrashPlan;
@@ -148,12 +149,18 @@
     pub(crate) starts_sent: u64,
     /// The age of jobs when they are submitted, in milliseconds.
     pub(crate) waited: u64,
+    /// The data centre from which jobs are submitted.
+    pub(crate) sender: Option<DataCentreId>,
+    /// Whether submitted jobs are parts of divided jobs.
+    pub(crate) firm: bool,
     evacuated: bool,
     /// Whether the pool was given up.
     pub(crate) released: bool,
     pub(crate) crashes: CrashPlan,
     /// How long the runs of ended jobs outlived them, by the pool's reports.
     pub(crate) overruns: Vec<Duration>,
+    /// Why each job was refused, and the share of its class.
+    pub(crate) admissions: Vec<(Option<RefusalKind>, Option<ShareUse>)>,
     /// Whether a worker's capacity has just changed, so that starts in transit may exceed it.
     resize_in_flight: bool,
     /// How long a worker takes to restart, in milliseconds.
@@ -256,10 +263,13 @@
             done_is_final: false,
             starts_sent: 0,
             waited: 4,
+            sender: None,
+            firm: false,
             evacuated: false,
             released: false,
             crashes: CrashPlan::default(),
             overruns: Vec::new(),
+            admissions: Vec::new(),
             resize_in_flight: false,
             restart_time: 0,
             owner_frozen_until: 0,
@@ -451,8 +461,8 @@
             goal: Duration::from_millis(60),
             time_left: Duration::from_secs_f64((1_500.0 + 5.0 * chain) / 1000.0),
             waited: Duration::from_millis(self.waited),
-            firm: false,
-            origin: None,
+            firm: self.firm,
+            origin: self.sender.clone(),
         };
         let arrived = self.now;
         // A job that its customer submits again runs again.
@@ -755,6 +765,8 @@
                 self.crashes.events.push(event);
             } else if let PoolEvent::AttemptOver { took, .. } = event {
                 self.overruns.push(took);
+            } else if let PoolEvent::Admission { refusal, share, .. } = event {
+                self.admissions.push((refusal, share));
             }
         }
         for action in self.pool.take_actions() {
