Tests of wide jobs beside narrow ones, and of explain for over_share

The test of cairnctl has no old behaviour to fail against: the lines are generic, and it holds the names of the three fields.

--- a/crates/cairnctl/tests/explain_logs.rs
+++ b/crates/cairnctl/tests/explain_logs.rs
@@ -34,3 +34,22 @@
     ]
     .concat());
 }
+
+/// Guards against a refusal by a share whose class, share and use its operator does not get to see.
+#[test]
+fn a_refusal_by_a_share_is_explained() {
+    let address = closed_address();
+    let log = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/over-share.log");
+    for query in [&["--reason", "over_share"][..], &["00000000000000b1"]] {
+        let output = run(address, &[&["explain", "--logs", log], query].concat(), "");
+        let text = output_text(&output, address);
+        assert!(text.contains("reason=over_share"), "{text}");
+        let is_list = query.len() > 1;
+        let share = "class=r-1/west/wide";
+        assert!(
+            is_list || text.contains(share) && text.contains("share=14000"),
+            "{text}"
+        );
+        assert!(is_list || text.contains("use=15200"), "{text}");
+    }
+}
--- a/crates/pool/tests/shares.rs
+++ b/crates/pool/tests/shares.rs
@@ -240,6 +240,20 @@
     }
 }
 
+/// Only wide and narrow jobs of one route arrive, at 1.6 times the capacity. Guards against narrow jobs that take each
+/// place as it becomes free, so that a wide job never finds enough of them at once.
+#[test]
+fn wide_jobs_are_served_beside_narrow_jobs_of_their_route() {
+    let factors = [[4.7; 3], [0.0; 3], [0.0; 3]];
+    let play = |sharing| replay(1..=4, 1, sharing, 1.6, factors).widths[0];
+    let (before, after) = (
+        play(SharingPolicy::ArrivalOrder),
+        play(SharingPolicy::MaxMin),
+    );
+    assert!(worst(&after) > worst(&before));
+    assert!(worst(&after) >= 0.8);
+}
+
 /// One route requests five times its usual load. Guards against refusals of the other routes' jobs, whose load is as
 /// usual, and against capacity left idle by the shares. The route of the first priority is left out: capacity is
 /// reserved for it besides the shares.
