--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -40,6 +40,7 @@
 mod pool_choice;
 mod queue;
 mod settings;
+mod shares;
 mod start_profile;
 mod start_window;
 mod time_budget;
@@ -63,6 +64,7 @@
     pool::{PoolInit, WorkerPool},
     pool_choice::{divide_step, order_pools, PoolCandidate},
     settings::PoolSettings,
+    shares::ShareUse,
     start_profile::{PublishedProfile, StartProfile, PROFILE_BYTES, START_HORIZONS},
     time_budget::{BudgetTracker, RouteBudget},
 };
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -11,6 +11,7 @@
 mod resizing;
 mod restart;
 mod schedule;
+mod sharing;
 mod takeover;
 mod watching;
 
@@ -36,6 +37,7 @@
     job::{StepProgress, TrackedJob, WaitingTask},
     queue::{latest_start, JobQueue, QueueEntry},
     settings::PoolSettings,
+    shares::ClassShares,
     start_window::StartWindow,
     worker::{QueuedOrder, RunPhase, TrackedWorker},
 };
@@ -119,6 +121,8 @@
     ended_attempts: FastMap<JobId, Instant>,
     estimates: EstimateCorrections,
     arrivals: ArrivalStats,
+    /// The shares of the classes of jobs under contention.
+    shares: ClassShares,
     actions: Vec<PoolAction>,
     events: Vec<PoolEvent>,
 }
@@ -179,6 +183,7 @@
             ended_attempts: FastMap::default(),
             estimates: EstimateCorrections::default(),
             arrivals: ArrivalStats::default(),
+            shares: ClassShares::default(),
             actions: Vec::new(),
             events: Vec::new(),
         }
