One histogram for run times, in model

decisions::RunTimeTable had a histogram of its own, and the pool is to keep the same for ratios of run time to estimate. It moves to model, which both crates use already, so that no dependency is added and Cargo.lock stays as it is.

--- a/crates/decisions/src/run_time.rs
+++ b/crates/decisions/src/run_time.rs
@@ -7,15 +7,20 @@
     time::{Duration, Instant},
 };
 
-use model::{CustomerId, TaskKind};
+use model::{CustomerId, HistogramScale, LogHistogram, TaskKind};
 
 use crate::lru_map::LruMap;
 
 /// Bucket bounds double every second bucket, so a quantile is at most 42% too long. From 1 ms the buckets reach beyond
 /// 600 s, the longest answer time that a contract may set.
 const BUCKET_COUNT: usize = 40;
-const BUCKETS_PER_DOUBLING: f64 = 2.0;
-const FIRST_BUCKET_START: Duration = Duration::from_millis(1);
+
+/// The buckets of the run times, in seconds.
+const SCALE: HistogramScale = HistogramScale {
+    first: 0.001,
+    buckets_per_doubling: 2.0,
+    sample_weight: 1,
+};
 
 /// The limits of a [`RunTimeTable`].
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -121,7 +126,7 @@
     pub fn record(&mut self, now: Instant, customer: &CustomerId, kind: &TaskKind, ran: Duration) {
         let window = self.settings.window;
         let history = self.history_mut(now, customer, kind);
-        history.histogram.add(ran, window);
+        history.histogram.add(ran.as_secs_f64(), window);
         history.measured_at = now;
         history.failures.add(false, window);
     }
@@ -143,10 +148,11 @@
         kind: &TaskKind,
         declared: Option<Duration>,
     ) -> RunTimeEstimate {
-        self.estimate(now, customer, kind, declared, RunTimeHistogram::mean)
+        self.estimate(now, customer, kind, declared, LogHistogram::mean)
     }
 
     /// Like [`Self::expected_run_time`], but with a quantile of the measured run times; `fraction` ranges from 0 to 1.
+    /// The quantile is rounded up to the end of its bucket: one that is too short would admit work that then comes late.
     pub fn quantile(
         &self,
         now: Instant,
@@ -177,16 +183,17 @@
         customer: &CustomerId,
         kind: &TaskKind,
         declared: Option<Duration>,
-        statistic: impl FnOnce(&RunTimeHistogram) -> Duration,
+        statistic: impl FnOnce(&LogHistogram<BUCKET_COUNT>) -> f64,
     ) -> RunTimeEstimate {
         if let Some(history) = self.history(customer, kind) {
-            if history.histogram.total >= self.settings.min_samples {
+            if history.histogram.samples() >= self.settings.min_samples {
                 let age = now.saturating_duration_since(history.measured_at);
                 let source = match age > self.settings.stale_after {
                     true => EstimateSource::Stale,
                     false => EstimateSource::Measured,
                 };
-                let run_time = statistic(&history.histogram);
+                let seconds = statistic(&history.histogram);
+                let run_time = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
                 return RunTimeEstimate { run_time, source };
             }
         }
@@ -221,7 +228,7 @@
 
 #[derive(Debug)]
 struct KindHistory {
-    histogram: RunTimeHistogram,
+    histogram: LogHistogram<BUCKET_COUNT>,
     failures: FailureCounter,
     measured_at: Instant,
 }
@@ -229,71 +236,13 @@
 impl KindHistory {
     fn new(now: Instant) -> Self {
         Self {
-            histogram: RunTimeHistogram::default(),
+            histogram: LogHistogram::new(SCALE),
             failures: FailureCounter::default(),
             measured_at: now,
         }
     }
 }
 
-/// A histogram with buckets of equal width on a logarithmic scale.
-#[derive(Debug)]
-struct RunTimeHistogram {
-    counts: [u16; BUCKET_COUNT],
-    total: u32,
-    sum: Duration,
-}
-
-impl Default for RunTimeHistogram {
-    fn default() -> Self {
-        Self {
-            counts: [0; BUCKET_COUNT],
-            total: 0,
-            sum: Duration::ZERO,
-        }
-    }
-}
-
-impl RunTimeHistogram {
-    fn add(&mut self, ran: Duration, window: u32) {
-        if self.total >= window.min(u32::from(u16::MAX)) {
-            self.halve();
-        }
-        self.counts[bucket_index(ran)] += 1;
-        self.total += 1;
-        self.sum = self.sum.saturating_add(ran);
-    }
-
-    fn mean(&self) -> Duration {
-        self.sum / self.total.max(1)
-    }
-
-    fn quantile(&self, fraction: f64) -> Duration {
-        let rank = (fraction.clamp(0.0, 1.0) * f64::from(self.total))
-            .ceil()
-            .max(1.0);
-        let mut count_so_far = 0;
-        for (n, count) in self.counts.iter().enumerate() {
-            count_so_far += u32::from(*count);
-            if f64::from(count_so_far) >= rank {
-                return bucket_upper_bound(n);
-            }
-        }
-        bucket_upper_bound(BUCKET_COUNT - 1)
-    }
-
-    /// Halves all counts, rounding down, which removes single outliers.
-    fn halve(&mut self) {
-        let mean = self.mean();
-        self.total = 0;
-        for count in &mut self.counts {
-            *count /= 2;
-            self.total += u32::from(*count);
-        }
-        self.sum = mean * self.total;
-    }
-}
-
 /// Counts of failed and of all tasks, halved like those of the run times.
 #[derive(Debug, Default)]
 struct FailureCounter {
@@ -319,16 +268,3 @@
         FailureRate(self.failed as f32 / (self.total as f32 + Self::PRIOR_SUCCESSES))
     }
 }
-
-fn bucket_index(ran: Duration) -> usize {
-    let doublings = (ran.as_secs_f64() / FIRST_BUCKET_START.as_secs_f64())
-        .max(1.0)
-        .log2();
-    let n = (doublings * BUCKETS_PER_DOUBLING) as usize;
-    n.min(BUCKET_COUNT - 1)
-}
-
-/// The longest run time of a bucket. A quantile that is too short would admit work that then comes late.
-fn bucket_upper_bound(n: usize) -> Duration {
-    FIRST_BUCKET_START.mul_f64(((n + 1) as f64 / BUCKETS_PER_DOUBLING).exp2())
-}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod ids;
 mod load_policy;
+mod log_histogram;
 mod mechanism;
 mod outcome;
 mod reason;
@@ -28,6 +29,7 @@
         SubmissionId, TaskIndex, TaskKind, TicketId, VmId,
     },
     load_policy::{LoadPolicies, PlacementPolicy, ReturnPolicy, RunTimePolicy, SharingPolicy},
+    log_histogram::{HistogramScale, InvalidHistogram, LogHistogram},
     mechanism::{DisabledMechanisms, Mechanism},
     outcome::{AttemptEnd, SubmissionOutcome, TaskResult},
     reason::{FailureReason, RefusalReason, RetryReason, UnknownReason, UnknownVariant},
