The pool predicts run times by their distribution

One mean ratio per route took long tasks for stalls and their workers for slow ones. With run_times = distribution the owner keeps a histogram per route, normalised by the worker's slowness relative to the pool's median, and uses it for remaining times, for the slowest task of a step, for stalls (progress that stops) and for the slowness of workers. The forecast then places tasks where they can begin first, as placement does. run_stalled and node_stalls_total tell the evidence.

--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -254,12 +254,17 @@
             instance,
             took,
             percent,
+            evidence,
         } => {
             let line = EventLine::new("run_stalled")
                 .text("task", task)
                 .number("run", run.0);
             let line = line.text("worker", instance).millis("took_ms", *took);
-            (EventKind::Important, line.number("percent", *percent))
+            let line = line.number("percent", *percent);
+            (
+                EventKind::Important,
+                line.text("evidence", evidence.as_str()),
+            )
         }
         PoolEvent::ForeignRun {
             task,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,7 +1,7 @@
 //! The metrics of a node.
 
 use jobs::{EndCause, JobOutcome, RefusalKind};
-use pool::{CallFailure, PoolEvent, RunLoss, StartAnswer, SuspensionCause};
+use pool::{CallFailure, PoolEvent, RunLoss, StallEvidence, StartAnswer, SuspensionCause};
 use telemetry::{
     CounterFamily, NodeMetrics, TelemetryError, TimeFamily, TrafficCounters, TrafficKind,
 };
@@ -15,6 +15,7 @@
 const RETRIES: &str = "node_retries_total";
 const STARTS_NOT_DONE: &str = "node_starts_not_done_total";
 const SUSPENSIONS: &str = "node_suspensions_total";
+const STALLS: &str = "node_stalls_total";
 const LIST_SOURCES: &str = "node_worker_lists_total";
 const CAPACITY_CHANGES: &str = "node_room_changes_total";
 const CRASHES: &str = "node_crashes_total";
@@ -43,6 +44,7 @@
     let losses = RunLoss::ALL.iter().map(|loss| loss.as_str());
     let failures = CallFailure::ALL.iter().map(|failure| failure.as_str());
     let suspensions = SuspensionCause::ALL.iter().map(|cause| cause.as_str());
+    let stalls = StallEvidence::ALL.iter().map(|evidence| evidence.as_str());
     let kinds = || TrafficKind::ALL.iter().map(|kind| kind.as_str());
     vec![
         family(
@@ -90,6 +92,12 @@
             "cause",
             suspensions.collect(),
         ),
+        family(
+            STALLS,
+            "Runs that were stopped as stalled, by what showed it",
+            "evidence",
+            stalls.collect(),
+        ),
         family(
             LIST_SOURCES,
             "Lists of workers that were read or confirmed by another node's reading, by where they came from",
@@ -243,6 +251,7 @@
         PoolEvent::AttemptOver { took, .. } => metrics.time(OVERRUN_FAMILY.name, *took),
         PoolEvent::CrashCleared { .. } => metrics.count(CRASHES, "cleared"),
         PoolEvent::CrashCulprit { .. } => metrics.count(CRASHES, "culprit"),
+        PoolEvent::RunStalled { evidence, .. } => metrics.count(STALLS, evidence.as_str()),
         PoolEvent::WorkerSuspended { cause, .. } => metrics.count(SUSPENSIONS, cause.as_str()),
         _ => (),
     }
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -181,6 +181,20 @@
     }
 }
 
+text_enum! {
+    /// Why a run counts as stalled.
+    StallEvidence, "evidence of a stall", UnknownVariant {
+        /// It takes several times its predicted time, and its listed progress does not rise.
+        Overdue => "overdue",
+        /// Its listed progress rose and then did not for many times what it needed before.
+        Stopped => "stopped",
+        /// Its listed progress has not risen in the time in which the slowest run of its route advances.
+        NeverAdvanced => "never_advanced",
+        /// Its worker lists no progress, and it takes longer than any run of its route.
+        Overlong => "overlong",
+    }
+}
+
 text_enum! {
     /// Why a worker gets no new runs for a while.
     SuspensionCause, "suspension", UnknownVariant {
@@ -279,6 +293,8 @@
         took: Duration,
         /// The progress of the run, in percent.
         percent: u8,
+        /// What shows that it is stalled.
+        evidence: StallEvidence,
     },
     /// A run of a job that this owner does not know is being stopped.
     ForeignRun {
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -29,6 +29,8 @@
 pub(crate) struct ForecastStep {
     /// The tasks that are not placed yet, including those that wait for earlier steps.
     pub(crate) waiting: WaitingGroup,
+    /// How much longer the slowest task of the step takes than the mean.
+    pub(crate) slowest_extra: Duration,
     /// The time from now until the last running task of the step ends.
     pub(crate) running: Duration,
     /// Earlier steps whose tasks all have to be done first.
@@ -176,7 +178,11 @@
         let Some(end) = forecast.place(&step.waiting, earliest) else {
             return Duration::MAX;
         };
-        ends.push(end.max(step.running));
+        let slowest_end = match step.waiting.count {
+            0 => end,
+            _ => end.saturating_add(step.slowest_extra),
+        };
+        ends.push(slowest_end.max(step.running));
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/pool/src/forecast.rs
+++ b/crates/pool/src/forecast.rs
@@ -136,6 +136,20 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PoolForecast {
     pub(crate) workers: Vec<WorkerForecast>,
+    /// Which worker a task is placed on.
+    pub(crate) rule: PlacementRule,
+}
+
+/// Which worker a task is placed on in a forecast.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum PlacementRule {
+    /// The one on which the task ends first.
+    #[default]
+    EarliestEnd,
+    /// The one on which it can begin first, and among several of these the one on which it ends first. Tasks are placed
+    /// like that: none waits for a faster worker. If workers differ by a factor of two or more, the other rule predicts
+    /// ends that are too early.
+    EarliestStart,
 }
 
 impl PoolForecast {
@@ -156,8 +170,15 @@
         let mut last = demand.earliest;
         for _ in 0..group.count {
             let ends = times.iter().enumerate();
-            let ends = ends.filter_map(|(number, times)| Some((times.as_ref()?.end, number)));
-            let (end, number) = ends.min()?;
+            let ends = ends.filter_map(|(number, times)| {
+                let times = times.as_ref()?;
+                let start = match self.rule {
+                    PlacementRule::EarliestEnd => 0,
+                    PlacementRule::EarliestStart => times.start,
+                };
+                Some((start, times.end, number))
+            });
+            let (_, end, number) = ends.min()?;
             if let Some(chosen) = times[number] {
                 self.workers[number].reserve(chosen, demand.cpu);
             }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -38,6 +38,8 @@
 mod pool;
 mod pool_choice;
 mod queue;
+mod run_progress;
+mod run_times;
 mod settings;
 mod start_window;
 mod time_budget;
@@ -46,7 +48,8 @@
 pub use crate::{
     action::{
         CallFailure, PollAnswer, PollOrder, PoolAction, PoolEvent, RunBeginning, RunLoss,
-        StartAnswer, StartOrder, StopAnswer, StopOrder, SuspensionCause, WaiterId, WorkerChange,
+        StallEvidence, StartAnswer, StartOrder, StopAnswer, StopOrder, SuspensionCause, WaiterId,
+        WorkerChange,
     },
     admission::PoolLoad,
     attempt_lease::{AttemptLease, LeaseTerm},
@@ -55,6 +58,7 @@
     kept::{ForeignEnd, FoundJob, KeptWrite, KeptWriteResult},
     pool::{PoolInit, WorkerPool},
     pool_choice::{divide_step, order_pools, PoolCandidate},
+    run_times::RouteRunTimes,
     settings::PoolSettings,
     time_budget::{BudgetTracker, RouteBudget},
 };
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -31,6 +31,8 @@
     pub(crate) far_factor: f64,
     /// The median slowness of the pool's workers.
     pub(crate) median_slowness: f64,
+    /// The slowness above which the task would make its job late, although it can be in time elsewhere.
+    pub(crate) max_slowness: f64,
     /// Whether no other run may share the worker, because workers died under the task.
     pub(crate) exclusive: bool,
     /// Workers that are being emptied for exclusive tasks.
@@ -76,11 +78,15 @@
     if !can_hold(worker, request.spec, request.service) || !worker.accepts_runs() {
         return false;
     }
+    if worker.slowness > request.max_slowness {
+        return false;
+    }
     if !worker.health.allows_run(now, worker.runs.len()) {
         return false;
     }
+    let pause = worker.slow_pause.of(SLUGGISH_PROBE_PAUSE);
     if is_sluggish(worker, request.median_slowness)
-        && (!worker.runs.is_empty() || now < worker.last_end_time + SLUGGISH_PROBE_PAUSE)
+        && (!worker.runs.is_empty() || now < worker.last_end_time + pause)
     {
         return false;
     }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -7,6 +7,7 @@
 mod evacuating;
 mod kept_jobs;
 mod polls;
+mod progress;
 mod resizing;
 mod restart;
 mod schedule;
@@ -140,6 +141,7 @@
     /// Creates a pool that was just taken over. Its workers have to be added by
     /// [`Self::upsert_worker`].
     pub fn new(init: PoolInit, now: Instant) -> Self {
+        let run_times = init.settings.policies.run_times;
         Self {
             settings: init.settings,
             fence: init.fence,
@@ -172,7 +174,7 @@
             crashes: CrashTracker::default(),
             reserved_for_suspects: Vec::new(),
             ended_attempts: FastMap::default(),
-            estimates: EstimateCorrections::default(),
+            estimates: EstimateCorrections::new(run_times),
             arrivals: ArrivalStats::default(),
             actions: Vec::new(),
             events: Vec::new(),
@@ -447,7 +449,7 @@
         let job = &self.jobs[&id];
         let left = critical_path(&job.request.steps, |step, spec| match job.is_done(step) {
             true => Duration::ZERO,
-            false => self.predict_run_time(&job.terms, spec),
+            false => self.predict_slowest(&job.terms, spec),
         });
         QueueEntry {
             job: id,
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -6,14 +6,14 @@
     critical_path, JobId, JobOutcome, JobRequest, JobTerms, RefusalKind, ServiceId, StepSpec,
 };
 
-use model::{FastMap, Mechanism};
+use model::{FastMap, Mechanism, RunTimePolicy};
 
 use super::{WorkerPool, MAX_RETRY_AFTER, MIN_RETRY_AFTER};
 use crate::{
     action::PoolEvent,
     admission::{AdmissionForecast, AdmissionSimulation, ForecastJob, ForecastStep},
     arrivals::ArrivedJob,
-    forecast::{PoolForecast, WaitingGroup, WorkerForecast},
+    forecast::{PlacementRule, PoolForecast, WaitingGroup, WorkerForecast},
     placement::{can_hold, is_sluggish},
     queue::{latest_start, QueueEntry, QueueRank},
     worker::{RunPhase, TrackedRun, TrackedWorker, SLOWNESS_BOUNDS},
@@ -307,14 +307,35 @@
         self.estimates.predict(&terms.route, spec.estimate)
     }
 
+    /// The predicted run time of the slowest task of a step.
+    pub(super) fn predict_slowest(&self, terms: &JobTerms, spec: &StepSpec) -> Duration {
+        if !self.is_enabled(Mechanism::RunTimes) {
+            return spec.estimate;
+        }
+        self.estimates
+            .predict_slowest(&terms.route, spec.estimate, spec.count)
+    }
+
+    /// The predicted run time of a task of a step that is not a long one.
+    pub(super) fn predict_typical(&self, terms: &JobTerms, spec: &StepSpec) -> Duration {
+        if !self.is_enabled(Mechanism::RunTimes) {
+            return spec.estimate;
+        }
+        self.estimates.predict_typical(&terms.route, spec.estimate)
+    }
+
     /// The predicted time of the longest chain of a job's steps.
     fn predict_chain(&self, request: &JobRequest, terms: &JobTerms) -> Duration {
-        critical_path(&request.steps, |_, spec| self.predict_run_time(terms, spec))
+        critical_path(&request.steps, |_, spec| self.predict_slowest(terms, spec))
     }
 
+    /// The latency objective of a job. What its slowest tasks take beyond typical ones is added as it is and not
+    /// stretched, so that it cancels out against the forecast end: otherwise a job without a long task would be left
+    /// waiting for as long as one with a long task may wait.
     pub(super) fn objective(&self, request: &JobRequest, terms: &JobTerms) -> Duration {
-        let chain = self.predict_chain(request, terms);
-        chain.mul_f64(terms.stretch) + terms.goal
+        let typical = critical_path(&request.steps, |_, spec| self.predict_typical(terms, spec));
+        let excess = self.predict_chain(request, terms).saturating_sub(typical);
+        typical.mul_f64(terms.stretch) + terms.goal + excess
     }
 
     /// The work of a job's waiting tasks, in core-milliseconds.
@@ -417,7 +438,7 @@
                 if job.is_none_or(|job| job.steps.len() < 2) {
                     continue;
                 }
-                let left = remaining_time(run, worker.slowness, now);
+                let left = self.remaining_time(run, worker.slowness, now);
                 let step = running
                     .entry((run.task.job, run.task.step))
                     .or_insert(Duration::ZERO);
@@ -438,6 +459,9 @@
     fn forecast_step(&self, terms: &JobTerms, spec: &StepSpec, count: usize) -> ForecastStep {
         ForecastStep {
             waiting: self.waiting_group(terms, spec, count),
+            slowest_extra: self
+                .predict_slowest(terms, spec)
+                .saturating_sub(self.predict_run_time(terms, spec)),
             running: Duration::ZERO,
             after: spec.after.clone(),
         }
@@ -476,26 +500,37 @@
         let counted = if others.is_empty() { sluggish } else { others };
         let workers = counted.into_iter();
         PoolForecast {
-            workers: workers.map(|worker| worker_forecast(worker, now)).collect(),
+            workers: workers
+                .map(|worker| self.worker_forecast(worker, now))
+                .collect(),
+            rule: match self.settings.policies.run_times {
+                RunTimePolicy::Mean => PlacementRule::EarliestEnd,
+                RunTimePolicy::Distribution => PlacementRule::EarliestStart,
+            },
         }
     }
-}
 
-fn worker_forecast(worker: &TrackedWorker, now: Instant) -> WorkerForecast {
-    let capacity = worker.record.capacity.cpu.0;
-    let mut forecast = WorkerForecast::new(capacity, worker.used_capacity().cpu.0, worker.slowness);
-    for run in &worker.runs {
-        forecast.add_running(remaining_time(run, worker.slowness, now), run.demand.cpu.0);
+    fn worker_forecast(&self, worker: &TrackedWorker, now: Instant) -> WorkerForecast {
+        let capacity = worker.record.capacity.cpu.0;
+        let used = worker.used_capacity().cpu.0;
+        let mut forecast = WorkerForecast::new(capacity, used, worker.slowness);
+        for run in &worker.runs {
+            let left = self.remaining_time(run, worker.slowness, now);
+            forecast.add_running(left, run.demand.cpu.0);
+        }
+        forecast
     }
-    forecast
-}
 
-fn remaining_time(run: &TrackedRun, slowness: f64, now: Instant) -> Duration {
-    if run.phase == RunPhase::Stopping {
-        return STOP_TIME;
+    fn remaining_time(&self, run: &TrackedRun, slowness: f64, now: Instant) -> Duration {
+        if run.phase == RunPhase::Stopping {
+            return STOP_TIME;
+        }
+        if let Some(left) = self.remaining_by_distribution(run, slowness, now) {
+            return left;
+        }
+        let took = now.saturating_duration_since(run.placed_at);
+        let predicted = run.predicted.mul_f64(slowness);
+        let left = predicted.saturating_sub(took);
+        left.max(run.predicted.mul_f64(MIN_REMAINING_SHARE).min(took))
     }
-    let took = now.saturating_duration_since(run.placed_at);
-    let predicted = run.predicted.mul_f64(slowness);
-    let left = predicted.saturating_sub(took);
-    left.max(run.predicted.mul_f64(MIN_REMAINING_SHARE).min(took))
 }
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -7,17 +7,18 @@
     WorkerListing,
 };
 
-use model::Mechanism;
+use model::{Mechanism, RunTimePolicy};
 
-use super::{crash_blame::LostRun, stop_run, WorkerPool};
+use super::{crash_blame::LostRun, progress::StalledRun, stop_run, WorkerPool};
 use crate::{
     action::{
         CallFailure, PollAnswer, PollOrder, PoolAction, PoolEvent, RunBeginning, RunLoss,
-        SuspensionCause, WorkerChange,
+        StallEvidence, SuspensionCause, WorkerChange,
     },
     crash::TaskRestriction,
     job::WaitingTask,
     kept::STORING_POLL_PAUSE,
+    run_progress::next_check,
     worker::{QueuedOrder, RunPhase, TrackedRun, TrackedWorker},
 };
 
@@ -260,10 +261,12 @@
         run: &TrackedRun,
         took: Duration,
     ) {
+        let relative_slowness = self.relative_slowness(instance);
         let learning_enabled = self.is_enabled(Mechanism::Speeds);
+        let learned = learning_enabled && self.learn_pace(now, instance, run, took);
         if let Some(worker) = self.workers.get_mut(instance) {
             worker.health.record_success();
-            if learning_enabled {
+            if learning_enabled && !learned {
                 worker.update_slowness(now, run.predicted, took);
             }
         }
@@ -275,7 +278,7 @@
             return;
         };
         self.estimates
-            .record_run(&job.terms.route, run.estimate, took);
+            .record_run(&job.terms.route, run.estimate, took, relative_slowness);
         if let Some(step) = job.steps.get_mut(run.task.step as usize) {
             step.done += 1;
         }
@@ -408,6 +411,10 @@
     }
 
     fn update_progress(&mut self, now: Instant, instance: &InstanceId, listing: &WorkerListing) {
+        if let Some(stalled) = self.update_progress_by_distribution(now, instance, listing) {
+            self.stop_stalled(now, instance, stalled);
+            return;
+        }
         let learning_enabled = self.is_enabled(Mechanism::Speeds);
         let Some(worker) = self.workers.get_mut(instance) else {
             return;
@@ -429,12 +436,14 @@
                 run.percent = running.percent;
                 run.progressed_at = now;
             }
-            let took = now.saturating_duration_since(run.placed_at);
-            let stalled_for = now.saturating_duration_since(run.progressed_at);
-            let overdue =
-                run.predicted.mul_f64(self.settings.stall_factor) + self.settings.stall_margin;
-            if run.phase == RunPhase::Running && took >= overdue && stalled_for >= STALL_TIME {
-                stalled.push((run.task, run.run, took, run.percent));
+            if is_overdue(run, &self.settings, now) {
+                stalled.push(StalledRun {
+                    task: run.task,
+                    run: run.run,
+                    took: now.saturating_duration_since(run.placed_at),
+                    percent: run.percent,
+                    evidence: StallEvidence::Overdue,
+                });
             } else if run.percent >= MIN_PROGRESS_PERCENT {
                 let worked = now.saturating_duration_since(run.confirmed_at.unwrap_or(now));
                 let projected = worked.mul_f64(100.0 / f64::from(run.percent));
@@ -446,20 +455,26 @@
         if let Some((predicted, projected)) = slowest.filter(|_| learning_enabled) {
             worker.update_slowness(now, predicted, projected);
         }
+        self.stop_stalled(now, instance, stalled);
+    }
+
+    /// Stops stalled runs and suspends their worker.
+    fn stop_stalled(&mut self, now: Instant, instance: &InstanceId, stalled: Vec<StalledRun>) {
         if stalled.is_empty() || !self.is_enabled(Mechanism::StallStop) {
             return;
         }
         let Some(worker) = self.workers.get_mut(instance) else {
             return;
         };
-        for (task, run, took, percent) in stalled {
-            stop_run(worker, task, run);
+        for run in stalled {
+            stop_run(worker, run.task, run.run);
             self.events.push(PoolEvent::RunStalled {
-                task,
-                run,
+                task: run.task,
+                run: run.run,
                 instance: instance.clone(),
-                took,
-                percent,
+                took: run.took,
+                percent: run.percent,
+                evidence: run.evidence,
             });
         }
         // Runs that stall together are one fault of their worker and cost one suspension.
@@ -579,6 +594,14 @@
     was_there || was_stopped || never_begins
 }
 
+/// Whether a run takes several times its predicted time and does not advance.
+pub(super) fn is_overdue(run: &TrackedRun, settings: &crate::PoolSettings, now: Instant) -> bool {
+    let took = now.saturating_duration_since(run.placed_at);
+    let stalled_for = now.saturating_duration_since(run.progressed_at);
+    let overdue = run.predicted.mul_f64(settings.stall_factor) + settings.stall_margin;
+    run.phase == RunPhase::Running && took >= overdue && stalled_for >= STALL_TIME
+}
+
 fn poll_order(
     worker: &mut TrackedWorker,
     now: Instant,
@@ -613,6 +636,10 @@
     }
     let mut wait = settings.poll_wait;
     for run in &worker.runs {
+        if settings.policies.run_times == RunTimePolicy::Distribution {
+            wait = wait.min(next_check(run, worker.slowness, now));
+            continue;
+        }
         let overdue = run.predicted.mul_f64(settings.stall_factor) + settings.stall_margin;
         let left = (run.placed_at + overdue).saturating_duration_since(now);
         wait = wait.min(left.max(MIN_POLL_WAIT));
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -147,6 +147,7 @@
             failed_on: &task.failed_on,
             far_factor: self.far_factor,
             median_slowness: self.median_slowness,
+            max_slowness: self.max_slowness(now, job, spec),
             exclusive: alone,
             reserved: &self.reserved_for_suspects,
         };
@@ -186,6 +187,7 @@
             estimate: spec.estimate,
             percent: 0,
             progressed_at: now,
+            pace_learned: false,
             failures: task.failures,
             exclusive: self.crashes.restriction(now, task_id) != TaskRestriction::None,
             failed_on: task.failed_on,
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -10,11 +10,16 @@
     WorkerStartTime, WorkerState,
 };
 
-use crate::{action::RunBeginning, attempt_times::WORKER_CLOCK_DRIFT, health::WorkerHealth};
+use crate::{
+    action::RunBeginning,
+    attempt_times::WORKER_CLOCK_DRIFT,
+    health::WorkerHealth,
+    run_progress::{LongTaskFilter, SlowWorkerPause},
+};
 
 /// The weight of a new sample in a worker's slowness. About five samples count: a worker ends about ten runs a second
 /// and may turn slow at any moment.
-const SLOWNESS_SAMPLE_WEIGHT: f64 = 0.2;
+pub(crate) const SLOWNESS_SAMPLE_WEIGHT: f64 = 0.2;
 
 /// The bounds of a worker's slowness, a ratio of run times. Above the upper bound it makes no difference how slow the
 /// worker is.
@@ -92,6 +97,8 @@
     pub(crate) percent: u8,
     /// When `percent` last rose.
     pub(crate) progressed_at: Instant,
+    /// Whether the run was used to learn its worker's speed before it ended.
+    pub(crate) pace_learned: bool,
     /// How many times the task has failed before.
     pub(crate) failures: u32,
     /// Whether no other run may share the worker.
@@ -201,10 +208,16 @@
     pub(crate) health: WorkerHealth,
     /// The ratio of measured to predicted run times.
     pub(crate) slowness: f64,
+    /// Tells whether the worker is slow or a task is long.
+    pub(crate) long_tasks: LongTaskFilter,
+    /// How long the worker is left alone while it is slow.
+    pub(crate) slow_pause: SlowWorkerPause,
+    /// Whether the worker has ever listed progress of a run.
+    pub(crate) lists_progress: bool,
     /// When the last end of a run arrived.
     pub(crate) last_end_time: Instant,
     /// When `slowness` last took a sample or decayed.
-    slowness_updated: Instant,
+    pub(crate) slowness_updated: Instant,
 }
 
 /// The number of successive polls without an answer that make a worker silent, so that its runs count as over once
@@ -247,6 +260,9 @@
             lease_end: WorkerClock(0),
             health: WorkerHealth::default(),
             slowness: 1.0,
+            long_tasks: LongTaskFilter::default(),
+            slow_pause: SlowWorkerPause::default(),
+            lists_progress: false,
             last_end_time: now,
             slowness_updated: now,
         }
@@ -547,7 +563,8 @@
     /// Decays the slowness of an idle worker by one step. Without this, a period of late calls makes all workers of a
     /// pool look too slow for any job; every job is then refused, and no run can show that the workers have recovered.
     pub(crate) fn decay_slowness(&mut self, now: Instant) {
-        let idle = self.runs.is_empty() && now >= self.slowness_updated + SLOWNESS_DECAY_INTERVAL;
+        let interval = self.slow_pause.of(SLOWNESS_DECAY_INTERVAL);
+        let idle = self.runs.is_empty() && now >= self.slowness_updated + interval;
         if !idle || self.slowness <= RETAINED_SLOWNESS {
             return;
         }
