Owners hand learned run times to the next owner of a pool

A new owner knew nothing of a route's run times and took long tasks for stalled ones. The part is read apart from the member, so rows of older processes decode, and a damaged part costs neither the member nor more than one log line.

--- a/crates/cairnctl/src/explain_logs.rs
+++ b/crates/cairnctl/src/explain_logs.rs
@@ -24,6 +24,8 @@
     "process_paused",
     "process_started",
     "process_stopping",
+    "run_times_adopted",
+    "run_times_unreadable",
     "store_lost",
     "store_regained",
     "worker_answers",
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -22,7 +22,10 @@
     capacity::{is_outgrown, plan_groups, VmCapacity},
     controller::{ClaimController, HeartbeatClass, KnownList, PollDecision},
     peer_clock::PeerClock,
-    rows::{ClaimRow, GroupRow, GroupSpread, MemberRow, PublishedBudget},
+    rows::{
+        ClaimRow, GroupRow, GroupSpread, MemberRow, PublishedBudget, PublishedMember,
+        PublishedRunTimes,
+    },
     settings::ClaimSettings,
     view::{Heartbeat, LinkRate, ListReading, NodeDigest, NodeId, PoolNews},
 };
--- a/crates/claims/src/rows.rs
+++ b/crates/claims/src/rows.rs
@@ -44,6 +44,44 @@
     pub least_ms: u64,
 }
 
+/// The run times that the owner of a pool has learned for a route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PublishedRunTimes {
+    /// The route.
+    pub route: Arc<str>,
+    /// The distribution of the ratio of run time to estimate, in the text form of `model::LogHistogram`.
+    pub ratios: String,
+}
+
+/// A member row as it is written, with what its process has learned for the next owners of its pools. Readers take it
+/// apart: the member from [`MemberRow`], and the rest from [`PublishedRunTimes::read`], so that a process whose rest is
+/// damaged still counts as a member.
+#[derive(Clone, Debug, Serialize)]
+pub struct PublishedMember {
+    /// The row of the process.
+    #[serde(flatten)]
+    pub member: MemberRow,
+    /// What the process has learned of run times.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub run_times: Vec<PublishedRunTimes>,
+}
+
+impl PublishedRunTimes {
+    /// Reads what a member row publishes of run times, which is nothing in rows of older processes.
+    ///
+    /// # Errors
+    ///
+    /// If that part of the row has another form.
+    pub fn read(row: &[u8]) -> Result<Vec<Self>, serde_json::Error> {
+        #[derive(Deserialize)]
+        struct LearnedPart {
+            #[serde(default)]
+            run_times: Vec<PublishedRunTimes>,
+        }
+        serde_json::from_slice::<LearnedPart>(row).map(|part| part.run_times)
+    }
+}
+
 /// A claim: the row that says which process owns a pool.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRow {
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -9,7 +9,9 @@
 use pool::RouteBudget;
 use telemetry::{EventKind, EventLine};
 
-use crate::{groups, kept_jobs, list_schedule, operator, owner, state::NodeState, workers};
+use crate::{
+    groups, kept_jobs, list_schedule, operator, owner, run_time_news, state::NodeState, workers,
+};
 
 /// How long the feed of the operators' table waits for a change, as a share of `config_limit_ms`, the time within which
 /// a change must be in force. A connection that has gone silent is detected after this wait plus the client's timeout.
@@ -221,6 +223,7 @@
             RowChange::Put(row) => match serde_json::from_slice::<MemberRow>(&row.value) {
                 Ok(member) => {
                     import_budgets(state, &member);
+                    run_time_news::import(state, &member, &row.value);
                     state.claim_controller.borrow_mut().on_member(now, member);
                 }
                 Err(error) => log_unreadable_row(state, &row, &error),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use claims::{ClaimAction, ClaimOutcome, ClaimRow};
+use claims::{ClaimAction, ClaimOutcome, ClaimRow, NodeId};
 use futures::future::{select, Either};
 use jobs::{FenceToken, InstanceId, JobId, JobOutcome, PoolId, RefusalKind, WorkerRecord};
 use model::{FastMap, Mechanism};
@@ -17,7 +17,9 @@
 use telemetry::{EventKind, EventLine};
 use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 
-use crate::{event_lines, kept_jobs, pause, pool_port::LeaseWatch, state::NodeState};
+use crate::{
+    event_lines, kept_jobs, pause, pool_port::LeaseWatch, run_time_news, state::NodeState,
+};
 
 /// The most workers of a pool that are probed before it is claimed. One that accepts a connection suffices; three
 /// that do not mean that this node is cut off from the pool.
@@ -223,6 +225,7 @@
     store_clock: Duration,
 ) {
     let own_row = state.claim_controller.borrow().own_row().clone();
+    let former = state.claim_controller.borrow().owner(state.now(), id);
     let is_own_claim = row.node == own_row.node && row.incarnation == own_row.incarnation;
     state
         .claim_controller
@@ -244,7 +247,8 @@
         && held_fence.is_none_or(|held_fence| held_fence < version.0)
         && !state.leaving.get()
     {
-        open_pool(state, id, version, store_clock);
+        let former = former.map(|owner| owner.node);
+        open_pool(state, id, version, store_clock, former.as_ref());
     }
 }
 
@@ -256,7 +260,13 @@
     }
 }
 
-fn open_pool(state: &Rc<NodeState>, id: &PoolId, version: RowVersion, store_clock: Duration) {
+fn open_pool(
+    state: &Rc<NodeState>,
+    id: &PoolId,
+    version: RowVersion,
+    store_clock: Duration,
+    former: Option<&NodeId>,
+) {
     let init = PoolInit {
         name: Arc::from(id.to_string()),
         fence: FenceToken(version.0),
@@ -265,8 +275,10 @@
         evacuated: state.evacuations.borrow().contains(&id.data_centre),
         settings: state.pool_settings.clone(),
     };
+    let mut pool = WorkerPool::new(init, state.now());
+    run_time_news::adopt(state, id, former, &mut pool);
     let owned = OwnedPool {
-        pool: WorkerPool::new(init, state.now()),
+        pool,
         waiters: FastMap::default(),
         leased_attempts: FastMap::default(),
         deferred_workers: FastMap::default(),
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -10,6 +10,7 @@
 
 use claims::{
     ClaimController, ClaimEvent, ClaimSettings, LinkRate, MemberRow, NodeId, PublishedBudget,
+    PublishedMember,
 };
 use kernel::{AcceptDrain, ClockSource, PauseMonitor, SystemClock};
 use platform_adapter::{HttpClient, RowWrite, StoreClient, StoreTable, Transaction, WorkerClient};
@@ -32,7 +33,7 @@
     pause::{self, PAUSE_THRESHOLD},
     peers::{self, HeartbeatSender, OwnerLinks},
     pool_port::PoolPort,
-    ready,
+    ready, run_time_news,
     state::NodeState,
     traffic::TrafficLogger,
     workers, NodeError,
@@ -248,6 +249,7 @@
         group_versions: RefCell::default(),
         sent_demand: RefCell::default(),
         request_budgets: RefCell::default(),
+        run_time_news: RefCell::default(),
         list_source: Cell::new(None),
         worker_list_needed: Notify::new(),
         unpopulated_pools: RefCell::default(),
@@ -366,10 +368,14 @@
     loop {
         row.refreshes += 1;
         row.waits = published_budgets(&state);
+        let published = PublishedMember {
+            member: row.clone(),
+            run_times: run_time_news::published(&state),
+        };
         let write = RowWrite {
             table: StoreTable::Members,
             key: row.node.to_string(),
-            value: serde_json::to_vec(&row).unwrap_or_default(),
+            value: serde_json::to_vec(&published).unwrap_or_default(),
             expected: None,
         };
         let transaction = Transaction::single_write(write);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     directory::WorkerDirectory, kept_jobs::JobWriteQueue, list_schedule::ListSource,
-    owner::OwnedPool, peers::OwnerLinks, traffic::LinkUse,
+    owner::OwnedPool, peers::OwnerLinks, run_time_news::RunTimeNews, traffic::LinkUse,
 };
 
 /// The state that the modules of a node share.
@@ -47,6 +47,8 @@
     pub(crate) sent_demand: RefCell<FastMap<PoolId, (Instant, u64)>>,
     /// Learns the time that customers' requests usually have left when they arrive, by route.
     pub(crate) request_budgets: RefCell<pool::BudgetTracker>,
+    /// What other processes have learned of run times.
+    pub(crate) run_time_news: RefCell<RunTimeNews>,
     /// The source of the list of workers that was last logged, and when.
     pub(crate) list_source: Cell<Option<(ListSource, Instant)>>,
     /// Notified when the workers' table has to be read now.
