--- a/crates/cairnctl/src/explain_logs.rs
+++ b/crates/cairnctl/src/explain_logs.rs
@@ -25,6 +25,8 @@
     "process_started",
     "process_stopping",
     "profile_unreadable",
+    "run_times_adopted",
+    "run_times_unreadable",
     "store_lost",
     "store_regained",
     "worker_answers",
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -39,6 +39,8 @@
 mod pool;
 mod pool_choice;
 mod queue;
+mod run_progress;
+mod run_times;
 mod settings;
 mod shares;
 mod start_profile;
@@ -50,7 +52,8 @@
 pub use crate::{
     action::{
         CallFailure, PollAnswer, PollOrder, PoolAction, PoolEvent, RunBeginning, RunLoss,
-        StartAnswer, StartOrder, StopAnswer, StopOrder, SuspensionCause, WaiterId, WorkerChange,
+        StallEvidence, StartAnswer, StartOrder, StopAnswer, StopOrder, SuspensionCause, WaiterId,
+        WorkerChange,
     },
     admission::PoolLoad,
     attempt_lease::{AttemptLease, LeaseTerm},
@@ -63,6 +66,7 @@
     kept::{ForeignEnd, FoundJob, KeptWrite, KeptWriteResult},
     pool::{PoolInit, WorkerPool},
     pool_choice::{divide_step, order_pools, PoolCandidate},
+    run_times::RouteRunTimes,
     settings::PoolSettings,
     shares::ShareUse,
     start_profile::{PublishedProfile, StartProfile, PROFILE_BYTES, START_HORIZONS},
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -8,6 +8,7 @@
 mod kept_jobs;
 mod polls;
 mod profile;
+mod progress;
 mod resizing;
 mod restart;
 mod schedule;
@@ -148,6 +149,7 @@
     /// Creates a pool that was just taken over. Its workers have to be added by
     /// [`Self::upsert_worker`].
     pub fn new(init: PoolInit, now: Instant) -> Self {
+        let run_times = init.settings.policies.run_times;
         Self {
             settings: init.settings,
             fence: init.fence,
@@ -181,7 +183,7 @@
             crashes: CrashTracker::default(),
             reserved_for_suspects: Vec::new(),
             ended_attempts: FastMap::default(),
-            estimates: EstimateCorrections::default(),
+            estimates: EstimateCorrections::new(run_times),
             arrivals: ArrivalStats::default(),
             shares: ClassShares::default(),
             actions: Vec::new(),
@@ -458,7 +460,7 @@
         let job = &self.jobs[&id];
         let left = critical_path(&job.request.steps, |step, spec| match job.is_done(step) {
             true => Duration::ZERO,
-            false => self.predict_run_time(&job.terms, spec),
+            false => self.predict_slowest(&job.terms, spec),
         });
         QueueEntry {
             job: id,
--- a/crates/pool/src/pool/profile.rs
+++ b/crates/pool/src/pool/profile.rs
@@ -6,7 +6,7 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap, time::Instant};
 
-use super::{admit::remaining_time, WorkerPool};
+use super::WorkerPool;
 use crate::{
     placement::is_sluggish,
     start_profile::{StartProfile, START_HORIZONS},
@@ -39,7 +39,7 @@
         let mut slots = SlotTimes::with_capacity(MAX_SLOTS);
         let max_per_worker = (MAX_SLOTS / workers.len().max(1)).max(1);
         for worker in workers {
-            add_slots(&mut slots, worker, task_cpu, max_per_worker, now);
+            self.add_slots(&mut slots, worker, task_cpu, max_per_worker, now);
         }
         self.place_waiting(&mut slots, task_cpu, slowness);
         let starts = START_HORIZONS.map(|horizon| {
@@ -77,32 +77,33 @@
             }
         }
     }
-}
 
-/// Adds the slots of a worker: those that are free now and those that become free when its runs end.
-fn add_slots(
-    slots: &mut SlotTimes,
-    worker: &TrackedWorker,
-    task_cpu: u64,
-    max_slots: usize,
-    now: Instant,
-) {
-    let ends = worker.runs.iter().map(|run| {
-        let left = remaining_time(run, worker.slowness, now);
-        (left.as_micros() as u64, run.demand.cpu.0)
-    });
-    let mut ends: Vec<(u64, u64)> = ends.collect();
-    ends.sort_unstable();
-    let used = worker.used_capacity().cpu.0.cast_signed();
-    let mut free = worker.record.capacity.cpu.0.cast_signed() - used;
-    let mut added = 0;
-    for (at, freed) in std::iter::once((0, 0)).chain(ends) {
-        free += freed.cast_signed();
-        let fitting = (free.max(0).cast_unsigned() / task_cpu) as usize;
-        let fitting = fitting.min(max_slots);
-        for _ in added..fitting {
-            slots.push(Reverse(at));
+    /// Adds the slots of a worker: those that are free now and those that become free when its runs end.
+    fn add_slots(
+        &self,
+        slots: &mut SlotTimes,
+        worker: &TrackedWorker,
+        task_cpu: u64,
+        max_slots: usize,
+        now: Instant,
+    ) {
+        let ends = worker.runs.iter().map(|run| {
+            let left = self.remaining_time(run, worker.slowness, now);
+            (left.as_micros() as u64, run.demand.cpu.0)
+        });
+        let mut ends: Vec<(u64, u64)> = ends.collect();
+        ends.sort_unstable();
+        let used = worker.used_capacity().cpu.0.cast_signed();
+        let mut free = worker.record.capacity.cpu.0.cast_signed() - used;
+        let mut added = 0;
+        for (at, freed) in std::iter::once((0, 0)).chain(ends) {
+            free += freed.cast_signed();
+            let fitting = (free.max(0).cast_unsigned() / task_cpu) as usize;
+            let fitting = fitting.min(max_slots);
+            for _ in added..fitting {
+                slots.push(Reverse(at));
+            }
+            added = added.max(fitting);
         }
-        added = added.max(fitting);
     }
 }
--- a/crates/pool/tests/support/fleet.rs
+++ b/crates/pool/tests/support/fleet.rs
@@ -300,6 +300,7 @@
             time_left: Duration::from_secs_f64((1_500.0 + job.objective) / 1000.0),
             waited: Duration::from_millis(self.now - job.arrived + 4),
             firm,
+            origin: None,
         }
     }
 
