Refused jobs get scheduled returns (returns = scheduled)

Cause: Retry-After is the backlog, the same for all jobs refused at that moment, so callers return together and are refused together again.

Change: a pool schedules each return where its work fits beside new work, in the order of first refusal, and reserves capacity for due returns. It records jobs that it offered less than the whole too. DrainRate moves from decisions to model, which re-exports it, so that pool measures arriving work with it. The entry answers with the later time if two pools refuse a job. With the default policy nothing changes.

Tests seen to fail: six with the policy switched off; nobody returns with a reservation of 10 s that is not weighted; table without a limit; early return that gets a new time; short offer that is not recorded.

--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -2,13 +2,12 @@
 
 use std::{fmt, num::ParseFloatError, str::FromStr, time::Duration};
 
-use model::{Contract, ContractState, CustomerShare, RefusableWork, RefusalReason, SubmissionKind};
-
-use crate::{
-    drain_rate::DrainRate,
-    run_time::{EstimateSource, RunTimeEstimate},
+use model::{
+    Contract, ContractState, CustomerShare, DrainRate, RefusableWork, RefusalReason, SubmissionKind,
 };
 
+use crate::run_time::{EstimateSource, RunTimeEstimate};
+
 /// The limits of an [`AdmissionPolicy`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionSettings {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,7 +4,6 @@
 //! decision can be tested under load in virtual time.
 
 pub mod admission;
-pub mod drain_rate;
 pub mod health;
 mod lru_map;
 pub mod placement;
@@ -14,12 +13,13 @@
 pub mod smoothed_saturation;
 mod weight_tree;
 
+pub use model::DrainRate;
+
 pub use crate::{
     admission::{
         AdmissionDecision, AdmissionPolicy, AdmissionQuery, AdmissionSettings, Saturation,
         WaitEstimator, WorkClass,
     },
-    drain_rate::DrainRate,
     health::{EndKind, EndReport, EndpointHealth, FleetLatency, HealthSettings, HealthState},
     placement::{
         DispatcherKey, PlacementQuery, PlacementRule, PlacementSettings, PlacementTable, SlotsHint,
--- a/crates/decisions/src/drain_rate.rs
+++ b/crates/model/src/drain_rate.rs
@@ -1,4 +1,4 @@
-//! Measures how fast a customer's backlog is started.
+//! Measures how fast work is started or arrives.
 
 use std::time::{Duration, Instant};
 
@@ -9,9 +9,9 @@
 /// and a rate that adapts faster than its own effects appear would oscillate.
 const TIME_CONSTANT: Duration = Duration::from_secs(5);
 
-/// The measured number of slots that work on one customer's backlog at one entry.
+/// A smoothed rate of work: the work per second is a number of slots, or of cores if the work is core time.
 ///
-/// It predicts the wait of a customer that is over its share while others submit only now and then. A prediction from
+/// At an entry it is the number of slots that work on one customer's backlog. It predicts the wait of a customer that is over its share while others submit only now and then. A prediction from
 /// the customer's share alone would refuse work that fits into the slots that the others leave free; a prediction from
 /// all slots would admit work that comes late. The slots that the customer got in the last seconds avoid both errors.
 #[derive(Clone, Copy, Debug, Default)]
@@ -19,6 +19,8 @@
     slots: f64,
     started_work: Duration,
     interval_start: Option<Instant>,
+    /// The total length of all samples.
+    sampled: Duration,
 }
 
 impl DrainRate {
@@ -38,6 +40,7 @@
         let sample = self.started_work.as_secs_f64() / elapsed.as_secs_f64();
         let weight = 1.0 - (-elapsed.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp();
         self.slots += weight * (sample - self.slots);
+        self.sampled = self.sampled.saturating_add(elapsed);
         self.interval_start = Some(now);
         self.started_work = Duration::ZERO;
     }
@@ -47,4 +50,14 @@
     pub fn slots(&self) -> f64 {
         self.slots
     }
+
+    /// As [`Self::slots`], without the bias towards 0 of a moving average that has just begun.
+    pub fn unbiased_slots(&self) -> f64 {
+        let weight = 1.0 - (-self.sampled.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp();
+        if weight > 0.0 {
+            self.slots / weight
+        } else {
+            0.0
+        }
+    }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 mod bytes;
 mod contract;
 mod dispatch;
+mod drain_rate;
 mod endpoint;
 mod ids;
 mod load_policy;
@@ -22,6 +23,7 @@
         MAX_TASKS_PER_JOB,
     },
     dispatch::{OfferReply, SessionId, SlotCounts, WithdrawalReply},
+    drain_rate::DrainRate,
     endpoint::{EndpointAddress, EndpointState, VmEntry, VmRole},
     ids::{
         AttemptId, CustomerId, DataCentreId, EndpointId, IdempotencyKey, IncarnationId, InvalidId,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -10,7 +10,7 @@
 use futures::{future::LocalBoxFuture, stream::FuturesUnordered, FutureExt as _, StreamExt as _};
 use jobs::{JobOutcome, JobRequest, JobTerms, PoolId, RefusalKind, RouteRule, StepSpec};
 use kernel::PauseCount;
-use model::Mechanism;
+use model::{Mechanism, ReturnPolicy};
 use peer::JobCall;
 use pool::{divide_step, order_pools, PoolCandidate};
 use telemetry::EventLine;
@@ -119,7 +119,10 @@
             .find(|offer| fits_whole_job(&job.request, offer));
         if let Some(PartOffer { pool, owner, .. }) = whole_offer {
             match submit_before_deadline(state, job, pool, owner, None).await {
-                Some(JobOutcome::Refused { .. }) | None => (),
+                Some(refusal @ JobOutcome::Refused { .. }) => {
+                    last_refusal = later_refusal(state, last_refusal, refusal);
+                }
+                None => (),
                 Some(outcome) => return outcome,
             }
         }
@@ -134,6 +137,25 @@
     }
 }
 
+/// Returns the refusal to answer with after a second pool has refused the job: with scheduled returns, the one whose
+/// owner expects the caller later, since at the earlier time that pool would not take the job. An owner that has only
+/// offered less than the whole states no time; its own record of the job then serves a caller that returns there.
+fn later_refusal(state: &NodeState, first: JobOutcome, second: JobOutcome) -> JobOutcome {
+    let is_scheduled = state.pool_settings.policies.returns == ReturnPolicy::Scheduled;
+    let scheduled_time = |outcome| match outcome {
+        JobOutcome::Refused {
+            kind: RefusalKind::TooLate | RefusalKind::QueueFull,
+            retry_after,
+            ..
+        } => Some(retry_after),
+        _ => None,
+    };
+    match is_scheduled && scheduled_time(first) < scheduled_time(second) {
+        true => second,
+        false => first,
+    }
+}
+
 /// Returns whether the process has paused since the job arrived.
 ///
 /// The customer may have given up on this process and run the job elsewhere. An answer of an owner that waited in its
--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -50,6 +50,8 @@
             queued,
             delays_admitted,
             takes_reserved,
+            returned,
+            return_in,
         } => {
             let line = EventLine::new("job_admission").text("job", job);
             let kind = if refusal.is_some() {
@@ -65,7 +67,26 @@
             let line = line.millis("objective_ms", *objective);
             let line = line.number("queued_tasks", *queued as u64);
             let line = line.number("harms", u8::from(*delays_admitted));
-            (kind, line.number("crowds", u8::from(*takes_reserved)))
+            let line = line.number("crowds", u8::from(*takes_reserved));
+            let line = match returned {
+                Some(waited) => line
+                    .number("returned", 1_u8)
+                    .millis("since_refusal_ms", *waited),
+                None => line,
+            };
+            let line = match return_in {
+                Some(time) => line.millis("return_in_ms", *time),
+                None => line,
+            };
+            (kind, line)
+        }
+        PoolEvent::ReturnKept { job, waited } => {
+            let line = EventLine::new("return_kept").text("job", job);
+            (EventKind::Routine, line.millis("since_refusal_ms", *waited))
+        }
+        PoolEvent::ReturnMissed { job } => {
+            let line = EventLine::new("return_missed").text("job", job);
+            (EventKind::Routine, line)
         }
         PoolEvent::Congestion {
             congested,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -11,6 +11,7 @@
 const ANSWERS: &str = "node_answers_total";
 const REFUSALS: &str = "node_refusals_total";
 const ADMISSIONS: &str = "node_admissions_total";
+const RETURNS: &str = "node_returns_total";
 const RUN_ENDS: &str = "node_run_ends_total";
 const RETRIES: &str = "node_retries_total";
 const STARTS_NOT_DONE: &str = "node_starts_not_done_total";
@@ -63,6 +64,12 @@
             "decision",
             vec!["admitted", "refused"],
         ),
+        family(
+            RETURNS,
+            "Scheduled returns of refused jobs, by step: the caller was told a time, it came in its turn, it did not come",
+            "step",
+            vec!["scheduled", "kept", "missed"],
+        ),
         family(
             RUN_ENDS,
             "Runs that workers listed as ended, by cause",
@@ -206,7 +213,12 @@
 
 pub(crate) fn count_event(metrics: &NodeMetrics, event: &PoolEvent) {
     match event {
-        PoolEvent::Admission { refusal, .. } => {
+        PoolEvent::Admission {
+            refusal, return_in, ..
+        } => {
+            if return_in.is_some() {
+                metrics.count(RETURNS, "scheduled");
+            }
             let decision = if refusal.is_some() {
                 "refused"
             } else {
@@ -214,6 +226,8 @@
             };
             metrics.count(ADMISSIONS, decision);
         }
+        PoolEvent::ReturnKept { .. } => metrics.count(RETURNS, "kept"),
+        PoolEvent::ReturnMissed { .. } => metrics.count(RETURNS, "missed"),
         PoolEvent::RunPlaced { waited, .. } => metrics.time(QUEUE_WAIT_FAMILY.name, *waited),
         PoolEvent::RunEnded { cause, took, .. } => {
             metrics.count(RUN_ENDS, cause.as_str());
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -214,8 +214,24 @@
         queued: usize,
         /// Whether the job would have made a job late that was admitted before.
         delays_admitted: bool,
-        /// Whether the job would have taken capacity that is reserved for jobs of higher priority.
+        /// Whether the job would have taken capacity that is reserved for jobs of higher priority, or for due returns.
         takes_reserved: bool,
+        /// The time since the job was first refused, if it returned in its turn.
+        returned: Option<Duration>,
+        /// The time until the scheduled return of a refused job.
+        return_in: Option<Duration>,
+    },
+    /// A job that was refused before has returned in its turn.
+    ReturnKept {
+        /// The job that returned.
+        job: JobId,
+        /// The time since the job was first refused.
+        waited: Duration,
+    },
+    /// A refused job did not return within the grace period after its scheduled time.
+    ReturnMissed {
+        /// The job that did not return.
+        job: JobId,
     },
     /// A run was placed on a worker and its start ordered.
     RunPlaced {
--- a/crates/pool/src/admission.rs
+++ b/crates/pool/src/admission.rs
@@ -161,8 +161,8 @@
             cpu: self.cpu,
             run_time: self.run_time,
         };
-        let end = pool.place(&group, Duration::ZERO);
-        end.is_none_or(|end| end > self.objective)
+        let end = pool.place(&group, self.earliest);
+        end.is_none_or(|end| end > self.earliest.saturating_add(self.objective))
     }
 }
 
--- a/crates/pool/src/arrivals.rs
+++ b/crates/pool/src/arrivals.rs
@@ -63,6 +63,8 @@
     pub(crate) cpu: u64,
     pub(crate) run_time: Duration,
     pub(crate) objective: Duration,
+    /// The time from now at which the job is expected.
+    pub(crate) earliest: Duration,
 }
 
 /// Statistics of arrived jobs, by priority.
@@ -122,6 +124,7 @@
             cpu: self.cpu as u64,
             run_time: Duration::from_secs_f64(self.run_time),
             objective: Duration::from_secs_f64(self.objective),
+            earliest: Duration::ZERO,
         }
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -38,6 +38,8 @@
 mod pool;
 mod pool_choice;
 mod queue;
+mod return_bookings;
+mod returns;
 mod settings;
 mod start_window;
 mod time_budget;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -9,6 +9,7 @@
 mod polls;
 mod resizing;
 mod restart;
+mod return_turns;
 mod schedule;
 mod takeover;
 
@@ -33,6 +34,7 @@
     estimate::EstimateCorrections,
     job::{StepProgress, TrackedJob, WaitingTask},
     queue::{latest_start, JobQueue, QueueEntry},
+    returns::ReturnSchedule,
     settings::PoolSettings,
     start_window::StartWindow,
     worker::{QueuedOrder, RunPhase, TrackedWorker},
@@ -115,6 +117,8 @@
     ended_attempts: FastMap<JobId, Instant>,
     estimates: EstimateCorrections,
     arrivals: ArrivalStats,
+    /// When the callers of refused jobs are to return. Used only with `ReturnPolicy::Scheduled`.
+    returns: ReturnSchedule,
     actions: Vec<PoolAction>,
     events: Vec<PoolEvent>,
 }
@@ -174,6 +178,7 @@
             ended_attempts: FastMap::default(),
             estimates: EstimateCorrections::default(),
             arrivals: ArrivalStats::default(),
+            returns: ReturnSchedule::new(now),
             actions: Vec::new(),
             events: Vec::new(),
         }
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -81,6 +81,7 @@
         terms: &JobTerms,
     ) -> Option<JobOutcome> {
         let objective = self.objective(request, terms);
+        let returned = self.note_return(now, request.id);
         let tasks = usize::try_from(request.task_count()).unwrap_or(usize::MAX);
         let delay = self.start_delay(tasks);
         let limit = objective.mul_f64(self.settings.refusal_factor);
@@ -118,6 +119,7 @@
             None
         };
         self.record_arrival(now, request, terms, kind);
+        let return_in = self.update_returns(now, request, terms, kind, returned.is_some());
         self.events.push(PoolEvent::Admission {
             job: request.id,
             refusal: kind,
@@ -127,6 +129,8 @@
             queued,
             delays_admitted: forecast.delays_admitted,
             takes_reserved: forecast.takes_reserved,
+            returned,
+            return_in,
         });
         let kind = kind?;
         let fits = match kind {
@@ -137,10 +141,12 @@
         };
         Some(JobOutcome::Refused {
             kind,
-            retry_after: self
-                .load(now)
-                .backlog
-                .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+            retry_after: return_in
+                .map(|time| time.max(MIN_RETRY_AFTER))
+                .unwrap_or_else(|| {
+                    let backlog = self.load(now).backlog;
+                    backlog.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+                }),
             fits,
         })
     }
@@ -151,6 +157,13 @@
         if !self.accepting || self.evacuated || !self.can_ever_hold(request, terms) {
             return 0;
         }
+        self.note_return(now, request.id);
+        let fits = self.count_offered(now, request, terms);
+        self.record_short_offer(now, request, terms, fits);
+        fits
+    }
+
+    fn count_offered(&mut self, now: Instant, request: &JobRequest, terms: &JobTerms) -> u32 {
         let objective = self.objective(request, terms);
         let limit = objective.mul_f64(self.settings.refusal_factor);
         if !self.can_be_in_time(request, terms, self.start_delay(1), limit) {
@@ -381,6 +394,8 @@
             true => self.arrivals.expected_above(now, terms.priority),
             false => Vec::new(),
         };
+        let mut expected = expected;
+        expected.extend(self.reserved_for_returns(now, request.id, terms.priority));
         let mut pool = self.pool_forecast(now, &terms.service);
         if let Some(held) = held {
             pool.place(&held, Duration::ZERO);
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -34,6 +34,7 @@
         self.remove_unlisted_workers(now);
         self.update_median_slowness(now);
         self.prune_crashes(now);
+        self.expire_returns(now);
         self.reserve_workers_for_suspects(now);
         self.schedule(now);
         self.send_polls_and_orders(now);
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -110,6 +110,8 @@
 /// A pool and its simulated workers.
 pub(crate) struct Simulation {
     pub(crate) pool: WorkerPool,
+    /// The settings of the present owner and its successors.
+    settings: PoolSettings,
     pub(crate) workers: BTreeMap<InstanceId, SimulatedWorker>,
     pub(crate) rng: Rng,
     /// The simulated time, in milliseconds.
@@ -154,6 +156,8 @@
     pub(crate) crashes: CrashPlan,
     /// How long the runs of ended jobs outlived them, by the pool's reports.
     pub(crate) overruns: Vec<Duration>,
+    /// The jobs that returned in their turn, by the pool's reports.
+    pub(crate) kept_returns: Vec<JobId>,
     /// Whether a worker's capacity has just changed, so that starts in transit may exceed it.
     resize_in_flight: bool,
     /// How long a worker takes to restart, in milliseconds.
@@ -228,11 +232,12 @@
     pub(crate) fn with_settings(seed: u64, workers: usize, settings: PoolSettings) -> Self {
         let origin = Instant::now();
         let init = PoolInit {
-            settings,
+            settings: settings.clone(),
             ..pool_init(1)
         };
         let mut simulation = Self {
             pool: WorkerPool::new(init, origin),
+            settings,
             workers: BTreeMap::new(),
             rng: Rng::with_seed(seed),
             now: 0,
@@ -260,6 +265,7 @@
             released: false,
             crashes: CrashPlan::default(),
             overruns: Vec::new(),
+            kept_returns: Vec::new(),
             resize_in_flight: false,
             restart_time: 0,
             owner_frozen_until: 0,
@@ -328,6 +334,7 @@
         let init = PoolInit {
             name: Arc::from(pool),
             evacuated: self.evacuated,
+            settings: self.settings.clone(),
             ..pool_init(self.fence)
         };
         self.pool = WorkerPool::new(init, at);
@@ -416,6 +423,53 @@
         estimate: f64,
         cpu: u64,
     ) {
+        let (request, terms) = self.job_call(kind, id, &steps, estimate, cpu);
+        let longest = |works: &Vec<f64>| works.iter().copied().fold(0.0, f64::max);
+        let chain: f64 = steps.iter().map(longest).sum();
+        let objective = 1.6 * chain + 60.0;
+        let arrived = self.now;
+        // A job that its customer submits again runs again.
+        self.acknowledged_done.retain(|task| task.job != id);
+        self.known.insert(id, (steps.clone(), cpu));
+        self.open.insert(
+            id,
+            OpenJob {
+                kind,
+                arrived,
+                objective,
+                steps,
+                cpu,
+            },
+        );
+        let at = self.instant();
+        self.pool
+            .submit(at, WaiterId(id.0), Arc::new(request), terms);
+        self.execute_actions();
+    }
+
+    /// The number of tasks of a job of one step that the pool offers to take now. The units are as in
+    /// [`Self::submit_sized`].
+    pub(crate) fn offer_sized(
+        &mut self,
+        kind: usize,
+        id: JobId,
+        works: &[f64],
+        estimate: f64,
+        cpu: u64,
+    ) -> u32 {
+        let (request, terms) = self.job_call(kind, id, &[works.to_vec()], estimate, cpu);
+        let at = self.instant();
+        self.pool.offer(at, &request, &terms)
+    }
+
+    fn job_call(
+        &self,
+        kind: usize,
+        id: JobId,
+        steps: &[Vec<f64>],
+        estimate: f64,
+        cpu: u64,
+    ) -> (JobRequest, JobTerms) {
         let specs = steps.iter().enumerate().map(|(number, works)| StepSpec {
             count: u32::try_from(works.len()).unwrap(),
             demand: ResourceDemand {
@@ -440,7 +494,6 @@
         };
         let longest = |works: &Vec<f64>| works.iter().copied().fold(0.0, f64::max);
         let chain: f64 = steps.iter().map(longest).sum();
-        let objective = 1.6 * chain + 60.0;
         let terms = JobTerms {
             service: ServiceId::from(SERVICE),
             route: Arc::from(KINDS[kind].name),
@@ -452,24 +505,7 @@
             waited: Duration::from_millis(self.waited),
             firm: false,
         };
-        let arrived = self.now;
-        // A job that its customer submits again runs again.
-        self.acknowledged_done.retain(|task| task.job != id);
-        self.known.insert(id, (steps.clone(), cpu));
-        self.open.insert(
-            id,
-            OpenJob {
-                kind,
-                arrived,
-                objective,
-                steps,
-                cpu,
-            },
-        );
-        let at = self.instant();
-        self.pool
-            .submit(at, WaiterId(id.0), Arc::new(request), terms);
-        self.execute_actions();
+        (request, terms)
     }
 
     /// Advances the simulated time.
@@ -753,6 +789,8 @@
                 self.crashes.events.push(event);
             } else if let PoolEvent::AttemptOver { took, .. } = event {
                 self.overruns.push(took);
+            } else if let PoolEvent::ReturnKept { job, .. } = event {
+                self.kept_returns.push(job);
             }
         }
         for action in self.pool.take_actions() {
