--- a/crates/cairnctl/tests/explain_logs.rs
+++ b/crates/cairnctl/tests/explain_logs.rs
@@ -34,3 +34,17 @@
     ]
     .concat());
 }
+
+/// A refused job that returned in its turn: when it was told to return, when it was first refused, and one that did not
+/// return.
+#[test]
+fn scheduled_returns_are_explained() {
+    let address = closed_address();
+    let log = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/returns.log");
+    let mut texts = String::new();
+    for job in ["00000000000000b1", "00000000000000b2"] {
+        let output = run(address, &["explain", "--logs", log, job], "");
+        texts += &output_text(&output, address).replace(log, "LOG");
+    }
+    assert_snapshot!(texts);
+}
