--- a/crates/node/src/entry/offer_round.rs
+++ b/crates/node/src/entry/offer_round.rs
@@ -17,9 +17,9 @@
 
 use super::{
     can_divide, collect_offers, divide_job, eligible_pools, fits_whole_job, is_held_up,
-    no_pool_refusal, pool_candidate, run_parts, submit_before_deadline, EligiblePool, EntryJob,
-    JobPart, PartOffer, BUSY_LINK_SHARE, MAX_OFFER_POOLS, NO_OWNER_RETRY_AFTER,
-    OFFER_CAPACITY_FACTOR,
+    later_refusal, no_pool_refusal, pool_candidate, run_parts, submit_before_deadline,
+    EligiblePool, EntryJob, JobPart, PartOffer, BUSY_LINK_SHARE, MAX_OFFER_POOLS,
+    NO_OWNER_RETRY_AFTER, OFFER_CAPACITY_FACTOR,
 };
 use crate::{metrics, owner, state::NodeState};
 
@@ -111,7 +111,8 @@
         match submit_before_deadline(state, job, pool, owner, None).await {
             None => answers.offers[index].fits = 0,
             Some(outcome @ JobOutcome::Refused { fits, .. }) => {
-                last_refusal = Some(outcome);
+                let first = last_refusal.unwrap_or(outcome);
+                last_refusal = Some(later_refusal(state, first, outcome));
                 answers.offers[index].fits = fits;
             }
             Some(outcome) => return outcome,
--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -52,6 +52,8 @@
             delays_admitted,
             takes_reserved,
             share,
+            returned,
+            return_in,
         } => {
             let line = EventLine::new("job_admission").text("job", job);
             let kind = if refusal.is_some() {
@@ -68,8 +70,26 @@
             let line = line.number("queued_tasks", *queued as u64);
             let line = line.number("harms", u8::from(*delays_admitted));
             let line = line.number("crowds", u8::from(*takes_reserved));
+            let line = match returned {
+                Some(waited) => line
+                    .number("returned", 1_u8)
+                    .millis("since_refusal_ms", *waited),
+                None => line,
+            };
+            let line = match return_in {
+                Some(time) => line.millis("return_in_ms", *time),
+                None => line,
+            };
             (kind, add_share(line, share.as_ref()))
         }
+        PoolEvent::ReturnKept { job, waited } => {
+            let line = EventLine::new("return_kept").text("job", job);
+            (EventKind::Routine, line.millis("since_refusal_ms", *waited))
+        }
+        PoolEvent::ReturnMissed { job } => {
+            let line = EventLine::new("return_missed").text("job", job);
+            (EventKind::Routine, line)
+        }
         PoolEvent::Congestion {
             congested,
             smoothed,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -39,6 +39,8 @@
 mod pool;
 mod pool_choice;
 mod queue;
+mod return_bookings;
+mod returns;
 mod run_progress;
 mod run_times;
 mod settings;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -11,6 +11,7 @@
 mod progress;
 mod resizing;
 mod restart;
+mod return_turns;
 mod schedule;
 mod sharing;
 mod takeover;
@@ -37,6 +38,7 @@
     estimate::EstimateCorrections,
     job::{StepProgress, TrackedJob, WaitingTask},
     queue::{latest_start, JobQueue, QueueEntry},
+    returns::ReturnSchedule,
     settings::PoolSettings,
     shares::ClassShares,
     start_window::StartWindow,
@@ -124,6 +126,8 @@
     arrivals: ArrivalStats,
     /// The shares of the classes of jobs under contention.
     shares: ClassShares,
+    /// When the callers of refused jobs are to return. Used only with `ReturnPolicy::Scheduled`.
+    returns: ReturnSchedule,
     actions: Vec<PoolAction>,
     events: Vec<PoolEvent>,
 }
@@ -186,6 +190,7 @@
             estimates: EstimateCorrections::new(run_times),
             arrivals: ArrivalStats::default(),
             shares: ClassShares::default(),
+            returns: ReturnSchedule::new(now),
             actions: Vec::new(),
             events: Vec::new(),
         }
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -112,6 +112,8 @@
 /// A pool and its simulated workers.
 pub(crate) struct Simulation {
     pub(crate) pool: WorkerPool,
+    /// The settings of the present owner and its successors.
+    settings: PoolSettings,
     pub(crate) workers: BTreeMap<InstanceId, SimulatedWorker>,
     pub(crate) rng: Rng,
     /// The simulated time, in milliseconds.
@@ -162,6 +164,8 @@
     pub(crate) overruns: Vec<Duration>,
     /// Why each job was refused, and the share of its class.
     pub(crate) admissions: Vec<(Option<RefusalKind>, Option<ShareUse>)>,
+    /// The jobs that returned in their turn, by the pool's reports.
+    pub(crate) kept_returns: Vec<JobId>,
     /// Whether a worker's capacity has just changed, so that starts in transit may exceed it.
     resize_in_flight: bool,
     /// How long a worker takes to restart, in milliseconds.
@@ -236,11 +240,12 @@
     pub(crate) fn with_settings(seed: u64, workers: usize, settings: PoolSettings) -> Self {
         let origin = Instant::now();
         let init = PoolInit {
-            settings,
+            settings: settings.clone(),
             ..pool_init(1)
         };
         let mut simulation = Self {
             pool: WorkerPool::new(init, origin),
+            settings,
             workers: BTreeMap::new(),
             rng: Rng::with_seed(seed),
             now: 0,
@@ -271,6 +276,7 @@
             crashes: CrashPlan::default(),
             overruns: Vec::new(),
             admissions: Vec::new(),
+            kept_returns: Vec::new(),
             resize_in_flight: false,
             restart_time: 0,
             owner_frozen_until: 0,
@@ -339,6 +345,7 @@
         let init = PoolInit {
             name: Arc::from(pool),
             evacuated: self.evacuated,
+            settings: self.settings.clone(),
             ..pool_init(self.fence)
         };
         self.pool = WorkerPool::new(init, at);
@@ -441,6 +448,53 @@
         estimate: f64,
         cpu: u64,
     ) {
+        let (request, terms) = self.job_call(kind, id, &steps, estimate, cpu);
+        let longest = |works: &Vec<f64>| works.iter().copied().fold(0.0, f64::max);
+        let chain: f64 = steps.iter().map(longest).sum();
+        let objective = 1.6 * chain + 60.0;
+        let arrived = self.now;
+        // A job that its customer submits again runs again.
+        self.acknowledged_done.retain(|task| task.job != id);
+        self.known.insert(id, (steps.clone(), cpu));
+        self.open.insert(
+            id,
+            OpenJob {
+                kind,
+                arrived,
+                objective,
+                steps,
+                cpu,
+            },
+        );
+        let at = self.instant();
+        self.pool
+            .submit(at, WaiterId(id.0), Arc::new(request), terms);
+        self.execute_actions();
+    }
+
+    /// The number of tasks of a job of one step that the pool offers to take now. The units are as in
+    /// [`Self::submit_sized`].
+    pub(crate) fn offer_sized(
+        &mut self,
+        kind: usize,
+        id: JobId,
+        works: &[f64],
+        estimate: f64,
+        cpu: u64,
+    ) -> u32 {
+        let (request, terms) = self.job_call(kind, id, &[works.to_vec()], estimate, cpu);
+        let at = self.instant();
+        self.pool.offer(at, &request, &terms)
+    }
+
+    fn job_call(
+        &self,
+        kind: usize,
+        id: JobId,
+        steps: &[Vec<f64>],
+        estimate: f64,
+        cpu: u64,
+    ) -> (JobRequest, JobTerms) {
         let specs = steps.iter().enumerate().map(|(number, works)| StepSpec {
             count: u32::try_from(works.len()).unwrap(),
             demand: ResourceDemand {
@@ -465,7 +519,6 @@
         };
         let longest = |works: &Vec<f64>| works.iter().copied().fold(0.0, f64::max);
         let chain: f64 = steps.iter().map(longest).sum();
-        let objective = 1.6 * chain + 60.0;
         let terms = JobTerms {
             service: ServiceId::from(SERVICE),
             route: Arc::from(KINDS[kind].name),
@@ -478,24 +531,7 @@
             firm: self.firm,
             origin: self.sender.clone(),
         };
-        let arrived = self.now;
-        // A job that its customer submits again runs again.
-        self.acknowledged_done.retain(|task| task.job != id);
-        self.known.insert(id, (steps.clone(), cpu));
-        self.open.insert(
-            id,
-            OpenJob {
-                kind,
-                arrived,
-                objective,
-                steps,
-                cpu,
-            },
-        );
-        let at = self.instant();
-        self.pool
-            .submit(at, WaiterId(id.0), Arc::new(request), terms);
-        self.execute_actions();
+        (request, terms)
     }
 
     /// Advances the simulated time.
@@ -781,6 +817,8 @@
                 self.overruns.push(took);
             } else if let PoolEvent::Admission { refusal, share, .. } = event {
                 self.admissions.push((refusal, share));
+            } else if let PoolEvent::ReturnKept { job, .. } = event {
+                self.kept_returns.push(job);
             }
         }
         for action in self.pool.take_actions() {
