Checks of fair shares that fail stay, as known failures

The route of the first priority had been left out of the excess replay, and the goodput of 12 and 36 owners was not asserted, after both had failed.

--- a/crates/pool/tests/shares.rs
+++ b/crates/pool/tests/shares.rs
@@ -254,29 +254,40 @@
     assert!(worst(&after) >= 0.8);
 }
 
+/// Asserts that one route at five times its usual load leaves the other routes better served than in order of arrival,
+/// and no capacity idle.
+fn assert_others_are_served(route: usize) {
+    let mut factors = USUAL;
+    factors[route] = [5.0; 3];
+    let play = |sharing| replay(1..=4, 1, sharing, CALM_LOAD, factors);
+    let (before, after) = (
+        play(SharingPolicy::ArrivalOrder),
+        play(SharingPolicy::MaxMin),
+    );
+    let others = |score: &ReplayScore| {
+        let shares = shares(&score.routes);
+        let others = (0..3).filter(|other| *other != route);
+        others.map(|other| shares[other] / 2.0).sum::<f64>()
+    };
+    assert!(others(&after) > others(&before) + 0.05, "route {route}");
+    assert!(after.goodput() > 0.95 * before.goodput(), "route {route}");
+}
+
 /// One route requests five times its usual load. Guards against refusals of the other routes' jobs, whose load is as
-/// usual, and against capacity left idle by the shares. The route of the first priority is left out: capacity is
-/// reserved for it besides the shares.
+/// usual, and against capacity left idle by the shares.
 #[test]
 fn one_route_in_excess_does_not_crowd_out_the_others() {
     for route in 1..3 {
-        let mut factors = USUAL;
-        factors[route] = [5.0; 3];
-        let play = |sharing| replay(1..=4, 1, sharing, CALM_LOAD, factors);
-        let (before, after) = (
-            play(SharingPolicy::ArrivalOrder),
-            play(SharingPolicy::MaxMin),
-        );
-        let others = |score: &ReplayScore| {
-            let shares = shares(&score.routes);
-            let others = (0..3).filter(|other| *other != route);
-            others.map(|other| shares[other] / 2.0).sum::<f64>()
-        };
-        assert!(others(&after) > others(&before) + 0.05, "route {route}");
-        assert!(after.goodput() > 0.95 * before.goodput(), "route {route}");
+        assert_others_are_served(route);
     }
 }
 
+/// The same with the route of the first priority, for which capacity is reserved besides the shares.
+#[test]
+fn the_route_of_the_first_priority_in_excess_does_not_crowd_out_the_others() {
+    assert_others_are_served(0);
+}
+
 /// The callers of one data centre request five times their usual load. Guards against refusals of the callers of the
 /// other data centres.
 #[test]
@@ -321,6 +332,15 @@
     }
 }
 
+/// Guards against capacity that the shares of many owners leave idle together.
+#[test]
+fn many_owners_reach_the_goodput_of_one() {
+    let scores = [12, 36].map(|owners| replay(1..=1, owners, SharingPolicy::MaxMin, 1.6, USUAL));
+    for score in scores {
+        assert!(score.goodput() >= 0.90, "{}", score.goodput());
+    }
+}
+
 /// The number of jobs that one owner refused by shares.
 fn held(pool: &Simulation) -> usize {
     let refusals = pool.admissions.iter().map(|(refusal, _)| *refusal);
