--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -20,7 +20,7 @@
 };
 pub(crate) use names::rack_workers;
 use names::{store_link, worker_link};
-use nodes::SoakNode;
+use nodes::{load_policies, SoakNode};
 use workers::WorkerInstance;
 
 /// The host of all routes.
@@ -87,7 +87,7 @@
         fleet.write_config();
         for number in 0..plan.nodes {
             let view = fleet.store.view().await;
-            let node = fleet.add_node(number, &view, dir)?;
+            let node = fleet.add_node(number, &view, load_policies(plan, number), dir)?;
             fleet.nodes.push(node);
             fleet.store_views.push(view);
         }
--- a/crates/soak/src/fleet/nodes.rs
+++ b/crates/soak/src/fleet/nodes.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, io, net::SocketAddr, path::PathBuf, time::Duration};
 
+use model::{LoadPolicies, PlacementPolicy, ReturnPolicy, RunTimePolicy, SharingPolicy};
 use platform_stand_ins::StoreView;
 use scenario::{ChildPlan, ChildProcess, ChildSignal};
 use settings::NodeSettings;
@@ -10,7 +11,7 @@
     names::{data_centre, node_ip, node_name, store_link},
     SoakFleet, STOP_GRACE,
 };
-use crate::{record::StopTrace, run::SoakError};
+use crate::{plan::SoakPlan, record::StopTrace, run::SoakError};
 
 /// How long beyond [`STOP_GRACE`] a stop may take before it counts as hanging.
 const STOP_SLACK: Duration = Duration::from_secs(1);
@@ -39,11 +40,25 @@
     down_until: Duration,
 }
 
+/// The policies for decisions under load of a node.
+pub(super) fn load_policies(plan: &SoakPlan, number: usize) -> LoadPolicies {
+    match plan.load_policies && number.is_multiple_of(2) {
+        true => LoadPolicies {
+            placement: PlacementPolicy::ExpectedEnd,
+            sharing: SharingPolicy::MaxMin,
+            returns: ReturnPolicy::Scheduled,
+            run_times: RunTimePolicy::Distribution,
+        },
+        false => LoadPolicies::default(),
+    }
+}
+
 impl SoakFleet {
     pub(super) fn add_node(
         &self,
         number: usize,
         view: &StoreView,
+        load: LoadPolicies,
         dir: &std::path::Path,
     ) -> Result<SoakNode, SoakError> {
         let ip = node_ip(number);
@@ -59,6 +74,7 @@
             peer_listen: SocketAddr::new(ip, 7_720),
             store,
             stop_grace_s: STOP_GRACE.as_secs_f64(),
+            load,
             ..NodeSettings::default()
         };
         let path = dir.join(format!("{}.json", node_name(number)));
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -30,6 +30,9 @@
     /// Whether workers crash in series and some tasks crash their workers. Known seeds are replayed without it, like
     /// `worker_restarts`.
     pub crash_series: bool,
+    /// Whether every second node decides under load by the policies that are not the default. Nodes of a fleet may differ
+    /// while their settings are being changed.
+    pub load_policies: bool,
     /// Which faults are injected.
     pub faults: FaultMix,
     /// What customers submit, and what they do without an answer.
@@ -125,6 +128,7 @@
             worker_restarts: true,
             owner_freezes: true,
             crash_series: true,
+            load_policies: false,
             faults: FaultMix::All,
             customers: CustomerPlan::default(),
             stray_limit: None,
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -38,6 +38,9 @@
     /// Number of workers
     #[bpaf(argument("COUNT"), fallback(12), display_fallback)]
     workers: usize,
+    /// Every second node decides under load by the policies that are not the default
+    #[bpaf(switch)]
+    load_policies: bool,
     /// Share of kept jobs among all jobs, in place of the default
     #[bpaf(argument("SHARE"))]
     kept_share: Option<f64>,
@@ -105,6 +108,7 @@
             worker_restarts: has_additions,
             owner_freezes: has_additions,
             crash_series: has_additions,
+            load_policies: self.load_policies,
             faults: setting.faults(),
             customers: CustomerPlan {
                 kept_share: self.kept_share.unwrap_or(customers.kept_share),
