Shares and scheduled returns compute capacity and requested work in one place

Cause: fair shares and scheduled returns each summed the capacity of the usable workers and the work of a job. Change: shares use usable_work_rate, returns use requested_work. Behaviour stays.

--- a/crates/pool/src/pool/return_turns.rs
+++ b/crates/pool/src/pool/return_turns.rs
@@ -102,14 +102,13 @@
     }
 
     /// The rate of work that the usable workers can do.
-    fn usable_work_rate(&self, now: Instant) -> WorkRate {
+    pub(super) fn usable_work_rate(&self, now: Instant) -> WorkRate {
         let workers = self.usable_or_probe_workers(now).into_iter();
         let cpu: u64 = workers.map(|worker| worker.record.capacity.cpu.0).sum();
         WorkRate(cpu as f64 * self.settings.packing_share)
     }
 
     fn return_demand(&self, request: &JobRequest, terms: &JobTerms) -> ReturnDemand {
-        let mut work = 0.0;
         let mut first_tasks = ExpectedJob {
             tasks: 0,
             cpu: 0,
@@ -118,18 +117,15 @@
             earliest: Duration::ZERO,
         };
         for spec in &request.steps {
-            let run_time = self.predict_run_time(terms, spec);
-            let cores = spec.demand.cpu.0 as f64 / 1000.0;
-            work += cores * run_time.as_secs_f64() * 1000.0 * f64::from(spec.count);
             if spec.after.is_empty() && first_tasks.tasks == 0 {
                 first_tasks.tasks = spec.count as usize;
                 first_tasks.cpu = spec.demand.cpu.0;
-                first_tasks.run_time = run_time;
+                first_tasks.run_time = self.predict_run_time(terms, spec);
             }
         }
         ReturnDemand {
             priority: terms.priority,
-            work,
+            work: self.requested_work(request, terms),
             first_tasks,
         }
     }
--- a/crates/pool/src/pool/sharing.rs
+++ b/crates/pool/src/pool/sharing.rs
@@ -34,11 +34,8 @@
         if self.settings.policies.sharing != SharingPolicy::MaxMin {
             return None;
         }
-        let workers = self.usable_or_probe_workers(now).into_iter();
-        let cpu: u64 = workers.map(|worker| worker.record.capacity.cpu.0).sum();
-        // A thousandth of a core does one core-millisecond per second.
-        let capacity = cpu as f64 * self.settings.packing_share;
-        self.shares.advance(now, capacity);
+        let capacity = self.usable_work_rate(now);
+        self.shares.advance(now, capacity.0);
         let tasks = request.task_count();
         let origin = terms.origin.as_ref();
         let key = self
@@ -75,7 +72,7 @@
     }
 
     /// The predicted work of a job, in core-milliseconds.
-    fn requested_work(&self, request: &JobRequest, terms: &JobTerms) -> f64 {
+    pub(super) fn requested_work(&self, request: &JobRequest, terms: &JobTerms) -> f64 {
         let mut work = 0.0;
         for spec in &request.steps {
             let cores = spec.demand.cpu.0 as f64 / 1000.0;
