Log how long reads of the store took, and how old the table behind a 404 is

store_lost and store_read_failed now have the number of the try, how long the read may have waited and how long it took; configuration_taken has the row's version and the age of the former configuration; route_unknown has version and age at each 404. The age counts from the sending of the last answered read, by the clock that goes on while the machine is suspended.

follow_table is divided into smaller functions; what it reads and when is as before.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O or reads a clock. Every type is decoded once, where it enters the system.
 
 mod demand;
+mod freshness;
 mod ids;
 mod kept;
 mod request;
@@ -12,6 +13,7 @@
 
 pub use crate::{
     demand::{CpuMillis, MemoryMegabytes, ResourceDemand},
+    freshness::TableFreshness,
     ids::{
         FenceToken, InstanceId, InvalidJobId, InvalidPoolId, JobId, PoolId, RunNumber, ServiceId,
         TaskId,
--- a/crates/node/src/customer_server.rs
+++ b/crates/node/src/customer_server.rs
@@ -15,7 +15,8 @@
     StreamExt as _,
 };
 use jobs::{
-    critical_path, JobId, JobOutcome, RefusalKind, RequestLimits, RouteRule, UnsupportedNeed,
+    critical_path, JobId, JobOutcome, RefusalKind, RequestLimits, RouteRule, RouteTable,
+    UnsupportedNeed,
 };
 use kernel::PauseCount;
 use model::Mechanism;
@@ -135,7 +136,7 @@
     let host = host_of(&request).to_owned();
     let path = request.path().to_owned();
     let Some(found) = table.find(&host, &path) else {
-        return json_response(StatusCode::NOT_FOUND, "{}");
+        return unknown_route(state, &table);
     };
     let rule = Rc::new(found.rule.clone());
     let method = request.method().clone();
@@ -168,6 +169,14 @@
     submit(state, id, rule, &body, arrival, stated_deadline).await
 }
 
+fn unknown_route(state: &NodeState, table: &RouteTable) -> Response<BoxBody> {
+    let line = EventLine::new("route_unknown")
+        .number("version", table.version.0)
+        .millis("age_ms", state.table_age().unwrap_or_default());
+    state.log(EventKind::Routine, line);
+    json_response(StatusCode::NOT_FOUND, "{}")
+}
+
 /// Answers with the state of a kept job according to the store. No process knows the state of jobs that are not
 /// kept.
 async fn job_state_response(state: &NodeState, id: JobId) -> Response<BoxBody> {
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -1,10 +1,13 @@
 //! Follows the tables of the platform's store and applies their changes.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use claims::{ClaimRow, GroupRow, MemberRow, NodeId};
 use jobs::PoolId;
-use platform::RowVersion;
+use platform::{RequestError, RowVersion};
 use platform_adapter::{FeedPage, RowChange, StoreError, StoreTable, StoredRow};
 use pool::RouteBudget;
 use telemetry::{EventKind, EventLine};
@@ -52,6 +55,46 @@
 /// The delay before a failed read is repeated.
 const FAILED_READ_RETRY_DELAY: Duration = Duration::from_millis(120);
 
+/// How far the feed of a table has come.
+#[derive(Default)]
+struct FeedProgress {
+    /// The version after which changes are read, None if the whole table has to be read.
+    after: Option<RowVersion>,
+    /// The newest version that an answer had.
+    newest: RowVersion,
+    /// Whether the last answer had only a part of the changes.
+    partial: bool,
+    /// The failed reads since the last answer.
+    failures: Option<ReadFailures>,
+}
+
+/// Failed reads in a row.
+#[derive(Clone, Copy)]
+struct ReadFailures {
+    since: Instant,
+    count: u32,
+}
+
+/// A read of a table: how long it may wait for a change, and when it began.
+struct TableRead {
+    table: StoreTable,
+    wait: Duration,
+    begun: Instant,
+    /// The same moment on the clock that goes on while the machine is suspended.
+    begun_since_boot: Duration,
+}
+
+impl TableRead {
+    fn begin(state: &NodeState, table: StoreTable, wait: Duration) -> Self {
+        Self {
+            table,
+            wait,
+            begun: state.now(),
+            begun_since_boot: state.clock.since_boot(),
+        }
+    }
+}
+
 /// Follows a table for as long as the process runs. When the store no longer has the history that the feed needs,
 /// the whole table is read again.
 ///
@@ -59,79 +102,109 @@
 /// just begun and bring back workers that have left, so they are ignored until the store has caught up with the
 /// known version.
 pub(crate) async fn follow_table(state: Rc<NodeState>, table: StoreTable) {
-    let urgent = table == StoreTable::Operator;
-    let limit = state.settings.config_limit_ms.duration();
-    let wait = match urgent {
-        true => limit.mul_f64(OPERATOR_FEED_WAIT_SHARE),
-        false => FEED_WAIT_TIME,
-    };
     let begun = state.now();
     if table == StoreTable::Workers {
         list_schedule::wait_until_needed(&state, begun).await;
     }
-    let mut after: Option<RowVersion> = None;
-    let mut partial = false;
-    let mut lost_since = None;
-    let mut newest = RowVersion(0);
+    let mut progress = FeedProgress::default();
     loop {
-        if table == StoreTable::Workers && after.is_some() && !partial {
+        if table == StoreTable::Workers && progress.after.is_some() && !progress.partial {
             if let Some(version) = list_schedule::take_confirmation(&state) {
-                newest = newest.max(version);
-                after = Some(newest);
+                progress.newest = progress.newest.max(version);
+                progress.after = Some(progress.newest);
                 list_schedule::wait_after_confirmation(&state).await;
                 continue;
             }
         }
-        let wait = match table {
-            StoreTable::Workers => list_schedule::begin_read(&state),
-            _ => wait,
-        };
-        let read = match after {
+        let read = TableRead::begin(&state, table, read_wait(&state, table));
+        let answer = match progress.after {
             None => state.store.read_all(table, "").await,
-            Some(after) => state.store.feed(table, after, wait).await,
+            Some(after) => state.store.feed(table, after, read.wait).await,
         };
-        match read {
+        match answer {
             Ok(page) => {
-                if let Some(since) = lost_since.take() {
-                    log_store_regained(&state, table, since);
+                if let Some(failures) = progress.failures.take() {
+                    log_store_regained(&state, table, failures.since);
                 }
-                let is_snapshot = after.is_none();
-                if page.version < newest {
-                    log_stale_rows(&state, table, page.version, newest);
+                if page.version < progress.newest {
+                    log_stale_rows(&state, table, page.version, progress.newest);
                     actix_rt::time::sleep(STALE_READ_RETRY_DELAY).await;
                     continue;
                 }
-                newest = page.version;
-                after = Some(newest);
-                partial = !is_snapshot && page.changes.len() >= PARTIAL_PAGE_CHANGES;
-                apply_page(&state, table, page, is_snapshot);
-                if partial {
+                apply_answer(&state, &mut progress, &read, page);
+                if progress.partial {
                     continue;
                 }
-                if table == StoreTable::Workers {
-                    list_schedule::record_read(&state, newest);
-                }
                 let age = state.now().saturating_duration_since(begun);
                 wait_for_next_read(&state, table, age).await;
             }
             Err(StoreError::HistoryGone) => {
                 let line = EventLine::new("history_gone").text("table", table.as_str());
                 state.log(EventKind::Important, line);
-                after = None;
+                progress.after = None;
             }
             Err(error) => {
-                let now = state.now();
-                state.directory.borrow_mut().record_store_failure(now);
-                if lost_since.is_none() {
-                    lost_since = Some(now);
-                    log_store_lost(&state, table, &error);
-                }
+                record_failure(&state, &mut progress, &read, &error);
                 actix_rt::time::sleep(FAILED_READ_RETRY_DELAY).await;
             }
         }
     }
 }
 
+/// Returns how long the next read of a table may wait for a change.
+fn read_wait(state: &NodeState, table: StoreTable) -> Duration {
+    match table {
+        StoreTable::Workers => list_schedule::begin_read(state),
+        StoreTable::Operator => {
+            let limit = state.settings.config_limit_ms.duration();
+            limit.mul_f64(OPERATOR_FEED_WAIT_SHARE)
+        }
+        _ => FEED_WAIT_TIME,
+    }
+}
+
+/// Applies an answer of the store that is not older than what is known.
+fn apply_answer(
+    state: &Rc<NodeState>,
+    progress: &mut FeedProgress,
+    read: &TableRead,
+    page: FeedPage,
+) {
+    let is_snapshot = progress.after.is_none();
+    progress.newest = page.version;
+    progress.after = Some(page.version);
+    progress.partial = !is_snapshot && page.changes.len() >= PARTIAL_PAGE_CHANGES;
+    apply_page(state, read.table, page, is_snapshot);
+    if progress.partial {
+        return;
+    }
+    match read.table {
+        StoreTable::Workers => list_schedule::record_read(state, progress.newest),
+        StoreTable::Operator => {
+            let mut freshness = state.table_freshness.get();
+            freshness.record_read(read.begun_since_boot);
+            state.table_freshness.set(freshness);
+        }
+        _ => (),
+    }
+}
+
+fn record_failure(
+    state: &NodeState,
+    progress: &mut FeedProgress,
+    read: &TableRead,
+    error: &StoreError,
+) {
+    let now = state.now();
+    state.directory.borrow_mut().record_store_failure(now);
+    let failures = progress.failures.get_or_insert(ReadFailures {
+        since: now,
+        count: 0,
+    });
+    failures.count += 1;
+    log_read_failure(state, read, failures.count, error);
+}
+
 /// Waits until the next read of a table may begin. That read then waits for a change by itself.
 async fn wait_for_next_read(state: &Rc<NodeState>, table: StoreTable, age: Duration) {
     let gap = match table {
@@ -164,14 +237,29 @@
     state.log(EventKind::Important, line);
 }
 
-fn log_store_lost(state: &NodeState, table: StoreTable, error: &StoreError) {
-    let line = EventLine::new("store_lost")
-        .text("table", table.as_str())
-        .text("error", error);
+/// Logs a failed read: the first of a row, each that went unanswered if the table is the operators', and every further
+/// one whose number is a power of two. How long each one took shows whether several silent waits add up.
+fn log_read_failure(state: &NodeState, read: &TableRead, count: u32, error: &StoreError) {
+    let is_unanswered = *error == StoreError::NoAnswer(RequestError::TimedOut);
+    let is_urgent = read.table == StoreTable::Operator && is_unanswered;
+    if !is_urgent && !count.is_power_of_two() {
+        return;
+    }
+    let event = match count {
+        1 => "store_lost",
+        _ => "store_read_failed",
+    };
+    let took = state.now().saturating_duration_since(read.begun);
+    let line = EventLine::new(event)
+        .text("table", read.table.as_str())
+        .text("error", error)
+        .number("tries", count)
+        .millis("wait_ms", read.wait)
+        .millis("took_ms", took);
     state.log(EventKind::Important, line);
 }
 
-fn log_store_regained(state: &NodeState, table: StoreTable, since: std::time::Instant) {
+fn log_store_regained(state: &NodeState, table: StoreTable, since: Instant) {
     let now = state.now();
     let line = EventLine::new("store_regained")
         .text("table", table.as_str())
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -2,8 +2,9 @@
 
 use std::rc::Rc;
 
-use jobs::PoolId;
+use jobs::{PoolId, RouteTable};
 use model::DataCentreId;
+use platform::RowVersion;
 use platform_adapter::{decode_table, FeedPage, OperatorRow, RowChange};
 use telemetry::{EventKind, EventLine};
 
@@ -106,14 +107,14 @@
         return;
     };
     match decode_table(&row.value) {
-        Ok(table) => install_table(state, table),
+        Ok(table) => install_table(state, table, row.version),
         Err(error) => log_unreadable_row(state, &row, &error),
     }
 }
 
 /// Installs a configuration if its version is higher than the current one: an answer of the store that arrives late
-/// must not bring back an older configuration.
-fn install_table(state: &Rc<NodeState>, table: jobs::RouteTable) {
+/// must not bring back an older configuration. The logged age is that of the former one.
+fn install_table(state: &Rc<NodeState>, table: RouteTable, row: RowVersion) {
     let known = state
         .route_table
         .borrow()
@@ -125,7 +126,9 @@
     let line = EventLine::new("configuration_taken")
         .number("version", table.version.0)
         .number("routes", table.routes.len() as u64)
-        .number("former", known.unwrap_or_default().0);
+        .number("former", known.unwrap_or_default().0)
+        .number("row", row.0)
+        .millis("age_ms", state.table_age().unwrap_or_default());
     state.log(EventKind::Important, line);
     *state.route_table.borrow_mut() = Some(Rc::new(table));
     workers::reclassify_entries(state);
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -238,6 +238,7 @@
         attempt_times,
         system_addresses: vec![settings.store, customer_address, ready_address, address],
         route_table: RefCell::default(),
+        table_freshness: Cell::default(),
         claim_controller: RefCell::new(ClaimController::new(
             member,
             claim_settings.clone(),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -9,7 +9,7 @@
 };
 
 use claims::{ClaimController, NodeId};
-use jobs::{PoolId, RouteTable};
+use jobs::{PoolId, RouteTable, TableFreshness};
 use kernel::{AcceptDrain, ClockSource, PauseMonitor};
 use model::{DataCentreId, FastMap, Mechanism};
 use platform_adapter::{StoreClient, WorkerClient};
@@ -36,6 +36,8 @@
     pub(crate) store: StoreClient,
     pub(crate) worker_client: WorkerClient,
     pub(crate) route_table: RefCell<Option<Rc<RouteTable>>>,
+    /// When `route_table` was last known to be the newest one.
+    pub(crate) table_freshness: Cell<TableFreshness>,
     pub(crate) claim_controller: RefCell<ClaimController>,
     pub(crate) directory: RefCell<WorkerDirectory>,
     pub(crate) evacuations: RefCell<EvacuationSet>,
@@ -93,6 +95,11 @@
         self.clock.now()
     }
 
+    /// Returns the greatest possible age of the routing configuration, None if it was never read.
+    pub(crate) fn table_age(&self) -> Option<Duration> {
+        self.table_freshness.get().age(self.clock.since_boot())
+    }
+
     /// Returns whether a mechanism is switched on.
     pub(crate) fn is_enabled(&self, mechanism: Mechanism) -> bool {
         self.pool_settings.switched_off.is_enabled(mechanism)
