An old configuration no longer says that a queue does not exist

What callers saw: 404, which is final, for a queue that had been added seconds before, from a node whose reads of the configuration had failed meanwhile. Cause: nothing bounded the age of the configuration that the answer rested on.

A node now knows when the last answered read of the operators' table was sent. While that is longer ago than config_limit_ms, an unknown route gets 503 with Retry-After (reason configuration_old), as where there is no configuration yet, and the next read does not wait for a change. Known routes are served all the while. A request that comes config_limit_ms after the acknowledgement of a change can so no longer get 404 by an older configuration, whatever kept the node from reading.

--- a/crates/node/src/customer_server.rs
+++ b/crates/node/src/customer_server.rs
@@ -169,11 +169,25 @@
     submit(state, id, rule, &body, arrival, stated_deadline).await
 }
 
+/// Answers a request for a route that the configuration does not have.
+///
+/// 404 is final for the caller, so it is said only while no newer configuration can be in force. Otherwise the caller is
+/// told to come back: the route may have been added since.
 fn unknown_route(state: &NodeState, table: &RouteTable) -> Response<BoxBody> {
+    let is_current = state.is_table_current();
+    let outcome = match is_current {
+        true => "not_found",
+        false => "not_ready",
+    };
     let line = EventLine::new("route_unknown")
         .number("version", table.version.0)
-        .millis("age_ms", state.table_age().unwrap_or_default());
+        .millis("age_ms", state.table_age().unwrap_or_default())
+        .text("outcome", outcome);
     state.log(EventKind::Routine, line);
+    if !is_current {
+        log_refusal(state, "configuration_old");
+        return not_ready();
+    }
     json_response(StatusCode::NOT_FOUND, "{}")
 }
 
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -158,6 +158,8 @@
 fn read_wait(state: &NodeState, table: StoreTable, progress: &FeedProgress) -> Duration {
     let usual = match table {
         StoreTable::Workers => list_schedule::begin_read(state),
+        // After a suspension, the answer to the former feed says nothing about the time since it was sent.
+        StoreTable::Operator if !state.is_table_current() => Duration::ZERO,
         StoreTable::Operator => {
             let limit = state.settings.config_limit_ms.duration();
             limit.mul_f64(OPERATOR_FEED_WAIT_SHARE)
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -28,8 +28,12 @@
 const RECEIVED_BYTES: &str = "node_traffic_received_bytes_total";
 
 /// Reasons of refusals before a job was read.
-pub(crate) const EARLY_REFUSAL_REASONS: [&str; 3] =
-    ["process_paused", "process_stopped", "no_configuration"];
+pub(crate) const EARLY_REFUSAL_REASONS: [&str; 4] = [
+    "process_paused",
+    "process_stopped",
+    "no_configuration",
+    "configuration_old",
+];
 
 /// Answers to a start, apart from failures of the call.
 const START_ANSWERS: [&str; 4] = ["outrun", "late", "no_room", "not_allowed"];
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -100,6 +100,13 @@
         self.table_freshness.get().age(self.clock.since_boot())
     }
 
+    /// Returns whether every configuration that must be in force by now is known.
+    pub(crate) fn is_table_current(&self) -> bool {
+        let limit = self.settings.config_limit_ms.duration();
+        let freshness = self.table_freshness.get();
+        freshness.is_within(limit, self.clock.since_boot())
+    }
+
     /// Returns whether a mechanism is switched on.
     pub(crate) fn is_enabled(&self, mechanism: Mechanism) -> bool {
         self.pool_settings.switched_off.is_enabled(mechanism)
--- a/crates/node/tests/silent_store.rs
+++ b/crates/node/tests/silent_store.rs
@@ -6,6 +6,7 @@
 
 use awc::Client;
 use node::NodeProcess;
+use platform_stand_ins::StoreFault;
 use serde_json::{json, Value};
 use settings::{DurationMs, NodeSettings};
 use support::{config, job, post_job, send, Platform};
@@ -104,3 +105,26 @@
         node.log_lines()
     );
 }
+
+/// Guards against telling a caller for good that there is no such queue, by a configuration that may be out of date.
+#[actix_rt::test]
+async fn a_route_that_an_old_configuration_lacks_is_not_refused_for_good() {
+    let platform = Platform::start(1, Duration::from_millis(10)).await;
+    let node = platform.start_node(node_settings(&platform)).await;
+    let address = node.customer_address();
+    let path = "/unknown/00000000000000b1";
+    let ask = || async {
+        let answer = send(&Client::default(), address, "POST", path, &job(1, 10)).await;
+        answer.0
+    };
+    assert_eq!(ask().await, 404);
+    platform.store.set_fault(StoreFault::Silent);
+    actix_rt::time::sleep(Duration::from_millis(3_100)).await;
+    assert_eq!(ask().await, 503);
+    assert!(node.log_lines().contains("configuration_old"));
+    let served = post_job(&node, "00000000000000b2", &job(1, 10)).await;
+    assert_eq!(served.0, 200, "known routes are served all the while");
+    platform.store.set_fault(StoreFault::None);
+    actix_rt::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(ask().await, 404);
+}
