Ends of unknown runs are not handled before the rows of kept jobs are read

Cause: until the rows are read, no end is acknowledged, so each listing has all of them again. Each time, each end of a run that nobody here knows was taken up as the end of another pool's job: an event, an action, a task and a change of the pool, on machines with 0.12 to 0.5 cores.

Such an end now waits until the rows are read; the worker lists it until it is acknowledged, so nothing is lost.

--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -240,7 +240,10 @@
             return;
         };
         let Some(run) = worker.remove_run(task, end.run) else {
-            self.apply_found_end(now, instance, end);
+            // Until the rows are read, the end is not acknowledged and every listing has it again.
+            if self.kept_loaded {
+                self.apply_found_end(now, instance, end);
+            }
             return;
         };
         worker.last_end_time = now;
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -453,6 +453,38 @@
     }
 }
 
+/// Guards against handling the same ends again in every listing until the former owner is done and the rows are read. With
+/// hundreds of ends a worker, that was most of a small machine's work for seconds.
+#[test]
+fn unknown_ends_are_not_handled_before_the_rows_are_read() {
+    let mut simulation = Simulation::new(1, 4);
+    simulation.run_for(300);
+    simulation.submit_sized(1, JOB, vec![60.0; 8], 60.0, 3_400);
+    simulation.run_for(20);
+    simulation.freeze_owner(400);
+    simulation.run_for(400);
+    let at = simulation.instant();
+    let init = PoolInit {
+        platform_millis: 1_000_000 + simulation.now,
+        ..pool_init(2)
+    };
+    let mut next = WorkerPool::new(init, at);
+    next.set_takeover_state(at, true, true);
+    simulation.divide_workers_to(next);
+    simulation.submit_sized(1, JobId(8), vec![2_500.0; 16], 2_500.0, 3_400);
+    simulation.run_for(2_000);
+    assert_eq!(simulation.foreign_ends, [], "before the rows are read");
+    let at = simulation.instant();
+    simulation.pool.set_takeover_state(at, false, true);
+    simulation.read_rows();
+    simulation.run_for(1_000);
+    assert_eq!(
+        simulation.foreign_ends,
+        [],
+        "the read has all jobs of these runs"
+    );
+}
+
 /// Guards against an accepted job that nobody runs: its owner released it while it was to hand the pool over, kept the
 /// pool, and took a read of the rows that had begun before the job was stored for a later one.
 #[test]
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -150,6 +150,8 @@
     pub(crate) done_is_final: bool,
     /// The number of starts that were sent.
     pub(crate) starts_sent: u64,
+    /// The ends that the pool had stored in rows of other pools' jobs.
+    pub(crate) foreign_ends: Vec<(InstanceId, u64)>,
     /// The age of jobs when they are submitted, in milliseconds.
     pub(crate) waited: u64,
     /// The data centre from which jobs are submitted.
@@ -268,6 +270,7 @@
             acknowledged_done: BTreeSet::new(),
             done_is_final: false,
             starts_sent: 0,
+            foreign_ends: Vec::new(),
             waited: 4,
             sender: None,
             firm: false,
@@ -830,6 +833,8 @@
                 PoolAction::WriteKeptJob(order) => self.post(STORE_TIME_MS, Event::WriteRow(order)),
                 PoolAction::StoreForeignEnd(end) => {
                     let fence = self.pool.fence();
+                    let number = end.end.number;
+                    self.foreign_ends.push((end.instance.clone(), number));
                     self.post(STORE_TIME_MS, Event::StoreForeignEnd(fence, end));
                 }
                 PoolAction::ReleasePool => self.released = true,
