The soak silences the store's connections, and a repeated 503 for a route is late too

The soak never played connections that go silent while new ones work, and took 503 for no answer to a probe. Since an old configuration now leads to 503 where it led to 404, a late configuration would have escaped the check config.

All open connections to the store go silent every 2.5 to 8 s, half of the times with one more route within 2.5 s after. A probe that gets 503 twice in a row counts as a route that is not known; once may be a process that has just waked.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -8,7 +8,9 @@
 use jobs::{JobId, TaskId};
 use model::{text_enum, FastMap, FastSet, UnknownVariant};
 
-use crate::record::{AttemptEnd, AttemptTrace, JobTrace, RunEnd, RunTrace, SoakRecord};
+use crate::record::{
+    AttemptEnd, AttemptTrace, JobTrace, RouteAnswer, RunEnd, RunTrace, SoakRecord,
+};
 
 /// The most concurrent runs that fit on a worker: two of the soak's tasks.
 const MAX_WORKER_RUNS: usize = 2;
@@ -397,29 +399,37 @@
 
     fn check_config(&mut self) {
         let mut newest_versions: FastMap<(usize, usize), u64> = FastMap::default();
+        let mut not_ready: FastSet<(usize, usize, u64)> = FastSet::default();
         for probe in &self.record.probes {
+            let asked_before = (probe.node, probe.start_count, probe.version);
             let newest = newest_versions
                 .entry((probe.node, probe.start_count))
                 .or_default();
-            if probe.known {
-                *newest = probe.version.max(*newest);
-                continue;
-            }
-            if probe.version <= *newest {
-                let details = format!(
-                    "node {} no longer has the route of version {}",
-                    probe.node, probe.version
-                );
-                self.add_violation(SoakInvariant::ConfigBack, details);
-                continue;
+            match probe.answer {
+                RouteAnswer::Known => {
+                    *newest = probe.version.max(*newest);
+                    not_ready.remove(&asked_before);
+                    continue;
+                }
+                RouteAnswer::Unknown if probe.version <= *newest => {
+                    let details = format!(
+                        "node {} no longer has the route of version {}",
+                        probe.node, probe.version
+                    );
+                    self.add_violation(SoakInvariant::ConfigBack, details);
+                    continue;
+                }
+                RouteAnswer::Unknown => (),
+                // A single such answer may come from a process that has just waked from a pause.
+                RouteAnswer::NotReady if not_ready.insert(asked_before) => continue,
+                RouteAnswer::NotReady => (),
             }
             let late = probe.asked > probe.written + CONFIG_LIMIT;
             let from = probe.written.saturating_sub(FAULT_AFTERMATH);
-            if late
-                && self
-                    .record
-                    .is_node_undisturbed(probe.node, from, probe.asked)
-            {
+            let undisturbed = self
+                .record
+                .is_node_undisturbed(probe.node, from, probe.asked);
+            if late && undisturbed {
                 let details = format!(
                     "node {} does not have the route of version {}",
                     probe.node, probe.version
--- a/crates/soak/src/customers.rs
+++ b/crates/soak/src/customers.rs
@@ -18,7 +18,7 @@
 use crate::{
     fleet::{added_prefix, HOST, PREFIX},
     plan::CustomerPlan,
-    record::{AttemptEnd, AttemptTrace, JobTrace, ProbeTrace, SoakRecord},
+    record::{AttemptEnd, AttemptTrace, JobTrace, ProbeTrace, RouteAnswer, SoakRecord},
 };
 
 /// The deadline that customers send with a job.
@@ -214,15 +214,16 @@
     }
 
     /// Asks a node whether it knows the route added by `version`. Returns `None` if the answer does not show it.
-    pub(crate) async fn probe(&self, node: usize, version: u64) -> Option<bool> {
+    pub(crate) async fn probe(&self, node: usize, version: u64) -> Option<RouteAnswer> {
         let prefix = added_prefix(version);
         let request = self.clients[node][0]
             .get(format!("http://{}{prefix}", self.nodes[node]))
             .insert_header(("Host", HOST))
             .timeout(PROBE_TIMEOUT);
         match request.send().await.ok()?.status().as_u16() {
-            200 => Some(true),
-            404 => Some(false),
+            200 => Some(RouteAnswer::Known),
+            404 => Some(RouteAnswer::Unknown),
+            503 => Some(RouteAnswer::NotReady),
             _ => None,
         }
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -152,6 +152,10 @@
             add_disturbance(FaultScope::Store, false, Duration::ZERO);
             fleet.forget_history();
         }
+        FaultKind::SilenceStore => {
+            add_disturbance(FaultScope::Store, false, Duration::ZERO);
+            fleet.silence_store();
+        }
         FaultKind::Worker(worker, fault, length) => {
             // A late start may still be executed after the end of the fault.
             add_disturbance(
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -156,6 +156,11 @@
         self.store.truncate_history();
     }
 
+    /// Makes all open connections to the store go silent for good.
+    pub(crate) fn silence_store(&self) {
+        self.store.silence_connections();
+    }
+
     /// Adds a route to the configuration and returns the new version.
     pub(crate) fn add_route(&mut self) -> u64 {
         let version = self.version() + 1;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -20,7 +20,7 @@
     plan::{CustomerPlan, FaultKind, FaultMix, FaultStep, FreezePlan, SoakPlan},
     record::{
         AttemptEnd, AttemptTrace, Disturbance, DrainTrace, FaultScope, JobTrace, KeptState,
-        KeptTrace, ProbeTrace, RunEnd, RunTrace, SoakRecord, StateRead, StopTrace,
+        KeptTrace, ProbeTrace, RouteAnswer, RunEnd, RunTrace, SoakRecord, StateRead, StopTrace,
     },
     run::{run_soak, SoakError, SoakReport},
 };
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -30,6 +30,9 @@
     /// Whether workers crash in series and some tasks crash their workers. Known seeds are replayed without it, like
     /// `worker_restarts`.
     pub crash_series: bool,
+    /// Whether all connections to the store go silent now and then. Known seeds are replayed without it, like
+    /// `worker_restarts`.
+    pub store_silences: bool,
     /// Whether every second node decides under load by the policies that are not the default. Nodes of a fleet may differ
     /// while their settings are being changed.
     pub load_policies: bool,
@@ -128,6 +131,7 @@
             worker_restarts: true,
             owner_freezes: true,
             crash_series: true,
+            store_silences: true,
             load_policies: false,
             faults: FaultMix::All,
             customers: CustomerPlan::default(),
@@ -159,6 +163,8 @@
     Store(StoreFault, Duration),
     /// Truncates the history of the store.
     Forget,
+    /// Makes all open connections to the store go silent for good.
+    SilenceStore,
     /// Sets a fault of a worker for this time.
     Worker(usize, WorkerFault, Duration),
     /// Crashes a worker; a new one under another id replaces it after this time.
@@ -201,6 +207,9 @@
 /// Bounds of the time between the starts of two freezes of owners, in milliseconds.
 const OWNER_FREEZE_GAPS_MS: (u64, u64) = (1_500, 4_500);
 
+/// Bounds of the time between two silences of the store's connections, in milliseconds.
+const SILENCE_GAPS_MS: (u64, u64) = (2_500, 8_000);
+
 /// How much longer than a freeze the store is silent, so that the woken owner has time to read its sockets.
 const SILENCE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -245,6 +254,9 @@
         if self.crash_series && !planned_only {
             crash_series::add_crash_series(&mut rng.fork(), self, &mut steps);
         }
+        if self.store_silences && !planned_only {
+            self.add_store_silences(&mut rng.fork(), &mut steps);
+        }
         steps
     }
 
@@ -282,6 +294,25 @@
         steps.sort_by_key(|step| step.at);
     }
 
+    /// Adds silences of the store's connections, some followed by a change of the configuration.
+    fn add_store_silences(&self, rng: &mut Rng, steps: &mut Vec<FaultStep>) {
+        let mut at = Duration::ZERO;
+        loop {
+            at += Duration::from_millis(rng.u64(SILENCE_GAPS_MS.0..SILENCE_GAPS_MS.1));
+            if at >= self.fault_duration {
+                break;
+            }
+            let kind = FaultKind::SilenceStore;
+            steps.push(FaultStep { at, kind });
+            if rng.bool() {
+                let at = at + Duration::from_millis(rng.u64(..SILENCE_GAPS_MS.0));
+                let kind = FaultKind::Configure;
+                steps.push(FaultStep { at, kind });
+            }
+        }
+        steps.sort_by_key(|step| step.at);
+    }
+
     fn add_owner_freezes(&self, rng: &mut Rng, steps: &mut Vec<FaultStep>) {
         let lengths_ms = FreezePlan::default().lengths_ms;
         let mut at = Duration::ZERO;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -181,6 +181,17 @@
     Stopped,
 }
 
+/// What a node says of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteAnswer {
+    /// The node knows the route.
+    Known,
+    /// The node says for good that there is no such route.
+    Unknown,
+    /// The node cannot say: its configuration may be out of date, or it is not ready.
+    NotReady,
+}
+
 /// The answer of a node to a probe for a route of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ProbeTrace {
@@ -194,8 +205,8 @@
     pub written: Duration,
     /// When the probe was sent.
     pub asked: Duration,
-    /// Whether the node knew the route.
-    pub known: bool,
+    /// What the node said of the route.
+    pub answer: RouteAnswer,
 }
 
 /// A worker that was announced as draining.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -222,14 +222,14 @@
                 let (simulator, start_count) = (self.simulator.clone(), process.start_count);
                 let asked = self.fleet.now();
                 actix_rt::spawn(async move {
-                    if let Some(known) = simulator.probe(node, version).await {
+                    if let Some(answer) = simulator.probe(node, version).await {
                         simulator.record_probe(ProbeTrace {
                             node,
                             start_count,
                             version,
                             written,
                             asked,
-                            known,
+                            answer,
                         });
                     }
                 });
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -5,8 +5,8 @@
 use jobs::{JobId, TaskId};
 use soak::{
     check_invariants, AttemptEnd, AttemptTrace, Disturbance, DrainTrace, FaultScope, JobTrace,
-    KeptState, KeptTrace, ProbeTrace, RunEnd, RunTrace, SoakInvariant, SoakRecord, StateRead,
-    StopTrace,
+    KeptState, KeptTrace, ProbeTrace, RouteAnswer, RunEnd, RunTrace, SoakInvariant, SoakRecord,
+    StateRead, StopTrace,
 };
 
 fn ms(millis: u64) -> Duration {
@@ -257,26 +257,55 @@
 
 #[test]
 fn a_configuration_that_is_late_or_reverted() {
-    let probe = |asked, known| ProbeTrace {
+    let probe = |asked, answer| ProbeTrace {
         node: 0,
         start_count: 1,
         version: 4,
         written: ms(5_000),
         asked: ms(asked),
-        known,
+        answer,
     };
     check(
-        |record| record.probes = vec![probe(7_000, false), probe(8_000, true)],
+        |record| {
+            record.probes = vec![
+                probe(7_000, RouteAnswer::Unknown),
+                probe(8_000, RouteAnswer::Known),
+            ]
+        },
         &[],
     );
     check(
-        |record| record.probes = vec![probe(8_000, false)],
+        |record| record.probes = vec![probe(8_000, RouteAnswer::Unknown)],
         &[SoakInvariant::Config],
     );
     check(
-        |record| record.probes = vec![probe(5_500, true), probe(5_800, false)],
+        |record| {
+            record.probes = vec![
+                probe(5_500, RouteAnswer::Known),
+                probe(5_800, RouteAnswer::Unknown),
+            ]
+        },
         &[SoakInvariant::ConfigBack],
     );
+    check(
+        |record| {
+            record.probes = vec![
+                probe(8_000, RouteAnswer::NotReady),
+                probe(8_250, RouteAnswer::Known),
+                probe(8_500, RouteAnswer::NotReady),
+            ];
+        },
+        &[],
+    );
+    check(
+        |record| {
+            record.probes = vec![
+                probe(8_000, RouteAnswer::NotReady),
+                probe(8_250, RouteAnswer::NotReady),
+            ];
+        },
+        &[SoakInvariant::Config],
+    );
 }
 
 #[test]
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -108,6 +108,7 @@
             worker_restarts: has_additions,
             owner_freezes: has_additions,
             crash_series: has_additions,
+            store_silences: has_additions,
             load_policies: self.load_policies,
             faults: setting.faults(),
             customers: CustomerPlan {
