The tests of silent connections share their set-up

Two tests started a node, silenced its connections and wrote a configuration with the same six lines.

--- a/crates/node/tests/silent_store.rs
+++ b/crates/node/tests/silent_store.rs
@@ -51,6 +51,16 @@
     }
 }
 
+/// Starts a node whose idle and busy connections to the store then go silent, and writes a new configuration.
+async fn start_node_before_silence(platform: &Platform) -> NodeProcess {
+    let node = platform.start_node(node_settings(platform)).await;
+    open_idle_connections(&node).await;
+    wait_for_feed(platform).await;
+    platform.store.silence_connections();
+    platform.store.put("op", "config", &moved_route(9));
+    node
+}
+
 async fn wait_for_version(node: &NodeProcess, version: u64) -> Duration {
     let begun = Instant::now();
     let wanted = format!(r#""event":"configuration_taken","version":{version},"#);
@@ -71,11 +81,7 @@
 #[actix_rt::test]
 async fn a_change_is_in_force_in_time_after_all_connections_went_silent() {
     let platform = Platform::start(1, Duration::from_millis(10)).await;
-    let node = platform.start_node(node_settings(&platform)).await;
-    open_idle_connections(&node).await;
-    wait_for_feed(&platform).await;
-    platform.store.silence_connections();
-    platform.store.put("op", "config", &moved_route(9));
+    let node = start_node_before_silence(&platform).await;
     let took = wait_for_version(&node, 9).await;
     assert!(took < CONFIG_TARGET, "{took:?}: {}", node.log_lines());
     let answer = post_job(&node, "00000000000000a1", &job(1, 10)).await;
@@ -87,11 +93,7 @@
 #[actix_rt::test]
 async fn a_change_is_in_force_in_time_after_two_silences() {
     let platform = Platform::start(1, Duration::from_millis(10)).await;
-    let node = platform.start_node(node_settings(&platform)).await;
-    open_idle_connections(&node).await;
-    wait_for_feed(&platform).await;
-    platform.store.silence_connections();
-    platform.store.put("op", "config", &moved_route(9));
+    let node = start_node_before_silence(&platform).await;
     let reads = platform.store.reads("op");
     let begun = Instant::now();
     // The second read, which the store receives on a new connection, is not answered either.
