--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod record;
 mod store;
+mod stranded;
 mod twice;
 mod worker;
 
@@ -25,6 +26,7 @@
     let record = Arc::new(Record::new());
     let case: fn(bool, Arc<Record>) -> Findings = match name.as_str() {
         "twice" => twice::run,
+        "stranded" => stranded::run,
         _ => {
             eprintln!("no such case: {name}");
             exit(2);
