Review case 3: cancelled jobs run on after the store has forgotten its history

Cause: cancellations are written into the part of the job, but after 410 the feed of their table is resumed from a read of the unnamed part, so all cancellations since the last answer are skipped. Change: a script in which two running jobs are cancelled while feeds hear nothing for a second, after which the history is dropped.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -2,6 +2,7 @@
 //! folder. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the
 //! environment, the disruption is left out.
 
+mod cancelled;
 mod fleet;
 mod http;
 mod json;
@@ -27,6 +28,7 @@
     let case: fn(bool, Arc<Record>) -> Findings = match name.as_str() {
         "twice" => twice::run,
         "stranded" => stranded::run,
+        "cancelled" => cancelled::run,
         _ => {
             eprintln!("no such case: {name}");
             exit(2);
