--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -1,8 +1,10 @@
 //! A small deployment on loopback: the store, executors, and the project's own nodes as processes.
 
 use std::{
+    ffi::{c_int, c_ulong},
     fs::File,
     net::{SocketAddr, TcpListener, UdpSocket},
+    os::unix::process::CommandExt as _,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Arc,
@@ -289,9 +291,11 @@
     };
     let output = File::create(log).map_err(|error| error.to_string())?;
     let errors = output.try_clone().map_err(|error| error.to_string())?;
-    let process = Command::new("target/release/cairnpaddle")
-        .args(["node", "--settings"])
-        .arg(&file)
+    let mut command = Command::new("target/release/cairnpaddle");
+    command.args(["node", "--settings"]).arg(&file);
+    // SAFETY: the closure calls nothing but `prctl`, which is safe between fork and exec.
+    unsafe { command.pre_exec(end_with_parent) };
+    let process = command
         .stdin(Stdio::null())
         .stdout(output)
         .stderr(errors)
@@ -304,6 +308,21 @@
     })
 }
 
+unsafe extern "C" {
+    fn prctl(option: c_int, ...) -> c_int;
+}
+
+/// Has the kernel end this process when its parent ends, so that no node is left over when a case is killed.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: c_int = 1;
+    const SIGKILL: c_ulong = 9;
+    // SAFETY: this option takes one number and touches no memory.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// A loopback address whose port is free for TCP and UDP.
 fn free_port() -> Result<SocketAddr, Trouble> {
     for _ in 0..50 {
