A run that is missing from a partial listing is not taken for lost

A worker lists at most 500 ended runs at once, the first ones by number. The pool took such a listing for all of them: a confirmed run that was neither active nor among the 500 counted as over without a result and its task was queued again.

The type of a listing now says what it covers. Absence can only be asked of a CompleteListing; a partial one settles no takeover, neither at once nor after the hold time, and a run that a new incarnation's partial listing lacks is stopped and not declared dead. New log line ends_cut_off.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -25,7 +25,7 @@
     },
     route::{RequestLimits, RouteMatch, RouteRule, RouteTable, ServiceRule, TableVersion},
     worker::{
-        EndCause, EndedRun, RunningRun, WorkerClock, WorkerListing, WorkerRecord, WorkerStartTime,
-        WorkerState,
+        CompleteListing, EndCause, EndList, EndedRun, RunningRun, WorkerClock, WorkerListing,
+        WorkerRecord, WorkerStartTime, WorkerState, MAX_LISTED_ENDS,
     },
 };
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -120,6 +120,47 @@
     pub cause: EndCause,
 }
 
+/// The most ended runs that a worker lists at once. It lists the first ones by number, and further ones once those are
+/// acknowledged.
+pub const MAX_LISTED_ENDS: usize = 500;
+
+/// The ended runs in a listing, in the order of their numbers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EndList {
+    /// All ends that were not acknowledged.
+    Complete(Vec<EndedRun>),
+    /// The first ends that were not acknowledged; there may be more. A run that is missing here may have ended.
+    Partial(Vec<EndedRun>),
+}
+
+impl EndList {
+    /// The ends that a worker listed, which are only a part of them if there are [`MAX_LISTED_ENDS`].
+    pub fn from_listed(ends: Vec<EndedRun>) -> Self {
+        match ends.len() < MAX_LISTED_ENDS {
+            true => Self::Complete(ends),
+            false => Self::Partial(ends),
+        }
+    }
+
+    /// The listed ends.
+    pub fn as_slice(&self) -> &[EndedRun] {
+        match self {
+            Self::Complete(ends) | Self::Partial(ends) => ends,
+        }
+    }
+
+    /// Whether all ends that were not acknowledged are listed.
+    pub fn is_complete(&self) -> bool {
+        matches!(self, Self::Complete(_))
+    }
+}
+
+impl Default for EndList {
+    fn default() -> Self {
+        Self::Complete(Vec::new())
+    }
+}
+
 /// A worker's report on its runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkerListing {
@@ -131,5 +172,32 @@
     /// The active runs.
     pub running: Vec<RunningRun>,
     /// The runs that ended after the last acknowledged end.
-    pub ended: Vec<EndedRun>,
+    pub ended: EndList,
+}
+
+impl WorkerListing {
+    /// The listing as evidence of what is not on the worker. `None` if not all ended runs are listed.
+    pub fn complete(&self) -> Option<CompleteListing<'_>> {
+        let is_complete = self.ended.is_complete();
+        is_complete.then_some(CompleteListing { listing: self })
+    }
+}
+
+/// A listing with all active runs and all ends that were not acknowledged: a run that is missing is over or has not begun.
+#[derive(Clone, Copy, Debug)]
+pub struct CompleteListing<'a> {
+    listing: &'a WorkerListing,
+}
+
+impl CompleteListing<'_> {
+    /// The worker's clock when it answered.
+    pub fn clock(&self) -> WorkerClock {
+        self.listing.clock
+    }
+
+    /// Whether a run is active.
+    pub fn is_active(&self, task: TaskId, run: RunNumber) -> bool {
+        let mut running = self.listing.running.iter();
+        running.any(|active| active.task == Some(task) && active.run == run)
+    }
 }
--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -289,6 +289,15 @@
                 line.text("evidence", evidence.as_str()),
             )
         }
+        PoolEvent::EndsCutOff {
+            instance,
+            first_end,
+            runs,
+        } => {
+            let line = EventLine::new("ends_cut_off").text("worker", instance);
+            let line = line.number("first_end", *first_end);
+            (EventKind::Important, line.number("runs", *runs as u64))
+        }
         PoolEvent::ForeignRun {
             task,
             run,
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -316,6 +316,15 @@
         /// What shows that it is stalled.
         evidence: StallEvidence,
     },
+    /// A worker has more ended runs than it lists at once: runs that are missing from the listing may have ended.
+    EndsCutOff {
+        /// The worker.
+        instance: InstanceId,
+        /// The number of the first listed end, which is not acknowledged yet.
+        first_end: u64,
+        /// The number of runs that are not known to have ended.
+        runs: usize,
+    },
     /// A run of a job that this owner does not know is being stopped.
     ForeignRun {
         /// The task of the run. None if its name on the worker is no task id.
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use jobs::{
-    EndCause, EndedRun, InstanceId, JobId, JobOutcome, KeptState, RunNumber, TaskId, WorkerClock,
-    WorkerListing,
+    CompleteListing, EndCause, EndedRun, InstanceId, JobId, JobOutcome, KeptState, RunNumber,
+    TaskId, WorkerClock, WorkerListing,
 };
 
 use model::{Mechanism, RunTimePolicy};
@@ -200,7 +200,18 @@
         // only in the newest listing.
         let newest = listing.clock > worker.listed_clock;
         worker.listed_clock = worker.listed_clock.max(listing.clock);
-        worker.ends_listed |= self.kept_loaded;
+        worker.ends_listed |= self.kept_loaded && listing.ended.is_complete();
+        if newest && !listing.ended.is_complete() && !worker.has_unlisted_ends() {
+            let first_end = listing.ended.as_slice().first();
+            self.events.push(PoolEvent::EndsCutOff {
+                instance: instance.clone(),
+                first_end: first_end.map_or(0, |end| end.number),
+                runs: worker.runs.len(),
+            });
+        }
+        if newest {
+            worker.listed_ends = listing.ended.as_slice().len();
+        }
         worker.update_clock(owner_millis, listing.clock);
         worker.acknowledged_end = worker.acknowledged_end.max(order.acknowledged_end);
         let clock_offset = worker.clock.map_or(0, |clock| clock.offset);
@@ -215,7 +226,7 @@
         if newly_answering {
             self.clear_crash(instance, born);
         }
-        for end in &listing.ended {
+        for end in listing.ended.as_slice() {
             self.apply_end(now, instance, end);
         }
         self.pause_polls(now, instance, &listing);
@@ -223,7 +234,9 @@
             self.stop_foreign_runs(instance, &listing);
             self.update_progress(now, instance, &listing);
         }
-        self.drop_missing_runs(now, sent, instance, &listing);
+        if let Some(listing) = listing.complete() {
+            self.drop_missing_runs(now, sent, instance, listing);
+        }
     }
 
     fn apply_end(&mut self, now: Instant, instance: &InstanceId, end: &EndedRun) {
@@ -271,7 +284,7 @@
         let Some(worker) = self.workers.get_mut(instance) else {
             return;
         };
-        let unread = !self.kept_loaded && !listing.ended.is_empty();
+        let unread = !self.kept_loaded && !listing.ended.as_slice().is_empty();
         if unread || !worker.unstored_ends.is_empty() {
             worker.polls_paused_until = Some(now + STORING_POLL_PAUSE);
         }
@@ -408,11 +421,8 @@
             }
             // An end in the listing, new or repeated, takes precedence over the listing's running
             // runs, which may be older.
-            let ended = listing
-                .ended
-                .iter()
-                .any(|end| end.task == Some(task) && end.run == run);
-            if ended {
+            let mut ended = listing.ended.as_slice().iter();
+            if ended.any(|end| end.task == Some(task) && end.run == run) {
                 continue;
             }
             foreign.push((task, run));
@@ -511,16 +521,14 @@
         now: Instant,
         sent: Instant,
         instance: &InstanceId,
-        listing: &WorkerListing,
+        listing: CompleteListing<'_>,
     ) {
         let Some(worker) = self.workers.get_mut(instance) else {
             return;
         };
         let mut missing = Vec::new();
         for run in &worker.runs {
-            let listed = listing.running.iter();
-            let mut listed = listed.filter(|r| r.task == Some(run.task) && r.run == run.run);
-            if listed.next().is_none() && is_over(run, sent, listing.clock) {
+            if !listing.is_active(run.task, run.run) && is_over(run, sent, listing.clock()) {
                 missing.push((run.task, run.run));
             }
         }
@@ -605,7 +613,7 @@
     }
 }
 
-/// Whether a run that is missing from a listing is over or can never begin.
+/// Whether a run that is missing from a complete listing is over or can never begin.
 ///
 /// If its start was answered before the poll was sent, the run existed and must have ended. If its
 /// stop was answered before the poll was sent, it has ended or never begins. If its start went
--- a/crates/pool/src/pool/restart.rs
+++ b/crates/pool/src/pool/restart.rs
@@ -150,13 +150,13 @@
 ) -> FormerRunFate {
     let runs = listing.running.iter();
     let mut running = runs.filter(|r| r.task == Some(run.task) && r.run == run.run);
-    let ends = listing.ended.iter();
+    let ends = listing.ended.as_slice().iter();
     let mut ended = ends.filter(|end| end.task == Some(run.task) && end.run == run.run);
     if running.next().is_some() || ended.next().is_some() {
         FormerRunFate::Listed
     } else if run.is_unsent() {
         FormerRunFate::Unsent
-    } else if run.starts_sent > run.answered_starts {
+    } else if run.starts_sent > run.answered_starts || !listing.ended.is_complete() {
         FormerRunFate::Unanswered
     } else if order.acknowledged_end > 0 && run.confirmed_at > last_listed {
         FormerRunFate::Unknown
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -210,14 +210,29 @@
     }
 
     /// Whether no run of a former owner can be left: every worker has listed its runs under this
-    /// fence, or everything that a former owner may have ordered is over.
+    /// fence, or everything that a former owner may have ordered is over. In the latter case, too,
+    /// the ends that reachable workers have not listed yet have to be known.
     fn is_takeover_settled(&self, now: Instant) -> bool {
         let is_clear = |worker: &TrackedWorker| {
             worker.ends_listed && worker.foreign_runs.is_empty() && worker.unlisted_since.is_none()
         };
         let view_complete = self.kept_loaded && self.all_workers_known && !self.predecessor_active;
         let all_reported = view_complete && self.workers.values().all(is_clear);
-        all_reported || now >= self.sole_owner_since + TAKEOVER_HOLD_TIME
+        let orders_over = now >= self.sole_owner_since + TAKEOVER_HOLD_TIME;
+        all_reported || (orders_over && !self.awaits_unlisted_ends(now))
+    }
+
+    /// Whether a worker has ends that it has not listed yet and that count once they are acknowledged. After a lapse of
+    /// its lease they no longer do.
+    fn awaits_unlisted_ends(&self, now: Instant) -> bool {
+        let owner_millis = self.owner_millis(now);
+        let margin = self.settings.lease_expiry_margin;
+        let mut workers = self.workers.values();
+        workers.any(|worker| {
+            let clock = worker.min_clock_now(owner_millis);
+            let lapsed = clock.is_some_and(|clock| clock >= worker.lease_end.plus(margin));
+            worker.has_unlisted_ends() && !(worker.is_silent() && lapsed)
+        })
     }
 
     fn stop_kept_runs(&mut self, now: Instant) {
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -7,7 +7,7 @@
 
 use jobs::{
     FenceToken, JobId, ResourceDemand, RunNumber, TaskId, TaskText, WorkerClock, WorkerRecord,
-    WorkerStartTime, WorkerState,
+    WorkerStartTime, WorkerState, MAX_LISTED_ENDS,
 };
 
 use crate::{
@@ -220,8 +220,10 @@
     pub(crate) last_seen_end: u64,
     /// The number of the last ended run that a poll has acknowledged.
     pub(crate) acknowledged_end: u64,
-    /// Whether the worker has listed its ended runs since the pool's kept jobs were read.
+    /// Whether the worker has listed all its ended runs since the pool's kept jobs were read.
     pub(crate) ends_listed: bool,
+    /// The number of ended runs in the newest listing.
+    pub(crate) listed_ends: usize,
     /// The numbers of ended runs that must not be acknowledged before the store has them.
     pub(crate) unstored_ends: BTreeSet<u64>,
     /// The latest lease end that any call carried.
@@ -280,6 +282,7 @@
             last_seen_end: 0,
             acknowledged_end: 0,
             ends_listed: false,
+            listed_ends: 0,
             unstored_ends: BTreeSet::new(),
             lease_end: WorkerClock(0),
             health: WorkerHealth::default(),
@@ -359,6 +362,7 @@
         self.last_seen_end = 0;
         self.acknowledged_end = 0;
         self.ends_listed = false;
+        self.listed_ends = 0;
         self.unstored_ends.clear();
         self.foreign_runs.clear();
         self.health = WorkerHealth::default();
@@ -463,6 +467,11 @@
         stored.map_or(self.last_seen_end, |stored| stored.min(self.last_seen_end))
     }
 
+    /// Whether the worker may have ended runs beyond those that it has listed.
+    pub(crate) fn has_unlisted_ends(&self) -> bool {
+        self.listed_ends >= MAX_LISTED_ENDS
+    }
+
     /// Whether the worker counts as silent, since it has missed too many polls.
     pub(crate) fn is_silent(&self) -> bool {
         self.missed_polls >= MISSED_POLLS_TO_SILENCE
@@ -657,7 +666,8 @@
         let unknown = self.clock.is_none()
             || self.missed_polls > 0
             || self.directory_mismatch_since.is_some()
-            || self.fence_unconfirmed;
+            || self.fence_unconfirmed
+            || self.has_unlisted_ends();
         let unacknowledged =
             self.acknowledged_end < self.last_seen_end && now >= self.last_end_time + idle_ack;
         let outdated = self
--- /dev/null
+++ b/crates/pool/tests/listed_ends.rs
@@ -0,0 +1,85 @@
+//! Workers list only the first of their unacknowledged ends at once. What is missing from such a listing may have ended.
+
+mod support;
+
+use std::sync::Arc;
+
+use jobs::{JobId, KeptState};
+use support::Simulation;
+
+const JOB: JobId = JobId(7);
+
+/// A kept job whose row cannot be written.
+const STALLED_JOB: JobId = JobId(8);
+
+fn simulation(workers: usize) -> Simulation {
+    let mut simulation = Simulation::new(1, workers);
+    simulation.submits_kept = true;
+    simulation.run_for(300);
+    simulation
+}
+
+/// The number of runs of a kept job's tasks that ended as done.
+fn done_runs(simulation: &Simulation, job: JobId) -> usize {
+    let workers = simulation.workers.values();
+    let done = workers.flat_map(|worker| worker.done_tasks());
+    done.filter(|task| task.job == job).count()
+}
+
+fn state(simulation: &Simulation, job: JobId) -> KeptState {
+    simulation.rows[&job].0.state
+}
+
+/// Guards against a second run of a task that is done, whose end its worker has not listed yet because an earlier one
+/// cannot be stored.
+#[test]
+fn a_run_that_is_missing_from_a_partial_listing_is_not_repeated() {
+    let mut simulation = simulation(1);
+    simulation.done_is_final = true;
+    for worker in simulation.workers.values_mut() {
+        worker.add_unknown_ends(1);
+    }
+    simulation.submit_sized(1, STALLED_JOB, vec![60.0], 60.0, 400);
+    simulation.submit_sized(1, JOB, vec![160.0; 4], 160.0, 400);
+    simulation.run_for(40);
+    simulation.stalled_jobs.insert(STALLED_JOB);
+    simulation.run_for(60);
+    for worker in simulation.workers.values_mut() {
+        worker.add_unknown_ends(600);
+    }
+    simulation.run_for(2_000);
+    assert_eq!(done_runs(&simulation, JOB), 4);
+    simulation.restore_partitions();
+    simulation.run_for(1_000);
+    assert_eq!(state(&simulation, JOB), KeptState::Completed);
+    assert_eq!(done_runs(&simulation, JOB), 4);
+}
+
+/// Guards against a second run after a change of owner: a worker with many ends lists the end of a found job last, and the
+/// first end cannot be stored for longer than found jobs are held back.
+#[test]
+fn a_new_owner_waits_for_all_ends_of_a_worker() {
+    let mut simulation = simulation(2);
+    simulation.submit_sized(1, STALLED_JOB, vec![60.0], 60.0, 400);
+    simulation.run_for(12);
+    simulation.submit_sized(1, JOB, vec![160.0; 4], 160.0, 400);
+    simulation.run_for(20);
+    simulation.freeze_owner(300);
+    simulation.run_for(100);
+    for worker in simulation.workers.values_mut() {
+        worker.add_unknown_ends(600);
+    }
+    simulation.run_for(200);
+    assert_eq!(done_runs(&simulation, JOB), 4);
+    simulation.rows.get_mut(&STALLED_JOB).unwrap().0.home = Arc::from("east/1");
+    simulation.stalled_jobs.insert(STALLED_JOB);
+    simulation.replace_owner();
+    simulation.run_for(5);
+    simulation.read_rows();
+    simulation.run_for(5_000);
+    assert_eq!(done_runs(&simulation, JOB), 4, "no task runs again");
+    simulation.restore_partitions();
+    simulation.run_for(1_000);
+    assert_eq!(state(&simulation, JOB), KeptState::Completed);
+    assert_eq!(done_runs(&simulation, JOB), 4);
+}
--- a/crates/pool/tests/start_expiry.rs
+++ b/crates/pool/tests/start_expiry.rs
@@ -8,8 +8,8 @@
 };
 
 use jobs::{
-    CpuMillis, JobId, JobRequest, JobTerms, ResourceDemand, ServiceId, StepSpec, WorkerClock,
-    WorkerListing,
+    CpuMillis, EndList, JobId, JobRequest, JobTerms, ResourceDemand, ServiceId, StepSpec,
+    WorkerClock, WorkerListing,
 };
 use pool::{
     PollOrder, PoolAction, PoolEvent, PoolSettings, StartAnswer, StartOrder, WaiterId, WorkerPool,
@@ -60,7 +60,7 @@
             clock: WorkerClock(CLOCK + listed),
             born: None,
             running: Vec::new(),
-            ended: Vec::new(),
+            ended: EndList::default(),
         };
         let (now, sent) = (self.at(now), self.at(sent));
         self.pool.on_poll_answer(now, sent, order, Ok(listing));
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -139,6 +139,10 @@
     pub(crate) submits_kept: bool,
     /// The writes that wait until the store is available again.
     waiting_writes: Vec<KeptWrite>,
+    /// The jobs whose rows lie in a partition of the store that is unavailable.
+    pub(crate) stalled_jobs: BTreeSet<JobId>,
+    /// The ends that other pools' jobs get once their partition is available again.
+    waiting_foreign_ends: Vec<(FenceToken, ForeignEnd)>,
     /// The owner's link, in the direction of the workers.
     uplink: SimulatedLink,
     downlink: SimulatedLink,
@@ -264,6 +268,8 @@
             claim_confirmable: true,
             submits_kept: false,
             waiting_writes: Vec::new(),
+            stalled_jobs: BTreeSet::new(),
+            waiting_foreign_ends: Vec::new(),
             uplink: SimulatedLink::default(),
             downlink: SimulatedLink::default(),
             open_calls: BTreeMap::new(),
@@ -683,6 +689,15 @@
         }
     }
 
+    /// Makes the unavailable partitions of the store available again.
+    pub(crate) fn restore_partitions(&mut self) {
+        self.stalled_jobs.clear();
+        for (fence, end) in std::mem::take(&mut self.waiting_foreign_ends) {
+            self.post(STORE_TIME_MS, Event::StoreForeignEnd(fence, end));
+        }
+        self.restore_store();
+    }
+
     /// The writes that wait while the store is unavailable.
     pub(crate) fn waiting_writes(&self) -> Vec<KeptWrite> {
         self.waiting_writes.clone()
@@ -738,6 +753,10 @@
     }
 
     fn store_foreign_end(&mut self, fence: FenceToken, end: &ForeignEnd) {
+        if self.stalled_jobs.contains(&end.task.job) {
+            self.waiting_foreign_ends.push((fence, end.clone()));
+            return;
+        }
         self.serial += 1;
         if let Some((row, version)) = self.rows.get_mut(&end.task.job) {
             if !row.state.is_final() && row.record_end(end.task, &end.end) {
@@ -751,7 +770,7 @@
     }
 
     fn store_row(&mut self, order: KeptWrite) {
-        if !self.store_up {
+        if !self.store_up || self.stalled_jobs.contains(&order.job) {
             self.waiting_writes.push(order);
             return;
         }
--- a/crates/pool/tests/support/worker.rs
+++ b/crates/pool/tests/support/worker.rs
@@ -1,8 +1,8 @@
 //! A simulated worker with its runs, lease and list of ended runs.
 
 use jobs::{
-    EndCause, EndedRun, RunNumber, RunningRun, TaskId, WorkerClock, WorkerListing, WorkerRecord,
-    WorkerStartTime,
+    EndCause, EndList, EndedRun, JobId, RunNumber, RunningRun, TaskId, WorkerClock, WorkerListing,
+    WorkerRecord, WorkerStartTime, MAX_LISTED_ENDS,
 };
 use pool::PollOrder;
 
@@ -138,22 +138,34 @@
         });
     }
 
+    /// Adds ends of runs of which no owner knows, each of another job.
+    pub(crate) fn add_unknown_ends(&mut self, count: u64) {
+        for number in 0..count {
+            let task = TaskId {
+                job: JobId(u64::MAX - number),
+                occurrence: 0,
+                step: 0,
+                index: 0,
+            };
+            self.record_end(task, RunNumber(1), EndCause::Done);
+        }
+    }
+
     pub(super) fn listing(&self, now: u64, seen: u64) -> WorkerListing {
         let running = self.runs.iter().map(|run| RunningRun {
             task: Some(run.task),
             run: run.run,
             percent: (run.done / run.work * 100.0).min(99.0) as u8,
         });
+        let ended = self.ends.iter();
+        let ended = ended
+            .filter(|end| end.number > seen.max(self.acknowledged_end))
+            .take(MAX_LISTED_ENDS);
         WorkerListing {
             clock: WorkerClock(now + self.clock_offset),
             born: self.born,
             running: running.collect(),
-            ended: self
-                .ends
-                .iter()
-                .filter(|end| end.number > seen.max(self.acknowledged_end))
-                .cloned()
-                .collect(),
+            ended: EndList::from_listed(ended.cloned().collect()),
         }
     }
 }
