A worker gets no run whose end it could not list

An end is acknowledged only with all earlier ones of its worker. One end that cannot be stored therefore holds back those of all jobs, and beyond 500 the worker lists no further ones, so that their runs stay unheard.

Placement now keeps the listed ends and the runs of a worker together below what one listing holds. The bound needs no measure of the store: a worker at the bound counts as closed, so that new jobs are refused at once instead of waiting for ends that cannot be heard.

--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -472,6 +472,14 @@
         self.listed_ends >= MAX_LISTED_ENDS
     }
 
+    /// Whether the worker could list the end of one more run beside those that are not acknowledged and those of its runs.
+    ///
+    /// An end that cannot be stored holds back the acknowledgement of all later ones. Without this limit the worker would
+    /// have more ends than it lists, and those of all jobs beyond the first ones would be heard only once the store is back.
+    fn has_room_for_end(&self) -> bool {
+        self.listed_ends + self.runs.len() + 1 < MAX_LISTED_ENDS
+    }
+
     /// Whether the worker counts as silent, since it has missed too many polls.
     pub(crate) fn is_silent(&self) -> bool {
         self.missed_polls >= MISSED_POLLS_TO_SILENCE
@@ -533,6 +541,7 @@
             && self.clock.is_some()
             && self.directory_mismatch_since.is_none()
             && self.foreign_runs.is_empty()
+            && self.has_room_for_end()
             && !self.lacks_start_lease()
     }
 
--- a/crates/pool/tests/listed_ends.rs
+++ b/crates/pool/tests/listed_ends.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use jobs::{JobId, KeptState};
+use jobs::{JobId, KeptState, MAX_LISTED_ENDS};
 use support::Simulation;
 
 const JOB: JobId = JobId(7);
@@ -30,6 +30,34 @@
     simulation.rows[&job].0.state
 }
 
+/// Short tasks that fill the workers without being kept.
+fn submit_short_jobs(simulation: &mut Simulation, first_id: u64, count: u64) {
+    simulation.submits_kept = false;
+    for number in 0..count {
+        simulation.submit_sized(0, JobId(first_id + number), vec![20.0; 16], 20.0, 400);
+    }
+    simulation.submits_kept = true;
+}
+
+/// Runs short jobs for `millis` beside an end that cannot be stored, and returns the most unacknowledged ends of a worker.
+fn run_beside_unstored_end(simulation: &mut Simulation, millis: u64) -> usize {
+    simulation.submit_sized(1, STALLED_JOB, vec![60.0], 60.0, 400);
+    simulation.run_for(40);
+    simulation.stalled_jobs.insert(STALLED_JOB);
+    let mut most_ends = 0;
+    for round in 0..millis / 20 {
+        submit_short_jobs(simulation, 1_000 + 10 * round, 2);
+        if round == 20 {
+            simulation.submit_sized(1, JOB, vec![60.0; 4], 60.0, 400);
+        }
+        simulation.run_for(20);
+        let ends = simulation.workers.values();
+        let ends = ends.map(|worker| worker.unacknowledged_ends());
+        most_ends = most_ends.max(ends.max().unwrap_or(0));
+    }
+    most_ends
+}
+
 /// Guards against a second run of a task that is done, whose end its worker has not listed yet because an earlier one
 /// cannot be stored.
 #[test]
@@ -83,3 +111,23 @@
     assert_eq!(state(&simulation, JOB), KeptState::Completed);
     assert_eq!(done_runs(&simulation, JOB), 4);
 }
+
+/// Guards against late answers: an end that cannot be stored must not fill a worker's listing so that the ends of other
+/// jobs are not listed.
+#[test]
+fn unacknowledged_ends_of_a_worker_stay_below_what_it_lists() {
+    let mut simulation = simulation(1);
+    let most_ends = run_beside_unstored_end(&mut simulation, 3_000);
+    assert!(most_ends > MAX_LISTED_ENDS / 2, "{most_ends}");
+    assert!(most_ends < MAX_LISTED_ENDS, "{most_ends}");
+    simulation.restore_partitions();
+    simulation.run_for(1_000);
+    let before = simulation.starts_sent;
+    submit_short_jobs(&mut simulation, 9_000, 2);
+    simulation.run_for(500);
+    assert!(
+        simulation.starts_sent >= before + 32,
+        "the worker gets runs again"
+    );
+    assert_eq!(state(&simulation, STALLED_JOB), KeptState::Completed);
+}
--- a/crates/pool/tests/support/worker.rs
+++ b/crates/pool/tests/support/worker.rs
@@ -151,6 +151,13 @@
         }
     }
 
+    /// The number of ends that were not acknowledged.
+    pub(crate) fn unacknowledged_ends(&self) -> usize {
+        let ends = self.ends.iter();
+        ends.filter(|end| end.number > self.acknowledged_end)
+            .count()
+    }
+
     pub(super) fn listing(&self, now: u64, seen: u64) -> WorkerListing {
         let running = self.runs.iter().map(|run| RunningRun {
             task: Some(run.task),
