Writes of kept jobs that go unanswered are read back at once

Each lost answer held its partition for the timeout of 500 ms and a pause of 80 ms; the retry was a write again, whose answer (a conflict) could be lost as well; after it each job of the batch was written alone. Meanwhile the ends of all later runs on the workers stood unacknowledged.

A write that goes unanswered for 100 ms is now read back while its answer is awaited. A row that no earlier transaction contained shows that the whole transaction took effect; a write in doubt goes alone, since its row may be the work of an earlier try. Ends of other pools' jobs and cancellations use the same path.

The test writes_whose_answers_are_lost_are_read_back failed before: the caller got 504 in place of 202.

--- a/crates/node/src/kept_jobs.rs
+++ b/crates/node/src/kept_jobs.rs
@@ -6,6 +6,7 @@
 //! 150 transactions a second and partition, transactions of one write each would carry only a fifth of the users' jobs.
 
 mod maintenance;
+mod read_back;
 
 use std::{
     rc::Rc,
@@ -15,14 +16,13 @@
 use jobs::{FenceToken, JobId, KeptRow, KeptState, PoolId};
 use model::{FastMap, FastSet};
 use platform::{RequestError, RowVersion};
-use platform_adapter::{
-    RowCheck, RowWrite, StoreError, StoreTable, StoredRow, Transaction, TransactionOutcome,
-};
+use platform_adapter::{RowCheck, RowWrite, StoreError, StoreTable, StoredRow, Transaction};
 use pool::{ForeignEnd, FoundJob, KeptWrite, KeptWriteResult};
 use telemetry::{EventKind, EventLine};
 use xxhash_rust::xxh3::xxh3_64;
 
 pub(crate) use self::maintenance::{count_pending, maintain_pools};
+use self::read_back::{write_rows, WriteOutcome};
 use crate::{owner::with_fenced_pool, state::NodeState};
 
 /// The number of partitions of the store over which rows of jobs are spread. Fewer partitions make larger
@@ -107,9 +107,7 @@
     loop {
         let batch = {
             let mut queue = state.job_writes.borrow_mut();
-            let waiting = queue.waiting.entry(partition).or_default();
-            let count = waiting.len().min(MAX_JOBS_PER_TRANSACTION);
-            let batch: Vec<JobWrite> = waiting.drain(..count).collect();
+            let batch = take_batch(queue.waiting.entry(partition).or_default());
             if batch.is_empty() {
                 queue.busy.remove(&partition);
                 return;
@@ -120,6 +118,17 @@
     }
 }
 
+/// Takes the writes of the next transaction. A write in doubt goes alone: an earlier try may have stored its row, which
+/// would then be taken for a sign that the whole transaction took effect.
+fn take_batch(waiting: &mut Vec<JobWrite>) -> Vec<JobWrite> {
+    let fresh = waiting.iter().take_while(|write| !write.in_doubt).count();
+    let count = match waiting.first() {
+        Some(first) if first.in_doubt => 1,
+        _ => fresh.min(MAX_JOBS_PER_TRANSACTION),
+    };
+    waiting.drain(..count).collect()
+}
+
 async fn write_batch(state: &Rc<NodeState>, partition: u64, batch: Vec<JobWrite>) {
     let mut transaction = Transaction {
         partition: partition_name(partition),
@@ -128,19 +137,22 @@
     for write in &batch {
         add_to_transaction(&mut transaction, &write.order, write.value.clone());
     }
-    match state.store.transact(&transaction).await {
-        Ok(TransactionOutcome::Committed { version, .. }) => {
+    let Some(first) = batch.first() else {
+        return;
+    };
+    match write_rows(state, &transaction, &first.order).await {
+        Ok(WriteOutcome::Stored(version)) => {
             for write in batch {
-                report_result(state, &write, KeptWriteResult::Stored(version.0));
+                report_result(state, &write, KeptWriteResult::Stored(version));
             }
         }
         // A single conflicting write fails the whole transaction, so each write is tried alone.
-        Ok(TransactionOutcome::Conflict) if batch.len() > 1 => {
+        Ok(WriteOutcome::Conflict) if batch.len() > 1 => {
             for write in batch {
                 Box::pin(write_batch(state, partition, vec![write])).await;
             }
         }
-        Ok(TransactionOutcome::Conflict) => {
+        Ok(WriteOutcome::Conflict) => {
             for write in batch {
                 resolve_conflict(state, partition, write).await;
             }
@@ -261,8 +273,7 @@
 
 fn classify_conflict(order: &KeptWrite, found: FoundJob) -> KeptWriteResult {
     let FoundJob { row, version, .. } = found;
-    let own = row.writer == order.row.writer && row.home == order.row.home;
-    if own && row.revision == order.row.revision {
+    if is_result_of(order, &row) {
         // An earlier try of the same write took effect.
         return KeptWriteResult::Stored(version);
     }
@@ -275,6 +286,13 @@
     KeptWriteResult::Conflict(row, version)
 }
 
+/// Whether a row is the one that this write stores. The state tells a cancellation from the row that it replaces.
+fn is_result_of(order: &KeptWrite, row: &KeptRow) -> bool {
+    let wanted = &order.row;
+    let same_writer = row.writer == wanted.writer && row.home == wanted.home;
+    same_writer && row.revision == wanted.revision && row.state == wanted.state
+}
+
 /// Reads a job's row, whether the job has ended or not.
 ///
 /// # Errors
@@ -342,7 +360,7 @@
             value: order.row.home.as_bytes().to_vec(),
             expected: None,
         });
-        if let TransactionOutcome::Committed { .. } = state.store.transact(&transaction).await? {
+        if let WriteOutcome::Stored(_) = write_rows(state, &transaction, &order).await? {
             return Ok(true);
         }
         // The job's owner has written the row meanwhile, so the cancellation is tried again.
@@ -411,8 +429,8 @@
         ..Transaction::default()
     };
     add_to_transaction(&mut transaction, &order, value);
-    let outcome = state.store.transact(&transaction).await?;
-    Ok(matches!(outcome, TransactionOutcome::Committed { .. }))
+    let outcome = write_rows(state, &transaction, &order).await?;
+    Ok(matches!(outcome, WriteOutcome::Stored(_)))
 }
 
 fn unencodable_row() -> StoreError {
--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use awc::Client;
 use node::NodeProcess;
@@ -118,6 +118,21 @@
     assert_eq!(done_runs(&platform), 2);
 }
 
+/// Guards against ends that wait for the timeouts of several writes while the store answers none of them: their worker
+/// cannot acknowledge any later end. At the users' 175 ends a second, 500 unacknowledged ones are reached after 2.8 s.
+#[actix_rt::test]
+async fn writes_whose_answers_are_lost_are_read_back() {
+    let platform = Platform::start(1, Duration::from_millis(50)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    platform.store.set_fault(StoreFault::WriteAnswersLost);
+    let began = Instant::now();
+    assert_eq!(post_job(&node, ID, &kept_job_body(2, 50)).await.0, 202);
+    wait_for(&node, ID, "completed").await;
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(2_800), "{took:?}");
+    assert_eq!(done_runs(&platform), 2);
+}
+
 /// The number of pending jobs counts the kept jobs that wait for a slot, and is 0 once all of them have begun.
 #[actix_rt::test]
 async fn pending_jobs_are_counted() {
