Reads of the kept jobs' rows say what they cover

The pool had a bare list, from which no reader may conclude that a job is gone. No change of behaviour; the next commits conclude from absences.

--- a/crates/node/src/kept_jobs/maintenance.rs
+++ b/crates/node/src/kept_jobs/maintenance.rs
@@ -7,9 +7,10 @@
     time::{Duration, Instant},
 };
 
-use jobs::{FenceToken, PoolId};
+use jobs::{FenceToken, JobId, PoolId};
 use model::FastMap;
 use platform_adapter::{RowWrite, StoreError, StoreTable, Transaction};
+use pool::KeptSnapshot;
 use telemetry::{EventKind, EventLine};
 
 use super::{decode_row, partition_name, PARTITION_COUNT, STORE_RETRY_DELAY};
@@ -111,7 +112,12 @@
                 .await
         }
     });
-    let mut found = Vec::new();
+    let mut snapshot = KeptSnapshot {
+        began,
+        version: u64::MAX,
+        jobs: Vec::new(),
+        unreadable: Vec::new(),
+    };
     for read in futures::future::join_all(reads).await {
         let page = match read {
             Ok(page) => page,
@@ -123,16 +129,19 @@
                 return;
             }
         };
+        snapshot.version = snapshot.version.min(page.version.0);
         for change in page.changes {
-            let Some(row) = stored_row(&state, change) else {
-                continue;
-            };
             state.has_kept_jobs.set(true);
-            found.extend(decode_row(&state, &row));
+            let job = change.key().parse::<JobId>();
+            let row = stored_row(&state, change);
+            match row.and_then(|row| decode_row(&state, &row)) {
+                Some(found) => snapshot.jobs.push(found),
+                None => snapshot.unreadable.extend(job),
+            }
         }
     }
     with_fenced_pool(&state, &id, fence, |pool, now| {
-        pool.load_kept_since(now, began, found);
+        pool.load_kept(now, snapshot);
     });
 }
 
--- a/crates/pool/src/kept.rs
+++ b/crates/pool/src/kept.rs
@@ -4,7 +4,7 @@
 //! before its end. It runs only once its row is in the store. The end of one of its runs is acknowledged to the worker
 //! only once the row contains it: until then the worker keeps the end for the next owner.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jobs::{
     EndedRun, InstanceId, JobId, KeptRow, KeptState, RunNumber, StepRecord, TaskId, WorkerStartTime,
@@ -59,6 +59,19 @@
     pub version: u64,
 }
 
+/// All open kept jobs of all pools, as read from the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeptSnapshot {
+    /// When the read began.
+    pub began: Instant,
+    /// The store's version that every part of the read includes: a job that was open before and is missing has ended.
+    pub version: u64,
+    /// The jobs.
+    pub jobs: Vec<FoundJob>,
+    /// Jobs that are open, but whose rows cannot be read.
+    pub unreadable: Vec<JobId>,
+}
+
 /// The end of a run of another pool's kept job, listed by a worker that belonged to that pool before.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ForeignEnd {
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -19,7 +19,9 @@
 use crate::{
     action::{PoolAction, PoolEvent},
     job::TrackedJob,
-    kept::{ForeignEnd, FoundJob, KeptJobState, STORE_CONTACT_LIMIT, TAKEOVER_HOLD_TIME},
+    kept::{
+        ForeignEnd, FoundJob, KeptJobState, KeptSnapshot, STORE_CONTACT_LIMIT, TAKEOVER_HOLD_TIME,
+    },
     worker::TrackedWorker,
 };
 
@@ -73,17 +75,14 @@
         wanted && !self.predecessor_active
     }
 
-    /// Loads this pool's jobs out of those that the store has at the moment.
-    pub fn load_kept(&mut self, now: Instant, found: Vec<FoundJob>) {
-        self.load_kept_since(now, now, found);
-    }
-
-    /// Loads this pool's jobs out of those that the store had after `began`, when they were read.
-    pub fn load_kept_since(&mut self, now: Instant, began: Instant, found: Vec<FoundJob>) {
+    /// Loads this pool's jobs out of those that the store had when they were read.
+    pub fn load_kept(&mut self, now: Instant, snapshot: KeptSnapshot) {
+        let began = snapshot.began;
         if self.predecessor_active || began < self.rows_outdated_until {
             return;
         }
-        let (found, others): (Vec<_>, Vec<_>) = found
+        let (found, others): (Vec<_>, Vec<_>) = snapshot
+            .jobs
             .into_iter()
             .partition(|found| found.row.home == self.name);
         self.foreign_jobs = others.iter().map(|other| other.job).collect();
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -8,7 +8,7 @@
 
 use jobs::{JobId, JobOutcome, KeptState};
 use pool::{PoolInit, WorkerPool};
-use support::{pool_init, worker_record, Simulation, WorkerFault};
+use support::{empty_snapshot, pool_init, worker_record, Simulation, WorkerFault};
 
 const JOB: JobId = JobId(7);
 
@@ -433,7 +433,7 @@
         };
         let mut other = WorkerPool::new(init, at);
         other.set_takeover_state(at, false, true);
-        other.load_kept(at, Vec::new());
+        other.load_kept(at, empty_snapshot(at));
         simulation.submit_sized(1, JOB, vec![60.0, 60.0, 900.0], 100.0, 6_800);
         simulation.run_for(30);
         simulation.freeze_owner(moved_after);
--- a/crates/pool/tests/start_expiry.rs
+++ b/crates/pool/tests/start_expiry.rs
@@ -14,7 +14,7 @@
 use pool::{
     PollOrder, PoolAction, PoolEvent, PoolSettings, StartAnswer, StartOrder, WaiterId, WorkerPool,
 };
-use support::{pool_init, worker_record, SERVICE};
+use support::{empty_snapshot, pool_init, worker_record, SERVICE};
 
 /// The worker's clock at the origin of the test's time, in milliseconds.
 const CLOCK: u64 = 10_000;
@@ -29,7 +29,7 @@
     fn new() -> Self {
         let origin = Instant::now();
         let mut pool = WorkerPool::new(pool_init(1), origin);
-        pool.load_kept(origin, Vec::new());
+        pool.load_kept(origin, empty_snapshot(origin));
         for number in 0..2 {
             pool.upsert_worker(origin, worker_record(number, 16_000));
         }
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -24,9 +24,9 @@
 };
 use model::DataCentreId;
 use pool::{
-    CallFailure, ForeignEnd, FoundJob, KeptWrite, KeptWriteResult, PollAnswer, PollOrder,
-    PoolAction, PoolEvent, PoolInit, PoolSettings, ShareUse, StartAnswer, StartOrder, StopAnswer,
-    StopOrder, WaiterId, WorkerPool,
+    CallFailure, ForeignEnd, FoundJob, KeptSnapshot, KeptWrite, KeptWriteResult, PollAnswer,
+    PollOrder, PoolAction, PoolEvent, PoolInit, PoolSettings, ShareUse, StartAnswer, StartOrder,
+    StopAnswer, StopOrder, WaiterId, WorkerPool,
 };
 
 use crashing::CrashPlan;
@@ -103,10 +103,14 @@
     cpu: u64,
 }
 
-/// A read of the rows of kept jobs.
-pub(crate) struct RowsRead {
-    began: Instant,
-    found: Vec<FoundJob>,
+/// A read that finds no kept job.
+pub(crate) fn empty_snapshot(began: Instant) -> KeptSnapshot {
+    KeptSnapshot {
+        began,
+        version: 0,
+        jobs: Vec::new(),
+        unreadable: Vec::new(),
+    }
 }
 
 /// A pool and its simulated workers.
@@ -290,7 +294,7 @@
             restart_time: 0,
             owner_frozen_until: 0,
         };
-        simulation.pool.load_kept(origin, Vec::new());
+        simulation.pool.load_kept(origin, empty_snapshot(origin));
         for number in 0..workers {
             let cpu = if number % 3 == 2 { 24_000 } else { 16_000 };
             let speed = [0.8, 1.0, 1.25][number % 3];
@@ -338,7 +342,7 @@
     pub(crate) fn change_owner(&mut self) {
         self.replace_owner();
         let at = self.instant();
-        self.pool.load_kept(at, Vec::new());
+        self.pool.load_kept(at, empty_snapshot(at));
         self.execute_actions();
     }
 
@@ -730,7 +734,7 @@
     }
 
     /// What a read of the rows that begins now will bring.
-    pub(crate) fn begin_read(&self) -> RowsRead {
+    pub(crate) fn begin_read(&self) -> KeptSnapshot {
         let open = self.rows.iter();
         let open = open.filter(|(_, (row, _))| !row.state.is_final());
         let found = open.map(|(job, (row, version))| FoundJob {
@@ -738,17 +742,19 @@
             row: row.clone(),
             version: *version,
         });
-        RowsRead {
+        KeptSnapshot {
             began: self.instant(),
-            found: found.collect(),
+            version: self.serial,
+            jobs: found.collect(),
+            unreadable: Vec::new(),
         }
     }
 
     /// The pool takes the result of a read.
-    pub(crate) fn finish_read(&mut self, read: RowsRead) {
+    pub(crate) fn finish_read(&mut self, read: KeptSnapshot) {
         let at = self.instant();
         self.pool.set_takeover_state(at, false, true);
-        self.pool.load_kept_since(at, read.began, read.found);
+        self.pool.load_kept(at, read);
         self.execute_actions();
     }
 
