A held kept job that a later read does not have has ended

Owners read all open jobs every 5 s, and ignored what such a read said of jobs that they held.

A read now covers a job if the job's row is not newer than the oldest part of the read, by the store's versions. A held job that is covered and missing is over: its runs are stopped. Rows that cannot be read count as open. A notice for a job that is not known yet is kept, so that a read that began before it does not bring the job back.

Tests failed before: a_held_job_that_is_missing_from_a_later_read_has_ ended (2 runs on), a_job_that_is_cancelled_during_the_read_is_not_found (found). a_read_that_does_not_cover_a_job_does_not_end_it guards the other side.

--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -224,6 +224,10 @@
                 line.millis("stranded_ms", *stranded_for),
             )
         }
+        PoolEvent::KeptMissing { job, version } => {
+            let line = EventLine::new("kept_job_missing").text("job", job);
+            (EventKind::Important, line.number("version", *version))
+        }
         PoolEvent::KeptMoved { job } => {
             let line = EventLine::new("kept_job_moved").text("job", job);
             (EventKind::Important, line)
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -411,6 +411,13 @@
         /// How long no worker could hold the job.
         stranded_for: Duration,
     },
+    /// A kept job has ended without this owner, by a read of the open jobs.
+    KeptMissing {
+        /// The job.
+        job: JobId,
+        /// The version of the store that the read includes.
+        version: u64,
+    },
     /// A kept job belongs to another pool now.
     KeptMoved {
         /// The job.
--- a/crates/pool/src/pool/kept_jobs.rs
+++ b/crates/pool/src/pool/kept_jobs.rs
@@ -140,9 +140,14 @@
         self.rows_outdated_until = now;
     }
 
-    /// Removes a job that was cancelled in the store and stops its runs.
+    /// Removes a job that was cancelled in the store and stops its runs. A job that is not known may be in a read of the
+    /// rows that began before it was cancelled.
     pub fn cancel_kept(&mut self, now: Instant, id: JobId) {
-        if self.jobs.get(&id).is_none_or(|job| job.kept.is_none()) {
+        let Some(job) = self.jobs.get(&id) else {
+            self.recently_ended_kept.insert(id, now);
+            return;
+        };
+        if job.kept.is_none() {
             return;
         }
         self.events.push(PoolEvent::KeptEnded {
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -13,7 +13,7 @@
 };
 
 use jobs::{EndCause, EndedRun, InstanceId, JobId, JobOutcome, KeptState, TaskId};
-use model::FastMap;
+use model::{FastMap, FastSet};
 
 use super::{end_run, kept_jobs::NO_DEADLINE, WorkerPool};
 use crate::{
@@ -104,6 +104,9 @@
                 self.release_moved(now, other.job);
             }
         }
+        let open = found.iter().chain(&others).map(|job| job.job);
+        let open: FastSet<JobId> = open.chain(snapshot.unreadable).collect();
+        self.end_missing_jobs(now, snapshot.version, &open);
         self.recently_ended_kept
             .retain(|_, ended| now < *ended + ENDED_KEPT_MEMORY);
         for job in found {
@@ -116,6 +119,22 @@
         self.schedule(now);
     }
 
+    /// Removes the jobs that were stored by `version` and are not open at that version: they were cancelled, or another
+    /// owner has stored their ends. The notice of a cancellation may have been missed.
+    fn end_missing_jobs(&mut self, now: Instant, version: u64, open: &FastSet<JobId>) {
+        let missing = self.jobs.iter().filter(|(id, job)| {
+            let kept = job.kept.as_ref();
+            let kept = kept.filter(|kept| kept.final_state.is_none() && !open.contains(id));
+            kept.is_some_and(|kept| kept.version.is_some_and(|stored| stored <= version))
+        });
+        let missing: Vec<JobId> = missing.map(|(id, _)| *id).collect();
+        for id in missing {
+            self.events
+                .push(PoolEvent::KeptMissing { job: id, version });
+            self.remove_ended_kept(now, id);
+        }
+    }
+
     /// Whether this owner has the job of a row, as of an older version.
     fn holds_older_version(&self, found: &FoundJob) -> bool {
         let job = self.jobs.get(&found.job);
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -554,3 +554,50 @@
     simulation.run_for(2_000);
     assert_eq!(state(&simulation), Some(KeptState::Completed));
 }
+
+/// Guards against a cancelled job that runs on, since its cancellation was never heard of: a later read of the open jobs
+/// does not have it.
+#[test]
+fn a_held_job_that_is_missing_from_a_later_read_has_ended() {
+    let mut simulation = simulation(2);
+    simulation.submit_sized(1, JOB, vec![3_000.0; 2], 3_000.0, 6_800);
+    simulation.run_for(200);
+    assert_eq!(simulation.running(), 2);
+    simulation.rows.get_mut(&JOB).unwrap().0.state = KeptState::Cancelled;
+    simulation.read_rows();
+    simulation.run_for(100);
+    assert_eq!((simulation.running(), simulation.pool.open_jobs()), (0, 0));
+}
+
+/// Guards against stopping a job because of a read that says nothing about it: one that is older than the job's row, or that
+/// could not read the row.
+#[test]
+fn a_read_that_does_not_cover_a_job_does_not_end_it() {
+    let mut simulation = simulation(2);
+    let older = simulation.begin_read();
+    simulation.submit_sized(1, JOB, vec![3_000.0; 2], 3_000.0, 6_800);
+    simulation.run_for(200);
+    simulation.finish_read(older);
+    let mut partial = simulation.begin_read();
+    partial.unreadable = partial.jobs.drain(..).map(|found| found.job).collect();
+    assert_eq!(partial.unreadable, [JOB]);
+    simulation.finish_read(partial);
+    simulation.run_for(100);
+    assert_eq!(simulation.running(), 2);
+}
+
+/// Guards against a cancelled job that a new owner runs: it hears of the cancellation while a read that began before it is
+/// on its way.
+#[test]
+fn a_job_that_is_cancelled_during_the_read_is_not_found() {
+    let mut simulation = simulation(2);
+    simulation.submit_sized(1, JOB, vec![900.0; 2], 900.0, 6_800);
+    simulation.run_for(100);
+    simulation.replace_owner();
+    let read = simulation.begin_read();
+    simulation.rows.get_mut(&JOB).unwrap().0.state = KeptState::Cancelled;
+    let at = simulation.instant();
+    simulation.pool.cancel_kept(at, JOB);
+    simulation.finish_read(read);
+    assert_eq!(simulation.pool.open_jobs(), 0);
+}
