After a gap in the notices of cancellations the pools read their jobs

The notices lie in the eight partitions of the jobs. After 410 the feed read 'the whole table', which was its unnamed partition without any row, and went on from that read's version: all notices in between were lost. The type of that answer was the one of a feed, which has all partitions.

A read of one partition now has a type of its own, and each table says how its feed begins. Feeds of notices begin at the newest version, and the owned pools then read all open jobs, where a cancelled one is missing. The notices are not read again: they are never removed, so their number grows for ever. While there are kept jobs the feed waits 1 s for a change, so that two lost answers in a row stay within 3 s.

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -23,6 +23,10 @@
 /// How long the feed of any other table waits for a change.
 const FEED_WAIT_TIME: Duration = Duration::from_millis(3_000);
 
+/// How long the feed of cancelled jobs waits for a change once there are kept jobs. Two lost answers in a row, one with the
+/// wait and one without, and the client's timeouts take 2.2 s of the 3 s in which cancelled jobs have to stop.
+const CANCELLED_JOBS_FEED_WAIT: Duration = Duration::from_millis(1_000);
+
 /// How long the feed of moved jobs waits for a change. The owners' periodic reads find a job whose notice is lost.
 const MOVED_JOBS_FEED_WAIT: Duration = Duration::from_millis(10_000);
 
@@ -121,7 +125,7 @@
         }
         let read = TableRead::begin(&state, table, read_wait(&state, table, &progress));
         let answer = match progress.after {
-            None => state.store.read_all(table, "").await,
+            None => read_start(&state, table).await,
             Some(after) => state.store.feed(table, after, read.wait).await,
         };
         match answer {
@@ -154,6 +158,30 @@
     }
 }
 
+/// Reads where the feed of a table begins, at the start of the process and whenever the store no longer has the history
+/// that the feed needs.
+///
+/// Tables of notices are not read: their rows lie in the partitions of the jobs and are never removed. The notices since the
+/// last answer are missed, so the pools read their jobs instead; see [`apply_page`].
+async fn read_start(state: &NodeState, table: StoreTable) -> Result<FeedPage, StoreError> {
+    match table {
+        StoreTable::CancelledJobs
+        | StoreTable::MovedJobs
+        | StoreTable::Jobs
+        | StoreTable::EndedJobs
+        | StoreTable::PendingJobs => state.store.begin_feed(table).await,
+        // All rows of these tables are in the unnamed partition.
+        StoreTable::Operator | StoreTable::Workers | StoreTable::Members | StoreTable::Claims => {
+            let all = state.store.read_partition(table, "").await?;
+            Ok(FeedPage {
+                changes: all.rows,
+                version: all.version,
+                clock: all.clock,
+            })
+        }
+    }
+}
+
 /// Returns how long the next read of a table may wait for a change.
 ///
 /// A retry does not wait: it shows at once whether the store answers again, and if it is lost too, it costs only the
@@ -168,6 +196,7 @@
             limit.mul_f64(OPERATOR_FEED_WAIT_SHARE)
         }
         StoreTable::MovedJobs => MOVED_JOBS_FEED_WAIT,
+        StoreTable::CancelledJobs if state.has_kept_jobs.get() => CANCELLED_JOBS_FEED_WAIT,
         _ => FEED_WAIT_TIME,
     };
     match progress.failures {
@@ -291,7 +320,7 @@
             apply_claims(state, page);
             owner::record_sole_ownership(state, version);
         }
-        StoreTable::CancelledJobs => apply_cancelled(state, page),
+        StoreTable::CancelledJobs => apply_cancelled(state, page, is_snapshot),
         StoreTable::MovedJobs => kept_jobs::apply_moved(state, page, is_snapshot),
         // These tables are read by row or by part and have no feed.
         StoreTable::Jobs | StoreTable::EndedJobs | StoreTable::PendingJobs => (),
@@ -354,7 +383,10 @@
     }
 }
 
-fn apply_cancelled(state: &Rc<NodeState>, page: FeedPage) {
+fn apply_cancelled(state: &Rc<NodeState>, page: FeedPage, after_gap: bool) {
+    if after_gap {
+        kept_jobs::reread_rows(state, page.version);
+    }
     for change in page.changes {
         if let Some(row) = stored_row(state, change) {
             kept_jobs::apply_cancelled(state, &row);
--- a/crates/node/src/kept_jobs.rs
+++ b/crates/node/src/kept_jobs.rs
@@ -24,7 +24,7 @@
 
 pub(crate) use self::maintenance::{count_pending, maintain_pools};
 use self::read_back::{write_rows, WriteOutcome};
-pub(crate) use self::rehoming::apply_moved;
+pub(crate) use self::rehoming::{apply_moved, reread_rows};
 use crate::{owner::with_fenced_pool, state::NodeState};
 
 /// The number of partitions of the store over which rows of jobs are spread. Fewer partitions make larger
--- a/crates/node/src/kept_jobs/maintenance.rs
+++ b/crates/node/src/kept_jobs/maintenance.rs
@@ -116,7 +116,7 @@
         async move {
             state
                 .store
-                .read_all(StoreTable::Jobs, &partition_name(partition))
+                .read_partition(StoreTable::Jobs, &partition_name(partition))
                 .await
         }
     });
@@ -138,7 +138,7 @@
             }
         };
         snapshot.version = snapshot.version.min(page.version.0);
-        for change in page.changes {
+        for change in page.rows {
             state.has_kept_jobs.set(true);
             let job = change.key().parse::<JobId>();
             let row = stored_row(&state, change);
@@ -212,9 +212,10 @@
 ///
 /// The store did not answer.
 pub(crate) async fn count_pending(state: &NodeState, route: &str) -> Result<u64, StoreError> {
-    let page = state.store.read_all(StoreTable::PendingJobs, "").await?;
+    let table = StoreTable::PendingJobs;
+    let page = state.store.read_partition(table, "").await?;
     let mut sum = 0;
-    for change in page.changes {
+    for change in page.rows {
         let Some(row) = stored_row(state, change) else {
             continue;
         };
--- a/crates/node/src/kept_jobs/rehoming.rs
+++ b/crates/node/src/kept_jobs/rehoming.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use jobs::{JobId, PoolId, WorkerRecord};
+use platform::RowVersion;
 use platform_adapter::{FeedPage, RowChange, RowWrite, StoreTable, Transaction};
 use pool::StrandedJob;
 use telemetry::{EventKind, EventLine};
@@ -76,11 +77,16 @@
     });
 }
 
+/// Has all pools read their rows after a gap in the notices, which ends at this version.
+pub(crate) fn reread_rows(state: &Rc<NodeState>, version: RowVersion) {
+    for_each_pool(state, |pool, _| pool.require_rows(version.0));
+}
+
 /// Has the pools to which jobs were moved read their rows. After a gap in the notices all pools do.
 pub(crate) fn apply_moved(state: &Rc<NodeState>, page: FeedPage, after_gap: bool) {
     let version = page.version.0;
     if after_gap {
-        for_each_pool(state, |pool, _| pool.require_rows(version));
+        reread_rows(state, page.version);
     }
     for change in page.changes {
         let RowChange::Put(row) = change else {
