Numbers of pending jobs that were not written are written again

The owner took a number for published when it began to write it. A write that failed was repeated only once the number changed; one without an answer could take effect after a newer one; and an owner that hands its pool over published 0, since it had released the jobs that wait.

The number counts as published once the store has confirmed it. Writes are conditional on the row's version, which is read again after a write without an answer or with a conflict, so that no late write covers a newer one. An owner publishes nothing while it hands its pool over. The publication has a module of its own.

The test a_number_of_pending_jobs_that_was_not_written_is_written_again failed before with 0 in place of 2. That of the handover has no test.

--- a/crates/node/src/kept_jobs.rs
+++ b/crates/node/src/kept_jobs.rs
@@ -6,6 +6,7 @@
 //! 150 transactions a second and partition, transactions of one write each would carry only a fifth of the users' jobs.
 
 mod maintenance;
+mod pending;
 mod read_back;
 mod rehoming;
 
@@ -22,7 +23,8 @@
 use telemetry::{EventKind, EventLine};
 use xxhash_rust::xxh3::xxh3_64;
 
-pub(crate) use self::maintenance::{count_pending, maintain_pools};
+pub(crate) use self::maintenance::maintain_pools;
+pub(crate) use self::pending::count_pending;
 use self::read_back::{write_rows, WriteOutcome};
 pub(crate) use self::rehoming::{apply_moved, reread_rows};
 use crate::{owner::with_fenced_pool, state::NodeState};
--- a/crates/node/src/kept_jobs/maintenance.rs
+++ b/crates/node/src/kept_jobs/maintenance.rs
@@ -1,24 +1,22 @@
 //! The periodic work for pools with kept jobs: reading their rows, confirming that the owner's claim still stands,
-//! and publishing how many jobs have not begun.
+//! moving jobs that the pool cannot hold, and publishing how many jobs have not begun.
 
 use std::{
     rc::Rc,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
 use jobs::{FenceToken, JobId, PoolId};
 use model::{FastMap, FastSet};
-use platform_adapter::{RowWrite, StoreError, StoreTable, Transaction};
+use platform_adapter::StoreTable;
 use pool::KeptSnapshot;
 use telemetry::{EventKind, EventLine};
 
-use super::{decode_row, partition_name, rehoming, PARTITION_COUNT, STORE_RETRY_DELAY};
-use crate::{
-    feeds::{log_unreadable_row, stored_row},
-    owner::with_fenced_pool,
-    state::NodeState,
+use super::{
+    decode_row, partition_name, pending::PendingPublication, rehoming, PARTITION_COUNT,
+    STORE_RETRY_DELAY,
 };
+use crate::{feeds::stored_row, owner::with_fenced_pool, state::NodeState};
 
 /// The interval at which an owner checks that its claim still stands while its pool has kept jobs. Three checks fit
 /// into the time for which an owner continues without confirmation.
@@ -30,10 +28,6 @@
 /// The interval at which an owner looks for kept jobs that no worker of its pool can hold.
 const STRANDED_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The shortest time between two writes of the number of a pool's jobs that have not begun. The published number
-/// may be 2 s old.
-const PENDING_PUBLISH_INTERVAL: Duration = Duration::from_millis(700);
-
 /// Does the periodic work for the kept jobs of owned pools for as long as the process runs.
 pub(crate) async fn maintain_pools(state: Rc<NodeState>) {
     let mut pools: FastMap<PoolId, MaintenanceTimes> = FastMap::default();
@@ -51,9 +45,6 @@
 /// The interval at which the node checks for each owned pool which periodic work is due.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The number of jobs of each route that have not begun.
-type PendingCounts = Vec<(Arc<str>, u64)>;
-
 /// When each kind of periodic work was last done for a pool, under its current claim.
 #[derive(Default)]
 struct MaintenanceTimes {
@@ -61,12 +52,12 @@
     last_read: Option<Instant>,
     last_claim_check: Option<Instant>,
     last_stranded_check: Option<Instant>,
-    last_published: Option<(Instant, PendingCounts)>,
+    pending: Rc<PendingPublication>,
 }
 
 fn maintain_pool(state: &Rc<NodeState>, id: &PoolId, times: &mut MaintenanceTimes) {
     let now = state.now();
-    let (fence, wants_rows, has_kept, knows_rows, pending) = {
+    let (fence, wants_rows, has_kept, knows_jobs, pending) = {
         let pools = state.pools.borrow();
         let Some(owned) = pools.get(id) else {
             return;
@@ -76,7 +67,8 @@
             pool.fence(),
             pool.needs_kept_load(),
             pool.has_kept(),
-            pool.has_loaded_kept(),
+            // An owner that hands its pool over has released the jobs that wait.
+            pool.has_loaded_kept() && pool.is_accepting(),
             pool.pending_jobs(),
         )
     };
@@ -100,12 +92,9 @@
         times.last_stranded_check = Some(now);
         rehoming::move_stranded(state, id);
     }
-    let known = times.last_published.as_ref();
-    // A former owner's published numbers stay until this owner has read the jobs and can publish its own.
-    let changed = known.map_or(state.has_kept_jobs.get(), |(_, known)| *known != pending);
-    if knows_rows && changed && due(known.map(|(at, _)| *at), PENDING_PUBLISH_INTERVAL) {
-        times.last_published = Some((now, pending.clone()));
-        actix_rt::spawn(publish_pending(state.clone(), id.clone(), pending));
+    // A former owner's published numbers stay until this owner knows the jobs and can publish its own.
+    if knows_jobs && state.has_kept_jobs.get() {
+        times.pending.publish(state, id, pending);
     }
 }
 
@@ -181,53 +170,3 @@
         });
     }
 }
-
-async fn publish_pending(state: Rc<NodeState>, id: PoolId, pending: PendingCounts) {
-    let Ok(value) = serde_json::to_vec(&pending) else {
-        let line = EventLine::new("pending_not_encoded").text("pool", &id);
-        return state.log(EventKind::Important, line);
-    };
-    let write = RowWrite {
-        table: StoreTable::PendingJobs,
-        key: id.to_string(),
-        value,
-        expected: None,
-    };
-    if let Err(error) = state
-        .store
-        .transact(&Transaction::single_write(write))
-        .await
-    {
-        // The next change overwrites the row.
-        let line = EventLine::new("pending_not_published")
-            .text("pool", &id)
-            .text("error", error);
-        state.log(EventKind::Important, line);
-    }
-}
-
-/// Returns how many kept jobs of a route have not begun, as published by the owners of all pools.
-///
-/// # Errors
-///
-/// The store did not answer.
-pub(crate) async fn count_pending(state: &NodeState, route: &str) -> Result<u64, StoreError> {
-    let table = StoreTable::PendingJobs;
-    let page = state.store.read_partition(table, "").await?;
-    let mut sum = 0;
-    for change in page.rows {
-        let Some(row) = stored_row(state, change) else {
-            continue;
-        };
-        let counts = match serde_json::from_slice::<Vec<(String, u64)>>(&row.value) {
-            Ok(counts) => counts,
-            Err(error) => {
-                log_unreadable_row(state, &row, &error);
-                continue;
-            }
-        };
-        let of_route = counts.iter().filter(|(name, _)| name == route);
-        sum += of_route.map(|(_, count)| count).sum::<u64>();
-    }
-    Ok(sum)
-}
--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -159,6 +159,30 @@
     );
 }
 
+/// Guards against a number of pending jobs that stays wrong until it changes again, since the store rejected its write.
+#[actix_rt::test]
+async fn a_number_of_pending_jobs_that_was_not_written_is_written_again() {
+    let platform = Platform::start(1, Duration::from_millis(9_000)).await;
+    let mut config = support::config(7);
+    config["Routes"][0]["GoalMs"] = json!(60_000);
+    platform.store.put("op", "config", &config);
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    for number in 0..4 {
+        let id = format!("{:016x}", 0xf0 + number);
+        let body = kept_job_body(1, 1_200);
+        assert_eq!(post_job(&node, &id, &body).await.0, 202);
+    }
+    // The number is written at most every 0.7 s, and the owner continues for 1 s without the store.
+    platform.store.set_fault(StoreFault::Busy);
+    actix_rt::time::sleep(Duration::from_millis(850)).await;
+    platform.store.set_fault(StoreFault::None);
+    actix_rt::time::sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(
+        send_empty(&node, "GET", "").await,
+        (200, json!({ "Pending": 2 }))
+    );
+}
+
 /// Many jobs of one partition of the store end while the store is unavailable. Each of them has to be shown as
 /// completed afterwards. Guards against writing all ends in one transaction: the store rejects one with too many
 /// entries as a whole, and again at each retry.
