--- a/crates/node/tests/rehoming.rs
+++ b/crates/node/tests/rehoming.rs
@@ -105,11 +105,8 @@
     assert!(wait_for_run(&platform, 1, Duration::from_secs(1)).await);
     lose_worker(&platform, 1, "i-b");
     let limit = IDLE_LIMIT + Duration::from_millis(800);
-    assert!(
-        wait_for_run(&platform, 2, limit).await,
-        "{}",
-        east.log_lines()
-    );
+    let runs = wait_for_run(&platform, 2, limit).await;
+    assert!(runs, "{}", east.log_lines());
     wait_for_completion(&west).await;
 }
 
@@ -128,10 +125,7 @@
     lose_worker(&platform, 0, "i-a");
     // The owner's successor waits until nothing of the former owner can be left.
     let limit = Duration::from_secs(10);
-    assert!(
-        wait_for_run(&platform, 1, limit).await,
-        "{}",
-        west.log_lines()
-    );
+    let runs = wait_for_run(&platform, 1, limit).await;
+    assert!(runs, "{}", west.log_lines());
     wait_for_completion(&west).await;
 }
--- a/crates/pool/src/pool/evacuating.rs
+++ b/crates/pool/src/pool/evacuating.rs
@@ -64,7 +64,7 @@
     /// Ends jobs that have unplaced tasks while the data centre is evacuated. Jobs of which nothing
     /// was ordered are refused, so that their entries run them elsewhere. The others are given up:
     /// it is unknown whether any of their tasks ran, and they could not end before the evacuation
-    /// does. Kept jobs wait for its end.
+    /// does. Kept jobs are moved to another pool.
     pub(super) fn end_evacuated_jobs(&mut self, now: Instant) {
         if !self.evacuated {
             return;
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -676,7 +676,7 @@
             || self.missed_polls > 0
             || self.directory_mismatch_since.is_some()
             || self.fence_unconfirmed
-            || self.has_unlisted_ends();
+            || !self.has_room_for_end();
         let unacknowledged =
             self.acknowledged_end < self.last_seen_end && now >= self.last_end_time + idle_ack;
         let outdated = self
--- a/crates/pool/tests/rehoming.rs
+++ b/crates/pool/tests/rehoming.rs
@@ -56,6 +56,20 @@
     }
 }
 
+/// A job is being moved, and the store has not performed the write. Another worker that can hold the job has appeared.
+fn simulation_of_pending_move() -> Simulation {
+    let mut simulation = simulation();
+    simulation.submit_sized(1, JOB, vec![2_000.0], 2_000.0, LARGE_CPU);
+    simulation.run_for(100);
+    lose_large_worker(&mut simulation);
+    simulation.run_for(1_200);
+    simulation.stalled_jobs.insert(JOB);
+    run_and_move(&mut simulation, 2_000);
+    assert_eq!(simulation.waiting_writes().len(), 1);
+    simulation.add_worker(worker_record(5, 24_000), 1.0);
+    simulation
+}
+
 /// Guards against an accepted job that stands still for ever, since the last worker of its pool that can hold its task is
 /// lost while others wait in another pool.
 #[test]
@@ -104,15 +118,7 @@
 /// not start here any more, since the write may take effect at any moment.
 #[test]
 fn a_job_that_is_being_moved_does_not_run() {
-    let mut simulation = simulation();
-    simulation.submit_sized(1, JOB, vec![2_000.0], 2_000.0, LARGE_CPU);
-    simulation.run_for(100);
-    lose_large_worker(&mut simulation);
-    simulation.run_for(1_200);
-    simulation.stalled_jobs.insert(JOB);
-    run_and_move(&mut simulation, 2_000);
-    assert_eq!(simulation.waiting_writes().len(), 1);
-    simulation.add_worker(worker_record(5, 24_000), 1.0);
+    let mut simulation = simulation_of_pending_move();
     simulation.run_for(2_000);
     assert_eq!(simulation.running(), 0);
     simulation.restore_partitions();
@@ -125,17 +131,10 @@
 /// when the new owner runs the job, since a worker has come back.
 #[test]
 fn a_late_move_of_a_former_owner_has_no_effect() {
-    let mut simulation = simulation();
-    simulation.submit_sized(1, JOB, vec![2_000.0], 2_000.0, LARGE_CPU);
-    simulation.run_for(100);
-    lose_large_worker(&mut simulation);
-    simulation.run_for(1_200);
-    simulation.stalled_jobs.insert(JOB);
-    run_and_move(&mut simulation, 2_000);
+    let mut simulation = simulation_of_pending_move();
     let late = simulation.take_waiting_writes();
     assert_eq!(&*late[0].row.home, OTHER_POOL);
     simulation.stalled_jobs.clear();
-    simulation.add_worker(worker_record(5, 24_000), 1.0);
     simulation.replace_owner();
     simulation.run_for(5);
     simulation.read_rows();
@@ -153,15 +152,8 @@
 /// new owner could write the row, and nothing may have started by then.
 #[test]
 fn a_found_job_does_not_start_before_its_row_is_written() {
-    let mut simulation = simulation();
-    simulation.submit_sized(1, JOB, vec![2_000.0], 2_000.0, LARGE_CPU);
-    simulation.run_for(100);
-    lose_large_worker(&mut simulation);
-    simulation.run_for(1_200);
-    simulation.stalled_jobs.insert(JOB);
-    run_and_move(&mut simulation, 2_000);
+    let mut simulation = simulation_of_pending_move();
     let late = simulation.take_waiting_writes();
-    simulation.add_worker(worker_record(5, 24_000), 1.0);
     simulation.replace_owner();
     simulation.run_for(5);
     simulation.read_rows();
