The published number of pending jobs and its row's version are one value

Both were set by the same answer and cleared by the same write, in two fields. No change of behaviour: node/tests/kept.rs passes, fmt and clippy too.

--- a/crates/node/src/kept_jobs/pending.rs
+++ b/crates/node/src/kept_jobs/pending.rs
@@ -26,11 +26,9 @@
 /// What an owner has published of a pool.
 #[derive(Default)]
 pub(super) struct PendingPublication {
-    /// What the row has. None if that is not known.
-    written: RefCell<Option<PendingCounts>>,
-    /// The version of the row. None if it has to be read: a write without an answer may still take effect, but no longer
-    /// once the row has another version.
-    version: Cell<Option<RowVersion>>,
+    /// The version and the numbers of the row. None if the version has to be read: a write without an answer may still take
+    /// effect, but no longer once the row has another version.
+    written: RefCell<Option<(RowVersion, PendingCounts)>>,
     last_try: Cell<Option<Instant>>,
     in_progress: Cell<bool>,
 }
@@ -48,7 +46,8 @@
             .last_try
             .get()
             .is_none_or(|at| now >= at + PUBLISH_INTERVAL);
-        let is_written = self.written.borrow().as_ref() == Some(&counts);
+        let written = self.written.borrow();
+        let is_written = written.as_ref().is_some_and(|(_, row)| *row == counts);
         if self.in_progress.get() || !is_due || is_written {
             return;
         }
@@ -74,8 +73,8 @@
         let key = id.to_string();
         let value = serde_json::to_vec(counts)
             .map_err(|error| platform::RequestError::InvalidRequest(error.to_string()))?;
-        let expected = match self.version.take() {
-            Some(version) => version,
+        let expected = match self.written.take() {
+            Some((version, _)) => version,
             None => {
                 let row = state.store.get(StoreTable::PendingJobs, "", &key).await?;
                 row.map_or(RowVersion(0), |row| row.version)
@@ -87,13 +86,11 @@
             value,
             expected: Some(expected),
         };
-        self.written.take();
         let transaction = Transaction::single_write(write);
         if let TransactionOutcome::Committed { version, .. } =
             state.store.transact(&transaction).await?
         {
-            self.version.set(Some(version));
-            *self.written.borrow_mut() = Some(counts.clone());
+            *self.written.borrow_mut() = Some((version, counts.clone()));
         }
         Ok(())
     }
