Moving kept jobs: candidates are found once, and a gap is handled in one place

For each stranded job the directory of all workers was copied and the owner of each worker's pool looked up, five times a second while no pool could take the job. The workers of other pools and the ranks of their pools are now found once for all jobs of a pool, and only if there are any.

stranded_jobs collected its decisions in a map to write them back; it now asks has_runs_of, which the pool had, and sets the times in one pass. release_idle_kept asks it too. Feeds of cancelled and of moved jobs handled a gap in the same way, each with a flag; apply_page does it for both, since such a page has no changes. A move's answer is handled before the waiters are taken, which a job that is being moved does not have.

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -320,8 +320,12 @@
             apply_claims(state, page);
             owner::record_sole_ownership(state, version);
         }
-        StoreTable::CancelledJobs => apply_cancelled(state, page, is_snapshot),
-        StoreTable::MovedJobs => kept_jobs::apply_moved(state, page, is_snapshot),
+        // The notices before the start of the feed were missed.
+        StoreTable::CancelledJobs | StoreTable::MovedJobs if is_snapshot => {
+            kept_jobs::reread_rows(state, page.version);
+        }
+        StoreTable::CancelledJobs => apply_cancelled(state, page),
+        StoreTable::MovedJobs => kept_jobs::apply_moved(state, page),
         // These tables are read by row or by part and have no feed.
         StoreTable::Jobs | StoreTable::EndedJobs | StoreTable::PendingJobs => (),
     }
@@ -383,10 +387,7 @@
     }
 }
 
-fn apply_cancelled(state: &Rc<NodeState>, page: FeedPage, after_gap: bool) {
-    if after_gap {
-        kept_jobs::reread_rows(state, page.version);
-    }
+fn apply_cancelled(state: &Rc<NodeState>, page: FeedPage) {
     for change in page.changes {
         if let Some(row) = stored_row(state, change) {
             kept_jobs::apply_cancelled(state, &row);
--- a/crates/node/src/kept_jobs/rehoming.rs
+++ b/crates/node/src/kept_jobs/rehoming.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use jobs::{JobId, PoolId, WorkerRecord};
+use model::FastMap;
 use platform::RowVersion;
 use platform_adapter::{FeedPage, RowChange, RowWrite, StoreTable, Transaction};
 use pool::StrandedJob;
@@ -18,8 +19,12 @@
 pub(super) fn move_stranded(state: &Rc<NodeState>, id: &PoolId) {
     let mut stranded = Vec::new();
     with_pool(state, id, |pool, now| stranded = pool.stranded_jobs(now));
+    if stranded.is_empty() {
+        return;
+    }
+    let candidates = find_candidates(state, id);
     for job in stranded {
-        match choose_home(state, id, &job) {
+        match choose_home(&candidates, &job) {
             Some(home) => with_pool(state, id, |pool, now| {
                 pool.move_kept(now, job.job, Arc::from(home.to_string()));
             }),
@@ -35,31 +40,48 @@
 /// whether it is in another data centre than the job's pool.
 type HomeRank = (bool, bool);
 
-/// Returns the pool for a job. Of pools that suit it equally well, each is chosen by its share of the workers that can hold
-/// the job, so that the jobs of a lost pool do not all go to one other.
-fn choose_home(state: &NodeState, former: &PoolId, job: &StrandedJob) -> Option<PoolId> {
+/// A worker of another pool.
+struct CandidateWorker {
+    rank: HomeRank,
+    pool: PoolId,
+    record: WorkerRecord,
+}
+
+/// Returns the workers of all pools but one, those of the pools that suit its jobs best first.
+fn find_candidates(state: &NodeState, former: &PoolId) -> Vec<CandidateWorker> {
     let directory = state.directory.borrow();
     let evacuated = state.evacuations.borrow();
     let controller = state.claim_controller.borrow();
     let now = state.now();
-    let usable =
-        |worker: &&WorkerRecord| !evacuated.contains(&worker.data_centre) && job.fits(worker);
-    let mut homes: Vec<(HomeRank, PoolId)> = Vec::new();
-    for worker in directory.records().iter().filter(usable) {
-        let Some(pool) = directory.pool_of(worker).filter(|pool| pool != former) else {
+    let mut ranks: FastMap<PoolId, HomeRank> = FastMap::default();
+    let mut candidates = Vec::new();
+    for record in directory.records() {
+        if evacuated.contains(&record.data_centre) {
+            continue;
+        }
+        let Some(pool) = directory.pool_of(&record).filter(|pool| pool != former) else {
             continue;
         };
-        let is_alive = controller
-            .owner(now, &pool)
-            .is_some_and(|owner| owner.alive);
-        let rank = (!is_alive, pool.data_centre != former.data_centre);
-        homes.push((rank, pool));
+        let rank = *ranks.entry(pool.clone()).or_insert_with(|| {
+            let owner = controller.owner(now, &pool);
+            let is_alive = owner.is_some_and(|owner| owner.alive);
+            (!is_alive, pool.data_centre != former.data_centre)
+        });
+        candidates.push(CandidateWorker { rank, pool, record });
     }
-    homes.sort();
-    let best = homes.first()?.0;
-    homes.retain(|(rank, _)| *rank == best);
-    let index = usize::try_from(xxh3_64(&job.job.0.to_be_bytes())).ok()? % homes.len();
-    homes.swap_remove(index).1.into()
+    candidates.sort_by(|a, b| (a.rank, &a.pool).cmp(&(b.rank, &b.pool)));
+    candidates
+}
+
+/// Returns the pool for a job. Of pools that suit it equally well, each is chosen by its share of the workers that can hold
+/// the job, so that the jobs of a lost pool do not all go to one other.
+fn choose_home<'a>(candidates: &'a [CandidateWorker], job: &StrandedJob) -> Option<&'a PoolId> {
+    let fitting = candidates.iter().filter(|worker| job.fits(&worker.record));
+    let fitting: Vec<&CandidateWorker> = fitting.collect();
+    let best = fitting.first()?.rank;
+    let count = fitting.partition_point(|worker| worker.rank == best);
+    let index = usize::try_from(xxh3_64(&job.job.0.to_be_bytes())).ok()? % count;
+    Some(&fitting[index].pool)
 }
 
 /// Adds the notice for a job's new home to the transaction that moves the job. The notice of a pool has one row in each
@@ -82,12 +104,9 @@
     for_each_pool(state, |pool, _| pool.require_rows(version.0));
 }
 
-/// Has the pools to which jobs were moved read their rows. After a gap in the notices all pools do.
-pub(crate) fn apply_moved(state: &Rc<NodeState>, page: FeedPage, after_gap: bool) {
+/// Has the pools to which jobs were moved read their rows.
+pub(crate) fn apply_moved(state: &Rc<NodeState>, page: FeedPage) {
     let version = page.version.0;
-    if after_gap {
-        reread_rows(state, page.version);
-    }
     for change in page.changes {
         let RowChange::Put(row) = change else {
             continue;
--- a/crates/pool/src/pool/kept_jobs.rs
+++ b/crates/pool/src/pool/kept_jobs.rs
@@ -324,14 +324,18 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        if job
+            .kept
+            .as_ref()
+            .is_some_and(|kept| kept.new_home.is_some())
+        {
+            self.release_moved(now, id);
+            return;
+        }
         let waiters = std::mem::take(&mut job.waiters);
         let Some(kept) = job.kept.as_mut() else {
             return;
         };
-        if kept.new_home.is_some() {
-            self.release_moved(now, id);
-            return;
-        }
         let first = kept.version.is_none();
         kept.version = Some(version);
         kept.unfenced = false;
--- a/crates/pool/src/pool/rehoming.rs
+++ b/crates/pool/src/pool/rehoming.rs
@@ -16,14 +16,11 @@
 };
 
 use jobs::{JobId, JobOutcome, ServiceId, StepSpec, WorkerRecord, WorkerState};
-use model::{FastMap, FastSet};
+use model::FastSet;
 
 use super::WorkerPool;
 use crate::{
-    action::PoolEvent,
-    job::TrackedJob,
-    kept::{KeptJobState, StrandedJob},
-    placement::can_hold,
+    action::PoolEvent, job::TrackedJob, kept::StrandedJob, placement::can_hold,
     worker::TrackedWorker,
 };
 
@@ -49,33 +46,28 @@
             && self.all_workers_known
             && !self.predecessor_active
             && self.has_recent_store_contact(now);
-        let runs = self.workers.values().flat_map(|worker| &worker.runs);
-        let running: FastSet<JobId> = runs.map(|run| run.task.job).collect();
-        let holders = match self.evacuated {
+        let holders: Vec<&TrackedWorker> = match self.evacuated {
             true => Vec::new(),
             false => self.workers.values().filter(is_holder).collect(),
         };
+        let without_worker = self.jobs.iter().filter(|(id, job)| {
+            is_settled && is_idle(job) && !fits(job, &holders) && !self.has_runs_of(**id)
+        });
+        let without_worker: FastSet<JobId> = without_worker.map(|(id, _)| *id).collect();
         let mut stranded = Vec::new();
-        let mut since_by_job: FastMap<JobId, Option<Instant>> = FastMap::default();
-        for (id, job) in &self.jobs {
-            let Some(kept) = &job.kept else {
+        for (id, job) in &mut self.jobs {
+            let Some(kept) = job.kept.as_mut() else {
                 continue;
             };
-            if !is_settled || running.contains(id) || !is_idle(job, kept) || fits(job, &holders) {
-                since_by_job.insert(*id, None);
+            if !without_worker.contains(id) {
+                kept.stranded_since = None;
                 continue;
             }
-            let since = kept.stranded_since.unwrap_or(now);
-            since_by_job.insert(*id, Some(since));
+            let since = *kept.stranded_since.get_or_insert(now);
             if now >= since + STRANDED_DELAY {
                 stranded.push(stranded_job(*id, job));
             }
         }
-        for (id, since) in since_by_job {
-            if let Some(kept) = self.jobs.get_mut(&id).and_then(|job| job.kept.as_mut()) {
-                kept.stranded_since = since;
-            }
-        }
         stranded.sort_by_key(|job| job.job);
         stranded
     }
@@ -116,7 +108,10 @@
 }
 
 /// Whether nothing of a kept job is left here: all that is known of it is stored, and each of its tasks is done or waits.
-fn is_idle(job: &TrackedJob, kept: &KeptJobState) -> bool {
+fn is_idle(job: &TrackedJob) -> bool {
+    let Some(kept) = &job.kept else {
+        return false;
+    };
     let steps = job.steps.iter().zip(&job.request.steps);
     let mut accounted = steps.map(|(progress, spec)| {
         let waiting = u32::try_from(progress.waiting.len()).unwrap_or(u32::MAX);
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -316,11 +316,7 @@
     fn release_idle_kept(&mut self, now: Instant) {
         let idle = self.jobs.iter().filter(|(id, job)| {
             let stored = job.kept.as_ref().is_some_and(KeptJobState::is_fully_stored);
-            stored
-                && self
-                    .workers
-                    .values()
-                    .all(|worker| worker.run_count_of(**id) == 0)
+            stored && !self.has_runs_of(**id)
         });
         let idle: Vec<JobId> = idle.map(|(id, _)| *id).collect();
         if !idle.is_empty() {
