Tests of kept jobs share their set-up and their questions

send_empty and wait_for of the nodes' tests, and the set-up of kept jobs and the counts of done runs of the pool's, stood in two and three files. They are in the support modules now. No assertion changes; the time for a moved job to be shown as completed stays 2 s.

--- a/crates/node/tests/cancelling.rs
+++ b/crates/node/tests/cancelling.rs
@@ -4,11 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use awc::Client;
 use node::NodeProcess;
 use platform_stand_ins::timed_kept_job_body;
 use serde_json::{json, Value};
-use support::{post_job, send, Platform};
+use support::{post_job, send_empty, Platform};
 
 const IDS: [&str; 2] = ["5c0e7a21d94b36f8", "90e3f61ab8c4d275"];
 
@@ -26,9 +25,7 @@
 }
 
 async fn cancel(node: &NodeProcess, id: &str) {
-    let (path, address) = (format!("/hold/{id}"), node.customer_address());
-    let (status, _) = send(&Client::default(), address, "DELETE", &path, &Value::Null).await;
-    assert_eq!(status, 200);
+    assert_eq!(send_empty(node, "DELETE", id).await.0, 200);
 }
 
 async fn submit_all(node: &NodeProcess) {
--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -4,34 +4,13 @@
 
 use std::time::{Duration, Instant};
 
-use awc::Client;
-use node::NodeProcess;
 use platform_stand_ins::{kept_job_body, StoreFault};
-use serde_json::{json, Value};
-use support::{post_job, send, Platform};
+use serde_json::json;
+use support::{post_job, send_empty, wait_for, Platform};
 use xxhash_rust::xxh3::xxh3_64;
 
 const ID: &str = "5c0e7a21d94b36f8";
 
-async fn send_empty(node: &NodeProcess, method: &str, path_tail: &str) -> (u16, Value) {
-    let path = format!("/hold/{path_tail}");
-    let address = node.customer_address();
-    send(&Client::default(), address, method, &path, &Value::Null).await
-}
-
-/// Polls a job's state until it is `expected`.
-async fn wait_for(node: &NodeProcess, id: &str, expected: &str) {
-    let mut last = (0, Value::Null);
-    for _ in 0..100 {
-        last = send_empty(node, "GET", id).await;
-        if last == (200, json!({ "State": expected })) {
-            return;
-        }
-        actix_rt::time::sleep(Duration::from_millis(50)).await;
-    }
-    panic!("{last:?} in place of {expected}: {}", node.log_lines());
-}
-
 fn done_runs(platform: &Platform) -> usize {
     let runs = platform.workers.iter().flat_map(|worker| worker.runs());
     runs.filter(|run| run.ended.is_some_and(|(_, how)| how == "done"))
--- a/crates/node/tests/rehoming.rs
+++ b/crates/node/tests/rehoming.rs
@@ -4,12 +4,12 @@
 
 use std::time::Duration;
 
-use awc::Client;
 use node::NodeProcess;
 use platform_stand_ins::{timed_kept_job_body, WorkerFault, WorkerPlan, WorkerStandIn};
 use serde_json::{json, Value};
 use settings::NodeSettings;
-use support::{post_job, send, Platform};
+use support::{post_job, wait_for, Platform};
+use tokio::time::timeout;
 
 const ID: &str = "5c0e7a21d94b36f8";
 
@@ -17,6 +17,9 @@
 /// entry of a lost worker; here it is removed at once.
 const IDLE_LIMIT: Duration = Duration::from_millis(3_000);
 
+/// The time from the beginning of the job's run, which takes 400 ms, until the job is shown as completed.
+const COMPLETION_LIMIT: Duration = Duration::from_millis(2_000);
+
 /// A worker with a label in a data centre.
 async fn add_worker(platform: &mut Platform, id: &str, centre: &str, label: &str) {
     let plan = WorkerPlan {
@@ -62,14 +65,6 @@
     panic!("job {id} is not accepted: {}", node.log_lines());
 }
 
-async fn state(node: &NodeProcess, id: &str) -> Value {
-    let path = format!("/hold/{id}");
-    let address = node.customer_address();
-    send(&Client::default(), address, "GET", &path, &Value::Null)
-        .await
-        .1
-}
-
 /// Waits until a worker runs a task of the job.
 async fn wait_for_run(platform: &Platform, number: usize, limit: Duration) -> bool {
     for _ in 0..limit.as_millis() / 20 {
@@ -81,14 +76,10 @@
     false
 }
 
+/// Waits until the job is completed, and fails if that takes long after its run has begun.
 async fn wait_for_completion(node: &NodeProcess) {
-    for _ in 0..100 {
-        if state(node, ID).await == json!({ "State": "completed" }) {
-            return;
-        }
-        actix_rt::time::sleep(Duration::from_millis(20)).await;
-    }
-    panic!("{}: {}", state(node, ID).await, node.log_lines());
+    let completed = timeout(COMPLETION_LIMIT, wait_for(node, ID, "completed")).await;
+    assert!(completed.is_ok(), "{}", node.log_lines());
 }
 
 /// Guards against an accepted job that is never started again: the only worker of its pool with the label that it requires
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -177,6 +177,34 @@
     .await
 }
 
+/// Sends a request without a body to the path of the route and `path_tail`.
+#[allow(
+    dead_code,
+    reason = "not every test file of this module asks for states"
+)]
+pub(crate) async fn send_empty(node: &NodeProcess, method: &str, path_tail: &str) -> (u16, Value) {
+    let path = format!("/hold/{path_tail}");
+    let address = node.customer_address();
+    send(&Client::default(), address, method, &path, &Value::Null).await
+}
+
+/// Polls a job's state until it is `expected`.
+#[allow(
+    dead_code,
+    reason = "not every test file of this module asks for states"
+)]
+pub(crate) async fn wait_for(node: &NodeProcess, id: &str, expected: &str) {
+    let mut last = (0, Value::Null);
+    for _ in 0..100 {
+        last = send_empty(node, "GET", id).await;
+        if last == (200, serde_json::json!({ "State": expected })) {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("{last:?} in place of {expected}: {}", node.log_lines());
+}
+
 /// Submits a job in a task of its own, which returns the answer.
 #[allow(dead_code, reason = "not every test file of this module posts jobs")]
 pub(crate) fn spawn_post_job(
--- a/crates/pool/tests/kept.rs
+++ b/crates/pool/tests/kept.rs
@@ -13,21 +13,12 @@
 const JOB: JobId = JobId(7);
 
 fn simulation(workers: usize) -> Simulation {
-    let mut simulation = Simulation::new(1, workers);
-    simulation.submits_kept = true;
-    simulation.run_for(300);
-    simulation
+    Simulation::of_kept_jobs(workers)
 }
 
 /// The number of runs that ended as done, for each task, over all workers.
 fn done_runs(simulation: &Simulation) -> Vec<usize> {
-    let mut counts = std::collections::BTreeMap::new();
-    for worker in simulation.workers.values() {
-        for task in worker.done_tasks() {
-            *counts.entry(task).or_insert(0) += 1;
-        }
-    }
-    counts.into_values().collect()
+    simulation.done_runs().into_values().collect()
 }
 
 fn state(simulation: &Simulation) -> Option<KeptState> {
--- a/crates/pool/tests/listed_ends.rs
+++ b/crates/pool/tests/listed_ends.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use jobs::{JobId, KeptState, MAX_LISTED_ENDS};
 use support::Simulation;
@@ -12,20 +12,6 @@
 /// A kept job whose row cannot be written.
 const STALLED_JOB: JobId = JobId(8);
 
-fn simulation(workers: usize) -> Simulation {
-    let mut simulation = Simulation::new(1, workers);
-    simulation.submits_kept = true;
-    simulation.run_for(300);
-    simulation
-}
-
-/// The number of runs of a kept job's tasks that ended as done.
-fn done_runs(simulation: &Simulation, job: JobId) -> usize {
-    let workers = simulation.workers.values();
-    let done = workers.flat_map(|worker| worker.done_tasks());
-    done.filter(|task| task.job == job).count()
-}
-
 fn state(simulation: &Simulation, job: JobId) -> KeptState {
     simulation.rows[&job].0.state
 }
@@ -62,7 +48,7 @@
 /// cannot be stored.
 #[test]
 fn a_run_that_is_missing_from_a_partial_listing_is_not_repeated() {
-    let mut simulation = simulation(1);
+    let mut simulation = Simulation::of_kept_jobs(1);
     simulation.done_is_final = true;
     for worker in simulation.workers.values_mut() {
         worker.add_unknown_ends(1);
@@ -76,18 +62,18 @@
         worker.add_unknown_ends(600);
     }
     simulation.run_for(2_000);
-    assert_eq!(done_runs(&simulation, JOB), 4);
+    assert_eq!(simulation.done_runs_of(JOB), 4);
     simulation.restore_partitions();
     simulation.run_for(1_000);
     assert_eq!(state(&simulation, JOB), KeptState::Completed);
-    assert_eq!(done_runs(&simulation, JOB), 4);
+    assert_eq!(simulation.done_runs_of(JOB), 4);
 }
 
 /// Guards against a second run after a change of owner: a worker with many ends lists the end of a found job last, and the
 /// first end cannot be stored for longer than found jobs are held back.
 #[test]
 fn a_new_owner_waits_for_all_ends_of_a_worker() {
-    let mut simulation = simulation(2);
+    let mut simulation = Simulation::of_kept_jobs(2);
     simulation.submit_sized(1, STALLED_JOB, vec![60.0], 60.0, 400);
     simulation.run_for(12);
     simulation.submit_sized(1, JOB, vec![160.0; 4], 160.0, 400);
@@ -98,25 +84,25 @@
         worker.add_unknown_ends(600);
     }
     simulation.run_for(200);
-    assert_eq!(done_runs(&simulation, JOB), 4);
+    assert_eq!(simulation.done_runs_of(JOB), 4);
     simulation.rows.get_mut(&STALLED_JOB).unwrap().0.home = Arc::from("east/1");
     simulation.stalled_jobs.insert(STALLED_JOB);
     simulation.replace_owner();
     simulation.run_for(5);
     simulation.read_rows();
     simulation.run_for(5_000);
-    assert_eq!(done_runs(&simulation, JOB), 4, "no task runs again");
+    assert_eq!(simulation.done_runs_of(JOB), 4, "no task runs again");
     simulation.restore_partitions();
     simulation.run_for(1_000);
     assert_eq!(state(&simulation, JOB), KeptState::Completed);
-    assert_eq!(done_runs(&simulation, JOB), 4);
+    assert_eq!(simulation.done_runs_of(JOB), 4);
 }
 
 /// Guards against late answers: an end that cannot be stored must not fill a worker's listing so that the ends of other
 /// jobs are not listed.
 #[test]
 fn unacknowledged_ends_of_a_worker_stay_below_what_it_lists() {
-    let mut simulation = simulation(1);
+    let mut simulation = Simulation::of_kept_jobs(1);
     let most_ends = run_beside_unstored_end(&mut simulation, 3_000);
     assert!(most_ends > MAX_LISTED_ENDS / 2, "{most_ends}");
     assert!(most_ends < MAX_LISTED_ENDS, "{most_ends}");
@@ -137,7 +123,7 @@
 #[test]
 fn kept_jobs_run_once_while_a_partition_is_unavailable() {
     for change_at in [None, Some(60), Some(160)] {
-        let mut simulation = simulation(2);
+        let mut simulation = Simulation::of_kept_jobs(2);
         simulation.done_is_final = true;
         simulation.read_rows();
         for round in 0..300 {
@@ -159,12 +145,7 @@
         // The periodic read, which finds the jobs that the store kept for the former owner late.
         simulation.read_rows();
         simulation.run_for(7_000);
-        let mut runs = BTreeMap::new();
-        for worker in simulation.workers.values() {
-            for task in worker.done_tasks() {
-                *runs.entry(task).or_insert(0) += 1;
-            }
-        }
+        let runs = simulation.done_runs();
         assert!(runs.values().all(|count| *count == 1), "{change_at:?}");
         let states = simulation.rows.values().map(|(row, _)| row.state);
         let open = states.filter(|state| !state.is_final()).count();
--- a/crates/pool/tests/rehoming.rs
+++ b/crates/pool/tests/rehoming.rs
@@ -30,12 +30,6 @@
     &simulation.rows[&JOB].0.home
 }
 
-fn done_runs(simulation: &Simulation) -> usize {
-    let workers = simulation.workers.values();
-    let done = workers.flat_map(|worker| worker.done_tasks());
-    done.filter(|task| task.job == JOB).count()
-}
-
 /// The only worker that can hold a task of the job is lost for good.
 fn lose_large_worker(simulation: &mut Simulation) {
     let instance = large_worker();
@@ -56,12 +50,18 @@
     }
 }
 
-/// A job is being moved, and the store has not performed the write. Another worker that can hold the job has appeared.
-fn simulation_of_pending_move() -> Simulation {
+/// The only worker that can hold a task of the job was lost while it ran the job.
+fn simulation_of_lost_worker() -> Simulation {
     let mut simulation = simulation();
     simulation.submit_sized(1, JOB, vec![2_000.0], 2_000.0, LARGE_CPU);
     simulation.run_for(100);
     lose_large_worker(&mut simulation);
+    simulation
+}
+
+/// A job is being moved, and the store has not performed the write. Another worker that can hold the job has appeared.
+fn simulation_of_pending_move() -> Simulation {
+    let mut simulation = simulation_of_lost_worker();
     simulation.run_for(1_200);
     simulation.stalled_jobs.insert(JOB);
     run_and_move(&mut simulation, 2_000);
@@ -74,10 +74,7 @@
 /// lost while others wait in another pool.
 #[test]
 fn a_job_that_no_worker_of_its_pool_can_hold_is_moved() {
-    let mut simulation = simulation();
-    simulation.submit_sized(1, JOB, vec![2_000.0], 2_000.0, LARGE_CPU);
-    simulation.run_for(100);
-    lose_large_worker(&mut simulation);
+    let mut simulation = simulation_of_lost_worker();
     run_and_move(&mut simulation, 3_000);
     assert_eq!(home(&simulation), OTHER_POOL);
     assert_eq!(simulation.pool.open_jobs(), 0);
@@ -88,7 +85,7 @@
     simulation.read_rows();
     simulation.run_for(3_000);
     assert_eq!(simulation.rows[&JOB].0.state, KeptState::Completed);
-    assert_eq!(done_runs(&simulation), 1);
+    assert_eq!(simulation.done_runs_of(JOB), 1);
 }
 
 /// Guards against moving a job that still runs, or whose pool can hold it.
@@ -110,7 +107,7 @@
     simulation.run_for(40);
     simulation.set_evacuated(true);
     run_and_move(&mut simulation, 3_000);
-    assert_eq!(done_runs(&simulation), 1);
+    assert_eq!(simulation.done_runs_of(JOB), 1);
     assert_eq!(home(&simulation), OTHER_POOL);
 }
 
@@ -145,7 +142,7 @@
     assert_eq!(home(&simulation), "east/0");
     simulation.run_for(3_000);
     assert_eq!(simulation.rows[&JOB].0.state, KeptState::Completed);
-    assert_eq!(done_runs(&simulation), 1);
+    assert_eq!(simulation.done_runs_of(JOB), 1);
 }
 
 /// Guards against a second run after a change of owner: the former owner's write that moves the job is performed before the
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -246,6 +246,33 @@
         Self::with_settings(seed, workers, PoolSettings::default())
     }
 
+    /// As [`Self::new`], for tests whose jobs are kept ones.
+    pub(crate) fn of_kept_jobs(workers: usize) -> Self {
+        let mut simulation = Self::new(1, workers);
+        simulation.submits_kept = true;
+        simulation.run_for(300);
+        simulation
+    }
+
+    /// The number of runs that ended as done, for each task, over all workers.
+    pub(crate) fn done_runs(&self) -> BTreeMap<TaskId, usize> {
+        let mut counts = BTreeMap::new();
+        for worker in self.workers.values() {
+            for task in worker.done_tasks() {
+                *counts.entry(task).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
+    /// The number of runs of a job's tasks that ended as done.
+    pub(crate) fn done_runs_of(&self, job: JobId) -> usize {
+        let runs = self.done_runs().into_iter();
+        runs.filter(|(task, _)| task.job == job)
+            .map(|(_, count)| count)
+            .sum()
+    }
+
     /// As [`Self::new`], with other settings.
     pub(crate) fn with_settings(seed: u64, workers: usize, settings: PoolSettings) -> Self {
         let origin = Instant::now();
