Soak: breaks of customers' connections that their nodes do not hear of

A share of attempts now breaks unheard: the connection goes over a link of its own that goes silent both ways or in one direction, or stays open and is no longer read. The break is drawn over the whole deadline. Half of the long jobs take 0.1 to 2.0 s, estimated to within 40%, with a deadline of 1.5 s and five times as long. To the checks such an attempt is under way until its deadline: `orphan` and `stray` count from then, and `failed` counts the runs that a later attempt may have joined. At its end a soak waits for all customers, not only for those of kept jobs, since deadlines are longer now.

--- a/crates/soak/src/customers.rs
+++ b/crates/soak/src/customers.rs
@@ -9,19 +9,21 @@
 
 use awc::{http::Method, Client, ClientRequest};
 use fastrand::Rng;
-use futures::future::{self, Either};
+use futures::future;
 use jobs::JobId;
 use platform_adapter::DEADLINE_HEADER;
-use platform_stand_ins::{job_body, says_failed, timed_job_body};
+use platform_stand_ins::{estimated_job_body, job_body, says_failed, timed_job_body};
+use stand_ins::forwarder::NetForwarder;
 use tokio::sync::Notify;
 
 use crate::{
     fleet::{added_prefix, HOST, PREFIX},
     plan::CustomerPlan,
     record::{AttemptEnd, AttemptTrace, JobTrace, ProbeTrace, RouteAnswer, SoakRecord},
+    unheard::{PendingAnswer, UnheardBreaks},
 };
 
-/// The deadline that customers send with a job.
+/// The deadline that customers send with a job whose run time they know.
 pub(crate) const DEADLINE: Duration = Duration::from_millis(2_500);
 
 /// How much longer than the deadline customers wait for an answer.
@@ -36,12 +38,33 @@
 /// The estimate that customers send for a task that takes a worker's own run time, in milliseconds.
 const SHORT_ESTIMATE_MS: u64 = 100;
 
+/// How far the estimates of the other run times are off at most, relative to these.
+const ESTIMATE_ERROR: f64 = 0.4;
+
+/// The deadline of a job whose run time is only estimated: a fixed part, and some times its run time.
+const VARIED_DEADLINE: (Duration, u32) = (Duration::from_millis(1_500), 5);
+
 /// How long a probe waits for an answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// The HTTP clients that customers share for each node.
 const CLIENTS_PER_NODE: usize = 8;
 
+/// What a customer submits in each attempt.
+#[derive(Clone, Copy)]
+pub(crate) struct Submission<'a> {
+    pub(crate) id: JobId,
+    pub(crate) body: &'a str,
+    pub(crate) deadline: Duration,
+}
+
+/// A job as drawn.
+struct DrawnJob {
+    tasks: u32,
+    body: String,
+    deadline: Duration,
+}
+
 /// The state that all simulated customers share.
 pub(crate) struct CustomerSimulator {
     began: std::time::Instant,
@@ -50,8 +73,10 @@
     clients: Vec<Vec<Client>>,
     /// Notified when connections to a node break, by node.
     resets: Vec<Notify>,
-    /// The number of kept jobs whose customers have not finished.
-    pub(crate) open_kept_jobs: Cell<usize>,
+    /// Breaks that nodes do not hear of.
+    breaks: UnheardBreaks<Option<AttemptEnd>>,
+    /// The number of jobs whose customers have not finished.
+    pub(crate) open_jobs: Cell<usize>,
     pub(crate) record: Rc<RefCell<SoakRecord>>,
 }
 
@@ -61,6 +86,7 @@
         plan: CustomerPlan,
         nodes: Vec<SocketAddr>,
         record: Rc<RefCell<SoakRecord>>,
+        forwarder: Rc<NetForwarder>,
     ) -> Self {
         let clients = nodes
             .iter()
@@ -71,7 +97,8 @@
             clients: clients.collect(),
             resets: nodes.iter().map(|_| Notify::new()).collect(),
             nodes,
-            open_kept_jobs: Cell::default(),
+            breaks: UnheardBreaks::new(forwarder),
+            open_jobs: Cell::default(),
             record,
         }
     }
@@ -82,12 +109,14 @@
 
     /// Submits one job, which is kept with the plan's probability, and follows it to its end.
     pub(crate) async fn run_customer(&self, mut rng: Rng) {
+        self.open_jobs.set(self.open_jobs.get() + 1);
         // A plan without kept jobs gives the customers the same numbers as before there were any.
         if self.plan.kept_share > 0.0 && rng.f64() < self.plan.kept_share {
             self.follow_kept_job(rng).await;
         } else {
             self.submit_job(rng).await;
         }
+        self.open_jobs.set(self.open_jobs.get() - 1);
     }
 
     pub(crate) fn draw_node(&self, rng: &mut Rng) -> usize {
@@ -104,30 +133,39 @@
     ) -> ClientRequest {
         let client = &self.clients[node][rng.usize(..CLIENTS_PER_NODE)];
         client
-            .request(method, format!("http://{}{PREFIX}{id}", self.nodes[node]))
+            .request(method, job_url(self.nodes[node], id))
             .insert_header(("Host", HOST))
     }
 
     /// Submits one job, with retries, until it gets a final answer, its customer leaves early, or no attempt is left.
     async fn submit_job(&self, mut rng: Rng) {
         let id = JobId(rng.u64(..));
-        let (tasks, body) = self.draw_job(&mut rng);
+        let DrawnJob {
+            tasks,
+            body,
+            deadline,
+        } = self.draw_job(&mut rng);
+        let submission = Submission {
+            id,
+            body: &body,
+            deadline,
+        };
         let mut node = rng.usize(..self.nodes.len());
         let index = {
             let mut record = self.record.borrow_mut();
             record.jobs.push(JobTrace {
                 id,
                 tasks,
-                deadline: DEADLINE,
+                deadline,
                 attempts: Vec::new(),
                 open_since: None,
             });
             record.jobs.len() - 1
         };
         for _ in 0..MAX_ATTEMPTS {
-            let (leaves_early, wait_limit) = self.draw_wait(&mut rng);
+            let (leaves_early, wait_limit) = self.draw_wait(&mut rng, deadline);
             self.record.borrow_mut().jobs[index].open_since = Some(self.now());
-            let attempt = self.attempt(&mut rng, node, id, &body, wait_limit).await;
+            let attempt = self.attempt(&mut rng, node, submission, wait_limit).await;
             {
                 let mut record = self.record.borrow_mut();
                 record.jobs[index].open_since = None;
@@ -142,41 +180,74 @@
     }
 
     /// Draws whether a customer leaves early, and how long it waits for an answer.
-    pub(crate) fn draw_wait(&self, rng: &mut Rng) -> (bool, Duration) {
+    pub(crate) fn draw_wait(&self, rng: &mut Rng, deadline: Duration) -> (bool, Duration) {
         let leaves_early = rng.f64() < self.plan.early_leave_share;
         let wait_limit = if leaves_early {
             Duration::from_millis(rng.u64(5..300))
         } else {
-            DEADLINE + CLIENT_WAIT_MARGIN
+            deadline + CLIENT_WAIT_MARGIN
         };
         (leaves_early, wait_limit)
     }
 
-    /// Draws the number of tasks of a job and its body.
-    fn draw_job(&self, rng: &mut Rng) -> (u32, String) {
+    fn draw_job(&self, rng: &mut Rng) -> DrawnJob {
         let tasks = rng.u32(1..=self.plan.max_tasks);
         if rng.f64() >= self.plan.long_share {
-            return (tasks, job_body(tasks, SHORT_ESTIMATE_MS).to_string());
+            return DrawnJob {
+                tasks,
+                body: job_body(tasks, SHORT_ESTIMATE_MS).to_string(),
+                deadline: DEADLINE,
+            };
+        }
+        // As with kept jobs, a plan without such jobs draws the same numbers as before.
+        if self.plan.varied_share > 0.0 && rng.f64() < self.plan.varied_share {
+            return self.draw_varied_job(rng);
         }
         let run_time_ms = u64::try_from(self.plan.long_run.as_millis()).unwrap_or(u64::MAX);
-        (1, timed_job_body(1, run_time_ms).to_string())
+        DrawnJob {
+            tasks: 1,
+            body: timed_job_body(1, run_time_ms).to_string(),
+            deadline: DEADLINE,
+        }
+    }
+
+    fn draw_varied_job(&self, rng: &mut Rng) -> DrawnJob {
+        let (shortest, longest) = self.plan.varied_runs_ms;
+        let run_time = Duration::from_millis(rng.u64(shortest..=longest));
+        let error = 1.0 + ESTIMATE_ERROR * (2.0 * rng.f64() - 1.0);
+        let (fixed, factor) = VARIED_DEADLINE;
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let body = estimated_job_body(1, millis(run_time), millis(run_time.mul_f64(error)));
+        DrawnJob {
+            tasks: 1,
+            body: body.to_string(),
+            deadline: fixed + run_time * factor,
+        }
     }
 
     pub(crate) async fn attempt(
         &self,
         rng: &mut Rng,
         node: usize,
-        id: JobId,
-        body: &str,
+        submission: Submission<'_>,
         wait_limit: Duration,
     ) -> AttemptTrace {
-        let request = self
+        let Submission { id, body, deadline } = submission;
+        let mut request = self
             .job_request(rng, node, Method::POST, id)
-            .insert_header((DEADLINE_HEADER, DEADLINE.as_millis().to_string()))
-            .timeout(DEADLINE + CLIENT_WAIT_MARGIN * 2);
+            .insert_header((DEADLINE_HEADER, deadline.as_millis().to_string()))
+            .timeout(deadline + CLIENT_WAIT_MARGIN * 2);
         let body = body.to_owned();
+        let is_reset = rng.f64() < self.plan.reset_share;
+        let mut unheard_break = None;
+        // Without such breaks, the same numbers are drawn as before there were any.
+        if self.plan.unheard_share > 0.0 && rng.f64() < self.plan.unheard_share {
+            let (drawn, address) = self.breaks.draw(rng, self.nodes[node], deadline);
+            request = request.uri(job_url(address, id));
+            unheard_break = Some(drawn);
+        }
         let sent = self.now();
-        let complete_answer = async {
+        let mut answer: PendingAnswer<Option<AttemptEnd>> = Box::pin(async move {
             let mut answer = request.send_body(body).await.ok()?;
             let status = answer.status().as_u16();
             let body = answer.body().await.ok()?;
@@ -184,26 +255,35 @@
                 true => AttemptEnd::Failed,
                 false => AttemptEnd::Answered(status),
             })
-        };
-        let is_reset = rng.f64() < self.plan.reset_share;
+        });
         let reset = async {
             match is_reset {
                 true => self.resets[node].notified().await,
                 false => future::pending().await,
             }
         };
-        let complete_answer = std::pin::pin!(complete_answer);
-        let reset = std::pin::pin!(reset);
-        let answer_or_reset = future::select(complete_answer, reset);
-        let end = match actix_rt::time::timeout(wait_limit, answer_or_reset).await {
-            Ok(Either::Left((Some(end), _))) => end,
-            Ok(Either::Left((None, _)) | Either::Right(_)) => AttemptEnd::Broken,
-            Err(_) => AttemptEnd::GaveUp,
+        let breaks_after = unheard_break.as_ref().map(|unheard| unheard.after);
+        let unheard = async {
+            match breaks_after {
+                Some(after) => actix_rt::time::sleep(after).await,
+                None => future::pending().await,
+            }
+        };
+        let end = tokio::select! {
+            biased;
+            end = &mut answer => end.unwrap_or(AttemptEnd::Broken),
+            () = reset => AttemptEnd::Broken,
+            () = unheard => AttemptEnd::Unheard,
+            () = actix_rt::time::sleep(wait_limit) => AttemptEnd::GaveUp,
         };
+        let ended = self.now();
+        if let (AttemptEnd::Unheard, Some(unheard_break)) = (end, unheard_break) {
+            self.breaks.apply(unheard_break, answer).await;
+        }
         AttemptTrace {
             node,
             sent,
-            ended: self.now(),
+            ended,
             end,
         }
     }
@@ -234,10 +314,17 @@
     }
 }
 
+fn job_url(node: SocketAddr, id: JobId) -> String {
+    format!("http://{node}{PREFIX}{id}")
+}
+
 /// Returns whether the customer has to come again: the answer does not say what became of the job.
 pub(crate) fn is_unanswered(end: AttemptEnd) -> bool {
     matches!(
         end,
-        AttemptEnd::Broken | AttemptEnd::GaveUp | AttemptEnd::Answered(502 | 504)
+        AttemptEnd::Broken
+            | AttemptEnd::Unheard
+            | AttemptEnd::GaveUp
+            | AttemptEnd::Answered(502 | 504)
     )
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -39,7 +39,7 @@
 pub(crate) struct SoakFleet {
     began: Instant,
     binary: PathBuf,
-    forwarder: NetForwarder,
+    pub(crate) forwarder: Rc<NetForwarder>,
     store: StoreStandIn,
     /// The view of the store that each node connects to.
     store_views: Vec<StoreView>,
@@ -70,7 +70,7 @@
         let mut fleet = Self {
             began: Instant::now(),
             binary,
-            forwarder: NetForwarder::start()?,
+            forwarder: Rc::new(NetForwarder::start()?),
             store,
             store_views: Vec::new(),
             nodes: Vec::new(),
--- a/crates/soak/src/kept.rs
+++ b/crates/soak/src/kept.rs
@@ -10,7 +10,7 @@
 use platform_stand_ins::{crashing_job_body, job_state, timed_kept_job_body};
 
 use crate::{
-    customers::{is_unanswered, CustomerSimulator, DEADLINE, RETRY_DELAY},
+    customers::{is_unanswered, CustomerSimulator, Submission, DEADLINE, RETRY_DELAY},
     record::{AttemptEnd, KeptState, KeptTrace, StateRead},
 };
 
@@ -58,12 +58,13 @@
 
     /// Submits a kept job whose task crashes every worker that runs it, and follows it until it is final.
     pub(crate) async fn follow_crashing_job(&self, rng: Rng) {
+        self.open_jobs.set(self.open_jobs.get() + 1);
         let body = crashing_job_body(RUN_TIMES_MS.0);
         self.follow_job(rng, body.to_string(), 1, true).await;
+        self.open_jobs.set(self.open_jobs.get() - 1);
     }
 
     async fn follow_job(&self, mut rng: Rng, body: String, tasks: u32, crashes_workers: bool) {
-        self.open_kept_jobs.set(self.open_kept_jobs.get() + 1);
         let id = JobId(rng.u64(..));
         let job = KeptJob::new(self, id, body);
         job.update_trace(|trace| {
@@ -80,7 +81,6 @@
             )
             .await;
         }
-        self.open_kept_jobs.set(self.open_kept_jobs.get() - 1);
     }
 }
 
@@ -131,11 +131,16 @@
     }
 
     async fn submit_once(&self, rng: &mut Rng) -> AttemptEnd {
-        let (_, wait_limit) = self.simulator.draw_wait(rng);
+        let (_, wait_limit) = self.simulator.draw_wait(rng, DEADLINE);
         let node = self.simulator.draw_node(rng);
+        let submission = Submission {
+            id: self.id,
+            body: &self.body,
+            deadline: DEADLINE,
+        };
         let attempt = self
             .simulator
-            .attempt(rng, node, self.id, &self.body, wait_limit)
+            .attempt(rng, node, submission, wait_limit)
             .await;
         self.update_trace(|trace| trace.attempts.push(attempt));
         attempt.end
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod plan;
 mod record;
 mod run;
+mod unheard;
 
 pub use crate::{
     checks::{check_invariants, InvariantViolation, SoakInvariant},
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -54,6 +54,10 @@
     Freezes(FreezePlan),
     /// Only workers that crash in series, and tasks that crash their workers.
     CrashSeries,
+    /// Only faults of single nodes, and silences of the store, which may overlap.
+    SingleNodes,
+    /// No faults. The load lasts as long as the recovery after the last fault does otherwise.
+    None,
 }
 
 /// Parameters of a soak that only freezes owners. Times are in milliseconds.
@@ -82,16 +86,22 @@
 pub struct CustomerPlan {
     /// The most tasks of a job that is not long.
     pub max_tasks: u32,
-    /// The share of jobs whose only run takes [`CustomerPlan::long_run`] on every worker.
+    /// The share of long jobs. Their only run takes [`CustomerPlan::long_run`] on every worker, or a time of their own.
     pub long_share: f64,
     /// How long the run of a long job takes.
     pub long_run: Duration,
+    /// The share of long jobs whose run takes a time of their own, which their customers only estimate.
+    pub varied_share: f64,
+    /// Bounds of the run times of these jobs, in milliseconds.
+    pub varied_runs_ms: (u64, u64),
     /// The share of kept jobs among all jobs.
     pub kept_share: f64,
     /// The share of attempts that customers abandon early.
     pub early_leave_share: f64,
     /// The share of attempts whose connection breaks if their node is frozen.
     pub reset_share: f64,
+    /// The share of attempts whose connection breaks, while it stays open at its node.
+    pub unheard_share: f64,
 }
 
 impl Default for CustomerPlan {
@@ -100,9 +110,12 @@
             max_tasks: 6,
             long_share: 0.15,
             long_run: Duration::from_millis(900),
+            varied_share: 0.5,
+            varied_runs_ms: (100, 2_000),
             kept_share: 0.08,
             early_leave_share: 0.04,
             reset_share: 0.5,
+            unheard_share: 0.15,
         }
     }
 }
@@ -115,6 +128,16 @@
             long_share: 0.0,
             kept_share: 0.0,
             reset_share: 0.0,
+            ..Self::heard_breaks()
+        }
+    }
+
+    /// Nodes hear of every break of a connection, and all long jobs take the same time, as before there were other
+    /// breaks. Customers draw the same numbers as then.
+    pub fn heard_breaks() -> Self {
+        Self {
+            varied_share: 0.0,
+            unheard_share: 0.0,
             ..Self::default()
         }
     }
@@ -213,6 +236,15 @@
 /// How much longer than a freeze the store is silent, so that the woken owner has time to read its sockets.
 const SILENCE_MARGIN: Duration = Duration::from_millis(200);
 
+/// Bounds of the time between the starts of two faults of single nodes, in milliseconds.
+const SINGLE_GAPS_MS: (u64, u64) = (700, 2_000);
+
+/// Bounds of the time until a killed single node is started again, in milliseconds.
+const QUICK_RESTARTS_MS: (u64, u64) = (1, 120);
+
+/// Bounds of the time for which the store is silent beside faults of single nodes, in milliseconds.
+const STORE_AWAY_MS: (u64, u64) = (2_000, 5_000);
+
 /// Bounds of the time between two worker restarts under the same id, in milliseconds.
 const RESTART_GAPS_MS: (u64, u64) = (500, 4_000);
 
@@ -228,6 +260,8 @@
                 crash_series::add_crash_series(&mut rng, self, &mut steps);
                 steps
             }
+            FaultMix::SingleNodes => self.single_node_steps(&mut rng),
+            FaultMix::None => Vec::new(),
         }
     }
 
@@ -284,6 +318,23 @@
         steps
     }
 
+    fn single_node_steps(&self, rng: &mut Rng) -> Vec<FaultStep> {
+        let mut steps = Vec::new();
+        let mut at = draw_time(rng, SINGLE_GAPS_MS);
+        while at < self.fault_duration {
+            let node = rng.usize(..self.nodes);
+            let kind = match rng.u32(..4) {
+                0 => FaultKind::Kill(node, draw_time(rng, QUICK_RESTARTS_MS)),
+                1 => FaultKind::Stop(node),
+                2 => FaultKind::Freeze(node, draw_time(rng, FreezePlan::default().lengths_ms)),
+                _ => FaultKind::Store(StoreFault::Silent, draw_time(rng, STORE_AWAY_MS)),
+            };
+            steps.push(FaultStep { at, kind });
+            at += draw_time(rng, SINGLE_GAPS_MS);
+        }
+        steps
+    }
+
     fn add_worker_restarts(&self, rng: &mut Rng, steps: &mut Vec<FaultStep>) {
         let mut at = Duration::ZERO;
         while at < self.fault_duration {
@@ -362,6 +413,10 @@
     }
 }
 
+fn draw_time(rng: &mut Rng, bounds_ms: (u64, u64)) -> Duration {
+    Duration::from_millis(rng.u64(bounds_ms.0..bounds_ms.1))
+}
+
 fn draw_link_mode(rng: &mut Rng) -> LinkMode {
     let connects = CutConnect::Hang;
     match rng.u32(..5) {
--- a/crates/soak/src/plan/crash_series.rs
+++ b/crates/soak/src/plan/crash_series.rs
@@ -5,7 +5,7 @@
 
 use fastrand::Rng;
 
-use super::{FaultKind, FaultStep, SoakPlan};
+use super::{draw_time, FaultKind, FaultStep, SoakPlan};
 use crate::fleet::rack_workers;
 
 /// Bounds of the time between the starts of two series, in milliseconds.
@@ -99,7 +99,3 @@
     let kind = FaultKind::StartAgain(worker);
     steps.push(FaultStep { at, kind });
 }
-
-fn draw_time(rng: &mut Rng, bounds_ms: (u64, u64)) -> Duration {
-    Duration::from_millis(rng.u64(bounds_ms.0..bounds_ms.1))
-}
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -39,6 +39,8 @@
     Failed,
     /// The connection was refused, or broke before the answer was complete.
     Broken,
+    /// The connection broke for the customer before the answer was complete, and stayed open at its node.
+    Unheard,
     /// The customer stopped waiting.
     GaveUp,
 }
@@ -56,6 +58,17 @@
     pub end: AttemptEnd,
 }
 
+impl AttemptTrace {
+    /// Returns until when the attempt may be under way at its node. A node that does not hear of a break answers by the
+    /// deadline that it was sent.
+    pub fn under_way_until(&self, deadline: Duration) -> Duration {
+        match self.end {
+            AttemptEnd::Unheard => self.ended.max(self.sent + deadline),
+            _ => self.ended,
+        }
+    }
+}
+
 /// One job as the customer observed it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobTrace {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -61,6 +61,8 @@
     pub jobs: usize,
     /// Number of jobs that were submitted more than once.
     pub retried: usize,
+    /// Number of attempts whose connection broke unheard by its node.
+    pub unheard: usize,
     /// Number of jobs completed.
     pub completed: usize,
     /// Number of jobs refused.
@@ -94,6 +96,7 @@
         plan.customers,
         addresses.collect(),
         record.clone(),
+        fleet.forwarder.clone(),
     );
     let mut run = SoakRun {
         plan,
@@ -157,13 +160,14 @@
             }
         }
         actix_rt::time::sleep(FINAL_ANSWER_WAIT).await;
-        self.await_kept_jobs().await
+        self.await_jobs().await
     }
 
-    /// Waits until the customers of all kept jobs have finished, at most as long as the jobs may take.
-    async fn await_kept_jobs(&mut self) -> Result<(), SoakError> {
+    /// Waits until all customers have finished, at most as long as kept jobs may take. That is more than the longest
+    /// deadline.
+    async fn await_jobs(&mut self) -> Result<(), SoakError> {
         let until = self.fleet.now() + FINISH_LIMIT;
-        while self.simulator.open_kept_jobs.get() > 0 && self.fleet.now() < until {
+        while self.simulator.open_jobs.get() > 0 && self.fleet.now() < until {
             actix_rt::time::sleep(POLL_INTERVAL).await;
             self.run_due_follow_ups(self.fleet.now()).await?;
         }
@@ -262,6 +266,12 @@
                 .iter()
                 .filter(|job| job.attempts.len() > 1)
                 .count(),
+            unheard: record
+                .jobs
+                .iter()
+                .flat_map(|job| &job.attempts)
+                .filter(|attempt| attempt.end == AttemptEnd::Unheard)
+                .count(),
             completed: count(&|status| status == 200),
             refused: count(&|status| status == 429 || status == 503),
             kept: record.kept_jobs.len(),
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -367,6 +367,85 @@
     );
 }
 
+/// Guards against a start of an attempt that its node has not heard to be over counting as late before its deadline, and
+/// against one after that counting as in time.
+#[test]
+fn a_run_after_an_unheard_break() {
+    let start_after = |end, began, expected: &[SoakInvariant]| {
+        check(
+            |record| {
+                record.jobs[0].attempts = vec![attempt(1_000, 1_200, end)];
+                record.runs.push(run(0, 3, began, began + 10));
+                record.stray_limit = Some(ms(100));
+            },
+            expected,
+        );
+    };
+    let late = [SoakInvariant::Orphan, SoakInvariant::Stray];
+    start_after(AttemptEnd::Broken, 3_500, &late);
+    start_after(AttemptEnd::Unheard, 3_500, &[]);
+    start_after(AttemptEnd::Unheard, 3_650, &[SoakInvariant::Stray]);
+    start_after(AttemptEnd::Unheard, 4_850, &late);
+}
+
+/// Guards against two runs at once going unseen because the earlier attempt's break is unheard.
+#[test]
+fn a_second_run_after_an_unheard_break() {
+    check(
+        |record| {
+            record.jobs[0].attempts = vec![
+                attempt(1_000, 1_200, AttemptEnd::Unheard),
+                attempt(2_500, 2_700, AttemptEnd::Answered(200)),
+            ];
+            record.runs[0].ended = Some(ms(2_620));
+            record.runs.push(run(0, 3, 2_550, 2_650));
+        },
+        &[SoakInvariant::Twice],
+    );
+}
+
+/// Guards against runs that an attempt has joined counting as no cause of its failure.
+#[test]
+fn failures_of_an_attempt_that_was_joined() {
+    let fail = |sent, expected: &[SoakInvariant]| {
+        check(
+            |record| {
+                record.jobs[0].attempts = vec![
+                    attempt(500, 700, AttemptEnd::Unheard),
+                    attempt(sent, sent + 900, AttemptEnd::Failed),
+                ];
+                record.runs.remove(0);
+                for began in [600, 1_000, sent + 100] {
+                    record.runs.push(RunTrace {
+                        end: Some(RunEnd::Failed),
+                        ..run(0, began as usize, began, began + 50)
+                    });
+                }
+            },
+            expected,
+        );
+    };
+    fail(2_000, &[]);
+    // By then the joined attempt has had its deadline.
+    fail(3_100, &[SoakInvariant::Failed]);
+}
+
+/// Guards against a break of the customer's own counting as a request that a planned stop has cut.
+#[test]
+fn an_unheard_break_during_a_planned_stop() {
+    check(
+        |record| {
+            record.jobs[0].attempts = vec![attempt(1_000, 1_400, AttemptEnd::Unheard)];
+            record.stops = vec![StopTrace {
+                node: 0,
+                requested: ms(900),
+                exited: ms(1_400),
+            }];
+        },
+        &[],
+    );
+}
+
 #[test]
 fn jobs_not_served_after_all_faults() {
     check(
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -61,6 +61,8 @@
 enum SeedSetting {
     /// All that there are.
     All,
+    /// All that there were before breaks that nodes do not hear of.
+    Heard,
     /// Only crashes of workers, in series.
     Crashes,
     /// Those that there were when the first seeds failed.
@@ -71,14 +73,15 @@
     fn faults(self) -> FaultMix {
         match self {
             Self::Crashes => FaultMix::CrashSeries,
-            Self::All | Self::First => FaultMix::All,
+            Self::All | Self::Heard | Self::First => FaultMix::All,
         }
     }
 
     fn customers(self) -> CustomerPlan {
         match self {
             Self::First => CustomerPlan::short_jobs(),
-            Self::All | Self::Crashes => CustomerPlan::default(),
+            Self::Heard | Self::Crashes => CustomerPlan::heard_breaks(),
+            Self::All => CustomerPlan::default(),
         }
     }
 }
@@ -92,7 +95,8 @@
         let mut words = line.split(' ');
         let seed = words.next()?.parse().ok()?;
         let setting = match words.next() {
-            Some("all") => SeedSetting::All,
+            Some("all") => SeedSetting::Heard,
+            Some("unheard") => SeedSetting::All,
             Some("crashes") => SeedSetting::Crashes,
             _ => SeedSetting::First,
         };
