Lines of decisions on requests name the request

request_refused, route_unknown and store_not_reached now have the method, the host, the path (each cut to 64 bytes) and the job's id where the path ends with one; refusals for an old configuration also its version and age. New lines: job_arrived at an entry; customer_disconnected, when a connection ends before the answer, so that a break that the entry has seen differs from one that it has not; job_cut, job_ends_after_stop and job_held_up, which were answers without their reason; request_invalid for 4xx; job_state_told for questions. No decision changes.

--- a/crates/node/src/customer_server.rs
+++ b/crates/node/src/customer_server.rs
@@ -31,6 +31,7 @@
     connections,
     entry::{log_answer, run_job, EntryJob},
     kept_jobs, pause,
+    request_lines::{self, InvalidRequest, RequestTarget},
     state::NodeState,
     NodeError,
 };
@@ -106,6 +107,8 @@
 /// When a request arrived.
 struct ArrivalMark {
     at: Instant,
+    /// The time since this process's last tick.
+    since_tick: Duration,
     /// How many pauses of this process had been noticed by then.
     pauses: PauseCount,
 }
@@ -113,55 +116,59 @@
 async fn route_request(state: &Rc<NodeState>, mut request: Request) -> Response<BoxBody> {
     let arrival = ArrivalMark {
         at: state.now(),
+        since_tick: state.since_last_tick(),
         pauses: pause::notice(state),
     };
+    let target = RequestTarget {
+        method: request.method().clone(),
+        host: host_of(&request).to_owned(),
+        path: request.path().to_owned(),
+    };
     // A request that waited in its socket or in the accept queue while this process was paused may by now be running
     // elsewhere as its customer's next try. It has not run here, so it is refused. New requests are refused with it
     // until all that waited has been read, which takes a few ticks.
     if state.has_paused() {
-        log_refusal(state, "process_paused");
+        request_lines::log_refusal(state, &target, "process_paused");
         return not_ready();
     }
     if state.refuses_requests.get() {
-        log_refusal(state, "process_stopped");
+        request_lines::log_refusal(state, &target, "process_stopped");
         return not_ready();
     }
     let Some(table) = state.route_table.borrow().clone() else {
-        log_refusal(state, "no_configuration");
+        request_lines::log_refusal(state, &target, "no_configuration");
         return not_ready();
     };
     if head_bytes(&request) > table.limits.head_bytes {
-        return json_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "{}");
+        return invalid(state, &target, InvalidRequest::HeadTooLarge);
     }
-    let host = host_of(&request).to_owned();
-    let path = request.path().to_owned();
-    let Some(found) = table.find(&host, &path) else {
-        return unknown_route(state, &table);
+    let Some(found) = table.find(&target.host, &target.path) else {
+        return unknown_route(state, &table, &target);
     };
     let rule = Rc::new(found.rule.clone());
-    let method = request.method().clone();
+    let method = &target.method;
     if found.rest.is_empty() && method == Method::GET {
         return match kept_jobs::count_pending(state, &rule.name).await {
             Ok(count) => json_response(StatusCode::OK, encode_pending(count)),
-            Err(error) => store_unavailable(state, "pending", &error),
+            Err(error) => store_unavailable(state, &target, "pending", &error),
         };
     }
     let Ok(id) = found.rest.parse::<JobId>() else {
-        return json_response(StatusCode::BAD_REQUEST, "{}");
+        return invalid(state, &target, InvalidRequest::JobId);
     };
     if method == Method::GET {
-        return job_state_response(state, id).await;
+        return job_state_response(state, &target, id).await;
     }
     if method == Method::DELETE {
-        return cancel(state, id).await;
+        return cancel(state, &target, id).await;
     }
     if method != Method::POST {
-        return json_response(StatusCode::METHOD_NOT_ALLOWED, "{}");
+        return invalid(state, &target, InvalidRequest::Method);
     }
     let stated_deadline = stated_deadline(&request);
     let body = match read_body(request.take_payload(), table.limits).await {
         Ok(body) => body,
-        Err(status) => return json_response(status, "{}"),
+        Err(cause) => return invalid(state, &target, cause),
     };
     state
         .traffic
@@ -169,39 +176,56 @@
     submit(state, id, rule, &body, arrival, stated_deadline).await
 }
 
+/// Answers a request that no process would take.
+fn invalid(state: &NodeState, target: &RequestTarget, cause: InvalidRequest) -> Response<BoxBody> {
+    let status = match cause {
+        InvalidRequest::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        InvalidRequest::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        InvalidRequest::Method => StatusCode::METHOD_NOT_ALLOWED,
+        InvalidRequest::BodyBroken | InvalidRequest::JobId => StatusCode::BAD_REQUEST,
+    };
+    request_lines::log_invalid(state, target, cause, status.as_u16());
+    json_response(status, "{}")
+}
+
 /// Answers a request for a route that the configuration does not have.
 ///
 /// 404 is final for the caller, so it is said only while no newer configuration can be in force. Otherwise the caller is
 /// told to come back: the route may have been added since.
-fn unknown_route(state: &NodeState, table: &RouteTable) -> Response<BoxBody> {
+fn unknown_route(
+    state: &NodeState,
+    table: &RouteTable,
+    target: &RequestTarget,
+) -> Response<BoxBody> {
     let is_current = state.is_table_current();
-    let outcome = match is_current {
-        true => "not_found",
-        false => "not_ready",
-    };
-    let line = EventLine::new("route_unknown")
-        .number("version", table.version.0)
-        .millis("age_ms", state.table_age().unwrap_or_default())
-        .text("outcome", outcome);
-    state.log(EventKind::Routine, line);
-    if !is_current {
-        log_refusal(state, "configuration_old");
-        return not_ready();
+    request_lines::log_unknown_route(state, target, table.version, is_current);
+    match is_current {
+        true => json_response(StatusCode::NOT_FOUND, "{}"),
+        false => not_ready(),
     }
-    json_response(StatusCode::NOT_FOUND, "{}")
 }
 
 /// Answers with the state of a kept job according to the store. No process knows the state of jobs that are not
 /// kept.
-async fn job_state_response(state: &NodeState, id: JobId) -> Response<BoxBody> {
+async fn job_state_response(
+    state: &NodeState,
+    target: &RequestTarget,
+    id: JobId,
+) -> Response<BoxBody> {
     match kept_jobs::find_job(state, id).await {
-        Ok(Some(found)) => json_response(StatusCode::OK, encode_state(found.row.state)),
-        Ok(None) => json_response(StatusCode::GONE, "{}"),
-        Err(error) => store_unavailable(state, "job_state", &error),
+        Ok(found) => {
+            let shown = found.map(|found| (found.row.state, found.version));
+            request_lines::log_state(state, id, shown);
+            match shown {
+                Some((kept_state, _)) => json_response(StatusCode::OK, encode_state(kept_state)),
+                None => json_response(StatusCode::GONE, "{}"),
+            }
+        }
+        Err(error) => store_unavailable(state, target, "job_state", &error),
     }
 }
 
-async fn cancel(state: &NodeState, id: JobId) -> Response<BoxBody> {
+async fn cancel(state: &NodeState, target: &RequestTarget, id: JobId) -> Response<BoxBody> {
     let cancelled = kept_jobs::cancel_job(state, id).await;
     let line = EventLine::new("job_cancelled").text("job", id);
     match cancelled {
@@ -214,20 +238,21 @@
             };
             json_response(status, "{}")
         }
-        Err(error) => store_unavailable(state, "cancel", &error),
+        Err(error) => store_unavailable(state, target, "cancel", &error),
     }
 }
 
 /// Answers that the node is not ready, because the store cannot be reached. The customer has to retry.
 fn store_unavailable(
     state: &NodeState,
+    target: &RequestTarget,
     purpose: &'static str,
     error: &StoreError,
 ) -> Response<BoxBody> {
     let line = EventLine::new("store_not_reached")
         .text("for", purpose)
         .text("error", error);
-    state.log(EventKind::Important, line);
+    state.log(EventKind::Important, target.add_to(line));
     not_ready()
 }
 
@@ -245,6 +270,7 @@
         Err(error) => {
             let line = EventLine::new("job_unreadable")
                 .text("job", id)
+                .text("route", &rule.name)
                 .text("error", error);
             state.log(EventKind::Important, line);
             return json_response(StatusCode::BAD_REQUEST, "{}");
@@ -275,6 +301,8 @@
         retry_after: NOT_READY_RETRY_AFTER,
         fits: 0,
     };
+    request_lines::log_arrival(state, &job, arrival.since_tick);
+    let mut watch = DisconnectWatch::new(state, &job);
     let outcome = if unsupported.is_some() {
         refused(RefusalKind::Unsupported)
     } else if ends_after_stop(state, &job) {
@@ -282,19 +310,57 @@
     } else {
         run_until_cut(state, &job).await
     };
+    watch.answered = true;
     log_answer(state, &job, outcome);
     encoded_response(&encode_outcome(outcome))
 }
 
+/// Logs that a customer's connection ended before its job was answered.
+///
+/// Without that line, the record of a customer whose break this process has seen looks like that of one whose break it
+/// has not: both have an arrival and no answer until the deadline.
+struct DisconnectWatch<'a> {
+    state: &'a NodeState,
+    job: &'a EntryJob,
+    answered: bool,
+}
+
+impl<'a> DisconnectWatch<'a> {
+    fn new(state: &'a NodeState, job: &'a EntryJob) -> Self {
+        Self {
+            state,
+            job,
+            answered: false,
+        }
+    }
+}
+
+impl Drop for DisconnectWatch<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            request_lines::log_disconnect(self.state, self.job);
+        }
+    }
+}
+
 /// Returns whether the process will end before the job can be expected to. The job would be cut if it were
 /// accepted.
 fn ends_after_stop(state: &NodeState, job: &EntryJob) -> bool {
     let chain = critical_path(&job.request.steps, |_, step| step.estimate);
     let expected = chain.mul_f64(job.rule.stretch) + job.rule.goal;
-    state
-        .stop_deadline
-        .get()
-        .is_some_and(|limit| state.now() + expected > limit)
+    let now = state.now();
+    let Some(limit) = state.stop_deadline.get() else {
+        return false;
+    };
+    let ends_after = now + expected > limit;
+    if ends_after {
+        let line = EventLine::new("job_ends_after_stop")
+            .text("job", job.request.id)
+            .millis("expected_ms", expected)
+            .millis("left_ms", limit.saturating_duration_since(now));
+        state.log(EventKind::Important, line);
+    }
+    ends_after
 }
 
 /// Runs a job, but answers before the process ends. A customer whose connection breaks without an answer cannot
@@ -304,18 +370,14 @@
     let cut = std::pin::pin!(state.cut_requests.notified());
     match select(run, cut).await {
         Either::Left((outcome, _)) => outcome,
-        Either::Right(_) => JobOutcome::GivenUp,
+        Either::Right(_) => {
+            let line = EventLine::new("job_cut").text("job", job.request.id);
+            state.log(EventKind::Important, line);
+            JobOutcome::GivenUp
+        }
     }
 }
 
-fn log_refusal(state: &NodeState, reason: &'static str) {
-    crate::metrics::count_refusal(&state.metrics, reason);
-    state.log(
-        EventKind::Important,
-        EventLine::new("request_refused").text("reason", reason),
-    );
-}
-
 fn host_of(request: &Request) -> &str {
     let host = request
         .headers()
@@ -366,12 +428,12 @@
     waits.map(|waits| waits.min(MAX_DEADLINE))
 }
 
-async fn read_body(mut payload: Payload, limits: RequestLimits) -> Result<Vec<u8>, StatusCode> {
+async fn read_body(mut payload: Payload, limits: RequestLimits) -> Result<Vec<u8>, InvalidRequest> {
     let mut body = Vec::new();
     while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| StatusCode::BAD_REQUEST)?;
+        let chunk = chunk.map_err(|_| InvalidRequest::BodyBroken)?;
         if body.len() + chunk.len() > limits.body_bytes {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+            return Err(InvalidRequest::BodyTooLarge);
         }
         body.extend_from_slice(&chunk);
     }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -15,7 +15,7 @@
 use model::{Mechanism, PlacementPolicy, ReturnPolicy};
 use peer::JobCall;
 use pool::{divide_step, order_pools, PoolCandidate};
-use telemetry::EventLine;
+use telemetry::{EventKind, EventLine};
 use tokio::time::{sleep, timeout};
 
 pub(crate) use offer_round::OfferOutcome;
@@ -136,7 +136,7 @@
         offers.extend(more);
     }
     if is_held_up(state, job) {
-        return owner::NOT_SERVING;
+        return refuse_held_up(state, job);
     }
     match divide_job(state, &job.request, offers) {
         Some(parts) => run_parts(state, job, &parts).await,
@@ -176,6 +176,15 @@
     pause::notice(state) != job.pauses
 }
 
+/// Returns the refusal of a job that was held up, and logs it. Nothing of the job runs: what was submitted before the
+/// pause has been refused.
+fn refuse_held_up(state: &NodeState, job: &EntryJob) -> JobOutcome {
+    let line = EventLine::new("job_held_up").text("job", job.request.id);
+    let waited = state.now().saturating_duration_since(job.arrived);
+    state.log(EventKind::Important, line.millis("waited_ms", waited));
+    owner::NOT_SERVING
+}
+
 /// Waits for a pool to get an owner while the process is new.
 ///
 /// When all processes restart at once under load, the customers whose requests were interrupted retry at that moment.
@@ -390,7 +399,7 @@
     part: Option<StepSpec>,
 ) -> Option<JobOutcome> {
     if is_held_up(state, job) {
-        return Some(owner::NOT_SERVING);
+        return Some(refuse_held_up(state, job));
     }
     let now = state.now();
     let time_left = job.deadline.saturating_duration_since(now);
--- a/crates/node/src/entry/offer_round.rs
+++ b/crates/node/src/entry/offer_round.rs
@@ -17,11 +17,11 @@
 
 use super::{
     can_divide, collect_offers, divide_job, eligible_pools, fits_whole_job, is_held_up,
-    later_refusal, no_pool_refusal, pool_candidate, run_parts, submit_before_deadline,
-    EligiblePool, EntryJob, JobPart, PartOffer, BUSY_LINK_SHARE, MAX_OFFER_POOLS,
-    NO_OWNER_RETRY_AFTER, OFFER_CAPACITY_FACTOR,
+    later_refusal, no_pool_refusal, pool_candidate, refuse_held_up, run_parts,
+    submit_before_deadline, EligiblePool, EntryJob, JobPart, PartOffer, BUSY_LINK_SHARE,
+    MAX_OFFER_POOLS, NO_OWNER_RETRY_AFTER, OFFER_CAPACITY_FACTOR,
 };
-use crate::{metrics, owner, state::NodeState};
+use crate::{metrics, state::NodeState};
 
 text_enum! {
     /// Why pools are asked for offers.
@@ -100,7 +100,7 @@
     let outcome = decide(state, job, &answers);
     log_round(state, job, &answers, outcome);
     if outcome == OfferOutcome::HeldUp {
-        return owner::NOT_SERVING;
+        return refuse_held_up(state, job);
     }
     // At most one pool of this data centre and one of another get the whole job. An offer reserves its capacity for
     // some milliseconds only, so a third attempt would most likely be refused too.
@@ -119,7 +119,7 @@
         }
     }
     if is_held_up(state, job) {
-        return owner::NOT_SERVING;
+        return refuse_held_up(state, job);
     }
     let answered: Vec<PoolId> = answers.offers.iter().map(|o| o.pool.clone()).collect();
     if let Some(parts) = divide_job(state, &job.request, answers.offers) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 mod pool_port;
 mod process;
 mod ready;
+mod request_lines;
 mod run_time_news;
 mod state;
 mod traffic;
--- a/crates/node/tests/pauses.rs
+++ b/crates/node/tests/pauses.rs
@@ -106,6 +106,8 @@
     let log = entry.log_lines();
     let runs: usize = platform.workers.iter().map(|w| w.runs().len()).sum();
     assert_eq!((status, runs), (503, 0), "{log}");
+    let named = r#""event":"job_held_up","job":"5c0e7a21d94b3702""#;
+    assert!(log.contains(named), "the refusal has no line: {log}");
 }
 
 /// Guards against refusing new customers for longer than it takes to read what waited.
