cairnctl explain lists a job's attempts and runs and warns of overlaps

Three new tests with logs of two nodes: an overlap, an end that is in no log, and attempts one after the other without a warning.

--- a/crates/cairnctl/src/explain_logs.rs
+++ b/crates/cairnctl/src/explain_logs.rs
@@ -6,7 +6,10 @@
 use eyre::{eyre, WrapErr as _};
 use serde_json::{json, Value};
 
-use crate::render::{cell, table, OutputFormat};
+use crate::{
+    job_history::{history_text, JobHistory},
+    render::{cell, table, OutputFormat},
+};
 
 /// How long before and after a job's own lines context events are included, in milliseconds. Heartbeats, leases and
 /// worker probes all act within a second.
@@ -17,10 +20,13 @@
     "claim_answered",
     "configuration_taken",
     "link_lost",
+    "link_silent",
+    "log_lines_dropped",
     "owner_changed",
     "peer_silent",
     "pool_released",
     "pool_taken",
+    "pool_yielded",
     "process_paused",
     "process_started",
     "process_stopping",
@@ -49,21 +55,38 @@
 }
 
 /// One event line of a log.
-struct LogLine {
-    node: String,
-    at_ms: u64,
-    value: Value,
+pub(crate) struct LogLine {
+    pub(crate) node: String,
+    pub(crate) at_ms: u64,
+    pub(crate) value: Value,
 }
 
 impl LogLine {
-    fn text(&self, name: &str) -> &str {
+    pub(crate) fn text(&self, name: &str) -> &str {
         self.value[name].as_str().unwrap_or_default()
     }
 
-    fn event(&self) -> &str {
+    pub(crate) fn event(&self) -> &str {
         self.text("event")
     }
 
+    /// A time field, rounded to whole milliseconds.
+    pub(crate) fn millis(&self, name: &str) -> Option<u64> {
+        // The cast saturates.
+        self.value[name]
+            .as_f64()
+            .map(|millis| millis.round() as u64)
+    }
+
+    /// The texts of the fields that the line has.
+    pub(crate) fn described(&self, names: &[&str]) -> String {
+        let texts = names.iter().map(|name| self.text(name));
+        texts
+            .filter(|text| !text.is_empty())
+            .collect::<Vec<_>>()
+            .join(" ")
+    }
+
     fn belongs_to(&self, job: &str) -> bool {
         let task = self.text("task");
         self.text("job") == job || task.split('.').next() == Some(job)
@@ -78,7 +101,7 @@
 ) -> Result<String, CommandError> {
     let lines = read_all(files)?;
     let selected = match query {
-        LogQuery::Job(job) => job_events(&lines, job)?,
+        LogQuery::Job(job) => return explain_job(&lines, job, output_format),
         LogQuery::Slowest(count) => {
             let mut answered_jobs = answered_jobs(&lines, |_| true);
             answered_jobs.sort_by(|a, b| duration_ms(b).total_cmp(&duration_ms(a)));
@@ -92,6 +115,23 @@
     Ok(output_format.render(&value, events_text))
 }
 
+/// Renders the events of a job, then its attempts and runs over all nodes, and warnings.
+fn explain_job(
+    lines: &[LogLine],
+    job: &str,
+    output_format: OutputFormat,
+) -> Result<String, CommandError> {
+    let events = job_events(lines, job)?;
+    let begin_ms = events.first().map_or(0, |line| line.at_ms);
+    let own = events.iter().filter(|line| line.belongs_to(job));
+    let own: Vec<&LogLine> = own.copied().collect();
+    let mut value = JobHistory::new(&own).to_json();
+    value["events"] = events.iter().map(|line| to_json(line)).collect();
+    Ok(output_format.render(&value, |value| {
+        events_text(&value["events"]) + &history_text(value, begin_ms)
+    }))
+}
+
 fn read_all(files: &[PathBuf]) -> Result<Vec<LogLine>, CommandError> {
     let mut lines = Vec::new();
     for file in files {
--- a/crates/cairnctl/src/main.rs
+++ b/crates/cairnctl/src/main.rs
@@ -6,6 +6,7 @@
 mod demonstration;
 mod explain;
 mod explain_logs;
+mod job_history;
 mod load_run;
 mod options;
 mod render;
--- a/crates/cairnctl/tests/explain_logs.rs
+++ b/crates/cairnctl/tests/explain_logs.rs
@@ -67,3 +67,66 @@
     }
     assert_snapshot!(texts);
 }
+
+fn explain_two_runs(job: &str, files: &[&str]) -> String {
+    let address = closed_address();
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs");
+    let paths: Vec<String> = files
+        .iter()
+        .map(|file| format!("{folder}/{file}.log"))
+        .collect();
+    let mut args = vec!["explain"];
+    for path in &paths {
+        args.extend(["--logs", path]);
+    }
+    args.push(job);
+    output_text(&run(address, &args, ""), address)
+}
+
+/// Guards against two runs of a task at the same time that an operator overlooks among the lines of several nodes: the
+/// first attempt at the job was still open when its customer came back at another node.
+#[test]
+fn two_runs_of_a_task_at_once_are_pointed_out() {
+    let both = ["two-runs-vm-1", "two-runs-vm-2"];
+    let text = explain_two_runs("00000000000000c1", &both);
+    let warnings = text.lines().filter(|line| line.starts_with("warning: "));
+    assert_eq!(warnings.count(), 2, "{text}");
+    assert_snapshot!(text);
+}
+
+/// Guards against a run whose end is in no log and that is taken for over.
+#[test]
+fn a_run_without_an_end_counts_as_running() {
+    let lines = include_str!("logs/two-runs-vm-1.log").lines();
+    let lines = lines.filter(|line| !line.contains("run_ended"));
+    let folder = std::env::temp_dir().join(format!("cairnctl-no-end-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("vm-1.log");
+    std::fs::write(&path, lines.collect::<Vec<_>>().join("\n")).unwrap();
+    let other = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/two-runs-vm-2.log");
+    let address = closed_address();
+    let args = [
+        "explain",
+        "--logs",
+        path.to_str().unwrap(),
+        "--logs",
+        other,
+        "00000000000000c1",
+    ];
+    let text = output_text(&run(address, &args, ""), address);
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(
+        text.contains("run 501 on i-1 (placed by vm-1) has no end in these logs"),
+        "{text}"
+    );
+}
+
+/// Guards against warnings where the attempts and runs of a job follow each other: the entry noticed the break, the run
+/// was stopped, and the next attempts came later.
+#[test]
+fn attempts_one_after_the_other_are_no_warning() {
+    let both = ["two-runs-vm-1", "two-runs-vm-2"];
+    let text = explain_two_runs("00000000000000c2", &both);
+    assert!(!text.contains("warning: "), "{text}");
+    assert_snapshot!(text);
+}
