Tests: no task of a refused job runs

A customer whose job is refused (429, 503) submits it again within a second, without the pause that keeps two attempts apart, so a refusal must be a path on which nothing of the attempt has run or will run. That was checked for evacuations and for owners that stood still, one case each, and not for kept jobs.

And a kept job whose row an unanswered write may have stored is answered with 504 and completes; the test fails if such a write counts as rejected.

--- a/crates/node/tests/kept.rs
+++ b/crates/node/tests/kept.rs
@@ -6,7 +6,7 @@
 
 use platform_stand_ins::{kept_job_body, StoreFault};
 use serde_json::json;
-use support::{post_job, send_empty, wait_for, Platform};
+use support::{post_job, send_empty, spawn_post_job, wait_for, Platform};
 use xxhash_rust::xxh3::xxh3_64;
 
 const ID: &str = "5c0e7a21d94b36f8";
@@ -65,6 +65,21 @@
     assert!(runs.iter().all(stopped), "{runs:?}");
 }
 
+/// Guards against refusing a job whose row an unanswered write has stored: it runs although its customer was told that it
+/// never will.
+#[actix_rt::test]
+async fn a_job_that_may_be_stored_is_not_refused() {
+    let platform = Platform::start(1, Duration::from_millis(50)).await;
+    let node = platform.start_node(platform.node_settings("vm-1")).await;
+    platform.store.set_fault(StoreFault::AnswersLost);
+    let answer = spawn_post_job(&node, ID, kept_job_body(1, 50));
+    actix_rt::time::sleep(Duration::from_millis(250)).await;
+    platform.store.set_fault(StoreFault::Busy);
+    assert_eq!(answer.await.unwrap().0, 504, "{}", node.log_lines());
+    platform.store.set_fault(StoreFault::None);
+    wait_for(&node, ID, "completed").await;
+}
+
 /// While the store is unavailable a job cannot be stored, so its customer is told that it was not accepted, and nothing
 /// runs. Requests for states and cancellations are refused too, since the node must not guess what the store holds.
 #[actix_rt::test]
