Deaths that something else explains count towards the bound on starts

Cause: a loss with a common cause, beside a culprit, or beside a task of a culprit's route was dropped from the other tasks. Where racks fail, or two such tasks run in one pool, most deaths under a task are explained in this way, so the bound of five deaths did not hold and the task was placed again at once.

Explained losses are kept apart and count only towards the bound: five known deaths name the task, five possible ones hold it. They still restrict no task before that and are not stored, so a next owner counts them from zero.

Measured: the two new tests fail on the code before and pass now; crash, kept and faults tests of the pool pass.

--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -14,7 +14,8 @@
 //! One death does not identify the culprit among the runs that were lost with a worker: all of them become suspects. A
 //! suspect then runs alone on a worker, so that a second death identifies it and no other task. Deaths that happen
 //! together, such as those of a rack, make no task a suspect, and neither does a silent worker that turns out to be
-//! alive.
+//! alive. A death that something else explains still counts towards the number of deaths that ends a task in any case:
+//! a task that crashes its workers does so on days with failing racks too.
 
 use std::{
     net::SocketAddr,
@@ -141,9 +142,24 @@
     /// The number of losses of which it is not known whether the task was there.
     uncertain: u32,
     last_loss: Option<Instant>,
+    /// The number of deaths that something else explains.
+    explained: u32,
+    /// The number of the other losses that something else explains. A worker that was only out of reach answers again,
+    /// which takes its loss back.
+    explained_possible: u32,
+    last_explained: Option<Instant>,
 }
 
 impl LossCounts {
+    /// The number of known deaths, whether or not something else explains them.
+    pub(crate) fn known_deaths(&self) -> u32 {
+        self.deaths + self.explained
+    }
+
+    fn is_certain_culprit(&self) -> bool {
+        self.known_deaths() >= CERTAIN_CULPRIT_DEATHS
+    }
+
     fn may_be_culprit(&self) -> bool {
         self.deaths >= CULPRIT_DEATHS || (self.deaths >= ISOLATED_CULPRIT_DEATHS && self.alone > 0)
     }
@@ -152,11 +168,19 @@
         self.deaths + self.possible + self.unconfirmed
     }
 
+    /// Whether as many workers may have died under the task as may die at most. An unconfirmed loss counts beside losses
+    /// that something else explains, since it is explained only once others are lost too.
+    fn is_exhausted(&self) -> bool {
+        let explained = self.explained + self.explained_possible;
+        let losses = match explained {
+            0 => self.deaths + self.possible,
+            _ => self.losses() + explained,
+        };
+        losses >= CERTAIN_CULPRIT_DEATHS
+    }
+
     /// How long after its last loss the task is not placed.
     fn hold(&self) -> Duration {
-        if self.deaths + self.possible >= CERTAIN_CULPRIT_DEATHS {
-            return LONGEST_HOLD;
-        }
         let doublings = self.losses().saturating_sub(ISOLATED_CULPRIT_DEATHS);
         INITIAL_HOLD * 2_u32.pow(doublings.min(MAX_HOLD_DOUBLINGS))
     }
@@ -186,13 +210,16 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashTracker {
     losses: Vec<WorkerLoss>,
+    /// The losses that something else explains, with the tasks that they do not count against: a common cause, or a culprit
+    /// beside them. They restrict no task until `CERTAIN_CULPRIT_DEATHS` workers may have died under it.
+    explained_losses: Vec<WorkerLoss>,
     /// All losses within `COMMON_CAUSE_WINDOW`, whether or not they count against a task.
     recent_losses: Vec<WorkerLoss>,
     /// The deaths that no task caused.
     death_rate: DeathRate,
     /// The number of the pool's workers when one was lost last.
     workers: usize,
-    /// Derived from `losses`.
+    /// Derived from `losses` and `explained_losses`.
     loss_counts: FastMap<TaskId, LossCounts>,
     culprits: FastSet<TaskId>,
     /// The routes of culprits, and when one was last identified.
@@ -200,9 +227,9 @@
 }
 
 impl CrashTracker {
-    /// Whether no loss counts against any task.
+    /// Whether no loss is known.
     pub(crate) fn is_empty(&self) -> bool {
-        self.losses.is_empty()
+        self.losses.is_empty() && self.explained_losses.is_empty()
     }
 
     /// The tasks against which losses count.
@@ -258,11 +285,14 @@
         instance: &InstanceId,
         born: Option<WorkerStartTime>,
     ) -> bool {
+        let stays =
+            |loss: &WorkerLoss| loss.died || loss.instance != *instance || loss.born != born;
         let known = self.losses.len();
-        self.losses
-            .retain(|loss| loss.died || loss.instance != *instance || loss.born != born);
+        let known_explained = self.explained_losses.len();
+        self.losses.retain(stays);
+        self.explained_losses.retain(stays);
         let cleared = self.losses.len() != known;
-        if cleared {
+        if cleared || self.explained_losses.len() != known_explained {
             self.recount_losses();
         }
         cleared
@@ -293,7 +323,7 @@
         if !self.loss_counts.contains_key(&task) {
             return false;
         }
-        for loss in &mut self.losses {
+        for loss in self.losses.iter_mut().chain(&mut self.explained_losses) {
             loss.tasks.retain(|lost| lost.task != task);
         }
         self.recount_losses();
@@ -302,14 +332,16 @@
 
     /// Drops losses older than `LOSS_MEMORY` that concern no open job, and routes older than `ROUTE_MEMORY`.
     pub(crate) fn prune(&mut self, now: Instant, is_open: impl Fn(JobId) -> bool) {
-        let known = self.losses.len();
-        self.losses.retain(|loss| {
+        let known = self.losses.len() + self.explained_losses.len();
+        let is_current = |loss: &WorkerLoss| {
             let recent = now < loss.lost_at + LOSS_MEMORY;
             recent || loss.tasks.iter().any(|lost| is_open(lost.task.job))
-        });
+        };
+        self.losses.retain(is_current);
+        self.explained_losses.retain(is_current);
         self.routes
             .retain(|_, identified| now < *identified + ROUTE_MEMORY);
-        if self.losses.len() != known {
+        if self.losses.len() + self.explained_losses.len() != known {
             self.recount_losses();
         }
     }
@@ -319,6 +351,10 @@
         let Some(counts) = self.loss_counts.get(&task) else {
             return TaskRestriction::None;
         };
+        let last = counts.last_loss.max(counts.last_explained);
+        if counts.is_exhausted() && last.is_some_and(|last| now < last + LONGEST_HOLD) {
+            return TaskRestriction::Hold;
+        }
         match counts.losses() {
             0 => return TaskRestriction::None,
             1 => return TaskRestriction::Alone,
@@ -345,7 +381,7 @@
     /// Notes that a lost worker has left the directory. Returns whether this changes a loss.
     pub(crate) fn record_departure(&mut self, instance: &InstanceId) -> bool {
         let mut changed = false;
-        for loss in &mut self.losses {
+        for loss in self.losses.iter_mut().chain(&mut self.explained_losses) {
             let departs = loss.instance == *instance && !loss.may_have_died();
             loss.departed |= departs;
             changed |= departs;
@@ -371,29 +407,20 @@
         deaths
     }
 
-    /// Adds a loss. There is one per incarnation of a worker; a second report of it is merged into the first.
     fn add_loss(&mut self, loss: WorkerLoss) {
-        let same =
-            |other: &&mut WorkerLoss| other.instance == loss.instance && other.born == loss.born;
-        if let Some(known) = self.losses.iter_mut().find(same) {
-            known.died |= loss.died;
-            known.departed |= loss.departed;
-            for lost in loss.tasks {
-                match known.tasks.iter_mut().find(|l| l.task == lost.task) {
-                    Some(same) => {
-                        same.was_there |= lost.was_there;
-                        same.exposure = same.exposure.max(lost.exposure);
-                    }
-                    None => known.tasks.push(lost),
-                }
-            }
-            known.was_alone &= known.tasks.len() == 1;
+        merge_loss(&mut self.losses, loss);
+    }
+
+    /// Records that something else explains a loss than these tasks.
+    fn add_explained(&mut self, loss: &WorkerLoss, tasks: Vec<LostTask>) {
+        if tasks.is_empty() {
             return;
         }
-        if self.losses.len() == MAX_LOSSES {
-            self.losses.remove(0);
-        }
-        self.losses.push(loss);
+        let loss = WorkerLoss {
+            tasks,
+            ..loss.clone()
+        };
+        merge_loss(&mut self.explained_losses, loss);
     }
 
     fn confirm_deaths_where(
@@ -402,7 +429,7 @@
         is_same_worker: impl Fn(&WorkerLoss) -> bool,
     ) -> Vec<TaskId> {
         let mut changed = false;
-        for loss in &mut self.losses {
+        for loss in self.losses.iter_mut().chain(&mut self.explained_losses) {
             let confirmed = !loss.died && is_same_worker(loss);
             loss.died |= confirmed;
             changed |= confirmed;
@@ -438,51 +465,63 @@
             .iter()
             .map(|loss| (loss.instance.clone(), loss.born))
             .collect();
-        for loss in &mut self.losses {
-            if excluded.contains(&(loss.instance.clone(), loss.born)) {
-                loss.tasks
-                    .retain(|lost| common_jobs.contains(&lost.task.job));
-            }
-        }
+        let is_excluded =
+            |loss: &WorkerLoss| excluded.contains(&(loss.instance.clone(), loss.born));
+        self.explain_losses(is_excluded, |lost| common_jobs.contains(&lost.task.job));
         true
     }
 
     /// If the worker ran tasks of routes that have had culprits lately, limits the suspects to those tasks.
-    fn narrow_to_culprit_routes(&self, mut loss: WorkerLoss) -> WorkerLoss {
+    fn narrow_to_culprit_routes(&mut self, mut loss: WorkerLoss) -> WorkerLoss {
         let known = |lost: &LostTask| lost.was_there && self.routes.contains_key(&lost.route);
-        if loss.tasks.iter().any(known) {
-            loss.tasks.retain(known);
+        let (suspects, others): (Vec<_>, Vec<_>) = loss.tasks.drain(..).partition(known);
+        if suspects.is_empty() {
+            loss.tasks = others;
+            return loss;
         }
+        self.add_explained(&loss, others);
+        loss.tasks = suspects;
         loss
     }
 
+    /// Stops counting some losses against their tasks, except against those that stay.
+    fn explain_losses(
+        &mut self,
+        is_explained: impl Fn(&WorkerLoss) -> bool,
+        stays: impl Fn(&LostTask) -> bool,
+    ) {
+        let mut losses = std::mem::take(&mut self.losses);
+        for loss in losses.iter_mut().filter(|loss| is_explained(loss)) {
+            let (tasks, others) = loss.tasks.drain(..).partition(&stays);
+            self.add_explained(loss, others);
+            loss.tasks = tasks;
+        }
+        self.losses = losses;
+    }
+
     /// Recounts the losses and returns the tasks that are newly identified as culprits.
     fn find_culprits(&mut self, now: Instant) -> Vec<TaskId> {
         self.recount_losses();
         let suspects = self.loss_counts.iter();
-        let suspects = suspects
-            .filter(|(task, counts)| counts.may_be_culprit() && !self.culprits.contains(*task));
+        let suspects = suspects.filter(|(task, _)| !self.culprits.contains(*task));
         let culprits = suspects.filter(|(task, counts)| {
-            counts.deaths >= CERTAIN_CULPRIT_DEATHS || self.has_sufficient_odds(now, **task)
+            counts.is_certain_culprit()
+                || (counts.may_be_culprit() && self.has_sufficient_odds(now, **task))
         });
         let culprits: Vec<TaskId> = culprits.map(|(task, _)| *task).collect();
         if culprits.is_empty() {
             return culprits;
         }
         self.culprits.extend(&culprits);
-        for loss in &mut self.losses {
-            let there = loss.tasks.iter().filter(|lost| lost.was_there);
-            let lost_culprits = there.filter(|lost| culprits.contains(&lost.task));
-            let routes: Vec<_> = lost_culprits.map(|lost| lost.route.clone()).collect();
-            if routes.is_empty() {
-                continue;
-            }
-            // The other tasks that were lost with a culprit did not cause that death.
-            loss.tasks.retain(|lost| culprits.contains(&lost.task));
-            for route in routes {
-                self.routes.insert(route, now);
-            }
+        let is_culprit = |lost: &LostTask| lost.was_there && culprits.contains(&lost.task);
+        for loss in &self.losses {
+            let lost_culprits = loss.tasks.iter().filter(|lost| is_culprit(lost));
+            let routes = lost_culprits.map(|lost| (lost.route.clone(), now));
+            self.routes.extend(routes);
         }
+        // The other tasks that were lost with a culprit did not cause that death.
+        let has_culprit = |loss: &WorkerLoss| loss.tasks.iter().any(is_culprit);
+        self.explain_losses(has_culprit, |lost| culprits.contains(&lost.task));
         self.recount_losses();
         culprits
     }
@@ -528,11 +567,45 @@
                 counts.last_loss = counts.last_loss.max(Some(loss.lost_at));
             }
         }
+        self.explained_losses.retain(|loss| !loss.tasks.is_empty());
+        for loss in &self.explained_losses {
+            for lost in &loss.tasks {
+                let counts = self.loss_counts.entry(lost.task).or_default();
+                let died_under_it = loss.died && lost.was_there;
+                counts.explained += u32::from(died_under_it);
+                counts.explained_possible += u32::from(!died_under_it);
+                counts.last_explained = counts.last_explained.max(Some(loss.lost_at));
+            }
+        }
         let loss_counts = &self.loss_counts;
         self.culprits.retain(|task| loss_counts.contains_key(task));
     }
 }
 
+/// Adds a loss. There is one per incarnation of a worker; a second report of it is merged into the first.
+fn merge_loss(losses: &mut Vec<WorkerLoss>, loss: WorkerLoss) {
+    let same = |other: &&mut WorkerLoss| other.instance == loss.instance && other.born == loss.born;
+    if let Some(known) = losses.iter_mut().find(same) {
+        known.died |= loss.died;
+        known.departed |= loss.departed;
+        for lost in loss.tasks {
+            match known.tasks.iter_mut().find(|l| l.task == lost.task) {
+                Some(same) => {
+                    same.was_there |= lost.was_there;
+                    same.exposure = same.exposure.max(lost.exposure);
+                }
+                None => known.tasks.push(lost),
+            }
+        }
+        known.was_alone &= known.tasks.len() == 1;
+        return;
+    }
+    if losses.len() == MAX_LOSSES {
+        losses.remove(0);
+    }
+    losses.push(loss);
+}
+
 /// The jobs that had runs on every one of the lost workers.
 fn jobs_on_all(losses: &[&WorkerLoss]) -> FastSet<JobId> {
     let Some((first, others)) = losses.split_first() else {
--- a/crates/pool/src/pool/crash_blame.rs
+++ b/crates/pool/src/pool/crash_blame.rs
@@ -15,7 +15,7 @@
 use super::{schedule::task_id, WorkerPool};
 use crate::{
     action::{PoolEvent, RunBeginning},
-    crash::{LossCounts, LostTask, TaskRestriction, WorkerCounts, WorkerLoss},
+    crash::{LostTask, TaskRestriction, WorkerCounts, WorkerLoss},
     death_rate::WorkerDeath,
     placement::can_hold,
     worker::{TrackedRun, TrackedWorker},
@@ -185,11 +185,11 @@
     /// Fails the jobs of culprit tasks: another attempt would only cost another worker.
     pub(super) fn fail_culprit_jobs(&mut self, now: Instant, culprits: Vec<TaskId>) {
         for task in culprits {
-            let LossCounts { deaths, alone, .. } = self.crashes.losses_of(task);
+            let counts = self.crashes.losses_of(task);
             self.events.push(PoolEvent::CrashCulprit {
                 task,
-                deaths,
-                alone,
+                deaths: counts.known_deaths(),
+                alone: counts.alone,
             });
             match self.is_kept(task.job) {
                 true => self.end_kept(now, task.job, KeptState::Failed),
--- a/crates/pool/tests/crash.rs
+++ b/crates/pool/tests/crash.rs
@@ -571,3 +571,51 @@
         assert!(deaths(&simulation) <= 6, "{}", deaths(&simulation));
     }
 }
+
+/// Guards against a task that is started without end because each worker that it takes down is lost together with others,
+/// which nothing it does has caused.
+#[test]
+fn a_crashing_task_whose_workers_die_together_with_others_is_started_three_times_more_at_most() {
+    for returns in [CrashReturn::SameId, CrashReturn::NewAddress] {
+        let mut simulation = kept_simulation(3, 12, returns);
+        let job = JobId(1);
+        simulation.make_crashing(job, 0.5);
+        simulation.submit_sized(1, job, vec![300.0], 300.0, HALF_WORKER);
+        let mut others = 2..;
+        let mut known_deaths = 0;
+        for _ in 0..60_000 {
+            if simulation.running() < 8 {
+                let other = JobId(others.next().unwrap());
+                simulation.submit_sized(1, other, vec![2_000.0], 2_000.0, HALF_WORKER);
+            }
+            simulation.run_for(1);
+            if deaths(&simulation) == known_deaths {
+                continue;
+            }
+            known_deaths = deaths(&simulation);
+            let busy = simulation.workers.iter().filter(|(_, w)| w.run_count() > 0);
+            let busy: Vec<InstanceId> = busy.map(|(instance, _)| instance.clone()).collect();
+            for instance in busy.iter().take(2) {
+                simulation.crash(instance);
+            }
+        }
+        assert!(common_cause_losses(&simulation) > 0, "{returns:?}");
+        assert!(known_deaths >= 3, "{returns:?}: {known_deaths}");
+    }
+}
+
+/// Guards against tasks that are started without end because they crash their workers together, so that each explains the
+/// deaths under the others.
+#[test]
+fn tasks_that_crash_their_workers_together_are_started_three_times_more_at_most() {
+    for returns in [CrashReturn::SameId, CrashReturn::NewAddress] {
+        for seed in 0..6 {
+            let mut simulation = kept_simulation(seed, 12, returns);
+            for id in 1..5 {
+                simulation.make_crashing(JobId(id), 0.5);
+                simulation.submit_sized(1, JobId(id), vec![300.0], 300.0, HALF_WORKER);
+            }
+            simulation.run_for(60_000);
+        }
+    }
+}
