A poll that was sent late does not show that a run was there when its worker died

Cause: a poll whose connection breaks was taken for one that had waited at the worker since the last listing. After a silent worker has answered, the pause of 150 ms between polls goes on, so a run may end there unheard; if the worker then dies before the next poll arrives, that poll breaks off too, and the loss counted as a death under the task. The same holds for a poll that the next incarnation answers.

A loss now counts as a death only if the poll was sent at once after the last listing or the placement of the run. Otherwise the task may have been there, which restricts it and names no culprit.

--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -19,7 +19,7 @@
     job::WaitingTask,
     kept::STORING_POLL_PAUSE,
     run_progress::next_check,
-    worker::{PollMiss, QueuedOrder, RunPhase, TrackedRun, TrackedWorker},
+    worker::{MissedPoll, PollMiss, QueuedOrder, RunPhase, TrackedRun, TrackedWorker},
     worker_watch::WATCH_POLL_WAIT,
 };
 
@@ -159,7 +159,9 @@
             }
         }
         worker.missed_polls += 1;
-        worker.first_miss.get_or_insert(miss);
+        worker
+            .first_miss
+            .get_or_insert(MissedPoll { kind: miss, sent });
         if !worker.is_silent() {
             return;
         }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -64,13 +64,20 @@
 /// How a poll went unanswered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PollMiss {
-    /// Its connection broke while it waited at the worker. An ended run would have answered it, so what ran at the last
-    /// listing ran until the connection broke.
+    /// Its connection broke. An ended run would have answered it while it waited at the worker, so if it was sent at once
+    /// after the last listing, what ran then ran until the connection broke.
     Broken,
     /// It got no answer in time, so runs may have ended unheard since the last listing.
     Silent,
 }
 
+/// A poll that went unanswered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct MissedPoll {
+    pub(crate) kind: PollMiss,
+    pub(crate) sent: Instant,
+}
+
 /// A run that occupies capacity of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct TrackedRun {
@@ -204,6 +211,8 @@
     pub(crate) answered_poll_sent: Option<Instant>,
     /// When the worker sent the last listing, or somewhat later: an estimate.
     listed_at: Option<Instant>,
+    /// When the last listing arrived.
+    listing_arrived: Option<Instant>,
     /// The worker's clock in the newest listing.
     pub(crate) listed_clock: WorkerClock,
     /// No poll is sent before this time.
@@ -214,8 +223,8 @@
     pub(crate) watch: Option<WorkerWatch>,
     /// The number of successive polls without an answer.
     pub(crate) missed_polls: u32,
-    /// How the first of them went unanswered, which is the first sign that the worker may have died.
-    pub(crate) first_miss: Option<PollMiss>,
+    /// The first of them, which is the first sign that the worker may have died.
+    pub(crate) first_miss: Option<MissedPoll>,
     /// The number of the last ended run that the owner has processed.
     pub(crate) last_seen_end: u64,
     /// The number of the last ended run that a poll has acknowledged.
@@ -248,6 +257,10 @@
 /// new runs and lease renewals until the next answer.
 pub(crate) const MISSED_POLLS_TO_SILENCE: u32 = 2;
 
+/// The longest time between a listing, or the placement of a run, and the poll that counts as following at once. It
+/// covers the time until a call that was decided on is sent.
+const MAX_POLL_GAP: Duration = Duration::from_millis(10);
+
 /// The maximum number of polls of one worker in flight: two in a row are seldom lost.
 const MAX_POLLS_IN_FLIGHT: usize = 2;
 
@@ -273,6 +286,7 @@
             last_poll_sent: now,
             answered_poll_sent: None,
             listed_at: None,
+            listing_arrived: None,
             listed_clock: WorkerClock(0),
             polls_paused_until: None,
             shortest_answer: None,
@@ -443,6 +457,7 @@
         let expected = self.min_clock_now(owner_millis).unwrap_or(clock);
         let waited = Duration::from_millis(expected.0.saturating_sub(clock.0));
         self.listed_at = Some(now.checked_sub(waited).unwrap_or(now));
+        self.listing_arrived = Some(now);
         if fence == self.fence {
             self.fence_unconfirmed = false;
         }
@@ -487,12 +502,15 @@
 
     /// Whether a run is known to have been there when the worker died, if it has died in this incarnation.
     pub(crate) fn had_until_death(&self, run: &TrackedRun) -> bool {
-        let heard_until_death = match self.first_miss {
-            Some(PollMiss::Broken) => true,
-            Some(PollMiss::Silent) => false,
+        let poll_sent = match self.first_miss {
+            Some(missed) => Some(missed.sent).filter(|_| missed.kind == PollMiss::Broken),
             // The next answer after a listing shows the death, unless another poll is still without an answer.
-            None => self.polls_in_flight == 0,
+            None => Some(self.last_poll_sent).filter(|_| self.polls_in_flight == 0),
         };
+        // Between two polls a run may end unheard.
+        let known_until = self.listing_arrived.max(Some(run.placed_at));
+        let heard_until_death =
+            poll_sent.is_some_and(|sent| known_until.is_some_and(|at| sent <= at + MAX_POLL_GAP));
         let begun = run.beginning == RunBeginning::Begun && run.stop_acked_at.is_none();
         begun && heard_until_death
     }
--- a/crates/pool/tests/crash.rs
+++ b/crates/pool/tests/crash.rs
@@ -619,3 +619,40 @@
         }
     }
 }
+
+/// Guards against a job shown as failed under which one worker crashed: its next run ended while the pool waited to poll
+/// the worker again, and the worker crashed before that poll arrived.
+#[test]
+fn a_worker_that_crashes_after_an_end_between_two_polls_is_no_death_under_its_task() {
+    let job = JobId(7);
+    let mut unheard_ends = 0;
+    for restart_time in 20..90 {
+        for pause in [1, 20, 40, 60, 80] {
+            let mut simulation = kept_simulation(1, 1, CrashReturn::SameId);
+            simulation.restart_time = restart_time;
+            simulation.breaks_polls_at_start = true;
+            simulation.submit_sized(1, job, vec![70.0], 70.0, WHOLE_WORKER);
+            let instance = wait_for_run(&mut simulation, job).unwrap();
+            simulation.run_for(20);
+            simulation.restart_worker(&instance);
+            wait_for_run(&mut simulation, job).unwrap();
+            while simulation.running() > 0 {
+                simulation.run_for(1);
+            }
+            simulation.run_for(pause);
+            if state(&simulation, job) == Some(KeptState::Completed) {
+                continue;
+            }
+            unheard_ends += 1;
+            simulation.restart_worker(&instance);
+            simulation.run_for(3_000);
+            let completed = Some(KeptState::Completed);
+            assert_eq!(
+                state(&simulation, job),
+                completed,
+                "{restart_time}, {pause}"
+            );
+        }
+    }
+    assert!(unheard_ends > 0);
+}
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -180,6 +180,8 @@
     resize_in_flight: bool,
     /// How long a worker takes to restart, in milliseconds.
     pub(crate) restart_time: u64,
+    /// Whether polls that arrive while a worker restarts break off once it has started, rather than go unanswered.
+    pub(crate) breaks_polls_at_start: bool,
     /// Until when the owner's process is frozen, in simulated milliseconds.
     owner_frozen_until: u64,
 }
@@ -319,6 +321,7 @@
             kept_returns: Vec::new(),
             resize_in_flight: false,
             restart_time: 0,
+            breaks_polls_at_start: false,
             owner_frozen_until: 0,
         };
         simulation.pool.load_kept(origin, empty_snapshot(origin));
@@ -1186,6 +1189,14 @@
             .get_mut(&order.instance)
             .filter(|w| !w.fault.silent && call >= w.first_call && now >= w.starting_until)
         else {
+            if self.breaks_polls_at_start && self.is_starting(&order.instance) {
+                let left = self.workers[&order.instance].starting_until - now;
+                let none = Err(CallFailure::NoAnswer);
+                self.post(
+                    left + ONE_WAY_MS,
+                    Event::PollAnswer(call, order, sent, none),
+                );
+            }
             return;
         };
         if order.fence.0 < worker.fence {
