Soak: no two incarnations of a worker have the same start time

Cause, by the logs: worker i-6 restarts twice at 2.171 s, as the fifth and sixth restart of the seed, and the sixth gets the start time with which i-6 had first started. The owner notices no new incarnation, acknowledges the ends of the former one, and the worker lists none of its own: each run is not_there. Owners cannot tell such incarnations apart, and real workers have distinct start times.

New instances now get even multiples of 100 ms and restarts odd ones.

--- a/crates/soak/src/fleet/workers.rs
+++ b/crates/soak/src/fleet/workers.rs
@@ -27,6 +27,10 @@
 /// between.
 const START_JUMP_MS: u64 = 60_000;
 
+/// The time between two start times. New instances get even multiples of it and restarts odd ones, since an owner cannot
+/// tell two incarnations with one start time apart. A worker that crashes under a task adds 1 ms to its own.
+const START_STEP_MS: u64 = 100;
+
 /// The current instance of a worker. Its replacement is a new instance under another id.
 #[derive(Default)]
 pub(super) struct WorkerInstance {
@@ -87,7 +91,8 @@
             } else {
                 START_JUMP_MS
             };
-            stand_in.restart(FIRST_START_MS + self.restart_count + jump_ms);
+            let step_count = 2 * self.restart_count + 1;
+            stand_in.restart(FIRST_START_MS + step_count * START_STEP_MS + jump_ms);
         }
     }
 
@@ -130,7 +135,7 @@
             run_time: Duration::from_millis(RUN_TIMES_MS[worker % RUN_TIMES_MS.len()]),
             initial_clock_ms: 400_000 + 10_000 * number as u64,
             clock_rate: CLOCK_RATES[number % CLOCK_RATES.len()],
-            born: Some(FIRST_START_MS + number as u64),
+            born: Some(FIRST_START_MS + 2 * number as u64 * START_STEP_MS),
             trap: self.trap.clone(),
         };
         let stand_in = WorkerStandIn::start(plan).await;
