A loss that something else explains counts only if the task was there

It had five losses with a common cause or unknown beginning.

Losses with a common cause now count towards the bound of five only if the task is known to have been there. The test of the bound uses jobs that are not kept as others: ends of kept jobs hold polls back, and a death after such a gap is not known to have hit the task.

--- a/crates/pool/src/crash.rs
+++ b/crates/pool/src/crash.rs
@@ -144,8 +144,8 @@
     last_loss: Option<Instant>,
     /// The number of deaths that something else explains.
     explained: u32,
-    /// The number of the other losses that something else explains. A worker that was only out of reach answers again,
-    /// which takes its loss back.
+    /// The number of the other losses that something else explains and in which the task was there. A worker that was
+    /// only out of reach answers again, which takes its loss back.
     explained_possible: u32,
     last_explained: Option<Instant>,
 }
@@ -569,11 +569,12 @@
         }
         self.explained_losses.retain(|loss| !loss.tasks.is_empty());
         for loss in &self.explained_losses {
-            for lost in &loss.tasks {
+            // A task that may not even have been there, and a death that something else explains, hold nothing back: such a
+            // task would wait in vain where workers restart often.
+            for lost in loss.tasks.iter().filter(|lost| lost.was_there) {
                 let counts = self.loss_counts.entry(lost.task).or_default();
-                let died_under_it = loss.died && lost.was_there;
-                counts.explained += u32::from(died_under_it);
-                counts.explained_possible += u32::from(!died_under_it);
+                counts.explained += u32::from(loss.died);
+                counts.explained_possible += u32::from(!loss.died);
                 counts.last_explained = counts.last_explained.max(Some(loss.lost_at));
             }
         }
--- a/crates/pool/tests/crash.rs
+++ b/crates/pool/tests/crash.rs
@@ -581,6 +581,8 @@
         let job = JobId(1);
         simulation.make_crashing(job, 0.5);
         simulation.submit_sized(1, job, vec![300.0], 300.0, HALF_WORKER);
+        // Ends of kept jobs hold polls back, and a death between two polls is none that is known.
+        simulation.submits_kept = false;
         let mut others = 2..;
         let mut known_deaths = 0;
         for _ in 0..60_000 {
