Soak: customers that outlast their run no longer panic

A customer of a kept job that is still under way when its run is checked writes to the record of that run. The checks now take a copy.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -242,7 +242,7 @@
     }
 
     fn report(mut self, dir: &Path) -> Result<SoakReport, SoakError> {
-        let mut record = self.record.take();
+        let mut record = self.record.borrow().clone();
         record.runs = self.fleet.take_runs();
         record.stops = std::mem::take(&mut self.fleet.stops);
         record.ended = self.fleet.now();
