--- a/crates/jobs/src/ids.rs
+++ b/crates/jobs/src/ids.rs
@@ -125,6 +125,19 @@
     FenceToken
 );
 
+number_id!(
+    /// One attempt at a job: the entry draws it at random for each request that submits the job. The parts of a job that is
+    /// divided among pools share it.
+    JobAttemptId
+);
+
+impl JobAttemptId {
+    /// Whether two processes mean the same attempt. An attempt whose id is not known is not the same as any other.
+    pub fn is_same(first: Option<Self>, second: Option<Self>) -> bool {
+        first.is_some() && first == second
+    }
+}
+
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/crates/jobs/src/kept.rs
+++ b/crates/jobs/src/kept.rs
@@ -220,6 +220,8 @@
             waited: Duration::ZERO,
             firm: false,
             origin: None,
+            retry_in: None,
+            attempt_id: None,
         }
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,8 +15,8 @@
     demand::{CpuMillis, MemoryMegabytes, ResourceDemand},
     freshness::TableFreshness,
     ids::{
-        FenceToken, InstanceId, InvalidJobId, InvalidPoolId, JobId, PoolId, RunNumber, ServiceId,
-        TaskId,
+        FenceToken, InstanceId, InvalidJobId, InvalidPoolId, JobAttemptId, JobId, PoolId,
+        RunNumber, ServiceId, TaskId,
     },
     kept::{KeptRow, KeptState, StepRecord, TaskDeath},
     request::{
--- a/crates/jobs/src/request.rs
+++ b/crates/jobs/src/request.rs
@@ -5,7 +5,7 @@
 use model::{text_enum, DataCentreId, UnknownVariant};
 use serde::{Deserialize, Serialize};
 
-use crate::{JobId, ResourceDemand, ServiceId};
+use crate::{JobAttemptId, JobId, ResourceDemand, ServiceId};
 
 /// The text that a task's worker gets. It is passed on without being parsed.
 pub type TaskText = Arc<str>;
@@ -115,6 +115,12 @@
     pub firm: bool,
     /// The data centre whose entry sent the job. None stands for the data centre of the pool's owner.
     pub origin: Option<DataCentreId>,
+    /// The time before which the customer does not submit the job again, even if its connection has broken unheard. None
+    /// from older processes.
+    pub retry_in: Option<Duration>,
+    /// The attempt, which the parts of a divided job share. None from older processes, and for jobs that were read from the
+    /// store.
+    pub attempt_id: Option<JobAttemptId>,
 }
 
 text_enum! {
--- a/crates/kernel/src/pause.rs
+++ b/crates/kernel/src/pause.rs
@@ -23,6 +23,8 @@
 pub struct PauseMonitor {
     threshold: Duration,
     last_tick: Duration,
+    /// The tick before the last one.
+    earlier_tick: Duration,
     count: PauseCount,
     /// The ticks, with an empty accept queue, after which all that waited in sockets has been read.
     reading_ticks: u32,
@@ -34,6 +36,7 @@
         Self {
             threshold,
             last_tick: now,
+            earlier_tick: now,
             count: PauseCount::default(),
             reading_ticks: 0,
         }
@@ -53,6 +56,7 @@
 
     /// Records a tick. `is_draining` tells whether the accept queue has not been found empty since the last pause.
     pub fn tick(&mut self, now: Duration, is_draining: bool) {
+        self.earlier_tick = self.last_tick;
         self.last_tick = self.last_tick.max(now);
         if !is_draining {
             self.reading_ticks = self.reading_ticks.saturating_sub(1);
@@ -70,6 +74,13 @@
         self.reading_ticks > 0 || self.since_tick(now) > self.threshold
     }
 
+    /// The longest time for which what is read now may have waited in its socket or in the accept queue, if the process has
+    /// not paused: the time since the tick before the last one. What a connection that was accepted after a late tick has
+    /// sent may be read only after that tick.
+    pub fn longest_unread(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.earlier_tick)
+    }
+
     /// The time since the last tick, or since a pause was noticed after it.
     pub fn since_tick(&self, now: Duration) -> Duration {
         now.saturating_sub(self.last_tick)
--- a/crates/kernel/tests/pause.rs
+++ b/crates/kernel/tests/pause.rs
@@ -43,3 +43,17 @@
         assert_eq!(monitor.has_paused(clock.since_boot()), paused);
     }
 }
+
+/// Guards against taking a request for new that came over a connection which was accepted just after a late tick.
+#[test]
+fn what_waited_during_a_late_tick_is_old_until_the_next_one() {
+    let clock = ManualClock::default();
+    let mut monitor = PauseMonitor::new(THRESHOLD, clock.since_boot());
+    let (late, usual) = (Duration::from_millis(400), Duration::from_millis(20));
+    clock.advance(late);
+    monitor.tick(clock.since_boot(), false);
+    assert_eq!(monitor.longest_unread(clock.since_boot()), late);
+    clock.advance(usual);
+    monitor.tick(clock.since_boot(), false);
+    assert_eq!(monitor.longest_unread(clock.since_boot()), usual);
+}
--- a/crates/node/src/customer_server.rs
+++ b/crates/node/src/customer_server.rs
@@ -15,8 +15,8 @@
     StreamExt as _,
 };
 use jobs::{
-    critical_path, JobId, JobOutcome, RefusalKind, RequestLimits, RouteRule, RouteTable,
-    UnsupportedNeed,
+    critical_path, JobAttemptId, JobId, JobOutcome, RefusalKind, RequestLimits, RouteRule,
+    RouteTable, UnsupportedNeed,
 };
 use kernel::PauseCount;
 use model::Mechanism;
@@ -111,13 +111,16 @@
     since_tick: Duration,
     /// How many pauses of this process had been noticed by then.
     pauses: PauseCount,
+    /// A time that is not after the customer sent the last byte that was read.
+    sent_after: Instant,
 }
 
 async fn route_request(state: &Rc<NodeState>, mut request: Request) -> Response<BoxBody> {
-    let arrival = ArrivalMark {
+    let mut arrival = ArrivalMark {
         at: state.now(),
         since_tick: state.since_last_tick(),
         pauses: pause::notice(state),
+        sent_after: oldest_unread(state),
     };
     let target = RequestTarget {
         method: request.method().clone(),
@@ -170,12 +173,19 @@
         Ok(body) => body,
         Err(cause) => return invalid(state, &target, cause),
     };
+    arrival.sent_after = oldest_unread(state);
     state
         .traffic
         .record_received(TrafficKind::Customers, body.len());
     submit(state, id, rule, &body, arrival, stated_deadline).await
 }
 
+/// When the oldest bytes that are read now may have been sent.
+fn oldest_unread(state: &NodeState) -> Instant {
+    let now = state.now();
+    now.checked_sub(state.longest_unread()).unwrap_or(now)
+}
+
 /// Answers a request that no process would take.
 fn invalid(state: &NodeState, target: &RequestTarget, cause: InvalidRequest) -> Response<BoxBody> {
     let status = match cause {
@@ -295,6 +305,9 @@
         pauses: arrival.pauses,
         age,
         deadline,
+        sent_after: arrival.sent_after,
+        // In the protocol, 0 means that the id is not stated.
+        attempt_id: JobAttemptId(state.rng.borrow_mut().u64(1..)),
     };
     let refused = |kind| JobOutcome::Refused {
         kind,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -10,7 +10,9 @@
 
 use claims::OwnerView;
 use futures::{future::LocalBoxFuture, stream::FuturesUnordered, FutureExt as _, StreamExt as _};
-use jobs::{JobOutcome, JobRequest, JobTerms, PoolId, RefusalKind, RouteRule, StepSpec};
+use jobs::{
+    JobAttemptId, JobOutcome, JobRequest, JobTerms, PoolId, RefusalKind, RouteRule, StepSpec,
+};
 use kernel::PauseCount;
 use model::{Mechanism, PlacementPolicy, ReturnPolicy};
 use peer::JobCall;
@@ -51,6 +53,9 @@
 /// the offer requests that are sent, all pools are asked, because fewer jobs are then refused.
 const BUSY_LINK_SHARE: f64 = 0.45;
 
+/// The shortest stated time until a customer comes again: in the protocol, 0 means that it is not stated.
+const MIN_RETRY_IN: Duration = Duration::from_micros(1);
+
 /// A customer's job as it arrived.
 pub(crate) struct EntryJob {
     pub(crate) request: Arc<JobRequest>,
@@ -63,6 +68,10 @@
     pub(crate) age: Duration,
     /// When its customer stops waiting.
     pub(crate) deadline: Instant,
+    /// A time that is not after the customer sent the last byte of the request. Its connection may have broken right then.
+    pub(crate) sent_after: Instant,
+    /// Tells this attempt from others at the same job.
+    pub(crate) attempt_id: JobAttemptId,
 }
 
 /// A pool's offer: how many tasks of a job its owner could take in time. The owner states this when it refuses the
@@ -403,8 +412,11 @@
     }
     let now = state.now();
     let time_left = job.deadline.saturating_duration_since(now);
+    if is_retry_due(state, job, now) {
+        return Some(owner::NOT_SERVING);
+    }
     let call = job_call(state, job, pool, now, part);
-    let outcome = match timeout(time_left, submit_to_owner(state, pool, owner, call)).await {
+    let outcome = match timeout(time_left, submit_to_owner(state, pool, owner, now, call)).await {
         Ok(outcome) => outcome?,
         Err(_) => JobOutcome::GivenUp,
     };
@@ -515,6 +527,18 @@
     entry.1 += cpu;
 }
 
+/// The time before which the customer does not submit the job again, even if its connection has broken unheard.
+fn time_to_retry(state: &NodeState, job: &EntryJob, now: Instant) -> Duration {
+    let since_sent = now.saturating_duration_since(job.sent_after);
+    let customer_retry = state.attempt_times.customer_retry;
+    customer_retry.saturating_sub(since_sent)
+}
+
+/// Returns whether the customer may have submitted the job again, so that nothing of this attempt may begin.
+fn is_retry_due(state: &NodeState, job: &EntryJob, now: Instant) -> bool {
+    !job.request.kept && time_to_retry(state, job, now).is_zero()
+}
+
 fn job_call(
     state: &NodeState,
     job: &EntryJob,
@@ -546,23 +570,28 @@
             waited: job.age + now.saturating_duration_since(job.arrived),
             firm,
             origin: Some(state.settings.data_centre.clone()),
+            attempt_id: Some(job.attempt_id),
+            retry_in: (!job.request.kept).then(|| time_to_retry(state, job, now).max(MIN_RETRY_IN)),
         },
         sent_at: Duration::ZERO,
     }
 }
 
-/// Submits a job or a part of it to one owner. None if the job cannot have reached the owner.
+/// Submits a job or a part of it to one owner. The times of the call are those at `made_at`. None if the job cannot have
+/// reached the owner.
 async fn submit_to_owner(
     state: &Rc<NodeState>,
     pool: &PoolId,
     owner: &OwnerView,
+    made_at: Instant,
     mut call: JobCall,
 ) -> Option<JobOutcome> {
     if owner.here {
-        return Some(owner::run_locally(state.clone(), pool.clone(), call, None).await);
+        let run = owner::run_locally(state.clone(), pool.clone(), call, made_at, None);
+        return Some(run.await);
     }
     let link = state.links.get(owner.address)?;
-    call.sent_at = link.owner_clock(state.now(), owner.clock?);
+    call.sent_at = link.owner_clock(made_at, owner.clock?);
     record_sent_demand(state, pool, owner, &call);
     Some(link.run(state.now(), &call).await)
 }
--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -3,11 +3,11 @@
 use claims::ClaimEvent;
 use jobs::{FenceToken, JobOutcome, PoolId};
 use peer::JobCall;
-use pool::{PoolEvent, ShareUse};
+use pool::{AttemptLookup, PoolEvent, ShareUse};
 use telemetry::{EventKind, EventLine};
 
 use crate::{
-    metrics::{count_event, count_offer, start_answer_label},
+    metrics::{count_event, count_offer, lookup_label, start_answer_label},
     state::NodeState,
 };
 
@@ -383,6 +383,32 @@
                 line.number("stopped_runs", *stopped as u64),
             )
         }
+        PoolEvent::EarlierRuns { job } => (
+            EventKind::Important,
+            EventLine::new("job_has_earlier_runs").text("job", job),
+        ),
+        PoolEvent::AttemptsLookedUp { job, lookup, left } => {
+            let kind = match lookup {
+                AttemptLookup::Clear => EventKind::Routine,
+                AttemptLookup::Until(_) | AttemptLookup::Unknown => EventKind::Important,
+            };
+            let found = lookup_label(lookup);
+            let line = EventLine::new("attempts_looked_up").text("job", job);
+            (kind, line.text("found", found).millis("left_ms", *left))
+        }
+        PoolEvent::AttemptRegistered {
+            job,
+            registered,
+            left,
+        } => {
+            let kind = match registered {
+                true => EventKind::Routine,
+                false => EventKind::Important,
+            };
+            let line = EventLine::new("attempt_registered").text("job", job);
+            let line = line.text("registered", registered);
+            (kind, line.millis("left_ms", *left))
+        }
         PoolEvent::AttemptOver { job, took } => {
             let line = EventLine::new("attempt_over").text("job", job);
             (EventKind::Important, line.millis("after_ms", *took))
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -130,6 +130,7 @@
         };
         match answer {
             Ok(page) => {
+                state.attempts.record_clock(state.now(), page.clock);
                 if let Some(failures) = progress.failures.take() {
                     log_store_regained(&state, table, failures.since);
                 }
@@ -169,7 +170,8 @@
         | StoreTable::MovedJobs
         | StoreTable::Jobs
         | StoreTable::EndedJobs
-        | StoreTable::PendingJobs => state.store.begin_feed(table).await,
+        | StoreTable::PendingJobs
+        | StoreTable::Attempts => state.store.begin_feed(table).await,
         // All rows of these tables are in the unnamed partition.
         StoreTable::Operator | StoreTable::Workers | StoreTable::Members | StoreTable::Claims => {
             let all = state.store.read_partition(table, "").await?;
@@ -257,7 +259,8 @@
         | StoreTable::EndedJobs
         | StoreTable::CancelledJobs
         | StoreTable::MovedJobs
-        | StoreTable::PendingJobs => CANCELLED_JOBS_READ_INTERVAL,
+        | StoreTable::PendingJobs
+        | StoreTable::Attempts => CANCELLED_JOBS_READ_INTERVAL,
     };
     actix_rt::time::sleep(gap).await;
 }
@@ -327,7 +330,10 @@
         StoreTable::CancelledJobs => apply_cancelled(state, page),
         StoreTable::MovedJobs => kept_jobs::apply_moved(state, page),
         // These tables are read by row or by part and have no feed.
-        StoreTable::Jobs | StoreTable::EndedJobs | StoreTable::PendingJobs => (),
+        StoreTable::Jobs
+        | StoreTable::EndedJobs
+        | StoreTable::PendingJobs
+        | StoreTable::Attempts => (),
     }
 }
 
--- a/crates/node/src/kept_jobs.rs
+++ b/crates/node/src/kept_jobs.rs
@@ -71,6 +71,11 @@
     partition_name(partition_number(job))
 }
 
+/// The names of all partitions.
+pub(crate) fn partition_names() -> impl Iterator<Item = String> {
+    (0..PARTITION_COUNT).map(partition_name)
+}
+
 fn partition_number(job: JobId) -> u64 {
     xxh3_64(&job.0.to_be_bytes()) % PARTITION_COUNT
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! wake-ups. The decisions are made in `pool` and `claims`, which do no I/O; this crate carries their inputs and
 //! outputs.
 
+mod attempts;
 mod connections;
 mod customer_server;
 mod directory;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,7 +1,9 @@
 //! The metrics of a node.
 
 use jobs::{EndCause, JobOutcome, RefusalKind};
-use pool::{CallFailure, PoolEvent, RunLoss, StallEvidence, StartAnswer, SuspensionCause};
+use pool::{
+    AttemptLookup, CallFailure, PoolEvent, RunLoss, StallEvidence, StartAnswer, SuspensionCause,
+};
 use telemetry::{
     CounterFamily, NodeMetrics, TelemetryError, TimeFamily, TrafficCounters, TrafficKind,
 };
@@ -23,6 +25,8 @@
 const EVACUATIONS: &str = "node_evacuations_total";
 const OFFER_ROUNDS: &str = "node_offer_rounds_total";
 const OFFERS: &str = "node_offers_total";
+const LOOKUPS: &str = "node_attempt_lookups_total";
+const REGISTRATIONS: &str = "node_attempt_registrations_total";
 const CALLS: &str = "node_traffic_calls_total";
 const SENT_BYTES: &str = "node_traffic_sent_bytes_total";
 const RECEIVED_BYTES: &str = "node_traffic_received_bytes_total";
@@ -148,6 +152,18 @@
             "fits",
             vec!["whole", "part", "none"],
         ),
+        family(
+            LOOKUPS,
+            "Lookups of other attempts at jobs that may outlast their customers' pause, by what was found",
+            "found",
+            vec!["none", "runs", "unknown"],
+        ),
+        family(
+            REGISTRATIONS,
+            "Registrations of attempts in the store, by whether they hold",
+            "outcome",
+            vec!["registered", "failed"],
+        ),
         family(
             CALLS,
             "Calls, datagrams and customers' requests, by what they are for; between entries and owners none are counted",
@@ -284,6 +300,16 @@
         PoolEvent::CrashCleared { .. } => metrics.count(CRASHES, "cleared"),
         PoolEvent::CrashCulprit { .. } => metrics.count(CRASHES, "culprit"),
         PoolEvent::RunStalled { evidence, .. } => metrics.count(STALLS, evidence.as_str()),
+        PoolEvent::AttemptsLookedUp { lookup, .. } => {
+            metrics.count(LOOKUPS, lookup_label(lookup));
+        }
+        PoolEvent::AttemptRegistered { registered, .. } => {
+            let outcome = match registered {
+                true => "registered",
+                false => "failed",
+            };
+            metrics.count(REGISTRATIONS, outcome);
+        }
         PoolEvent::WorkerSuspended { cause, .. } => metrics.count(SUSPENSIONS, cause.as_str()),
         _ => (),
     }
@@ -323,6 +349,15 @@
     metrics.count(LIST_SOURCES, source.as_str());
 }
 
+/// Returns the text of what a lookup of other attempts found, for logs and metrics.
+pub(crate) fn lookup_label(lookup: &AttemptLookup) -> &'static str {
+    match lookup {
+        AttemptLookup::Clear => "none",
+        AttemptLookup::Until(_) => "runs",
+        AttemptLookup::Unknown => "unknown",
+    }
+}
+
 /// Returns the text of an answer to a start, for logs and metrics.
 pub(crate) fn start_answer_label(answer: StartAnswer) -> &'static str {
     match answer {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -20,7 +20,10 @@
 use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 
 use crate::{
-    event_lines, kept_jobs, pause, pool_port::LeaseWatch, run_time_news, state::NodeState,
+    attempts, event_lines, kept_jobs, pause,
+    pool_port::{aged_call, LeaseWatch},
+    run_time_news,
+    state::NodeState,
 };
 
 /// The most workers of a pool that are probed before it is claimed. One that accepts a connection suffices; three
@@ -120,6 +123,11 @@
                     end,
                 ));
             }
+            PoolAction::FindAttempts { job, attempt } => {
+                attempts::find(state, id, fence, job, attempt);
+            }
+            PoolAction::RegisterAttempt(order) => attempts::register(state, id, fence, order),
+            PoolAction::RemoveRegistrations(job) => state.attempts.end_job(id, job),
             action => send_worker_call(state, id, fence, action),
         }
     }
@@ -183,7 +191,10 @@
             PoolAction::Answer { .. }
             | PoolAction::ReleasePool
             | PoolAction::WriteKeptJob(_)
-            | PoolAction::StoreForeignEnd(_) => (),
+            | PoolAction::StoreForeignEnd(_)
+            | PoolAction::FindAttempts { .. }
+            | PoolAction::RegisterAttempt(_)
+            | PoolAction::RemoveRegistrations(_) => (),
         }
     });
 }
@@ -208,6 +219,7 @@
     let Some(owned) = state.pools.borrow_mut().remove(id) else {
         return;
     };
+    state.attempts.forget_pool(id);
     let line = EventLine::new("pool_released")
         .text("pool", id)
         .number("fence", owned.pool.fence().0)
@@ -525,6 +537,7 @@
     match answer {
         Ok(TransactionOutcome::Committed { version, clock }) => {
             line = line.text("outcome", "won").number("fence", version.0);
+            state.attempts.record_clock(state.now(), clock);
             apply_claim(state, pool, row, version, clock);
         }
         Ok(TransactionOutcome::Conflict) => line = line.text("outcome", "conflict"),
@@ -565,11 +578,13 @@
     }
 }
 
-/// Runs a job in a pool that this node owns. `watch` tells until when the attempt of another node's entry may run.
+/// Runs a job in a pool that this node owns. The times of the call are those at `made_at`. `watch` tells until when the
+/// attempt of another node's entry may run.
 pub(crate) async fn run_locally(
     state: Rc<NodeState>,
     id: PoolId,
-    call: JobCall,
+    mut call: JobCall,
+    made_at: Instant,
     watch: Option<LeaseWatch>,
 ) -> JobOutcome {
     let waiter = WaiterId(state.next_waiter_id.get());
@@ -596,9 +611,10 @@
         waiter,
         answered: false,
     };
-    let terms = with_origin(&state, call.terms);
-    let request = call.request;
+    call.terms = with_origin(&state, call.terms);
     with_pool(&state, &id, |pool, now| {
+        let JobCall { request, terms, .. } =
+            aged_call(call, now.saturating_duration_since(made_at));
         pool.submit(now, waiter, request, terms)
     });
     let outcome = receiver.await.unwrap_or(JobOutcome::GivenUp);
--- a/crates/node/src/pool_port.rs
+++ b/crates/node/src/pool_port.rs
@@ -7,13 +7,13 @@
 
 use claims::NodeId;
 use futures::future::{select, Either, LocalBoxFuture};
-use jobs::{JobId, JobOutcome};
+use jobs::{JobAttemptId, JobId, JobOutcome, PoolId};
 use peer::{JobCall, PoolService};
-use pool::{AttemptLease, LeaseTerm};
+use pool::{AttemptLease, AttemptPresence, LeaseTerm};
 use telemetry::{EventKind, EventLine};
 use tokio::time::timeout;
 
-use crate::{metrics, owner, state::NodeState};
+use crate::{attempts, metrics, owner, state::NodeState};
 
 /// The service that this node provides to an entry on one connection.
 pub(crate) struct PoolPort {
@@ -55,6 +55,10 @@
         now
     }
 
+    fn presence(&self, job: JobId, attempt: Option<JobAttemptId>, pool: PoolId) -> AttemptPresence {
+        attempts::presence_here(&self.state, job, attempt, &pool)
+    }
+
     fn run(&self, call: JobCall) -> LocalBoxFuture<'static, JobOutcome> {
         let state = self.state.clone();
         let age = state.clock.since_boot().saturating_sub(call.sent_at);
@@ -75,13 +79,15 @@
             job: call.request.id,
             entry: call.entry.clone(),
         };
-        Box::pin(attempt.run(aged_call(call, age)))
+        Box::pin(attempt.run(call))
     }
 }
 
 /// Counts the time for which a call was under way as part of its customer's wait.
-fn aged_call(mut call: JobCall, age: Duration) -> JobCall {
+pub(crate) fn aged_call(mut call: JobCall, age: Duration) -> JobCall {
     call.terms.time_left = call.terms.time_left.saturating_sub(age);
+    let retry_in = call.terms.retry_in;
+    call.terms.retry_in = retry_in.map(|time| time.saturating_sub(age));
     call.terms.waited = call.terms.waited.saturating_add(age);
     call
 }
@@ -112,7 +118,11 @@
     /// Runs the job until it ends or its lease is over. The end of the lease cancels the job and stops its runs.
     async fn run(self, call: JobCall) -> JobOutcome {
         let watch = Some(self.watch.clone());
-        let run = owner::run_locally(self.state.clone(), call.pool.clone(), call, watch);
+        // Read anew: the process may have stood still since the call was read.
+        let made_at = self.state.now();
+        let age = self.state.clock.since_boot().saturating_sub(call.sent_at);
+        let call = aged_call(call, age);
+        let run = owner::run_locally(self.state.clone(), call.pool.clone(), call, made_at, watch);
         let run = std::pin::pin!(run);
         let lease_end = std::pin::pin!(self.wait_for_lease_end());
         match select(run, lease_end).await {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -25,6 +25,7 @@
 };
 
 use crate::{
+    attempts::{self, AttemptRegistry},
     customer_server,
     directory::WorkerDirectory,
     feeds, groups, kept_jobs,
@@ -210,6 +211,7 @@
     let attempt_times = attempt_times.ok_or(NodeError::RetryTooShort)?;
     let pool_settings = PoolSettings {
         lease: attempt_times.worker_lease,
+        customer_retry: attempt_times.customer_retry,
         policies: settings.load,
         switched_off: settings.switched_off.iter().copied().collect(),
         ..PoolSettings::default()
@@ -258,6 +260,7 @@
         job_writes: RefCell::default(),
         has_kept_jobs: Cell::new(false),
         rng: RefCell::new(fastrand::Rng::new()),
+        attempts: AttemptRegistry::default(),
         links: OwnerLinks::default(),
         late_tick: Notify::new(),
         log: RefCell::new(log),
@@ -285,6 +288,8 @@
         actix_rt::spawn(run_ticks(state.clone(), heartbeats)),
         actix_rt::spawn(groups::maintain_groups(state.clone())),
         actix_rt::spawn(kept_jobs::maintain_pools(state.clone())),
+        actix_rt::spawn(attempts::remove_registrations(state.clone())),
+        actix_rt::spawn(attempts::sweep_registrations(state.clone())),
         actix_rt::spawn(peers::receive_heartbeats(state.clone(), socket)),
         actix_rt::spawn(serve_entries(state.clone(), peers)),
         actix_rt::spawn(log_server_failure(
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -19,8 +19,9 @@
 use tokio::sync::Notify;
 
 use crate::{
-    directory::WorkerDirectory, kept_jobs::JobWriteQueue, list_schedule::ListSource,
-    owner::OwnedPool, peers::OwnerLinks, run_time_news::RunTimeNews, traffic::LinkUse,
+    attempts::AttemptRegistry, directory::WorkerDirectory, kept_jobs::JobWriteQueue,
+    list_schedule::ListSource, owner::OwnedPool, peers::OwnerLinks, run_time_news::RunTimeNews,
+    traffic::LinkUse,
 };
 
 /// The state that the modules of a node share.
@@ -64,6 +65,8 @@
     /// Whether this process has ever seen a kept job. Until then it does no work for kept jobs.
     pub(crate) has_kept_jobs: Cell<bool>,
     pub(crate) rng: RefCell<fastrand::Rng>,
+    /// The attempts that this process has registered in the store.
+    pub(crate) attempts: AttemptRegistry,
     pub(crate) links: OwnerLinks,
     /// Notified when a tick was late. The machine may have been suspended, in which timers stand still.
     pub(crate) late_tick: Notify,
@@ -133,6 +136,12 @@
         self.pauses.borrow().since_tick(now)
     }
 
+    /// Returns the longest time for which what is read now may have waited in this process's sockets.
+    pub(crate) fn longest_unread(&self) -> Duration {
+        let now = self.clock.since_boot();
+        self.pauses.borrow().longest_unread(now)
+    }
+
     /// Returns whether the pool is being handed over: its jobs finish here, and new jobs go to its next owner.
     pub(crate) fn is_handing_over(&self, pool: &PoolId) -> bool {
         let yielding = self.yielding_pool.borrow();
--- a/crates/node/tests/late_refusals.rs
+++ b/crates/node/tests/late_refusals.rs
@@ -11,9 +11,10 @@
     future::{ready, LocalBoxFuture},
     FutureExt as _,
 };
-use jobs::{JobOutcome, RefusalKind};
+use jobs::{JobAttemptId, JobId, JobOutcome, PoolId, RefusalKind};
 use kernel::{ClockSource, SystemClock};
 use peer::{serve_pool, JobCall, PoolService};
+use pool::AttemptPresence;
 use settings::NodeSettings;
 use support::{job, spawn_post_job, Platform};
 use telemetry::TrafficCounters;
@@ -29,6 +30,10 @@
 struct LateOwner(Duration);
 
 impl PoolService for LateOwner {
+    fn presence(&self, _: JobId, _: Option<JobAttemptId>, _: PoolId) -> AttemptPresence {
+        AttemptPresence::Unknown
+    }
+
     fn run(&self, _call: JobCall) -> LocalBoxFuture<'static, JobOutcome> {
         let refused = JobOutcome::Refused {
             kind: RefusalKind::Evacuated,
--- a/crates/node/tests/parts.rs
+++ b/crates/node/tests/parts.rs
@@ -11,9 +11,10 @@
     future::{pending, ready, LocalBoxFuture},
     FutureExt as _,
 };
-use jobs::{JobOutcome, RefusalKind};
+use jobs::{JobAttemptId, JobId, JobOutcome, PoolId, RefusalKind};
 use kernel::{ClockSource, SystemClock};
 use peer::{serve_pool, JobCall, PoolService};
+use pool::AttemptPresence;
 use support::{job, post_job, Platform};
 use telemetry::TrafficCounters;
 
@@ -57,6 +58,10 @@
 }
 
 impl PoolService for PartOwner {
+    fn presence(&self, _: JobId, _: Option<JobAttemptId>, _: PoolId) -> AttemptPresence {
+        AttemptPresence::Unknown
+    }
+
     fn run(&self, call: JobCall) -> LocalBoxFuture<'static, JobOutcome> {
         if call.request.task_count() == u64::from(TASKS) {
             return refusal(self.fits());
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -255,6 +255,8 @@
             waited: Duration::ZERO,
             firm: false,
             origin: None,
+            retry_in: None,
+            attempt_id: None,
         },
         sent_at,
     }
--- a/crates/peer/schema/pool.capnp
+++ b/crates/peer/schema/pool.capnp
@@ -57,6 +57,10 @@
   # The receiver's time since boot when the call was sent, or less: what the sender knows from the receiver's heartbeats.
   originDataCentre @16 :Text;
   # The data centre of the process that sends the job. Empty from older processes, and then the receiver's own.
+  retryInMicros @17 :UInt64;
+  # The time before which the customer does not submit the job again. 0 from older processes.
+  attemptId @18 :UInt64;
+  # The attempt at the job, which its parts share. 0 from older processes.
 }
 
 struct Outcome {
@@ -79,6 +83,13 @@
   # The number of tasks that would have ended in time.
 }
 
+enum Presence {
+  # Whether pools may have runs of a job.
+  unknown @0;
+  absent @1;
+  present @2;
+}
+
 interface PoolPort {
   run @0 (job :Job) -> (outcome :Outcome);
   # Runs a job to its end.
@@ -87,6 +98,9 @@
   renew @2 (sentAtMicros :UInt64) -> (clockMicros :UInt64);
   # Confirms all calls of `run` that are open on this connection. Both times are of the receiver's clock since boot: the
   # time of sending, as in a job, and the present time.
+  presence @3 (job :UInt64, pool :Text, attemptId :UInt64) -> (presence :Presence);
+  # Returns whether any pool of the receiver may have runs of another attempt at a job. Unknown if the receiver does not
+  # own the given pool. An `attemptId` of 0, as older processes send, is no attempt's, so that all attempts count.
 }
 
 struct PoolNews {
--- a/crates/peer/src/pool_capnp.rs
+++ b/crates/peer/src/pool_capnp.rs
@@ -655,11 +655,19 @@
         pub fn has_origin_data_centre(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_retry_in_micros(self) -> u64 {
+            self.reader.get_data_field::<u64>(8)
+        }
+        #[inline]
+        pub fn get_attempt_id(self) -> u64 {
+            self.reader.get_data_field::<u64>(9)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 10, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -901,6 +909,22 @@
         pub fn has_origin_data_centre(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_retry_in_micros(self) -> u64 {
+            self.builder.get_data_field::<u64>(8)
+        }
+        #[inline]
+        pub fn set_retry_in_micros(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(8, value);
+        }
+        #[inline]
+        pub fn get_attempt_id(self) -> u64 {
+            self.builder.get_data_field::<u64>(9)
+        }
+        #[inline]
+        pub fn set_attempt_id(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(9, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -912,142 +936,156 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 283] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 315] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(22, 6, 88, 73, 87, 18, 233, 177),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 10, 0),
             ::capnp::word(97, 89, 227, 244, 162, 200, 183, 209),
             ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 47, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 74, 111, 98, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 128, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 129, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1196,6 +1234,24 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 116, 114, 121, 73, 110, 77),
+            ::capnp::word(105, 99, 114, 111, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 116, 116, 101, 109, 112, 116, 73),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1216,6 +1272,8 @@
                 14 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                17 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                18 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1229,9 +1287,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,1,13,9,0,14,16,12,6,5,15,4,3,8,2,10,11];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[18,7,1,13,9,0,14,16,12,6,17,5,15,4,3,8,2,10,11];
         pub(crate) const TYPE_ID: u64 = 0xb1e9_1257_4958_0616;
     }
 }
@@ -1859,6 +1917,76 @@
     }
 }
 
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    Unknown = 0,
+    Absent = 1,
+    Present = 2,
+}
+
+impl ::capnp::introspect::Introspect for Presence {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&presence::ARENA, presence::get_annotation_types)).into() }
+}
+impl ::core::convert::From<Presence> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Presence) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&presence::ARENA, presence::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for Presence {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <Presence as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Unknown),
+            1 => ::core::result::Result::Ok(Self::Absent),
+            2 => ::core::result::Result::Ok(Self::Present),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Presence> for u16 {
+    #[inline]
+    fn from(x: Presence) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for Presence {
+    const TYPE_ID: u64 = 0xf696_4332_a83f_d130u64;
+}
+mod presence {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 29] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(48, 209, 63, 168, 50, 67, 150, 246),
+    ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(97, 89, 227, 244, 162, 200, 183, 209),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 79, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
+    ::capnp::word(110, 112, 58, 80, 114, 101, 115, 101),
+    ::capnp::word(110, 99, 101, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
+    ::capnp::word(97, 98, 115, 101, 110, 116, 0, 0),
+    ::capnp::word(112, 114, 101, 115, 101, 110, 116, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 
 pub mod pool_port {
     #![allow(unused_variables)]
@@ -1868,6 +1996,8 @@
     pub type OfferResults<> = ::capnp::capability::Results<crate::pool_capnp::pool_port::offer_results::Owned>;
     pub type RenewParams<> = ::capnp::capability::Params<crate::pool_capnp::pool_port::renew_params::Owned>;
     pub type RenewResults<> = ::capnp::capability::Results<crate::pool_capnp::pool_port::renew_results::Owned>;
+    pub type PresenceParams<> = ::capnp::capability::Params<crate::pool_capnp::pool_port::presence_params::Owned>;
+    pub type PresenceResults<> = ::capnp::capability::Results<crate::pool_capnp::pool_port::presence_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1926,11 +2056,15 @@
         pub fn renew_request(&self) -> ::capnp::capability::Request<crate::pool_capnp::pool_port::renew_params::Owned,crate::pool_capnp::pool_port::renew_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
+        pub fn presence_request(&self) -> ::capnp::capability::Request<crate::pool_capnp::pool_port::presence_params::Owned,crate::pool_capnp::pool_port::presence_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn run(self: ::capnp::capability::Rc<Self>, _: RunParams<>, _: RunResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method pool_port::Server::run not implemented".to_string()))) }
         fn offer(self: ::capnp::capability::Rc<Self>, _: OfferParams<>, _: OfferResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method pool_port::Server::offer not implemented".to_string()))) }
         fn renew(self: ::capnp::capability::Rc<Self>, _: RenewParams<>, _: RenewResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method pool_port::Server::renew not implemented".to_string()))) }
+        fn presence(self: ::capnp::capability::Rc<Self>, _: PresenceParams<>, _: PresenceResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method pool_port::Server::presence not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1963,6 +2097,7 @@
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::run(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::offer(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::renew(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::presence(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -3191,6 +3326,468 @@
             pub(crate) const TYPE_ID: u64 = 0x8be2_0e5d_5cf8_1c64;
         }
     }
+
+    pub mod presence_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_job(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_pool(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_attempt_id(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_job(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_job(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_pool(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_pool(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_pool(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_attempt_id(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_attempt_id(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(47, 64, 106, 224, 92, 66, 225, 254),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 111, 111, 108, 80),
+                ::capnp::word(111, 114, 116, 46, 112, 114, 101, 115),
+                ::capnp::word(101, 110, 99, 101, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(106, 111, 98, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 111, 111, 108, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 116, 116, 101, 109, 112, 116, 73),
+                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) const TYPE_ID: u64 = 0xfee1_425c_e06a_402f;
+        }
+    }
+
+    pub mod presence_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_presence(self) -> ::core::result::Result<crate::pool_capnp::Presence,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_presence(self) -> ::core::result::Result<crate::pool_capnp::Presence,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn set_presence(&mut self, value: crate::pool_capnp::Presence)  {
+                self.builder.set_data_field::<u16>(0, value as u16);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(47, 216, 10, 230, 211, 36, 104, 218),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 111, 111, 108, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 111, 111, 108, 80),
+                ::capnp::word(111, 114, 116, 46, 112, 114, 101, 115),
+                ::capnp::word(101, 110, 99, 101, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 114, 101, 115, 101, 110, 99, 101),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(48, 209, 63, 168, 50, 67, 150, 246),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::pool_capnp::Presence as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xda68_24d3_e60a_d82f;
+        }
+    }
 }
 
 pub mod pool_news {
--- a/crates/peer/src/pool_link.rs
+++ b/crates/peer/src/pool_link.rs
@@ -5,15 +5,19 @@
 use capnp_rpc::{rpc_twoparty_capnp::Side, RpcSystem};
 use claims::NodeId;
 use futures::future::LocalBoxFuture;
-use jobs::{JobOutcome, JobRequest, JobTerms, PoolId};
+use jobs::{JobAttemptId, JobId, JobOutcome, JobRequest, JobTerms, PoolId};
 use kernel::serve_connections;
+use pool::AttemptPresence;
 use telemetry::TrafficCounters;
 use tokio::{net::TcpListener, task::JoinHandle};
 
 use crate::{
     link::{counted_network, dial},
     pool_capnp::pool_port,
-    pool_message::{micros, read_job, read_outcome, write_job, write_outcome},
+    pool_message::{
+        micros, read_attempt_id, read_job, read_outcome, read_pool_id, read_presence,
+        write_attempt_id, write_job, write_outcome, write_presence,
+    },
     PeerError,
 };
 
@@ -43,6 +47,10 @@
     /// Confirms the jobs that run on this connection, as of this process's time since boot `sent_at`. Returns the
     /// present time since boot.
     fn renew(&self, sent_at: Duration) -> Duration;
+
+    /// Whether any pool of this process may have runs of a job that are not of `attempt`. Unknown if this process does not
+    /// own `pool`.
+    fn presence(&self, job: JobId, attempt: Option<JobAttemptId>, pool: PoolId) -> AttemptPresence;
 }
 
 /// An open connection to a pool owner. Dropping it closes the connection.
@@ -100,6 +108,29 @@
             Ok(Duration::from_micros(micros))
         }
     }
+
+    /// Asks whether any pool of the owner may have runs of a job that are not of `attempt`. The answer is "unknown" if it
+    /// does not own `pool`.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, or the owner is an older process without this call.
+    pub fn presence(
+        &self,
+        job: JobId,
+        attempt: Option<JobAttemptId>,
+        pool: &PoolId,
+    ) -> impl Future<Output = Result<AttemptPresence, PeerError>> {
+        let mut request = self.port.presence_request();
+        request.get().set_job(job.0);
+        request.get().set_attempt_id(write_attempt_id(attempt));
+        request.get().set_pool(pool.to_string());
+        let promise = request.send().promise;
+        async move {
+            let presence = promise.await?.get()?.get_presence();
+            Ok(read_presence(presence))
+        }
+    }
 }
 
 /// Copies a job without its text, which makes up most of its bytes and is only needed by workers.
@@ -202,4 +233,21 @@
         let renewed = sent_at.map(|micros| self.0.renew(Duration::from_micros(micros)));
         std::future::ready(renewed.map(|clock| results.get().set_clock_micros(micros(clock))))
     }
+
+    fn presence(
+        self: Rc<Self>,
+        params: pool_port::PresenceParams,
+        mut results: pool_port::PresenceResults,
+    ) -> impl Future<Output = Result<(), capnp::Error>> + 'static {
+        let question = params.get().map_err(PeerError::from);
+        let presence = question.and_then(|params| {
+            let attempt = read_attempt_id(params.get_attempt_id());
+            let pool = read_pool_id(params.get_pool())?;
+            Ok(self.0.presence(JobId(params.get_job()), attempt, pool))
+        });
+        async move {
+            results.get().set_presence(write_presence(presence?));
+            Ok(())
+        }
+    }
 }
--- a/crates/peer/src/pool_message.rs
+++ b/crates/peer/src/pool_message.rs
@@ -8,14 +8,14 @@
 };
 use claims::{Heartbeat, LinkRate, ListReading, NodeDigest, NodeId, PoolNews};
 use jobs::{
-    CpuMillis, FenceToken, InstanceId, JobId, JobOutcome, JobRequest, JobTerms, MemoryMegabytes,
-    PoolId, ResourceDemand, ServiceId, StepSpec,
+    CpuMillis, FenceToken, InstanceId, JobAttemptId, JobId, JobOutcome, JobRequest, JobTerms,
+    MemoryMegabytes, PoolId, ResourceDemand, ServiceId, StepSpec,
 };
 use model::DataCentreId;
-use pool::{PoolLoad, PublishedProfile};
+use pool::{AttemptPresence, PoolLoad, PublishedProfile};
 
 use crate::{
-    pool_capnp::{heartbeat, job, outcome, step},
+    pool_capnp::{heartbeat, job, outcome, step, Presence},
     pool_link::JobCall,
     PeerError,
 };
@@ -149,6 +149,8 @@
     if let Some(origin) = &terms.origin {
         wire.set_origin_data_centre(origin.as_str());
     }
+    wire.set_retry_in_micros(terms.retry_in.map_or(0, micros));
+    wire.set_attempt_id(write_attempt_id(terms.attempt_id));
     wire.set_kept(request.kept);
     let mut steps = wire.init_steps(list_length(request.steps.len()));
     for (index, spec) in request.steps.iter().enumerate() {
@@ -195,6 +197,8 @@
         waited: Duration::from_micros(wire.get_waited_micros()),
         firm: wire.get_firm(),
         origin: read_origin(wire)?,
+        retry_in: read_retry_in(wire),
+        attempt_id: read_attempt_id(wire.get_attempt_id()),
     };
     let entry = NodeId::from(read_text(wire.get_entry())?);
     let pool = read_pool_id(wire.get_pool())?;
@@ -215,6 +219,21 @@
     read_centre_id(wire.get_origin_data_centre()).map(Some)
 }
 
+/// The time before which the customer does not submit the job again. None if the job is from an older process.
+fn read_retry_in(wire: job::Reader<'_>) -> Option<Duration> {
+    let micros = wire.get_retry_in_micros();
+    (micros > 0).then(|| Duration::from_micros(micros))
+}
+
+pub(crate) fn write_attempt_id(attempt: Option<JobAttemptId>) -> u64 {
+    attempt.map_or(0, |attempt| attempt.0)
+}
+
+/// The id of an attempt. None if it is from an older process.
+pub(crate) fn read_attempt_id(number: u64) -> Option<JobAttemptId> {
+    (number > 0).then_some(JobAttemptId(number))
+}
+
 fn read_step(wire: step::Reader<'_>) -> Result<StepSpec, PeerError> {
     let optional = |text: &str| (!text.is_empty()).then(|| Arc::from(text));
     Ok(StepSpec {
@@ -273,6 +292,23 @@
     }
 }
 
+pub(crate) fn write_presence(presence: AttemptPresence) -> Presence {
+    match presence {
+        AttemptPresence::Unknown => Presence::Unknown,
+        AttemptPresence::Absent => Presence::Absent,
+        AttemptPresence::Present => Presence::Present,
+    }
+}
+
+/// A value that this process does not know, as a newer one may send, counts as "unknown".
+pub(crate) fn read_presence(presence: Result<Presence, capnp::NotInSchema>) -> AttemptPresence {
+    match presence {
+        Ok(Presence::Absent) => AttemptPresence::Absent,
+        Ok(Presence::Present) => AttemptPresence::Present,
+        Ok(Presence::Unknown) | Err(_) => AttemptPresence::Unknown,
+    }
+}
+
 fn read_text(read: Result<capnp::text::Reader<'_>, capnp::Error>) -> Result<&str, PeerError> {
     let reader = read?;
     reader
@@ -287,7 +323,9 @@
     parsed.map_err(|e: model::InvalidId| PeerError::BadMessage(e.to_string()))
 }
 
-fn read_pool_id(read: Result<capnp::text::Reader<'_>, capnp::Error>) -> Result<PoolId, PeerError> {
+pub(crate) fn read_pool_id(
+    read: Result<capnp::text::Reader<'_>, capnp::Error>,
+) -> Result<PoolId, PeerError> {
     let parsed = read_text(read)?.parse();
     parsed.map_err(|e: jobs::InvalidPoolId| PeerError::BadMessage(e.to_string()))
 }
--- a/crates/pool/benches/admission.rs
+++ b/crates/pool/benches/admission.rs
@@ -69,6 +69,8 @@
         waited: Duration::ZERO,
         firm,
         origin: None,
+        retry_in: None,
+        attempt_id: None,
     }
 }
 
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -7,12 +7,15 @@
 };
 
 use jobs::{
-    EndCause, FenceToken, InstanceId, JobId, JobOutcome, KeptState, ResourceDemand, RunNumber,
-    TaskId, TaskText, WorkerClock, WorkerListing,
+    EndCause, FenceToken, InstanceId, JobAttemptId, JobId, JobOutcome, KeptState, ResourceDemand,
+    RunNumber, TaskId, TaskText, WorkerClock, WorkerListing,
 };
 use model::{text_enum, UnknownVariant};
 
-use crate::kept::{ForeignEnd, KeptWrite};
+use crate::{
+    attempt_exclusion::{AttemptLookup, AttemptRegistration},
+    kept::{ForeignEnd, KeptWrite},
+};
 
 /// Identifies one call of an entry that waits for a job's outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -137,6 +140,17 @@
     WriteKeptJob(KeptWrite),
     /// Add an end to the row of another pool's kept job, unless the job has ended; then call `on_foreign_end_stored`.
     StoreForeignEnd(ForeignEnd),
+    /// Find out whether runs of another attempt at a job may be left; then call `on_attempt_lookup`.
+    FindAttempts {
+        /// The job.
+        job: JobId,
+        /// The attempt whose own runs do not count. None if its id is not known.
+        attempt: Option<JobAttemptId>,
+    },
+    /// Register in the store that runs of a job may be left for a while; then call `on_attempt_registered`.
+    RegisterAttempt(AttemptRegistration),
+    /// Remove all registrations of a job from the store: its runs are over.
+    RemoveRegistrations(JobId),
     /// Send a start; its answer goes to `on_start_answer`.
     Start(StartOrder),
     /// Send a stop; its answer goes to `on_stop_answer`.
@@ -516,6 +530,29 @@
         /// The number of runs that are stopped.
         stopped: usize,
     },
+    /// A job is not taken, since runs of an earlier attempt at it may be left.
+    EarlierRuns {
+        /// The job.
+        job: JobId,
+    },
+    /// Other attempts at a job were looked up.
+    AttemptsLookedUp {
+        /// The job.
+        job: JobId,
+        /// What is known of them.
+        lookup: AttemptLookup,
+        /// How long runs of another attempt may be left.
+        left: Duration,
+    },
+    /// An attempt was registered in the store, or could not be in time.
+    AttemptRegistered {
+        /// The job.
+        job: JobId,
+        /// Whether the registration is in force.
+        registered: bool,
+        /// How long the job's runs may last now.
+        left: Duration,
+    },
     /// The last run of a job that ended before its runs is over.
     AttemptOver {
         /// The job that had ended.
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -7,7 +7,7 @@
 
 use jobs::{CpuMillis, InstanceId, JobRequest, JobTerms, StepRecord, StepSpec};
 
-use crate::{action::WaiterId, kept::KeptJobState};
+use crate::{action::WaiterId, attempt_exclusion::RunLimit, kept::KeptJobState};
 
 /// A task that waits to be placed on a worker.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -45,6 +45,8 @@
     pub(crate) steps: Vec<StepProgress>,
     /// Whether a start of any task was ever ordered. From then on the job is never reported as not run.
     pub(crate) start_ordered: bool,
+    /// Until when the job's runs may last. None for a kept job, whose row keeps its attempts apart.
+    pub(crate) run_limit: Option<RunLimit>,
     /// What is stored of the job, if it is a kept job.
     pub(crate) kept: Option<KeptJobState>,
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -14,6 +14,9 @@
 //! - no start is sent to a worker whose runs, in any phase, demand more than its capacity;
 //! - a task has at most one run record in the whole pool;
 //! - a worker's lease is not extended while it has a run of an ended attempt and has not answered the stop;
+//! - no lease lasts until the customer of one of the worker's runs may submit its job again, unless the attempt is
+//!   registered for longer;
+//! - nothing of a job that may outlast its customer's pause is placed before other attempts were looked up;
 //! - a run record is removed only when the run is certainly over or can never begin;
 //! - a job is refused only while no start of any of its tasks has been ordered;
 //! - no start is sent to a worker of an evacuated data centre;
@@ -24,6 +27,7 @@
 mod admission;
 mod answer_time;
 mod arrivals;
+mod attempt_exclusion;
 mod attempt_lease;
 mod attempt_times;
 mod crash;
@@ -39,6 +43,7 @@
 mod pool;
 mod pool_choice;
 mod queue;
+mod registration_backoff;
 mod return_bookings;
 mod returns;
 mod run_progress;
@@ -58,6 +63,7 @@
         WorkerChange,
     },
     admission::PoolLoad,
+    attempt_exclusion::{AttemptLookup, AttemptPresence, AttemptRegistration},
     attempt_lease::{AttemptLease, LeaseTerm},
     attempt_times::AttemptTimes,
     evacuation::{EvacuationChange, EvacuationSet},
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -39,6 +39,10 @@
     pub(crate) watched: bool,
     /// Workers that are being emptied for exclusive tasks.
     pub(crate) reserved: &'a [InstanceId],
+    /// The owner's clock, in milliseconds.
+    pub(crate) owner_millis: u64,
+    /// When the run has to be over on that clock.
+    pub(crate) runs_until: Option<u64>,
 }
 
 /// Whether a worker can ever hold a task of the step, whatever runs on it now.
@@ -80,6 +84,11 @@
     if !can_hold(&worker.record, request.spec, request.service) || !worker.accepts_runs() {
         return false;
     }
+    // A lease never gets shorter, so the run could last as long as the one that the worker has.
+    let runs_until = request.runs_until;
+    if runs_until.is_some_and(|limit| !worker.leases_end_by(request.owner_millis, limit)) {
+        return false;
+    }
     if worker.slowness > request.max_slowness {
         return false;
     }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -5,6 +5,7 @@
 mod crash_blame;
 mod ended_attempts;
 mod evacuating;
+mod exclusion;
 mod kept_jobs;
 mod polls;
 mod profile;
@@ -25,11 +26,12 @@
 };
 
 use jobs::{
-    critical_path, FenceToken, InstanceId, JobId, JobOutcome, JobRequest, JobTerms, RefusalKind,
-    RunNumber, WorkerRecord, WorkerState,
+    critical_path, FenceToken, InstanceId, JobAttemptId, JobId, JobOutcome, JobRequest, JobTerms,
+    RefusalKind, RunNumber, WorkerRecord, WorkerState,
 };
 use model::{FastMap, FastSet, Mechanism};
 
+use self::ended_attempts::EndedAttempt;
 use crate::{
     action::{PoolAction, PoolEvent, SuspensionCause, WaiterId, WorkerChange},
     admission::PoolLoad,
@@ -39,6 +41,7 @@
     estimate::EstimateCorrections,
     job::{StepProgress, TrackedJob, WaitingTask},
     queue::{latest_start, JobQueue, QueueEntry},
+    registration_backoff::RegistrationBackoff,
     returns::ReturnSchedule,
     settings::PoolSettings,
     shares::ClassShares,
@@ -125,8 +128,15 @@
     crashes: CrashTracker,
     /// Workers that are being emptied so that crash suspects can run alone on them.
     reserved_for_suspects: Vec<InstanceId>,
-    /// Ended jobs of which run records are left, and when each ended.
-    ended_attempts: FastMap<JobId, Instant>,
+    /// Ended jobs of which run records are left.
+    ended_attempts: FastMap<JobId, EndedAttempt>,
+    /// The number of jobs that were admitted without being kept.
+    admissions: u64,
+    /// Jobs that were registered in the store, or are about to be.
+    registered_jobs: FastSet<JobId>,
+    registration_backoff: RegistrationBackoff,
+    /// Jobs with runs on workers that have left the pool, and when these runs are over at the latest.
+    lost_runs: FastMap<JobId, Instant>,
     estimates: EstimateCorrections,
     arrivals: ArrivalStats,
     /// The shares of the classes of jobs under contention.
@@ -194,6 +204,10 @@
             crashes: CrashTracker::default(),
             reserved_for_suspects: Vec::new(),
             ended_attempts: FastMap::default(),
+            admissions: 0,
+            registered_jobs: FastSet::default(),
+            registration_backoff: RegistrationBackoff::default(),
+            lost_runs: FastMap::default(),
             estimates: EstimateCorrections::new(run_times),
             arrivals: ArrivalStats::default(),
             shares: ClassShares::default(),
@@ -287,7 +301,8 @@
         // Runs of an earlier attempt at the same job are still ending. Starting the job now would
         // run a task twice at the same time; the customer's next attempt comes after they have
         // ended.
-        if self.has_runs_of(request.id) {
+        if self.may_have_runs_of(now, request.id) {
+            self.events.push(PoolEvent::EarlierRuns { job: request.id });
             self.answer(waiter, JobOutcome::GivenUp);
             return;
         }
@@ -304,9 +319,11 @@
             self.store_new_job(now, waiter, request, terms);
             return;
         }
-        let job = self.build_job(now, Some(waiter), request, terms);
+        let mut job = self.build_job(now, Some(waiter), request, terms);
+        job.run_limit = Some(self.initial_run_limit(now, &job));
         self.jobs.insert(id, job);
         self.enqueue(now, id);
+        self.find_attempts(id);
         self.schedule(now);
     }
 
@@ -447,6 +464,7 @@
             waiters: waiter.into_iter().collect(),
             steps: steps.collect(),
             start_ordered: false,
+            run_limit: None,
             kept: None,
             request,
             terms,
@@ -490,6 +508,7 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
+        let attempt = job.terms.attempt_id;
         self.queue.remove(id);
         self.events.push(PoolEvent::JobEnded {
             job: id,
@@ -500,18 +519,19 @@
         for waiter in job.waiters {
             self.answer(waiter, outcome);
         }
-        self.stop_job_runs(now, id);
+        self.stop_job_runs(now, id, attempt);
     }
 
     fn abandon(&mut self, now: Instant, id: JobId) {
-        self.jobs.remove(&id);
+        let job = self.jobs.remove(&id);
+        let attempt = job.and_then(|job| job.terms.attempt_id);
         self.queue.remove(id);
-        let stopped = self.stop_job_runs(now, id);
+        let stopped = self.stop_job_runs(now, id, attempt);
         self.events
             .push(PoolEvent::JobAbandoned { job: id, stopped });
     }
 
-    fn stop_job_runs(&mut self, now: Instant, id: JobId) -> usize {
+    fn stop_job_runs(&mut self, now: Instant, id: JobId, attempt: Option<JobAttemptId>) -> usize {
         let mut stopped = 0;
         for worker in self.workers.values_mut() {
             let of_job = |run: &&crate::worker::TrackedRun| run.task.job == id;
@@ -525,7 +545,7 @@
                 stopped += usize::from(end_run(worker, task, run));
             }
         }
-        self.watch_ended_attempt(now, id);
+        self.watch_ended_attempt(now, id, attempt);
         if stopped > 0 {
             self.send_orders(now);
         }
@@ -552,7 +572,9 @@
             }
         }
         for instance in gone {
-            self.workers.remove(&instance);
+            if let Some(worker) = self.workers.remove(&instance) {
+                self.note_lost_runs(now, &worker.runs);
+            }
             self.report_worker_change(instance, WorkerChange::Forgotten);
             self.report_attempts_over(now);
         }
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -84,7 +84,7 @@
         let tasks = usize::try_from(request.task_count()).unwrap_or(usize::MAX);
         let delay = self.start_delay(tasks);
         let limit = objective.mul_f64(self.settings.refusal_factor);
-        let limit = limit.min(terms.waited + terms.time_left);
+        let limit = limit.min(self.latest_end(now, request, terms));
         let worth_simulating =
             self.can_be_in_time(request, terms, delay, limit) || self.has_idle_share(now);
         let simulation = match worth_simulating {
@@ -144,7 +144,7 @@
         let kind = kind?;
         let fits = match kind {
             RefusalKind::TooLate => simulation.map_or(0, |simulation| {
-                self.count_in_time(&simulation, request, terms, objective)
+                self.count_in_time(&simulation, request, terms, limit)
             }),
             _ => 0,
         };
@@ -175,6 +175,7 @@
     fn count_offered(&mut self, now: Instant, request: &JobRequest, terms: &JobTerms) -> u32 {
         let objective = self.objective(request, terms);
         let limit = objective.mul_f64(self.settings.refusal_factor);
+        let limit = limit.min(self.latest_end(now, request, terms));
         if !self.can_be_in_time(request, terms, self.start_delay(1), limit) {
             return 0;
         }
@@ -192,7 +193,7 @@
         let forecast = simulation.forecast();
         let fits = match self.is_in_time(&forecast, request.task_count(), terms, limit) {
             true => u32::try_from(request.task_count()).unwrap_or(u32::MAX),
-            false => self.count_in_time(&simulation, request, terms, objective),
+            false => self.count_in_time(&simulation, request, terms, limit),
         };
         self.record_offer(now, request, terms, fits);
         fits
@@ -248,7 +249,7 @@
         let chain = self.predict_chain(request, terms);
         let waits = forecast.end > chain.mul_f64(LATE_JOB_MAX_SLOWDOWN);
         let latest_useful = objective.mul_f64(self.settings.useless_factor * LATE_JOB_USEFUL_SHARE);
-        let latest_useful = latest_useful.min(terms.waited + terms.time_left);
+        let latest_useful = latest_useful.min(self.latest_end(now, request, terms));
         !waits && predicted <= latest_useful && self.has_idle_share(now)
     }
 
@@ -301,12 +302,11 @@
         simulation: &AdmissionSimulation,
         request: &JobRequest,
         terms: &JobTerms,
-        objective: Duration,
+        limit: Duration,
     ) -> u32 {
         let [step] = request.steps.as_slice() else {
             return 0;
         };
-        let limit = objective.mul_f64(self.settings.refusal_factor);
         let in_time = |count: u32| {
             let forecast = simulation.forecast_tasks_per_step(count as usize);
             self.is_in_time(&forecast, u64::from(count), terms, limit)
--- a/crates/pool/src/pool/answers.rs
+++ b/crates/pool/src/pool/answers.rs
@@ -179,7 +179,7 @@
             StopAnswer::Stopped(clock) => {
                 worker.update_clock(owner_millis, clock);
                 if let Some(run) = worker.run_mut(*task, *run) {
-                    run.stop_acked_at = Some(now);
+                    run.record_stop_answer(now, owner_millis);
                 }
             }
             StopAnswer::Failed(CallFailure::NewInstance) => self.forget_instance(now, instance),
--- a/crates/pool/src/pool/ended_attempts.rs
+++ b/crates/pool/src/pool/ended_attempts.rs
@@ -6,28 +6,47 @@
 
 use std::time::Instant;
 
-use jobs::JobId;
+use jobs::{JobAttemptId, JobId};
 
 use super::WorkerPool;
 use crate::action::PoolEvent;
 
+/// An attempt that has ended before its runs.
+pub(super) struct EndedAttempt {
+    /// The attempt. None if its id is not known.
+    pub(super) attempt: Option<JobAttemptId>,
+    ended: Instant,
+}
+
 impl WorkerPool {
     /// Notes that a job has ended, if runs of it are left that have to stop.
-    pub(super) fn watch_ended_attempt(&mut self, now: Instant, job: JobId) {
+    pub(super) fn watch_ended_attempt(
+        &mut self,
+        now: Instant,
+        job: JobId,
+        attempt: Option<JobAttemptId>,
+    ) {
         if self.has_runs_of(job) {
-            self.ended_attempts.insert(job, now);
+            let ended = EndedAttempt {
+                attempt,
+                ended: now,
+            };
+            self.ended_attempts.insert(job, ended);
+        } else {
+            self.remove_registrations(job);
         }
     }
 
     /// Reports an ended job whose last run record has just been removed. Runs of other jobs cost one look-up.
     pub(super) fn report_attempt_over(&mut self, now: Instant, job: JobId) {
-        let Some(ended) = self.ended_attempts.get(&job).copied() else {
+        let Some(ended) = self.ended_attempts.get(&job).map(|attempt| attempt.ended) else {
             return;
         };
         if self.has_runs_of(job) {
             return;
         }
         self.ended_attempts.remove(&job);
+        self.remove_registrations(job);
         let took = now.saturating_duration_since(ended);
         self.events.push(PoolEvent::AttemptOver { job, took });
     }
--- a/crates/pool/src/pool/kept_jobs.rs
+++ b/crates/pool/src/pool/kept_jobs.rs
@@ -77,7 +77,7 @@
         for waiter in job.waiters {
             self.answer(waiter, outcome);
         }
-        self.stop_job_runs(now, id);
+        self.stop_job_runs(now, id, job.terms.attempt_id);
         job.kept
     }
 
@@ -165,7 +165,7 @@
         kept.final_state = Some(state);
         kept.revision += 1;
         self.queue.remove(id);
-        self.stop_job_runs(now, id);
+        self.stop_job_runs(now, id, None);
         self.store_changes(id);
     }
 
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -194,6 +194,7 @@
         worker.record_listing(now, owner_millis, listing.clock, order.fence);
         let had_misses = worker.missed_polls > 0;
         let newly_answering = worker.clock.is_none() || had_misses;
+        let first_listing = worker.clock.is_none();
         worker.record_poll_time(now.saturating_duration_since(sent));
         worker.missed_polls = 0;
         worker.first_miss = None;
@@ -224,6 +225,9 @@
                 clock_offset,
             });
         }
+        if first_listing {
+            self.note_former_leases(instance);
+        }
         // A worker that left the directory and came back has no misses.
         if newly_answering {
             self.clear_crash(instance, born);
@@ -581,6 +585,7 @@
             return;
         };
         self.report_worker_change(instance.clone(), WorkerChange::TakenOver);
+        self.note_lost_runs(now, &worker.runs);
         let is_of_kept_job = |run: &TrackedRun| {
             let job = self.jobs.get(&run.task.job);
             job.is_some_and(|job| job.kept.is_some())
--- a/crates/pool/src/pool/schedule.rs
+++ b/crates/pool/src/pool/schedule.rs
@@ -28,6 +28,7 @@
     /// Runs all time-driven work: deadlines, expired leases, placement, polls and orders.
     pub fn tick(&mut self, now: Instant) {
         self.end_overdue_jobs(now);
+        self.tick_exclusions(now);
         self.tick_kept(now);
         self.end_evacuated_jobs(now);
         self.expire_silent_leases(now);
@@ -153,6 +154,8 @@
             exclusive: alone,
             watched: self.crashes.needs_watch(task_id(id, step, task.index)),
             reserved: &self.reserved_for_suspects,
+            owner_millis: self.owner_millis(now),
+            runs_until: self.runs_until(job),
         };
         choose_worker(self.workers.values(), &placement, now)
             .map(|worker| worker.record.instance.clone())
@@ -194,6 +197,7 @@
             failures: task.failures,
             exclusive: self.crashes.restriction(now, task_id) != TaskRestriction::None,
             failed_on: task.failed_on,
+            runs_until: self.runs_until(job),
         };
         self.events.push(PoolEvent::RunPlaced {
             task: task_id,
@@ -309,7 +313,9 @@
         let unkept = self.jobs.iter().filter(|(_, job)| job.kept.is_none());
         for (id, job) in unkept {
             let useless = job.arrived + job.objective.mul_f64(self.settings.useless_factor);
-            if !job.start_ordered && (now >= useless || now >= job.deadline) {
+            let limit = job.run_limit.map_or(job.deadline, |limit| limit.stop_at());
+            let deadline = job.deadline.min(limit);
+            if !job.start_ordered && (now >= useless || now >= deadline) {
                 let kind = RefusalKind::TooLate;
                 ends.push((
                     *id,
@@ -319,7 +325,7 @@
                         fits: 0,
                     },
                 ));
-            } else if now >= job.deadline {
+            } else if now >= deadline {
                 ends.push((*id, JobOutcome::GivenUp));
             }
         }
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -224,7 +224,7 @@
     /// Whether the tasks of a job may be placed if a worker has free capacity.
     pub(super) fn may_run(&self, now: Instant, job: &TrackedJob) -> bool {
         let Some(kept) = &job.kept else {
-            return true;
+            return self.may_run_attempt(now, job);
         };
         let stored = kept.version.is_some() && kept.final_state.is_none();
         let is_ours = !kept.may_have_runs && !kept.unfenced && kept.new_home.is_none();
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -61,6 +61,8 @@
     pub stall_factor: f64,
     /// Added to the time from `stall_factor`, so that short tasks are not stopped because of a late poll.
     pub stall_margin: Duration,
+    /// How long a customer waits after an attempt without an answer before it submits the job again.
+    pub customer_retry: Duration,
     /// The policies for decisions under load.
     pub policies: LoadPolicies,
     /// The mechanisms that are switched off, for experiments.
@@ -89,6 +91,7 @@
             packing_share: 0.85,
             stall_factor: 2.5,
             stall_margin: Duration::from_millis(60),
+            customer_retry: Duration::from_millis(1_300),
             policies: LoadPolicies::default(),
             switched_off: DisabledMechanisms::default(),
         }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -30,6 +30,9 @@
 /// former incarnation.
 const MAX_FORMER_INCARNATIONS: usize = 8;
 
+/// The time after an answered stop within which the run ends, in milliseconds.
+const STOP_TIME_MS: u64 = 50;
+
 /// The shortest time that a worker needs to restart after it died.
 const MIN_RESTART_TIME: Duration = Duration::from_millis(50);
 
@@ -37,6 +40,11 @@
 /// task ends within it, and it is longer than a poll, so that the run still lives when a renewal follows.
 const MIN_START_LEASE: Duration = Duration::from_millis(400);
 
+/// The shortest lease with which a start is sent while a run of the worker has to be over soon. That run is ordered to
+/// stop before, and the lease is extended again once the stop is answered.
+pub(crate) const MIN_LIMITED_LEASE: Duration = Duration::from_millis(MIN_LIMITED_LEASE_MS);
+const MIN_LIMITED_LEASE_MS: u64 = 150;
+
 /// The time that a worker has to be idle before its measured slowness decays by one step.
 const SLOWNESS_DECAY_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -123,6 +131,9 @@
     pub(crate) exclusive: bool,
     /// The workers on which the task failed before.
     pub(crate) failed_on: Vec<jobs::InstanceId>,
+    /// When the run has to be over, on the owner's clock in milliseconds: another attempt may begin then. None if it needs
+    /// no lease to be over by then.
+    pub(crate) runs_until: Option<u64>,
 }
 
 impl TrackedRun {
@@ -139,6 +150,19 @@
         }
     }
 
+    /// Records that the worker has answered a stop of the run at `owner_millis` on the owner's clock. The run still lasts
+    /// for up to [`STOP_TIME_MS`], so its limit holds on if that is later.
+    pub(crate) fn record_stop_answer(&mut self, now: Instant, owner_millis: u64) {
+        self.stop_acked_at = Some(now);
+        let ends_by = owner_millis + STOP_TIME_MS;
+        self.runs_until = self.runs_until.filter(|limit| ends_by > *limit);
+    }
+
+    /// Moves the limit of the run to a later time on the owner's clock, in milliseconds.
+    pub(crate) fn extend_limit(&mut self, limit: u64) {
+        self.runs_until = self.runs_until.map(|former| former.max(limit));
+    }
+
     /// Whether the run certainly never began, since no start of it was sent.
     pub(crate) fn is_unsent(&self) -> bool {
         self.beginning == RunBeginning::Unsent
@@ -215,6 +239,8 @@
     listing_arrived: Option<Instant>,
     /// The worker's clock in the newest listing.
     pub(crate) listed_clock: WorkerClock,
+    /// The owner's clock when that listing arrived, in milliseconds.
+    listed_at_millis: u64,
     /// No poll is sent before this time.
     pub(crate) polls_paused_until: Option<Instant>,
     /// The shortest time in which a poll was answered.
@@ -237,6 +263,8 @@
     pub(crate) unstored_ends: BTreeSet<u64>,
     /// The latest lease end that any call carried.
     pub(crate) lease_end: WorkerClock,
+    /// The latest lease end that a former owner may have granted.
+    pub(crate) former_lease_end: WorkerClock,
     pub(crate) health: WorkerHealth,
     /// The ratio of measured to predicted run times.
     pub(crate) slowness: f64,
@@ -288,6 +316,7 @@
             listed_at: None,
             listing_arrived: None,
             listed_clock: WorkerClock(0),
+            listed_at_millis: 0,
             polls_paused_until: None,
             shortest_answer: None,
             watch: None,
@@ -299,6 +328,7 @@
             listed_ends: 0,
             unstored_ends: BTreeSet::new(),
             lease_end: WorkerClock(0),
+            former_lease_end: WorkerClock(0),
             health: WorkerHealth::default(),
             slowness: 1.0,
             long_tasks: LongTaskFilter::default(),
@@ -373,6 +403,7 @@
         self.clock = None;
         self.listed_clock = WorkerClock(0);
         self.lease_end = WorkerClock(0);
+        self.former_lease_end = WorkerClock(0);
         self.last_seen_end = 0;
         self.acknowledged_end = 0;
         self.ends_listed = false;
@@ -456,6 +487,7 @@
     ) {
         let expected = self.min_clock_now(owner_millis).unwrap_or(clock);
         let waited = Duration::from_millis(expected.0.saturating_sub(clock.0));
+        self.listed_at_millis = owner_millis;
         self.listed_at = Some(now.checked_sub(waited).unwrap_or(now));
         self.listing_arrived = Some(now);
         if fence == self.fence {
@@ -540,6 +572,10 @@
         lease: Duration,
     ) -> Option<WorkerClock> {
         let end = self.min_clock_now(owner_millis)?.plus(lease);
+        let end = match self.earliest_run_limit() {
+            Some(limit) => end.min(self.clock_at(owner_millis, limit)?),
+            None => end,
+        };
         if self.is_lease_held() {
             return Some(end.min(self.lease_end));
         }
@@ -547,10 +583,40 @@
         Some(end)
     }
 
-    /// Whether what is left of a held lease is too short for a new run.
+    /// When the first of the worker's runs has to be over, on the owner's clock in milliseconds.
+    fn earliest_run_limit(&self) -> Option<u64> {
+        self.runs.iter().filter_map(|run| run.runs_until).min()
+    }
+
+    /// What the worker's clock shows at most at a later time of the owner's clock, in milliseconds, as far as a lease is
+    /// concerned: a lease up to the returned time is over by then, also on a slow clock.
+    fn clock_at(&self, owner_millis: u64, later: u64) -> Option<WorkerClock> {
+        let left = Duration::from_millis(later.saturating_sub(owner_millis));
+        let clock = self.min_clock_now(owner_millis)?;
+        Some(clock.plus(left.div_f64(1.0 + WORKER_CLOCK_DRIFT)))
+    }
+
+    /// Whether the worker has listed its runs to this owner.
+    pub(crate) fn has_listed(&self) -> bool {
+        self.answered_poll_sent.is_some()
+    }
+
+    /// Whether every lease that the worker may have is over at a time of the owner's clock, in milliseconds.
+    pub(crate) fn leases_end_by(&self, owner_millis: u64, limit: u64) -> bool {
+        let granted = self.lease_end.max(self.former_lease_end);
+        self.clock_at(owner_millis, limit)
+            .is_some_and(|clock| granted <= clock)
+    }
+
+    /// Whether what is left of a lease that cannot be extended is too short for a new run.
     pub(crate) fn lacks_start_lease(&self) -> bool {
         let needed = self.listed_clock.plus(MIN_START_LEASE);
-        self.lease_end < needed && self.is_lease_held()
+        if self.lease_end < needed && self.is_lease_held() {
+            return true;
+        }
+        let needed = self.listed_at_millis + MIN_LIMITED_LEASE_MS;
+        self.earliest_run_limit()
+            .is_some_and(|limit| limit < needed)
     }
 
     /// Whether the worker may get new runs, apart from its health.
--- a/crates/pool/tests/returns.rs
+++ b/crates/pool/tests/returns.rs
@@ -404,6 +404,8 @@
     for number in 0..37 {
         pool.submit_sized(1, JobId(REFUSED + number), vec![900.0], 900.0, 6_800);
     }
+    // The store says that no other attempt at them has runs.
+    pool.run_for(20);
     assert!(pool.results.is_empty());
     let mut told = Vec::new();
     for number in 0..REFUSED {
--- a/crates/pool/tests/start_expiry.rs
+++ b/crates/pool/tests/start_expiry.rs
@@ -12,7 +12,8 @@
     WorkerClock, WorkerListing,
 };
 use pool::{
-    PollOrder, PoolAction, PoolEvent, PoolSettings, StartAnswer, StartOrder, WaiterId, WorkerPool,
+    AttemptLookup, PollOrder, PoolAction, PoolEvent, PoolSettings, StartAnswer, StartOrder,
+    WaiterId, WorkerPool,
 };
 use support::{empty_snapshot, pool_init, worker_record, SERVICE};
 
@@ -95,10 +96,13 @@
             waited: Duration::ZERO,
             firm: false,
             origin: None,
+            retry_in: None,
+            attempt_id: None,
         };
         let at = self.at(now);
         self.pool
             .submit(at, WaiterId(id.0), Arc::new(request), terms);
+        self.pool.on_attempt_lookup(at, id, AttemptLookup::Clear);
         self.pool.tick(at);
     }
 }
--- a/crates/pool/tests/support/fleet.rs
+++ b/crates/pool/tests/support/fleet.rs
@@ -301,6 +301,8 @@
             waited: Duration::from_millis(self.now - job.arrived + 4),
             firm,
             origin: None,
+            retry_in: None,
+            attempt_id: None,
         }
     }
 
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "not every test file uses all of it")]
 
+pub(crate) mod attempts;
 pub(crate) mod crashing;
 pub(crate) mod fleet;
 mod link;
@@ -18,17 +19,18 @@
 
 use fastrand::Rng;
 use jobs::{
-    CpuMillis, EndCause, FenceToken, InstanceId, JobId, JobOutcome, JobRequest, JobTerms, KeptRow,
-    MemoryMegabytes, RefusalKind, ResourceDemand, ServiceId, StepSpec, TaskId, WorkerClock,
-    WorkerRecord, WorkerStartTime, WorkerState,
+    CpuMillis, EndCause, FenceToken, InstanceId, JobAttemptId, JobId, JobOutcome, JobRequest,
+    JobTerms, KeptRow, MemoryMegabytes, RefusalKind, ResourceDemand, ServiceId, StepSpec, TaskId,
+    WorkerClock, WorkerRecord, WorkerStartTime, WorkerState,
 };
 use model::DataCentreId;
 use pool::{
-    CallFailure, ForeignEnd, FoundJob, KeptSnapshot, KeptWrite, KeptWriteResult, PollAnswer,
-    PollOrder, PoolAction, PoolEvent, PoolInit, PoolSettings, ShareUse, StartAnswer, StartOrder,
-    StopAnswer, StopOrder, WaiterId, WorkerPool,
+    AttemptLookup, AttemptRegistration, CallFailure, ForeignEnd, FoundJob, KeptSnapshot, KeptWrite,
+    KeptWriteResult, PollAnswer, PollOrder, PoolAction, PoolEvent, PoolInit, PoolSettings,
+    ShareUse, StartAnswer, StartOrder, StopAnswer, StopOrder, WaiterId, WorkerPool,
 };
 
+use attempts::AttemptTable;
 use crashing::CrashPlan;
 use link::{SimulatedLink, ANSWER_BYTES, LISTING_BYTES, POLL_BYTES, START_BYTES, STOP_BYTES};
 use results::JobResult;
@@ -63,6 +65,10 @@
     PollAnswer(CallNumber, PollOrder, u64, PollAnswer),
     WriteRow(KeptWrite),
     StoreForeignEnd(FenceToken, ForeignEnd),
+    FindAttempts(FenceToken, JobId, Option<JobAttemptId>),
+    RegisterAttempt(FenceToken, AttemptRegistration),
+    AttemptLookup(FenceToken, JobId, AttemptLookup),
+    AttemptRegistered(FenceToken, AttemptRegistration, Option<u64>),
 }
 
 /// An event to be delivered at a simulated time. Messages of the same time are delivered in the order of their numbers.
@@ -184,6 +190,12 @@
     pub(crate) breaks_polls_at_start: bool,
     /// Until when the owner's process is frozen, in simulated milliseconds.
     owner_frozen_until: u64,
+    /// The kind and the estimate of every job ever submitted.
+    submissions: BTreeMap<JobId, (usize, f64)>,
+    /// The registered attempts in the store, which pools may share.
+    pub(crate) attempts: AttemptTable,
+    /// The attempt that the next submissions belong to. None if each is an attempt of its own.
+    pub(crate) attempt_id: Option<JobAttemptId>,
 }
 
 /// A kind of job.
@@ -323,6 +335,9 @@
             restart_time: 0,
             breaks_polls_at_start: false,
             owner_frozen_until: 0,
+            submissions: BTreeMap::new(),
+            attempts: AttemptTable::default(),
+            attempt_id: None,
         };
         simulation.pool.load_kept(origin, empty_snapshot(origin));
         for number in 0..workers {
@@ -477,6 +492,8 @@
             waited: Duration::ZERO,
             firm: false,
             origin: None,
+            retry_in: None,
+            attempt_id: None,
         };
         let at = self.instant();
         self.pool.offer(at, &request, &terms)
@@ -499,6 +516,7 @@
         // A job that its customer submits again runs again.
         self.acknowledged_done.retain(|task| task.job != id);
         self.known.insert(id, (steps.clone(), cpu));
+        self.submissions.insert(id, (kind, estimate));
         self.open.insert(
             id,
             OpenJob {
@@ -573,6 +591,9 @@
             waited: Duration::from_millis(self.waited),
             firm: self.firm,
             origin: self.sender.clone(),
+            retry_in: None,
+            // Attempts at one job begin at different times.
+            attempt_id: self.attempt_id.or(Some(JobAttemptId(self.now + 1))),
         };
         (request, terms)
     }
@@ -694,6 +715,18 @@
         worker.runs.clear();
     }
 
+    /// Another owner takes one worker under a higher fencing token, and does not reach it again: its runs go on.
+    pub(crate) fn take_worker_with_runs(&mut self, instance: &InstanceId) {
+        self.workers.get_mut(instance).unwrap().fence += 1;
+    }
+
+    /// Breaks the connections of all customers without the owner's notice, as the loss of their entries does. Returns
+    /// their jobs.
+    pub(crate) fn drop_customers(&mut self) -> Vec<JobId> {
+        let open = std::mem::take(&mut self.open);
+        open.into_keys().collect()
+    }
+
     /// Breaks a customer's connection, so that no call waits for its job any more.
     pub(crate) fn disconnect_customer(&mut self, id: JobId) {
         let at = self.instant();
@@ -859,15 +892,17 @@
         self.pool.on_store_answer(at, &order, answer);
     }
 
-    /// Submits a job again, as a customer does that got no answer. It counts as the third kind.
+    /// Submits a job again, as a customer does that got no answer.
     pub(crate) fn submit_again(&mut self, id: JobId) {
         let (steps, cpu) = self.known[&id].clone();
-        self.submit_steps(2, id, steps, 200.0, cpu);
+        let (kind, estimate) = self.submissions[&id];
+        self.submit_steps(kind, id, steps, estimate, cpu);
     }
 
     /// As [`Self::submit_again`], for a job whose last attempt was at another pool.
     pub(crate) fn submit_from(&mut self, other: &Self, id: JobId) {
         self.known.insert(id, other.known[&id].clone());
+        self.submissions.insert(id, other.submissions[&id]);
         self.submit_again(id);
     }
 
@@ -917,6 +952,19 @@
                     self.post(STORE_TIME_MS, Event::StoreForeignEnd(fence, end));
                 }
                 PoolAction::ReleasePool => self.released = true,
+                PoolAction::FindAttempts { job, attempt } => {
+                    let fence = self.pool.fence();
+                    let event = Event::FindAttempts(fence, job, attempt);
+                    self.post(STORE_TIME_MS / 2, event);
+                }
+                PoolAction::RegisterAttempt(registration) => {
+                    let fence = self.pool.fence();
+                    self.post(
+                        STORE_TIME_MS / 2,
+                        Event::RegisterAttempt(fence, registration),
+                    );
+                }
+                PoolAction::RemoveRegistrations(job) => self.attempts.remove(job),
             }
         }
     }
@@ -1002,6 +1050,12 @@
                 Event::Poll(call, order, sent) => self.handle_poll(call, order, sent),
                 Event::WriteRow(order) => self.store_row(order),
                 Event::StoreForeignEnd(fence, end) => self.store_foreign_end(fence, &end),
+                Event::FindAttempts(fence, job, attempt) => {
+                    self.look_up_attempts(fence, job, attempt);
+                }
+                Event::RegisterAttempt(fence, registration) => {
+                    self.register_attempt(fence, registration);
+                }
                 event if self.now < self.owner_frozen_until => {
                     self.post(self.owner_frozen_until - self.now, event);
                 }
@@ -1021,6 +1075,19 @@
                 }
                 return;
             }
+            Event::AttemptLookup(asked, job, lookup) => {
+                if *asked == fence {
+                    self.pool.on_attempt_lookup(at, *job, *lookup);
+                }
+                return;
+            }
+            Event::AttemptRegistered(asked, registration, until) => {
+                if *asked == fence {
+                    let until = until.map(|until| self.origin + Duration::from_millis(until));
+                    self.pool.on_attempt_registered(at, registration, until);
+                }
+                return;
+            }
             Event::StartAnswer(call, ..)
             | Event::StopAnswer(call, ..)
             | Event::PollAnswer(call, ..) => *call,
