--- a/crates/node/tests/attempts.rs
+++ b/crates/node/tests/attempts.rs
@@ -23,7 +23,7 @@
 /// An estimate of which the job may outlast the customer's pause.
 const LONG_ESTIMATE_MS: u64 = 900;
 
-/// An estimate below a quarter of the pause, so that the attempt is not registered.
+/// An estimate below 0.4 of the pause, so that the attempt is not registered.
 const SHORT_ESTIMATE_MS: u64 = 300;
 
 fn millis(millis: u64) -> Duration {
--- a/crates/pool/src/attempt_exclusion.rs
+++ b/crates/pool/src/attempt_exclusion.rs
@@ -69,9 +69,9 @@
 /// than that.
 pub(crate) const MAX_ATTEMPT_WAIT: Duration = Duration::from_millis(700);
 
-/// The part of the customers' pause from which on a job, by its customer's estimate, may outlast the pause: on a slow
-/// worker, or after a run that failed, it takes several times the estimate.
-const LONG_JOB_SHARE: f64 = 0.25;
+/// The part of the customers' pause from which on a job, by its customer's estimate, may outlast the pause: its run may take
+/// twice the estimate and wait before. Shorter jobs lose more by the wait for a lookup under overload than by the limit.
+const LONG_JOB_SHARE: f64 = 0.4;
 
 /// Whether a job may take longer than its customer's pause. All owners have to answer alike for all attempts at a job, so
 /// only what the customer has sent counts.
