Exclusion of attempts: one step limits a job's runs, one label for lookups

submit set the limit of a job's runs and then looked the job up again to decide whether to ask for other attempts; limit_runs does both. The line owners_asked repeated the texts of lookup_label; it logs the lookup now.

--- a/crates/node/src/attempts/presence.rs
+++ b/crates/node/src/attempts/presence.rs
@@ -11,7 +11,7 @@
 use telemetry::{EventKind, EventLine};
 use tokio::time::timeout;
 
-use crate::state::NodeState;
+use crate::{metrics::lookup_label, state::NodeState};
 
 /// The time within which an owner has to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
@@ -86,12 +86,13 @@
         presence_in_pool(state, job, asking),
     );
     let presence = answers.into_iter().fold(own, join_presence);
-    log_answers(state, job, owners.len(), presence, begun);
-    match presence {
+    let lookup = match presence {
         AttemptPresence::Absent => AttemptLookup::Clear,
         AttemptPresence::Present => AttemptLookup::Until(state.now() + PRESENT_ATTEMPT_TIME),
         AttemptPresence::Unknown => AttemptLookup::Unknown,
-    }
+    };
+    log_answers(state, job, owners.len(), &lookup, begun);
+    lookup
 }
 
 /// All known pools but one, with their owners.
@@ -139,19 +140,14 @@
     state: &NodeState,
     job: JobId,
     pools: usize,
-    presence: AttemptPresence,
+    lookup: &AttemptLookup,
     begun: Instant,
 ) {
-    let found = match presence {
-        AttemptPresence::Absent => "none",
-        AttemptPresence::Present => "runs",
-        AttemptPresence::Unknown => "unknown",
-    };
     let took = state.now().saturating_duration_since(begun);
     let line = EventLine::new("owners_asked")
         .text("job", job)
         .number("pools", pools as u64)
-        .text("found", found)
+        .text("found", lookup_label(lookup))
         .millis("took_ms", took);
     state.log(EventKind::Important, line);
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -320,10 +320,9 @@
             return;
         }
         let mut job = self.build_job(now, Some(waiter), request, terms);
-        job.run_limit = Some(self.initial_run_limit(now, &job));
+        self.limit_runs(now, &mut job);
         self.jobs.insert(id, job);
         self.enqueue(now, id);
-        self.find_attempts(id);
         self.schedule(now);
     }
 
--- a/crates/pool/src/pool/exclusion.rs
+++ b/crates/pool/src/pool/exclusion.rs
@@ -147,32 +147,25 @@
         is_foreign || is_lost
     }
 
-    /// Until when the runs of a job that has just been admitted may last.
-    pub(super) fn initial_run_limit(&mut self, now: Instant, job: &TrackedJob) -> RunLimit {
+    /// Limits the runs of a job that has just been admitted, and has other attempts looked up if it may outlast its
+    /// customer's pause.
+    pub(super) fn limit_runs(&mut self, now: Instant, job: &mut TrackedJob) {
         self.admissions += 1;
-        let retry_in = self.retry_in(&job.terms);
-        let is_long = may_outlast_retry(&job.request, self.settings.customer_retry);
-        RunLimit {
-            until: now + run_time_limit(retry_in),
-            state: match is_long {
-                true => ExclusionState::LookingUp,
-                false => ExclusionState::Short,
-            },
-            admission: self.admissions,
-        }
-    }
-
-    /// Has other attempts at a job looked up if it may outlast its customer's pause.
-    pub(super) fn find_attempts(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else {
-            return;
+        let state = match may_outlast_retry(&job.request, self.settings.customer_retry) {
+            true => {
+                self.actions.push(PoolAction::FindAttempts {
+                    job: job.request.id,
+                    attempt: job.terms.attempt_id,
+                });
+                ExclusionState::LookingUp
+            }
+            false => ExclusionState::Short,
         };
-        let limit = job.run_limit;
-        if limit.is_some_and(|limit| limit.state == ExclusionState::LookingUp) {
-            let attempt = job.terms.attempt_id;
-            self.actions
-                .push(PoolAction::FindAttempts { job: id, attempt });
-        }
+        job.run_limit = Some(RunLimit {
+            until: now + run_time_limit(self.retry_in(&job.terms)),
+            state,
+            admission: self.admissions,
+        });
     }
 
     fn retry_in(&self, terms: &JobTerms) -> Duration {
