Registrations are cleaned up only where there are any

The task that removes registrations woke ten times a second on every node, also on those that never register. It waits for the first registration now.

--- a/crates/node/src/attempts/cleanup.rs
+++ b/crates/node/src/attempts/cleanup.rs
@@ -33,6 +33,7 @@
 /// Removes the registrations of attempts that are over for as long as the process runs.
 pub(crate) async fn remove_registrations(state: Rc<NodeState>) {
     loop {
+        state.attempts.wait_for_rows().await;
         actix_rt::time::sleep(REMOVAL_INTERVAL).await;
         let now = state.now();
         state.attempts.forget_expired(now);
--- a/crates/node/src/attempts/registry.rs
+++ b/crates/node/src/attempts/registry.rs
@@ -9,6 +9,7 @@
 use model::{FastMap, FastSet};
 use platform::RowVersion;
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 
 use crate::state::NodeState;
 
@@ -102,6 +103,7 @@
     next_number: Cell<u64>,
     /// The rows by key.
     rows: RefCell<FastMap<String, OwnRow>>,
+    added: Notify,
 }
 
 impl AttemptRegistry {
@@ -134,9 +136,17 @@
             ended: false,
         };
         self.rows.borrow_mut().insert(key.clone(), row);
+        self.added.notify_one();
         key
     }
 
+    /// Waits until there is a registration.
+    pub(super) async fn wait_for_rows(&self) {
+        while self.rows.borrow().is_empty() {
+            self.added.notified().await;
+        }
+    }
+
     /// Records that a registration is being sent.
     pub(super) fn record_sent(&self, key: &str, until: Duration) {
         if let Some(row) = self.rows.borrow_mut().get_mut(key) {
