Tests share a worker's set-up and a single-step call

attempts and dividing each built a data centre's worker, start_expiry and unheard_breaks each a job and its terms, and three tests of unheard_breaks the same ticks. They are in the support modules or one method now.

--- a/crates/node/tests/attempts.rs
+++ b/crates/node/tests/attempts.rs
@@ -10,7 +10,7 @@
 
 use model::Mechanism;
 use node::NodeProcess;
-use platform_stand_ins::{RunRecord, StoreFault, WorkerPlan, WorkerStandIn};
+use platform_stand_ins::{RunRecord, StoreFault, WorkerStandIn};
 use serde_json::{json, Value};
 use settings::NodeSettings;
 use support::{job, post_job, spawn_post_job, Platform, HOST};
@@ -45,16 +45,7 @@
         let mut platform = Platform::start(0, run_time).await;
         let mut nodes = Vec::new();
         for centre in centres {
-            let id = format!("i-{centre}");
-            let plan = WorkerPlan {
-                id: id.clone(),
-                run_time,
-                ..WorkerPlan::default()
-            };
-            let worker = WorkerStandIn::start(plan).await;
-            let entry = worker.entry("svc", centre, "ready");
-            platform.store.put("servers", &id, &entry);
-            platform.workers.push(worker);
+            platform.add_worker(centre, run_time).await;
             let settings = NodeSettings {
                 data_centre: centre.parse().unwrap(),
                 // Runs last far longer than their estimates.
--- a/crates/node/tests/dividing.rs
+++ b/crates/node/tests/dividing.rs
@@ -5,23 +5,13 @@
 use std::time::{Duration, Instant};
 
 use node::NodeProcess;
-use platform_stand_ins::{WorkerPlan, WorkerStandIn};
 use serde_json::json;
 use settings::NodeSettings;
 use support::{job, post_job, Platform};
 
 /// Adds a data centre with a node and one worker that runs two tasks at a time.
 async fn add_centre(platform: &mut Platform, centre: &str, run_time: Duration) -> NodeProcess {
-    let id = format!("i-{centre}");
-    let plan = WorkerPlan {
-        id: id.clone(),
-        run_time,
-        ..WorkerPlan::default()
-    };
-    let worker = WorkerStandIn::start(plan).await;
-    let entry = worker.entry("svc", centre, "ready");
-    platform.store.put("servers", &id, &entry);
-    platform.workers.push(worker);
+    platform.add_worker(centre, run_time).await;
     let settings = NodeSettings {
         data_centre: centre.parse().unwrap(),
         ..platform.node_settings(&format!("vm-{centre}"))
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -66,6 +66,21 @@
         }
     }
 
+    /// Adds a data centre's worker, on which tasks take `run_time`.
+    #[allow(dead_code, reason = "not every test file has several data centres")]
+    pub(crate) async fn add_worker(&mut self, centre: &str, run_time: Duration) {
+        let id = format!("i-{centre}");
+        let plan = WorkerPlan {
+            id: id.clone(),
+            run_time,
+            ..WorkerPlan::default()
+        };
+        let worker = WorkerStandIn::start(plan).await;
+        let entry = worker.entry("svc", centre, "ready");
+        self.store.put("servers", &id, &entry);
+        self.workers.push(worker);
+    }
+
     /// Starts a node and waits until it is ready.
     #[allow(
         dead_code,
--- a/crates/pool/tests/start_expiry.rs
+++ b/crates/pool/tests/start_expiry.rs
@@ -7,15 +7,12 @@
     time::{Duration, Instant},
 };
 
-use jobs::{
-    CpuMillis, EndList, JobId, JobRequest, JobTerms, ResourceDemand, ServiceId, StepSpec,
-    WorkerClock, WorkerListing,
-};
+use jobs::{EndList, JobId, WorkerClock, WorkerListing};
 use pool::{
     AttemptLookup, PollOrder, PoolAction, PoolEvent, PoolSettings, StartAnswer, StartOrder,
     WaiterId, WorkerPool,
 };
-use support::{empty_snapshot, pool_init, worker_record, SERVICE};
+use support::{empty_snapshot, pool_init, single_step_call, worker_record};
 
 /// The worker's clock at the origin of the test's time, in milliseconds.
 const CLOCK: u64 = 10_000;
@@ -69,36 +66,8 @@
 
     /// Submits a job of tasks that each demand `cpu` thousandths of a core.
     fn submit(&mut self, now: u64, id: JobId, tasks: u32, cpu: u64) {
-        let step = StepSpec {
-            count: tasks,
-            demand: ResourceDemand {
-                cpu: CpuMillis(cpu),
-                ..ResourceDemand::default()
-            },
-            estimate: Duration::from_millis(900),
-            ..StepSpec::default()
-        };
-        let request = JobRequest {
-            id,
-            text: Arc::from("text"),
-            steps: vec![step],
-            kept: false,
-            unsupported: None,
-        };
-        let terms = JobTerms {
-            service: ServiceId::from(SERVICE),
-            route: Arc::from("route"),
-            priority: 0,
-            attempts: 3,
-            stretch: 1.6,
-            goal: Duration::from_millis(60),
-            time_left: Duration::from_secs(5),
-            waited: Duration::ZERO,
-            firm: false,
-            origin: None,
-            retry_in: None,
-            attempt_id: None,
-        };
+        let estimate = Duration::from_millis(900);
+        let (request, terms) = single_step_call(id, tasks, cpu, estimate);
         let at = self.at(now);
         self.pool
             .submit(at, WaiterId(id.0), Arc::new(request), terms);
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -1383,3 +1383,43 @@
         settings: PoolSettings::default(),
     }
 }
+
+/// A job of one step of `count` tasks, and terms with which it is in time and not refused.
+pub(crate) fn single_step_call(
+    id: JobId,
+    count: u32,
+    cpu: u64,
+    estimate: Duration,
+) -> (JobRequest, JobTerms) {
+    let step = StepSpec {
+        count,
+        demand: ResourceDemand {
+            cpu: CpuMillis(cpu),
+            ..ResourceDemand::default()
+        },
+        estimate,
+        ..StepSpec::default()
+    };
+    let request = JobRequest {
+        id,
+        text: Arc::from("text"),
+        steps: vec![step],
+        kept: false,
+        unsupported: None,
+    };
+    let terms = JobTerms {
+        service: ServiceId::from(SERVICE),
+        route: Arc::from("route"),
+        priority: 0,
+        attempts: 3,
+        stretch: 1.6,
+        goal: Duration::from_millis(60),
+        time_left: Duration::from_secs(5),
+        waited: Duration::ZERO,
+        firm: false,
+        origin: None,
+        retry_in: None,
+        attempt_id: None,
+    };
+    (request, terms)
+}
--- a/crates/pool/tests/unheard_breaks.rs
+++ b/crates/pool/tests/unheard_breaks.rs
@@ -7,15 +7,12 @@
     time::{Duration, Instant},
 };
 
-use jobs::{
-    CpuMillis, EndList, JobId, JobRequest, JobTerms, ResourceDemand, RunningRun, ServiceId,
-    StepSpec, WorkerClock, WorkerListing,
-};
+use jobs::{EndList, JobId, JobTerms, RunningRun, WorkerClock, WorkerListing};
 use pool::{
     AttemptLookup, AttemptRegistration, CallFailure, PollOrder, PoolAction, StartAnswer,
     StartOrder, StopAnswer, StopOrder, WaiterId, WorkerPool,
 };
-use support::{empty_snapshot, pool_init, worker_record, SERVICE};
+use support::{empty_snapshot, pool_init, single_step_call, worker_record};
 
 /// The worker's clock at the origin of the test's time, in milliseconds.
 const CLOCK: u64 = 10_000;
@@ -134,35 +131,14 @@
 
     /// Submits a job whose customer does not come again for `retry_ms`.
     fn submit_with_retry(&mut self, now: u64, id: JobId, estimate_ms: u64, retry_ms: u64) {
-        let step = StepSpec {
-            count: 1,
-            demand: ResourceDemand {
-                cpu: CpuMillis(6_000),
-                ..ResourceDemand::default()
-            },
-            estimate: Duration::from_millis(estimate_ms),
-            ..StepSpec::default()
-        };
-        let request = JobRequest {
-            id,
-            text: Arc::from("text"),
-            steps: vec![step],
-            kept: false,
-            unsupported: None,
-        };
+        let estimate = Duration::from_millis(estimate_ms);
+        let (request, terms) = single_step_call(id, 1, 6_000, estimate);
         let terms = JobTerms {
-            service: ServiceId::from(SERVICE),
-            route: Arc::from("route"),
-            priority: 0,
-            attempts: 3,
-            stretch: 1.6,
             goal: Duration::from_millis(2_000),
             time_left: Duration::from_secs(14),
-            waited: Duration::ZERO,
             firm: true,
-            origin: None,
             retry_in: Some(Duration::from_millis(retry_ms)),
-            attempt_id: None,
+            ..terms
         };
         let at = self.at(now);
         self.pool
@@ -170,6 +146,12 @@
         self.pool.tick(at);
     }
 
+    /// Ticks from 20 ms on, and returns the registrations that were ordered.
+    fn registrations_until(&mut self, end: u64) -> Vec<AttemptRegistration> {
+        let ticks = (20..end).step_by(20);
+        ticks.flat_map(|now| self.tick(now).registrations).collect()
+    }
+
     fn tick(&mut self, now: u64) -> Orders {
         let at = self.at(now);
         self.pool.tick(at);
@@ -199,10 +181,7 @@
     let id = JobId(1);
     pool.submit(0, id, 900);
     let start = pool.start(10, id);
-    let mut registrations = Vec::new();
-    for now in (20..1_000).step_by(20) {
-        registrations.extend(pool.tick(now).registrations);
-    }
+    let mut registrations = pool.registrations_until(1_000);
     assert!(registrations.len() > 1, "{registrations:?}");
     pool.answer_last_poll(1_000, listed(&start, 50));
     let at = pool.at(1_100);
@@ -309,10 +288,7 @@
     let id = JobId(1);
     pool.submit(0, id, 900);
     let start = pool.start(10, id);
-    let mut registrations = Vec::new();
-    for now in (20..900).step_by(20) {
-        registrations.extend(pool.tick(now).registrations);
-    }
+    let registrations = pool.registrations_until(900);
     let (at, until) = (pool.at(900), pool.at(2_500));
     pool.pool
         .on_attempt_registered(at, &registrations[0], Some(until));
@@ -358,10 +334,7 @@
     let id = JobId(1);
     pool.submit(0, id, 900);
     let start = pool.start(10, id);
-    let mut registrations = Vec::new();
-    for now in (20..1_160).step_by(20) {
-        registrations.extend(pool.tick(now).registrations);
-    }
+    let registrations = pool.registrations_until(1_160);
     pool.answer_last_poll(1_160, listed(&start, 50));
     // The process stands still past the limit, which is 1,270 ms.
     let (at, until) = (pool.at(1_280), pool.at(3_200));
