--- a/review/stand-ins-2/pending.rs
+++ b/review/stand-ins-2/pending.rs
@@ -42,25 +42,17 @@
     };
     let zone = ZONES.iter().position(|zone| *zone == free.plan.zone).unwrap_or(0);
     if trouble {
-        free.crash();
+        free.lose_power();
     }
-    let ids: Vec<String> = (0..4).map(|_| fleet.new_job_id()).collect();
-    let (posting, mut accepted) = (&fleet, Vec::new());
-    thread::scope(|scope| {
-        let calls = ids.iter().map(|id| {
-            scope.spawn(move || {
-                let body = r#"{"Spec":"ms=600","Phases":[{"Count":1,"Cpu":4000,"MemMb":64,"EstMs":600}]}"#;
-                let answer = posting.post(zone, PREFIX, id, body, 1_500);
-                answer.is_some_and(|(status, _)| (200..300).contains(&status))
-            })
-        });
-        let calls: Vec<_> = calls.collect();
-        for (call, id) in calls.into_iter().zip(&ids) {
-            if call.join().unwrap_or(false) {
-                accepted.push(id.clone());
-            }
+    let mut accepted = Vec::new();
+    for _ in 0..4 {
+        let id = fleet.new_job_id();
+        let body = r#"{"Spec":"ms=600","Phases":[{"Count":1,"Cpu":4000,"MemMb":64,"EstMs":600}]}"#;
+        let answer = fleet.post(zone, PREFIX, &id, body, 1_500);
+        if answer.is_some_and(|(status, _)| (200..300).contains(&status)) {
+            accepted.push(id);
         }
-    });
+    }
     if accepted.is_empty() {
         fleet.record.write(record);
         return Err("no job was accepted".to_owned());
--- a/review/stand-ins-2/platform.rs
+++ b/review/stand-ins-2/platform.rs
@@ -20,6 +20,8 @@
 const MAX_HOLD_MS: u64 = 1_000;
 /// `RowBytes`.
 const ROW_BYTES: usize = 65_536;
+/// Longer than any case.
+const DARKNESS: Duration = Duration::from_secs(200);
 /// How long a stop takes; `StopTimeoutMs` is 50.
 const STOP_TIME: Duration = Duration::from_millis(20);
 
@@ -377,6 +379,8 @@
     /// The highest run of each task that was stopped or has ended here.
     over: HashMap<String, u64>,
     dead: bool,
+    /// Whether it lost its power: nothing is answered, and connections stay open.
+    dark: bool,
     /// Whether starts are answered with 503 and not carried out.
     refuses_starts: bool,
     /// Whether it writes its entry.
@@ -411,6 +415,7 @@
                 last_number: 0,
                 over: HashMap::new(),
                 dead: false,
+                dark: false,
                 refuses_starts: false,
                 beats: true,
                 late_starts: false,
@@ -448,6 +453,19 @@
         self.record.line(&format!("executor {} is gone", self.plan.id));
     }
 
+    /// Takes the executor's power away for good: its connections stay open and carry nothing any more, and it writes no
+    /// entry.
+    pub fn lose_power(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.dark = true;
+        state.dead = true;
+        for run in std::mem::take(&mut state.runs) {
+            self.record.ended(&self.plan.id, &run.task, run.run, "died");
+        }
+        drop(state);
+        self.record.line(&format!("executor {} is dark", self.plan.id));
+    }
+
     pub fn set_refuses_starts(&self, refuses: bool) {
         self.state.lock().unwrap().refuses_starts = refuses;
     }
@@ -559,6 +577,11 @@
         }
         let call = Json::parse(&request.body);
         let mut state = self.state.lock().unwrap();
+        if state.dark {
+            drop(state);
+            thread::sleep(DARKNESS);
+            return None;
+        }
         if state.dead {
             return None;
         }
