--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -37,7 +37,6 @@
 
 pub struct Node {
     pub name: String,
-    pub zone: String,
     pub front: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
@@ -68,8 +67,12 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+/// A free port on a loopback address of the node's own. On a shared address the port could be taken, as that of an
+/// outgoing connection, before the node listens or while it is down.
+fn free_address(node: usize) -> SocketAddr {
+    let id = std::process::id();
+    let address = format!("127.{}.{}.{}:0", 64 + id % 64, 1 + id / 64 % 250, node + 1);
+    let listener = TcpListener::bind(address).expect("a free port");
     listener.local_addr().expect("an address")
 }
 
@@ -148,7 +151,7 @@
             store,
         };
         for (index, zone) in zones.iter().enumerate() {
-            let node = fleet.new_node(&format!("edge-{zone}-{}", index + 1), zone)?;
+            let node = fleet.new_node(index, zone)?;
             fleet.nodes.push(node);
         }
         for node in &mut fleet.nodes {
@@ -157,8 +160,9 @@
         Ok(fleet)
     }
 
-    fn new_node(&self, name: &str, zone: &str) -> Result<Node, String> {
-        let (front, ready, peer) = (free_address(), free_address(), free_address());
+    fn new_node(&self, index: usize, zone: &str) -> Result<Node, String> {
+        let name = format!("edge-{zone}-{}", index + 1);
+        let [front, ready, peer] = [index; 3].map(free_address);
         let store = StoreView::start(&self.store);
         // platform/settings.json.template, filled with the figures of a small deployment.
         let settings = format!(
@@ -168,11 +172,10 @@
         let path = self.dir.join(format!("{name}.json"));
         fs::write(&path, settings).map_err(|error| error.to_string())?;
         Ok(Node {
-            name: name.to_owned(),
-            zone: zone.to_owned(),
+            log: self.dir.join(format!("{name}.log")),
+            name,
             front,
             settings: path,
-            log: self.dir.join(format!("{name}.log")),
             store,
             child: None,
         })
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -11,6 +11,7 @@
 mod poison;
 mod record;
 mod search;
+mod suspect;
 
 use std::{env, process::ExitCode, thread, time::Duration};
 
@@ -40,6 +41,7 @@
         "orphan" => orphan::run(trouble, record),
         "pending" => pending::run(trouble, record),
         "poison" => poison::run(trouble, record),
+        "suspect" => suspect::run(trouble, record),
         case => match case.strip_prefix("search:").map(str::parse) {
             Some(Ok(seed)) => search::run(seed, record),
             _ => Err(format!("there is no case {case}")),
--- a/review/stand-ins-2/search.rs
+++ b/review/stand-ins-2/search.rs
@@ -58,8 +58,13 @@
         rng.next(2);
     }
     let queues = [Queue { prefix: PREFIX, goal_ms: 6_000, attempts: ATTEMPTS as u32, priority: 0 }];
-    let zones = ["z1", "z2", "z3"];
-    let workers = zones.iter().flat_map(|zone| workers_of(zone, 4, CPU)).collect();
+    let zones = [("z1", 5), ("z2", 5), ("z3", 1)];
+    let workers = zones.iter().flat_map(|(zone, count)| workers_of(zone, *count, CPU));
+    let mut workers: Vec<WorkerPlan> = workers.collect();
+    // One executor of each of two zones has a label that some jobs require.
+    for worker in [0, 5] {
+        workers[worker].labels[0] = "b".to_owned();
+    }
     let mut fleet = Fleet::start(&queues, workers, &ZONES)?;
     fleet.wait_until_serving(PREFIX)?;
     let begun = Instant::now();
@@ -139,9 +144,10 @@
         let count = 1 + rng.next(10);
         let cpu = 1_000 * (1 + rng.next(6));
         let after: Vec<usize> = (0..step).filter(|_| rng.chance(60)).collect();
+        let label = if rng.chance(8) { ",\"Requires\":\"b\"" } else { "" };
         let most = if rng.chance(20) { format!(",\"MaxPerServer\":{}", 1 + rng.next(3)) } else { String::new() };
         phases.push(format!(
-            "{{\"Count\":{count},\"Cpu\":{cpu},\"MemMb\":64,\"EstMs\":400,\"After\":{after:?}{most}}}"
+            "{{\"Count\":{count},\"Cpu\":{cpu},\"MemMb\":64,\"EstMs\":400,\"After\":{after:?}{most}{label}}}"
         ));
         steps.push(Step { count, cpu, after });
     }
@@ -235,7 +241,7 @@
     };
     let up: Vec<Arc<Worker>> = fleet.workers.iter().filter(|worker| !worker.is_dead()).cloned().collect();
     let worker = up[rng.next(up.len() as u64) as usize].clone();
-    match rng.next(13) {
+    match rng.next(15) {
         0 | 1 => {
             fleet.kill_node(node);
             (seconds(rng, 3), Box::new(move |fleet| fleet.restart_node(node)))
@@ -291,14 +297,21 @@
             };
             (seconds(rng, 6), Box::new(back))
         }
-        10 => {
+        10 | 13 | 14 => {
+            // The only executor of its zone, and the last ones with a label, more often than others.
+            let rare = |worker: &&Arc<Worker>| worker.plan.zone == "z3" || worker.plan.labels[0] == "b";
+            let rare: Vec<_> = up.iter().filter(rare).collect();
+            let worker = match rng.chance(60) && !rare.is_empty() {
+                true => rare[rng.next(rare.len() as u64) as usize].clone(),
+                false => worker,
+            };
             worker.crash();
             let plan = WorkerPlan { id: format!("i-new-{name}"), ..worker.plan.clone() };
             let back = move |fleet: &mut Fleet| {
                 let worker = Worker::start(plan, fleet.store.clone(), fleet.record.clone());
                 fleet.workers.push(worker);
             };
-            (seconds(rng, 4), Box::new(back))
+            (seconds(rng, 6), Box::new(back))
         }
         11 => {
             fleet.record.line(&format!("executor {} refuses starts", worker.plan.id));
