--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod http;
 mod json;
+mod large_row;
 mod lost;
 mod orphan;
 mod pending;
@@ -40,6 +41,7 @@
     let findings = match case.as_str() {
         "orphan" => orphan::run(trouble, record),
         "pending" => pending::run(trouble, record),
+        "large_row" => large_row::run(trouble, record),
         "poison" => poison::run(trouble, record),
         "suspect" => suspect::run(trouble, record),
         case => match case.strip_prefix("search:").map(str::parse) {
--- a/review/stand-ins-2/platform.rs
+++ b/review/stand-ins-2/platform.rs
@@ -385,6 +385,8 @@
     refuses_starts: bool,
     /// Whether it writes its entry.
     beats: bool,
+    /// Whether all that starts fails after this many milliseconds.
+    fails_after: Option<u64>,
     /// Whether starts get no answer and are carried out 2 to 12 s later.
     late_starts: bool,
     /// When the lease was last found to have lapsed.
@@ -418,6 +420,7 @@
                 dark: false,
                 refuses_starts: false,
                 beats: true,
+                fails_after: None,
                 late_starts: false,
                 lapsed: None,
             }),
@@ -470,6 +473,11 @@
         self.state.lock().unwrap().refuses_starts = refuses;
     }
 
+    pub fn set_fails_after(&self, millis: Option<u64>) {
+        self.record.line(&format!("executor {} fails all that it starts: {}", self.plan.id, millis.is_some()));
+        self.state.lock().unwrap().fails_after = millis;
+    }
+
     pub fn set_late_starts(&self, late: bool) {
         self.state.lock().unwrap().late_starts = late;
     }
@@ -640,6 +648,10 @@
         let index: u64 = task.rsplit('.').next().and_then(|i| i.parse().ok()).unwrap_or(0);
         let first = !state.over.contains_key(task) && self.record.is_first(task);
         let (time, how) = task_plan(call.get("Spec").text(), index, first);
+        let (time, how) = match state.fails_after {
+            Some(millis) => (Duration::from_millis(millis), "failed"),
+            None => (time, how),
+        };
         let now = Instant::now();
         self.record.started(&self.plan.id, task, number);
         state.runs.push(Run {
