--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -231,10 +231,6 @@
         self.call(node, "POST", &format!("{prefix}{id}"), body, limit_ms)
     }
 
-    pub fn delete(&self, node: usize, prefix: &str, id: &str) -> Option<(u16, String)> {
-        self.call(node, "DELETE", &format!("{prefix}{id}"), "", 1_500)
-    }
-
     /// The state of a job: `Ok(None)` if it is said not to exist, `Err` without a usable answer.
     pub fn state(&self, node: usize, prefix: &str, id: &str) -> Result<Option<String>, String> {
         match self.call(node, "GET", &format!("{prefix}{id}"), "", 1_500) {
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -13,7 +13,6 @@
 
 /// A request as a stand-in sees it.
 pub struct Request {
-    pub method: String,
     /// The path without the query.
     pub path: String,
     query: Vec<(String, String)>,
@@ -119,13 +118,12 @@
         return None;
     }
     let mut words = line.split_whitespace();
-    let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let (_method, target) = (words.next()?, words.next()?.to_owned());
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = query.map(|(key, value)| (key.to_owned(), percent_decode(value)));
     let (headers, body) = read_rest(reader)?;
     Some(Request {
-        method,
         path: path.to_owned(),
         query: query.collect(),
         headers,
--- a/review/stand-ins-2/platform.rs
+++ b/review/stand-ins-2/platform.rs
@@ -39,8 +39,6 @@
     rows: BTreeMap<RowKey, Row>,
     /// When each executor last wrote its entry.
     heartbeats: HashMap<String, Instant>,
-    /// How much longer answers take.
-    slow: Duration,
     rejected_rows: u64,
 }
 
@@ -165,11 +163,6 @@
         self.changed.notify_all();
     }
 
-    /// Makes all answers slower by this time.
-    pub fn set_slow(&self, time: Duration) {
-        self.rows.lock().unwrap().slow = time;
-    }
-
     /// How many rows were rejected since they were longer than `RowBytes`.
     pub fn rejected_rows(&self) -> u64 {
         self.rows.lock().unwrap().rejected_rows
@@ -202,8 +195,7 @@
     }
 
     fn answer(&self, request: &Request) -> (u16, String) {
-        let slow = self.rows.lock().unwrap().slow;
-        let latency = Duration::from_millis(4) + slow;
+        let latency = Duration::from_millis(4);
         match request.path.as_str() {
             "/-/rows-tx" => {
                 let call = Json::parse(&request.body);
@@ -383,8 +375,6 @@
     dark: bool,
     /// Whether starts are answered with 503 and not carried out.
     refuses_starts: bool,
-    /// Whether it writes its entry.
-    beats: bool,
     /// Whether all that starts fails after this many milliseconds.
     fails_after: Option<u64>,
     /// Whether starts get no answer and are carried out 2 to 12 s later.
@@ -419,7 +409,6 @@
                 dead: false,
                 dark: false,
                 refuses_starts: false,
-                beats: true,
                 fails_after: None,
                 late_starts: false,
                 lapsed: None,
@@ -482,11 +471,6 @@
         self.state.lock().unwrap().late_starts = late;
     }
 
-    /// Whether the executor reaches the store to write its entry.
-    pub fn set_beats(&self, beats: bool) {
-        self.state.lock().unwrap().beats = beats;
-    }
-
     pub fn is_dead(&self) -> bool {
         self.state.lock().unwrap().dead
     }
@@ -520,9 +504,7 @@
                 labels.join(","),
                 self.clock()
             );
-            if self.state.lock().unwrap().beats {
-                self.store.put("servers", &self.plan.id, &entry);
-            }
+            self.store.put("servers", &self.plan.id, &entry);
             thread::sleep(HEARTBEAT);
         }
     }
