--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -44,8 +44,9 @@
         "large_row" => large_row::run(trouble, record),
         "poison" => poison::run(trouble, record),
         "suspect" => suspect::run(trouble, record),
-        case => match case.strip_prefix("search:").map(str::parse) {
-            Some(Ok(seed)) => search::run(seed, record),
+        case => match case.split_once(':').map(|(kind, seed)| (kind, seed.parse())) {
+            Some(("search", Ok(seed))) => search::run(seed, record, false),
+            Some(("unheard", Ok(seed))) => search::run(seed, record, true),
             _ => Err(format!("there is no case {case}")),
         },
     };
--- a/review/stand-ins-2/search.rs
+++ b/review/stand-ins-2/search.rs
@@ -52,7 +52,9 @@
     cancelled: Option<Duration>,
 }
 
-pub fn run(seed: u64, record: &str) -> Findings {
+/// Searches with stored jobs, or with long `Ephemeral` ones whose clients leave unheard: their connections stay open, and
+/// they send the job again `RetryMs` later.
+pub fn run(seed: u64, record: &str, ephemeral: bool) -> Findings {
     let mut rng = Rng(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
     for _ in 0..20 {
         rng.next(2);
@@ -82,7 +84,10 @@
         if now >= next_job {
             next_job += Duration::from_millis(60 + rng.next(120));
             let id = fleet.new_job_id();
-            let (job, body) = draw_job(&mut rng, id.clone());
+            let (job, body) = match ephemeral {
+                true => draw_ephemeral(&mut rng, id.clone()),
+                false => draw_job(&mut rng, id.clone()),
+            };
             let index = {
                 let mut jobs = jobs.lock().unwrap();
                 jobs.push(job);
@@ -90,7 +95,10 @@
             };
             let (jobs, fronts, record) = (jobs.clone(), fronts.clone(), fleet.record.clone());
             let mut rng = Rng(rng.next(u64::MAX) | 1);
-            clients.push(thread::spawn(move || client(&mut rng, &record, &fronts, &jobs, index, &body)));
+            clients.push(thread::spawn(move || match ephemeral {
+                true => ephemeral_client(&mut rng, &record, &fronts, &id, &body),
+                false => client(&mut rng, &record, &fronts, &jobs, index, &body),
+            }));
         }
         let due = heal.iter().position(|(at, _)| now >= *at);
         if let Some(due) = due {
@@ -136,6 +144,46 @@
     Ok(broken)
 }
 
+fn draw_ephemeral(rng: &mut Rng, id: String) -> (Job, String) {
+    let (count, cpu) = (1 + rng.next(4), 2_000);
+    let spec = format!("ms={} vary=300", 300 + rng.next(1_200));
+    let body = format!(
+        "{{\"Spec\":\"{spec}\",\"Ephemeral\":true,\"Phases\":[{{\"Count\":{count},\"Cpu\":{cpu},\"MemMb\":64,\"EstMs\":900}}]}}"
+    );
+    let steps = vec![Step { count, cpu, after: Vec::new() }];
+    (Job { id, steps, accepted: None, rejected: false, cancelled: None }, body)
+}
+
+fn ephemeral_client(
+    rng: &mut Rng,
+    record: &Arc<crate::record::Record>,
+    fronts: &[std::net::SocketAddr],
+    id: &str,
+    body: &str,
+) {
+    let deadline = Duration::from_millis([1_500, 4_000][rng.next(2) as usize]);
+    for _ in 0..3 {
+        let front = fronts[rng.next(fronts.len() as u64) as usize];
+        let (path, text, lines, name) = (format!("{PREFIX}{id}"), body.to_owned(), record.clone(), id.to_owned());
+        let call = thread::spawn(move || {
+            lines.line(&format!("client POST {name} at {front}"));
+            let answer = crate::http::call(front, "POST", &path, crate::fleet::HOST, &text, deadline);
+            let status = answer.map(|(status, _)| status);
+            lines.line(&format!("client POST {name} at {front}: {status:?}"));
+            status
+        });
+        if rng.chance(50) {
+            // The break comes within the first 0.4 s, and its node never hears of it.
+            thread::sleep(Duration::from_millis(1_300 + rng.next(400)));
+            continue;
+        }
+        match call.join() {
+            Ok(Some(502 | 504) | None) => thread::sleep(Duration::from_millis(1_300)),
+            _ => return,
+        }
+    }
+}
+
 fn draw_job(rng: &mut Rng, id: String) -> (Job, String) {
     let mut spec = format!("ms={} vary={}", 40 + rng.next(500), 1 + rng.next(400));
     let mut steps = Vec::new();
