--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -67,13 +67,13 @@
     }
 }
 
-/// A free port on a loopback address of the node's own. On a shared address the port could be taken, as that of an
-/// outgoing connection, before the node listens or while it is down.
-fn free_address(node: usize) -> SocketAddr {
+/// Three free ports on a loopback address of the node's own. On a shared address a port could be taken, as that of an
+/// outgoing connection, before the node listens or while it is down. They are held together, so that they differ.
+fn free_addresses(node: usize) -> [SocketAddr; 3] {
     let id = std::process::id();
     let address = format!("127.{}.{}.{}:0", 64 + id % 64, 1 + id / 64 % 250, node + 1);
-    let listener = TcpListener::bind(address).expect("a free port");
-    listener.local_addr().expect("an address")
+    let listeners = [0; 3].map(|_| TcpListener::bind(&address).expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("an address"))
 }
 
 impl Node {
@@ -162,7 +162,7 @@
 
     fn new_node(&self, index: usize, zone: &str) -> Result<Node, String> {
         let name = format!("edge-{zone}-{}", index + 1);
-        let [front, ready, peer] = [index; 3].map(free_address);
+        let [front, ready, peer] = free_addresses(index);
         let store = StoreView::start(&self.store);
         // platform/settings.json.template, filled with the figures of a small deployment.
         let settings = format!(
@@ -202,7 +202,9 @@
                     break;
                 }
                 if Instant::now() > until {
-                    return Err(format!("node {} does not serve", self.nodes[index].name));
+                    let node = &self.nodes[index];
+                    let last = node.log_lines("").pop().unwrap_or_default();
+                    return Err(format!("node {} does not serve; its log ends with: {last}", node.name));
                 }
                 std::thread::sleep(Duration::from_millis(200));
             }
