A process bounds the memory of its open jobs

Clients that submit jobs that wait fill the memory of the owner, and a body of the allowed length that names one prerequisite a hundred thousand times takes several times its length once it is decoded.

Cause: the authority of an entry counts the bytes of open submissions, the pool counted only waiting tasks, and those only by steps.

A pool now knows what its jobs take: the request, what is recorded of the job, and of each task. Jobs beyond `max_job_bytes` over all pools of a process are refused with `queue_full` before anything of them runs. By calculation the default, 15 MB, holds 16,000 jobs of eight tasks, of which the queue takes 20,000 tasks, so the limit on tasks comes first.

--- a/crates/jobs/src/request.rs
+++ b/crates/jobs/src/request.rs
@@ -72,6 +72,21 @@
     pub fn task_count(&self) -> u64 {
         self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
+
+    /// The memory that the job takes, in bytes, without what its owner records of each task.
+    pub fn memory_bytes(&self) -> u64 {
+        let steps = self.steps.iter().map(StepSpec::memory_bytes);
+        (size_of::<Self>() + self.text.len()) as u64 + steps.sum::<u64>()
+    }
+}
+
+impl StepSpec {
+    fn memory_bytes(&self) -> u64 {
+        let labels = [&self.required_label, &self.data_rack];
+        let labels = labels.into_iter().flatten().map(|label| label.len());
+        let after = self.after.len() * size_of::<u32>();
+        (size_of::<Self>() + after + labels.sum::<usize>()) as u64
+    }
 }
 
 /// The length of the critical path: the longest chain of predicted task times over the steps of a job.
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -9,6 +9,18 @@
 
 use crate::{action::WaiterId, attempt_exclusion::RunLimit, kept::KeptJobState};
 
+/// What the pool records of a job besides its request, in bytes.
+const JOB_RECORD_BYTES: u64 = 512;
+
+/// What the pool records of a task, in bytes.
+const TASK_RECORD_BYTES: u64 = 48;
+
+/// The memory that a job takes while it has no outcome, in bytes.
+pub(crate) fn request_bytes(request: &JobRequest) -> u64 {
+    let tasks = request.task_count().saturating_mul(TASK_RECORD_BYTES);
+    request.memory_bytes() + JOB_RECORD_BYTES + tasks
+}
+
 /// A task that waits to be placed on a worker.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct WaitingTask {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -39,7 +39,7 @@
     arrivals::ArrivalStats,
     crash::CrashTracker,
     estimate::EstimateCorrections,
-    job::{StepProgress, TrackedJob, WaitingTask},
+    job::{request_bytes, StepProgress, TrackedJob, WaitingTask},
     queue::{latest_start, JobQueue, QueueEntry},
     registration_backoff::RegistrationBackoff,
     returns::ReturnSchedule,
@@ -132,6 +132,10 @@
     ended_attempts: FastMap<JobId, EndedAttempt>,
     /// The number of jobs that were admitted without being kept.
     admissions: u64,
+    /// The memory that `jobs` take, in bytes.
+    job_bytes: u64,
+    /// The memory that the jobs of other pools of this process take, in bytes.
+    other_job_bytes: u64,
     /// Jobs that were registered in the store, or are about to be.
     registered_jobs: FastSet<JobId>,
     registration_backoff: RegistrationBackoff,
@@ -205,6 +209,8 @@
             reserved_for_suspects: Vec::new(),
             ended_attempts: FastMap::default(),
             admissions: 0,
+            job_bytes: 0,
+            other_job_bytes: 0,
             registered_jobs: FastSet::default(),
             registration_backoff: RegistrationBackoff::default(),
             lost_runs: FastMap::default(),
@@ -227,6 +233,22 @@
         self.jobs.len()
     }
 
+    /// The memory of the jobs without an outcome, in bytes.
+    pub fn job_bytes(&self) -> u64 {
+        self.job_bytes
+    }
+
+    /// Sets the memory that jobs of other pools of this process take, in bytes. They share one limit.
+    pub fn set_other_job_bytes(&mut self, bytes: u64) {
+        self.other_job_bytes = bytes;
+    }
+
+    /// Whether memory is left for a new job.
+    fn has_memory_for(&self, request: &JobRequest) -> bool {
+        let used = self.job_bytes.saturating_add(self.other_job_bytes);
+        used.saturating_add(request_bytes(request)) <= self.settings.max_job_bytes
+    }
+
     /// Takes the pending actions, in order.
     pub fn take_actions(&mut self) -> Vec<PoolAction> {
         std::mem::take(&mut self.actions)
@@ -321,7 +343,7 @@
         }
         let mut job = self.build_job(now, Some(waiter), request, terms);
         self.limit_runs(now, &mut job);
-        self.jobs.insert(id, job);
+        self.insert_job(id, job);
         self.enqueue(now, id);
         self.schedule(now);
     }
@@ -502,7 +524,21 @@
     /// Removes a job from the pool, and with it from the queue: scheduling relies on each queued job being in the pool.
     fn remove_job(&mut self, id: JobId) -> Option<TrackedJob> {
         self.queue.remove(id);
-        self.jobs.remove(&id)
+        let removed = self.jobs.remove(&id)?;
+        self.job_bytes = self
+            .job_bytes
+            .saturating_sub(request_bytes(&removed.request));
+        Some(removed)
+    }
+
+    /// Adds a job to the pool.
+    fn insert_job(&mut self, id: JobId, job: TrackedJob) {
+        self.job_bytes += request_bytes(&job.request);
+        if let Some(former) = self.jobs.insert(id, job) {
+            self.job_bytes = self
+                .job_bytes
+                .saturating_sub(request_bytes(&former.request));
+        }
     }
 
     /// The queued jobs, in the order of placement.
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -118,7 +118,9 @@
             Some(RefusalKind::OverShare)
         } else if !terms.firm && (late || delays_others || forecast.takes_reserved) {
             Some(RefusalKind::TooLate)
-        } else if queued + request.steps.len() > self.settings.max_queued_tasks {
+        } else if queued + request.steps.len() > self.settings.max_queued_tasks
+            || !self.has_memory_for(request)
+        {
             Some(RefusalKind::QueueFull)
         } else {
             None
--- a/crates/pool/src/pool/kept_jobs.rs
+++ b/crates/pool/src/pool/kept_jobs.rs
@@ -60,7 +60,7 @@
             revision: self.next_run_number(now).0,
             ..KeptJobState::default()
         });
-        self.jobs.insert(id, job);
+        self.insert_job(id, job);
         self.store_changes(id);
     }
 
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -210,7 +210,7 @@
         let progress = job.kept.as_ref().map(|kept| kept.progress.clone());
         self.ended_attempts.remove(&id);
         self.settled_since = None;
-        self.jobs.insert(id, job);
+        self.insert_job(id, job);
         self.events.push(PoolEvent::KeptFound { job: id, version });
         if complete {
             // The job's last end was stored, but its owner was gone before it could store the
--- a/crates/pool/src/settings.rs
+++ b/crates/pool/src/settings.rs
@@ -54,6 +54,8 @@
     pub useless_factor: f64,
     /// The maximum number of waiting tasks. At 200 bytes per task this bounds the queue's memory to a few megabytes.
     pub max_queued_tasks: usize,
+    /// The most memory that the jobs of all pools of a process may take, in bytes. Further jobs are refused.
+    pub max_job_bytes: u64,
     /// The share of a pool's CPU capacity that tasks of mixed sizes can fill. The published backlog is computed with
     /// it.
     pub packing_share: f64,
@@ -88,6 +90,7 @@
             refusal_factor: 1.0,
             useless_factor: 3.0,
             max_queued_tasks: 20_000,
+            max_job_bytes: 15_000_000,
             packing_share: 0.85,
             stall_factor: 2.5,
             stall_margin: Duration::from_millis(60),
