Nodes: one budget for all that clients take, on every HTTP listener

What callers saw: a crowd of clients ended a node.

Cause: one body was bounded, not their sum nor their time, and the server of the HTTP library holds more than the product sees: up to 128 KiB that were read ahead, each chunk of one byte with the block that it came from, requests that wait behind another, and all answers that the client does not take. Connections were not bounded at all.

- client-limits: one table for a process, without I/O, with shares of the machine's memory (`memory_mb`) and descriptors (`max_descriptors`).
What a connection holds up to 4 KiB is paid for by the connection, so ordinary requests need no share.
If a share is used up, a connection that has made no progress gives way before a newcomer is refused; one whose request runs never does.
- http-server: one request at a time on a connection, with the codec of the HTTP library.
A body is read as it is consumed, after memory for it was reserved; nothing is read while an answer is not taken.
A refusal is 503 with Retry-After, given from the head where that states the length, and the rest of the body is discarded so that the answer is not lost.
Bodies have a time limit (`body_timeout_ms`) that counts only time in which the process ran.
A client that hangs up is noticed even if its unread bytes fill the buffer.
- Requests that were held behind another carry since when.
A node takes that as the time of their arrival, and refuses them if it has paused since: their customers may have given up.

--- a/crates/kernel/src/accept.rs
+++ b/crates/kernel/src/accept.rs
@@ -70,6 +70,8 @@
         // them by up to 40 ms.
         let _best_effort = stream.set_nodelay(true);
         connections.add(actix_rt::spawn(serve(stream)));
+        // A connection that has to give way to this one closes its descriptor before the next is accepted.
+        tokio::task::yield_now().await;
     }
 }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -7,6 +7,7 @@
 mod accept;
 mod clock;
 mod directory;
+mod machine;
 mod pause;
 mod signals;
 mod tasks;
@@ -15,6 +16,7 @@
     accept::{serve_connections, serve_with_drain, AcceptDrain},
     clock::{ClockSource, ManualClock, SystemClock},
     directory::{DirectoryError, ServiceDirectory, ServiceName},
+    machine::descriptor_limit,
     pause::{PauseCount, PauseMonitor},
     signals::StopSignals,
     tasks::{exit_on_panic, TaskEnded, TaskGroup, TaskSet},
--- a/crates/node/src/customer_server.rs
+++ b/crates/node/src/customer_server.rs
@@ -7,33 +7,31 @@
     time::{Duration, Instant},
 };
 
-use actix_http::{
-    body::BoxBody, header, HttpMessage as _, Method, Payload, Request, Response, StatusCode,
-};
+use actix_http::{body::BoxBody, header, HttpMessage as _, Method, Request, Response, StatusCode};
 use futures::{
     future::{select, Either},
     StreamExt as _,
 };
+use http_server::{HalfClose, HeldSince};
 use jobs::{
-    critical_path, JobAttemptId, JobId, JobOutcome, RefusalKind, RequestLimits, RouteRule,
-    RouteTable, UnsupportedNeed,
+    critical_path, JobAttemptId, JobId, JobOutcome, JobRequest, RefusalKind, RequestLimits,
+    RouteRule, RouteTable, UnsupportedNeed,
 };
 use kernel::PauseCount;
 use model::Mechanism;
 use platform_adapter::{
-    decode_job, encode_outcome, encode_pending, encode_state, EncodedResponse, StoreError,
-    DEADLINE_HEADER,
+    decode_job, encode_outcome, encode_pending, encode_state, EncodedResponse, JobError,
+    StoreError, DEADLINE_HEADER,
 };
 use telemetry::{EventKind, EventLine, TrafficKind};
 use tokio::net::TcpListener;
 
 use crate::{
-    connections,
+    clients::{self, OVERLOAD_RETRY_AFTER},
     entry::{log_answer, run_job, EntryJob},
     kept_jobs, pause,
     request_lines::{self, InvalidRequest, RequestTarget},
     state::NodeState,
-    NodeError,
 };
 
 /// How long a customer without a stated deadline waits.
@@ -54,16 +52,11 @@
 const ANSWER_BYTES: usize = 130;
 
 /// Serves customers' connections for as long as the future is polled.
-///
-/// # Errors
-///
-/// The HTTP server cannot be built.
-pub(crate) async fn serve(state: Rc<NodeState>, listener: TcpListener) -> Result<(), NodeError> {
+pub(crate) async fn serve(state: Rc<NodeState>, listener: TcpListener) {
     let server_state = state.clone();
-    connections::serve(state, listener, move |request| {
-        handle_request(server_state.clone(), request)
-    })
-    .await
+    let handler = move |request| handle_request(server_state.clone(), request);
+    let drain = &state.accept_drain;
+    clients::serve(&state, listener, drain, HalfClose::Drop, handler).await;
 }
 
 /// Counts a request as open until the value is dropped.
@@ -115,12 +108,13 @@
     sent_after: Instant,
 }
 
-async fn route_request(state: &Rc<NodeState>, mut request: Request) -> Response<BoxBody> {
+async fn route_request(state: &Rc<NodeState>, request: Request) -> Response<BoxBody> {
+    let held_since = held_since(&request);
     let mut arrival = ArrivalMark {
-        at: state.now(),
+        at: held_since.unwrap_or_else(|| state.now()),
         since_tick: state.since_last_tick(),
         pauses: pause::notice(state),
-        sent_after: oldest_unread(state),
+        sent_after: sent_after(state, held_since),
     };
     let target = RequestTarget {
         method: request.method().clone(),
@@ -130,7 +124,7 @@
     // A request that waited in its socket or in the accept queue while this process was paused may by now be running
     // elsewhere as its customer's next try. It has not run here, so it is refused. New requests are refused with it
     // until all that waited has been read, which takes a few ticks.
-    if state.has_paused() {
+    if state.has_paused() || has_paused_since(state, held_since) {
         request_lines::log_refusal(state, &target, "process_paused");
         return not_ready();
     }
@@ -169,15 +163,39 @@
         return invalid(state, &target, InvalidRequest::Method);
     }
     let stated_deadline = stated_deadline(&request);
-    let body = match read_body(request.take_payload(), table.limits).await {
+    let body = match read_body(request, table.limits).await {
         Ok(body) => body,
         Err(cause) => return invalid(state, &target, cause),
     };
-    arrival.sent_after = oldest_unread(state);
+    arrival.sent_after = sent_after(state, held_since);
     state
         .traffic
         .record_received(TrafficKind::Customers, body.len());
-    submit(state, id, rule, &body, arrival, stated_deadline).await
+    let decoded = decode_job(id, &body);
+    // The job may run for long. Its text is not needed meanwhile.
+    drop(body);
+    match decoded {
+        Ok(request) => submit(state, request, rule, arrival, stated_deadline).await,
+        Err(error) => unreadable_job(state, id, &rule, &error),
+    }
+}
+
+/// Returns since when bytes of a request may have waited in this process for an earlier request on the connection.
+fn held_since(request: &Request) -> Option<Instant> {
+    let extensions = request.extensions();
+    extensions.get::<HeldSince>().map(|held| held.0)
+}
+
+/// Returns whether a pause was noticed while bytes of a request were held. Its customer may have given up on this
+/// process.
+fn has_paused_since(state: &NodeState, held_since: Option<Instant>) -> bool {
+    held_since.is_some_and(|held| state.last_pause.get() >= Some(held))
+}
+
+/// Returns a time that is not after the customer sent the last of what is read now.
+fn sent_after(state: &NodeState, held_since: Option<Instant>) -> Instant {
+    let oldest = oldest_unread(state);
+    held_since.map_or(oldest, |held| held.min(oldest))
 }
 
 /// When the oldest bytes that are read now may have been sent.
@@ -266,31 +284,33 @@
     not_ready()
 }
 
+fn unreadable_job(
+    state: &NodeState,
+    id: JobId,
+    rule: &RouteRule,
+    error: &JobError,
+) -> Response<BoxBody> {
+    let line = EventLine::new("job_unreadable")
+        .text("job", id)
+        .text("route", &rule.name)
+        .text("error", error);
+    state.log(EventKind::Important, line);
+    json_response(StatusCode::BAD_REQUEST, "{}")
+}
+
 async fn submit(
     state: &Rc<NodeState>,
-    id: JobId,
+    request: JobRequest,
     rule: Rc<RouteRule>,
-    body: &[u8],
     arrival: ArrivalMark,
     stated_deadline: Option<Duration>,
 ) -> Response<BoxBody> {
     let deadline = arrival.at + stated_deadline.unwrap_or(DEFAULT_DEADLINE);
-    let request = match decode_job(id, body) {
-        Ok(request) => request,
-        Err(error) => {
-            let line = EventLine::new("job_unreadable")
-                .text("job", id)
-                .text("route", &rule.name)
-                .text("error", error);
-            state.log(EventKind::Important, line);
-            return json_response(StatusCode::BAD_REQUEST, "{}");
-        }
-    };
     let advised = rule.advised.then_some(UnsupportedNeed::Advice);
     let unsupported = request.unsupported.or(advised);
     if let Some(need) = unsupported {
         let line = EventLine::new("need_not_served")
-            .text("job", id)
+            .text("job", request.id)
             .text("need", need.as_str());
         state.log(EventKind::Important, line);
     }
@@ -315,9 +335,16 @@
         fits: 0,
     };
     request_lines::log_arrival(state, &job, arrival.since_tick);
+    let memory = state.clients.reserve_job(job.request.memory_bytes());
     let mut watch = DisconnectWatch::new(state, &job);
     let outcome = if unsupported.is_some() {
         refused(RefusalKind::Unsupported)
+    } else if memory.is_none() {
+        JobOutcome::Refused {
+            kind: RefusalKind::QueueFull,
+            retry_after: OVERLOAD_RETRY_AFTER,
+            fits: 0,
+        }
     } else if ends_after_stop(state, &job) {
         refused(RefusalKind::NotServing)
     } else {
@@ -441,8 +468,15 @@
     waits.map(|waits| waits.min(MAX_DEADLINE))
 }
 
-async fn read_body(mut payload: Payload, limits: RequestLimits) -> Result<Vec<u8>, InvalidRequest> {
-    let mut body = Vec::new();
+/// Reads the body of a request. One that states to be longer than the limit is not read.
+async fn read_body(mut request: Request, limits: RequestLimits) -> Result<Vec<u8>, InvalidRequest> {
+    let stated = stated_length(&request);
+    if stated.is_some_and(|length| length > limits.body_bytes) {
+        return Err(InvalidRequest::BodyTooLarge);
+    }
+    let mut payload = request.take_payload();
+    drop(request);
+    let mut body = Vec::with_capacity(stated.unwrap_or_default());
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| InvalidRequest::BodyBroken)?;
         if body.len() + chunk.len() > limits.body_bytes {
@@ -453,6 +487,11 @@
     Ok(body)
 }
 
+fn stated_length(request: &Request) -> Option<usize> {
+    let length = request.headers().get(header::CONTENT_LENGTH)?;
+    length.to_str().ok()?.trim().parse().ok()
+}
+
 fn not_ready() -> Response<BoxBody> {
     encoded_response(&EncodedResponse {
         status: 503,
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -19,9 +19,6 @@
     /// Customers come back too soon after an attempt without an answer: its runs could not be over by then.
     #[error("customer_retry_ms is too short for the leases of runs")]
     RetryTooShort,
-    /// The HTTP server cannot be built.
-    #[error("cannot build the HTTP server")]
-    Server,
     /// The metrics cannot be built.
     #[error(transparent)]
     Metrics(#[from] telemetry::TelemetryError),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,7 +10,7 @@
 //! outputs.
 
 mod attempts;
-mod connections;
+mod clients;
 mod customer_server;
 mod directory;
 mod entry;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of a node.
 
+use http_server::{GateEvent, GateSnapshot};
 use jobs::{EndCause, JobOutcome, RefusalKind};
 use pool::{
     AttemptLookup, CallFailure, PoolEvent, RunLoss, StallEvidence, StartAnswer, SuspensionCause,
@@ -30,6 +31,7 @@
 const CALLS: &str = "node_traffic_calls_total";
 const SENT_BYTES: &str = "node_traffic_sent_bytes_total";
 const RECEIVED_BYTES: &str = "node_traffic_received_bytes_total";
+const CLIENT_EVENTS: &str = "node_client_limits_total";
 
 /// Reasons of refusals before a job was read.
 pub(crate) const EARLY_REFUSAL_REASONS: [&str; 4] = [
@@ -182,6 +184,12 @@
             "kind",
             kinds().collect(),
         ),
+        family(
+            CLIENT_EVENTS,
+            "Clients that were turned away or cut off to stay within the limits on memory, descriptors and time, by what was done",
+            "event",
+            GateEvent::ALL.iter().map(|event| event.as_str()).collect(),
+        ),
     ]
 }
 
@@ -233,6 +241,13 @@
     }
 }
 
+/// Copies the counts of the client gate into the metrics.
+pub(crate) fn set_clients(metrics: &NodeMetrics, snapshot: &GateSnapshot) {
+    for (event, count) in GateEvent::ALL.iter().zip(snapshot.events) {
+        metrics.set(CLIENT_EVENTS, event.as_str(), count);
+    }
+}
+
 /// Counts a refusal before a job was read.
 pub(crate) fn count_refusal(metrics: &NodeMetrics, reason: &str) {
     metrics.count(REFUSALS, reason);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -9,6 +9,7 @@
 use telemetry::{EventKind, EventLine};
 
 use crate::{
+    clients,
     feeds::{log_unreadable_row, stored_row},
     owner,
     state::NodeState,
@@ -130,6 +131,8 @@
         .number("row", row.0)
         .millis("age_ms", state.table_age().unwrap_or_default());
     state.log(EventKind::Important, line);
+    let limits = clients::http_limits(&state.settings, table.limits);
+    state.clients.set_limits(limits);
     *state.route_table.borrow_mut() = Some(Rc::new(table));
     workers::reclassify_entries(state);
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -616,9 +616,11 @@
         answered: false,
     };
     call.terms = with_origin(&state, call.terms);
+    let other_job_bytes = other_job_bytes(&state, &id);
     with_pool(&state, &id, |pool, now| {
         let JobCall { request, terms, .. } =
             aged_call(call, now.saturating_duration_since(made_at));
+        pool.set_other_job_bytes(other_job_bytes);
         pool.submit(now, waiter, request, terms)
     });
     let outcome = receiver.await.unwrap_or(JobOutcome::GivenUp);
@@ -626,6 +628,13 @@
     outcome
 }
 
+/// The memory that the jobs of all pools but this one take, in bytes.
+fn other_job_bytes(state: &NodeState, id: &PoolId) -> u64 {
+    let pools = state.pools.borrow();
+    let others = pools.iter().filter(|(other, _)| *other != id);
+    others.map(|(_, owned)| owned.pool.job_bytes()).sum()
+}
+
 /// Sets the data centre of a job whose entry did not state it, as older processes do not, to that of this node.
 fn with_origin(state: &NodeState, mut terms: JobTerms) -> JobTerms {
     terms
--- a/crates/node/src/pause.rs
+++ b/crates/node/src/pause.rs
@@ -36,6 +36,7 @@
     if let Some(pause) = noticed {
         let line = EventLine::new("process_paused").millis("for_ms", pause);
         state.log(EventKind::Important, line);
+        state.last_pause.set(Some(state.now()));
         state.accept_drain.begin();
         owner::for_each_pool(state, WorkerPool::give_up_all);
         state.directory.borrow_mut().forget_reads();
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     attempts::{self, AttemptRegistry},
+    clients::{self, ClientLogger},
     customer_server,
     directory::WorkerDirectory,
     feeds, groups,
@@ -141,7 +142,7 @@
             if state.now() >= started + BALANCER_DRAIN_TIME {
                 // New connections go to other nodes by now, so a customer whose idle connection is closed reaches
                 // another node.
-                state.close_idle.notify_waiters();
+                state.clients.close_idle();
             }
             let owns = !state.pools.borrow().is_empty();
             let busy = owns || state.open_requests.get() > 0;
@@ -221,6 +222,7 @@
         customer_retry: attempt_times.customer_retry,
         policies: settings.load,
         switched_off: settings.switched_off.iter().copied().collect(),
+        max_job_bytes: clients::budget(&settings).jobs.0,
         ..PoolSettings::default()
     };
     let store = StoreClient::new(http.clone(), settings.store, STORE_CALL_TIMEOUT);
@@ -279,8 +281,9 @@
         yielding_pool: RefCell::default(),
         open_requests: Cell::new(0),
         stop_deadline: Cell::new(None),
-        close_idle: Rc::default(),
+        clients: clients::new_gate(&settings),
         cut_requests: Notify::new(),
+        last_pause: Cell::default(),
         pauses: RefCell::new(PauseMonitor::new(PAUSE_THRESHOLD, clock.since_boot())),
         accept_drain: AcceptDrain::default(),
         next_waiter_id: Cell::new(0),
@@ -312,16 +315,11 @@
         peers::receive_heartbeats(state.clone(), socket),
     );
     tasks.spawn("serve_entries", serve_entries(state.clone(), peers));
-    let customer_server = customer_server::serve(state.clone(), customers);
     tasks.spawn(
         "serve_customers",
-        log_server_failure(state.clone(), customer_server),
-    );
-    let ready_server = ready::serve(state.clone(), ready);
-    tasks.spawn(
-        "serve_ready",
-        log_server_failure(state.clone(), ready_server),
+        customer_server::serve(state.clone(), customers),
     );
+    tasks.spawn("serve_ready", ready::serve(state.clone(), ready));
     let tables = [
         StoreTable::Operator,
         StoreTable::Workers,
@@ -351,18 +349,6 @@
     peer::serve_pool(listener, traffic, move || PoolPort::new(state.clone())).await;
 }
 
-async fn log_server_failure(
-    state: Rc<NodeState>,
-    server: impl std::future::Future<Output = Result<(), NodeError>>,
-) {
-    if let Err(error) = server.await {
-        state.log(
-            EventKind::Important,
-            EventLine::new("server_failed").text("error", error),
-        );
-    }
-}
-
 /// Returns an incarnation above that of this VM's former process: the time of day in milliseconds, or the former
 /// incarnation plus one if the clock was set back. Messages with a lower incarnation would be attributed to the
 /// former process.
@@ -431,6 +417,7 @@
 async fn run_ticks(state: Rc<NodeState>, heartbeats: HeartbeatSender) {
     let mut logged: Option<Instant> = None;
     let mut traffic = TrafficLogger::new(state.now());
+    let mut clients = ClientLogger::new(&state);
     loop {
         let interval = tick_interval(&state);
         actix_rt::time::sleep(interval).await;
@@ -444,6 +431,8 @@
         heartbeats.tick(&state);
         let now = state.now();
         traffic.tick(&state, now);
+        state.clients.sweep(now);
+        clients.tick(&state, now);
         update_link_use(&state, now);
         if logged.is_none_or(|at| now >= at + LOG_FLUSH_INTERVAL) {
             logged = Some(now);
--- a/crates/node/src/ready.rs
+++ b/crates/node/src/ready.rs
@@ -1,45 +1,26 @@
 //! Serves the readiness check of the platform's balancer, and the metrics.
 
-use std::{convert::Infallible, rc::Rc};
+use std::rc::Rc;
 
-use actix_http::{body::BoxBody, header, HttpService, Request, Response, StatusCode};
-use actix_service::{Service as _, ServiceFactory as _};
-use kernel::serve_connections;
+use actix_http::{body::BoxBody, header, Request, Response, StatusCode};
+use http_server::HalfClose;
+use kernel::AcceptDrain;
 use platform_adapter::READY_PATH;
 use telemetry::{EventKind, EventLine};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
-use crate::{entry::can_serve, state::NodeState, NodeError};
+use crate::{clients, entry::can_serve, state::NodeState};
 
 /// The path of the metrics page.
 const METRICS_PATH: &str = "/metrics";
 
 /// Answers requests for as long as the future is polled.
-///
-/// # Errors
-///
-/// The HTTP server cannot be built.
-pub(crate) async fn serve(state: Rc<NodeState>, listener: TcpListener) -> Result<(), NodeError> {
-    let handler = move |request: Request| {
-        let response = handle_request(&state, &request);
-        async move { Ok::<_, Infallible>(response) }
-    };
-    let factory = HttpService::<TcpStream, _, _, _, _>::build()
-        .h1(actix_service::fn_service(handler))
-        .tcp();
-    let service = factory
-        .new_service(())
-        .await
-        .map_err(|()| NodeError::Server)?;
-    serve_connections(listener, |stream| {
-        // A broken connection ends its own requests; nothing else needs to be done.
-        let connection = service.call(stream);
-        async move {
-            let _ended = connection.await;
-        }
-    })
-    .await;
-    Ok(())
+pub(crate) async fn serve(state: Rc<NodeState>, listener: TcpListener) {
+    let server_state = state.clone();
+    let handler =
+        move |request: Request| std::future::ready(handle_request(&server_state, &request));
+    let drain = AcceptDrain::default();
+    clients::serve(&state, listener, &drain, HalfClose::Answer, handler).await;
 }
 
 fn handle_request(state: &NodeState, request: &Request) -> Response<BoxBody> {
@@ -59,6 +40,7 @@
 
 fn metrics_page(state: &NodeState) -> Response<BoxBody> {
     crate::metrics::set_traffic(&state.metrics, &state.traffic);
+    crate::metrics::set_clients(&state.metrics, &state.clients.snapshot());
     match state.metrics.render() {
         Ok(page) => Response::build(StatusCode::OK)
             .insert_header((header::CONTENT_TYPE, "text/plain; version=0.0.4"))
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -9,6 +9,7 @@
 };
 
 use claims::{ClaimController, NodeId};
+use http_server::ClientGate;
 use jobs::{PoolId, RouteTable, TableFreshness};
 use kernel::{AcceptDrain, ClockSource, PauseMonitor};
 use model::{DataCentreId, FastMap, Mechanism};
@@ -87,11 +88,13 @@
     pub(crate) refuses_requests: Cell<bool>,
     /// The time at which the process ends, set once it is stopping.
     pub(crate) stop_deadline: Cell<Option<Instant>>,
-    /// Notified when customers' idle connections are to be closed.
-    pub(crate) close_idle: Rc<Notify>,
+    /// Limits what clients can take of this process.
+    pub(crate) clients: Arc<ClientGate>,
     /// Notified when open requests must be answered because the process ends.
     pub(crate) cut_requests: Notify,
     pub(crate) pauses: RefCell<PauseMonitor>,
+    /// When a pause was last noticed.
+    pub(crate) last_pause: Cell<Option<Instant>>,
     /// Pending while customers' connections from before the end of a pause may wait to be accepted.
     pub(crate) accept_drain: AcceptDrain,
     pub(crate) next_waiter_id: Cell<u64>,
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -44,6 +44,15 @@
     /// The bandwidth of the VM's network link in each direction, in megabits per second. VMs with less bandwidth own
     /// smaller pools. Default 1000.
     pub link_mbps: f64,
+    /// The memory that the process may use, in megabytes of 1,000,000 bytes. Connections, requests that are being read,
+    /// answers that are not taken, and open jobs get shares of it. Default 120.
+    pub memory_mb: u64,
+    /// The most descriptors that the process may have open; the limit of the operating system holds too. Half of them are
+    /// for clients. Default 3075.
+    pub max_descriptors: u64,
+    /// The longest time that the body of a request may take, not counting time in which the process stood still. Default
+    /// 60000.
+    pub body_timeout_ms: DurationMs,
     /// How orders to start and stop tasks reach the workers. Default `call`.
     pub orders: OrderPath,
     /// The policies for decisions under load. Default: those that are the default of each policy.
@@ -81,6 +90,9 @@
             far_factor: 2.0,
             cores: 1.0,
             link_mbps: 1_000.0,
+            memory_mb: 120,
+            max_descriptors: 3_075,
+            body_timeout_ms: DurationMs(60_000),
             orders: OrderPath::Call,
             load: LoadPolicies::default(),
             switched_off: Vec::new(),
@@ -110,6 +122,21 @@
         if !(500..=600_000).contains(&self.config_limit_ms.0) {
             return violation("config_limit_ms", "must be at least 500 and at most 600000");
         }
+        if !(16..=1_048_576).contains(&self.memory_mb) {
+            return violation("memory_mb", "must be at least 16 and at most 1048576");
+        }
+        if !(64..=16_777_216).contains(&self.max_descriptors) {
+            return violation(
+                "max_descriptors",
+                "must be at least 64 and at most 16777216",
+            );
+        }
+        if !(1_000..=3_600_000).contains(&self.body_timeout_ms.0) {
+            return violation(
+                "body_timeout_ms",
+                "must be at least 1000 and at most 3600000",
+            );
+        }
         if self.orders == OrderPath::Heartbeat {
             return violation("orders", "`heartbeat` is not supported; use `call`");
         }
