Freed memory is returned to the operating system

What callers saw: nothing until the next crowd. Of 680 MB that a crowd took, 142 MB stayed, and the next crowd came on top.

Cause: the allocator raises its threshold for mapped blocks to the largest block that was freed, and keeps what is free between blocks in use.

The threshold is fixed at its initial value, so buffers of large bodies are returned as they are freed, and the gate has the allocator trimmed when what it counts has fallen by 2 MB, once a second at most.

--- a/crates/cairnpaddle/src/main.rs
+++ b/crates/cairnpaddle/src/main.rs
@@ -19,6 +19,7 @@
 }
 
 fn run(role: &RoleCommand) -> Result<(), CommandError> {
+    kernel::limit_free_memory();
     kernel::exit_on_panic();
     match role {
         RoleCommand::Entry { settings } => {
--- a/crates/http-server/src/gate.rs
+++ b/crates/http-server/src/gate.rs
@@ -11,8 +11,9 @@
 
 use client_limits::{
     ClientBudget, ClientTable, ConnectionId, ConnectionPhase, Eviction, MemoryShare, PhaseTimes,
-    ReserveOutcome, ShareCount,
+    ReserveOutcome, ShareCount, CONNECTION_BYTES,
 };
+use kernel::release_free_memory;
 use model::{text_enum, FastMap, UnknownVariant};
 use tokio::sync::Notify;
 
@@ -20,6 +21,12 @@
 /// in the rest, which is not the clients' fault.
 const MAX_SWEEP_STEP: Duration = Duration::from_millis(200);
 
+/// The bytes that have become free at which free memory is released.
+const MIN_RELEASE_BYTES: u64 = 2_000_000;
+
+/// The shortest time between two releases of free memory, each of which takes some milliseconds.
+const RELEASE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Limits on requests, besides the budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpLimits {
@@ -132,6 +139,30 @@
     signals: FastMap<ConnectionId, Arc<CloseSignal>>,
     events: [u64; GateEvent::ALL.len()],
     last_sweep: Option<Instant>,
+    release: ReleaseTrigger,
+}
+
+/// Tells when much memory has become free that the allocator may keep.
+#[derive(Default)]
+struct ReleaseTrigger {
+    /// The most that was held since the last release, in bytes.
+    peak: u64,
+    released: Option<Instant>,
+}
+
+impl ReleaseTrigger {
+    /// Returns whether free memory is to be released now that `held` bytes are held.
+    fn is_due(&mut self, now: Instant, held: u64) -> bool {
+        self.peak = self.peak.max(held);
+        let has_fallen = self.peak >= held + MIN_RELEASE_BYTES;
+        let is_early = |at| now < at + RELEASE_INTERVAL;
+        if !has_fallen || self.released.is_some_and(is_early) {
+            return false;
+        }
+        self.peak = held;
+        self.released = Some(now);
+        true
+    }
 }
 
 /// Tells a connection's task that it has to end.
@@ -213,6 +244,7 @@
                 signals: FastMap::default(),
                 events: [0; GateEvent::ALL.len()],
                 last_sweep: None,
+                release: ReleaseTrigger::default(),
             }),
         })
     }
@@ -267,6 +299,10 @@
         let expired = state
             .table
             .advance(passed.min(MAX_SWEEP_STEP), &limits.times);
+        let held = state.held_bytes();
+        if state.release.is_due(now, held) {
+            release_free_memory();
+        }
         for expiry in expired {
             if let Some(event) = timeout_event(expiry.phase) {
                 state.count(event);
@@ -317,6 +353,13 @@
 }
 
 impl GateState {
+    /// What is held for all clients, in bytes.
+    fn held_bytes(&self) -> u64 {
+        let shares = MemoryShare::ALL.iter();
+        let reserved: u64 = shares.map(|share| self.table.count(*share).used).sum();
+        reserved + (self.table.connections() * CONNECTION_BYTES) as u64
+    }
+
     fn count(&mut self, event: GateEvent) {
         self.events[event as usize] += 1;
     }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -7,6 +7,7 @@
 mod accept;
 mod clock;
 mod directory;
+mod heap;
 mod machine;
 mod pause;
 mod signals;
@@ -16,6 +17,7 @@
     accept::{serve_connections, serve_with_drain, AcceptDrain},
     clock::{ClockSource, ManualClock, SystemClock},
     directory::{DirectoryError, ServiceDirectory, ServiceName},
+    heap::{limit_free_memory, release_free_memory},
     machine::descriptor_limit,
     pause::{PauseCount, PauseMonitor},
     signals::StopSignals,
