Entries and dispatchers serve their clients under the same budget

Cause: `max_open_bytes` counts whole submissions; bodies that are being read, answers that are not taken and connections were not counted.

Both now serve their applications through http-server, on the worker threads that they had, with one gate for a process. `max_open_bytes` of an entry holds three times: for open submissions as before, for bodies that are being read, and for answers that are not taken. Half of `max_descriptors` is for clients. A body that was read is dropped once it is decoded, instead of being kept until the answer. Refusals are 503 `overloaded` with Retry-After. An answer to a submission that finds no memory ends the connection: the submission may have run, so a refusal would be false.

--- a/crates/caller-api/src/callers.rs
+++ b/crates/caller-api/src/callers.rs
@@ -112,7 +112,10 @@
         Ok(raw) => raw,
         Err(answer) => return *answer,
     };
-    match read_job(&raw) {
+    let read = read_job(&raw);
+    // The submission may be open for long, and its payloads are held decoded.
+    drop(raw);
+    match read {
         Ok((body, digest)) => {
             submit(
                 &api,
@@ -148,7 +151,7 @@
                 SubmitCommand {
                     body,
                     digest,
-                    raw: raw.to_vec(),
+                    raw: raw.into(),
                 },
             )
             .await
--- a/crates/dispatcher/src/process.rs
+++ b/crates/dispatcher/src/process.rs
@@ -100,11 +100,12 @@
     };
     let metrics = Arc::new(MetricSet::new()?);
     let drain = settings.drain.clone();
+    let max_descriptors = settings.max_descriptors;
     let entries = EntryDirectory::default();
     let control = DispatcherControl::new(ControlParts {
         platform: PlatformClient::new(platform_settings, clock.clone()),
         settings,
-        clock,
+        clock: clock.clone(),
         incarnation: IncarnationId(fastrand::u64(..)),
         own_address,
         traffic,
@@ -114,7 +115,7 @@
     })
     .start();
     services.register(CONTROL_SERVICE, control.clone());
-    let admin = admin::start(admin_listener, ready, metrics)?;
+    let admin = admin::start(admin_listener, max_descriptors, ready, metrics, clock)?;
     peer_listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(peer_listener)?;
     let port_control = control.clone();
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -7,13 +7,21 @@
 };
 
 use actix::{Actor as _, Addr};
-use actix_web::{dev::ServerHandle, web, App, HttpResponse, HttpServer};
+use actix_http::{body::BoxBody, header, Response, StatusCode};
+use actix_web::{dev::ServerHandle, web, App, HttpResponse};
 use caller_api::{
     caller_routes,
     operators::{self, OperatorLink},
     CallerApi,
 };
-use kernel::{ClockSource, ServiceDirectory, ServiceName, StopSignals, SystemClock};
+use client_limits::ClientBudget;
+use http_server::{
+    spawn_sweeps, start_web_server, ClientGate, EventEffect, GateSnapshot, HalfClose, HttpLimits,
+    ServerOptions, WebSettings,
+};
+use kernel::{
+    descriptor_limit, ClockSource, ServiceDirectory, ServiceName, StopSignals, SystemClock,
+};
 use model::IncarnationId;
 use platform::PlatformClient;
 use settings::{DrainSettings, EntrySettings};
@@ -33,6 +41,15 @@
 /// Time for the HTTP server to send the last answers once every submission has been answered, in seconds.
 const SHUTDOWN_TIMEOUT_SECS: u64 = 5;
 
+/// The longest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 128 * 1_024;
+
+/// The retry delay for requests for which there is no memory, in seconds.
+const OVERLOAD_RETRY_AFTER_SECS: u64 = 1;
+
+/// The body of the answer to a request for which there is no memory.
+const OVERLOADED_BODY: &str = r#"{"status":"refused","reason":"overloaded"}"#;
+
 /// A running entry.
 pub struct EntryProcess {
     control: Addr<EntryControl>,
@@ -101,12 +118,13 @@
     let metrics = Arc::new(MetricSet::new()?);
     let drain = settings.drain.clone();
     let threads = settings.caller_threads;
+    let gate = new_gate(&settings);
     let max_body = usize::try_from(settings.max_body_bytes.0).unwrap_or(usize::MAX);
     let incarnation = IncarnationId(fastrand::u64(..));
     let control = EntryControl::new(ControlParts {
         platform: PlatformClient::new(platform_settings, clock.clone()),
         settings,
-        clock,
+        clock: clock.clone(),
         incarnation,
         ready: ready.clone(),
         leaving: leaving.clone(),
@@ -121,7 +139,21 @@
         leaving,
     };
     let operators = OperatorLink::new(services.find::<EntryControl>(CONTROL_SERVICE)?.recipient());
-    let server = HttpServer::new(move || {
+    let web_settings = WebSettings {
+        workers: threads,
+        shutdown_timeout_s: SHUTDOWN_TIMEOUT_SECS,
+        gate: gate.clone(),
+        options: ServerOptions {
+            half_close: HalfClose::Answer,
+            refusal,
+            clock,
+        },
+    };
+    let reported_metrics = metrics.clone();
+    spawn_sweeps(&gate, move |last, now| {
+        report_clients(&reported_metrics, last, now)
+    });
+    let server = start_web_server(listener, web_settings, move || {
         let (api, operators) = (api.clone(), operators.clone());
         let metrics = web::Data::from(metrics.clone());
         App::new()
@@ -129,12 +161,7 @@
             .route("/metrics", web::get().to(serve_metrics))
             .configure(move |config| caller_routes(config, api, max_body))
             .configure(move |config| operators::configure(config, operators))
-    })
-    .workers(threads)
-    .disable_signals()
-    .shutdown_timeout(SHUTDOWN_TIMEOUT_SECS)
-    .listen(listener)?
-    .run();
+    })?;
     let handle = server.handle();
     actix_rt::spawn(async move {
         if let Err(error) = server.await {
@@ -150,6 +177,42 @@
     })
 }
 
+/// Creates the client gate of an entry.
+fn new_gate(settings: &EntrySettings) -> Arc<ClientGate> {
+    let descriptors = descriptor_limit().min(settings.max_descriptors);
+    let budget = ClientBudget {
+        connections: ClientBudget::connections_of(descriptors),
+        requests: settings.max_open_bytes,
+        answers: settings.max_open_bytes,
+        // The authority counts the bytes of open submissions.
+        jobs: settings.max_open_bytes,
+    };
+    let mut limits = HttpLimits {
+        head_bytes: MAX_HEAD_BYTES,
+        body_bytes: usize::try_from(settings.max_body_bytes.0).unwrap_or(usize::MAX),
+        ..HttpLimits::default()
+    };
+    limits.times.body = settings.body_timeout_ms.duration();
+    ClientGate::new(budget, limits)
+}
+
+/// The answer to a request for which there is no memory. Nothing of it has run.
+fn refusal() -> Response<BoxBody> {
+    Response::build(StatusCode::SERVICE_UNAVAILABLE)
+        .insert_header((header::CONTENT_TYPE, "application/json"))
+        .insert_header((header::RETRY_AFTER, OVERLOAD_RETRY_AFTER_SECS))
+        .body(OVERLOADED_BODY)
+        .map_into_boxed_body()
+}
+
+fn report_clients(metrics: &MetricSet, last: &GateSnapshot, now: &GateSnapshot) {
+    metrics.count_clients(
+        now.count_since(last, EventEffect::Refused),
+        now.count_since(last, EventEffect::CutOff),
+    );
+    log::warn!("entry: clients limited: {}", now.describe_since(last));
+}
+
 async fn serve_metrics(metrics: web::Data<MetricSet>) -> HttpResponse {
     match metrics.render() {
         Ok(page) => HttpResponse::Ok()
--- a/crates/settings/src/dispatcher.rs
+++ b/crates/settings/src/dispatcher.rs
@@ -86,6 +86,11 @@
     #[serde(deserialize_with = "bounded::<_, _, 20, 600_000>")]
     #[schemars(range(min = 20, max = 600_000))]
     pub grant_term_ms: DurationMs,
+    /// The most descriptors that the process may have open; the limit of the operating system holds too. Half of them are
+    /// for clients. Default 3075.
+    #[serde(deserialize_with = "bounded::<_, _, 64, 16_777_216>")]
+    #[schemars(range(min = 64, max = 16_777_216))]
+    pub max_descriptors: u64,
     /// How the process shuts down.
     pub drain: DrainSettings,
     /// How endpoints are called.
@@ -112,6 +117,7 @@
             vm_list_ms: DurationMs(1_000),
             refresh_ms: DurationMs(1_000),
             grant_term_ms: DurationMs(12_000),
+            max_descriptors: 3_075,
             drain: DrainSettings::default(),
             endpoint: EndpointCallSettings::default(),
             log: LogSettings::default(),
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -58,8 +58,9 @@
     #[serde(deserialize_with = "bounded::<_, _, 1, 10_000_000>")]
     #[schemars(range(min = 1, max = 10_000_000))]
     pub max_submissions: usize,
-    /// The most payload bytes of open submissions. A submission that would exceed the limit is refused as overloaded,
-    /// with a time to retry after. Default 268435456; at least `max_body_bytes`, so that an idle process accepts any
+    /// The most payload bytes of open submissions; the same again holds for bodies that are being read, and for answers
+    /// that callers have not taken. A submission or body that would exceed the limit is refused as overloaded, with a time
+    /// to retry after. Default 268435456; at least `max_body_bytes`, so that an idle process accepts any
     /// allowed body.
     #[serde(deserialize_with = "bounded_size::<_, 1_024, 1_099_511_627_776>")]
     #[schemars(with = "u64", range(min = 1_024, max = 1_099_511_627_776_u64))]
@@ -73,6 +74,16 @@
     #[serde(deserialize_with = "bounded::<_, _, 1_000, 86_400_000>")]
     #[schemars(range(min = 1_000, max = 86_400_000))]
     pub outcome_keep_ms: DurationMs,
+    /// The most descriptors that the process may have open; the limit of the operating system holds too. Half of them are
+    /// for clients. Default 3075.
+    #[serde(deserialize_with = "bounded::<_, _, 64, 16_777_216>")]
+    #[schemars(range(min = 64, max = 16_777_216))]
+    pub max_descriptors: u64,
+    /// The longest time that the body of a request may take, not counting time in which the process stood still. Default
+    /// 60000.
+    #[serde(deserialize_with = "bounded::<_, _, 1_000, 3_600_000>")]
+    #[schemars(range(min = 1_000, max = 3_600_000))]
+    pub body_timeout_ms: DurationMs,
     /// How the process shuts down.
     pub drain: DrainSettings,
     /// The interval between heartbeats to dispatchers. Default 100.
@@ -111,6 +122,8 @@
             max_open_bytes: ByteSize(256 * 1024 * 1024),
             max_kept_bytes: ByteSize(256 * 1024 * 1024),
             outcome_keep_ms: DurationMs(300_000),
+            max_descriptors: 3_075,
+            body_timeout_ms: DurationMs(60_000),
             drain: DrainSettings::default(),
             heartbeat_ms: DurationMs(100),
             session_timeout_ms: DurationMs(1_000),
--- a/crates/telemetry/src/metrics/catalogue.rs
+++ b/crates/telemetry/src/metrics/catalogue.rs
@@ -67,6 +67,8 @@
     CounterKind::OwnerChanges.spec(),
     CounterKind::SessionsLost.spec(),
     CounterKind::LogLinesSuppressed.spec(),
+    CounterKind::ClientsRefused.spec(),
+    CounterKind::ClientsCutOff.spec(),
     TimeKind::Response.spec(),
     TimeKind::QueueWait.spec(),
     TimeKind::RunTime.spec(),
@@ -138,6 +140,10 @@
             "Sessions between entry and dispatcher that ended without a goodbye";
         LogLinesSuppressed => "cairnpaddle_log_lines_suppressed_total", "1",
             "Log lines left out because their place in the code wrote too many";
+        ClientsRefused => "cairnpaddle_clients_refused_total", "1",
+            "Connections and requests refused to stay within the limits on memory and descriptors";
+        ClientsCutOff => "cairnpaddle_clients_cut_off_total", "1",
+            "Connections closed because they stalled, gave way to others or took too long";
     }
 }
 
--- a/crates/telemetry/src/metrics/set.rs
+++ b/crates/telemetry/src/metrics/set.rs
@@ -121,6 +121,12 @@
         self.counters[kind as usize].add(by, &[]);
     }
 
+    /// Counts clients that were refused and cut off.
+    pub fn count_clients(&self, refused: u64, cut_off: u64) {
+        self.count(CounterKind::ClientsRefused, refused);
+        self.count(CounterKind::ClientsCutOff, cut_off);
+    }
+
     /// Records a duration in a histogram.
     pub fn time(&self, kind: TimeKind, span: Duration) {
         self.times[kind as usize].record(span.as_secs_f64(), &[]);
