A few connections stay free of requests that are carried out

Clients whose jobs wait for long could take every connection of a process. Since a connection whose request runs does not give way, new clients would be dropped unread and would not learn that nothing ran.

One connection in eight stays free of such requests: a request beyond that is refused at once with 503 and Retry-After.

--- a/crates/http-server/src/connection.rs
+++ b/crates/http-server/src/connection.rs
@@ -70,7 +70,8 @@
 /// What has become of a request.
 enum Served<B> {
     Answered(Response<B>),
-    /// Memory for the body could not be reserved, or it has stalled and gave way to another.
+    /// Memory for the body could not be reserved, the body has stalled and gave way to another, or too many requests are
+    /// being carried out.
     Refused,
     /// The body did not arrive in time.
     TimedOut,
@@ -146,7 +147,9 @@
 
     /// Runs the handler until it has answered or the connection has to end.
     async fn answer(&self, inbound: &Rc<RefCell<Inbound>>, request: Request) -> Served<B> {
-        inbound.borrow().client.set_phase(ConnectionPhase::Running);
+        if !inbound.borrow().client.set_phase(ConnectionPhase::Running) {
+            return Served::Refused;
+        }
         let request = match inbound.borrow().body {
             BodyState::Ended => request,
             _ => request.replace_payload(RequestBody::payload(inbound)).0,
