An idle connection does not hold the memory of a handler

The future of a handler stood in that of its connection, idle or not. It is boxed for the time of its request. The tests of http-server pass.

--- a/crates/http-server/src/connection.rs
+++ b/crates/http-server/src/connection.rs
@@ -154,7 +154,8 @@
             BodyState::Ended => request,
             _ => request.replace_payload(RequestBody::payload(inbound)).0,
         };
-        let mut handler = pin!((self.handler)(request));
+        // Boxed, so that an idle connection does not hold the memory of a handler.
+        let mut handler = Box::pin((self.handler)(request));
         let mut closed = Box::pin(inbound.borrow().client.closed());
         let mut hang_up_check: Option<Pin<Box<Sleep>>> = None;
         poll_fn(|cx| loop {
