Entries deliver the largest answers whatever max_open_bytes is

With max_open_bytes near its least allowed value, the answer to a job of 370 results of 64 KiB would never have found memory, and its caller would have been left without one. The share of answers holds 64 MiB at least. By calculation; no test sends an answer of that size under such settings.

--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -22,7 +22,7 @@
 use kernel::{
     descriptor_limit, ClockSource, ServiceDirectory, ServiceName, StopSignals, SystemClock,
 };
-use model::IncarnationId;
+use model::{ByteSize, IncarnationId};
 use platform::PlatformClient;
 use settings::{DrainSettings, EntrySettings};
 use telemetry::MetricSet;
@@ -44,6 +44,10 @@
 /// The longest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 128 * 1_024;
 
+/// More than the largest answer has: 370 results of 64 KiB in base64. Answers of that size are delivered whatever the
+/// settings.
+const LARGEST_ANSWER: ByteSize = ByteSize(64 * 1_024 * 1_024);
+
 /// The retry delay for requests for which there is no memory, in seconds.
 const OVERLOAD_RETRY_AFTER_SECS: u64 = 1;
 
@@ -183,7 +187,7 @@
     let budget = ClientBudget {
         connections: ClientBudget::connections_of(descriptors),
         requests: settings.max_open_bytes,
-        answers: settings.max_open_bytes,
+        answers: settings.max_open_bytes.max(LARGEST_ANSWER),
         // The authority counts the bytes of open submissions.
         jobs: settings.max_open_bytes,
     };
