Soak: clients that do not behave, beside the ordinary customers

Their requests never end, so nothing of them may run, and the promises are checked for the customers beside them.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod fleet;
 mod kept;
+mod misbehaving;
 mod plan;
 mod record;
 mod run;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -106,6 +106,8 @@
     pub reset_share: f64,
     /// The share of attempts whose connection breaks, while it stays open at its node.
     pub unheard_share: f64,
+    /// The number of clients that do not behave, beside the customers.
+    pub misbehaving_clients: usize,
 }
 
 impl Default for CustomerPlan {
@@ -122,6 +124,7 @@
             early_leave_share: 0.04,
             reset_share: 0.5,
             unheard_share: 0.15,
+            misbehaving_clients: 0,
         }
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     fs,
+    net::SocketAddr,
     path::{Path, PathBuf},
     rc::Rc,
     time::Duration,
@@ -10,12 +11,14 @@
 
 use fastrand::Rng;
 use thiserror::Error;
+use tokio::task::JoinHandle;
 
 use crate::{
     checks::{check_invariants, InvariantViolation, FINISH_LIMIT},
     customers::CustomerSimulator,
     faults::{follow_up_crashes, inject_fault, run_follow_up, FollowUp},
     fleet::SoakFleet,
+    misbehaving,
     plan::{FaultKind, FaultStep, SoakPlan},
     record::{AttemptEnd, KeptState, ProbeTrace, SoakRecord},
 };
@@ -125,6 +128,7 @@
 impl SoakRun<'_> {
     async fn run(&mut self) -> Result<(), SoakError> {
         actix_rt::time::sleep(STARTUP_WAIT).await;
+        let misbehaving = self.start_misbehaving_clients();
         let begun = self.fleet.now();
         let mut steps = self.plan.steps();
         steps.reverse();
@@ -160,7 +164,19 @@
             }
         }
         actix_rt::time::sleep(FINAL_ANSWER_WAIT).await;
-        self.await_jobs().await
+        let finished = self.await_jobs().await;
+        for client in misbehaving {
+            client.abort();
+        }
+        finished
+    }
+
+    fn start_misbehaving_clients(&mut self) -> Vec<JoinHandle<()>> {
+        let nodes = self.fleet.nodes.iter().map(|node| node.customer_address);
+        let nodes: Vec<SocketAddr> = nodes.collect();
+        let count = self.plan.customers.misbehaving_clients;
+        let clients = (0..count).map(|_| misbehaving::run_client(nodes.clone(), self.rng.fork()));
+        clients.map(actix_rt::spawn).collect()
     }
 
     /// Waits until all customers have finished, at most as long as kept jobs may take. That is more than the longest
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -3,18 +3,34 @@
 use std::time::Duration;
 
 use scenario::find_binary;
-use soak::{run_soak, SoakPlan};
+use soak::{run_soak, CustomerPlan, SoakPlan};
+use tokio::sync::Mutex;
+
+/// Held by the test that runs: the nodes of both would have the same addresses.
+static TURN: Mutex<()> = Mutex::const_new(());
 
 /// Any fault may occur on any node or worker, repeatedly and overlapping others. Answers must still be true and in
 /// time, no worker may get too many runs, no task may run twice at once, and all jobs must be served afterwards.
 #[actix_rt::test]
 async fn a_short_soak_keeps_all_promises() {
-    check(1).await;
+    check(1, CustomerPlan::default()).await;
+}
+
+/// Beside clients that do not behave, the promises must hold for the customers that do.
+#[actix_rt::test]
+async fn a_short_soak_beside_misbehaving_clients_keeps_all_promises() {
+    let customers = CustomerPlan {
+        misbehaving_clients: 60,
+        ..CustomerPlan::default()
+    };
+    check(65_001, customers).await;
 }
 
-async fn check(seed: u64) {
+async fn check(seed: u64, customers: CustomerPlan) {
+    let _turn = TURN.lock().await;
     let plan = SoakPlan {
         worker_restarts: true,
+        customers,
         seed,
         fault_duration: Duration::from_secs(8),
         nodes: 3,
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -44,6 +44,9 @@
     /// Share of kept jobs among all jobs, in place of the default
     #[bpaf(argument("SHARE"))]
     kept_share: Option<f64>,
+    /// Number of clients that do not behave, beside the customers
+    #[bpaf(argument("COUNT"), fallback(0), display_fallback)]
+    misbehaving: usize,
     /// Jobs per second
     #[bpaf(argument("RATE"), fallback(40.0), display_fallback)]
     rate: f64,
@@ -117,6 +120,7 @@
             faults: setting.faults(),
             customers: CustomerPlan {
                 kept_share: self.kept_share.unwrap_or(customers.kept_share),
+                misbehaving_clients: self.misbehaving,
                 ..customers
             },
             seed,
