Requests that are carried out are not bounded by themselves

Without the bound connections that only wait give way to it, as before.

A bound that has the one that is carried out for longest give way is not written.

--- a/crates/client-limits/src/budget.rs
+++ b/crates/client-limits/src/budget.rs
@@ -15,9 +15,6 @@
 /// The share of the descriptors that clients may take. The store, workers and other nodes need the rest.
 const DESCRIPTOR_DIVISOR: u64 = 2;
 
-/// The share of the connections that is kept free of requests that are being carried out.
-const RUNNING_RESERVE_DIVISOR: usize = 8;
-
 /// The share of the memory for all connections, for requests that are being read, and for open jobs, each.
 const MEMORY_DIVISOR: u64 = 8;
 
@@ -68,12 +65,6 @@
         usize::try_from(connections).unwrap_or(usize::MAX).max(1)
     }
 
-    /// The most requests that are carried out at once. Their connections do not give way, and if no connection did, new
-    /// clients would not even be told to come back.
-    pub fn running_requests(&self) -> usize {
-        (self.connections - self.connections / RUNNING_RESERVE_DIVISOR).max(1)
-    }
-
     /// The limit of a share.
     pub fn limit(&self, share: MemoryShare) -> ByteSize {
         match share {
--- a/crates/client-limits/src/lib.rs
+++ b/crates/client-limits/src/lib.rs
@@ -14,7 +14,7 @@
 pub use crate::{
     budget::{ClientBudget, MemoryShare, ShareCount, CONNECTION_BYTES, SMALLEST_MEMORY},
     table::{
-        ClientTable, ConnectionId, ConnectionPhase, Eviction, Expiry, PhaseError, PhaseTimes,
-        ReserveOutcome, TableFull, PROGRESS_BYTES, STALL_TIME,
+        ClientTable, ConnectionId, ConnectionPhase, Eviction, Expiry, PhaseTimes, ReserveOutcome,
+        TableFull, PROGRESS_BYTES, STALL_TIME,
     },
 };
--- a/crates/client-limits/src/table.rs
+++ b/crates/client-limits/src/table.rs
@@ -82,15 +82,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TableFull;
 
-/// Why a phase cannot begin.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PhaseError {
-    /// The connection has been told to end.
-    Ended,
-    /// As many requests are being carried out as may be.
-    TooManyRunning,
-}
-
 /// The outcome of a reservation.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReserveOutcome {
@@ -169,8 +160,6 @@
     holding: BTreeSet<(Duration, ConnectionId)>,
     counts: [ShareCount; MemoryShare::ALL.len()],
     peak_connections: usize,
-    /// The number of connections whose requests are being carried out.
-    running: usize,
 }
 
 impl ClientTable {
@@ -185,7 +174,6 @@
             holding: BTreeSet::new(),
             counts: Default::default(),
             peak_connections: 0,
-            running: 0,
         }
     }
 
@@ -266,33 +254,18 @@
         let Some(connection) = self.connections.remove(&id) else {
             return;
         };
-        self.running -= usize::from(connection.phase == ConnectionPhase::Running);
         for share in ReservedShare::ALL {
             let held = connection.reserved[share as usize];
             self.counts[share.memory_share() as usize].give_back(held);
         }
     }
 
-    /// Begins a phase of a connection.
-    ///
-    /// # Errors
-    ///
-    /// The connection has been told to end, or too many requests are being carried out. Nothing has changed.
-    pub fn set_phase(
-        &mut self,
-        id: ConnectionId,
-        phase: ConnectionPhase,
-    ) -> Result<(), PhaseError> {
+    /// Begins a phase of a connection. Returns false, and changes nothing, if the connection has been told to end.
+    pub fn set_phase(&mut self, id: ConnectionId, phase: ConnectionPhase) -> bool {
         let known = self.connections.get(&id);
-        let Some(known) = known.filter(|known| !known.evicted) else {
-            return Err(PhaseError::Ended);
-        };
-        let was_running = known.phase == ConnectionPhase::Running;
-        let is_running = phase == ConnectionPhase::Running;
-        if is_running && !was_running && self.running >= self.budget.running_requests() {
-            return Err(PhaseError::TooManyRunning);
+        if known.is_none_or(|connection| connection.evicted) {
+            return false;
         }
-        self.running = self.running + usize::from(is_running) - usize::from(was_running);
         let now = self.now;
         self.update(id, |connection| {
             connection.phase = phase;
@@ -300,7 +273,7 @@
             connection.progress = now;
             connection.uncounted = 0;
         });
-        Ok(())
+        true
     }
 
     /// Records that a connection has received or sent bytes.
--- a/crates/http-server/src/connection.rs
+++ b/crates/http-server/src/connection.rs
@@ -70,8 +70,7 @@
 /// What has become of a request.
 enum Served<B> {
     Answered(Response<B>),
-    /// Memory for the body could not be reserved, the body has stalled and gave way to another, or too many requests are
-    /// being carried out.
+    /// Memory for the body could not be reserved, or it has stalled and gave way to another.
     Refused,
     /// The body did not arrive in time.
     TimedOut,
@@ -147,9 +146,7 @@
 
     /// Runs the handler until it has answered or the connection has to end.
     async fn answer(&self, inbound: &Rc<RefCell<Inbound>>, request: Request) -> Served<B> {
-        if !inbound.borrow().client.set_phase(ConnectionPhase::Running) {
-            return Served::Refused;
-        }
+        inbound.borrow().client.set_phase(ConnectionPhase::Running);
         let request = match inbound.borrow().body {
             BodyState::Ended => request,
             _ => request.replace_payload(RequestBody::payload(inbound)).0,
--- a/crates/http-server/src/gate.rs
+++ b/crates/http-server/src/gate.rs
@@ -10,8 +10,8 @@
 };
 
 use client_limits::{
-    ClientBudget, ClientTable, ConnectionId, ConnectionPhase, Eviction, MemoryShare, PhaseError,
-    PhaseTimes, ReserveOutcome, ShareCount, CONNECTION_BYTES,
+    ClientBudget, ClientTable, ConnectionId, ConnectionPhase, Eviction, MemoryShare, PhaseTimes,
+    ReserveOutcome, ShareCount, CONNECTION_BYTES,
 };
 use kernel::release_free_memory;
 use model::{text_enum, FastMap, UnknownVariant};
@@ -72,8 +72,6 @@
         ConnectionEvicted => "connection_evicted",
         /// A request was refused because memory for it could not be reserved.
         RequestRefused => "request_refused",
-        /// A request was refused because too many others were being carried out.
-        TooManyRunning => "too_many_running",
         /// A request or an answer that had stalled was dropped in favour of another.
         StalledEvicted => "stalled_evicted",
         /// An answer was replaced by a refusal because memory for it could not be reserved.
@@ -95,7 +93,6 @@
         match self {
             Self::ConnectionRefused
             | Self::RequestRefused
-            | Self::TooManyRunning
             | Self::AnswerRefused
             | Self::JobRefused => EventEffect::Refused,
             Self::ConnectionEvicted
@@ -423,15 +420,9 @@
         self.gate.limits()
     }
 
-    /// Begins a phase. Returns whether it has begun: the connection may have to end, or too many requests are being
-    /// carried out.
+    /// Begins a phase. Returns false if the connection has to end.
     pub(crate) fn set_phase(&self, phase: ConnectionPhase) -> bool {
-        let mut state = self.gate.lock();
-        let begun = state.table.set_phase(self.id, phase);
-        if begun == Err(PhaseError::TooManyRunning) {
-            state.count(GateEvent::TooManyRunning);
-        }
-        begun.is_ok()
+        self.gate.lock().table.set_phase(self.id, phase)
     }
 
     pub(crate) fn record_progress(&self, bytes: usize) {
--- a/crates/http-server/src/inbound.rs
+++ b/crates/http-server/src/inbound.rs
@@ -42,7 +42,7 @@
     Waiting,
     /// It is being read.
     Reading,
-    /// Memory for it could not be reserved, or the request cannot be carried out.
+    /// Memory for it could not be reserved.
     Refused,
     /// It broke off, or is malformed.
     Broken,
@@ -150,8 +150,8 @@
         };
     }
 
-    /// Hands out the next part of the body. Pending also if the request is refused: the connection's task then drops the
-    /// reader.
+    /// Hands out the next part of the body. Pending also if memory for the body could not be reserved or the connection has
+    /// to end; the connection's task then drops the reader.
     pub(crate) fn poll_body(
         &mut self,
         cx: &mut Context<'_>,
@@ -176,9 +176,8 @@
                     return Poll::Ready(Some(Ok(chunk)));
                 }
                 Ok(Some(Message::Chunk(None))) => {
-                    // A request that has given way is refused, so its handler must not get the whole body.
+                    // A request that has already given way is refused, so its handler must not get the whole body.
                     if !self.client.set_phase(ConnectionPhase::Running) {
-                        self.body = BodyState::Refused;
                         return Poll::Pending;
                     }
                     self.body = BodyState::Ended;
@@ -201,7 +200,6 @@
         }
         self.body = BodyState::Reading;
         if !self.client.set_phase(ConnectionPhase::Body) {
-            self.body = BodyState::Refused;
             return false;
         }
         if !self.reserve_body() {
