--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -169,7 +169,7 @@
     let dispatcher = schema_ranges(&dispatcher_schema(), |text| {
         parse_dispatcher(text).err().map(|e| e.to_string())
     });
-    assert_eq!((entry, dispatcher), (13, 12));
+    assert_eq!((entry, dispatcher), (15, 13));
 }
 
 fn schema_ranges(schema: &Value, parse_error: impl Fn(&str) -> Option<String>) -> usize {
