Test of long jobs that take all connections, known to be red

What ordinary callers see: their connections are closed unread while clients whose jobs run for 30 s hold all connections that a process has for clients. Nothing of the callers' requests has run, but they are not told so, nor when to come again.

Cause: a connection whose request is carried out never gives way. Bounding these requests was tried and taken back: it refuses the ordinary callers as well.

--- a/crates/soak/tests/clients/node.rs
+++ b/crates/soak/tests/clients/node.rs
@@ -166,6 +166,23 @@
     .await;
 }
 
+/// Requests that are carried out for long take all connections, and none of these gives way.
+#[actix_rt::test]
+async fn more_long_jobs_than_connections() {
+    let job = timed_job_body(1, 30_000).to_string().into_bytes();
+    let sent = [
+        sized_request("/hold/5c0e7a21d94b36f8", HOST, job.len()),
+        job,
+    ];
+    check(
+        Listener::Customers,
+        FEW_DESCRIPTORS,
+        MANY_CONNECTIONS,
+        vec![sent.concat()],
+    )
+    .await;
+}
+
 /// The same with heads that never end.
 #[actix_rt::test]
 async fn more_endless_heads_than_descriptors() {
