One function reads the stated length of a body

The server and the customers' handler each parsed Content-Length. Both now call http_server::stated_length.

--- a/crates/http-server/src/inbound.rs
+++ b/crates/http-server/src/inbound.rs
@@ -48,6 +48,12 @@
     Broken,
 }
 
+/// The length of a request's body, if its head states it.
+pub fn stated_length(request: &Request) -> Option<u64> {
+    let length = request.headers().get(header::CONTENT_LENGTH)?;
+    length.to_str().ok()?.trim().parse().ok()
+}
+
 /// What a connection receives, and its socket.
 pub(crate) struct Inbound {
     stream: TcpStream,
@@ -138,11 +144,7 @@
     fn begin_body(&mut self, request: &Request) {
         self.has_served = true;
         self.body_bytes = 0;
-        self.stated_bytes = request
-            .headers()
-            .get(header::CONTENT_LENGTH)
-            .and_then(|value| value.to_str().ok())
-            .and_then(|text| text.trim().parse().ok());
+        self.stated_bytes = stated_length(request);
         self.expects_continue = request.head().expect();
         self.body = match self.codec.message_type() {
             MessageType::None => BodyState::Ended,
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -20,6 +20,7 @@
     gate::{
         ClientConnection, ClientGate, CloseCause, EventEffect, GateEvent, GateSnapshot, HttpLimits,
     },
+    inbound::stated_length,
     serve::{bound_socket_buffers, serve_stream},
     web::{spawn_sweeps, start_web_server, WebSettings},
 };
--- a/crates/node/src/customer_server.rs
+++ b/crates/node/src/customer_server.rs
@@ -12,7 +12,7 @@
     future::{select, Either},
     StreamExt as _,
 };
-use http_server::{HalfClose, HeldSince};
+use http_server::{stated_length, HalfClose, HeldSince};
 use jobs::{
     critical_path, JobAttemptId, JobId, JobOutcome, JobRequest, RefusalKind, RequestLimits,
     RouteRule, RouteTable, UnsupportedNeed,
@@ -470,7 +470,8 @@
 
 /// Reads the body of a request. One that states to be longer than the limit is not read.
 async fn read_body(mut request: Request, limits: RequestLimits) -> Result<Vec<u8>, InvalidRequest> {
-    let stated = stated_length(&request);
+    let stated =
+        stated_length(&request).map(|length| usize::try_from(length).unwrap_or(usize::MAX));
     if stated.is_some_and(|length| length > limits.body_bytes) {
         return Err(InvalidRequest::BodyTooLarge);
     }
@@ -487,11 +488,6 @@
     Ok(body)
 }
 
-fn stated_length(request: &Request) -> Option<usize> {
-    let length = request.headers().get(header::CONTENT_LENGTH)?;
-    length.to_str().ok()?.trim().parse().ok()
-}
-
 fn not_ready() -> Response<BoxBody> {
     encoded_response(&EncodedResponse {
         status: 503,
