--- a/crates/soak/tests/clients/node.rs
+++ b/crates/soak/tests/clients/node.rs
@@ -183,7 +183,7 @@
     .await;
 }
 
-/// The same with heads that never end.
+/// Heads that never end take all descriptors, as idle connections do.
 #[actix_rt::test]
 async fn more_endless_heads_than_descriptors() {
     let head = format!("POST /hold/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: {HOST}\r\nX-Pad: ");
@@ -196,7 +196,7 @@
     .await;
 }
 
-/// The same on the listener of the readiness check.
+/// Connections to the listener of the readiness check take all descriptors, too.
 #[actix_rt::test]
 async fn more_connections_to_the_readiness_check_than_descriptors() {
     check(
