--- a/review/stand-ins-3/src/cancel.rs
+++ b/review/stand-ins-3/src/cancel.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 
 use crate::{
-    fleet::{hand_in, new_job_id, start_nodes, start_store, start_workers, Node, PREFIX},
+    fleet::{hand_in, new_job_id, start_nodes, start_store, start_workers, Node, PREFIX, SERVICE},
     http,
     record::{record_runs, runs_by_task},
     CaseResult, Setup, Verdict,
@@ -26,7 +26,7 @@
 pub(crate) async fn run(setup: &Setup) -> CaseResult {
     let record = &setup.record;
     let store = start_store().await;
-    let workers = start_workers(&store, ZONE, "r1-1", WORKERS).await;
+    let workers = start_workers(&store, SERVICE, ZONE, "r1-1", WORKERS).await;
     let mut nodes = Vec::new();
     for number in 0..2 {
         nodes.push(Node::new(&setup.dir, number, ZONE, store.address())?);
@@ -37,12 +37,11 @@
         "Spec": "run-ms-2500", "Ephemeral": true,
         "Phases": [step(&[]), step(&[0]), step(&[1])],
     });
-    let id = new_job_id();
-    let submission = hand_in(record, nodes[0].customers, &id, &body, PATIENCE);
+    let path = format!("{PREFIX}{}", new_job_id());
+    let submission = hand_in(record, nodes[0].customers, &path, &body, PATIENCE);
     sleep(CANCELLED_AFTER).await;
     let mut acknowledged = None;
     if setup.trouble {
-        let path = format!("{PREFIX}{id}");
         let answer = http::send(nodes[1].customers, "DELETE", &path, "", PATIENCE).await;
         record.add(format!("DELETE {path} answered: {answer:?}"));
         if !matches!(answer, Some((200..=299 | 410, _))) {
--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -21,12 +21,18 @@
     record::Record,
 };
 
-/// The host and the path prefix of the only queue.
+/// The host of all queues, and the path prefix of the first.
 pub(crate) const HOST: &str = "hall.example";
 pub(crate) const PREFIX: &str = "/hold/";
-const SERVICE: &str = "svc";
 
-/// How many failed runs of a task the queue allows.
+/// The service of the first queue.
+pub(crate) const SERVICE: &str = "svc";
+
+/// The path prefix of the second queue, and its service.
+pub(crate) const SECOND_PREFIX: &str = "/offer/";
+pub(crate) const SECOND_SERVICE: &str = "svc-2";
+
+/// How many failed runs of a task the queues allow.
 const ATTEMPTS: u32 = 3;
 
 /// How long nodes may take until they are ready, and how long the fleet then settles before the traffic starts. On the
@@ -58,15 +64,19 @@
     }
 }
 
-/// Finds a port that is free for TCP and UDP.
-fn free_address(ip: [u8; 4]) -> io::Result<SocketAddr> {
-    loop {
+/// Finds different ports that are free for TCP and UDP.
+fn free_addresses<const COUNT: usize>(ip: [u8; 4]) -> io::Result<[SocketAddr; COUNT]> {
+    let mut found = [SocketAddr::from((ip, 0)); COUNT];
+    let mut held = Vec::new();
+    while held.len() < COUNT {
         let listener = TcpListener::bind(SocketAddr::from((ip, 0)))?;
         let address = listener.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address);
+        if let Ok(socket) = UdpSocket::bind(address) {
+            found[held.len()] = address;
+            held.push((listener, socket));
         }
     }
+    Ok(found)
 }
 
 impl Node {
@@ -74,7 +84,7 @@
     pub(crate) fn new(dir: &Path, number: u8, zone: &str, store: SocketAddr) -> io::Result<Self> {
         let ip = [127, 0, 68, number + 1];
         let name = format!("edge-{zone}-{}", number + 1);
-        let (customers, ready, peers) = (free_address(ip)?, free_address(ip)?, free_address(ip)?);
+        let [customers, ready, peers] = free_addresses(ip)?;
         let settings = json!({
             "vm": name,
             "data_centre": zone,
@@ -152,7 +162,7 @@
     Ok(())
 }
 
-/// Starts a store with a configuration of one queue.
+/// Starts a store with a configuration of two queues, each with a service of its own.
 pub(crate) async fn start_store() -> StoreStandIn {
     let store = StoreStandIn::start().await;
     store.put("op", "config", &config());
@@ -160,23 +170,26 @@
 }
 
 fn config() -> Value {
+    let queue = |name: &str, prefix: &str, service: &str| {
+        json!({
+            "Name": name, "Host": HOST, "Prefix": prefix, "Kind": "non_idempotent",
+            "TimeoutMs": 60_000, "GoalMs": 60, "Priority": 0, "Service": service,
+            "Attempts": ATTEMPTS, "Stretch": 1.6,
+        })
+    };
+    let service = |name: &str| json!({ "Name": name, "HealthPath": "/healthz", "MaxConns": 64, "AdmissionCheck": false });
     json!({
         "Version": 3,
-        "Routes": [{
-            "Name": "r-1", "Host": HOST, "Prefix": PREFIX, "Kind": "non_idempotent",
-            "TimeoutMs": 60_000, "GoalMs": 60, "Priority": 0, "Service": SERVICE,
-            "Attempts": ATTEMPTS, "Stretch": 1.6,
-        }],
-        "Services": [{
-            "Name": SERVICE, "HealthPath": "/healthz", "MaxConns": 64, "AdmissionCheck": false,
-        }],
+        "Routes": [queue("r-1", PREFIX, SERVICE), queue("r-2", SECOND_PREFIX, SECOND_SERVICE)],
+        "Services": [service(SERVICE), service(SECOND_SERVICE)],
         "Limits": { "MaxBodyBytes": 262_144 },
     })
 }
 
-/// Starts workers of a zone and rack, each of 16 cores and 32 GB, and lists them in the store.
+/// Starts workers of a service in a zone and rack, each of 16 cores and 32 GB, and lists them in the store.
 pub(crate) async fn start_workers(
     store: &StoreStandIn,
+    service: &str,
     zone: &str,
     rack: &str,
     count: usize,
@@ -190,7 +203,7 @@
             ..WorkerPlan::default()
         };
         let worker = WorkerStandIn::start(plan).await;
-        let mut entry = worker.entry(SERVICE, zone, "ready");
+        let mut entry = worker.entry(service, zone, "ready");
         entry["Labels"] = json!(["a", rack]);
         store.put("servers", &id, &entry);
         workers.push((id, worker));
@@ -210,11 +223,11 @@
 pub(crate) fn hand_in(
     record: &Record,
     customers: SocketAddr,
-    id: &str,
+    path: &str,
     body: &Value,
     patience: Duration,
 ) -> JoinHandle<Answer> {
-    let (record, path, body) = (record.clone(), format!("{PREFIX}{id}"), body.to_string());
+    let (record, path, body) = (record.clone(), path.to_owned(), body.to_string());
     record.add_body(&body);
     record.add(format!("POST {path} sent to {customers}"));
     actix_rt::spawn(async move {
@@ -233,7 +246,8 @@
     patience: Duration,
 ) {
     let id = new_job_id();
-    let submission = hand_in(record, customers, &id, body, patience);
+    let path = format!("{PREFIX}{id}");
+    let submission = hand_in(record, customers, &path, body, patience);
     let accepted = accepted.clone();
     actix_rt::spawn(async move {
         if matches!(submission.await, Ok(Some((200..=299, _)))) {
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -9,6 +9,7 @@
 mod proxy;
 mod record;
 mod regroup;
+mod same_id;
 mod starved;
 
 use std::{path::PathBuf, process::ExitCode};
@@ -49,6 +50,7 @@
         match case.as_str() {
             "regroup" => regroup::run(&setup).await,
             "cancel" => cancel::run(&setup).await,
+            "same-id" => same_id::run(&setup).await,
             "starved" => starved::run(&setup).await,
             _ => Err("no such case".into()),
         }
--- a/review/stand-ins-3/src/regroup.rs
+++ b/review/stand-ins-3/src/regroup.rs
@@ -10,7 +10,7 @@
 use crate::{
     fleet::{
         ask_states, hand_in, hand_in_kept, new_job_id, start_nodes, start_store, start_workers,
-        AcceptedJobs, Node,
+        AcceptedJobs, Node, PREFIX, SERVICE,
     },
     proxy::StoreProxy,
     record::{record_runs, runs_by_task},
@@ -39,7 +39,7 @@
 pub(crate) async fn run(setup: &Setup) -> CaseResult {
     let record = &setup.record;
     let store = start_store().await;
-    let workers = start_workers(&store, ZONE, "r1-1", WORKERS).await;
+    let workers = start_workers(&store, SERVICE, ZONE, "r1-1", WORKERS).await;
     let proxy = StoreProxy::start(store.address()).await?;
     let mut nodes = Vec::new();
     for number in 0..2 {
@@ -62,7 +62,8 @@
     while began.elapsed() < TRAFFIC_TIME {
         hand_in_kept(record, customers, &accepted, &kept, Duration::from_secs(8));
         let patience = Duration::from_millis(1_500);
-        let _answer = hand_in(record, customers, &new_job_id(), &loose, patience);
+        let path = format!("{PREFIX}{}", new_job_id());
+        let _answer = hand_in(record, customers, &path, &loose, patience);
         if !added && began.elapsed() >= ADDED_AFTER {
             added = true;
             if setup.trouble {
--- a/review/stand-ins-3/src/starved.rs
+++ b/review/stand-ins-3/src/starved.rs
@@ -10,7 +10,7 @@
 use crate::{
     fleet::{
         ask_states, hand_in_kept, start_nodes, start_store, start_workers, AcceptedJobs,
-        NamedWorker, Node,
+        NamedWorker, Node, SERVICE,
     },
     record::{record_runs, runs_by_task, Record},
     CaseResult, Setup, Verdict,
@@ -40,7 +40,7 @@
     for zone in ZONES {
         for rack in 0..2 {
             let rack = format!("{zone}-r{rack}");
-            workers.extend(start_workers(&store, zone, &rack, WORKERS_OF_RACK).await);
+            workers.extend(start_workers(&store, SERVICE, zone, &rack, WORKERS_OF_RACK).await);
         }
     }
     let mut nodes = Vec::new();
