--- a/review/stand-ins-3/src/cancel.rs
+++ b/review/stand-ins-3/src/cancel.rs
@@ -1,4 +1,4 @@
-//! A customer cancels a job that need not be stored while it runs, at another node than the one that took it.
+//! Of four jobs that need not be stored one is cancelled while it runs, at another node than the one that took it.
 
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,9 @@
 const ZONE: &str = "regina-hall";
 const WORKERS: usize = 16;
 
+/// The disruption: `give_up`, a share of 0.25 of the jobs.
+const JOBS: usize = 4;
+
 /// How long the job has run when it is cancelled, and how long its customer would wait.
 const CANCELLED_AFTER: Duration = Duration::from_millis(1_000);
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -37,26 +40,35 @@
         "Spec": "run-ms-2500", "Ephemeral": true,
         "Phases": [step(&[]), step(&[0]), step(&[1])],
     });
-    let path = format!("{PREFIX}{}", new_job_id());
-    let submission = hand_in(record, nodes[0].customers, &path, &body, PATIENCE);
+    let paths: Vec<String> = (0..JOBS)
+        .map(|_| format!("{PREFIX}{}", new_job_id()))
+        .collect();
+    let submissions: Vec<_> = paths
+        .iter()
+        .map(|path| hand_in(record, nodes[0].customers, path, &body, PATIENCE))
+        .collect();
     sleep(CANCELLED_AFTER).await;
     let mut acknowledged = None;
     if setup.trouble {
-        let answer = http::send(nodes[1].customers, "DELETE", &path, "", PATIENCE).await;
+        let path = &paths[0];
+        let answer = http::send(nodes[1].customers, "DELETE", path, "", PATIENCE).await;
         record.add(format!("DELETE {path} answered: {answer:?}"));
         if !matches!(answer, Some((200..=299 | 410, _))) {
             return Err("the cancellation was not acknowledged".into());
         }
         acknowledged = Some(Instant::now());
     }
-    let answer = submission.await?;
-    if !setup.trouble && !matches!(answer, Some((200, _))) {
-        return Err("the job was not served".into());
+    for submission in submissions {
+        let answer = submission.await?;
+        if !setup.trouble && !matches!(answer, Some((200, _))) {
+            return Err("a job was not served".into());
+        }
     }
+    let cancelled = paths[0].trim_start_matches(PREFIX);
     let mut broken = false;
-    for (_, runs) in runs_by_task(&workers) {
+    for (task, runs) in runs_by_task(&workers) {
         record_runs(record, &runs);
-        let Some(acknowledged) = acknowledged else {
+        let Some(acknowledged) = acknowledged.filter(|_| task.starts_with(cancelled)) else {
             continue;
         };
         let limit = acknowledged + CANCEL_TIME;
