Logs say what became of each end of another pool's job

An owner that finds an end of another pool's kept job logged only that it found it, not whether a row got it, by which write, or what the job's owner knew when it let the job run again. foreign_end_stored has the task, the run, the outcome (added, read_back, contained, no_kept_job) and the version; job_resumed has the version of the row that the owner knows and the number of tasks that are done. Storing these ends has a file of its own. No behaviour is changed.

--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -208,6 +208,11 @@
             let line = EventLine::new("job_found").text("job", job);
             (EventKind::Important, line.number("version", *version))
         }
+        PoolEvent::KeptResumed { job, version, done } => {
+            let line = EventLine::new("job_resumed").text("job", job);
+            let line = line.number("version", *version);
+            (EventKind::Important, line.number("done", *done as u64))
+        }
         PoolEvent::KeptEnded { job, state } => {
             let line = EventLine::new("kept_job_ended").text("job", job);
             (EventKind::Routine, line.text("state", state.as_str()))
--- a/crates/node/src/kept_jobs.rs
+++ b/crates/node/src/kept_jobs.rs
@@ -5,6 +5,7 @@
 //! whichever pool received it. Pending writes of a partition are batched into one transaction: at the users' rates of
 //! 150 transactions a second and partition, transactions of one write each would carry only a fifth of the users' jobs.
 
+mod foreign_ends;
 mod maintenance;
 mod open_jobs;
 mod pending;
@@ -23,10 +24,11 @@
 use platform_adapter::{
     RowCheck, RowWrite, StoreError, StoreTable, StoredRow, Transaction, MAX_ROW_BYTES,
 };
-use pool::{ForeignEnd, FoundJob, KeptWrite, KeptWriteResult};
+use pool::{FoundJob, KeptWrite, KeptWriteResult};
 use telemetry::{EventKind, EventLine};
 use xxhash_rust::xxh3::xxh3_64;
 
+pub(crate) use self::foreign_ends::store_foreign_end;
 pub(crate) use self::maintenance::maintain_pools;
 pub(crate) use self::open_jobs::{follow_open_jobs, KeptJobsView};
 pub(crate) use self::pending::count_pending;
@@ -57,9 +59,6 @@
 /// The delay after a write that was rejected or got no answer, and between tries to read a pool's rows.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(80);
 
-/// The interval at which an end that may be of a kept job checks whether the open jobs have been read.
-const OPEN_JOBS_POLL_INTERVAL: Duration = Duration::from_millis(10);
-
 /// How long the write of a new job is retried before the job is refused, if the store rejects each try.
 const NEW_JOB_RETRY_TIME: Duration = Duration::from_millis(400);
 
@@ -173,7 +172,7 @@
         return;
     };
     match write_rows(state, &transaction, &first.order).await {
-        Ok(WriteOutcome::Stored(version)) => {
+        Ok(WriteOutcome::Stored { version, .. }) => {
             for write in batch {
                 report_result(state, &write, KeptWriteResult::Stored(version));
             }
@@ -428,80 +427,13 @@
             value: order.row.home.as_bytes().to_vec(),
             expected: None,
         });
-        if let WriteOutcome::Stored(_) = write_rows(state, &transaction, &order).await? {
+        if let WriteOutcome::Stored { .. } = write_rows(state, &transaction, &order).await? {
             return Ok(true);
         }
         // The job's owner has written the row meanwhile, so the cancellation is tried again.
     }
 }
 
-/// Adds an end to the row of another pool's job, and tells the pool that found it. Tries until this succeeds, the job has
-/// ended or the pool is lost: its next owner finds the end again.
-pub(crate) async fn store_foreign_end(
-    state: Rc<NodeState>,
-    id: PoolId,
-    fence: FenceToken,
-    end: ForeignEnd,
-) {
-    let found = state.now();
-    // Without kept jobs no row can lack the end. After a change of owner, hundreds of ends are found at once, and looking
-    // each up would use up the rate of calls that the store accepts; one read of the open jobs serves them all. A job's
-    // row is stored before anything of it starts, so a read that begins now has it.
-    while !state.kept_view.is_empty_since(found) {
-        if !state.kept_view.has_seen() {
-            actix_rt::time::sleep(OPEN_JOBS_POLL_INTERVAL).await;
-        } else {
-            match add_foreign_end(&state, fence, &end).await {
-                Ok(true) => break,
-                // The job's owner has written the row meanwhile.
-                Ok(false) => (),
-                Err(error) => {
-                    let line = EventLine::new("foreign_end_not_stored").text("task", end.task);
-                    state.log(EventKind::Important, line.text("error", error));
-                    actix_rt::time::sleep(STORE_RETRY_DELAY).await;
-                }
-            }
-        }
-        if !is_held(&state, &id, fence) {
-            return;
-        }
-    }
-    with_fenced_pool(&state, &id, fence, |pool, _| {
-        pool.on_foreign_end_stored(&end);
-    });
-}
-
-/// Returns whether the job's row contains the end now, or the job has ended.
-async fn add_foreign_end(
-    state: &NodeState,
-    fence: FenceToken,
-    end: &ForeignEnd,
-) -> Result<bool, StoreError> {
-    let job = end.task.job;
-    let Some(found) = find_job(state, job).await? else {
-        return Ok(true);
-    };
-    let mut row = found.row;
-    if row.state.is_final() || !row.record_end(end.task, &end.end) {
-        return Ok(true);
-    }
-    // No write of the job's owner may take this one for its own.
-    row.writer = fence.0;
-    let order = KeptWrite {
-        job,
-        row,
-        expected_version: Some(found.version),
-    };
-    let value = encode(state, &order).ok_or_else(unencodable_row)?;
-    let mut transaction = Transaction {
-        partition: partition_of(job),
-        ..Transaction::default()
-    };
-    add_to_transaction(&mut transaction, &order, value);
-    let outcome = write_rows(state, &transaction, &order).await?;
-    Ok(matches!(outcome, WriteOutcome::Stored(_)))
-}
-
 fn unencodable_row() -> StoreError {
     RequestError::InvalidRequest("the job's row cannot be encoded".to_owned()).into()
 }
--- a/crates/node/src/kept_jobs/read_back.rs
+++ b/crates/node/src/kept_jobs/read_back.rs
@@ -17,10 +17,24 @@
 /// takes about 12 ms and a read 4 ms.
 const READ_BACK_DELAY: Duration = Duration::from_millis(100);
 
+/// How it is known that a write took effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WriteEvidence {
+    /// The store said so.
+    Answer,
+    /// The row was read back.
+    ReadBack,
+}
+
 /// How a write of job rows ended.
 pub(super) enum WriteOutcome {
-    /// All rows were written, as this version.
-    Stored(u64),
+    /// All rows were written.
+    Stored {
+        /// The version of the rows.
+        version: u64,
+        /// How that is known.
+        evidence: WriteEvidence,
+    },
     /// A condition did not hold, so nothing was written.
     Conflict,
 }
@@ -42,13 +56,19 @@
         match select(answer.as_mut(), read_back).await {
             Either::Left((answer, _)) => {
                 return Ok(match answer? {
-                    TransactionOutcome::Committed { version, .. } => {
-                        WriteOutcome::Stored(version.0)
-                    }
+                    TransactionOutcome::Committed { version, .. } => WriteOutcome::Stored {
+                        version: version.0,
+                        evidence: WriteEvidence::Answer,
+                    },
                     TransactionOutcome::Conflict => WriteOutcome::Conflict,
                 });
             }
-            Either::Right((Some(version), _)) => return Ok(WriteOutcome::Stored(version)),
+            Either::Right((Some(version), _)) => {
+                return Ok(WriteOutcome::Stored {
+                    version,
+                    evidence: WriteEvidence::ReadBack,
+                })
+            }
             Either::Right((None, _)) => (),
         }
     }
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -416,6 +416,15 @@
         /// The version of its row in the store.
         version: u64,
     },
+    /// A kept job that was found in the store may run from now on, once its row is written.
+    KeptResumed {
+        /// The job.
+        job: JobId,
+        /// The version of its row that this owner knows.
+        version: u64,
+        /// The number of its tasks that are done, by that row and by the workers' listings.
+        done: usize,
+    },
     /// A kept job that no worker of the pool can hold is being moved to another pool.
     KeptMoving {
         /// The job.
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -163,9 +163,24 @@
                 Some(_) => self.fence_off_former_writes(id),
                 None => self.remove_ended_kept(now, id),
             }
+            self.report_resumed(id);
         }
     }
 
+    /// Reports what is known of a job that may run from now on.
+    fn report_resumed(&mut self, id: JobId) {
+        let kept = self.jobs.get(&id).and_then(|job| job.kept.as_ref());
+        let Some((version, kept)) = kept.and_then(|kept| kept.version.zip(Some(kept))) else {
+            return;
+        };
+        let done = kept.progress.iter().map(|record| record.done.len()).sum();
+        self.events.push(PoolEvent::KeptResumed {
+            job: id,
+            version,
+            done,
+        });
+    }
+
     /// Writes a found job's row, so that no write of a former owner can take effect any more.
     fn fence_off_former_writes(&mut self, id: JobId) {
         if let Some(kept) = self.jobs.get_mut(&id).and_then(|job| job.kept.as_mut()) {
