Each write of a job's row has an id of its own

Cause: a write without an answer for 100 ms is read back, and the row's writer, home, revision and state told whether it is this write's. The owner of a worker's new pool adds ends to the rows of another pool's jobs under its own fencing token and leaves the revision as it is, so all its writes to one row look alike. The row that the first end's write had stored was taken for the result of the others; these ends were acknowledged and in no row.

Change: a row has the id of the write that stored it, drawn at random for each write: of the owner, of an end of another pool's job, of a cancellation. Only the same id is the same write. The pool matches the answer to its write by the id, too; its revisions could repeat if a job was let go and found again within milliseconds. Seeds of generators have the process's name and incarnation in them. Rows of a build without ids are read and are never one's own; that build ignores the id.

--- a/crates/jobs/src/ids.rs
+++ b/crates/jobs/src/ids.rs
@@ -40,6 +40,17 @@
     }
 }
 
+/// The id of one write of a kept job's row, drawn at random for each write. A row tells by it which write stored it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct WriteId(pub u64);
+
+impl fmt::Display for WriteId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// The id of one task of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId {
--- a/crates/jobs/src/kept.rs
+++ b/crates/jobs/src/kept.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     EndCause, EndedRun, InstanceId, JobId, JobRequest, JobTerms, RunNumber, ServiceId, StepSpec,
-    TaskId, TaskText, WorkerStartTime,
+    TaskId, TaskText, WorkerStartTime, WriteId,
 };
 
 /// The state of a kept job, as reported to its customer.
@@ -171,9 +171,13 @@
     pub home: Arc<str>,
     /// The fencing token of the owner that wrote the row last.
     pub writer: u64,
-    /// The number of this version among the writer's versions of the job. `writer` and `revision` together
-    /// tell whose write took effect.
+    /// The number of this version among the writer's versions of the job. Ends that the owner of another pool adds leave it
+    /// as it is.
     pub revision: u64,
+    /// The write that stored the row. None if it was stored by a build without these ids, which also takes them out of rows
+    /// that it writes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub write: Option<WriteId>,
     /// The state of the job.
     pub state: KeptState,
     /// The text that each task's worker gets.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -16,7 +16,7 @@
     freshness::TableFreshness,
     ids::{
         FenceToken, InstanceId, InvalidJobId, InvalidPoolId, JobAttemptId, JobId, PoolId,
-        RunNumber, ServiceId, TaskId,
+        RunNumber, ServiceId, TaskId, WriteId,
     },
     kept::{KeptRow, KeptState, StepRecord, TaskDeath},
     request::{
--- a/crates/node/src/kept_jobs.rs
+++ b/crates/node/src/kept_jobs.rs
@@ -18,7 +18,7 @@
     time::{Duration, Instant},
 };
 
-use jobs::{FenceToken, JobId, KeptRow, KeptState, PoolId};
+use jobs::{FenceToken, JobId, KeptRow, KeptState, PoolId, WriteId};
 use model::{FastMap, FastSet};
 use platform::{RequestError, RowVersion};
 use platform_adapter::{
@@ -322,7 +322,7 @@
     let job = write.order.job;
     match find_job(state, job).await {
         Ok(Some(found)) => {
-            let result = classify_conflict(&write.order, found);
+            let result = write.order.classify_conflict(found);
             report_result(state, &write, result);
         }
         // The read returned an older state: the row must exist, since the write was rejected because of it.
@@ -338,28 +338,6 @@
     }
 }
 
-fn classify_conflict(order: &KeptWrite, found: FoundJob) -> KeptWriteResult {
-    let FoundJob { row, version, .. } = found;
-    if is_result_of(order, &row) {
-        // An earlier try of the same write took effect.
-        return KeptWriteResult::Stored(version);
-    }
-    if order.expected_version.is_none() {
-        return KeptWriteResult::AlreadyExists(row, version);
-    }
-    if row.state.is_final() {
-        return KeptWriteResult::Gone;
-    }
-    KeptWriteResult::Conflict(row, version)
-}
-
-/// Whether a row is the one that this write stores. The state tells a cancellation from the row that it replaces.
-fn is_result_of(order: &KeptWrite, row: &KeptRow) -> bool {
-    let wanted = &order.row;
-    let same_writer = row.writer == wanted.writer && row.home == wanted.home;
-    same_writer && row.revision == wanted.revision && row.state == wanted.state
-}
-
 /// Reads a job's row, whether the job has ended or not.
 ///
 /// # Errors
@@ -412,6 +390,7 @@
             expected_version: Some(found.version),
             row: KeptRow {
                 state: KeptState::Cancelled,
+                write: Some(draw_write_id(state)),
                 ..found.row
             },
         };
@@ -434,6 +413,11 @@
     }
 }
 
+/// Draws the id of a write that no pool has requested.
+fn draw_write_id(state: &NodeState) -> WriteId {
+    WriteId(state.rng.borrow_mut().u64(..))
+}
+
 fn unencodable_row() -> StoreError {
     RequestError::InvalidRequest("the job's row cannot be encoded".to_owned()).into()
 }
--- a/crates/node/src/kept_jobs/foreign_ends.rs
+++ b/crates/node/src/kept_jobs/foreign_ends.rs
@@ -8,7 +8,7 @@
 use telemetry::{EventKind, EventLine};
 
 use super::{
-    add_to_transaction, encode, find_job, is_held, partition_of,
+    add_to_transaction, draw_write_id, encode, find_job, is_held, partition_of,
     read_back::{write_rows, WriteEvidence, WriteOutcome},
     unencodable_row, STORE_RETRY_DELAY,
 };
@@ -122,8 +122,8 @@
     if row.state.is_final() || !row.record_end(end.task, &end.end) {
         return Ok(Some(EndOutcome::Contained(found.version)));
     }
-    // No write of the job's owner may take this one for its own.
     row.writer = fence.0;
+    row.write = Some(draw_write_id(state));
     let order = KeptWrite {
         job,
         row,
--- a/crates/node/src/kept_jobs/read_back.rs
+++ b/crates/node/src/kept_jobs/read_back.rs
@@ -10,7 +10,7 @@
 use platform_adapter::{StoreError, Transaction, TransactionOutcome};
 use pool::KeptWrite;
 
-use super::{find_job, is_result_of};
+use super::find_job;
 use crate::state::NodeState;
 
 /// How long a write goes unanswered before its row is read back, and the pause between two such reads. A transaction
@@ -78,6 +78,6 @@
 async fn read_back(state: &NodeState, order: &KeptWrite) -> Option<u64> {
     actix_rt::time::sleep(READ_BACK_DELAY).await;
     let found = find_job(state, order.job).await.ok().flatten();
-    let stored = found.filter(|found| is_result_of(order, &found.row));
+    let stored = found.filter(|found| order.is_stored_as(&found.row));
     stored.map(|found| found.version)
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -292,6 +292,7 @@
         far_factor: state.settings.far_factor,
         evacuated: state.evacuations.borrow().contains(&id.data_centre),
         settings: state.pool_settings.clone(),
+        seed: state.rng.borrow_mut().u64(..),
     };
     let mut pool = WorkerPool::new(init, state.now());
     run_time_news::adopt(state, id, former, &mut pool);
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -12,6 +12,7 @@
     ClaimController, ClaimEvent, ClaimSettings, LinkRate, MemberRow, NodeId, PublishedBudget,
     PublishedMember,
 };
+use fastrand::Rng;
 use kernel::{AcceptDrain, ClockSource, PauseMonitor, SystemClock, TaskEnded, TaskGroup};
 use platform_adapter::{HttpClient, RowWrite, StoreClient, StoreTable, Transaction, WorkerClient};
 use pool::{AttemptTimes, PoolSettings};
@@ -23,6 +24,7 @@
     sync::Notify,
     task::yield_now,
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     attempts::{self, AttemptRegistry},
@@ -242,6 +244,7 @@
         .text("data_centre", &member.data_centre)
         .text("build", env!("CARGO_PKG_VERSION"));
     let claim_settings = ClaimSettings::default();
+    let rng = RefCell::new(new_rng(&member));
     let state = Rc::new(NodeState {
         worker_client: WorkerClient::new(http),
         store,
@@ -268,7 +271,7 @@
         unpopulated_pools: RefCell::default(),
         job_writes: RefCell::default(),
         kept_view: KeptJobsView::default(),
-        rng: RefCell::new(fastrand::Rng::new()),
+        rng,
         attempts: AttemptRegistry::default(),
         links: OwnerLinks::default(),
         late_tick: Notify::new(),
@@ -349,6 +352,13 @@
     peer::serve_pool(listener, traffic, move || PoolPort::new(state.clone())).await;
 }
 
+/// Returns a generator of random numbers whose seed no other process has, even where processes start with the same entropy:
+/// the ids of their writes must differ.
+fn new_rng(member: &MemberRow) -> Rng {
+    let name = format!("{}/{}", member.node, member.incarnation);
+    Rng::with_seed(xxh3_64(name.as_bytes()) ^ Rng::new().u64(..))
+}
+
 /// Returns an incarnation above that of this VM's former process: the time of day in milliseconds, or the former
 /// incarnation plus one if the clock was set back. Messages with a lower incarnation would be attributed to the
 /// former process.
--- a/crates/pool/benches/admission.rs
+++ b/crates/pool/benches/admission.rs
@@ -77,6 +77,7 @@
 /// A pool whose capacity is all taken, with `waiting` jobs waiting.
 fn busy_pool(now: Instant, waiting: u64) -> WorkerPool {
     let init = PoolInit {
+        seed: 1,
         name: Arc::from("east/0"),
         fence: FenceToken(1),
         platform_millis: 1,
--- a/crates/pool/src/kept.rs
+++ b/crates/pool/src/kept.rs
@@ -11,7 +11,7 @@
 
 use jobs::{
     EndedRun, InstanceId, JobId, KeptRow, KeptState, RunNumber, ServiceId, StepRecord, StepSpec,
-    TaskId, WorkerStartTime,
+    TaskId, WorkerStartTime, WriteId,
 };
 
 /// How long an owner continues kept jobs without contact to the store. After that it may have been replaced without
@@ -37,6 +37,30 @@
     pub expected_version: Option<u64>,
 }
 
+impl KeptWrite {
+    /// Whether a row is the one that this write stores. Writes that look alike in all else may be different ones: an owner
+    /// that adds several ends to a row of another pool's job does not change its revision.
+    pub fn is_stored_as(&self, row: &KeptRow) -> bool {
+        self.row.write.is_some() && self.row.write == row.write
+    }
+
+    /// What it means for this write that the job's row is another one than it expected.
+    pub fn classify_conflict(&self, found: FoundJob) -> KeptWriteResult {
+        let FoundJob { row, version, .. } = found;
+        if self.is_stored_as(&row) {
+            // An earlier try of the same write took effect.
+            return KeptWriteResult::Stored(version);
+        }
+        if self.expected_version.is_none() {
+            return KeptWriteResult::AlreadyExists(row, version);
+        }
+        if row.state.is_final() {
+            return KeptWriteResult::Gone;
+        }
+        KeptWriteResult::Conflict(row, version)
+    }
+}
+
 /// The result of writing a kept job's row.
 #[derive(Clone, Debug, PartialEq)]
 pub enum KeptWriteResult {
@@ -114,13 +138,12 @@
 pub(crate) struct KeptJobState {
     /// The version of its row. None until it is stored.
     pub(crate) version: Option<u64>,
-    /// Counts the changes that have to be stored. It begins at a number that this owner uses only once, so that a row
-    /// identifies the write it came from even when the same job is submitted again.
+    /// Counts the changes that have to be stored.
     pub(crate) revision: u64,
     /// The revision that is stored.
     pub(crate) stored_revision: u64,
-    /// The revision that is being written.
-    pub(crate) writing_revision: Option<u64>,
+    /// The write that is in progress.
+    pub(crate) writing: Option<WriteId>,
     pub(crate) progress: Vec<StepRecord>,
     pub(crate) unstored_ends: Vec<UnstoredEnd>,
     /// The final state, once the job has ended.
@@ -157,8 +180,6 @@
 
     /// Whether the store has every change.
     pub(crate) fn is_fully_stored(&self) -> bool {
-        self.version.is_some()
-            && self.writing_revision.is_none()
-            && self.stored_revision >= self.revision
+        self.version.is_some() && self.writing.is_none() && self.stored_revision >= self.revision
     }
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -25,6 +25,7 @@
     time::{Duration, Instant},
 };
 
+use fastrand::Rng;
 use jobs::{
     critical_path, FenceToken, InstanceId, JobAttemptId, JobId, JobOutcome, JobRequest, JobTerms,
     RefusalKind, RunNumber, WorkerRecord, WorkerState,
@@ -147,6 +148,8 @@
     shares: ClassShares,
     /// When the callers of refused jobs are to return. Used only with `ReturnPolicy::Scheduled`.
     returns: ReturnSchedule,
+    /// Draws the ids of writes.
+    rng: Rng,
     actions: Vec<PoolAction>,
     events: Vec<PoolEvent>,
 }
@@ -166,6 +169,8 @@
     pub evacuated: bool,
     /// The times and limits of the pool.
     pub settings: PoolSettings,
+    /// Seeds what the pool draws at random. No two owners may have the same seed: the ids of their writes tell them apart.
+    pub seed: u64,
 }
 
 impl WorkerPool {
@@ -218,6 +223,7 @@
             arrivals: ArrivalStats::default(),
             shares: ClassShares::default(),
             returns: ReturnSchedule::new(now),
+            rng: Rng::with_seed(init.seed),
             actions: Vec::new(),
             events: Vec::new(),
         }
--- a/crates/pool/src/pool/kept_jobs.rs
+++ b/crates/pool/src/pool/kept_jobs.rs
@@ -7,7 +7,7 @@
 
 use jobs::{
     EndCause, EndedRun, InstanceId, JobId, JobOutcome, JobRequest, JobTerms, KeptRow, KeptState,
-    RefusalKind, StepRecord, TaskId,
+    RefusalKind, StepRecord, TaskId, WriteId,
 };
 
 use super::{WorkerPool, MIN_RETRY_AFTER};
@@ -232,14 +232,16 @@
         let Some(kept) = job.kept.as_mut() else {
             return;
         };
-        if kept.writing_revision.is_some() || kept.stored_revision >= kept.revision {
+        if kept.writing.is_some() || kept.stored_revision >= kept.revision {
             return;
         }
-        kept.writing_revision = Some(kept.revision);
+        let write = WriteId(self.rng.u64(..));
+        kept.writing = Some(write);
         let row = KeptRow {
             home: kept.new_home.clone().unwrap_or(pool),
             writer: fence,
             revision: kept.revision,
+            write: Some(write),
             state: kept.state(job.has_begun),
             text: job.request.text.clone(),
             steps: job.request.steps.clone(),
@@ -267,10 +269,10 @@
         // A write from before the job was released and loaded again says nothing about a later one.
         // If its answer were taken for the later write's, ends would be acknowledged that no row
         // contains. If it took effect, the later write finds the row changed.
-        if kept.writing_revision != Some(order.row.revision) {
+        if kept.writing != order.row.write {
             return;
         }
-        kept.writing_revision = None;
+        kept.writing = None;
         let written = order.row.revision;
         match answer {
             KeptWriteResult::Stored(version) => self.apply_stored(now, id, version, written),
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -151,7 +151,7 @@
             let kept = job.kept.as_mut().filter(|kept| kept.may_have_runs)?;
             kept.may_have_runs = false;
             // A write of a job that has changed meanwhile is answered with the change.
-            let idle = kept.writing_revision.is_none() && kept.final_state.is_none();
+            let idle = kept.writing.is_none() && kept.final_state.is_none();
             idle.then_some((*id, kept.version))
         });
         let held: Vec<(JobId, Option<u64>)> = held.collect();
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -1425,6 +1425,7 @@
         far_factor: 3.0,
         evacuated: false,
         settings: PoolSettings::default(),
+        seed: fence,
     }
 }
 
