Ends that a former owner's runs left are acknowledged after the lease has lapsed

The owner had started the task again by then, and the new owner of the worker acknowledged the end all the same, while the worker held leases for other runs.

Cause: the wait of the job's owner stood for "every end of a former owner's run is in the row", which nothing ensures: the worker may be reached late, the write may be late, the new owner of the worker may stand still.

Change: the other way out that the users' rule leaves. An end that another owner may have made obsolete is acknowledged only once the worker's lease has lapsed after it, by the worker's own clock: an end of another pool's kept job always, and an end of the pool's own job if its run was ordered before the job's present owner let it run. For the latter a row has the number of the first run of that owner; a found job starts only once its row has that number. The end is still stored first, as before, so that the task is not started again where that can be avoided; and owners now poll for such ends as soon as they have read the rows, not at the next run of the worker.

Rows of a build without the number have 0, for which ends of own jobs are handled as before; that build ignores it.

No more store calls.

--- a/crates/jobs/src/kept.rs
+++ b/crates/jobs/src/kept.rs
@@ -178,6 +178,10 @@
     /// that it writes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub write: Option<WriteId>,
+    /// Runs of the job with lower numbers were ordered before its present owner let it run, so their tasks may have been
+    /// started again since. 0 in rows of builds without this number.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub first_run: u64,
     /// The state of the job.
     pub state: KeptState,
     /// The text that each task's worker gets.
@@ -279,6 +283,10 @@
     }
 }
 
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 /// Empties a list. Returns whether it had entries.
 fn take_all<T>(list: &mut Vec<T>) -> bool {
     !std::mem::take(list).is_empty()
--- a/crates/jobs/tests/kept_rows.rs
+++ b/crates/jobs/tests/kept_rows.rs
@@ -3,7 +3,7 @@
 use jobs::{KeptRow, KeptState, WriteId};
 use serde::Deserialize;
 
-/// A row as a build without write ids stores it.
+/// A row as a build without write ids and numbers of first runs stores it.
 const FORMER_ROW: &str = r#"{"home":"east/0","writer":7,"revision":1005,"state":"running","text":"text","steps":[],
     "progress":[{"done":[1],"failed":[[0,9]]}],"service":"svc","route":"r-1","priority":0,"attempts":3,"stretch":1.6,
     "goal":{"secs":0,"nanos":60000000}}"#;
@@ -35,13 +35,15 @@
     let row = former_row();
     assert_eq!(row.progress[0].done, [1]);
     assert_eq!(row.write, None);
+    assert_eq!(row.first_run, 0);
 }
 
 /// Guards against jobs that a process of the former build cannot read while the others are updated.
 #[test]
-fn the_former_build_reads_rows_with_write_ids() {
+fn the_former_build_reads_rows_with_new_fields() {
     let row = KeptRow {
         write: Some(WriteId(u64::MAX)),
+        first_run: 1_005,
         ..former_row()
     };
     let text = serde_json::to_string(&row).unwrap();
--- a/crates/node/src/kept_jobs/foreign_ends.rs
+++ b/crates/node/src/kept_jobs/foreign_ends.rs
@@ -4,7 +4,7 @@
 
 use jobs::{FenceToken, PoolId};
 use platform_adapter::{StoreError, Transaction};
-use pool::{ForeignEnd, KeptWrite};
+use pool::{ForeignEnd, ForeignEndResult, KeptWrite};
 use telemetry::{EventKind, EventLine};
 
 use super::{
@@ -38,6 +38,13 @@
         }
     }
 
+    const fn result(self) -> ForeignEndResult {
+        match self {
+            Self::NoKeptJob => ForeignEndResult::NoKeptJob,
+            Self::Contained(_) | Self::Added(..) => ForeignEndResult::Stored,
+        }
+    }
+
     const fn version(self) -> u64 {
         match self {
             Self::NoKeptJob => 0,
@@ -82,7 +89,7 @@
     };
     log_outcome(&state, &id, fence, &end, outcome);
     with_fenced_pool(&state, &id, fence, |pool, _| {
-        pool.on_foreign_end_stored(&end);
+        pool.on_foreign_end_stored(&end, outcome.result());
     });
 }
 
--- a/crates/node/tests/regrouping.rs
+++ b/crates/node/tests/regrouping.rs
@@ -29,6 +29,9 @@
 /// After this time, writes of jobs that are carried out late have been carried out, if they were sent after the division.
 const LATE_TIME: Duration = Duration::from_millis(300);
 
+/// The time within which ends are acknowledged once they may be.
+const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_secs(2);
+
 /// The first id of the jobs that are not stored, and the interval between them.
 const TRAFFIC_IDS: u64 = 0xb000;
 const TRAFFIC_INTERVAL: Duration = Duration::from_millis(30);
@@ -44,6 +47,17 @@
     })
 }
 
+/// Delays the writes of jobs that add ends to a row.
+fn delay_of_ends(delay: Duration) -> WriteDelay {
+    Rc::new(move |transaction| {
+        let rows = written_rows(transaction, "jobs");
+        let has_ends = rows
+            .iter()
+            .any(|row| row["progress"][0]["done"] != json!([]));
+        has_ends.then_some(delay)
+    })
+}
+
 /// Divides the workers of the data centre into two groups, as another process may.
 fn divide_workers(platform: &Platform) {
     let row = GroupRow {
@@ -141,3 +155,24 @@
     traffic.abort();
     check_runs(&platform, &node);
 }
+
+/// Guards against a second run of a task whose end was acknowledged later than the job's owner waits after a division: it
+/// had let the job run again by then.
+#[actix_rt::test]
+async fn ends_that_are_stored_after_the_job_runs_again_are_not_acknowledged_in_time() {
+    let (platform, node, traffic) = platform_with_unstored_ends().await;
+    platform.store.set_write_delay(Some(delay_of_ends(NEVER)));
+    divide_workers(&platform);
+    for _ in 0..400 {
+        if job_runs(&platform).len() > TASKS as usize {
+            break;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    platform.store.set_write_delay(None);
+    wait_for(&node, ID, "completed").await;
+    // Late acknowledgements count, too.
+    actix_rt::time::sleep(ACKNOWLEDGEMENT_TIME).await;
+    traffic.abort();
+    check_runs(&platform, &node);
+}
--- a/crates/pool/src/kept.rs
+++ b/crates/pool/src/kept.rs
@@ -122,6 +122,17 @@
     pub task: TaskId,
     /// The end.
     pub end: EndedRun,
+    /// Whether the end waits for the worker's lease to lapse since it was found, as it is known to be of a kept job.
+    pub awaits_lapse: bool,
+}
+
+/// What became of the end of a run that may be of another pool's kept job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForeignEndResult {
+    /// There is no such kept job.
+    NoKeptJob,
+    /// The job's row has the end, or the job has ended.
+    Stored,
 }
 
 /// The end of a run that is known but not stored yet.
@@ -142,6 +153,10 @@
     pub(crate) revision: u64,
     /// The revision that is stored.
     pub(crate) stored_revision: u64,
+    /// See [`KeptRow::first_run`].
+    pub(crate) first_run: u64,
+    /// The revision of the first row with this owner's `first_run`.
+    pub(crate) resumed_revision: u64,
     /// The write that is in progress.
     pub(crate) writing: Option<WriteId>,
     pub(crate) progress: Vec<StepRecord>,
@@ -150,7 +165,8 @@
     pub(crate) final_state: Option<KeptState>,
     /// Whether the job was found in the store and may still have runs of the former owner.
     pub(crate) may_have_runs: bool,
-    /// Whether a former owner's write of the row may still take effect. It cannot once this owner has written the row.
+    /// Whether the row has yet to be written with this owner's `first_run`. Before that a former owner's write of the row may
+    /// still take effect, and the next owner would not see that tasks may have been started again.
     pub(crate) unfenced: bool,
     /// The pool to which the job is being moved.
     pub(crate) new_home: Option<Arc<str>>,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -71,7 +71,10 @@
         choose_pool, order_offers, select_offer_pools, OfferLimits, PlacementDemand,
         PlacementOption,
     },
-    kept::{ForeignEnd, FoundJob, KeptSnapshot, KeptWrite, KeptWriteResult, StrandedJob},
+    kept::{
+        ForeignEnd, ForeignEndResult, FoundJob, KeptSnapshot, KeptWrite, KeptWriteResult,
+        StrandedJob,
+    },
     pool::{PoolInit, WorkerPool},
     pool_choice::{divide_step, order_pools, PoolCandidate},
     run_times::RouteRunTimes,
--- a/crates/pool/src/pool/kept_jobs.rs
+++ b/crates/pool/src/pool/kept_jobs.rs
@@ -55,9 +55,11 @@
         let mut job = self.build_job(now, Some(waiter), request, terms);
         job.deadline = now + NO_DEADLINE;
         let records = job.request.steps.iter().map(|_| StepRecord::default());
+        let first_run = self.next_run_number(now).0;
         job.kept = Some(KeptJobState {
             progress: records.collect(),
-            revision: self.next_run_number(now).0,
+            revision: first_run,
+            first_run,
             ..KeptJobState::default()
         });
         self.insert_job(id, job);
@@ -132,6 +134,7 @@
         for end in ends {
             if let Some(worker) = self.workers.get_mut(&end.instance) {
                 worker.unstored_ends.remove(&end.number);
+                worker.unlapsed_ends.remove(&end.number);
                 worker.last_seen_end = worker.last_seen_end.min(end.number.saturating_sub(1));
             }
         }
@@ -242,6 +245,7 @@
             writer: fence,
             revision: kept.revision,
             write: Some(write),
+            first_run: kept.first_run,
             state: kept.state(job.has_begun),
             text: job.request.text.clone(),
             steps: job.request.steps.clone(),
@@ -340,7 +344,7 @@
         };
         let first = kept.version.is_none();
         kept.version = Some(version);
-        kept.unfenced = false;
+        kept.unfenced &= written < kept.resumed_revision;
         kept.stored_revision = written;
         let (stored, later): (Vec<_>, Vec<_>) = std::mem::take(&mut kept.unstored_ends)
             .into_iter()
--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -29,6 +29,9 @@
 /// The pause after a poll that a silent worker did not answer.
 const SILENT_POLL_PAUSE: Duration = Duration::from_millis(150);
 
+/// The longest pause between polls of a worker with runs whose lease has to lapse before its ends may be acknowledged.
+const MAX_LAPSE_POLL_PAUSE: Duration = Duration::from_millis(50);
+
 /// The minimum wait of a poll, so that a run that is checked for a stall does not cause poll after
 /// poll.
 const MIN_POLL_WAIT: Duration = Duration::from_millis(30);
@@ -58,7 +61,9 @@
     /// Sends the polls that are due and the orders whose pause is over.
     pub(super) fn send_polls_and_orders(&mut self, now: Instant) {
         let owner_millis = self.owner_millis(now);
-        let wants_ends = self.has_kept_on_hold();
+        // The owners of other pools' jobs wait for ends of theirs that are listed here, but not for long.
+        let has_foreign_jobs = self.kept_loaded && !self.foreign_jobs.is_empty();
+        let wants_ends = self.has_kept_on_hold() || has_foreign_jobs;
         let hedge = self.poll_hedge_delay(now);
         let margin = self.poll_margin();
         for worker in self.workers.values_mut() {
@@ -302,14 +307,25 @@
     }
 
     /// Pauses polls of a worker while its ends must not be acknowledged, since it lists them again
-    /// and again until they are.
+    /// and again until they are: until they are stored, and until its lease has lapsed.
     fn pause_polls(&mut self, now: Instant, instance: &InstanceId, listing: &WorkerListing) {
+        let owner_millis = self.owner_millis(now);
+        let margin = self.settings.lease_expiry_margin;
         let Some(worker) = self.workers.get_mut(instance) else {
             return;
         };
+        worker.note_lapse(listing.clock, margin);
         let unread = !self.kept_loaded && !listing.ended.as_slice().is_empty();
         if unread || !worker.unstored_ends.is_empty() {
             worker.polls_paused_until = Some(now + STORING_POLL_PAUSE);
+        } else if !worker.unlapsed_ends.is_empty() {
+            let lapse = worker.time_to_lapse(owner_millis, margin);
+            let longest = match worker.runs.is_empty() {
+                true => self.settings.lease,
+                false => MAX_LAPSE_POLL_PAUSE,
+            };
+            let pause = lapse.unwrap_or_default().min(longest);
+            worker.polls_paused_until = Some(now + pause.max(STORING_POLL_PAUSE));
         }
     }
 
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -20,7 +20,8 @@
     action::{PoolAction, PoolEvent, RunBeginning},
     job::TrackedJob,
     kept::{
-        ForeignEnd, FoundJob, KeptJobState, KeptSnapshot, STORE_CONTACT_LIMIT, TAKEOVER_HOLD_TIME,
+        ForeignEnd, ForeignEndResult, FoundJob, KeptJobState, KeptSnapshot, STORE_CONTACT_LIMIT,
+        TAKEOVER_HOLD_TIME,
     },
     worker::TrackedWorker,
 };
@@ -146,12 +147,21 @@
     /// may have written their rows.
     fn resume_found_jobs(&mut self, now: Instant, found: &[FoundJob]) {
         self.settled_since = None;
+        let first_run = self.next_run_number(now).0;
         let open: FastMap<JobId, &FoundJob> = found.iter().map(|job| (job.job, job)).collect();
         let held = self.jobs.iter_mut().filter_map(|(id, job)| {
             let kept = job.kept.as_mut().filter(|kept| kept.may_have_runs)?;
             kept.may_have_runs = false;
+            kept.first_run = first_run;
+            kept.resumed_revision = kept.revision + 1;
             // A write of a job that has changed meanwhile is answered with the change.
-            let idle = kept.writing.is_none() && kept.final_state.is_none();
+            if kept.final_state.is_some() {
+                return None;
+            }
+            let idle = kept.writing.is_none();
+            if !idle {
+                kept.revision += 1;
+            }
             idle.then_some((*id, kept.version))
         });
         let held: Vec<(JobId, Option<u64>)> = held.collect();
@@ -217,6 +227,8 @@
             revision,
             stored_revision: revision,
             progress: row.progress,
+            first_run: row.first_run,
+            resumed_revision: u64::MAX,
             may_have_runs: true,
             unfenced: true,
             ..KeptJobState::default()
@@ -368,6 +380,7 @@
         // Ends that were not acknowledged are listed again, and count then.
         for worker in self.workers.values_mut() {
             worker.unstored_ends.clear();
+            worker.unlapsed_ends.clear();
             worker.last_seen_end = worker.acknowledged_end;
         }
         self.request_kept_reload();
@@ -396,8 +409,10 @@
     }
 
     /// Has an end added to the row of another pool's job before it is acknowledged. The pool that has the job reads its rows
-    /// once more before it runs what it found.
+    /// once more before it runs what it found, but the end may come later than that. It is therefore acknowledged only once
+    /// the worker's lease has lapsed: then the task may be started again.
     fn store_foreign_end(&mut self, instance: &InstanceId, task: TaskId, end: &EndedRun) {
+        let awaits_lapse = self.foreign_jobs.contains(&task.job);
         let worker = self.workers.get_mut(instance);
         let Some(worker) = worker.filter(|_| end.cause.is_recorded()) else {
             return;
@@ -405,6 +420,9 @@
         if !worker.unstored_ends.insert(end.number) {
             return;
         }
+        if awaits_lapse {
+            worker.unlapsed_ends.insert(end.number);
+        }
         self.events.push(PoolEvent::ForeignEndFound {
             instance: instance.clone(),
             task,
@@ -416,14 +434,27 @@
             born: worker.born,
             task,
             end: end.clone(),
+            awaits_lapse,
         }));
     }
 
-    /// Handles that an end is in the row of another pool's job, or that the job has ended.
-    pub fn on_foreign_end_stored(&mut self, stored: &ForeignEnd) {
+    /// Handles that an end is in the row of another pool's job, or that there is no such job.
+    pub fn on_foreign_end_stored(&mut self, stored: &ForeignEnd, result: ForeignEndResult) {
         let worker = self.workers.get_mut(&stored.instance);
-        if let Some(worker) = worker.filter(|worker| worker.born == stored.born) {
-            worker.unstored_ends.remove(&stored.end.number);
+        let Some(worker) = worker.filter(|worker| worker.born == stored.born) else {
+            return;
+        };
+        let number = stored.end.number;
+        worker.unstored_ends.remove(&number);
+        match result {
+            ForeignEndResult::NoKeptJob => {
+                worker.unlapsed_ends.remove(&number);
+            }
+            // Only now it is known that the end is of a kept job.
+            ForeignEndResult::Stored if !stored.awaits_lapse => {
+                worker.unlapsed_ends.insert(number);
+            }
+            ForeignEndResult::Stored => (),
         }
     }
 
@@ -448,6 +479,12 @@
         if !end.cause.is_recorded() {
             return;
         }
+        // Another owner, or this one before it read the row again, may have started the task since, without knowing the end.
+        let may_be_superseded = kept.is_some_and(|kept| end.run.0 < kept.first_run);
+        let worker = self.workers.get_mut(instance);
+        if let Some(worker) = worker.filter(|_| may_be_superseded) {
+            worker.unlapsed_ends.insert(end.number);
+        }
         let has_ended = kept.is_some_and(|kept| kept.final_state.is_some());
         if has_ended || record.contains(task.index, end) {
             // The worker may have been removed and added again before the record was stored.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -262,6 +262,9 @@
     pub(crate) listed_ends: usize,
     /// The numbers of ended runs that must not be acknowledged before the store has them.
     pub(crate) unstored_ends: BTreeSet<u64>,
+    /// The numbers of ended runs that must not be acknowledged before the worker's lease has lapsed. The owners of their jobs
+    /// may have started these tasks again, which is allowed only if the lease lapsed before the acknowledgement.
+    pub(crate) unlapsed_ends: BTreeSet<u64>,
     /// The latest lease end that any call carried.
     pub(crate) lease_end: WorkerClock,
     /// The latest lease end that a former owner may have granted.
@@ -328,6 +331,7 @@
             ends_listed: false,
             listed_ends: 0,
             unstored_ends: BTreeSet::new(),
+            unlapsed_ends: BTreeSet::new(),
             lease_end: WorkerClock(0),
             former_lease_end: WorkerClock(0),
             health: WorkerHealth::default(),
@@ -410,6 +414,7 @@
         self.ends_listed = false;
         self.listed_ends = 0;
         self.unstored_ends.clear();
+        self.unlapsed_ends.clear();
         self.foreign_runs.clear();
         self.health = WorkerHealth::default();
         for run in &mut self.runs {
@@ -511,8 +516,31 @@
 
     /// The number of the last ended run that may be acknowledged.
     pub(crate) fn last_acknowledgeable_end(&self) -> u64 {
-        let stored = self.unstored_ends.first().map(|end| end - 1);
-        stored.map_or(self.last_seen_end, |stored| stored.min(self.last_seen_end))
+        let held_back = [&self.unstored_ends, &self.unlapsed_ends];
+        let first_held_back = held_back.iter().filter_map(|ends| ends.first()).min();
+        let released = first_held_back.map_or(self.last_seen_end, |end| end - 1);
+        released.min(self.last_seen_end)
+    }
+
+    /// How long the worker's lease still lasts at most, by its clock, which may be slow. `None` if the clock is not known.
+    pub(crate) fn time_to_lapse(&self, owner_millis: u64, margin: Duration) -> Option<Duration> {
+        let lapse = self.last_lease_end().plus(margin);
+        let clock = self.min_clock_now(owner_millis)?;
+        let left = Duration::from_millis(lapse.0.saturating_sub(clock.0));
+        Some(left.mul_f64(1.0 + WORKER_CLOCK_DRIFT))
+    }
+
+    /// Handles that the worker's clock has shown `clock`: if its lease has lapsed by then, the ends listed so far no longer
+    /// wait for that.
+    pub(crate) fn note_lapse(&mut self, clock: WorkerClock, margin: Duration) {
+        if clock >= self.last_lease_end().plus(margin) {
+            self.unlapsed_ends.clear();
+        }
+    }
+
+    /// The latest lease end that any owner may have granted.
+    fn last_lease_end(&self) -> WorkerClock {
+        self.lease_end.max(self.former_lease_end)
     }
 
     /// Whether the worker may have ended runs beyond those that it has listed.
@@ -559,10 +587,13 @@
     ///
     /// A lease holds for all runs on a worker. If one of them has to end and the worker does not hear its stop, every
     /// renewal for the others would keep it running, beside the run of the customer's next attempt at another owner.
-    /// Without renewals it ends with the lease granted before. An answered stop needs no lease to end.
+    /// Without renewals it ends with the lease granted before. An answered stop needs no lease to end. An end that waits for
+    /// the lease to lapse would wait for as long as the worker has runs.
     fn is_lease_held(&self) -> bool {
         let mut runs = self.runs.iter();
-        !self.foreign_runs.is_empty() || runs.any(|run| run.must_end && run.stop_acked_at.is_none())
+        !self.foreign_runs.is_empty()
+            || !self.unlapsed_ends.is_empty()
+            || runs.any(|run| run.must_end && run.stop_acked_at.is_none())
     }
 
     /// Grants a lease up to the returned end, on the worker's clock, or repeats the last one while it is held. Every
@@ -604,9 +635,8 @@
 
     /// Whether every lease that the worker may have is over at a time of the owner's clock, in milliseconds.
     pub(crate) fn leases_end_by(&self, owner_millis: u64, limit: u64) -> bool {
-        let granted = self.lease_end.max(self.former_lease_end);
         self.clock_at(owner_millis, limit)
-            .is_some_and(|clock| granted <= clock)
+            .is_some_and(|clock| self.last_lease_end() <= clock)
     }
 
     /// Whether what is left of a lease that cannot be extended is too short for a new run.
@@ -626,6 +656,7 @@
             && self.clock.is_some()
             && self.directory_mismatch_since.is_none()
             && self.foreign_runs.is_empty()
+            && self.unlapsed_ends.is_empty()
             && self.has_room_for_end()
             && !self.lacks_start_lease()
     }
@@ -773,6 +804,7 @@
             || outdated
             || unacknowledged
             || unknown
+            || !self.unlapsed_ends.is_empty()
             || (wants_ends && !self.ends_listed)
     }
 }
--- a/crates/pool/tests/support/mod.rs
+++ b/crates/pool/tests/support/mod.rs
@@ -25,9 +25,10 @@
 };
 use model::DataCentreId;
 use pool::{
-    AttemptLookup, AttemptRegistration, CallFailure, ForeignEnd, FoundJob, KeptSnapshot, KeptWrite,
-    KeptWriteResult, PollAnswer, PollOrder, PoolAction, PoolEvent, PoolInit, PoolSettings,
-    ShareUse, StartAnswer, StartOrder, StopAnswer, StopOrder, WaiterId, WorkerPool,
+    AttemptLookup, AttemptRegistration, CallFailure, ForeignEnd, ForeignEndResult, FoundJob,
+    KeptSnapshot, KeptWrite, KeptWriteResult, PollAnswer, PollOrder, PoolAction, PoolEvent,
+    PoolInit, PoolSettings, ShareUse, StartAnswer, StartOrder, StopAnswer, StopOrder, WaiterId,
+    WorkerPool,
 };
 
 use attempts::AttemptTable;
@@ -883,14 +884,16 @@
             return;
         }
         self.serial += 1;
+        let mut result = ForeignEndResult::NoKeptJob;
         if let Some((row, version)) = self.rows.get_mut(&end.task.job) {
+            result = ForeignEndResult::Stored;
             if !row.state.is_final() && row.record_end(end.task, &end.end) {
                 row.writer = fence.0;
                 *version = self.serial;
             }
         }
         if self.pool.fence() == fence {
-            self.pool.on_foreign_end_stored(end);
+            self.pool.on_foreign_end_stored(end, result);
         }
     }
 
