Ends of one job are added to its row together

An owner that found several ends of another pool's job wrote the row once for each, all at the same time: one write stored its end, the others conflicted, read the row anew and tried again. The ends of a job that wait now go into one write, and those that are found meanwhile into the next: 5 writes at most in the same test. How such a write is made from the row is in KeptWrite, beside how its result is told.

--- a/crates/node/src/kept_jobs.rs
+++ b/crates/node/src/kept_jobs.rs
@@ -28,7 +28,7 @@
 use telemetry::{EventKind, EventLine};
 use xxhash_rust::xxh3::xxh3_64;
 
-pub(crate) use self::foreign_ends::store_foreign_end;
+pub(crate) use self::foreign_ends::{store_foreign_end, ForeignEndQueue};
 pub(crate) use self::maintenance::maintain_pools;
 pub(crate) use self::open_jobs::{follow_open_jobs, KeptJobsView};
 pub(crate) use self::pending::count_pending;
--- a/crates/node/src/kept_jobs/foreign_ends.rs
+++ b/crates/node/src/kept_jobs/foreign_ends.rs
@@ -1,8 +1,9 @@
 //! Adds ends of runs to the rows of other pools' jobs. Workers that have changed their pool list such ends.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use jobs::{FenceToken, PoolId};
+use jobs::{FenceToken, JobId, PoolId};
+use model::FastMap;
 use platform_adapter::{StoreError, Transaction};
 use pool::{ForeignEnd, ForeignEndResult, KeptWrite};
 use telemetry::{EventKind, EventLine};
@@ -53,44 +54,89 @@
     }
 }
 
-/// Adds an end to the row of another pool's job, and tells the pool that found it. Tries until this succeeds, the job has
-/// ended or the pool is lost: its next owner finds the end again.
-pub(crate) async fn store_foreign_end(
-    state: Rc<NodeState>,
-    id: PoolId,
+/// Ends that wait to be added to rows of other pools' jobs, by the fencing token of the pool that found them and by job.
+pub(crate) type ForeignEndQueue = RefCell<FastMap<(FenceToken, JobId), Vec<ForeignEnd>>>;
+
+/// Has an end added to the row of another pool's job, and then tells the pool that found it. Ends of one job that are found
+/// while another write of its row is under way go into the next one together: written one by one, each would wait for the
+/// others and read the row anew.
+pub(crate) fn store_foreign_end(
+    state: &Rc<NodeState>,
+    id: &PoolId,
     fence: FenceToken,
     end: ForeignEnd,
 ) {
+    let job = end.task.job;
+    let mut queue = state.foreign_ends.borrow_mut();
+    if let Some(waiting) = queue.get_mut(&(fence, job)) {
+        waiting.push(end);
+        return;
+    }
+    queue.insert((fence, job), vec![end]);
+    actix_rt::spawn(store_ends_of_job(state.clone(), id.clone(), fence, job));
+}
+
+/// Stores the waiting ends of a job until there are none, or the pool is lost: its next owner finds the ends again.
+async fn store_ends_of_job(state: Rc<NodeState>, id: PoolId, fence: FenceToken, job: JobId) {
+    loop {
+        let ends = {
+            let mut queue = state.foreign_ends.borrow_mut();
+            let waiting = queue.get_mut(&(fence, job));
+            let ends = waiting.map(std::mem::take).unwrap_or_default();
+            if ends.is_empty() {
+                queue.remove(&(fence, job));
+                return;
+            }
+            ends
+        };
+        let Some(outcome) = store_ends(&state, &id, fence, job, &ends).await else {
+            state.foreign_ends.borrow_mut().remove(&(fence, job));
+            return;
+        };
+        for end in &ends {
+            log_outcome(&state, &id, fence, end, outcome);
+        }
+        with_fenced_pool(&state, &id, fence, |pool, _| {
+            for end in &ends {
+                pool.on_foreign_end_stored(end, outcome.result());
+            }
+        });
+    }
+}
+
+/// Adds ends to a job's row. Tries until this succeeds or the job has ended. `None` if the pool is lost.
+async fn store_ends(
+    state: &NodeState,
+    id: &PoolId,
+    fence: FenceToken,
+    job: JobId,
+    ends: &[ForeignEnd],
+) -> Option<EndOutcome> {
     let found = state.now();
-    // Without kept jobs no row can lack the end. After a change of owner, hundreds of ends are found at once, and looking
-    // each up would use up the rate of calls that the store accepts; one read of the open jobs serves them all. A job's
-    // row is stored before anything of it starts, so a read that begins now has it.
-    let outcome = loop {
+    while is_held(state, id, fence) {
+        // Without kept jobs no row can lack the end. After a change of owner, hundreds of ends are found at once, and looking
+        // each up would use up the rate of calls that the store accepts; one read of the open jobs serves them all. A job's
+        // row is stored before anything of it starts, so a read that begins now has it.
         if state.kept_view.is_empty_since(found) {
-            break EndOutcome::NoKeptJob;
+            return Some(EndOutcome::NoKeptJob);
         }
         if !state.kept_view.has_seen() {
             actix_rt::time::sleep(OPEN_JOBS_POLL_INTERVAL).await;
-        } else {
-            match add_foreign_end(&state, fence, &end).await {
-                Ok(Some(outcome)) => break outcome,
-                // The job's owner has written the row meanwhile.
-                Ok(None) => (),
-                Err(error) => {
-                    let line = EventLine::new("foreign_end_not_stored").text("task", end.task);
-                    state.log(EventKind::Important, line.text("error", error));
-                    actix_rt::time::sleep(STORE_RETRY_DELAY).await;
-                }
-            }
+            continue;
         }
-        if !is_held(&state, &id, fence) {
-            return;
+        match add_to_row(state, fence, job, ends).await {
+            Ok(Some(outcome)) => return Some(outcome),
+            // The job's owner has written the row meanwhile.
+            Ok(None) => (),
+            Err(error) => {
+                let line = EventLine::new("foreign_end_not_stored").text("job", job);
+                let line = line.number("ends", ends.len() as u64);
+                state.log(EventKind::Important, line.text("error", error));
+                actix_rt::time::sleep(STORE_RETRY_DELAY).await;
+            }
         }
-    };
-    log_outcome(&state, &id, fence, &end, outcome);
-    with_fenced_pool(&state, &id, fence, |pool, _| {
-        pool.on_foreign_end_stored(&end, outcome.result());
-    });
+    }
+    None
 }
 
 fn log_outcome(
@@ -115,26 +161,20 @@
     state.log(kind, line);
 }
 
-/// Adds an end to its job's row. `None` if the row was changed meanwhile, so that it has to be tried again.
-async fn add_foreign_end(
+/// Adds ends to their job's row. `None` if the row was changed meanwhile, so that it has to be tried again.
+async fn add_to_row(
     state: &NodeState,
     fence: FenceToken,
-    end: &ForeignEnd,
+    job: JobId,
+    ends: &[ForeignEnd],
 ) -> Result<Option<EndOutcome>, StoreError> {
-    let job = end.task.job;
     let Some(found) = find_job(state, job).await? else {
         return Ok(Some(EndOutcome::NoKeptJob));
     };
-    let mut row = found.row;
-    if row.state.is_final() || !row.record_end(end.task, &end.end) {
-        return Ok(Some(EndOutcome::Contained(found.version)));
-    }
-    row.writer = fence.0;
-    row.write = Some(draw_write_id(state));
-    let order = KeptWrite {
-        job,
-        row,
-        expected_version: Some(found.version),
+    let version = found.version;
+    let write = draw_write_id(state);
+    let Some(order) = KeptWrite::of_foreign_ends(found, ends, fence, write) else {
+        return Ok(Some(EndOutcome::Contained(version)));
     };
     let value = encode(state, &order).ok_or_else(unencodable_row)?;
     let mut transaction = Transaction {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -118,12 +118,7 @@
             PoolAction::ReleasePool => fenced_out = true,
             PoolAction::WriteKeptJob(order) => kept_jobs::queue_write(state, id, fence, order),
             PoolAction::StoreForeignEnd(end) => {
-                actix_rt::spawn(kept_jobs::store_foreign_end(
-                    state.clone(),
-                    id.clone(),
-                    fence,
-                    end,
-                ));
+                kept_jobs::store_foreign_end(state, id, fence, end);
             }
             PoolAction::FindAttempts { job, attempt } => {
                 attempts::find(state, id, fence, job, attempt);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -22,7 +22,7 @@
 use crate::{
     attempts::AttemptRegistry,
     directory::WorkerDirectory,
-    kept_jobs::{JobWriteQueue, KeptJobsView},
+    kept_jobs::{ForeignEndQueue, JobWriteQueue, KeptJobsView},
     list_schedule::ListSource,
     owner::OwnedPool,
     peers::OwnerLinks,
@@ -69,6 +69,7 @@
     /// Pending writes of kept jobs.
     pub(crate) job_writes: RefCell<JobWriteQueue>,
     pub(crate) kept_view: KeptJobsView,
+    pub(crate) foreign_ends: ForeignEndQueue,
     pub(crate) rng: RefCell<fastrand::Rng>,
     /// The attempts that this process has registered in the store.
     pub(crate) attempts: AttemptRegistry,
--- a/crates/node/tests/regrouping.rs
+++ b/crates/node/tests/regrouping.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use awc::Client;
 use claims::{GroupRow, GroupSpread};
@@ -176,3 +176,26 @@
     traffic.abort();
     check_runs(&platform, &node);
 }
+
+/// Guards against a write of the row for each end of a job, of which each makes all others conflict: a job of 370 tasks would
+/// take tens of thousands of calls of the store.
+#[actix_rt::test]
+async fn ends_of_one_job_are_added_together() {
+    let (platform, node, traffic) = platform_with_unstored_ends().await;
+    let writes = Rc::new(Cell::new(0));
+    let counted = writes.clone();
+    platform
+        .store
+        .set_write_delay(Some(Rc::new(move |transaction| {
+            let is_of_job = !written_rows(transaction, "jobs").is_empty();
+            counted.set(counted.get() + u32::from(is_of_job));
+            None
+        })));
+    divide_workers(&platform);
+    wait_for(&node, ID, "completed").await;
+    traffic.abort();
+    check_runs(&platform, &node);
+    assert_eq!(job_runs(&platform).len(), TASKS as usize);
+    // One or two for the ends, one of the job's owner, and what conflicts between them.
+    assert!(writes.get() <= 5, "{} writes", writes.get());
+}
--- a/crates/pool/src/kept.rs
+++ b/crates/pool/src/kept.rs
@@ -10,8 +10,8 @@
 };
 
 use jobs::{
-    EndedRun, InstanceId, JobId, KeptRow, KeptState, RunNumber, ServiceId, StepRecord, StepSpec,
-    TaskId, WorkerStartTime, WriteId,
+    EndedRun, FenceToken, InstanceId, JobId, KeptRow, KeptState, RunNumber, ServiceId, StepRecord,
+    StepSpec, TaskId, WorkerStartTime, WriteId,
 };
 
 /// How long an owner continues kept jobs without contact to the store. After that it may have been replaced without
@@ -38,6 +38,35 @@
 }
 
 impl KeptWrite {
+    /// The write that adds ends of runs to the row of another pool's job, as it was read. `None` if there is nothing to add:
+    /// the row has them, or the job has ended.
+    pub fn of_foreign_ends(
+        found: FoundJob,
+        ends: &[ForeignEnd],
+        writer: FenceToken,
+        write: WriteId,
+    ) -> Option<Self> {
+        let FoundJob {
+            job,
+            mut row,
+            version,
+        } = found;
+        if row.state.is_final() {
+            return None;
+        }
+        let mut is_changed = false;
+        for end in ends {
+            is_changed |= row.record_end(end.task, &end.end);
+        }
+        row.writer = writer.0;
+        row.write = Some(write);
+        is_changed.then_some(Self {
+            job,
+            row,
+            expected_version: Some(version),
+        })
+    }
+
     /// Whether a row is the one that this write stores. Writes that look alike in all else may be different ones: an owner
     /// that adds several ends to a row of another pool's job does not change its revision.
     pub fn is_stored_as(&self, row: &KeptRow) -> bool {
