Ends that an owner cannot tell apart for want of a read wait for a lapse, too

A worker goes to another pool, whose owner gives it leases and cannot read the rows; the owner of the job starts its tasks again after 2.2 s and the job ends. The read comes back without the job, since it is no longer open, and the ends of its first runs are acknowledged as those of an unknown job.

Change: a worker that lists ends of former owners' runs while the rows are not read gets no longer lease after 1 s, until it has lapsed once; a lease and a margin later its ends need no more. Ends that were listed when the lease had lapsed never wait for another lapse.

--- a/crates/pool/src/pool/polls.rs
+++ b/crates/pool/src/pool/polls.rs
@@ -314,8 +314,12 @@
         let Some(worker) = self.workers.get_mut(instance) else {
             return;
         };
-        worker.note_lapse(listing.clock, margin);
         let unread = !self.kept_loaded && !listing.ended.as_slice().is_empty();
+        match unread {
+            true => worker.note_unread_ends(now, listing.ended.as_slice()),
+            false => worker.note_read_ends(),
+        }
+        worker.note_lapse(listing, margin);
         if unread || !worker.unstored_ends.is_empty() {
             worker.polls_paused_until = Some(now + STORING_POLL_PAUSE);
         } else if !worker.unlapsed_ends.is_empty() {
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -421,7 +421,7 @@
             return;
         }
         if awaits_lapse {
-            worker.unlapsed_ends.insert(end.number);
+            worker.await_lapse(end.number);
         }
         self.events.push(PoolEvent::ForeignEndFound {
             instance: instance.clone(),
@@ -452,7 +452,7 @@
             }
             // Only now it is known that the end is of a kept job.
             ForeignEndResult::Stored if !stored.awaits_lapse => {
-                worker.unlapsed_ends.insert(number);
+                worker.await_lapse(number);
             }
             ForeignEndResult::Stored => (),
         }
@@ -483,7 +483,7 @@
         let may_be_superseded = kept.is_some_and(|kept| end.run.0 < kept.first_run);
         let worker = self.workers.get_mut(instance);
         if let Some(worker) = worker.filter(|_| may_be_superseded) {
-            worker.unlapsed_ends.insert(end.number);
+            worker.await_lapse(end.number);
         }
         let has_ended = kept.is_some_and(|kept| kept.final_state.is_some());
         if has_ended || record.contains(task.index, end) {
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -6,8 +6,8 @@
 };
 
 use jobs::{
-    FenceToken, JobId, ResourceDemand, RunNumber, TaskId, TaskText, WorkerClock, WorkerRecord,
-    WorkerStartTime, WorkerState, MAX_LISTED_ENDS,
+    EndedRun, FenceToken, JobId, ResourceDemand, RunNumber, TaskId, TaskText, WorkerClock,
+    WorkerListing, WorkerRecord, WorkerStartTime, WorkerState, MAX_LISTED_ENDS,
 };
 
 use crate::{
@@ -53,6 +53,10 @@
 /// its clock may have in this time.
 const CLOCK_REFRESH_INTERVAL: Duration = Duration::from_millis(5_000);
 
+/// How long a worker with ends of former owners' runs gets leases while the rows of the kept jobs cannot be read. With the
+/// lease granted last, that is shorter than the owners of such jobs wait before they start tasks again.
+const MAX_UNREAD_TIME: Duration = Duration::from_millis(1_000);
+
 /// Slowness up to this value does not decay: workers differ by this much permanently.
 const RETAINED_SLOWNESS: f64 = 1.4;
 
@@ -265,6 +269,11 @@
     /// The numbers of ended runs that must not be acknowledged before the worker's lease has lapsed. The owners of their jobs
     /// may have started these tasks again, which is allowed only if the lease lapsed before the acknowledgement.
     pub(crate) unlapsed_ends: BTreeSet<u64>,
+    /// The number of the last end that was listed when the lease was last seen to have lapsed. None if it has not lapsed since
+    /// this owner first heard the worker, so that there may be ends of former owners' runs for which no lease has lapsed.
+    last_lapsed_end: Option<u64>,
+    /// Since when the worker lists ends that cannot be told apart, since the rows of the kept jobs have not been read.
+    unread_ends_since: Option<Instant>,
     /// The latest lease end that any call carried.
     pub(crate) lease_end: WorkerClock,
     /// The latest lease end that a former owner may have granted.
@@ -332,6 +341,8 @@
             listed_ends: 0,
             unstored_ends: BTreeSet::new(),
             unlapsed_ends: BTreeSet::new(),
+            last_lapsed_end: None,
+            unread_ends_since: None,
             lease_end: WorkerClock(0),
             former_lease_end: WorkerClock(0),
             health: WorkerHealth::default(),
@@ -415,6 +426,8 @@
         self.listed_ends = 0;
         self.unstored_ends.clear();
         self.unlapsed_ends.clear();
+        self.last_lapsed_end = None;
+        self.unread_ends_since = None;
         self.foreign_runs.clear();
         self.health = WorkerHealth::default();
         for run in &mut self.runs {
@@ -530,14 +543,47 @@
         Some(left.mul_f64(1.0 + WORKER_CLOCK_DRIFT))
     }
 
-    /// Handles that the worker's clock has shown `clock`: if its lease has lapsed by then, the ends listed so far no longer
-    /// wait for that.
-    pub(crate) fn note_lapse(&mut self, clock: WorkerClock, margin: Duration) {
-        if clock >= self.last_lease_end().plus(margin) {
-            self.unlapsed_ends.clear();
+    /// Has an end acknowledged only once the lease has lapsed after it.
+    pub(crate) fn await_lapse(&mut self, end: u64) {
+        if self.last_lapsed_end.is_none_or(|last| end > last) {
+            self.unlapsed_ends.insert(end);
         }
     }
 
+    /// Handles a listing: if the lease has lapsed by its clock, the ends in it no longer wait for that.
+    pub(crate) fn note_lapse(&mut self, listing: &WorkerListing, margin: Duration) {
+        if listing.clock < self.last_lease_end().plus(margin) {
+            return;
+        }
+        let last = listing.ended.as_slice().last().map_or(0, |end| end.number);
+        self.last_lapsed_end = self.last_lapsed_end.max(Some(last));
+        self.unlapsed_ends.retain(|end| *end > last);
+    }
+
+    /// Handles that the rows of the kept jobs have not been read when the worker lists ends. They may be of jobs whose owners
+    /// wait only so long, so the lease is not extended for much longer than a read takes. Once it has lapsed, it no longer
+    /// matters how long that takes.
+    pub(crate) fn note_unread_ends(&mut self, now: Instant, ends: &[EndedRun]) {
+        let since = *self.unread_ends_since.get_or_insert(now);
+        if now < since + MAX_UNREAD_TIME || self.last_lapsed_end.is_some() {
+            return;
+        }
+        let former = ends.iter().filter(|end| {
+            let mut own = self.runs.iter();
+            !own.any(|run| Some(run.task) == end.task && run.run == end.run)
+        });
+        let former = former.filter(|end| end.cause.is_recorded());
+        let former: Vec<u64> = former.map(|end| end.number).collect();
+        for number in former {
+            self.await_lapse(number);
+        }
+    }
+
+    /// Handles that the ends of a listing could be told apart.
+    pub(crate) fn note_read_ends(&mut self) {
+        self.unread_ends_since = None;
+    }
+
     /// The latest lease end that any owner may have granted.
     fn last_lease_end(&self) -> WorkerClock {
         self.lease_end.max(self.former_lease_end)
