A former owner that does not know of its successor acknowledges no late ends

The store is out of an owner's reach while it has ends of a kept job to store; its successor does not reach the workers that list them and starts the tasks again after 2.2 s. The store answers the former owner before it hears of the claim: its write conflicts, it merges its ends into the row, or finds the job ended, and acknowledges them, while its other jobs keep the worker's lease.

Change: the number of the job's first run under its present owner is in the row. An owner that finds a later number than its own is superseded: it lets the job go, and the job's ends on its workers wait for a lapse of the lease. So do the ends of a job that is missing from a read of the open jobs.

--- a/crates/node/src/event_lines.rs
+++ b/crates/node/src/event_lines.rs
@@ -237,6 +237,10 @@
             let line = EventLine::new("kept_job_moved").text("job", job);
             (EventKind::Important, line)
         }
+        PoolEvent::KeptSuperseded { job } => {
+            let line = EventLine::new("kept_job_superseded").text("job", job);
+            (EventKind::Important, line)
+        }
         PoolEvent::KeptSuspended => (EventKind::Important, EventLine::new("kept_jobs_suspended")),
         PoolEvent::RunPlaced {
             task,
--- a/crates/pool/src/action.rs
+++ b/crates/pool/src/action.rs
@@ -446,6 +446,11 @@
         /// The job.
         job: JobId,
     },
+    /// A later owner of the pool has let a kept job run, of which this owner has not heard otherwise.
+    KeptSuperseded {
+        /// The job.
+        job: JobId,
+    },
     /// A worker lists the end of a run that is, or may be, of another pool's kept job.
     ForeignEndFound {
         /// The worker that lists the end.
--- a/crates/pool/src/kept.rs
+++ b/crates/pool/src/kept.rs
@@ -84,7 +84,10 @@
             return KeptWriteResult::AlreadyExists(row, version);
         }
         if row.state.is_final() {
-            return KeptWriteResult::Gone;
+            return match row.first_run > self.row.first_run {
+                true => KeptWriteResult::Superseded,
+                false => KeptWriteResult::Gone,
+            };
         }
         KeptWriteResult::Conflict(row, version)
     }
@@ -101,8 +104,10 @@
     AlreadyExists(KeptRow, u64),
     /// The row was changed by another write meanwhile, to this row and version.
     Conflict(KeptRow, u64),
-    /// The job was cancelled, or another owner has stored its end.
+    /// The job has ended in the store, as its customer has cancelled it.
     Gone,
+    /// The job has ended in the store, and a later owner of the pool had let it run before.
+    Superseded,
 }
 
 /// A kept job found in the store.
--- a/crates/pool/src/pool/kept_jobs.rs
+++ b/crates/pool/src/pool/kept_jobs.rs
@@ -134,7 +134,6 @@
         for end in ends {
             if let Some(worker) = self.workers.get_mut(&end.instance) {
                 worker.unstored_ends.remove(&end.number);
-                worker.unlapsed_ends.remove(&end.number);
                 worker.last_seen_end = worker.last_seen_end.min(end.number.saturating_sub(1));
             }
         }
@@ -296,6 +295,7 @@
                 self.handle_existing(now, FoundJob { job, row, version });
             }
             KeptWriteResult::Gone => self.remove_ended_kept(now, id),
+            KeptWriteResult::Superseded => self.release_superseded(now, id),
             KeptWriteResult::Conflict(row, version) => {
                 self.merge_row(now, id, &row, version);
             }
@@ -314,6 +314,11 @@
         let Some(kept) = self.jobs.get_mut(&id).and_then(|job| job.kept.as_mut()) else {
             return;
         };
+        if !kept.may_have_runs && row.first_run > kept.first_run {
+            self.release_superseded(now, id);
+            return;
+        }
+        kept.first_run = kept.first_run.max(row.first_run);
         kept.version = Some(version);
         kept.revision += 1;
         // The row has changed since this owner's write, which therefore has no effect.
@@ -326,6 +331,30 @@
         self.store_changes(id);
     }
 
+    /// Has the ends of a job that are not stored acknowledged only after a lapse of their worker's lease: another owner may
+    /// have started their tasks again.
+    pub(super) fn await_lapse_of_ends(&mut self, id: JobId) {
+        let kept = self.jobs.get(&id).and_then(|job| job.kept.as_ref());
+        for end in kept.into_iter().flat_map(|kept| &kept.unstored_ends) {
+            if let Some(worker) = self.workers.get_mut(&end.instance) {
+                worker.await_lapse(end.number);
+            }
+        }
+    }
+
+    /// Lets go of a job that a later owner of the pool has let run.
+    fn release_superseded(&mut self, now: Instant, id: JobId) {
+        self.await_lapse_of_ends(id);
+        let Some(kept) = self.remove_kept(now, id, JobOutcome::Accepted) else {
+            return;
+        };
+        self.events.push(PoolEvent::KeptSuperseded { job: id });
+        self.request_kept_reload();
+        self.rows_outdated_until = now;
+        self.sole_owner_since = now;
+        self.relist_ends(now, &kept.unstored_ends);
+    }
+
     fn apply_stored(&mut self, now: Instant, id: JobId, version: u64, written: u64) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -132,6 +132,7 @@
         for id in missing {
             self.events
                 .push(PoolEvent::KeptMissing { job: id, version });
+            self.await_lapse_of_ends(id);
             self.remove_ended_kept(now, id);
         }
     }
--- a/crates/pool/tests/divided_ends/main.rs
+++ b/crates/pool/tests/divided_ends/main.rs
@@ -735,6 +735,61 @@
     }
 }
 
+/// Two processes that both own the pool of the kept jobs, as the first has not heard of the second's claim. The store is
+/// out of the first one's reach, so it has not stored the ends of a job. The second does not reach the workers that list
+/// them, on which the first goes on with other jobs, and starts the job's tasks again.
+fn play_with_two_owners() -> (Play, Vec<InstanceId>) {
+    let mut play = Play::new(1);
+    play.run_until(100);
+    play.submit_kept(JobId(7));
+    play.run_until(130);
+    play.owners[JOB_OWNER].is_store_cut = true;
+    play.run_until(DIVISION_MS);
+    let busy = play
+        .workers
+        .iter()
+        .filter(|(_, worker)| worker.has_new_ends());
+    let busy: Vec<InstanceId> = busy.map(|(instance, _)| instance.clone()).collect();
+    assert!(!busy.is_empty() && busy.len() < WORKERS, "{busy:?}");
+    for instance in &busy {
+        play.cuts.insert((1, instance.clone()), u64::MAX);
+    }
+    for assigned in play.assignment.values_mut() {
+        *assigned = 1;
+    }
+    play.open_as(1, JOB_OWNER);
+    let first_starts = play.history.starts(JobId(7));
+    while play.history.starts(JobId(7)) == first_starts {
+        assert!(play.now < PLAY_MS, "the job has not run again");
+        play.run_until(play.now + 1);
+    }
+    (play, busy)
+}
+
+/// Guards against a second run of a task whose end was acknowledged by the job's next owner, which had started the task
+/// again while it did not reach the worker.
+#[test]
+fn ends_on_a_worker_that_the_next_owner_reaches_late() {
+    let (mut play, busy) = play_with_two_owners();
+    for instance in busy {
+        play.cuts.remove(&(1, instance));
+    }
+    play.run_until(play.now + 4_000);
+    let row = play.store.find(JobId(7)).unwrap().row;
+    assert_eq!(row.state, KeptState::Completed);
+}
+
+/// Guards against a second run of a task whose end was acknowledged by a former owner, which stored the end before it heard
+/// that the next one had started the task again.
+#[test]
+fn ends_that_a_former_owner_stores_late() {
+    let (mut play, _) = play_with_two_owners();
+    play.owners[JOB_OWNER].is_store_cut = false;
+    play.run_until(play.now + 4_000);
+    let row = play.store.find(JobId(7)).unwrap().row;
+    assert_eq!(row.state, KeptState::Completed);
+}
+
 /// Guards against a second run of a task whose end was acknowledged by the job's own owner: its worker had gone to another
 /// pool, whose owner could not read the rows, and came back after the task had started again.
 #[test]
