--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -7,7 +7,7 @@
 use stand_ins::forwarder::{LinkError, LinkMode};
 
 use crate::{
-    fleet::SoakFleet,
+    fleet::{LateWrites, SoakFleet},
     plan::FaultKind,
     record::{Disturbance, DrainTrace, FaultScope},
     run::SoakError,
@@ -38,6 +38,14 @@
 /// How long a worker that crashed is down, and until its entry in the store says so.
 const CRASH_TIME: Duration = Duration::from_millis(1_700);
 
+/// How long the jobs of a data centre whose workers are divided anew may wait: found kept jobs, for 2.2 s and a read.
+const DIVISION_TIME: Duration = Duration::from_millis(3_500);
+
+/// The share of the writes that are late, and the bounds of the time after which they are carried out.
+const LATE_WRITE_SHARE: f64 = 0.35;
+const MIN_WRITE_DELAY: Duration = Duration::from_secs(1);
+const MAX_WRITE_DELAY: Duration = Duration::from_secs(6);
+
 /// How long a task that crashes its workers goes on: three crashes, one after the other.
 const CRASHING_JOB_TIME: Duration = Duration::from_secs(6);
 
@@ -50,6 +58,7 @@
     HealStoreLink(usize),
     HealWorkerLink(usize, usize),
     HealStore,
+    EndLateWrites,
     HealWorker(usize),
     RemoveStoreEntry(usize),
     FinishDrain(usize),
@@ -156,6 +165,18 @@
             add_disturbance(FaultScope::Store, false, Duration::ZERO);
             fleet.silence_store();
         }
+        FaultKind::LateWrites(length) => {
+            add_disturbance(FaultScope::Store, false, length + MAX_WRITE_DELAY);
+            fleet.set_late_writes(Some(LateWrites {
+                share: LATE_WRITE_SHARE,
+                delays: MIN_WRITE_DELAY..MAX_WRITE_DELAY,
+            }));
+            follow_ups.push((length, FollowUp::EndLateWrites));
+        }
+        FaultKind::Divide(groups) => {
+            add_disturbance(FaultScope::Workers, false, DIVISION_TIME);
+            fleet.divide_workers(groups);
+        }
         FaultKind::Worker(worker, fault, length) => {
             // A late start may still be executed after the end of the fault.
             add_disturbance(
@@ -244,6 +265,7 @@
             fleet.set_worker_link(worker, node, LinkMode::Pass).await?;
         }
         FollowUp::HealStore => fleet.set_store_fault(StoreFault::None),
+        FollowUp::EndLateWrites => fleet.set_late_writes(None),
         FollowUp::HealWorker(worker) => fleet.set_worker_fault(worker, WorkerFault::None),
         FollowUp::RemoveStoreEntry(instance) => fleet.remove_store_entry(instance),
         FollowUp::FinishDrain(worker) => {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,12 +5,16 @@
 mod workers;
 
 use std::{
+    ops::Range,
     path::PathBuf,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use platform_stand_ins::{config_row, RoutePlan, StoreFault, StoreStandIn, StoreView, SuspectTrap};
+use platform_stand_ins::{
+    config_row, RoutePlan, StoreFault, StoreStandIn, StoreView, SuspectTrap, WriteDelay,
+};
+use serde_json::json;
 use stand_ins::forwarder::{LinkError, LinkMode, LinkRequest, NetForwarder};
 
 use crate::{
@@ -19,7 +23,7 @@
     run::SoakError,
 };
 pub(crate) use names::rack_workers;
-use names::{store_link, worker_link};
+use names::{data_centres, store_link, worker_link};
 use nodes::{load_policies, SoakNode};
 use workers::WorkerInstance;
 
@@ -35,6 +39,24 @@
 /// The stop grace that the settings of the nodes give.
 const STOP_GRACE: Duration = Duration::from_secs(6);
 
+/// Writes to the store that are not answered and carried out late.
+#[derive(Clone, Debug)]
+pub(crate) struct LateWrites {
+    /// Their share of all writes.
+    pub(crate) share: f64,
+    /// The bounds of the time after which they are carried out.
+    pub(crate) delays: Range<Duration>,
+}
+
+impl LateWrites {
+    /// Draws when a write is carried out. `None` if it is not late.
+    fn draw(&self) -> Option<Duration> {
+        let spread = self.delays.end.saturating_sub(self.delays.start);
+        let is_late = fastrand::f64() < self.share;
+        is_late.then(|| self.delays.start + spread.mul_f64(fastrand::f64()))
+    }
+}
+
 /// All processes and stand-ins of a soak.
 pub(crate) struct SoakFleet {
     began: Instant,
@@ -146,6 +168,23 @@
         self.store.set_fault(fault);
     }
 
+    /// Has a share of the writes to the store carried out late and not answered, or ends that.
+    pub(crate) fn set_late_writes(&self, late: Option<LateWrites>) {
+        self.store.set_write_delay(late.map(|late| {
+            let delay_of: WriteDelay = Rc::new(move |_| late.draw());
+            delay_of
+        }));
+    }
+
+    /// Divides the workers of each data centre among this many pools, as a node does.
+    pub(crate) fn divide_workers(&self, groups: u32) {
+        for centre in data_centres() {
+            let key = format!("{centre}/groups");
+            let row = json!({ "groups": groups, "spread": "life" });
+            self.store.put("claims", &key, &row);
+        }
+    }
+
     /// Sets how many workers restart as they are sent a task under which a worker has died.
     pub(crate) fn trap_suspects(&self, restarts: u32) {
         self.trap.set(restarts);
--- a/crates/soak/src/fleet/names.rs
+++ b/crates/soak/src/fleet/names.rs
@@ -8,6 +8,11 @@
 /// The number of workers in a rack.
 const RACK_SIZE: usize = 3;
 
+/// All data centres.
+pub(super) fn data_centres() -> impl Iterator<Item = &'static str> {
+    DATA_CENTRES.into_iter()
+}
+
 pub(super) fn data_centre(number: usize) -> &'static str {
     DATA_CENTRES[number % DATA_CENTRES.len()]
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -56,6 +56,8 @@
     CrashSeries,
     /// Only faults of single nodes, and silences of the store, which may overlap.
     SingleNodes,
+    /// Only divisions of the workers among more pools, most while writes to the store are late.
+    Divisions,
     /// No faults. The load lasts as long as the recovery after the last fault does otherwise.
     None,
 }
@@ -199,6 +201,10 @@
     Forget,
     /// Makes all open connections to the store go silent for good.
     SilenceStore,
+    /// Leaves a share of the writes to the store unanswered for this time, and carries them out 1 to 6 s later.
+    LateWrites(Duration),
+    /// Divides the workers of each data centre among this many pools.
+    Divide(u32),
     /// Sets a fault of a worker for this time.
     Worker(usize, WorkerFault, Duration),
     /// Crashes a worker; a new one under another id replaces it after this time.
@@ -256,6 +262,20 @@
 /// Bounds of the time for which the store is silent beside faults of single nodes, in milliseconds.
 const STORE_AWAY_MS: (u64, u64) = (2_000, 5_000);
 
+/// Bounds of the time between two divisions of the workers, in milliseconds.
+const DIVISION_GAPS_MS: (u64, u64) = (1_500, 6_000);
+
+/// The most pools into which a data centre's workers are divided.
+const MAX_GROUPS: u32 = 4;
+
+/// The share of divisions while writes are late, and the bounds of the time from the first late write to the division, in
+/// milliseconds.
+const LATE_DIVISION_SHARE: f64 = 0.8;
+const LATE_LEAD_MS: (u64, u64) = (0, 600);
+
+/// For how long writes are late: the limit of the users' sites.
+const LATE_WRITE_TIME: Duration = Duration::from_millis(4_500);
+
 /// Bounds of the time between two worker restarts under the same id, in milliseconds.
 const RESTART_GAPS_MS: (u64, u64) = (500, 4_000);
 
@@ -272,10 +292,32 @@
                 steps
             }
             FaultMix::SingleNodes => self.single_node_steps(&mut rng),
+            FaultMix::Divisions => self.division_steps(&mut rng),
             FaultMix::None => Vec::new(),
         }
     }
 
+    /// The number of pools only grows, as nodes let it only grow.
+    fn division_steps(&self, rng: &mut Rng) -> Vec<FaultStep> {
+        let mut steps = Vec::new();
+        let mut at = draw_time(rng, DIVISION_GAPS_MS);
+        for groups in 2..=MAX_GROUPS {
+            if at >= self.fault_duration {
+                break;
+            }
+            if rng.f64() < LATE_DIVISION_SHARE {
+                let before = draw_time(rng, LATE_LEAD_MS);
+                let kind = FaultKind::LateWrites(LATE_WRITE_TIME);
+                let at = at.saturating_sub(before);
+                steps.push(FaultStep { at, kind });
+            }
+            let kind = FaultKind::Divide(groups);
+            steps.push(FaultStep { at, kind });
+            at += draw_time(rng, DIVISION_GAPS_MS);
+        }
+        steps
+    }
+
     fn mixed_steps(&self, rng: &mut Rng) -> Vec<FaultStep> {
         // Some time limits are checked only while no unplanned fault is active, so some seeds have planned work only.
         let planned_only = rng.u32(..PLANNED_ONLY_ONE_IN) == 0;
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use scenario::find_binary;
-use soak::{run_soak, CustomerPlan, SoakPlan};
+use soak::{run_soak, CustomerPlan, FaultMix, SoakPlan};
 use tokio::sync::Mutex;
 
 /// Held by the test that runs: the nodes of both would have the same addresses.
@@ -13,7 +13,7 @@
 /// time, no worker may get too many runs, no task may run twice at once, and all jobs must be served afterwards.
 #[actix_rt::test]
 async fn a_short_soak_keeps_all_promises() {
-    check(1, CustomerPlan::default()).await;
+    check(1, FaultMix::All, CustomerPlan::default()).await;
 }
 
 /// Beside clients that do not behave, the promises must hold for the customers that do.
@@ -23,13 +23,25 @@
         misbehaving_clients: 60,
         ..CustomerPlan::default()
     };
-    check(65_001, customers).await;
+    check(65_001, FaultMix::All, customers).await;
 }
 
-async fn check(seed: u64, customers: CustomerPlan) {
+/// Guards against second runs of kept jobs' tasks whose ends were acknowledged, after the workers were divided among more
+/// pools while writes to the store are late.
+#[actix_rt::test]
+async fn a_short_soak_with_divisions_keeps_all_promises() {
+    let customers = CustomerPlan {
+        kept_share: 0.5,
+        ..CustomerPlan::default()
+    };
+    check(71_001, FaultMix::Divisions, customers).await;
+}
+
+async fn check(seed: u64, faults: FaultMix, customers: CustomerPlan) {
     let _turn = TURN.lock().await;
     let plan = SoakPlan {
         worker_restarts: true,
+        faults,
         customers,
         seed,
         fault_duration: Duration::from_secs(8),
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -23,6 +23,9 @@
     /// Inject only crashes of workers, in series
     #[bpaf(switch)]
     crashes: bool,
+    /// Inject only divisions of the workers among more pools, most while writes to the store are late
+    #[bpaf(switch)]
+    divisions: bool,
     /// Number of seeds to run, one after another
     #[bpaf(argument("COUNT"), fallback(1), display_fallback)]
     seeds: u64,
@@ -68,6 +71,8 @@
     Heard,
     /// Only crashes of workers, in series.
     Crashes,
+    /// Only divisions of the workers.
+    Divisions,
     /// Those that there were when the first seeds failed.
     First,
 }
@@ -76,6 +81,7 @@
     fn faults(self) -> FaultMix {
         match self {
             Self::Crashes => FaultMix::CrashSeries,
+            Self::Divisions => FaultMix::Divisions,
             Self::All | Self::Heard | Self::First => FaultMix::All,
         }
     }
@@ -84,7 +90,7 @@
         match self {
             Self::First => CustomerPlan::short_jobs(),
             Self::Heard | Self::Crashes => CustomerPlan::heard_breaks(),
-            Self::All => CustomerPlan::default(),
+            Self::All | Self::Divisions => CustomerPlan::default(),
         }
     }
 }
@@ -146,9 +152,10 @@
         None => SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs(),
     };
     let mut failed = Vec::new();
-    let setting = match options.crashes {
-        true => SeedSetting::Crashes,
-        false => SeedSetting::All,
+    let setting = match (options.crashes, options.divisions) {
+        (true, _) => SeedSetting::Crashes,
+        (false, true) => SeedSetting::Divisions,
+        (false, false) => SeedSetting::All,
     };
     let fresh = move |seed| (seed, setting);
     let seeds: Box<dyn Iterator<Item = (u64, SeedSetting)>> = match (options.known, until) {
