Pool: what follows from the revisions of a job is not stored beside them

`KeptJobState::unfenced` is always `stored_revision < resumed_revision`; `ForeignEnd::awaits_lapse` came back with each answer only to skip a call of `await_lapse`, which does nothing the second time; and `note_unread_ends` left out runs of the pool itself, of which a worker without readable rows has none among its recorded ends.

Change: a method instead of the first, the other two removed. A found job that is being written as it is let run again takes the same path as the others, so it also logs `job_resumed`. No other change of behaviour.

--- a/crates/pool/src/kept.rs
+++ b/crates/pool/src/kept.rs
@@ -156,8 +156,6 @@
     pub task: TaskId,
     /// The end.
     pub end: EndedRun,
-    /// Whether the end waits for the worker's lease to lapse since it was found, as it is known to be of a kept job.
-    pub awaits_lapse: bool,
 }
 
 /// What became of the end of a run that may be of another pool's kept job.
@@ -189,7 +187,7 @@
     pub(crate) stored_revision: u64,
     /// See [`KeptRow::first_run`].
     pub(crate) first_run: u64,
-    /// The revision of the first row with this owner's `first_run`.
+    /// The revision of the first row with this owner's `first_run`; the maximum until the owner lets the job run.
     pub(crate) resumed_revision: u64,
     /// The write that is in progress.
     pub(crate) writing: Option<WriteId>,
@@ -199,9 +197,6 @@
     pub(crate) final_state: Option<KeptState>,
     /// Whether the job was found in the store and may still have runs of the former owner.
     pub(crate) may_have_runs: bool,
-    /// Whether the row has yet to be written with this owner's `first_run`. Before that a former owner's write of the row may
-    /// still take effect, and the next owner would not see that tasks may have been started again.
-    pub(crate) unfenced: bool,
     /// The pool to which the job is being moved.
     pub(crate) new_home: Option<Arc<str>>,
     /// Since when no worker of the pool can hold the job.
@@ -228,6 +223,12 @@
         record.failures(index)
     }
 
+    /// Whether the row has yet to be written with this owner's `first_run`. Before that a former owner's write of the row may
+    /// still take effect, and the next owner would not see that tasks may have been started again.
+    pub(crate) fn is_unfenced(&self) -> bool {
+        self.stored_revision < self.resumed_revision
+    }
+
     /// Whether the store has every change.
     pub(crate) fn is_fully_stored(&self) -> bool {
         self.version.is_some() && self.writing.is_none() && self.stored_revision >= self.revision
--- a/crates/pool/src/pool/kept_jobs.rs
+++ b/crates/pool/src/pool/kept_jobs.rs
@@ -373,7 +373,6 @@
         };
         let first = kept.version.is_none();
         kept.version = Some(version);
-        kept.unfenced &= written < kept.resumed_revision;
         kept.stored_revision = written;
         let (stored, later): (Vec<_>, Vec<_>) = std::mem::take(&mut kept.unstored_ends)
             .into_iter()
--- a/crates/pool/src/pool/takeover.rs
+++ b/crates/pool/src/pool/takeover.rs
@@ -155,19 +155,14 @@
             kept.may_have_runs = false;
             kept.first_run = first_run;
             kept.resumed_revision = kept.revision + 1;
-            // A write of a job that has changed meanwhile is answered with the change.
-            if kept.final_state.is_some() {
-                return None;
-            }
-            let idle = kept.writing.is_none();
-            if !idle {
-                kept.revision += 1;
-            }
-            idle.then_some((*id, kept.version))
+            let runs = kept.final_state.is_none();
+            runs.then_some((*id, kept.version, kept.writing.is_some()))
         });
-        let held: Vec<(JobId, Option<u64>)> = held.collect();
-        for (id, version) in held {
+        let held: Vec<(JobId, Option<u64>, bool)> = held.collect();
+        for (id, version, is_being_written) in held {
             match open.get(&id) {
+                // If the row has changed meanwhile, the write is answered with the change.
+                _ if is_being_written => self.fence_off_former_writes(id),
                 Some(job) if Some(job.version) > version => {
                     self.merge_row(now, id, &job.row, job.version);
                 }
@@ -231,7 +226,6 @@
             first_run: row.first_run,
             resumed_revision: u64::MAX,
             may_have_runs: true,
-            unfenced: true,
             ..KeptJobState::default()
         });
         let complete = job.is_complete();
@@ -267,7 +261,7 @@
             return self.may_run_attempt(now, job);
         };
         let stored = kept.version.is_some() && kept.final_state.is_none();
-        let is_ours = !kept.may_have_runs && !kept.unfenced && kept.new_home.is_none();
+        let is_ours = !kept.may_have_runs && !kept.is_unfenced() && kept.new_home.is_none();
         stored && is_ours && self.accepting && self.has_recent_store_contact(now)
     }
 
@@ -413,7 +407,7 @@
     /// once more before it runs what it found, but the end may come later than that. It is therefore acknowledged only once
     /// the worker's lease has lapsed: then the task may be started again.
     fn store_foreign_end(&mut self, instance: &InstanceId, task: TaskId, end: &EndedRun) {
-        let awaits_lapse = self.foreign_jobs.contains(&task.job);
+        let is_known = self.foreign_jobs.contains(&task.job);
         let worker = self.workers.get_mut(instance);
         let Some(worker) = worker.filter(|_| end.cause.is_recorded()) else {
             return;
@@ -421,7 +415,7 @@
         if !worker.unstored_ends.insert(end.number) {
             return;
         }
-        if awaits_lapse {
+        if is_known {
             worker.await_lapse(end.number);
         }
         self.events.push(PoolEvent::ForeignEndFound {
@@ -435,7 +429,6 @@
             born: worker.born,
             task,
             end: end.clone(),
-            awaits_lapse,
         }));
     }
 
@@ -451,11 +444,8 @@
             ForeignEndResult::NoKeptJob => {
                 worker.unlapsed_ends.remove(&number);
             }
-            // Only now it is known that the end is of a kept job.
-            ForeignEndResult::Stored if !stored.awaits_lapse => {
-                worker.await_lapse(number);
-            }
-            ForeignEndResult::Stored => (),
+            // For a job that was not known here, the wait begins only now.
+            ForeignEndResult::Stored => worker.await_lapse(number),
         }
     }
 
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -568,14 +568,10 @@
         if now < since + MAX_UNREAD_TIME || self.last_lapsed_end.is_some() {
             return;
         }
-        let former = ends.iter().filter(|end| {
-            let mut own = self.runs.iter();
-            !own.any(|run| Some(run.task) == end.task && run.run == end.run)
-        });
-        let former = former.filter(|end| end.cause.is_recorded());
-        let former: Vec<u64> = former.map(|end| end.number).collect();
-        for number in former {
-            self.await_lapse(number);
+        for end in ends {
+            if end.cause.is_recorded() {
+                self.await_lapse(end.number);
+            }
         }
     }
 
