A pool whose only worker has a failed run takes new jobs

Callers saw 429 with `too_late` from a pool whose only worker was idle, for as long as the pool existed, after one job had failed there by its own fault. The soak with divisions found it: it leaves data centres with pools of one worker.

Cause: new jobs count on healthy workers; a worker is healthy again only after a run that succeeds. The exception for pools without a healthy worker held only for workers whose suspension is over, and runs of a single job do not suspend a worker. So nothing was admitted that could have succeeded.

Change: without a healthy worker, new jobs count on every worker that placement would give a run, by one condition for both.

--- a/crates/pool/src/health.rs
+++ b/crates/pool/src/health.rs
@@ -60,11 +60,6 @@
         self.state == HealthState::Healthy && self.failures == 0
     }
 
-    /// Whether the suspension is over and a probe run has to show whether the worker is healthy again.
-    pub(crate) fn needs_probe_run(&self, now: Instant) -> bool {
-        matches!(self.state, HealthState::Suspended { until } if now >= until)
-    }
-
     /// Records a successful run, which makes the worker healthy.
     pub(crate) fn record_success(&mut self) {
         *self = Self::default();
--- a/crates/pool/src/placement.rs
+++ b/crates/pool/src/placement.rs
@@ -81,7 +81,7 @@
 }
 
 fn may_place(worker: &TrackedWorker, request: &PlacementRequest<'_>, now: Instant) -> bool {
-    if !can_hold(&worker.record, request.spec, request.service) || !worker.accepts_runs() {
+    if !can_hold(&worker.record, request.spec, request.service) || !worker.may_get_run(now) {
         return false;
     }
     // A lease never gets shorter, so the run could last as long as the one that the worker has.
@@ -92,9 +92,6 @@
     if worker.slowness > request.max_slowness {
         return false;
     }
-    if !worker.health.allows_run(now, worker.runs.len()) {
-        return false;
-    }
     let pause = worker.slow_pause.of(SLUGGISH_PROBE_PAUSE);
     if is_sluggish(worker, request.median_slowness)
         && (!worker.runs.is_empty() || now < worker.last_end_time + pause)
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -440,7 +440,7 @@
         if self.evacuated {
             return load;
         }
-        for worker in self.usable_or_probe_workers(now) {
+        for worker in self.workers_for_new_jobs(now) {
             load.capacity = load.capacity.saturating_add(worker.record.capacity.cpu.0);
             load.free = load.free.saturating_add(worker.free_capacity().cpu.0);
         }
@@ -454,19 +454,17 @@
         load
     }
 
-    /// The workers that count as capacity for new jobs: the healthy ones or, if there is none,
-    /// those that are due for a probe run. Otherwise a pool without a healthy worker would admit
-    /// nothing and never find out that a worker has recovered.
-    fn usable_or_probe_workers(&self, now: Instant) -> Vec<&TrackedWorker> {
+    /// The workers that count as capacity for new jobs: the healthy ones or, if there is none, those that may get a run
+    /// all the same. Otherwise a pool without a healthy worker would admit nothing and never find out that a worker has
+    /// recovered, or that a failed run was the fault of its job.
+    fn workers_for_new_jobs(&self, now: Instant) -> Vec<&TrackedWorker> {
         let workers = self.workers.values();
         let usable: Vec<_> = workers.filter(|worker| worker.is_usable()).collect();
         if !usable.is_empty() {
             return usable;
         }
         let workers = self.workers.values();
-        workers
-            .filter(|worker| worker.needs_probe_run(now))
-            .collect()
+        workers.filter(|worker| worker.may_get_run(now)).collect()
     }
 
     fn build_job(
--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -530,7 +530,7 @@
     }
 
     fn pool_forecast(&self, now: Instant, service: &ServiceId) -> PoolForecast {
-        let workers = self.usable_or_probe_workers(now).into_iter();
+        let workers = self.workers_for_new_jobs(now).into_iter();
         let workers = workers.filter(|worker| worker.record.service == *service);
         let (sluggish, others): (Vec<_>, Vec<_>) =
             workers.partition(|worker| is_sluggish(worker, self.median_slowness));
--- a/crates/pool/src/pool/profile.rs
+++ b/crates/pool/src/pool/profile.rs
@@ -30,7 +30,7 @@
             return None;
         }
         let task_cpu = self.arrivals.typical_cpu(now).filter(|cpu| *cpu > 0)?;
-        let mut workers = self.usable_or_probe_workers(now);
+        let mut workers = self.workers_for_new_jobs(now);
         if workers.len() > 1 {
             workers.retain(|worker| !is_sluggish(worker, self.median_slowness));
         }
--- a/crates/pool/src/pool/return_turns.rs
+++ b/crates/pool/src/pool/return_turns.rs
@@ -103,7 +103,7 @@
 
     /// The rate of work that the usable workers can do.
     pub(super) fn usable_work_rate(&self, now: Instant) -> WorkRate {
-        let workers = self.usable_or_probe_workers(now).into_iter();
+        let workers = self.workers_for_new_jobs(now).into_iter();
         let cpu: u64 = workers.map(|worker| worker.record.capacity.cpu.0).sum();
         WorkRate(cpu as f64 * self.settings.packing_share)
     }
--- a/crates/pool/src/pool/watching.rs
+++ b/crates/pool/src/pool/watching.rs
@@ -47,9 +47,8 @@
         taken: &[InstanceId],
     ) -> Option<InstanceId> {
         let usable = self.workers.values().filter(|worker| {
-            worker.accepts_runs()
+            worker.may_get_run(now)
                 && worker.runs.is_empty()
-                && worker.health.allows_run(now, 0)
                 && !taken.contains(&worker.record.instance)
                 && self.can_hold_task(worker, task)
         });
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -711,9 +711,9 @@
         (self.accepts_runs() || first_poll) && self.health.is_healthy()
     }
 
-    /// Whether the worker would be usable again once a probe run on it succeeds.
-    pub(crate) fn needs_probe_run(&self, now: Instant) -> bool {
-        self.accepts_runs() && self.runs.is_empty() && self.health.needs_probe_run(now)
+    /// Whether the worker may get a run now, which would make it usable again if it succeeds.
+    pub(crate) fn may_get_run(&self, now: Instant) -> bool {
+        self.accepts_runs() && self.health.allows_run(now, self.runs.len())
     }
 
     pub(crate) fn run_mut(&mut self, task: TaskId, run: RunNumber) -> Option<&mut TrackedRun> {
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use jobs::{JobId, JobOutcome};
+use jobs::{JobId, JobOutcome, KeptState};
 use pool::WaiterId;
 use support::{
     results::{credit, kind_credit, summary},
-    Simulation, WorkerFault,
+    state, Simulation, WorkerFault,
 };
 
 /// Under normal load, jobs neither wait long nor are refused.
@@ -278,6 +278,35 @@
     assert_narrow_jobs_complete(&mut simulation);
 }
 
+/// Guards against refusing all jobs for lack of a healthy worker after a job has failed by its own fault on the only
+/// worker of a pool: the worker is not suspended for that, but counts as healthy only after a run that succeeds.
+#[test]
+fn a_pool_with_a_failure_on_its_only_worker_serves_again() {
+    let mut simulation = Simulation::of_kept_jobs(1);
+    let failing = JobId(100);
+    simulation.poison_task(failing, 0, 0);
+    simulation.submit_sized(2, failing, vec![100.0], 100.0, 6_800);
+    simulation.run_for(1_000);
+    assert_eq!(state(&simulation, failing), Some(KeptState::Failed));
+    simulation.submits_kept = false;
+    assert_narrow_jobs_complete(&mut simulation);
+}
+
+/// Guards against the same refusals while the worker has another run, which may last for long, beside free capacity.
+#[test]
+fn a_pool_with_a_failure_beside_a_long_run_serves_again() {
+    let mut simulation = Simulation::of_kept_jobs(1);
+    let failing = JobId(100);
+    simulation.poison_task(failing, 0, 0);
+    simulation.submit_sized(2, JobId(101), vec![20_000.0], 20_000.0, 6_800);
+    simulation.submit_sized(2, failing, vec![100.0], 100.0, 6_800);
+    simulation.run_for(1_000);
+    assert_eq!(state(&simulation, failing), Some(KeptState::Failed));
+    simulation.submits_kept = false;
+    assert_narrow_jobs_complete(&mut simulation);
+    assert_eq!(simulation.workers_running(JobId(101)).len(), 1);
+}
+
 /// All workers of a pool are several times slower for a while and then as fast as before. Jobs have to be admitted for
 /// the recovery to be noticed: if they were refused because all workers look slow, they would be refused for ever.
 #[test]
