Tests of pools with a failed run share their failing job

Cause: the two tests of repeat how a kept job fails, and the comment of `may_get_run` says of every worker what holds only for one that is not healthy.

No code of the product changes.

--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -711,7 +711,8 @@
         (self.accepts_runs() || first_poll) && self.health.is_healthy()
     }
 
-    /// Whether the worker may get a run now, which would make it usable again if it succeeds.
+    /// Whether the worker may get a run now, as far as its state and its health tell. It need not be healthy: a run that
+    /// succeeds shows that it is.
     pub(crate) fn may_get_run(&self, now: Instant) -> bool {
         self.accepts_runs() && self.health.allows_run(now, self.runs.len())
     }
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -278,16 +278,21 @@
     assert_narrow_jobs_complete(&mut simulation);
 }
 
+/// Submits a kept job of one task, which fails as often as its route allows.
+fn fail_kept_job(simulation: &mut Simulation) {
+    let failing = JobId(100);
+    simulation.poison_task(failing, 0, 0);
+    simulation.submit_sized(2, failing, vec![100.0], 100.0, 6_800);
+    simulation.run_for(1_000);
+    assert_eq!(state(simulation, failing), Some(KeptState::Failed));
+}
+
 /// Guards against refusing all jobs for lack of a healthy worker after a job has failed by its own fault on the only
 /// worker of a pool: the worker is not suspended for that, but counts as healthy only after a run that succeeds.
 #[test]
 fn a_pool_with_a_failure_on_its_only_worker_serves_again() {
     let mut simulation = Simulation::of_kept_jobs(1);
-    let failing = JobId(100);
-    simulation.poison_task(failing, 0, 0);
-    simulation.submit_sized(2, failing, vec![100.0], 100.0, 6_800);
-    simulation.run_for(1_000);
-    assert_eq!(state(&simulation, failing), Some(KeptState::Failed));
+    fail_kept_job(&mut simulation);
     simulation.submits_kept = false;
     assert_narrow_jobs_complete(&mut simulation);
 }
@@ -296,15 +301,12 @@
 #[test]
 fn a_pool_with_a_failure_beside_a_long_run_serves_again() {
     let mut simulation = Simulation::of_kept_jobs(1);
-    let failing = JobId(100);
-    simulation.poison_task(failing, 0, 0);
-    simulation.submit_sized(2, JobId(101), vec![20_000.0], 20_000.0, 6_800);
-    simulation.submit_sized(2, failing, vec![100.0], 100.0, 6_800);
-    simulation.run_for(1_000);
-    assert_eq!(state(&simulation, failing), Some(KeptState::Failed));
+    let long = JobId(101);
+    simulation.submit_sized(2, long, vec![20_000.0], 20_000.0, 6_800);
+    fail_kept_job(&mut simulation);
     simulation.submits_kept = false;
     assert_narrow_jobs_complete(&mut simulation);
-    assert_eq!(simulation.workers_running(JobId(101)).len(), 1);
+    assert_eq!(simulation.workers_running(long).len(), 1);
 }
 
 /// All workers of a pool are several times slower for a while and then as fast as before. Jobs have to be admitted for
