KNOWN-RED: a service's only worker with a failed run, beside workers of another service

`workers_for_new_jobs` chooses the healthy workers of the whole pool, and `pool_forecast` filters by service only afterwards. So a healthy worker of another service still hides the only one of this service, and its jobs are refused for good.

--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use jobs::{JobId, JobOutcome, KeptState};
+use jobs::{JobId, JobOutcome, KeptState, ServiceId, WorkerRecord};
 use pool::WaiterId;
 use support::{
     results::{credit, kind_credit, summary},
-    state, Simulation, WorkerFault,
+    state, worker_record, Simulation, WorkerFault,
 };
 
 /// Under normal load, jobs neither wait long nor are refused.
@@ -309,6 +309,22 @@
     assert_eq!(simulation.workers_running(long).len(), 1);
 }
 
+/// Guards against the same refusals for a service of which the pool has one worker, while the workers of another service
+/// are healthy: the workers that count for new jobs are chosen over all services.
+#[test]
+fn a_service_with_a_failure_on_its_only_worker_serves_again() {
+    let mut simulation = Simulation::of_kept_jobs(1);
+    fail_kept_job(&mut simulation);
+    simulation.submits_kept = false;
+    let of_other_service = WorkerRecord {
+        service: ServiceId::from("other"),
+        ..worker_record(9, 16_000)
+    };
+    simulation.add_worker(of_other_service, 1.0);
+    simulation.run_for(300);
+    assert_narrow_jobs_complete(&mut simulation);
+}
+
 /// All workers of a pool are several times slower for a while and then as fast as before. Jobs have to be admitted for
 /// the recovery to be noticed: if they were refused because all workers look slow, they would be refused for ever.
 #[test]
